Add the design, the wire contracts and the configuration types

Cause: every later part needs one agreed frame: which process owns which state, which lease lies inside which, and the messages between processes.

Change: docs/design.md with the lease hierarchy and its alternatives; protobuf for control replicas and schedulers with generated twirp code; the HTTP/JSON worker protocol; configuration types with strict parsing and canonical JSON; strict settings; a leader-following control client and the shared parts of the daemons.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# make demo: the main job, on a fresh machine with Go and make only.
+# make test: the whole suite with formatter, vet and linter.
+GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BIN := bin
+SECONDS ?= 60
+
+.PHONY: all build demo test unit format vet lint bench experiments capacity soak generate clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build
+	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -count=1 -timeout 180s ./e2e -run TestDemo -demo -v
+
+test: format vet lint unit
+
+format:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$')); \
+	if [ -n "$$unformatted" ]; then echo "run gofmt -w on: $$unformatted"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint:
+	go run $(GOLANGCI) run ./...
+
+unit: build
+	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -race -count=1 -timeout 900s ./...
+
+bench: build
+	GERANIUM_BIN=$(CURDIR)/$(BIN) scripts/bench.sh
+
+experiments:
+	go run ./cmd/geranium-experiments
+
+capacity:
+	go run ./cmd/geranium-capacity
+
+soak:
+	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./state ./scheduler/...
+
+generate:
+	scripts/generate.sh
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/control/client/client.go
@@ -0,0 +1,176 @@
+// Package client calls the control replicas. It finds the leader, follows its
+// changes and says of every failed call whether it may have had an effect.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/workerapi"
+)
+
+// Meta keys of the twirp errors of the control replicas.
+const (
+	MetaKind    = "kind"
+	MetaLeader  = "leader"
+	MetaOutcome = "outcome"
+	// KindNotLeader marks an answer by a replica that is not the leader.
+	KindNotLeader = "not_leader"
+)
+
+const (
+	// attemptTimeout bounds one attempt, so that a silent replica costs little of
+	// the deadline of the call.
+	attemptTimeout = time.Second
+	// retryPause separates rounds over all replicas while there is no leader.
+	retryPause = 50 * time.Millisecond
+)
+
+// Error is a failed call. Outcome is not_run if no replica can have recorded
+// anything, otherwise unknown.
+type Error struct {
+	Method  string
+	Outcome workerapi.Outcome
+	Err     error
+}
+
+// Error names the call, its outcome and the remedy.
+func (e *Error) Error() string {
+	remedy := "retry later"
+	if e.Outcome == workerapi.OutcomeUnknown {
+		remedy = "resend with the same key to learn the outcome"
+	}
+	return fmt.Sprintf("control %s: outcome %s: %v; %s", e.Method, e.Outcome, e.Err, remedy)
+}
+
+// Unwrap returns the error of the last attempt.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Client is safe for concurrent use.
+type Client struct {
+	addresses []string
+	stubs     map[string]controlpb.Control
+	leader    atomic.Value // string: address of the last known leader
+	next      atomic.Uint64
+}
+
+// New returns a client of the replicas at the addresses, each host:port.
+func New(addresses []string, httpClient *http.Client) *Client {
+	c := &Client{addresses: addresses, stubs: map[string]controlpb.Control{}}
+	for _, a := range addresses {
+		c.stubs[a] = controlpb.NewControlProtobufClient("http://"+a, httpClient)
+	}
+	c.leader.Store("")
+	return c
+}
+
+// Call runs f against the leader and retries on other replicas until it succeeds,
+// fails for a reason that is not about the replica, or ctx is over. Every method
+// of Control is idempotent under its key, so a retry is safe. extra is added to
+// the time of one attempt, for calls that wait on the server.
+func Call[Q, R any](
+	ctx context.Context, c *Client, method string, extra time.Duration,
+	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
+) (R, error) {
+	var none R
+	outcome := workerapi.OutcomeNotRun
+	for attempt := 0; ; attempt++ {
+		address := c.target(attempt)
+		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
+		answer, err := f(c.stubs[address], bounded, request)
+		cancel()
+		if err == nil {
+			c.leader.Store(address)
+			return answer, nil
+		}
+		if mayHaveRun(err) {
+			outcome = workerapi.OutcomeUnknown
+		}
+		if !c.learn(address, err) {
+			return none, &Error{Method: method, Outcome: outcome, Err: err}
+		}
+		if attempt%len(c.addresses) == len(c.addresses)-1 {
+			pause(ctx, retryPause)
+		}
+		if ctx.Err() != nil {
+			return none, &Error{Method: method, Outcome: outcome, Err: err}
+		}
+	}
+}
+
+// Any runs f against each replica in turn until one answers. It is for calls
+// that every replica serves.
+func Any[Q, R any](
+	ctx context.Context, c *Client, extra time.Duration,
+	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
+) (R, error) {
+	var none R
+	var last error
+	for range c.addresses {
+		address := c.addresses[int(c.next.Add(1))%len(c.addresses)]
+		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
+		answer, err := f(c.stubs[address], bounded, request)
+		cancel()
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+	}
+	return none, fmt.Errorf("no control replica answered: %w", last)
+}
+
+func (c *Client) target(attempt int) string {
+	if hint := c.leader.Load().(string); hint != "" && attempt == 0 {
+		return hint
+	}
+	return c.addresses[int(c.next.Add(1))%len(c.addresses)]
+}
+
+// learn updates the leader after a failed attempt and reports whether another
+// attempt can help.
+func (c *Client) learn(address string, err error) bool {
+	var te twirp.Error
+	if !errors.As(err, &te) {
+		c.forget(address)
+		return true
+	}
+	switch te.Code() {
+	case twirp.Unavailable, twirp.DeadlineExceeded, twirp.Internal, twirp.Canceled, twirp.BadRoute, twirp.Unknown:
+	default:
+		return false
+	}
+	hint := te.Meta(MetaLeader)
+	if _, known := c.stubs[hint]; known && hint != address {
+		c.leader.Store(hint)
+	} else {
+		c.forget(address)
+	}
+	return true
+}
+
+func (c *Client) forget(address string) { c.leader.CompareAndSwap(address, "") }
+
+// mayHaveRun reports whether a failed attempt can have had an effect.
+func mayHaveRun(err error) bool {
+	var te twirp.Error
+	if errors.As(err, &te) && te.Meta(MetaOutcome) == string(workerapi.OutcomeNotRun) {
+		return false
+	}
+	return !refusedConnection(err)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,97 @@
+// Package daemon holds what the mains of all daemons share: flags, settings,
+// logs, signals, HTTP servers and metrics.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumwall/settings"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// Main parses the flags, loads the settings into s, which holds the defaults, and
+// runs the daemon until SIGTERM or SIGINT. run must finish the work in progress
+// before it returns. Main does not return.
+func Main(name string, s settings.Checked, run func(context.Context, zerolog.Logger) error) {
+	file := flag.String("settings", "", "path of the JSON settings file")
+	defaults := flag.Bool("print-defaults", false, "print the default settings and exit")
+	flag.Parse()
+	if *defaults {
+		exitOn(settings.PrintDefaults(os.Stdout, s), ExitFailure)
+		os.Exit(0)
+	}
+	exitOn(settings.Load(*file, s), ExitUsage)
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("process", name).Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, log); err != nil {
+		log.Error().Err(err).Msg("daemon failed")
+		os.Exit(ExitFailure)
+	}
+	log.Info().Msg("daemon stopped")
+	os.Exit(0)
+}
+
+func exitOn(err error, code int) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(code)
+	}
+}
+
+// Server is an HTTP server that is stopped gracefully.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	failed   chan error
+}
+
+// Listen binds the address; Serve starts to accept.
+func Listen(ctx context.Context, address string, handler http.Handler) (*Server, error) {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w; choose a free address in the settings", address, err)
+	}
+	return &Server{
+		http:     &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+		listener: listener,
+		failed:   make(chan error, 1),
+	}, nil
+}
+
+// Address returns the bound address.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve accepts connections in the background.
+func (s *Server) Serve() {
+	go func() {
+		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- err
+		}
+	}()
+}
+
+// Failed delivers the error of a server that stopped by itself.
+func (s *Server) Failed() <-chan error { return s.failed }
+
+// Shutdown stops accepting and waits for requests in progress until ctx is over.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- /dev/null
+++ b/workerapi/workerapi.go
@@ -0,0 +1,225 @@
+// Package workerapi defines the HTTP/JSON protocol between workers, schedulers
+// and gateways. All durations are milliseconds, memory is megabytes and
+// processors are millicores.
+package workerapi
+
+// Paths served by a scheduler.
+const (
+	PathHeartbeat = "/v1/worker/heartbeat"
+	PathWithdraw  = "/v1/worker/withdraw"
+)
+
+// Paths served by a worker.
+const (
+	PathAttach     = "/v1/attach"
+	PathStart      = "/v1/tasks/start"
+	PathStop       = "/v1/tasks/stop"
+	PathThrottle   = "/v1/tasks/throttle"
+	PathCheckpoint = "/v1/tasks/checkpoint"
+	// PathServe is followed by the service name.
+	PathServe = "/v1/serve/"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderOutcome    = "Geranium-Outcome"
+	HeaderDeadline   = "Geranium-Deadline-Ms"
+	HeaderRequestID  = "Geranium-Request-Id"
+	HeaderSession    = "Geranium-Session"
+	HeaderCaller     = "Geranium-Caller"
+	HeaderVersion    = "Geranium-Config-Version"
+	HeaderIdempotent = "Idempotency-Key"
+)
+
+// Outcome is the typed result of a request.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeFailed  Outcome = "failed"
+	OutcomeNotRun  Outcome = "not_run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Resources is an amount of host capacity.
+type Resources struct {
+	CPUMillis    int64 `json:"cpu_millis"`
+	MemoryMB     int64 `json:"memory_mb"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+// Attempt numbers the starts of one task.
+type Attempt struct {
+	Epoch  uint64 `json:"epoch"`
+	Number uint64 `json:"number"`
+}
+
+// Less reports whether a is older than b.
+func (a Attempt) Less(b Attempt) bool {
+	if a.Epoch != b.Epoch {
+		return a.Epoch < b.Epoch
+	}
+	return a.Number < b.Number
+}
+
+// Phase is the state of an attempt on a worker.
+type Phase string
+
+// Phases of an attempt. An attempt in a final phase is reported in every
+// heartbeat until a heartbeat answer acknowledges it.
+const (
+	PhaseRunning Phase = "running"
+	PhaseDone    Phase = "done"
+	PhaseFailed  Phase = "failed"
+	// PhaseStopped is final: stopped by command or because its lease ended.
+	PhaseStopped Phase = "stopped"
+	// PhaseNeverStarted blocks the attempt: a late start of it is refused.
+	PhaseNeverStarted Phase = "never_started"
+)
+
+// TaskReport is the state of one attempt.
+type TaskReport struct {
+	ID         string    `json:"id"`
+	Attempt    Attempt   `json:"attempt"`
+	Phase      Phase     `json:"phase"`
+	Job        string    `json:"job"`
+	Resources  Resources `json:"resources"`
+	Used       Resources `json:"used"`
+	Progress   float64   `json:"progress"`
+	Checkpoint []byte    `json:"checkpoint,omitempty"`
+	Result     []byte    `json:"result,omitempty"`
+	Error      string    `json:"error,omitempty"`
+	Throttle   float64   `json:"throttle,omitempty"`
+	// SinceCheckpointMS is the run time that a stop without checkpoint would lose.
+	SinceCheckpointMS int64 `json:"since_checkpoint_ms"`
+}
+
+// ServiceReport is a lagged measurement of one service on a worker.
+type ServiceReport struct {
+	Service string `json:"service"`
+	// AgeMS is the time from the middle of the measured interval to sending.
+	AgeMS int64 `json:"age_ms"`
+	// Load is busy slots over offered slots during the interval, 0 to 1.
+	Load  float64 `json:"load"`
+	P50US int64   `json:"p50_us"`
+	P99US int64   `json:"p99_us"`
+	Count int64   `json:"count"`
+}
+
+// Heartbeat announces a worker and reports its state.
+type Heartbeat struct {
+	Worker string `json:"worker"`
+	// Incarnation changes when the worker restarts.
+	Incarnation string    `json:"incarnation"`
+	Sequence    uint64    `json:"sequence"`
+	Domain      string    `json:"domain"`
+	Rack        string    `json:"rack"`
+	Address     string    `json:"address"`
+	Capacity    Resources `json:"capacity"`
+	Slots       int       `json:"slots"`
+	Connections int       `json:"connections"`
+	Services    []string  `json:"services"`
+	Draining    bool      `json:"draining"`
+	// Session and Holder are of the newest accepted attach.
+	Session uint64 `json:"session"`
+	Holder  string `json:"holder"`
+	Epoch   uint64 `json:"epoch"`
+	// SlotsInUse counts running requests by session.
+	SlotsInUse map[uint64]int  `json:"slots_in_use,omitempty"`
+	Tasks      []TaskReport    `json:"tasks,omitempty"`
+	Reports    []ServiceReport `json:"reports,omitempty"`
+	Used       Resources       `json:"used"`
+	// BootUnixMS is the wall clock at start, for people only.
+	BootUnixMS int64 `json:"boot_unix_ms"`
+}
+
+// TaskRef names one attempt of a task.
+type TaskRef struct {
+	ID      string  `json:"id"`
+	Attempt Attempt `json:"attempt"`
+}
+
+// HeartbeatAnswer renews task leases. The worker counts a lease from the moment
+// it sent the heartbeat.
+type HeartbeatAnswer struct {
+	Scheduler string `json:"scheduler"`
+	// Renew lists the attempts whose lease is renewed for TaskLeaseMS.
+	Renew       []TaskRef `json:"renew,omitempty"`
+	TaskLeaseMS int64     `json:"task_lease_ms"`
+	// Acknowledge lists final attempts whose outcome is recorded durably.
+	Acknowledge []TaskRef `json:"acknowledge,omitempty"`
+	// Version is the configuration version of the scheduler.
+	Version uint64 `json:"version"`
+}
+
+// Withdraw announces that a worker leaves; Done is set when nothing runs.
+type Withdraw struct {
+	Worker      string `json:"worker"`
+	Incarnation string `json:"incarnation"`
+	Done        bool   `json:"done"`
+}
+
+// Attach asks a worker for a new session, see docs/design.md 3.2.
+type Attach struct {
+	Scheduler    string `json:"scheduler"`
+	Epoch        uint64 `json:"epoch"`
+	ServicesOnly bool   `json:"services_only"`
+}
+
+// AttachAnswer carries what the new session needs to know.
+type AttachAnswer struct {
+	Accepted    bool           `json:"accepted"`
+	Session     uint64         `json:"session"`
+	Holder      string         `json:"holder"`
+	Epoch       uint64         `json:"epoch"`
+	Incarnation string         `json:"incarnation"`
+	Tasks       []TaskReport   `json:"tasks,omitempty"`
+	SlotsInUse  map[uint64]int `json:"slots_in_use,omitempty"`
+}
+
+// Start starts an attempt. Its lease counts from the moment the worker sent the
+// heartbeat with the given incarnation and sequence, so a start that arrives
+// after a long delay is refused with not_run instead of running past the time
+// at which the scheduler treats the lease as over.
+type Start struct {
+	Session     uint64 `json:"session"`
+	Epoch       uint64 `json:"epoch"`
+	Incarnation string `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+
+	ID         string    `json:"id"`
+	Attempt    Attempt   `json:"attempt"`
+	Job        string    `json:"job"`
+	Resources  Resources `json:"resources"`
+	LeaseMS    int64     `json:"lease_ms"`
+	ExpectedMS int64     `json:"expected_ms"`
+	Checkpoint []byte    `json:"checkpoint,omitempty"`
+	Payload    []byte    `json:"payload,omitempty"`
+}
+
+// Stop stops an attempt and blocks it and all older ones of the task.
+type Stop struct {
+	Session    uint64  `json:"session"`
+	Epoch      uint64  `json:"epoch"`
+	ID         string  `json:"id"`
+	Attempt    Attempt `json:"attempt"`
+	Checkpoint bool    `json:"checkpoint"`
+}
+
+// Throttle sets the share of its processors that an attempt may use, 0 to 1.
+type Throttle struct {
+	Session uint64  `json:"session"`
+	Epoch   uint64  `json:"epoch"`
+	ID      string  `json:"id"`
+	Attempt Attempt `json:"attempt"`
+	Share   float64 `json:"share"`
+}
+
+// CommandAnswer answers Start, Stop, Throttle and Checkpoint. With outcome
+// not_run the command had no effect.
+type CommandAnswer struct {
+	Outcome Outcome    `json:"outcome"`
+	Reason  string     `json:"reason,omitempty"`
+	Task    TaskReport `json:"task"`
+}
