Add the configuration builders, the operators' interface and geranium

Cause: operators declare, review and change the configuration like code and need one command that works through any gateway.

Change: typed builders (a misspelt reference does not compile), canonical JSON and a JSON Schema generated from the types; examples of both deployments; operatorapi, a stateless HTTP handler for gateways; geranium with check, diff, apply, show, history, rollback, schema, submit, wait, cancel, status, top, explain, drain, audit, version; metrics set-up.

Ruled out: hand-edited JSON as the source of truth, since references would only be checked at apply time.

--- /dev/null
+++ b/cmd/geranium/app.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/google/subcommands"
+
+	"geraniumwall/operator"
+	"geraniumwall/operatorapi"
+	"geraniumwall/workerapi"
+)
+
+// Exit codes beyond those of subcommands (0 success, 1 failure, 2 usage).
+const (
+	// exitConflict: another operator changed the configuration first.
+	exitConflict subcommands.ExitStatus = 3
+	// exitRefused: the input was refused and nothing was changed.
+	exitRefused subcommands.ExitStatus = 4
+	// exitUnknown: the outcome is not known; repeat with the same change id or key.
+	exitUnknown subcommands.ExitStatus = 5
+)
+
+// app is what all commands share.
+type app struct {
+	client *operator.Client
+	json   bool
+	out    io.Writer
+	err    io.Writer
+}
+
+// command is one subcommand. run returns an error that decides the exit code.
+type command struct {
+	app       *app
+	name      string
+	synopsis  string
+	arguments string
+	flags     func(*flag.FlagSet)
+	run       func(context.Context, *flag.FlagSet) error
+}
+
+var _ subcommands.Command = (*command)(nil)
+
+// Name returns the name of the subcommand.
+func (c *command) Name() string { return c.name }
+
+// Synopsis returns one line of help.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage returns the full help.
+func (c *command) Usage() string {
+	return fmt.Sprintf("geranium %s %s\n\n%s.\n\nFlags:\n", c.name, c.arguments, c.synopsis)
+}
+
+// SetFlags declares the flags of the subcommand.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute runs the subcommand and maps its error to an exit code.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.run(ctx, f)
+	if err == nil {
+		return subcommands.ExitSuccess
+	}
+	_, _ = fmt.Fprintf(c.app.err, "geranium %s: %v\n", c.name, err)
+	return exitCode(err)
+}
+
+// usageError is a wrong call of a command.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+// conflictError is a change that lost against another one.
+type conflictError struct{ result operatorapi.ApplyResult }
+
+func (e *conflictError) Error() string {
+	text := fmt.Sprintf("conflict: version %d is in force", e.result.Version)
+	for _, v := range e.result.SinceBase {
+		text += fmt.Sprintf("\n  version %d by %s: %s", v.Version, v.Author, v.Comment)
+	}
+	return text + "\n" + e.result.Remedy
+}
+
+func exitCode(err error) subcommands.ExitStatus {
+	var usage *usageError
+	var conflict *conflictError
+	var problem *operatorapi.Problem
+	switch {
+	case errors.As(err, &usage):
+		return subcommands.ExitUsageError
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.As(err, &problem) && problem.Outcome == string(workerapi.OutcomeUnknown):
+		return exitUnknown
+	case errors.As(err, &problem) && problem.Status < http.StatusInternalServerError:
+		return exitRefused
+	}
+	return subcommands.ExitFailure
+}
+
+// print writes value as JSON with -json, else by forPeople.
+func (a *app) print(value any, forPeople func(io.Writer) error) error {
+	if !a.json {
+		return forPeople(a.out)
+	}
+	encoder := json.NewEncoder(a.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func (a *app) printf(format string, arguments ...any) error {
+	_, err := fmt.Fprintf(a.out, format, arguments...)
+	return err
+}
+
+// one returns the only argument of a command.
+func one(f *flag.FlagSet, what string) (string, error) {
+	if f.NArg() != 1 {
+		return "", &usageError{fmt.Sprintf("give exactly one %s", what)}
+	}
+	return f.Arg(0), nil
+}
--- /dev/null
+++ b/operator/tables.go
@@ -0,0 +1,140 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"geraniumwall/operatorapi"
+)
+
+const (
+	tablePadding = 2
+	// seenRecently is above the long poll of a process that follows the configuration.
+	seenRecently = 15 * time.Second
+)
+
+// table writes rows in aligned columns.
+func table(w io.Writer, header string, rows []string) error {
+	tabs := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
+	if _, err := fmt.Fprintln(tabs, header); err != nil {
+		return err
+	}
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(tabs, row); err != nil {
+			return err
+		}
+	}
+	return tabs.Flush()
+}
+
+func row(cells ...any) string {
+	parts := make([]string, len(cells))
+	for i, c := range cells {
+		parts[i] = fmt.Sprint(c)
+	}
+	return strings.Join(parts, "\t")
+}
+
+func clock(unixMS int64) string {
+	if unixMS == 0 {
+		return "-"
+	}
+	return time.UnixMilli(unixMS).UTC().Format(time.RFC3339)
+}
+
+// WriteHistory writes configuration versions as a table.
+func WriteHistory(w io.Writer, versions []operatorapi.Version) error {
+	rows := make([]string, 0, len(versions))
+	for _, v := range versions {
+		rows = append(rows, row(v.Version, clock(v.AcceptedUnixMS), v.Author, v.ChangeID, v.Comment))
+	}
+	return table(w, "VERSION\tACCEPTED\tOPERATOR\tCHANGE\tCOMMENT", rows)
+}
+
+// WriteAudit writes audit records as a table.
+func WriteAudit(w io.Writer, records []operatorapi.AuditRecord) error {
+	rows := make([]string, 0, len(records))
+	for _, r := range records {
+		rows = append(rows, row(r.Sequence, clock(r.UnixMS), r.Actor, r.Action, r.Subject, r.Result, r.Detail))
+	}
+	return table(w, "SEQUENCE\tTIME\tACTOR\tACTION\tSUBJECT\tRESULT\tDETAIL", rows)
+}
+
+// WriteDecisions writes explained decisions as a table.
+func WriteDecisions(w io.Writer, decisions []operatorapi.Decision) error {
+	rows := make([]string, 0, len(decisions))
+	for _, d := range decisions {
+		rows = append(rows, row(clock(d.UnixMS), d.Kind, d.Subject, d.Worker, d.Reason, d.Figures))
+	}
+	return table(w, "TIME\tKIND\tSUBJECT\tWORKER\tREASON\tFIGURES", rows)
+}
+
+// WriteStatus writes the state of the fleet as tables.
+func WriteStatus(w io.Writer, s operatorapi.Status, withWorkers bool) error {
+	if s.Control == nil {
+		if _, err := fmt.Fprintln(w, "control replicas: no answer; latency-critical requests go on, durable work waits"); err != nil {
+			return err
+		}
+	} else if err := writeControl(w, s); err != nil {
+		return err
+	}
+	rows := make([]string, 0, len(s.Schedulers))
+	for _, one := range s.Schedulers {
+		rows = append(rows, row(one.Domain, one.Scheduler, orText(one.Role, "-"), one.Epoch, len(one.Workers),
+			one.Waiting, one.Running, one.ConfigVersion, orText(one.Error, "ok")))
+	}
+	if err := table(w, "DOMAIN\tSCHEDULER\tROLE\tEPOCH\tWORKERS\tWAITING\tRUNNING\tCONFIG\tSTATE", rows); err != nil || !withWorkers {
+		return err
+	}
+	return writeWorkers(w, s)
+}
+
+func writeControl(w io.Writer, s operatorapi.Status) error {
+	c := s.Control
+	_, err := fmt.Fprintf(w, "configuration %d, log term %d, leader %d, committed %d\n",
+		c.GetConfigVersion(), c.GetTerm(), c.GetLeader(), c.GetCommitIndex())
+	if err != nil {
+		return err
+	}
+	rows := make([]string, 0, len(c.GetReplicas()))
+	for _, r := range c.GetReplicas() {
+		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex()))
+	}
+	return table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH", rows)
+}
+
+func writeWorkers(w io.Writer, s operatorapi.Status) error {
+	var rows []string
+	for _, one := range s.Schedulers {
+		if one.Role != "active" {
+			continue
+		}
+		for _, k := range one.Workers {
+			rows = append(rows, row(one.Domain, k.Rack, k.Worker, k.State, k.FreeCPUMillis, k.FreeMemoryMB,
+				k.FreeAccelerators, k.Tasks, fmt.Sprintf("%d/%d", k.SlotsGranted, k.Slots), k.HeartbeatAgeMS))
+		}
+	}
+	return table(w, "DOMAIN\tRACK\tWORKER\tSTATE\tFREE_MILLICORES\tFREE_MB\tFREE_ACCEL\tTASKS\tSLOTS\tHEARTBEAT_MS", rows)
+}
+
+func orText(text, fallback string) string {
+	if text == "" {
+		return fallback
+	}
+	return text
+}
+
+// Behind names the processes that have an older version than version in force,
+// as far as the control leader has heard from them in the last seconds.
+func Behind(s operatorapi.Status, version uint64) []string {
+	var behind []string
+	for _, p := range s.Control.GetProcesses() {
+		if p.GetConfigVersion() < version && p.GetSeenMsAgo() < seenRecently.Milliseconds() {
+			behind = append(behind, p.GetProcess())
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/operatorapi/fleet.go
@@ -0,0 +1,114 @@
+package operatorapi
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"geraniumwall/control/client"
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/schedulerpb"
+)
+
+const (
+	schedulerTimeout = 2 * time.Second
+	explainLimit     = 200
+)
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	var result Status
+	control, err := client.Call(ctx, s.control, "Status", 0, controlpb.Control.Status, &controlpb.StatusRequest{})
+	if err != nil {
+		control, err = client.Any(ctx, s.control, 0, controlpb.Control.Status, &controlpb.StatusRequest{})
+	}
+	if err == nil {
+		result.Control = control
+	}
+	result.Schedulers = make([]SchedulerStatus, len(s.schedulers))
+	s.each(ctx, func(ctx context.Context, i int, one scheduler) {
+		result.Schedulers[i] = one.status(ctx)
+	})
+	writeJSON(w, http.StatusOK, result)
+}
+
+// each calls f for every scheduler at once and waits for all.
+func (s *Server) each(ctx context.Context, f func(context.Context, int, scheduler)) {
+	var all sync.WaitGroup
+	for i, one := range s.schedulers {
+		all.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, schedulerTimeout)
+			defer cancel()
+			f(bounded, i, one)
+		})
+	}
+	all.Wait()
+}
+
+func (s scheduler) status(ctx context.Context) SchedulerStatus {
+	result := SchedulerStatus{Scheduler: s.Name, Domain: s.Domain}
+	answer, err := s.stub.Status(ctx, &schedulerpb.StatusRequest{})
+	if err != nil {
+		result.Error = err.Error()
+		return result
+	}
+	result.Role, result.Epoch = answer.GetRole(), answer.GetEpoch()
+	result.Waiting, result.Running = answer.GetWaiting(), answer.GetRunning()
+	result.ConfigVersion = answer.GetConfigVersion()
+	for _, w := range answer.GetWorkers() {
+		result.Workers = append(result.Workers, WorkerStatus{
+			Worker: w.GetWorker(), Rack: w.GetRack(), State: w.GetState(),
+			FreeCPUMillis: w.GetFreeCpuMillis(), FreeMemoryMB: w.GetFreeMemoryMb(), FreeAccelerators: w.GetFreeAccelerators(),
+			Tasks: w.GetTasks(), Slots: w.GetSlots(), SlotsGranted: w.GetSlotsGranted(), HeartbeatAgeMS: w.GetHeartbeatAgeMs(),
+		})
+	}
+	return result
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	subject := r.PathValue("subject")
+	var mu sync.Mutex
+	decisions := []Decision{}
+	s.each(r.Context(), func(ctx context.Context, _ int, one scheduler) {
+		answer, err := one.stub.Explain(ctx, &schedulerpb.ExplainRequest{Subject: subject, Limit: explainLimit})
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, d := range answer.GetDecisions() {
+			decisions = append(decisions, Decision{
+				UnixMS: d.GetUnixMs(), Subject: d.GetSubject(), Kind: d.GetKind(),
+				Reason: d.GetReason(), Worker: d.GetWorker(), Figures: d.GetFigures(),
+			})
+		}
+	})
+	sort.SliceStable(decisions, func(i, j int) bool { return decisions[i].UnixMS < decisions[j].UnixMS })
+	writeJSON(w, http.StatusOK, decisions)
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	operator := r.Header.Get(HeaderOperator)
+	if operator == "" {
+		writeProblem(w, badInput(HeaderOperator, "name the operator in the header "+HeaderOperator))
+		return
+	}
+	worker := r.PathValue("worker")
+	request := &schedulerpb.DrainRequest{Worker: worker, Undo: r.URL.Query().Get("undo") == "true", Actor: operator}
+	found := make([]bool, len(s.schedulers))
+	s.each(r.Context(), func(ctx context.Context, i int, one scheduler) {
+		answer, err := one.stub.Drain(ctx, request)
+		found[i] = err == nil && answer.GetFound()
+	})
+	for _, one := range found {
+		if one {
+			writeJSON(w, http.StatusOK, request)
+			return
+		}
+	}
+	writeProblem(w, &Problem{Status: http.StatusNotFound, Title: "no such worker",
+		Detail: "no scheduler knows worker " + worker + "; see geranium status for the names", Outcome: "not_run"})
+}
