Sketch the API of the replicated log

Cause: package control drives the log and waits for its types. The node is stepped by messages and time and returns the disk write, the messages that may leave at once and those that wait for the write; at most one write is outstanding, so that ticking never waits for the disk.

--- /dev/null
+++ b/raft/types.go
@@ -0,0 +1,219 @@
+package raft
+
+import "slices"
+
+// EntryKind tells what the data of an entry means.
+type EntryKind uint8
+
+const (
+	// EntryCommand carries a command of the caller's state machine.
+	EntryCommand EntryKind = iota
+	// EntryEmpty is appended by a new leader; it carries no data.
+	EntryEmpty
+	// EntryMembership carries an encoded Membership.
+	EntryMembership
+)
+
+// Entry is one record of the log. Its data must not be modified.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+// Position identifies an entry.
+type Position struct {
+	Index uint64
+	Term  uint64
+}
+
+// HardState is what a replica must remember over a restart besides its log.
+type HardState struct {
+	Term   uint64
+	Vote   uint64
+	Commit uint64
+}
+
+// Member is one replica of the cluster. Address and Domain are not interpreted
+// by this package.
+type Member struct {
+	ID      uint64
+	Learner bool
+	Address string
+	Domain  string
+}
+
+// Membership is the set of replicas, ordered by id. It is immutable.
+type Membership struct {
+	Members []Member
+}
+
+// Find returns the member with the id.
+func (m Membership) Find(id uint64) (Member, bool) {
+	for _, member := range m.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// Voters returns the ids of the members that vote.
+func (m Membership) Voters() []uint64 {
+	var ids []uint64
+	for _, member := range m.Members {
+		if !member.Learner {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+// IsVoter reports whether the id is a voting member.
+func (m Membership) IsVoter(id uint64) bool {
+	member, found := m.Find(id)
+	return found && !member.Learner
+}
+
+// without returns a copy that lacks the id.
+func (m Membership) without(id uint64) Membership {
+	members := slices.Clone(m.Members)
+	members = slices.DeleteFunc(members, func(member Member) bool { return member.ID == id })
+	return Membership{Members: members}
+}
+
+// with returns a copy that contains the member in place of one with its id.
+func (m Membership) with(member Member) Membership {
+	next := m.without(member.ID)
+	next.Members = append(next.Members, member)
+	slices.SortFunc(next.Members, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return next
+}
+
+// SnapshotMeta identifies a snapshot: the last entry it covers and the
+// membership as of that entry.
+type SnapshotMeta struct {
+	Index      uint64
+	Term       uint64
+	Membership Membership
+}
+
+// Snapshot is a snapshot of the caller's state machine. One with index 0 has no
+// data: it only names the first members. Its data must not be modified.
+type Snapshot struct {
+	SnapshotMeta
+	Data []byte
+}
+
+// Stored is what a replica reads from its disk when it starts.
+type Stored struct {
+	HardState HardState
+	Snapshot  Snapshot
+	// Entries follow the snapshot without a gap.
+	Entries []Entry
+}
+
+// Bootstrap returns the state from which each of the first replicas starts.
+// It must be saved before the replica runs.
+func Bootstrap(members []Member) Stored {
+	membership := Membership{}
+	for _, member := range members {
+		membership = membership.with(member)
+	}
+	return Stored{Snapshot: Snapshot{SnapshotMeta: SnapshotMeta{Membership: membership}}}
+}
+
+// Write is one unit of work for the disk. It must be carried out in the order
+// of the fields, synced as a whole, and be followed by Node.Advance.
+type Write struct {
+	// Snapshot, when set, replaces the stored snapshot and the whole stored log.
+	Snapshot *Snapshot
+	// HardState replaces the stored one.
+	HardState HardState
+	// Entries are appended; stored entries from Entries[0].Index on are
+	// removed first.
+	Entries []Entry
+	// Messages may be sent only after all of the above is durable.
+	Messages []Message
+}
+
+// Ready is the work that resulted from the last calls.
+type Ready struct {
+	// Write is nil when there is nothing to write or a write is in progress.
+	Write *Write
+	// Messages may be sent at once.
+	Messages []Message
+	// Restore, when set, is a durable snapshot that replaces the state of the
+	// state machine, before Committed is applied.
+	Restore *Snapshot
+	// Committed are the entries to apply, in order. They are durable here.
+	Committed []Entry
+	// Reads are the results of Node.Read.
+	Reads []ReadResult
+}
+
+// ReadResult is the outcome of one Node.Read. The state may be read when the
+// entry Index has been applied.
+type ReadResult struct {
+	// ID is the id that was passed to Read.
+	ID    uint64
+	Index uint64
+	// Err is nil or ErrNotLeader: leadership was lost before the read was
+	// confirmed; the read may be retried at the new leader.
+	Err error
+}
+
+// Role is the part a replica plays in its term.
+type Role uint8
+
+// Roles of a replica.
+const (
+	RoleFollower Role = iota
+	RolePreCandidate
+	RoleCandidate
+	RoleLeader
+)
+
+// String returns the name of the role.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Status is a copy of a node's observable state.
+type Status struct {
+	ID   uint64
+	Role Role
+	Term uint64
+	// Leader is 0 when unknown.
+	Leader uint64
+	Commit uint64
+	// Applied is the last index handed out in Ready.Committed or Restore.
+	Applied uint64
+	// First and Last bound the log in memory; Last may not be durable yet.
+	First      uint64
+	Last       uint64
+	Membership Membership
+	// LeaderReady is true on a leader that has committed an entry of its term.
+	LeaderReady bool
+	// Transferee is the target of a leadership transfer in progress, or 0.
+	Transferee uint64
+	// Peers is the replication state of the others, on a leader only.
+	Peers []PeerStatus
+}
+
+// PeerStatus is a leader's view of another replica.
+type PeerStatus struct {
+	ID uint64
+	// Match is the highest index known to be durable at the peer.
+	Match uint64
+	// Active is true if the peer has answered within the election timeout.
+	Active bool
+	// Snapshot is true while a snapshot is being sent to the peer.
+	Snapshot bool
+}
