--- /dev/null
+++ b/raft/membership.go
@@ -0,0 +1,120 @@
+package raft
+
+import "fmt"
+
+// membershipAt is a membership and the entry that set it. A membership is in
+// force as soon as its entry is in the log, committed or not.
+type membershipAt struct {
+	index      uint64
+	membership Membership
+}
+
+func (n *Node) membership() Membership {
+	return n.memberships[len(n.memberships)-1].membership
+}
+
+// membershipAt returns the membership as of the entry at the index.
+func (n *Node) membershipAt(index uint64) Membership {
+	found := n.memberships[0].membership
+	for _, m := range n.memberships {
+		if m.index <= index {
+			found = m.membership
+		}
+	}
+	return found
+}
+
+// addMemberships takes over the memberships in new entries. Entries that were
+// in the log before are passed over.
+func (n *Node) addMemberships(entries []Entry) error {
+	for _, entry := range entries {
+		if entry.Kind != EntryMembership || entry.Index <= n.memberships[len(n.memberships)-1].index {
+			continue
+		}
+		membership, err := DecodeMembership(entry.Data)
+		if err != nil {
+			return fmt.Errorf("membership entry %d: %w", entry.Index, err)
+		}
+		n.memberships = append(n.memberships, membershipAt{index: entry.Index, membership: membership})
+	}
+	return nil
+}
+
+// removeMemberships goes back over entries that were removed from the log.
+func (n *Node) removeMemberships(first uint64) {
+	for len(n.memberships) > 1 && n.memberships[len(n.memberships)-1].index >= first {
+		n.memberships = n.memberships[:len(n.memberships)-1]
+	}
+}
+
+// dropMemberships forgets those that a snapshot at the index supersedes.
+func (n *Node) dropMemberships(index uint64) {
+	for len(n.memberships) > 1 && n.memberships[1].index <= index {
+		n.memberships = n.memberships[1:]
+	}
+}
+
+// ChangeMembers appends a membership change. One change is allowed at a time,
+// and none before the leader has committed an entry of its term: two quorums of
+// consecutive memberships then always intersect. Its errors are ErrNotLeader,
+// ErrTransferring, ErrChangePending, ErrNotCaughtUp and ErrInvalidChange; after
+// any of them nothing has been appended.
+func (n *Node) ChangeMembers(change MemberChange) (Position, error) {
+	if n.role != RoleLeader {
+		return Position{}, ErrNotLeader
+	}
+	if n.lead.transferee != 0 {
+		return Position{}, ErrTransferring
+	}
+	if !n.committedInTerm() || n.memberships[len(n.memberships)-1].index > n.log.commit {
+		return Position{}, ErrChangePending
+	}
+	next, err := n.changed(change)
+	if err != nil {
+		return Position{}, err
+	}
+	position := n.appendOwn(EntryMembership, EncodeMembership(next))
+	n.memberships = append(n.memberships, membershipAt{index: position.Index, membership: next})
+	n.updatePeers()
+	return position, nil
+}
+
+func (n *Node) changed(change MemberChange) (Membership, error) {
+	current := n.membership()
+	member, found := current.Find(change.Member.ID)
+	switch change.Kind {
+	case AddLearner:
+		if found || change.Member.ID == 0 {
+			return current, fmt.Errorf("%w: id %d is 0 or in use; choose an id that was never used", ErrInvalidChange, change.Member.ID)
+		}
+		learner := change.Member
+		learner.Learner = true
+		return current.with(learner), nil
+	case PromoteLearner:
+		return n.promoted(member, found)
+	case RemoveMember:
+		if !found {
+			return current, fmt.Errorf("%w: replica %d is no member; see the status", ErrInvalidChange, change.Member.ID)
+		}
+		if member.ID == n.config.ID {
+			return current, fmt.Errorf("%w: replica %d is the leader; transfer leadership first", ErrInvalidChange, member.ID)
+		}
+		return current.without(member.ID), nil
+	}
+	return current, fmt.Errorf("%w: unknown kind %d; use add, promote or remove", ErrInvalidChange, change.Kind)
+}
+
+// promoted makes a learner a voter if it is in contact and has nearly all
+// entries, since otherwise the larger quorum could stall the log.
+func (n *Node) promoted(member Member, found bool) (Membership, error) {
+	current := n.membership()
+	if !found || !member.Learner {
+		return current, fmt.Errorf("%w: replica %d is no learner; add it as a learner first", ErrInvalidChange, member.ID)
+	}
+	peer := n.lead.peers[member.ID]
+	if !n.isActive(peer) || peer.match+n.config.PromotionLag < n.log.last().Index {
+		return current, ErrNotCaughtUp
+	}
+	member.Learner = false
+	return current.with(member), nil
+}
--- /dev/null
+++ b/raft/transfer.go
@@ -0,0 +1,38 @@
+package raft
+
+// Transfer starts to hand leadership to another voter, for a planned stop. It
+// is given up after an election timeout; Status shows whether it is under way.
+// Its errors are ErrNotLeader and ErrInvalidTransfer.
+func (n *Node) Transfer(target uint64) error {
+	if n.role != RoleLeader {
+		return ErrNotLeader
+	}
+	peer := n.lead.peers[target]
+	if peer == nil || !n.membership().IsVoter(target) {
+		return ErrInvalidTransfer
+	}
+	n.lead.transferee = target
+	n.lead.transferStart = n.now
+	n.finishTransferCatchUp(peer)
+	return nil
+}
+
+// finishTransferCatchUp orders the target to campaign once it has every entry.
+func (n *Node) finishTransferCatchUp(peer *progress) {
+	if n.lead.transferee != peer.id || peer.match != n.log.last().Index {
+		return
+	}
+	n.send(Message{Type: MessageTimeoutNow, To: peer.id})
+}
+
+func (n *Node) abortSlowTransfer() {
+	if n.lead.transferee != 0 && n.now-n.lead.transferStart >= n.config.ElectionTimeout {
+		n.lead.transferee = 0
+	}
+}
+
+func (n *Node) handleTimeoutNow() {
+	if n.membership().IsVoter(n.config.ID) {
+		n.startElection(true)
+	}
+}
