--- a/raft/log.go
+++ b/raft/log.go
@@ -149,13 +149,12 @@
 }
 
 // commitTo raises the commit index.
-func (l *raftLog) commitTo(index uint64) bool {
+func (l *raftLog) commitTo(index uint64) {
 	if index <= l.commit {
-		return false
+		return
 	}
 	assert(index <= l.last().Index, "commit index %d is beyond the last entry %d", index, l.last().Index)
 	l.commit = index
-	return true
 }
 
 // unstable returns the entries that aren't durable yet.
--- a/raft/types.go
+++ b/raft/types.go
@@ -129,8 +129,9 @@
 	return Stored{Snapshot: Snapshot{SnapshotMeta: SnapshotMeta{Membership: membership}}}
 }
 
-// Write is one unit of work for the disk. It must be carried out in the order
-// of the fields, synced as a whole, and be followed by Node.Advance.
+// Write is one unit of work for the disk: package wal saves it. Node.Advance
+// must follow when all of it is durable. A crash before that may leave any part
+// of it, but never a snapshot or entries of a term above the stored hard state.
 type Write struct {
 	// Snapshot, when set, replaces the stored snapshot and the whole stored log.
 	Snapshot *Snapshot
