--- a/wal/fs.go
+++ b/wal/fs.go
@@ -92,8 +92,7 @@
 	if err != nil {
 		return err
 	}
-	defer handle.Close()
-	return handle.Sync()
+	return errors.Join(handle.Sync(), handle.Close())
 }
 
 // Lock takes an exclusive advisory lock on a file, which it creates if needed.
@@ -103,11 +102,10 @@
 		return nil, err
 	}
 	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		file.Close()
 		if errors.Is(err, syscall.EWOULDBLOCK) {
-			return nil, ErrLocked
+			err = ErrLocked
 		}
-		return nil, err
+		return nil, errors.Join(err, file.Close())
 	}
 	return file, nil
 }
--- a/wal/open.go
+++ b/wal/open.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -61,8 +62,7 @@
 	store.snapshotIndex = snapshot.Index
 	stored := raft.Stored{HardState: scan.replay.hard, Snapshot: snapshot, Entries: scan.replay.entries}
 	if err := store.finishOpen(mustReset, snapshot.SnapshotMeta); err != nil {
-		store.file.Close()
-		return nil, raft.Stored{}, err
+		return nil, raft.Stored{}, errors.Join(err, store.file.Close())
 	}
 	return store, stored, nil
 }
@@ -129,8 +129,7 @@
 	}
 	if scan.torn {
 		if err := cutTail(file, scan.tail); err != nil {
-			file.Close()
-			return nil, err
+			return nil, errors.Join(err, file.Close())
 		}
 	}
 	return &Store{
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
 	"path/filepath"
 
@@ -64,12 +65,10 @@
 		return writeError(err)
 	}
 	if _, err := file.Write(data); err != nil {
-		file.Close()
-		return writeError(err)
+		return errors.Join(writeError(err), file.Close())
 	}
 	if err := file.Sync(); err != nil {
-		file.Close()
-		return syncError(err)
+		return errors.Join(syncError(err), file.Close())
 	}
 	if err := file.Close(); err != nil {
 		return writeError(err)
--- a/wal/store.go
+++ b/wal/store.go
@@ -150,8 +150,7 @@
 		return err
 	}
 	if err := s.file.Close(); err != nil {
-		created.file.Close()
-		return writeError(err)
+		return errors.Join(writeError(err), created.file.Close())
 	}
 	s.file = created.file
 	s.header = created.header
--- a/wal/store_test.go
+++ b/wal/store_test.go
@@ -40,10 +40,10 @@
 	It("never retries a failed sync", func() {
 		fs := newMemFS()
 		play(fs)
-		store, _, err := wal.Open(options(fs))
+		_, _, err := wal.Open(options(fs))
 		Expect(err).To(MatchError(wal.ErrLocked))
 		fs.locked = false
-		store, _, err = wal.Open(options(fs))
+		store, _, err := wal.Open(options(fs))
 		Expect(err).NotTo(HaveOccurred())
 		fs.failAt, fs.failure = fs.steps+1, syscall.EIO
 		write := &raft.Write{HardState: raft.HardState{Term: 6}}
