--- a/raft/harness_test.go
+++ b/raft/harness_test.go
@@ -38,12 +38,21 @@
 	committed map[uint64]string
 	// filter returns the copies of a message to deliver now; nil delivers all.
 	filter func(raft.Message) []raft.Message
-	// crash, when set, is asked before each write is synced.
-	beforeSync func(*replica) bool
+	// beforeSync, when set, is told of each write before it is durable.
+	beforeSync func(*replica)
+	// later are actions due at a time.
+	later []timedAction
+	// floors are the highest applied index when each read was asked for.
+	floors map[uint64]uint64
+}
+
+type timedAction struct {
+	due time.Duration
+	run func()
 }
 
 func newCluster(seed uint64, size int, config raft.Config) *cluster {
-	c := &cluster{config: config, seed: seed, leaders: map[uint64]uint64{}, committed: map[uint64]string{}}
+	c := &cluster{config: config, seed: seed, leaders: map[uint64]uint64{}, committed: map[uint64]string{}, floors: map[uint64]uint64{}}
 	var members []raft.Member
 	for id := uint64(1); id <= uint64(size); id++ {
 		members = append(members, raft.Member{ID: id})
@@ -113,8 +122,10 @@
 	if w == nil || r.down {
 		return
 	}
-	if c.beforeSync != nil && c.beforeSync(r) {
-		c.crash(r)
+	if c.beforeSync != nil {
+		c.beforeSync(r)
+	}
+	if r.down || r.slowDisk {
 		return
 	}
 	c.persist(r, w)
@@ -128,6 +139,7 @@
 	for !r.down && !r.frozen && r.node.HasReady() {
 		ready := r.node.Ready()
 		c.network = append(c.network, ready.Messages...)
+		c.checkReads(ready.Reads)
 		r.reads = append(r.reads, ready.Reads...)
 		if ready.Restore != nil {
 			r.restore(ready.Restore)
@@ -175,6 +187,24 @@
 	c.leaders[status.Term] = r.id
 }
 
+// read asks the replica for a read and notes what it must at least see.
+func (c *cluster) read(r *replica) error {
+	id := uint64(len(c.floors) + 1)
+	c.floors[id] = uint64(len(c.committed))
+	err := r.node.Read(id)
+	c.pump(r)
+	return err
+}
+
+// checkReads guards against stale reads.
+func (c *cluster) checkReads(results []raft.ReadResult) {
+	for _, result := range results {
+		if result.Err == nil && result.Index < c.floors[result.ID] {
+			panic(fmt.Sprintf("read %d sees index %d, but %d was applied before", result.ID, result.Index, c.floors[result.ID]))
+		}
+	}
+}
+
 // deliver passes one message through the wire encoding to its receiver.
 func (c *cluster) deliver(m raft.Message) {
 	index := slices.IndexFunc(c.replicas, func(r *replica) bool { return r.id == m.To })
@@ -219,6 +249,15 @@
 // tick lets one interval pass and settles.
 func (c *cluster) tick() {
 	c.now += tickInterval
+	due := c.later
+	c.later = nil
+	for _, action := range due {
+		if action.due > c.now {
+			c.later = append(c.later, action)
+			continue
+		}
+		action.run()
+	}
 	for _, r := range c.replicas {
 		if !r.down && !r.frozen {
 			r.node.Tick(c.now)
@@ -228,6 +267,11 @@
 	c.settle()
 }
 
+// after runs an action when the time has passed.
+func (c *cluster) after(delay time.Duration, run func()) {
+	c.later = append(c.later, timedAction{due: c.now + delay, run: run})
+}
+
 // run lets time pass until the condition holds. It returns false after a limit
 // of simulated time.
 func (c *cluster) run(limit time.Duration, condition func() bool) bool {
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -152,9 +152,6 @@
 		n.confirmReads()
 		return
 	}
-	if peer.full(n.config) {
-		peer.freeFirst()
-	}
 	if !peer.probing && peer.match < n.log.last().Index {
 		// Finds out whether a message was lost: the follower rejects a gap.
 		n.sendAppend(peer, true)
--- a/raft/log.go
+++ b/raft/log.go
@@ -1,6 +1,9 @@
 package raft
 
-import "sort"
+import (
+	"bytes"
+	"sort"
+)
 
 // raftLog is the log in memory. It holds the newest snapshot and the entries
 // above base, some of which may lie below the snapshot for slow followers.
@@ -110,6 +113,7 @@
 func (l *raftLog) merge(entries []Entry) uint64 {
 	for i, entry := range entries {
 		if l.matches(Position{Index: entry.Index, Term: entry.Term}) {
+			l.checkSame(entry)
 			continue
 		}
 		removed := l.truncate(entry.Index)
@@ -119,6 +123,17 @@
 	return 0
 }
 
+// checkSame asserts the log matching property: entries of equal index and term
+// are equal.
+func (l *raftLog) checkSame(entry Entry) {
+	if entry.Index <= l.base.Index {
+		return
+	}
+	stored := l.entries[entry.Index-l.first()]
+	same := stored.Kind == entry.Kind && bytes.Equal(stored.Data, entry.Data)
+	assert(same, "two entries of index %d and term %d differ", entry.Index, entry.Term)
+}
+
 // truncate removes the entries from the index on. It returns the index if
 // there were any, else 0.
 func (l *raftLog) truncate(index uint64) uint64 {
