Add the replicated state machine

Every durable fact of the system is changed by one command of one log, so that replicas agree on it. The clock stays outside: expiry and retention are commands of the leader with a precondition.

Binding raises the attempt number: a returned task can be bound to the same domain under the same epoch, and a late copy of the earlier return would otherwise unbind it while it runs. Epochs are numbered for each domain, so attempts are compared only within one binding. Parsing the configuration in apply was ruled out, since replicas of different releases could disagree.

--- /dev/null
+++ b/state/audit.go
@@ -0,0 +1,118 @@
+package state
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumwall/rpc/controlpb"
+)
+
+// keptAudit bounds the records kept; the chain goes on over dropped ones.
+const keptAudit = 65536
+
+// auditTrail is the hash chain of audit records, oldest first.
+type auditTrail struct {
+	records  []*controlpb.AuditRecord
+	sequence uint64
+	hash     []byte
+}
+
+// append adds a record to the chain; its sequence and hashes are set here.
+func (a *auditTrail) append(r *controlpb.AuditRecord) {
+	if len(a.records) > 0 {
+		newest := a.records[len(a.records)-1]
+		assert(bytes.Equal(newest.GetHash(), a.hash) && newest.GetSequence() == a.sequence,
+			"audit chain is broken at sequence %d", a.sequence)
+	}
+	a.sequence++
+	r.Sequence = a.sequence
+	r.PreviousHash = a.hash
+	r.Hash = AuditHash(r)
+	a.hash = r.GetHash()
+	a.records = append(a.records, r)
+	if len(a.records) > keptAudit {
+		a.records = a.records[1:]
+	}
+}
+
+// AuditHash returns the SHA-256 hash of a record: over the previous hash and then
+// each field, strings with their length in front.
+func AuditHash(r *controlpb.AuditRecord) []byte {
+	var b []byte
+	b = appendBytes(b, r.GetPreviousHash())
+	b = binary.BigEndian.AppendUint64(b, r.GetSequence())
+	b = binary.BigEndian.AppendUint64(b, uint64(r.GetUnixMs()))
+	for _, s := range []string{r.GetActor(), r.GetAction(), r.GetSubject(), r.GetDetail(), r.GetResult()} {
+		b = appendBytes(b, []byte(s))
+	}
+	b = binary.BigEndian.AppendUint64(b, r.GetFromVersion())
+	b = binary.BigEndian.AppendUint64(b, r.GetToVersion())
+	hash := sha256.Sum256(b)
+	return hash[:]
+}
+
+func appendBytes(b, data []byte) []byte {
+	b = binary.BigEndian.AppendUint64(b, uint64(len(data)))
+	return append(b, data...)
+}
+
+// VerifyAudit checks that consecutive records form an unbroken chain. The error
+// names the first record that was edited or that follows a gap.
+func VerifyAudit(records []*controlpb.AuditRecord) error {
+	for i, r := range records {
+		if !bytes.Equal(r.GetHash(), AuditHash(r)) {
+			return fmt.Errorf("audit record %d was edited; compare it on the other replicas", r.GetSequence())
+		}
+		if i == 0 {
+			continue
+		}
+		before := records[i-1]
+		if r.GetSequence() != before.GetSequence()+1 || !bytes.Equal(r.GetPreviousHash(), before.GetHash()) {
+			return fmt.Errorf("audit record %d does not follow record %d; compare them on the other replicas",
+				r.GetSequence(), before.GetSequence())
+		}
+	}
+	return nil
+}
+
+func (m *Machine) recordAudit(unixMS int64, c *controlpb.RecordAuditRequest) proto.Message {
+	for _, r := range c.GetRecords() {
+		at := r.GetUnixMs()
+		if at == 0 {
+			at = unixMS
+		}
+		m.audit.append(&controlpb.AuditRecord{
+			UnixMs: at, Actor: r.GetActor(), Action: r.GetAction(), Subject: r.GetSubject(), Detail: r.GetDetail(),
+			FromVersion: r.GetFromVersion(), ToVersion: r.GetToVersion(), Result: r.GetResult(),
+		})
+	}
+	return &controlpb.RecordAuditResponse{}
+}
+
+// Audit returns up to limit records after a sequence, oldest first, of the actor
+// and action if they are given.
+func (m *Machine) Audit(after uint64, limit int, actor, action string) []*controlpb.AuditRecord {
+	var list []*controlpb.AuditRecord
+	for _, r := range m.auditAfter(after) {
+		if len(list) == limit {
+			break
+		}
+		if (actor == "" || actor == r.GetActor()) && (action == "" || action == r.GetAction()) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (m *Machine) auditAfter(after uint64) []*controlpb.AuditRecord {
+	records := m.audit.records
+	if len(records) == 0 || after < records[0].GetSequence() {
+		return records
+	}
+	start := after - records[0].GetSequence() + 1
+	return records[min(start, uint64(len(records))):]
+}
--- /dev/null
+++ b/state/report.go
@@ -0,0 +1,121 @@
+package state
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/state/statepb"
+)
+
+// report applies the events of a domain's active scheduler. A report of a former
+// active scheduler is refused as a whole: the present one collects the outcomes
+// from the workers again.
+func (m *Machine) report(unixMS int64, c *controlpb.ReportTasksRequest) (proto.Message, *Refusal) {
+	domain := m.domains[c.GetDomain()]
+	if domain.GetActive() != c.GetScheduler() || domain.GetEpoch() != c.GetEpoch() || c.GetScheduler() == "" {
+		return nil, refuse(KindStaleEpoch,
+			"%s with epoch %d is not the active scheduler of domain %s (it is %s with epoch %d); renew the lease first",
+			c.GetScheduler(), c.GetEpoch(), c.GetDomain(), domain.GetActive(), domain.GetEpoch())
+	}
+	answer := &controlpb.ReportTasksResponse{}
+	for _, e := range c.GetEvents() {
+		if !m.reportOne(unixMS, domain, e) {
+			answer.Stale = append(answer.Stale, e.GetId())
+		}
+	}
+	return answer, nil
+}
+
+// reportOne reports whether the event is recorded, now or before.
+func (m *Machine) reportOne(unixMS int64, domain *statepb.DomainRecord, e *controlpb.TaskEvent) bool {
+	r, known := m.tasks.byID[e.GetId()]
+	if !known {
+		return false
+	}
+	if repeatedEvent(r, domain.GetDomain(), e) {
+		return true
+	}
+	kind, valid := eventOfKind[e.GetKind()]
+	if !valid || !admits(r, domain, kind, e.GetAttempt()) {
+		return false
+	}
+	state, ok := next(r.GetTask(), kind)
+	if !ok {
+		return false
+	}
+	m.applyEvent(r, domain.GetDomain(), state, e)
+	m.auditEvent(unixMS, domain, e)
+	return true
+}
+
+func repeatedEvent(r *statepb.TaskRecord, domain string, e *controlpb.TaskEvent) bool {
+	return r.GetLastEvent() != 0 && r.GetLastEvent() == e.GetKind() && r.GetLastDomain() == domain &&
+		sameAttempt(r.GetTask().GetAttempt(), e.GetAttempt())
+}
+
+// admits reports whether an event of the attempt may change the record: the task
+// is bound to the domain, the attempt is not older than the record's nor of an
+// epoch the domain never had, and an attempt ends once.
+func admits(r *statepb.TaskRecord, domain *statepb.DomainRecord, kind event, a *controlpb.Attempt) bool {
+	t := r.GetTask()
+	if t.GetState() != bound || t.GetDomain() != domain.GetDomain() {
+		return false
+	}
+	if older(a, t.GetAttempt()) || a.GetEpoch() > domain.GetEpoch() {
+		return false
+	}
+	last := eventOfKind[r.GetLastEvent()]
+	if !sameAttempt(a, t.GetAttempt()) || !closesAttempt[last] || !closesAttempt[kind] {
+		return true
+	}
+	return last == eventAttemptFailed && kind == eventFailed
+}
+
+func (m *Machine) applyEvent(
+	r *statepb.TaskRecord, domain string, state controlpb.TaskState, e *controlpb.TaskEvent,
+) {
+	after := copyRecord(r)
+	after.LastEvent, after.LastDomain = e.GetKind(), domain
+	t := after.Task
+	t.State, t.Attempt, t.ChangedIndex = state, e.GetAttempt(), m.index
+	if len(e.GetCheckpoint()) > 0 {
+		t.Checkpoint = e.GetCheckpoint()
+	}
+	if e.GetReason() != "" {
+		t.Reason = e.GetReason()
+	}
+	switch e.GetKind() {
+	case controlpb.TaskEventKind_TASK_EVENT_KIND_EVICTED:
+		t.Evictions++
+	case controlpb.TaskEventKind_TASK_EVENT_KIND_ATTEMPT_FAILED:
+		t.Failures++
+	}
+	if ended(state) {
+		t.Result, t.Checkpoint = e.GetResult(), nil
+	}
+	if state == pending {
+		t.Domain, t.Epoch = "", 0
+	}
+	m.tasks.replace(r, after)
+}
+
+// auditEvent records the events that are automatic decisions.
+func (m *Machine) auditEvent(unixMS int64, domain *statepb.DomainRecord, e *controlpb.TaskEvent) {
+	var action string
+	switch e.GetKind() {
+	case controlpb.TaskEventKind_TASK_EVENT_KIND_EVICTED:
+		action = "task.evicted"
+	case controlpb.TaskEventKind_TASK_EVENT_KIND_REJECTED:
+		action = "task.rejected"
+	default:
+		return
+	}
+	m.audit.append(&controlpb.AuditRecord{
+		UnixMs: unixMS, Actor: domain.GetActive(), Action: action, Subject: e.GetId(),
+		Detail: fmt.Sprintf("attempt %d/%d on %s in %s: %s", e.GetAttempt().GetEpoch(), e.GetAttempt().GetNumber(),
+			e.GetWorker(), domain.GetDomain(), e.GetReason()),
+		Result: "done",
+	})
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,147 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumwall/state/statepb"
+)
+
+// Capture is a view of the whole state at one index. It shares the immutable
+// records, so it is cheap to take, and may be encoded on another goroutine.
+type Capture struct {
+	snapshot *statepb.Snapshot
+}
+
+// Capture returns a view of the present state.
+func (m *Machine) Capture() Capture {
+	return Capture{&statepb.Snapshot{
+		Index:         m.index,
+		NextTask:      m.tasks.next,
+		Tasks:         slices.Collect(maps.Values(m.tasks.byID)),
+		Requests:      slices.Collect(maps.Values(m.requests.byKey)),
+		Domains:       m.Domains(),
+		Configs:       slices.Clone(m.configs.versions),
+		Audit:         slices.Clone(m.audit.records),
+		AuditSequence: m.audit.sequence,
+		AuditHash:     m.audit.hash,
+	}}
+}
+
+// Index returns the index of the last entry in the capture.
+func (c Capture) Index() uint64 { return c.snapshot.GetIndex() }
+
+// Encode returns the bytes of the snapshot: the same state gives the same bytes.
+func (c Capture) Encode() ([]byte, error) {
+	slices.SortFunc(c.snapshot.Tasks, func(a, b *statepb.TaskRecord) int {
+		return cmp.Compare(a.GetSequence(), b.GetSequence())
+	})
+	slices.SortFunc(c.snapshot.Requests, func(a, b *statepb.RequestRecord) int {
+		return compareKeys(keyOf(a), keyOf(b))
+	})
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.snapshot)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore returns the state of a snapshot. It fails if the snapshot contradicts
+// itself.
+func Restore(data []byte) (*Machine, error) {
+	s := &statepb.Snapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w; replace this replica", err)
+	}
+	if err := checkSnapshot(s); err != nil {
+		return nil, fmt.Errorf("snapshot at index %d: %w; replace this replica", s.GetIndex(), err)
+	}
+	m := New()
+	m.index = s.GetIndex()
+	m.tasks.next, m.tasks.feedFloor = s.GetNextTask(), s.GetIndex()
+	for _, r := range s.GetTasks() {
+		m.tasks.insert(r)
+	}
+	for _, r := range s.GetRequests() {
+		m.requests.put(r)
+	}
+	for _, d := range s.GetDomains() {
+		m.domains[d.GetDomain()] = d
+	}
+	for _, v := range s.GetConfigs() {
+		m.configs.load(v)
+	}
+	m.audit = auditTrail{records: s.GetAudit(), sequence: s.GetAuditSequence(), hash: s.GetAuditHash()}
+	return m, nil
+}
+
+func checkSnapshot(s *statepb.Snapshot) error {
+	if err := checkTasks(s); err != nil {
+		return err
+	}
+	for i, v := range s.GetConfigs() {
+		if i > 0 && v.GetVersion() != s.GetConfigs()[i-1].GetVersion()+1 {
+			return fmt.Errorf("configuration version %d follows version %d", v.GetVersion(), s.GetConfigs()[i-1].GetVersion())
+		}
+	}
+	seen := map[taskKey]bool{}
+	for _, r := range s.GetRequests() {
+		if seen[keyOf(r)] || r.GetChangedIndex() > s.GetIndex() {
+			return fmt.Errorf("request %q/%q is invalid", r.GetCaller(), r.GetIdempotencyKey())
+		}
+		seen[keyOf(r)] = true
+	}
+	return checkAudit(s)
+}
+
+func checkTasks(s *statepb.Snapshot) error {
+	epochs := map[string]uint64{}
+	for _, d := range s.GetDomains() {
+		if _, twice := epochs[d.GetDomain()]; twice {
+			return fmt.Errorf("domain %s is stored twice", d.GetDomain())
+		}
+		epochs[d.GetDomain()] = d.GetEpoch()
+	}
+	var sequence uint64
+	keys := map[taskKey]bool{}
+	for _, r := range s.GetTasks() {
+		t := r.GetTask()
+		key := taskKey{t.GetSpec().GetCaller(), t.GetSpec().GetIdempotencyKey()}
+		ordered := r.GetSequence() > sequence && r.GetSequence() <= s.GetNextTask() && t.GetChangedIndex() <= s.GetIndex()
+		if !ordered || keys[key] || t.GetId() != taskID(r.GetSequence()) {
+			return fmt.Errorf("task %q is invalid", t.GetId())
+		}
+		if _, known := transitions[t.GetState()]; !known {
+			return fmt.Errorf("task %s has unknown state %d", t.GetId(), t.GetState())
+		}
+		if t.GetState() == bound && (t.GetEpoch() == 0 || t.GetEpoch() > epochs[t.GetDomain()]) {
+			return fmt.Errorf("task %s is bound to epoch %d, which domain %s never had", t.GetId(), t.GetEpoch(), t.GetDomain())
+		}
+		sequence, keys[key] = r.GetSequence(), true
+	}
+	return nil
+}
+
+func checkAudit(s *statepb.Snapshot) error {
+	if err := VerifyAudit(s.GetAudit()); err != nil {
+		return err
+	}
+	if n := len(s.GetAudit()); n > 0 {
+		newest := s.GetAudit()[n-1]
+		if newest.GetSequence() != s.GetAuditSequence() || string(newest.GetHash()) != string(s.GetAuditHash()) {
+			return fmt.Errorf("audit trail ends at record %d, not %d", newest.GetSequence(), s.GetAuditSequence())
+		}
+	}
+	return nil
+}
+
+func taskID(sequence uint64) string { return fmt.Sprintf("t%d", sequence) }
+
+// sortedRecords returns the values of a map in order.
+func sortedRecords[K comparable, V any](records map[K]V, compare func(a, b V) int) []V {
+	return slices.SortedFunc(maps.Values(records), compare)
+}
--- /dev/null
+++ b/state/submit.go
@@ -0,0 +1,110 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/state/statepb"
+)
+
+func (m *Machine) submit(unixMS int64, c *controlpb.SubmitTasksRequest) proto.Message {
+	answer := &controlpb.SubmitTasksResponse{}
+	for _, spec := range c.GetTasks() {
+		answer.Results = append(answer.Results, m.submitOne(unixMS, spec))
+	}
+	return answer
+}
+
+func (m *Machine) submitOne(unixMS int64, spec *controlpb.TaskSpec) *controlpb.SubmitResult {
+	key := taskKey{spec.GetCaller(), spec.GetIdempotencyKey()}
+	if id, known := m.tasks.byKey[key]; known {
+		return repeatedSubmit(m.tasks.byID[id].GetTask(), spec)
+	}
+	m.tasks.next++
+	task := &controlpb.Task{
+		Id:             taskID(m.tasks.next),
+		Spec:           spec,
+		State:          pending,
+		Attempt:        &controlpb.Attempt{},
+		ChangedIndex:   m.index,
+		AcceptedUnixMs: unixMS,
+	}
+	m.tasks.insert(&statepb.TaskRecord{Task: task, Sequence: m.tasks.next})
+	return &controlpb.SubmitResult{Id: task.GetId()}
+}
+
+// repeatedSubmit compares only what the caller itself chose: the rest is filled
+// in from the configuration, which may have changed between two submissions.
+func repeatedSubmit(t *controlpb.Task, spec *controlpb.TaskSpec) *controlpb.SubmitResult {
+	first := t.GetSpec()
+	if first.GetJob() != spec.GetJob() || !bytes.Equal(first.GetPayload(), spec.GetPayload()) {
+		return &controlpb.SubmitResult{
+			ErrorKind: string(KindKeyConflict),
+			Error: fmt.Sprintf("idempotency key %q was used for task %s with another job or payload; use a new key",
+				spec.GetIdempotencyKey(), t.GetId()),
+		}
+	}
+	return &controlpb.SubmitResult{Id: t.GetId(), Existed: true}
+}
+
+// cancel cancels pending tasks at once and marks bound ones. Tasks of another
+// caller are left alone and missing from the answer; no caller stands for an
+// operator.
+func (m *Machine) cancel(c *controlpb.CancelTasksRequest) proto.Message {
+	answer := &controlpb.CancelTasksResponse{}
+	for _, id := range c.GetIds() {
+		r, known := m.tasks.byID[id]
+		if !known || (c.GetCaller() != "" && c.GetCaller() != r.GetTask().GetSpec().GetCaller()) {
+			continue
+		}
+		answer.Tasks = append(answer.Tasks, m.cancelOne(r))
+	}
+	return answer
+}
+
+func (m *Machine) cancelOne(r *statepb.TaskRecord) *controlpb.Task {
+	state, ok := next(r.GetTask(), eventCancel)
+	if !ok || r.GetTask().GetCancelRequested() {
+		return r.GetTask()
+	}
+	after := copyRecord(r)
+	after.Task.State = state
+	after.Task.CancelRequested = true
+	after.Task.ChangedIndex = m.index
+	m.tasks.replace(r, after)
+	return after.GetTask()
+}
+
+func (m *Machine) bind(c *statepb.Bind) proto.Message {
+	result := &statepb.BindResult{}
+	for _, b := range c.GetBindings() {
+		if m.bindOne(b) {
+			result.Bound++
+		}
+	}
+	return result
+}
+
+// bindOne raises the attempt number, so that a late event of an earlier binding
+// is older than the record.
+func (m *Machine) bindOne(b *statepb.Binding) bool {
+	r, known := m.tasks.byID[b.GetTask()]
+	domain := m.domains[b.GetDomain()]
+	if !known || domain.GetActive() == "" || domain.GetEpoch() != b.GetIfEpoch() {
+		return false
+	}
+	state, ok := next(r.GetTask(), eventBind)
+	if !ok {
+		return false
+	}
+	after := copyRecord(r)
+	after.LastEvent, after.LastDomain = 0, ""
+	t := after.Task
+	t.State, t.Domain, t.Epoch, t.ChangedIndex = state, b.GetDomain(), domain.GetEpoch(), m.index
+	t.Attempt = &controlpb.Attempt{Epoch: domain.GetEpoch(), Number: t.GetAttempt().GetNumber() + 1}
+	m.tasks.replace(r, after)
+	return true
+}
--- /dev/null
+++ b/state/tasks.go
@@ -0,0 +1,193 @@
+package state
+
+import (
+	"cmp"
+	"strings"
+
+	"github.com/tidwall/btree"
+
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/state/statepb"
+)
+
+// taskKey is a caller's name for a submission.
+type taskKey struct {
+	caller string
+	key    string
+}
+
+// taskTable holds the tasks with their indexes.
+type taskTable struct {
+	next    uint64
+	byID    map[string]*statepb.TaskRecord
+	byKey   map[taskKey]string
+	pending *btree.BTreeG[*statepb.TaskRecord]
+	ended   *btree.BTreeG[*statepb.TaskRecord]
+	bound   map[string]map[string]*statepb.TaskRecord
+	feeds   map[string]*feed
+	counts  map[controlpb.TaskState]int64
+	// feedFloor is the index from which the feeds are complete.
+	feedFloor uint64
+}
+
+func newTaskTable() *taskTable {
+	return &taskTable{
+		byID:    map[string]*statepb.TaskRecord{},
+		byKey:   map[taskKey]string{},
+		pending: btree.NewBTreeG(lessPending),
+		ended:   btree.NewBTreeG(lessEnded),
+		bound:   map[string]map[string]*statepb.TaskRecord{},
+		feeds:   map[string]*feed{},
+		counts:  map[controlpb.TaskState]int64{},
+	}
+}
+
+// lessPending orders by priority class, then by acceptance.
+func lessPending(a, b *statepb.TaskRecord) bool {
+	pa, pb := a.GetTask().GetSpec().GetPriority(), b.GetTask().GetSpec().GetPriority()
+	if pa != pb {
+		return pa < pb
+	}
+	return a.GetSequence() < b.GetSequence()
+}
+
+func lessEnded(a, b *statepb.TaskRecord) bool {
+	ca, cb := a.GetTask().GetChangedIndex(), b.GetTask().GetChangedIndex()
+	if ca != cb {
+		return ca < cb
+	}
+	return a.GetSequence() < b.GetSequence()
+}
+
+// insert adds a task that isn't in the table.
+func (t *taskTable) insert(r *statepb.TaskRecord) {
+	id := r.GetTask().GetId()
+	spec := r.GetTask().GetSpec()
+	t.byID[id] = r
+	t.byKey[taskKey{spec.GetCaller(), spec.GetIdempotencyKey()}] = id
+	t.link(r)
+}
+
+// replace exchanges a record for its successor and asserts the invariants of a
+// single task.
+func (t *taskTable) replace(before, after *statepb.TaskRecord) {
+	checkSuccessor(before.GetTask(), after.GetTask())
+	t.unlink(before)
+	t.byID[after.GetTask().GetId()] = after
+	t.link(after)
+	t.publish(before.GetTask().GetDomain(), after)
+	if after.GetTask().GetDomain() != before.GetTask().GetDomain() {
+		t.publish(after.GetTask().GetDomain(), after)
+	}
+}
+
+// checkSuccessor asserts that a task never has two outcomes and that its attempt
+// never goes back: within a binding in the order of attempts, over bindings in
+// its number.
+func checkSuccessor(before, after *controlpb.Task) {
+	id := before.GetId()
+	assert(!ended(before.GetState()), "task %s has ended and is changed again", id)
+	assert(after.GetChangedIndex() >= before.GetChangedIndex(), "task %s: change index goes back", id)
+	if before.GetDomain() != after.GetDomain() && after.GetState() == bound {
+		assert(after.GetAttempt().GetNumber() > before.GetAttempt().GetNumber(),
+			"task %s: binding does not raise the attempt number", id)
+		return
+	}
+	assert(!older(after.GetAttempt(), before.GetAttempt()), "task %s: attempt goes back", id)
+}
+
+func (t *taskTable) link(r *statepb.TaskRecord) {
+	task := r.GetTask()
+	t.counts[task.GetState()]++
+	switch {
+	case task.GetState() == pending:
+		t.pending.Set(r)
+	case task.GetState() == bound:
+		set := t.bound[task.GetDomain()]
+		if set == nil {
+			set = map[string]*statepb.TaskRecord{}
+			t.bound[task.GetDomain()] = set
+		}
+		set[task.GetId()] = r
+	default:
+		t.ended.Set(r)
+	}
+}
+
+func (t *taskTable) unlink(r *statepb.TaskRecord) {
+	task := r.GetTask()
+	t.counts[task.GetState()]--
+	switch {
+	case task.GetState() == pending:
+		t.pending.Delete(r)
+	case task.GetState() == bound:
+		delete(t.bound[task.GetDomain()], task.GetId())
+	default:
+		t.ended.Delete(r)
+	}
+}
+
+// prune drops up to limit tasks that ended at or before the index.
+func (t *taskTable) prune(through uint64, limit uint32) uint32 {
+	var dropped uint32
+	for dropped < limit {
+		r, ok := t.ended.Min()
+		if !ok || r.GetTask().GetChangedIndex() > through {
+			break
+		}
+		t.unlink(r)
+		spec := r.GetTask().GetSpec()
+		delete(t.byID, r.GetTask().GetId())
+		delete(t.byKey, taskKey{spec.GetCaller(), spec.GetIdempotencyKey()})
+		dropped++
+	}
+	return dropped
+}
+
+// boundTo returns the tasks bound to a domain in order of acceptance.
+func (t *taskTable) boundTo(domain string) []*statepb.TaskRecord {
+	return sortedRecords(t.bound[domain], func(a, b *statepb.TaskRecord) int {
+		return cmp.Compare(a.GetSequence(), b.GetSequence())
+	})
+}
+
+// copyTask returns a shallow copy whose fields may be set; what they point to is
+// shared and immutable.
+func copyTask(t *controlpb.Task) *controlpb.Task {
+	return &controlpb.Task{
+		Id: t.GetId(), Spec: t.GetSpec(), State: t.GetState(), Domain: t.GetDomain(), Epoch: t.GetEpoch(),
+		Attempt: t.GetAttempt(), Checkpoint: t.GetCheckpoint(), Result: t.GetResult(), Reason: t.GetReason(),
+		Evictions: t.GetEvictions(), Failures: t.GetFailures(), CancelRequested: t.GetCancelRequested(),
+		ChangedIndex: t.GetChangedIndex(), AcceptedUnixMs: t.GetAcceptedUnixMs(),
+	}
+}
+
+// copyRecord returns a copy of a record that may be changed.
+func copyRecord(r *statepb.TaskRecord) *statepb.TaskRecord {
+	return &statepb.TaskRecord{
+		Task: copyTask(r.GetTask()), Sequence: r.GetSequence(),
+		LastEvent: r.GetLastEvent(), LastDomain: r.GetLastDomain(),
+	}
+}
+
+// Task returns the task with the id.
+func (m *Machine) Task(id string) (*controlpb.Task, bool) {
+	r, ok := m.tasks.byID[id]
+	return r.GetTask(), ok
+}
+
+// ScanPending calls f with the pending tasks, urgent ones first, then in order of
+// acceptance, until f returns false.
+func (m *Machine) ScanPending(f func(*controlpb.Task) bool) {
+	m.tasks.pending.Scan(func(r *statepb.TaskRecord) bool { return f(r.GetTask()) })
+}
+
+// PendingCount returns the number of pending tasks.
+func (m *Machine) PendingCount() int { return m.tasks.pending.Len() }
+
+// BoundCount returns the number of tasks bound to a domain.
+func (m *Machine) BoundCount(domain string) int { return len(m.tasks.bound[domain]) }
+
+func compareKeys(a, b taskKey) int {
+	return cmp.Or(strings.Compare(a.caller, b.caller), strings.Compare(a.key, b.key))
+}
