--- a/state/machine.go
+++ b/state/machine.go
@@ -25,6 +25,7 @@
 	domains  map[string]*statepb.DomainRecord
 	configs  configHistory
 	audit    auditTrail
+	joined   map[uint64]bool
 }
 
 // New returns the state before the first command.
@@ -33,6 +34,7 @@
 		tasks:    newTaskTable(),
 		requests: newRequestTable(),
 		domains:  map[string]*statepb.DomainRecord{},
+		joined:   map[uint64]bool{},
 	}
 }
 
@@ -140,6 +142,9 @@
 		return m.confirmStandby(k.ConfirmStandby)
 	case *statepb.Command_ExpireDomain:
 		return m.expireDomain(c.GetUnixMs(), k.ExpireDomain)
+	case *statepb.Command_ReplicaJoined:
+		m.joined[k.ReplicaJoined.GetId()] = true
+		return k.ReplicaJoined, nil
 	}
 	panic("state: command of an unknown kind; upgrade this replica to the version of the leader")
 }
@@ -151,6 +156,16 @@
 	}
 }
 
+// Joined reports whether a replica is known to have stored part of the log.
+func (m *Machine) Joined(id uint64) bool { return m.joined[id] }
+
+// TakeEnded returns the ids of the tasks that ended since the last call.
+func (m *Machine) TakeEnded() []string {
+	ids := m.tasks.justEnded
+	m.tasks.justEnded = nil
+	return ids
+}
+
 // TaskCounts returns the number of tasks in each state, by its name.
 func (m *Machine) TaskCounts() map[string]int64 {
 	counts := map[string]int64{}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -29,6 +29,7 @@
 		Audit:         slices.Clone(m.audit.records),
 		AuditSequence: m.audit.sequence,
 		AuditHash:     m.audit.hash,
+		Joined:        slices.Sorted(maps.Keys(m.joined)),
 	}}
 }
 
@@ -72,6 +73,9 @@
 	for _, d := range s.GetDomains() {
 		m.domains[d.GetDomain()] = d
 	}
+	for _, id := range s.GetJoined() {
+		m.joined[id] = true
+	}
 	for _, v := range s.GetConfigs() {
 		m.configs.load(v)
 	}
--- a/state/tasks.go
+++ b/state/tasks.go
@@ -28,6 +28,8 @@
 	counts  map[controlpb.TaskState]int64
 	// feedFloor is the index from which the feeds are complete.
 	feedFloor uint64
+	// justEnded lists the tasks that ended since it was last taken.
+	justEnded []string
 }
 
 func newTaskTable() *taskTable {
@@ -75,6 +77,9 @@
 	t.unlink(before)
 	t.byID[after.GetTask().GetId()] = after
 	t.link(after)
+	if ended(after.GetTask().GetState()) {
+		t.justEnded = append(t.justEnded, after.GetTask().GetId())
+	}
 	t.publish(before.GetTask().GetDomain(), after)
 	if after.GetTask().GetDomain() != before.GetTask().GetDomain() {
 		t.publish(after.GetTask().GetDomain(), after)
