Add the core of the scheduler

The core keeps the ledger, sessions, attempts, leases and slot grants of one domain as a pure state machine. Nothing runs it yet; this commit is the base for the processes and the tests that follow.

--- /dev/null
+++ b/scheduler/core.go
@@ -0,0 +1,124 @@
+// Package scheduler is the pure core of the scheduler of one failure domain:
+// the ledger of each worker, worker sessions, attempts of tasks, task leases and
+// slot grants. It is told of events together with the monotonic time since the
+// start of the process, and queues actions that the caller takes with
+// TakeActions and carries out. It is not safe for concurrent use.
+//
+// The core asserts its invariants and panics when one is broken: the ledger of a
+// worker never exceeds its capacity, a task never has two live attempts, and
+// granted slots plus slots in use under older sessions never exceed the slots of
+// a worker.
+package scheduler
+
+import (
+	"time"
+
+	"geraniumwall/config"
+	"geraniumwall/policy"
+)
+
+// Settings identify a scheduler.
+type Settings struct {
+	// Name is the configured name; Identity adds the start of the process, so that
+	// a worker distinguishes a restarted scheduler from the one before.
+	Name     string
+	Identity string
+	Domain   string
+}
+
+// Core is the state of one scheduler.
+type Core struct {
+	settings  Settings
+	engine    policy.Engine
+	config    config.Config
+	version   uint64
+	authority authority
+	workers   map[string]*worker
+	tasks     map[string]*task
+	// occupied counts the ledger entries of each task over all workers.
+	occupied  map[string]int
+	gateways  map[gatewayKey]*gateway
+	plan      sharePlan
+	reports   reportQueue
+	decisions decisionStore
+	stops     []*task
+	actions   []Action
+	// attempts numbers the attempts of the current epoch.
+	attempts uint64
+	synced   bool
+	stopping bool
+	nextPlan time.Duration
+	nextMove time.Duration
+	starting int
+	running  int
+}
+
+// New returns a core without a role. It must not be appointed before one
+// scheduler lease has passed since now, because a grant that the process made
+// before a restart is not persisted.
+func New(now time.Duration, settings Settings, engine policy.Engine) *Core {
+	return &Core{
+		settings:  settings,
+		engine:    engine,
+		authority: newAuthority(now),
+		workers:   map[string]*worker{},
+		tasks:     map[string]*task{},
+		occupied:  map[string]int{},
+		gateways:  map[gatewayKey]*gateway{},
+		reports:   newReportQueue(),
+		decisions: newDecisionStore(),
+	}
+}
+
+// TakeActions returns the actions queued since the last call, oldest first.
+func (c *Core) TakeActions() []Action {
+	taken := c.actions
+	c.actions = nil
+	return taken
+}
+
+func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
+
+// SetConfig puts a configuration in force. Older versions are ignored.
+func (c *Core) SetConfig(now time.Duration, version uint64, cfg config.Config) {
+	if version <= c.version {
+		return
+	}
+	c.version, c.config = version, cfg
+	c.engine.SetConfig(now, cfg)
+	for _, id := range sortedKeys(c.workers) {
+		c.adoptReserve(now, c.workers[id])
+	}
+}
+
+// Tick advances everything that depends on the time alone. It is called at
+// least every TickInterval.
+func (c *Core) Tick(now time.Duration) {
+	c.advanceRole(now)
+	c.checkWorkers(now)
+	c.expireGrants(now)
+	if c.authority.role == RoleActive {
+		c.expireAttempts(now)
+		c.releaseHeld(now)
+		c.react(now)
+		c.place(now)
+		c.sendStops(now)
+	}
+	c.flushReports(now)
+	c.collectDecisions(now)
+}
+
+// Shutdown prepares a planned stop: the scheduler starts nothing more, and asks
+// for no appointment. Its role and its leases stay until Resign.
+func (c *Core) Shutdown() { c.stopping = true }
+
+// Resign gives up the role of a scheduler that shuts down. Afterwards it grants
+// nothing, renews nothing and its lease requests name no epoch.
+func (c *Core) Resign(now time.Duration) {
+	c.stopping = true
+	c.stepDown(now, "planned stop")
+	c.authority.resign()
+}
+
+// Version is the version of the configuration in force.
+func (c *Core) Version() uint64 { return c.version }
--- /dev/null
+++ b/scheduler/grant.go
@@ -0,0 +1,228 @@
+package scheduler
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// ErrStaleSync is returned for a grant sync that a newer one has overtaken.
+var ErrStaleSync = errors.New("a newer sync of this gateway was answered already; drop this answer")
+
+// gatewayKey names one run of a gateway.
+type gatewayKey struct {
+	name        string
+	incarnation string
+}
+
+// gateway is what the scheduler knows of one run of a gateway.
+type gateway struct {
+	local    bool
+	draining bool
+	sequence uint64
+	heard    time.Duration
+	// demand is smoothed, by service.
+	demand map[string]float64
+}
+
+// Holding is what a gateway holds of the grant on one worker.
+type Holding struct {
+	Worker  string
+	Session uint64
+	Slots   int
+	InUse   int
+}
+
+// GrantSync reports a gateway's demand and what it holds.
+type GrantSync struct {
+	Gateway     string
+	Domain      string
+	Incarnation string
+	// Sequence orders the syncs of one incarnation. With 0 a reduction counts only
+	// once the larger grant has expired.
+	Sequence uint64
+	// Demand is the number of requests outstanding and queued, by service.
+	Demand   map[string]int
+	Holdings []Holding
+	Draining bool
+}
+
+// Grant is a number of slots of one worker that a gateway may use.
+type Grant struct {
+	Worker      string
+	Address     string
+	Session     uint64
+	Slots       int
+	Connections int
+	Services    []string
+}
+
+// GrantAnswer is the complete set of grants that the gateway holds from now on.
+type GrantAnswer struct {
+	Epoch   uint64
+	Grants  []Grant
+	Leaving []string
+}
+
+// grant is what one gateway may hold of one worker: the largest of the answers
+// that it may act on.
+type grant struct{ answers []grantAnswer }
+
+type grantAnswer struct {
+	slots int
+	until time.Duration
+}
+
+func (g *grant) held(now time.Duration) int {
+	most := 0
+	for _, a := range g.answers {
+		if now < a.until {
+			most = max(most, a.slots)
+		}
+	}
+	return most
+}
+
+// offer records an answer and drops those that it covers.
+func (g *grant) offer(slots int, until time.Duration) {
+	g.answers = slices.DeleteFunc(g.answers, func(a grantAnswer) bool {
+		return a.slots <= slots && a.until <= until
+	})
+	g.answers = append(g.answers, grantAnswer{slots: slots, until: until})
+}
+
+// confirm replaces all answers by what the gateway says it holds.
+func (g *grant) confirm(slots int, until time.Duration) {
+	g.answers = g.answers[:0]
+	if slots > 0 {
+		g.answers = append(g.answers, grantAnswer{slots: slots, until: until})
+	}
+}
+
+// granted is the number of slots that gateways may hold under the session.
+func (w *worker) granted(now time.Duration) int {
+	sum := 0
+	for _, g := range w.grants {
+		sum += g.held(now)
+	}
+	return sum
+}
+
+// busySlots are the slots that cannot be offered to anyone else.
+func (w *worker) busySlots(now time.Duration) int { return w.granted(now) + w.session.older }
+
+// SyncGrants takes in the demand of a gateway and returns its grants.
+func (c *Core) SyncGrants(now time.Duration, s GrantSync) (GrantAnswer, error) {
+	key := gatewayKey{name: s.Gateway, incarnation: s.Incarnation}
+	g := c.gateways[key]
+	if g == nil {
+		g = &gateway{demand: map[string]float64{}}
+		c.gateways[key] = g
+		c.nextPlan = now
+	}
+	if s.Sequence != 0 && s.Sequence <= g.sequence {
+		return GrantAnswer{}, ErrStaleSync
+	}
+	g.sequence, g.heard = s.Sequence, now
+	g.local, g.draining = s.Domain == c.settings.Domain, s.Draining
+	g.smooth(s.Demand)
+	if s.Sequence != 0 {
+		c.confirmHoldings(now, key, s.Holdings)
+	}
+	c.replan(now)
+	return c.answerSync(now, key), nil
+}
+
+// confirmHoldings takes in what a gateway holds. It acts on no answer to an
+// earlier sync any more, so everything else of its grants is free.
+func (c *Core) confirmHoldings(now time.Duration, key gatewayKey, holdings []Holding) {
+	held := make(map[string]Holding, len(holdings))
+	for _, h := range holdings {
+		held[h.Worker] = h
+	}
+	for _, w := range c.workers {
+		g := w.grants[key]
+		if g == nil {
+			continue
+		}
+		h, reported := held[w.id]
+		if !reported || h.Session != w.session.number {
+			g.confirm(0, 0)
+			continue
+		}
+		// A gateway cannot hold more than it was granted.
+		slots := min(max(h.Slots, h.InUse), g.held(now))
+		g.confirm(slots, now+withMargin(GrantDuration))
+	}
+}
+
+func (c *Core) answerSync(now time.Duration, key gatewayKey) GrantAnswer {
+	answer := GrantAnswer{Epoch: c.authority.epoch}
+	for _, id := range sortedKeys(c.workers) {
+		w := c.workers[id]
+		if w.retired() {
+			continue
+		}
+		if w.leaving || w.drained {
+			answer.Leaving = append(answer.Leaving, id)
+			continue
+		}
+		if slots := c.offerSlots(now, w, key); slots > 0 {
+			answer.Grants = append(answer.Grants, Grant{
+				Worker: id, Address: w.address, Session: w.session.number, Slots: slots,
+				Connections: slots * (w.connections / w.slots), Services: w.services,
+			})
+		}
+	}
+	return answer
+}
+
+// offerSlots grants the gateway its share as far as it is free.
+func (c *Core) offerSlots(now time.Duration, w *worker, key gatewayKey) int {
+	if !w.session.held || w.isSilent(now) {
+		return 0
+	}
+	own := 0
+	g := w.grants[key]
+	if g != nil {
+		own = g.held(now)
+	}
+	total := w.granted(now)
+	// Requests beyond the grants were left by gateways that are gone.
+	taken := max(total, w.session.current)
+	free := w.ledger.slots - w.session.older - taken
+	slots := min(c.plan.share(w.id, key), own+free)
+	if slots <= 0 {
+		return 0
+	}
+	if g == nil {
+		g = &grant{}
+		w.grants[key] = g
+	}
+	g.offer(slots, now+withMargin(GrantDuration))
+	c.checkSlots(now, w)
+	return slots
+}
+
+func (c *Core) checkSlots(now time.Duration, w *worker) {
+	assert(w.busySlots(now) <= w.slots, "worker %s: %d slots granted and %d in use under older sessions, of %d",
+		w.id, w.granted(now), w.session.older, w.slots)
+}
+
+// expireGrants forgets grants and gateways whose time is over.
+func (c *Core) expireGrants(now time.Duration) {
+	for _, w := range c.workers {
+		for key, g := range w.grants {
+			g.answers = slices.DeleteFunc(g.answers, func(a grantAnswer) bool { return now >= a.until })
+			if len(g.answers) == 0 {
+				delete(w.grants, key)
+			}
+		}
+	}
+	for key, g := range c.gateways {
+		if now-g.heard >= withMargin(GrantDuration) {
+			delete(c.gateways, key)
+			c.nextPlan = now
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/limits.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import "time"
+
+// Lease durations, see docs/design.md 3.
+const (
+	SchedulerLease = 1500 * time.Millisecond
+	TaskLease      = 10 * time.Second
+	GrantDuration  = 3 * time.Second
+)
+
+// TickInterval is the longest time between two calls of Tick.
+const TickInterval = 50 * time.Millisecond
+
+const (
+	// clockRateErrorPercent bounds the difference of the clock rates of two hosts
+	// twice: a grantor waits this much longer than the lease.
+	clockRateErrorPercent = 2
+	// silentAfter is the silence after which a worker gets no new work.
+	silentAfter = time.Second
+	// minTaskLease is the shortest lease worth a start.
+	minTaskLease = 500 * time.Millisecond
+	// commandRetry separates two sends of an unanswered stop or attach.
+	commandRetry = time.Second
+	// refusedPause holds a task back after a worker refused its start, so that a
+	// refusal does not repeat in a tight loop.
+	refusedPause = 200 * time.Millisecond
+	// possibleAfter is the time a domain needs to learn its workers; before it has
+	// passed nothing is returned as impossible.
+	possibleAfter = 5 * time.Second
+	// planInterval separates two computations of the shares of the gateways.
+	planInterval = 250 * time.Millisecond
+	// reactInterval separates two looks at interference.
+	reactInterval = 500 * time.Millisecond
+	// reportRetry separates two sends of a report that control did not record.
+	reportRetry = 200 * time.Millisecond
+)
+
+const (
+	// maxStarting bounds the starts without an answer.
+	maxStarting = 512
+	// maxStopsPerTick bounds the stops sent in one tick, so that a burst of
+	// cancellations does not delay starts.
+	maxStopsPerTick = 64
+	// maxReportBatch bounds the events of one report.
+	maxReportBatch = 500
+	// maxSlots and maxCapacity reject sizes that no host has.
+	maxSlots    = 4096
+	maxCapacity = int64(1) << 40
+	maxNameLen  = 128
+)
+
+// withMargin is the time after which a lease of duration d is certainly over for
+// its holder.
+func withMargin(d time.Duration) time.Duration {
+	return d + d*clockRateErrorPercent/100
+}
--- /dev/null
+++ b/scheduler/report.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"time"
+
+	"geraniumwall/workerapi"
+)
+
+// reportQueue holds the events that control has not recorded yet, in order. One
+// batch is under way at a time, so that control sees the events of a task in
+// order.
+type reportQueue struct {
+	queue    []Report
+	inFlight int
+	retryAt  time.Duration
+	pending  map[workerapi.TaskRef]int
+}
+
+func newReportQueue() reportQueue {
+	return reportQueue{pending: map[workerapi.TaskRef]int{}}
+}
+
+func (q *reportQueue) add(r Report) {
+	q.queue = append(q.queue, r)
+	q.pending[workerapi.TaskRef{ID: r.Task, Attempt: r.Attempt}]++
+}
+
+// holds reports whether an event of the attempt is not recorded yet.
+func (q *reportQueue) holds(ref workerapi.TaskRef) bool { return q.pending[ref] > 0 }
+
+func (q *reportQueue) drop(n int) {
+	for _, r := range q.queue[:n] {
+		ref := workerapi.TaskRef{ID: r.Task, Attempt: r.Attempt}
+		if q.pending[ref]--; q.pending[ref] <= 0 {
+			delete(q.pending, ref)
+		}
+	}
+	q.queue = append([]Report(nil), q.queue[n:]...)
+}
+
+// flushReports sends the next batch if none is under way.
+func (c *Core) flushReports(now time.Duration) {
+	q := &c.reports
+	if c.authority.role != RoleActive || q.inFlight > 0 || len(q.queue) == 0 || now < q.retryAt {
+		return
+	}
+	q.inFlight = min(len(q.queue), maxReportBatch)
+	batch := append([]Report(nil), q.queue[:q.inFlight]...)
+	c.act(SendReports{Epoch: c.authority.epoch, Events: batch})
+}
+
+// ReportsAnswered takes in the outcome of a SendReports of the epoch. Events that
+// control refused as stale are decided otherwise, so they need no recording.
+func (c *Core) ReportsAnswered(now time.Duration, epoch uint64, recorded bool) {
+	q := &c.reports
+	if epoch != c.authority.epoch || c.authority.role != RoleActive || q.inFlight == 0 {
+		return
+	}
+	if recorded {
+		q.drop(q.inFlight)
+	} else {
+		q.retryAt = now + reportRetry
+	}
+	q.inFlight = 0
+}
--- /dev/null
+++ b/scheduler/share.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// demandSmoothing is the weight of the newest demand. Without smoothing single
+	// requests move slots between gateways at each sync.
+	demandSmoothing = 0.3
+	// localWeight gives each gateway of the domain slots before it has demand.
+	localWeight = 1.0
+	// minDemand is the demand below which a service counts as unused.
+	minDemand = 0.01
+)
+
+// sharePlan holds the slots of each worker that each gateway should have.
+type sharePlan map[string]map[gatewayKey]int
+
+func (p sharePlan) share(worker string, key gatewayKey) int { return p[worker][key] }
+
+func (g *gateway) smooth(demand map[string]int) {
+	for service := range demand {
+		if _, known := g.demand[service]; !known {
+			g.demand[service] = 0
+		}
+	}
+	for service, before := range g.demand {
+		smoothed := before + demandSmoothing*(float64(demand[service])-before)
+		if g.demand[service] = smoothed; smoothed < minDemand {
+			delete(g.demand, service)
+		}
+	}
+}
+
+// weight is the claim of a gateway on a worker with the services. A gateway of
+// another domain has a claim only while it has demand.
+func (g *gateway) weight(services []string) float64 {
+	if g.draining {
+		return 0
+	}
+	weight := 0.0
+	if g.local {
+		weight = localWeight
+	}
+	for _, s := range services {
+		weight += g.demand[s]
+	}
+	return weight
+}
+
+// replan divides the slots of each worker among the gateways by demand.
+func (c *Core) replan(now time.Duration) {
+	if now < c.nextPlan {
+		return
+	}
+	c.nextPlan = now + planInterval
+	keys := slices.SortedFunc(maps.Keys(c.gateways), func(a, b gatewayKey) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.incarnation, b.incarnation))
+	})
+	plan := make(sharePlan, len(c.workers))
+	for id, w := range c.workers {
+		if !w.session.held {
+			continue
+		}
+		ideal := c.idealShares(w, keys)
+		if kept := c.plan[id]; stillFits(kept, keys, ideal) {
+			plan[id] = kept
+			continue
+		}
+		plan[id] = roundShares(id, keys, ideal)
+	}
+	c.plan = plan
+}
+
+func (c *Core) idealShares(w *worker, keys []gatewayKey) []float64 {
+	ideal := make([]float64, len(keys))
+	total := 0.0
+	for i, key := range keys {
+		ideal[i] = c.gateways[key].weight(w.services)
+		total += ideal[i]
+	}
+	if total == 0 {
+		return ideal
+	}
+	slots := float64(max(0, w.ledger.slots-w.session.older))
+	for i := range ideal {
+		ideal[i] *= slots / total
+	}
+	return ideal
+}
+
+// stillFits reports whether every gateway has its ideal share rounded up or down,
+// so that moving slots would gain nothing.
+func stillFits(kept map[gatewayKey]int, keys []gatewayKey, ideal []float64) bool {
+	if kept == nil || len(kept) != len(keys) {
+		return false
+	}
+	sum, wanted := 0, 0.0
+	for i, key := range keys {
+		have, known := kept[key]
+		if !known || math.Abs(ideal[i]-float64(have)) >= 1 {
+			return false
+		}
+		sum += have
+		wanted += ideal[i]
+	}
+	return math.Abs(wanted-float64(sum)) < 0.5
+}
+
+// roundShares rounds the shares so that their sum stays. Where the fractions fall
+// depends on the worker, so that over many workers each gateway gets its share.
+func roundShares(worker string, keys []gatewayKey, ideal []float64) map[gatewayKey]int {
+	offset := float64(xxhash.Sum64String(worker)>>11) / (1 << 53)
+	shares := make(map[gatewayKey]int, len(keys))
+	sum, before := 0.0, 0
+	for i, key := range keys {
+		sum += ideal[i]
+		upTo := int(math.Floor(sum + offset + 1e-9))
+		shares[key] = upTo - before
+		before = upTo
+	}
+	return shares
+}
--- /dev/null
+++ b/scheduler/status.go
@@ -0,0 +1,101 @@
+package scheduler
+
+import (
+	"time"
+
+	"geraniumwall/workerapi"
+)
+
+// WorkerStatus is the state of one worker, for people.
+type WorkerStatus struct {
+	Worker       string
+	Rack         string
+	State        string
+	Free         workerapi.Resources
+	Tasks        int
+	Slots        int
+	SlotsGranted int
+	HeartbeatAge time.Duration
+	Session      uint64
+}
+
+// Status is the state of a scheduler, for people.
+type Status struct {
+	Role    Role
+	Epoch   uint64
+	Workers []WorkerStatus
+	Waiting int
+	Running int
+	Version uint64
+}
+
+// Status returns the state of the scheduler.
+func (c *Core) Status(now time.Duration) Status {
+	s := Status{Role: c.authority.role, Epoch: c.authority.epoch, Version: c.version}
+	s.Waiting, s.Running = c.countTasks()
+	for _, id := range sortedKeys(c.workers) {
+		w := c.workers[id]
+		s.Workers = append(s.Workers, WorkerStatus{
+			Worker: id, Rack: w.rack, State: w.state(), Free: w.ledger.free(), Tasks: len(w.live) + len(w.strays),
+			Slots: w.slots, SlotsGranted: w.granted(now), HeartbeatAge: now - w.heard, Session: w.session.number,
+		})
+	}
+	return s
+}
+
+func (c *Core) countTasks() (waiting, running int) {
+	for _, t := range c.tasks {
+		switch {
+		case t.isLive():
+			running++
+		case t.phase != phaseEnded:
+			waiting++
+		}
+	}
+	return waiting, running
+}
+
+func (w *worker) state() string {
+	switch {
+	case w.retired():
+		return "replaced"
+	case w.silent:
+		return "silent"
+	case w.drained:
+		return "draining"
+	case w.leaving:
+		return "leaving"
+	case !w.session.held:
+		return "unattached"
+	case w.session.servicesOnly:
+		return "services only"
+	}
+	return "ready"
+}
+
+// Load summarizes the domain for the binding of tasks.
+type Load struct {
+	Free        workerapi.Resources
+	LargestFree workerapi.Resources
+	Workers     int
+	Waiting     int
+	Running     int
+}
+
+// Load returns the summary of the domain.
+func (c *Core) Load() Load {
+	var l Load
+	for _, w := range c.workers {
+		if !w.accepting() {
+			continue
+		}
+		free := w.ledger.free()
+		l.Workers++
+		l.Free = l.Free.Plus(free)
+		l.LargestFree.CPUMillis = max(l.LargestFree.CPUMillis, free.CPUMillis)
+		l.LargestFree.MemoryMB = max(l.LargestFree.MemoryMB, free.MemoryMB)
+		l.LargestFree.Accelerators = max(l.LargestFree.Accelerators, free.Accelerators)
+	}
+	l.Waiting, l.Running = c.countTasks()
+	return l
+}
--- /dev/null
+++ b/scheduler/task.go
@@ -0,0 +1,231 @@
+package scheduler
+
+import (
+	"time"
+
+	"geraniumwall/config"
+	"geraniumwall/policy"
+	"geraniumwall/workerapi"
+)
+
+// phase is the state of a task in its domain.
+type phase int
+
+// Phases. A task has a live attempt in the phases starting, running and stopping.
+const (
+	// phaseWaiting: in the queue of the engine.
+	phaseWaiting phase = iota
+	// phaseHeld: must not be started before the task's notBefore.
+	phaseHeld
+	// phaseStarting: the start has no answer yet.
+	phaseStarting
+	phaseRunning
+	// phaseStopping: the attempt must be confirmed as stopped, or its lease be over.
+	phaseStopping
+	// phaseEnded: nothing is left to do here; control records the outcome.
+	phaseEnded
+)
+
+// stopReason says why an attempt is stopped.
+type stopReason string
+
+// Reasons for a stop.
+const (
+	stopCancelled    stopReason = "cancelled"
+	stopEvicted      stopReason = "evicted"
+	stopMoved        stopReason = "worker drains"
+	stopUnknownStart stopReason = "start without an answer"
+	stopLeft         stopReason = "bound elsewhere"
+)
+
+// BoundTask is a task as control has it.
+type BoundTask struct {
+	ID              string
+	Team            string
+	Job             string
+	Priority        config.Priority
+	Size            workerapi.Resources
+	Expected        time.Duration
+	Payload         []byte
+	Domain          string
+	Epoch           uint64
+	Bound           bool
+	Attempt         workerapi.Attempt
+	Checkpoint      []byte
+	Evictions       int
+	Failures        int
+	CancelRequested bool
+}
+
+// task is a task bound to the domain.
+type task struct {
+	BoundTask
+	phase     phase
+	enqueued  time.Duration
+	notBefore time.Duration
+	// attempt is the newest attempt; on and until belong to it while it is live.
+	attempt workerapi.Attempt
+	on      *worker
+	until   time.Duration
+	// settled is the newest attempt whose end was taken in.
+	settled    workerapi.Attempt
+	why        stopReason
+	stopQueued bool
+	stopRetry  time.Duration
+	cancel     bool
+	left       bool
+}
+
+func (t *task) ref() workerapi.TaskRef { return workerapi.TaskRef{ID: t.ID, Attempt: t.attempt} }
+
+func (t *task) isLive() bool {
+	return t.phase == phaseStarting || t.phase == phaseRunning || t.phase == phaseStopping
+}
+
+func (c *Core) policyTask(t *task) policy.Task {
+	job, _ := c.config.FindJob(t.Job)
+	return policy.Task{
+		ID: t.ID, Team: t.Team, Job: t.Job, Priority: t.Priority, Size: t.Size, Expected: t.Expected,
+		Enqueued: t.enqueued, Evictions: t.Evictions, Failures: t.Failures, Checkpoints: job.Checkpoints,
+	}
+}
+
+// maxAttempts is the number of failed attempts after which a task fails.
+func (c *Core) maxAttempts(t *task) int {
+	if job, declared := c.config.FindJob(t.Job); declared {
+		return job.MaxAttempts
+	}
+	return config.DefaultMaxAttempts
+}
+
+// SyncTasks takes in changes of the tasks of the domain. With complete set, tasks
+// that are not in the list have left the domain.
+func (c *Core) SyncTasks(now time.Duration, epoch uint64, changed []BoundTask, complete bool) {
+	if c.authority.role != RoleActive || epoch != c.authority.epoch {
+		return
+	}
+	listed := map[string]bool{}
+	for i := range changed {
+		listed[changed[i].ID] = true
+		c.syncTask(now, &changed[i])
+	}
+	if complete {
+		for _, id := range sortedKeys(c.tasks) {
+			if !listed[id] {
+				c.taskLeft(now, c.tasks[id])
+			}
+		}
+		c.synced = true
+	}
+}
+
+func (c *Core) syncTask(now time.Duration, b *BoundTask) {
+	t := c.tasks[b.ID]
+	here := b.Bound && b.Domain == c.settings.Domain
+	switch {
+	case t == nil && here:
+		c.addTask(now, b)
+	case t == nil:
+	case !here:
+		c.taskLeft(now, t)
+	case t.phase == phaseEnded && b.Epoch > t.Epoch:
+		delete(c.tasks, t.ID)
+		c.addTask(now, b)
+	default:
+		t.Epoch = b.Epoch
+		t.Failures = max(t.Failures, b.Failures)
+		t.Evictions = max(t.Evictions, b.Evictions)
+		if b.CancelRequested {
+			c.cancelTask(now, t)
+		}
+	}
+}
+
+// addTask takes up a task. One that was bound before the appointment of this
+// scheduler may still run somewhere, so it is held until the task leases of the
+// scheduler before are certainly over, or until a worker reports it.
+func (c *Core) addTask(now time.Duration, b *BoundTask) {
+	t := &task{BoundTask: *b, enqueued: now, attempt: b.Attempt, phase: phaseHeld}
+	c.tasks[t.ID] = t
+	if b.Epoch < c.authority.epoch {
+		t.notBefore = c.authority.takeoverAt + withMargin(TaskLease)
+	}
+	if b.CancelRequested {
+		c.cancelTask(now, t)
+	}
+	if t.phase == phaseHeld && now >= t.notBefore {
+		c.enqueue(now, t)
+	}
+}
+
+func (c *Core) enqueue(now time.Duration, t *task) {
+	t.phase = phaseWaiting
+	c.engine.Enqueue(now, c.policyTask(t))
+}
+
+// hold keeps a task without a live attempt out of the queue until then.
+func (c *Core) holdTask(now time.Duration, t *task, until time.Duration) {
+	t.notBefore = until
+	if now >= until {
+		c.enqueue(now, t)
+		return
+	}
+	t.phase = phaseHeld
+}
+
+// releaseHeld queues the held tasks whose time has come.
+func (c *Core) releaseHeld(now time.Duration) {
+	for _, id := range sortedKeys(c.tasks) {
+		t := c.tasks[id]
+		if t.phase != phaseHeld || now < t.notBefore {
+			continue
+		}
+		if t.cancel {
+			c.endTask(now, t, Report{Kind: ReportCancelled, Reason: "cancelled before it ran again"})
+			continue
+		}
+		c.enqueue(now, t)
+	}
+}
+
+// cancelTask ends a task that cannot run, or stops its attempt.
+func (c *Core) cancelTask(now time.Duration, t *task) {
+	if t.cancel || t.phase == phaseEnded {
+		return
+	}
+	t.cancel = true
+	switch {
+	case t.phase == phaseWaiting:
+		c.engine.Dequeue(now, t.ID)
+		c.endTask(now, t, Report{Kind: ReportCancelled, Reason: "cancelled while it waited"})
+	case t.phase == phaseHeld && (now >= t.notBefore || t.Epoch == c.authority.epoch):
+		c.endTask(now, t, Report{Kind: ReportCancelled, Reason: "cancelled while it waited"})
+	case t.isLive():
+		c.stopAttempt(now, t, stopCancelled)
+	}
+}
+
+// taskLeft forgets a task that is no longer bound here, after its attempt ended.
+func (c *Core) taskLeft(now time.Duration, t *task) {
+	t.left = true
+	switch {
+	case t.isLive():
+		c.stopAttempt(now, t, stopLeft)
+	default:
+		if t.phase == phaseWaiting {
+			c.engine.Dequeue(now, t.ID)
+		}
+		delete(c.tasks, t.ID)
+	}
+}
+
+// endTask records the outcome of a task without a live attempt.
+func (c *Core) endTask(now time.Duration, t *task, r Report) {
+	t.phase = phaseEnded
+	r.Task, r.Attempt = t.ID, t.attempt
+	c.reports.add(r)
+	c.note(now, Decision{Subject: t.ID, Kind: string(r.Kind), Reason: r.Reason, Worker: r.Worker})
+	if t.left {
+		delete(c.tasks, t.ID)
+	}
+}
