--- /dev/null
+++ b/routing/report.go
@@ -0,0 +1,157 @@
+package routing
+
+import "time"
+
+// starvedFor is how long a service counts as starved after a request found no
+// free slot in the own domain.
+const starvedFor = 2 * time.Second
+
+// Latency is the recent latency of a service on one worker.
+type Latency struct {
+	Worker string
+	P50    time.Duration
+	P99    time.Duration
+	Count  int
+	Age    time.Duration
+}
+
+// Demand is what a service needs.
+type Demand struct {
+	Service     string
+	Outstanding int
+	Queued      int
+	Latencies   []Latency
+}
+
+// Holding is the use of one worker session.
+type Holding struct {
+	Worker     string
+	Session    uint64
+	Slots      int
+	SlotsInUse int
+}
+
+// Report is the state that a gateway tells the schedulers of one domain.
+type Report struct {
+	Demands  []Demand
+	Holdings []Holding
+}
+
+// Report summarises demand and use towards the schedulers of a domain. Requests
+// that are outstanding in other domains are left out; queued requests are
+// reported to other domains only for services that found no free slot at home.
+func (t *Table) Report(domain string, now time.Duration) Report {
+	report := Report{}
+	demands := map[*service]*Demand{}
+	for _, s := range t.order {
+		d := &Demand{Service: s.name}
+		if domain == t.domain || s.isStarved(now) {
+			d.Queued = s.waiting
+		}
+		demands[s] = d
+	}
+	for _, u := range t.upstreams {
+		if u.domain != domain {
+			continue
+		}
+		report.Holdings = append(report.Holdings, u.holdings(now)...)
+		for _, l := range u.lanes {
+			demands[l.service].addLane(l, now)
+		}
+	}
+	for _, s := range t.order {
+		report.Demands = append(report.Demands, *demands[s])
+	}
+	return report
+}
+
+func (s *service) isStarved(now time.Duration) bool {
+	return s.starved && now-s.starvedAt < starvedFor
+}
+
+func (u *upstream) holdings(now time.Duration) []Holding {
+	var list []Holding
+	slots := u.current.slots
+	if !u.current.open(now) {
+		slots = 0
+	}
+	list = append(list, Holding{
+		Worker: u.name, Session: u.current.number, Slots: slots, SlotsInUse: u.current.outstanding,
+	})
+	for _, s := range u.former {
+		list = append(list, Holding{Worker: u.name, Session: s.number, SlotsInUse: s.outstanding})
+	}
+	return list
+}
+
+func (d *Demand) addLane(l *lane, now time.Duration) {
+	d.Outstanding += l.outstanding
+	l.window.rotate(now)
+	c := l.window.complete
+	if c == nil {
+		return
+	}
+	d.Latencies = append(d.Latencies, Latency{
+		Worker: l.up.name, P50: c.quantile(0.5), P99: c.quantile(0.99), Count: int(c.total),
+		Age: now - l.window.started + windowLength/2,
+	})
+}
+
+// Starved reports whether a service recently found no free slot in the own domain.
+func (t *Table) Starved(now time.Duration) bool {
+	for _, s := range t.order {
+		if s.isStarved(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Holds reports whether the table still uses or holds slots in a domain.
+func (t *Table) Holds(domain string, now time.Duration) bool {
+	for _, u := range t.upstreams {
+		if u.domain == domain && (u.busy() || u.current.open(now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Statistics are figures for metrics.
+type Statistics struct {
+	Service     string
+	Outstanding int
+	Queued      int
+}
+
+// Statistics returns the figures of every service.
+func (t *Table) Statistics() []Statistics {
+	list := make([]Statistics, 0, len(t.order))
+	for _, s := range t.order {
+		list = append(list, Statistics{Service: s.name, Outstanding: s.outstanding, Queued: s.waiting})
+	}
+	return list
+}
+
+// Usable returns the number of upstreams and slots with a grant in force.
+func (t *Table) Usable(now time.Duration) (upstreams, slots int) {
+	for _, u := range t.upstreams {
+		if u.current.open(now) {
+			upstreams++
+			slots += u.current.slots
+		}
+	}
+	return upstreams, slots
+}
+
+// Outstanding returns the number of requests on upstreams.
+func (t *Table) Outstanding() int {
+	total := 0
+	for _, u := range t.upstreams {
+		total += u.current.outstanding
+		for _, s := range u.former {
+			total += s.outstanding
+		}
+	}
+	return total
+}
