Add the gateway process for calls, holds and tasks

Callers need one entry that routes calls on slot grants, runs requests to non-idempotent services at most once through the quorum, and forwards tasks. net/http resends a POST by itself when its header map holds the canonical Idempotency-Key, so workers get the key under the lower-case name. Bodies of unknown length are held in memory, since one that proves too large must not have reached a worker.

--- /dev/null
+++ b/cmd/geranium-gateway/main.go
@@ -0,0 +1,83 @@
+// Command geranium-gateway runs the gateway of an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+
+	"geraniumwall/daemon"
+	"geraniumwall/gateway"
+)
+
+const (
+	// longestDrain exceeds the longest deadline of a request.
+	longestDrain = 61 * time.Minute
+	// recordWait bounds the wait for records of outcomes at the end.
+	recordWait = 10 * time.Second
+)
+
+func main() {
+	s := defaultSettings()
+	daemon.Main("geranium-gateway", s, func(ctx context.Context, log zerolog.Logger) error {
+		return run(ctx, s, log)
+	})
+}
+
+func run(ctx context.Context, s *settingsFile, log zerolog.Logger) error {
+	metrics, err := daemon.ServeMetrics(ctx, s.MetricsListen)
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(s.options(log))
+	if err != nil {
+		return err
+	}
+	server, err := daemon.Listen(ctx, s.Listen, g.Handler())
+	if err != nil {
+		return err
+	}
+	g.Start()
+	server.Serve()
+	log.Info().Str("address", server.Address()).Str("metrics", metrics.Address()).Msg("gateway is serving")
+	select {
+	case <-ctx.Done():
+	case err := <-server.Failed():
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return shutDown(g, server, time.Duration(s.DrainMS)*time.Millisecond)
+}
+
+// shutDown lets the load balancer notice first, then waits for the requests in
+// progress and returns the grants.
+func shutDown(g *gateway.Gateway, server *daemon.Server, notice time.Duration) error {
+	g.Drain()
+	time.Sleep(notice)
+	ctx, cancel := context.WithTimeout(context.Background(), longestDrain)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("wait for requests in progress: %w", err)
+	}
+	bounded, release := context.WithTimeout(ctx, recordWait)
+	defer release()
+	g.Stop(bounded)
+	return nil
+}
+
+func (s *settingsFile) options(log zerolog.Logger) gateway.Options {
+	schedulers := make([]gateway.Scheduler, 0, len(s.Schedulers))
+	for _, peer := range s.Schedulers {
+		schedulers = append(schedulers, gateway.Scheduler(peer))
+	}
+	return gateway.Options{
+		Name: s.Name, Domain: s.Domain, Incarnation: uuid.NewString(),
+		Control: s.Control, Schedulers: schedulers,
+		Clock: gateway.NewClock(), Log: log, Meter: otel.Meter(gateway.MeterName),
+		Seed: rand.Uint64(), //nolint:gosec // load spreading needs no secrecy
+	}
+}
--- /dev/null
+++ b/cmd/geranium-gateway/settings.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+
+	"geraniumwall/settings"
+)
+
+// defaultDrainMS is the time that a load balancer gets to notice readyz.
+const defaultDrainMS = 2000
+
+// schedulerSettings names one scheduler.
+type schedulerSettings struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
+}
+
+// settingsFile is the JSON settings of the gateway.
+type settingsFile struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	// Listen and MetricsListen are IP addresses with a port.
+	Listen        string              `json:"listen"`
+	MetricsListen string              `json:"metrics_listen"`
+	Control       []string            `json:"control"`
+	Schedulers    []schedulerSettings `json:"schedulers"`
+	// DrainMS is the time in milliseconds between the first readyz answer 503 and
+	// the end of accepting connections. Requests in progress always finish.
+	DrainMS int64 `json:"drain_ms"`
+}
+
+func defaultSettings() *settingsFile {
+	return &settingsFile{
+		Listen: "127.0.0.1:7000", MetricsListen: "127.0.0.1:7001",
+		Control: []string{}, Schedulers: []schedulerSettings{}, DrainMS: defaultDrainMS,
+	}
+}
+
+// Check reports every problem of the settings.
+func (s *settingsFile) Check(c *settings.Checker) {
+	c.Required("name", s.Name)
+	c.Required("domain", s.Domain)
+	c.Address("listen", s.Listen)
+	c.Address("metrics_listen", s.MetricsListen)
+	c.Addresses("control", s.Control)
+	if len(s.Schedulers) == 0 {
+		c.Add("schedulers", "is empty", "list the schedulers of the own domain and of the others")
+	}
+	names := map[string]bool{}
+	for i, peer := range s.Schedulers {
+		place := fmt.Sprintf("schedulers[%d]", i)
+		c.Required(place+".name", peer.Name)
+		c.Required(place+".domain", peer.Domain)
+		c.Address(place+".address", peer.Address)
+		if names[peer.Name] {
+			c.Add(place+".name", fmt.Sprintf("%q is listed twice", peer.Name), "give every scheduler its own name")
+		}
+		names[peer.Name] = true
+	}
+	if s.DrainMS < 0 {
+		c.Add("drain_ms", "is negative", "use 0 or a number of milliseconds")
+	}
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+
+	"geraniumwall/routing"
+	"geraniumwall/workerapi"
+)
+
+// attempt sends the request once. It returns false if the ticket had become
+// invalid before anything was sent.
+func (c *call) attempt(ticket routing.Ticket) (*answer, bool) {
+	g := c.gateway
+	request := c.workerRequest(&ticket)
+	// The check comes last: after a long pause of the process the grant is over.
+	if !g.balancer.valid(&ticket) {
+		g.balancer.release(ticket, routing.ResultAbandoned)
+		return nil, false
+	}
+	response, err := g.workers.http.RoundTrip(request)
+	if err != nil {
+		return c.lost(ticket, err), true
+	}
+	return c.received(ticket, response), true
+}
+
+func (c *call) workerRequest(ticket *routing.Ticket) *http.Request {
+	request := &http.Request{
+		Method: http.MethodPost,
+		URL: &url.URL{
+			Scheme: "http", Host: ticket.Address, Path: workerapi.PathServe + c.service.Name,
+		},
+		Host:          ticket.Address,
+		Header:        c.workerHeaders(ticket.Session, c.left()),
+		Body:          c.body.open(),
+		ContentLength: c.body.length,
+		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	return request.WithContext(c.ctx)
+}
+
+// lost judges an attempt without an answer. Only a connection that was never made
+// proves that the request was not run.
+func (c *call) lost(ticket routing.Ticket, err error) *answer {
+	if neverConnected(err) {
+		c.gateway.balancer.release(ticket, c.blame())
+		return problemAnswer(notRun(http.StatusServiceUnavailable, typeUpstream, "The upstream could not be reached",
+			"retry later").after(defaultRetryAfter))
+	}
+	c.gateway.balancer.release(ticket, c.blame())
+	if c.ctx.Err() != nil {
+		return problemAnswer(unknownOutcome(http.StatusGatewayTimeout,
+			"the deadline passed while the request was running; "+c.remedy()))
+	}
+	return problemAnswer(unknownOutcome(http.StatusGatewayTimeout,
+		"the connection to the upstream was lost; "+c.remedy()))
+}
+
+// blame returns the result of a lost attempt: the upstream is not blamed when the
+// gateway or the caller gave up.
+func (c *call) blame() routing.Result {
+	if c.ctx.Err() != nil {
+		return routing.ResultAbandoned
+	}
+	return routing.ResultFailed
+}
+
+func (c *call) remedy() string {
+	if c.service.Idempotent {
+		return "resend the request; the service is idempotent"
+	}
+	return "find out what the service did; the request is never run again under this key"
+}
+
+func neverConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// received judges the answer of an upstream.
+func (c *call) received(ticket routing.Ticket, response *http.Response) *answer {
+	if response.Header.Get(workerapi.HeaderOutcome) == string(workerapi.OutcomeNotRun) {
+		response.Body.Close()
+		c.gateway.refused(ticket)
+		return problemAnswer(notRun(http.StatusServiceUnavailable, typeOverloaded, "The upstream refused the request",
+			"retry later").after(defaultRetryAfter))
+	}
+	if echoed := response.Header.Get(workerapi.HeaderRequestID); echoed != "" && echoed != c.requestID {
+		response.Body.Close()
+		return c.broken(ticket, fmt.Sprintf("the upstream answered request %q", echoed))
+	}
+	return c.readAnswer(ticket, response)
+}
+
+// refused syncs grants at once, since the refusal shows that a session is stale.
+func (g *Gateway) refused(ticket routing.Ticket) {
+	g.balancer.release(ticket, routing.ResultRefused)
+	for _, l := range g.links {
+		l.nudge()
+	}
+}
+
+// broken is an answer that must not be passed on.
+func (c *call) broken(ticket routing.Ticket, what string) *answer {
+	c.gateway.balancer.release(ticket, c.blame())
+	return problemAnswer(unknownOutcome(http.StatusBadGateway, what+"; "+c.remedy()))
+}
--- /dev/null
+++ b/gateway/calls_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/workerapi"
+)
+
+var _ = Describe("calls", func() {
+	It("gives every caller the answer to its own request", func() {
+		a, b := newFakeUpstream("w1"), newFakeUpstream("w2")
+		r := newRig(a.grant(4, 3*time.Second), b.grant(4, 3*time.Second))
+		var all sync.WaitGroup
+		for i := range 40 {
+			all.Go(func() {
+				defer GinkgoRecover()
+				id := fmt.Sprintf("id-%d", i)
+				got := r.quote("body-"+id, workerapi.HeaderRequestID, id, workerapi.HeaderDeadline, "10000")
+				if got.status == http.StatusServiceUnavailable {
+					return
+				}
+				Expect(got.body).To(Equal(id + " body-" + id))
+				Expect(got.requestID).To(Equal(id))
+				Expect(got.outcome).To(Equal(workerapi.OutcomeDone))
+			})
+		}
+		all.Wait()
+		Expect(a.peak.Load()).To(BeNumerically("<=", 4))
+		Expect(b.peak.Load()).To(BeNumerically("<=", 4))
+		Eventually(r.outstanding).Should(BeZero())
+	})
+
+	It("runs a hold once and answers a resend from the record", func() {
+		u := newFakeUpstream("w1")
+		r := newRig(u.grant(4, 3*time.Second))
+		first := r.hold("k1", "x", workerapi.HeaderRequestID, "one")
+		Expect(first).To(Equal(reply{status: 200, outcome: "done", body: "one x", requestID: "one"}))
+		again := r.hold("k1", "x", workerapi.HeaderRequestID, "two")
+		Expect(again.body).To(Equal("one x"))
+		Expect(u.started.Load()).To(Equal(int64(1)))
+		Expect(r.hold("k1", "other").status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(r.post("/v1/call/hold", "x").status).To(Equal(http.StatusBadRequest))
+	})
+})
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,167 @@
+// Package gateway is the process library of an entry host. It accepts requests of
+// callers over HTTP, routes them to workers on slot grants, and forwards tasks and
+// non-idempotent requests' records to the control replicas.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric"
+
+	"geraniumwall/control/client"
+)
+
+// Scheduler names one scheduler.
+type Scheduler struct {
+	Name    string
+	Domain  string
+	Address string
+}
+
+// Clock returns the time since the start of the process on a monotonic clock.
+type Clock func() time.Duration
+
+// NewClock returns a clock that starts now.
+func NewClock() Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+// Options configures a gateway. Control, Schedulers, Clock, Log and Meter must be
+// set.
+type Options struct {
+	Name   string
+	Domain string
+	// Incarnation differs between two starts of one gateway.
+	Incarnation string
+	Control     []string
+	Schedulers  []Scheduler
+	Clock       Clock
+	Log         zerolog.Logger
+	Meter       metric.Meter
+	// Seed seeds the random choices of routing.
+	Seed uint64
+	// Operator serves /v1/operator/; nil leaves the path unserved.
+	Operator http.Handler
+}
+
+// Gateway serves the requests of callers.
+type Gateway struct {
+	options   Options
+	log       zerolog.Logger
+	clock     Clock
+	control   *client.Client
+	follower  *client.Follower
+	balancer  *balancer
+	owner     *owner
+	links     []*link
+	workers   *workerTransport
+	submitter *submitter
+	metrics   *metrics
+	settings  atomic.Pointer[serviceTable]
+	holders   atomic.Uint64
+	draining  atomic.Bool
+	// drained is closed when the gateway begins to drain.
+	drained chan struct{}
+	// recording counts the records of outcomes that continue in the background.
+	recording sync.WaitGroup
+	stop      context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// New returns a gateway that serves nothing until Start.
+func New(o Options) (*Gateway, error) {
+	m, err := newMetrics(o.Meter)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{options: o, log: o.Log, clock: o.Clock, metrics: m, drained: make(chan struct{})}
+	internal := newInternalClient()
+	g.control = client.New(o.Control, internal)
+	g.follower = client.NewFollower(g.control, client.Identity{Process: o.Name, Kind: "gateway", Domain: o.Domain})
+	g.balancer = newBalancer(o.Domain, rand.NewPCG(o.Seed, uint64(len(o.Name))), o.Clock)
+	g.workers = newWorkerTransport()
+	g.submitter = newSubmitter(g.control)
+	g.settings.Store(newServiceTable(nil, m))
+	g.owner = newOwner(g)
+	for _, s := range o.Schedulers {
+		g.links = append(g.links, newLink(g, s, internal))
+	}
+	if err := m.observe(g); err != nil {
+		return nil, fmt.Errorf("register metrics: %w", err)
+	}
+	return g, nil
+}
+
+// Start begins to follow the configuration and to sync grants, until Stop.
+func (g *Gateway) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
+	g.follower.OnChange(g.owner.configChanged)
+	g.spawn(func() { g.follower.Run(ctx) })
+	g.spawn(func() { g.owner.runTicks(ctx) })
+	g.submitter.start(g.spawn)
+	for _, l := range g.links {
+		g.spawn(func() { l.run(ctx) })
+	}
+}
+
+func (g *Gateway) spawn(f func()) {
+	g.running.Go(f)
+}
+
+// Follower returns the follower of the configuration.
+func (g *Gateway) Follower() *client.Follower { return g.follower }
+
+// Control returns the client of the control replicas.
+func (g *Gateway) Control() *client.Client { return g.control }
+
+// Drain makes readyz report 503, so that the load balancer sends no more callers.
+// Requests are still served, but no request waits any longer for the end of a task.
+func (g *Gateway) Drain() {
+	if g.draining.CompareAndSwap(false, true) {
+		close(g.drained)
+	}
+}
+
+// Stop returns the grants and ends all background work. Call it when no request is
+// in progress; ctx bounds the wait for records of outcomes.
+func (g *Gateway) Stop(ctx context.Context) {
+	g.Drain()
+	g.waitForRecords(ctx)
+	g.submitter.stop()
+	g.stop()
+	g.running.Wait()
+	g.returnGrants(ctx)
+	g.owner.stop()
+	g.workers.close()
+}
+
+func (g *Gateway) waitForRecords(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.recording.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		g.log.Warn().Msg("stopping while outcomes of requests are not recorded; they become unknown")
+	}
+}
+
+// returnGrants tells every scheduler that no slot is in use any more.
+func (g *Gateway) returnGrants(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, l := range g.links {
+		all.Go(func() { l.giveUp(ctx) })
+	}
+	all.Wait()
+}
--- /dev/null
+++ b/gateway/link.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"geraniumwall/routing"
+	"geraniumwall/rpc/schedulerpb"
+)
+
+const (
+	syncInterval = 250 * time.Millisecond
+	// syncTimeout bounds one sync, so that a silent scheduler is asked again
+	// before the grants expire.
+	syncTimeout = time.Second
+	// nudgePause separates syncs that are triggered by refused requests.
+	nudgePause = 20 * time.Millisecond
+)
+
+// link syncs grants with one scheduler. Schedulers of other domains are asked only
+// while a service finds no free slot in the own domain or slots there are in use.
+type link struct {
+	gateway   *Gateway
+	scheduler Scheduler
+	client    schedulerpb.Scheduler
+	nudged    chan struct{}
+}
+
+func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
+	return &link{
+		gateway: g, scheduler: s,
+		client: schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c),
+		nudged: make(chan struct{}, 1),
+	}
+}
+
+func (l *link) run(ctx context.Context) {
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
+	for {
+		if l.needed() {
+			l.sync(ctx, false)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.nudged:
+			l.pause(ctx)
+		}
+	}
+}
+
+func (l *link) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(nudgePause):
+	}
+}
+
+func (l *link) needed() bool {
+	if l.scheduler.Domain == l.gateway.options.Domain {
+		return true
+	}
+	needed := false
+	l.gateway.balancer.read(func(t *routing.Table, now time.Duration) {
+		needed = t.Starved(now) || t.Holds(l.scheduler.Domain, now)
+	})
+	return needed
+}
+
+// nudge triggers a sync at once.
+func (l *link) nudge() {
+	select {
+	case l.nudged <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) sync(ctx context.Context, draining bool) {
+	g := l.gateway
+	request := l.request(draining)
+	sent := g.clock()
+	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	answer, err := l.client.SyncGrants(bounded, request)
+	if err != nil {
+		g.metrics.syncFailed(ctx, l.scheduler.Name)
+		return
+	}
+	g.follower.Notice(answer.GetConfigVersion())
+	g.owner.send(grantsReceived{set: grantSet(l.scheduler.Name, sent, answer)})
+}
+
+func (l *link) request(draining bool) *schedulerpb.SyncGrantsRequest {
+	g := l.gateway
+	var report routing.Report
+	g.balancer.read(func(t *routing.Table, now time.Duration) { report = t.Report(l.scheduler.Domain, now) })
+	request := &schedulerpb.SyncGrantsRequest{
+		Gateway: g.options.Name, Domain: g.options.Domain, Incarnation: g.options.Incarnation,
+		ConfigVersion: g.settings.Load().version, Draining: draining,
+	}
+	for _, d := range report.Demands {
+		request.Demands = append(request.Demands, demandMessage(d))
+	}
+	for _, h := range report.Holdings {
+		request.Holdings = append(request.Holdings, &schedulerpb.Holding{
+			Worker: h.Worker, Session: h.Session, Slots: int32(h.Slots), SlotsInUse: int32(h.SlotsInUse),
+		})
+	}
+	return request
+}
+
+func demandMessage(d routing.Demand) *schedulerpb.ServiceDemand {
+	m := &schedulerpb.ServiceDemand{
+		Service: d.Service, Outstanding: int32(d.Outstanding), Queued: int32(d.Queued),
+	}
+	for _, l := range d.Latencies {
+		m.Latencies = append(m.Latencies, &schedulerpb.WorkerLatency{
+			Worker: l.Worker, P50Us: l.P50.Microseconds(), P99Us: l.P99.Microseconds(),
+			Count: int64(l.Count), AgeMs: l.Age.Milliseconds(),
+		})
+	}
+	return m
+}
+
+// grantSet converts an answer. Durations count from the time at which the sync was
+// sent. Negative numbers count as none.
+func grantSet(scheduler string, sent time.Duration, answer *schedulerpb.SyncGrantsResponse) routing.GrantSet {
+	set := routing.GrantSet{Scheduler: scheduler, Sent: sent, Leaving: answer.GetLeaving()}
+	for _, g := range answer.GetGrants() {
+		duration := min(time.Duration(max(0, g.GetDurationMs()))*time.Millisecond, routing.LeavingDuration)
+		set.Grants = append(set.Grants, routing.Grant{
+			Worker: g.GetWorker(), Address: g.GetAddress(), Domain: g.GetDomain(), Session: g.GetSession(),
+			Slots: int(max(0, g.GetSlots())), Connections: int(max(0, g.GetConnections())),
+			Services: g.GetServices(), Sent: sent, Expires: sent + duration,
+		})
+	}
+	return set
+}
+
+// giveUp reports that the gateway uses none of its grants any more.
+func (l *link) giveUp(ctx context.Context) {
+	if l.needed() {
+		l.sync(ctx, true)
+	}
+}
