Add an engine with fair admission and indexed placement

The engine orders tasks by class, quota, aging and weighted dominant share, finds a bounded number of hosts on a grid of free processors and memory, and scores them for packing, balance, racks and predicted interference.

A placement carries the size to reserve, which is the declared size corrected from usage. An applier that reserves declared sizes is recognised by the size it passes to Started.

A full scan of the fleet for each start was ruled out, because its cost grows with the fleet. Interference, sizing and health are in place but not measured yet.

--- /dev/null
+++ b/policy/engine/engine_test.go
@@ -0,0 +1,177 @@
+package engine_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/config"
+	"geraniumwall/policy"
+	"geraniumwall/policy/engine"
+	"geraniumwall/workerapi"
+)
+
+var _ = Describe("placement through the engine", func() {
+	// Guards against placements on workers that leave or share the host with a
+	// service the configuration keeps apart.
+	It("respects apart pairs and workers that leave", func() {
+		e := engine.New(1)
+		e.SetConfig(0, config.Config{Apart: []config.Pair{{Service: "quote", Job: "j"}}})
+		addWorkers(e, 2, "quote")
+		leaving := policy.Worker{ID: "x", Rack: "r9", Capacity: cores(32, 125)}
+		e.UpsertWorker(0, leaving)
+		e.Enqueue(0, batchTask("a", cores(1, 1)))
+		placements, impossible := e.Next(10*time.Second, 10)
+		Expect(placements).To(BeEmpty())
+		Expect(impossible).To(BeEmpty(), "a worker without the service exists")
+		leaving.Accepting = true
+		e.UpsertWorker(11*time.Second, leaving)
+		placements, _ = e.Next(11*time.Second, 10)
+		Expect(placements).To(HaveLen(1))
+		Expect(placements[0].Worker).To(Equal("x"))
+	})
+
+	// Guards against tasks that fill the accelerator hosts while others are free.
+	It("keeps hosts with accelerators for tasks that need them", func() {
+		e := engine.New(1)
+		addWorkers(e, 4)
+		gpu := policy.Worker{ID: "gpu", Rack: "r9", Capacity: cores(32, 125), Accepting: true}
+		gpu.Capacity.Accelerators = 2
+		e.UpsertWorker(0, gpu)
+		tasks := map[string]policy.Task{}
+		for i := range 8 {
+			t := batchTask(fmt.Sprint("plain", i), cores(4, 4))
+			tasks[t.ID] = t
+			e.Enqueue(0, t)
+		}
+		needs := batchTask("accelerated", workerapi.Resources{CPUMillis: 1000, MemoryMB: 1024, Accelerators: 1})
+		tasks[needs.ID] = needs
+		e.Enqueue(0, needs)
+		on := startAll(e, time.Second, tasks)
+		Expect(on).To(HaveLen(9))
+		for id, worker := range on {
+			Expect(worker == "gpu").To(Equal(id == "accelerated"), id)
+		}
+	})
+
+	// Guards against losing a whole job with one rack.
+	It("spreads the tasks of a job over racks", func() {
+		e := engine.New(1)
+		addWorkers(e, 16)
+		tasks := map[string]policy.Task{}
+		for i := range 16 {
+			t := batchTask(fmt.Sprint(i), cores(1, 1))
+			tasks[t.ID] = t
+			e.Enqueue(0, t)
+		}
+		racks := map[string]int{}
+		for _, worker := range startAll(e, time.Second, tasks) {
+			var n int
+			_, err := fmt.Sscanf(worker, "w%d", &n)
+			Expect(err).NotTo(HaveOccurred())
+			racks[fmt.Sprint(n/4)]++
+		}
+		Expect(racks).To(HaveLen(4))
+		for _, n := range racks {
+			Expect(n).To(BeNumerically("<=", 8), "no rack holds more than half")
+		}
+	})
+
+	// Guards against a large task that small ones keep from starting for ever.
+	It("drains a host for a task that waits for room", func() {
+		e := engine.New(1)
+		addWorkers(e, 2)
+		now := time.Duration(0)
+		running := map[string]string{}
+		tasks := map[string]policy.Task{}
+		large := batchTask("large", cores(24, 64))
+		large.Job = "large"
+		started := time.Duration(-1)
+		for step := 0; step < 600 && started < 0; step++ {
+			now = time.Duration(step) * time.Second
+			for i := range 4 {
+				t := batchTask(fmt.Sprintf("s%d-%d", step, i), cores(4, 4))
+				t.Enqueued = now
+				t.Expected = 10 * time.Second
+				tasks[t.ID] = t
+				e.Enqueue(now, t)
+			}
+			if step == 30 {
+				large.Enqueued = now
+				tasks[large.ID] = large
+				e.Enqueue(now, large)
+			}
+			for id, worker := range startAll(e, now, tasks) {
+				running[id] = worker
+				if id == "large" {
+					started = now
+				}
+			}
+			for id, worker := range running {
+				var begun, n int
+				if _, err := fmt.Sscanf(id, "s%d-%d", &begun, &n); err == nil && (step+n)%10 == 0 {
+					e.Ended(now, id, worker, policy.EndDone)
+					delete(running, id)
+				}
+			}
+		}
+		Expect(started).To(BeNumerically(">", 0), "large task started")
+		Expect(started - large.Enqueued).To(BeNumerically("<", 5*time.Minute))
+	})
+
+	// Guards against a task that waits for ever although no worker can hold it, and
+	// against a verdict before all workers have announced themselves.
+	It("reports a task that no worker can hold, with the reason, after the fleet settled", func() {
+		e := engine.New(1)
+		addWorkers(e, 2)
+		e.Enqueue(0, batchTask("huge", cores(64, 1)))
+		_, impossible := e.Next(time.Second, 10)
+		Expect(impossible).To(BeEmpty())
+		_, impossible = e.Next(10*time.Second, 10)
+		Expect(impossible).To(HaveLen(1))
+		Expect(impossible[0].Reason).To(ContainSubstring("64000 millicores"))
+		e.UpsertWorker(11*time.Second, policy.Worker{ID: "big", Rack: "b", Capacity: cores(96, 256), Accepting: true})
+		placements, _ := e.Next(11*time.Second, 10)
+		Expect(placements).To(HaveLen(1), "a larger worker joined")
+	})
+})
+
+var _ = Describe("answers to proposals", func() {
+	// Guards against capacity that stays reserved, or is used twice, when the
+	// applier refuses, cancels or never answers.
+	It("returns the capacity of refused, cancelled and forgotten plans", func() {
+		e := engine.New(1)
+		addWorkers(e, 1)
+		t := batchTask("a", cores(24, 8))
+		for i, undo := range []func(p policy.Placement){
+			func(p policy.Placement) { e.Refused(0, p.Task, p.Worker) },
+			func(p policy.Placement) { e.Dequeue(0, p.Task) },
+			func(policy.Placement) {},
+		} {
+			e.Enqueue(0, t)
+			placements, _ := e.Next(0, 10)
+			Expect(placements).To(HaveLen(1), "case %d", i)
+			undo(placements[0])
+		}
+		placements, _ := e.Next(0, 10)
+		Expect(placements).To(HaveLen(1))
+	})
+
+	// Guards against overcommitting a worker that returns after a partition with
+	// the tasks it kept running.
+	It("counts tasks of a worker that left and came back", func() {
+		e := engine.New(1)
+		addWorkers(e, 1)
+		e.Started(0, batchTask("kept", cores(20, 8)), "w00")
+		e.RemoveWorker(time.Second, "w00")
+		addWorkers(e, 1)
+		e.Enqueue(0, batchTask("next", cores(8, 8)))
+		placements, _ := e.Next(2*time.Second, 10)
+		Expect(placements).To(BeEmpty())
+		e.Ended(3*time.Second, "kept", "w00", policy.EndLost)
+		placements, _ = e.Next(3*time.Second, 10)
+		Expect(placements).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/policy/engine/lifecycle.go
@@ -0,0 +1,210 @@
+package engine
+
+import (
+	"time"
+
+	"geraniumwall/policy"
+	"geraniumwall/policy/fairness"
+	"geraniumwall/policy/health"
+	"geraniumwall/workerapi"
+)
+
+// Enqueue adds a waiting task or replaces it.
+func (e *Engine) Enqueue(now time.Duration, t policy.Task) {
+	e.Dequeue(now, t.ID)
+	e.waiting[t.ID] = t
+	if reason := e.overQuota(&t); reason != "" {
+		e.parked[t.ID] = parked{reason: reason, reported: -reportEvery}
+		return
+	}
+	e.queue.Push(item(&t))
+}
+
+func item(t *policy.Task) fairness.Item {
+	return fairness.Item{ID: t.ID, Team: t.Team, Job: t.Job, Class: t.Priority, Size: t.Size, Enqueued: t.Enqueued}
+}
+
+// Dequeue removes a waiting task.
+func (e *Engine) Dequeue(now time.Duration, id string) {
+	if e.unplan(id) {
+		e.release(now, e.tasks[id])
+		e.forgetPlan(id)
+	}
+	e.leaveQueue(id)
+}
+
+// unplan reports whether the task is planned and not answered.
+func (e *Engine) unplan(id string) bool {
+	t := e.tasks[id]
+	return t != nil && t.planned
+}
+
+func (e *Engine) forgetPlan(id string) {
+	for i, p := range e.planned {
+		if p == id {
+			e.planned[i] = e.planned[len(e.planned)-1]
+			e.planned = e.planned[:len(e.planned)-1]
+			return
+		}
+	}
+}
+
+// plan charges a task that was proposed for a host.
+func (e *Engine) plan(now time.Duration, c *fairness.Candidate, h *host) *task {
+	t := &task{
+		Task: e.waiting[c.ID], worker: h.ID, reserved: c.Need, started: now,
+		share: 1, borrowed: c.Borrowed, planned: true,
+	}
+	e.tasks[c.ID] = t
+	h.tasks[c.ID] = t
+	e.occupy(now, h, t)
+	e.planned = append(e.planned, c.ID)
+	return t
+}
+
+// release takes a task off its host and off the account of its team.
+func (e *Engine) release(now time.Duration, t *task) {
+	h := e.hosts[t.worker]
+	e.vacate(now, h, t)
+	delete(h.tasks, t.ID)
+	delete(e.tasks, t.ID)
+	e.queue.Release(t.Team, t.reserved)
+	e.forgetIfEmpty(h)
+}
+
+// Started says that the task takes up its size on the worker.
+func (e *Engine) Started(now time.Duration, p policy.Task, worker string) {
+	t := e.tasks[p.ID]
+	if t != nil && t.planned && t.worker == worker {
+		e.confirm(now, t, p)
+		return
+	}
+	if t != nil {
+		if t.planned {
+			e.forgetPlan(p.ID)
+		}
+		e.release(now, t)
+	}
+	e.adopt(now, p, worker)
+}
+
+// confirm turns a plan into a running task. An applier that reserves more
+// processors than planned reserves declared sizes; then plans must as well.
+func (e *Engine) confirm(now time.Duration, t *task, p policy.Task) {
+	if p.Size.CPUMillis > t.reserved.CPUMillis {
+		e.sizes.NeverLower()
+	}
+	t.planned = false
+	t.started = now
+	e.forgetPlan(t.ID)
+	e.reserve(t, largest(t.reserved, p.Size))
+	e.leaveQueue(t.ID)
+}
+
+func (e *Engine) leaveQueue(id string) {
+	delete(e.waiting, id)
+	delete(e.reported, id)
+	delete(e.parked, id)
+	e.queue.Remove(id)
+	e.endHold(id)
+}
+
+// adopt takes over a task that was found running.
+func (e *Engine) adopt(now time.Duration, p policy.Task, worker string) {
+	e.leaveQueue(p.ID)
+	h := e.hosts[worker]
+	if h == nil {
+		h = &host{Worker: policy.Worker{ID: worker}, tasks: map[string]*task{}, breachedSince: -1}
+		e.hosts[worker] = h
+	}
+	t := &task{Task: p, worker: worker, reserved: p.Size, started: now, share: 1}
+	e.tasks[p.ID] = t
+	h.tasks[p.ID] = t
+	e.queue.Charge(t.Team, t.reserved)
+	e.occupy(now, h, t)
+}
+
+// reserve changes the reservation of a task on its host.
+func (e *Engine) reserve(t *task, size workerapi.Resources) {
+	difference := size.Minus(t.reserved)
+	if difference == (workerapi.Resources{}) {
+		return
+	}
+	t.reserved = size
+	e.queue.Charge(t.Team, difference)
+	if h := e.hosts[t.worker]; h.present {
+		e.index.Resize(h.placed, difference)
+	}
+}
+
+func largest(a, b workerapi.Resources) workerapi.Resources {
+	return workerapi.Resources{
+		CPUMillis:    max(a.CPUMillis, b.CPUMillis),
+		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// Refused puts a planned task back into the queue.
+func (e *Engine) Refused(now time.Duration, id, worker string) {
+	t := e.tasks[id]
+	if t == nil || !t.planned || t.worker != worker {
+		return
+	}
+	e.forgetPlan(id)
+	e.release(now, t)
+	e.queue.Push(item(&t.Task))
+}
+
+// Ended frees the capacity of an attempt and learns from its end.
+func (e *Engine) Ended(now time.Duration, id, worker string, kind policy.EndKind) {
+	t := e.tasks[id]
+	if t == nil || t.worker != worker {
+		return
+	}
+	if t.planned {
+		e.forgetPlan(id)
+	}
+	switch kind {
+	case policy.EndDone:
+		e.sizes.ObservePeak(t.Job, t.peak)
+		if t.changed == 0 {
+			e.sizes.ObserveRun(t.Job, now-t.started)
+		}
+		e.health.Success(worker, id, t.Job)
+	case policy.EndFailed:
+		e.health.Failure(now, worker, id, t.Job)
+	case policy.EndCancelled:
+		e.health.ForgetTask(id)
+	case policy.EndEvicted, policy.EndLost:
+	}
+	e.release(now, t)
+	e.applyHealth(now)
+}
+
+// applyHealth carries changes of the standing of workers into the index.
+func (e *Engine) applyHealth(now time.Duration) {
+	for _, c := range e.health.Changes() {
+		if h := e.hosts[c.Worker]; h != nil && h.present {
+			e.index.SetLimit(h.placed, c.Limit)
+		}
+		e.explain(policy.Decision{
+			At: now, Subject: c.Worker, Worker: c.Worker, Kind: standing(c.Kind), Reason: healthReasons[c.Kind],
+			Figures: []policy.Figure{{Name: "limit", Value: float64(c.Limit)}, {Name: "blame", Value: c.Blame}},
+		})
+	}
+}
+
+var healthReasons = map[string]string{
+	health.Quarantined: "tasks that run elsewhere failed on this worker",
+	health.Probed:      "quarantine is over, one task is started as a probe",
+	health.Readmitted:  "tasks ended well, the limit of running tasks is raised",
+}
+
+// standing is the kind of decision for a change of health.
+func standing(kind string) string {
+	if kind == health.Quarantined {
+		return "quarantined"
+	}
+	return "readmitted"
+}
--- /dev/null
+++ b/policy/engine/observe.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"math"
+	"time"
+
+	"geraniumwall/policy"
+	"geraniumwall/policy/interference"
+	"geraniumwall/policy/placement"
+	"geraniumwall/workerapi"
+)
+
+// ReportService learns from a measurement of a service on a worker.
+func (e *Engine) ReportService(now time.Duration, worker string, r workerapi.ServiceReport) {
+	e.model.Observe(now, worker, interference.Sample{
+		Service: r.Service,
+		At:      now - time.Duration(r.AgeMS)*time.Millisecond,
+		Load:    r.Load,
+		P99:     time.Duration(r.P99US) * time.Microsecond,
+		Count:   r.Count,
+	})
+}
+
+// ReportUsage corrects the size of a task. A task that uses more memory than
+// reserved gets more reserved at once, so that its host admits nothing on top.
+func (e *Engine) ReportUsage(now time.Duration, worker string, u policy.Usage) {
+	t := e.tasks[u.Task]
+	if t == nil || t.worker != worker {
+		return
+	}
+	measured := now - u.Age
+	if measured >= t.usageAt {
+		t.usageAt = measured
+		t.sinceCheckpoint = u.SinceCheckpoint
+	}
+	if measured < t.started {
+		return
+	}
+	t.peak.MemoryMB = max(t.peak.MemoryMB, u.Used.MemoryMB)
+	if t.share == 1 && measured > t.changed {
+		t.peak.CPUMillis = max(t.peak.CPUMillis, u.Used.CPUMillis)
+	}
+	if e.rules.NoSizing || t.peak.MemoryMB <= t.reserved.MemoryMB {
+		return
+	}
+	size := t.reserved
+	size.MemoryMB = t.peak.MemoryMB
+	e.reserve(t, size)
+}
+
+// limit is the logarithm of the slowdown from which the policy reacts.
+func (e *Engine) limit() float64 { return math.Log(max(e.config.Policy.SlowdownLimit, minLimit)) }
+
+// minLimit keeps the limit away from 1, where every measurement error is a breach.
+const minLimit = 1.02
+
+// Parts of the limit and of the target of a service.
+const (
+	// placeBelow is the part of the limit that placement fills, so that a rise of
+	// the load does not lead to evictions at once.
+	placeBelow = 0.8
+	// slackBelow is the part of the target of a service below which its slowdown
+	// does not matter.
+	slackBelow = 0.5
+)
+
+// relaxed reports whether a predicted tail latency is far below the target.
+func (e *Engine) relaxed(service string, p99Seconds float64) bool {
+	target := e.targets[service].Seconds()
+	return !e.rules.NoSlack && p99Seconds > 0 && p99Seconds < slackBelow*target
+}
+
+// foresee is the predicted cost of a task of the job for the services of a host.
+func (e *Engine) foresee(p *placement.Host, job string) (float64, bool) {
+	w := e.model.Worker(p.ID)
+	if w == nil {
+		return 0, false
+	}
+	cost := 0.0
+	refuse := false
+	limit := e.limit()
+	e.model.Adding(w, job, func(a interference.Added) {
+		if e.relaxed(e.model.ServiceName(a.Service), a.P99Seconds) {
+			return
+		}
+		cost += (a.After*a.After - a.Before*a.Before) / (limit * limit)
+		refuse = refuse || a.After > placeBelow*limit
+	})
+	return cost, refuse
+}
--- /dev/null
+++ b/policy/engine/react.go
@@ -0,0 +1,291 @@
+package engine
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"geraniumwall/config"
+	"geraniumwall/policy"
+	"geraniumwall/policy/interference"
+)
+
+// Times and bounds of reactions.
+const (
+	// persistFor is the time for which a service must stay over its limit with its
+	// neighbours throttled before one of them is evicted. Reports are late, so a
+	// shorter time judges the state before the throttling.
+	persistFor = 15 * time.Second
+	// calmFor is the time below the limit after which a throttle is relaxed.
+	calmFor = 10 * time.Second
+	// settleReaction is the time between two reactions on one worker.
+	settleReaction = 2 * time.Second
+	// calmBelow is the part of the limit below which a throttle may be relaxed,
+	// throttleTo the part that throttling aims at.
+	calmBelow  = 0.7
+	throttleTo = 0.9
+	// evictAbove is the part of the limit above which throttled tasks are evicted.
+	evictAbove = 1.2
+	// leastShare is the smallest processor share; less starves a task for no gain.
+	leastShare = 0.25
+	// urgentKeep is the part of the eviction budget kept for urgent tasks.
+	urgentKeep = 0.25
+	// evictionTimeout is the time after which a proposed eviction that did not
+	// happen may be proposed again.
+	evictionTimeout = 10 * time.Second
+	// restartLoss is the work that any eviction loses: the start elsewhere.
+	restartLoss = 2 * time.Second
+)
+
+// React proposes reactions: room for urgent work and for teams within their
+// quota, then relief for services over their limit.
+func (e *Engine) React(now time.Duration) []policy.Reaction {
+	var out []policy.Reaction
+	if !e.rules.NoPreemption {
+		out = e.makeRoom(now, out)
+	}
+	if e.rules.NoReaction {
+		return out
+	}
+	for _, h := range e.order {
+		out = e.relieve(now, h, out)
+	}
+	return out
+}
+
+// pressure is the worst service of a worker.
+type pressure struct {
+	interference.Outlook
+	// effect is the logarithm of the slowdown with what the model can't explain.
+	effect float64
+}
+
+func (e *Engine) pressure(h *host) (pressure, bool) {
+	worst := pressure{}
+	found := false
+	for _, o := range e.model.Outlooks(h.model) {
+		if e.relaxed(o.Service, o.P99Seconds) {
+			continue
+		}
+		effect := math.Log(o.Slowdown * o.Unexplained)
+		if !found || effect > worst.effect {
+			worst = pressure{Outlook: o, effect: effect}
+			found = true
+		}
+	}
+	return worst, found
+}
+
+func (e *Engine) relieve(now time.Duration, h *host, out []policy.Reaction) []policy.Reaction {
+	if len(h.tasks) == 0 {
+		h.breachedSince = -1
+		return out
+	}
+	worst, pressed := e.pressure(h)
+	limit := e.limit()
+	if !pressed || worst.effect <= limit {
+		h.breachedSince = -1
+	} else if h.breachedSince < 0 {
+		h.breachedSince = now
+	}
+	if now-h.reacted < settleReaction {
+		return out
+	}
+	before := len(out)
+	switch {
+	case pressed && worst.effect > limit:
+		h.calmSince = now
+		out = e.reduce(now, h, &worst, out)
+	case pressed && worst.effect > calmBelow*limit && !e.rules.NoHysteresis:
+		h.calmSince = now
+	case e.rules.NoHysteresis || now-h.calmSince >= calmFor:
+		out = e.relax(now, h, &worst, pressed, out)
+	}
+	if len(out) > before {
+		h.reacted = now
+	}
+	return out
+}
+
+// neighbour is a task that slows the service.
+type neighbour struct {
+	*task
+	// effect is its part of the slowdown at its present share.
+	effect float64
+	// loss is the work lost by its eviction, in seconds, weighted by its class.
+	loss float64
+}
+
+// neighbours returns the tasks that slow a service, most effect first.
+func (e *Engine) neighbours(now time.Duration, h *host, service string, load float64) []neighbour {
+	var list []neighbour
+	for _, t := range sortedTasks(h.tasks) {
+		full := e.model.Effect(service, t.Job, load)
+		if t.planned || e.isLeaving(now, t) || full <= 0 {
+			continue
+		}
+		list = append(list, neighbour{task: t, effect: full * t.share, loss: e.loss(now, t)})
+	}
+	slices.SortStableFunc(list, func(a, b neighbour) int {
+		if a.effect/classCost(a.Priority) > b.effect/classCost(b.Priority) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+func (e *Engine) isLeaving(now time.Duration, t *task) bool {
+	return t.leaving && now-t.leftAt < evictionTimeout
+}
+
+// classCost weighs work by its class.
+func classCost(p config.Priority) float64 {
+	switch p {
+	case config.Urgent:
+		return 100
+	case config.Normal:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// loss is the work that an eviction loses, in weighted seconds.
+func (e *Engine) loss(now time.Duration, t *task) float64 {
+	lost := restartLoss
+	if !t.Checkpoints {
+		lost += now - t.started
+	}
+	return lost.Seconds() * classCost(t.Priority)
+}
+
+// reduce throttles neighbours until the service is predicted to be within its
+// limit; when that doesn't help for long enough, it evicts one.
+func (e *Engine) reduce(now time.Duration, h *host, worst *pressure, out []policy.Reaction) []policy.Reaction {
+	list := e.neighbours(now, h, worst.Service, worst.Load)
+	excess := worst.effect - throttleTo*e.limit()
+	throttled := false
+	for i := range list {
+		n := &list[i]
+		if excess <= 0 || e.rules.NoThrottle {
+			break
+		}
+		share := e.shareFor(n, excess)
+		if share >= n.share {
+			continue
+		}
+		excess -= n.effect * (1 - share/n.share)
+		out = append(out, e.throttle(now, h, n.task, share, worst))
+		throttled = true
+	}
+	persists := now-h.breachedSince >= persistFor && worst.effect > evictAbove*e.limit()
+	if throttled || (!persists && !e.rules.NoThrottle) {
+		return out
+	}
+	return e.evictOne(now, h, worst, list, out)
+}
+
+// shareFor is the largest share in quarters that removes the excess.
+func (e *Engine) shareFor(n *neighbour, excess float64) float64 {
+	if n.Priority == config.Urgent {
+		return n.share
+	}
+	wanted := n.share * (1 - excess/n.effect)
+	share := math.Floor(wanted*4) / 4
+	return max(share, leastShare)
+}
+
+func (e *Engine) throttle(now time.Duration, h *host, t *task, share float64, worst *pressure) policy.Reaction {
+	reason := fmt.Sprintf("%s is predicted over its slowdown limit", worst.Service)
+	if share > t.share {
+		reason = "services of the worker are below their limits"
+	}
+	d := policy.Decision{At: now, Subject: t.ID, Kind: "throttled", Reason: reason, Worker: h.ID, Figures: []policy.Figure{
+		{Name: "share", Value: share},
+		{Name: "slowdown", Value: math.Exp(worst.effect)},
+		{Name: "limit", Value: math.Exp(e.limit())},
+		{Name: "load", Value: worst.Load},
+	}}
+	e.model.Change(now, h.ID, t.Job, share-t.share)
+	t.share = share
+	t.changed = now
+	e.explain(d)
+	return policy.Reaction{Kind: policy.Throttle, Task: t.ID, Worker: h.ID, Share: share, Decision: d}
+}
+
+// relax doubles the share of the throttled task with the least effect if the
+// service is predicted to stay below its limit.
+func (e *Engine) relax(now time.Duration, h *host, worst *pressure, pressed bool, out []policy.Reaction) []policy.Reaction {
+	var best *task
+	least := math.Inf(1)
+	for _, t := range sortedTasks(h.tasks) {
+		if t.share == 1 || t.planned {
+			continue
+		}
+		effect := 0.0
+		if pressed {
+			effect = e.model.Effect(worst.Service, t.Job, worst.Load) * (min(1, 2*t.share) - t.share)
+		}
+		if effect < least {
+			best, least = t, effect
+		}
+	}
+	if best == nil || (pressed && worst.effect+least > throttleTo*e.limit()) {
+		return out
+	}
+	return append(out, e.throttle(now, h, best, min(1, 2*best.share), worst))
+}
+
+// evictOne evicts the neighbour that explains most of the slowdown for the least
+// lost work.
+func (e *Engine) evictOne(now time.Duration, h *host, worst *pressure, list []neighbour, out []policy.Reaction) []policy.Reaction {
+	var best *neighbour
+	for i := range list {
+		n := &list[i]
+		if n.Priority == config.Urgent || !e.ranEnough(now, n.task) {
+			continue
+		}
+		if best == nil || e.worth(n) > e.worth(best) {
+			best = n
+		}
+	}
+	if best == nil || !e.spend(now, urgentKeep) {
+		return out
+	}
+	h.breachedSince = now
+	reason := fmt.Sprintf("%s stays over its slowdown limit although its neighbours are throttled", worst.Service)
+	return append(out, e.evict(now, h, best.task, reason, []policy.Figure{
+		{Name: "slowdown", Value: math.Exp(worst.effect)},
+		{Name: "limit", Value: math.Exp(e.limit())},
+		{Name: "explained", Value: best.effect},
+		{Name: "loss_s", Value: best.loss},
+		{Name: "load", Value: worst.Load},
+	}))
+}
+
+func (e *Engine) worth(n *neighbour) float64 {
+	if e.rules.NoLeastLoss {
+		return n.effect
+	}
+	return n.effect / n.loss
+}
+
+// ranEnough protects a task from being moved again before it got anything done.
+func (e *Engine) ranEnough(now time.Duration, t *task) bool {
+	return e.rules.NoBudget || now-t.started >= time.Duration(e.config.Policy.MinRunMS)*time.Millisecond
+}
+
+// spend takes one eviction from the budget; keep is the part that must be left.
+func (e *Engine) spend(now time.Duration, keep float64) bool {
+	return e.rules.NoBudget || e.tokens.take(now, keep*e.tokens.perMinute)
+}
+
+func (e *Engine) evict(now time.Duration, h *host, t *task, reason string, figures []policy.Figure) policy.Reaction {
+	t.leaving = true
+	t.leftAt = now
+	d := policy.Decision{At: now, Subject: t.ID, Kind: "evicted", Reason: reason, Worker: h.ID, Figures: figures}
+	e.explain(d)
+	return policy.Reaction{Kind: policy.Evict, Task: t.ID, Worker: h.ID, Decision: d}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,8 +59,12 @@
 
 // Placement is a proposal to start a task on a worker.
 type Placement struct {
-	Task     string
-	Worker   string
+	Task   string
+	Worker string
+	// Size is what to reserve: the declared size corrected from usage, memory
+	// never below the declared one. The applier reserves it in its ledger and
+	// passes it as Task.Size to Started. The zero value means the declared size.
+	Size     workerapi.Resources
 	Decision Decision
 }
 
