--- /dev/null
+++ b/control/disk.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"fmt"
+
+	"geraniumwall/raft"
+	"geraniumwall/state"
+)
+
+const (
+	// snapshotEntries and snapshotBytes bound the log behind a snapshot, and with
+	// it the time of a restart and the use of the disk.
+	snapshotEntries = 20_000
+	snapshotBytes   = 32 << 20
+)
+
+// diskQueue carries out the writes of the log outside of the actor.
+type diskQueue struct {
+	writes chan *raft.Write
+	done   chan struct{}
+}
+
+// newDiskQueue starts the writer. fatal is called with the first error, after
+// which nothing is written any more.
+func newDiskQueue(storage Storage, self func(any), fatal func(error)) *diskQueue {
+	// The log has one write outstanding at a time.
+	q := &diskQueue{writes: make(chan *raft.Write, 1), done: make(chan struct{})}
+	go func() {
+		defer close(q.done)
+		for w := range q.writes {
+			if err := storage.Save(w); err != nil {
+				fatal(fmt.Errorf("save the log: %w", err))
+				return
+			}
+			self(&written{w})
+		}
+	}()
+	return q
+}
+
+func (q *diskQueue) save(w *raft.Write) { q.writes <- w }
+
+// close waits for the write in progress.
+func (q *diskQueue) close() {
+	close(q.writes)
+	<-q.done
+}
+
+// snapshotting decides when a snapshot is due.
+type snapshotting struct {
+	entries int
+	bytes   int
+	busy    bool
+}
+
+func (s *snapshotting) add(bytes int) {
+	s.entries++
+	s.bytes += bytes
+}
+
+func (s *snapshotting) reset() { s.entries, s.bytes = 0, 0 }
+
+func (s *snapshotting) due() bool {
+	return !s.busy && (s.entries >= snapshotEntries || s.bytes >= snapshotBytes)
+}
+
+// considerSnapshot captures the state when a snapshot is due and encodes it
+// outside of the actor.
+func (r *replica) considerSnapshot() {
+	if !r.snapshots.due() {
+		return
+	}
+	r.snapshots.busy = true
+	r.snapshots.reset()
+	c := r.machine.Capture()
+	go r.encode(c)
+}
+
+func (r *replica) encode(c state.Capture) {
+	data, err := c.Encode()
+	if err != nil {
+		r.options.Fatal(err)
+		return
+	}
+	r.self(&encoded{c.Index(), data})
+}
+
+// saveSnapshot writes an encoded snapshot. One that a snapshot of the leader has
+// overtaken is dropped.
+func (r *replica) saveSnapshot(m *encoded) {
+	snapshot, err := r.node.MakeSnapshot(m.index, m.data)
+	if err != nil {
+		r.snapshots.busy = false
+		r.log.Info().Err(err).Msg("snapshot is dropped")
+		return
+	}
+	go func() {
+		if err := r.options.Storage.SaveSnapshot(snapshot); err != nil {
+			r.options.Fatal(fmt.Errorf("save snapshot: %w", err))
+			return
+		}
+		r.self(&snapshotSaved{snapshot})
+	}()
+}
+
+func (r *replica) compact(s raft.Snapshot) {
+	r.snapshots.busy = false
+	if err := r.node.Compact(s); err != nil {
+		r.log.Info().Err(err).Msg("log is not compacted")
+	}
+}
--- /dev/null
+++ b/control/domains.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumwall/lease"
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/state/statepb"
+)
+
+func record(d *statepb.DomainRecord) lease.Record {
+	return lease.Record{Epoch: d.GetEpoch(), Active: d.GetActive(), Standby: d.GetStandby(), Clean: d.GetClean()}
+}
+
+// renew takes in a renewal after a heartbeat round has confirmed the leadership.
+func (l *leadership) renew(
+	now time.Duration, d *statepb.DomainRecord, q *controlpb.RenewLeaseRequest,
+) *controlpb.RenewLeaseResponse {
+	v := l.domain(q.GetDomain())
+	c := &contact{
+		address: q.GetAddress(), seen: now, mayBeAppointed: q.GetMayBeAppointed(), revision: q.GetKnownRevision(),
+	}
+	v.contacts[q.GetScheduler()] = c
+	answer := &controlpb.RenewLeaseResponse{
+		Role: controlpb.SchedulerRole_SCHEDULER_ROLE_NONE, Epoch: d.GetEpoch(), Revision: d.GetRevision(),
+		Active: d.GetActive(), ActiveAddress: d.GetActiveAddress(),
+		Standby: d.GetStandby(), StandbyAddress: d.GetStandbyAddress(),
+	}
+	switch q.GetScheduler() {
+	case d.GetActive():
+		l.renewActive(now, v, c, d, q, answer)
+	case d.GetStandby():
+		answer.Role = controlpb.SchedulerRole_SCHEDULER_ROLE_STANDBY
+	}
+	return answer
+}
+
+// renewActive grants the leases to the active scheduler. One that does not know
+// its epoch although it may have been told has restarted: it gets no epoch until
+// it is appointed again, since it would number attempts from the start.
+func (l *leadership) renewActive(
+	now time.Duration, v *domainView, c *contact, d *statepb.DomainRecord,
+	q *controlpb.RenewLeaseRequest, answer *controlpb.RenewLeaseResponse,
+) {
+	c.restarted = q.GetEpoch() > d.GetEpoch() || (q.GetEpoch() == 0 && v.answered >= d.GetEpoch())
+	if c.restarted || !v.grantor.Renew(now) {
+		answer.Epoch, answer.Revision = 0, 0
+		return
+	}
+	v.answered = d.GetEpoch()
+	if q.GetLoad() != nil {
+		v.load, v.loadSeen = q.GetLoad(), now
+	}
+	answer.Role = controlpb.SchedulerRole_SCHEDULER_ROLE_ACTIVE
+	answer.SchedulerLeaseMs = lease.SchedulerLease.Milliseconds()
+	answer.DomainLeaseMs = lease.DomainLease.Milliseconds()
+}
+
+// domainDuty decides about the schedulers of a domain.
+func (r *replica) domainDuty(now time.Duration, v *domainView, d *statepb.DomainRecord) {
+	if v.grantor.Changing() {
+		return
+	}
+	if d.GetActive() != "" && !v.grantor.SchedulerOver(now) {
+		r.standbyDuty(now, v, d)
+		return
+	}
+	if name := v.candidate(now, d); name != "" {
+		r.appoint(v, d, name)
+		return
+	}
+	if d.GetActive() != "" && v.grantor.DomainOver(now) {
+		r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_ExpireDomain{
+			ExpireDomain: &statepb.ExpireDomain{Domain: d.GetDomain(), IfEpoch: d.GetEpoch()},
+		}})
+	}
+}
+
+// candidate returns the scheduler to appoint, the standby first, or "".
+func (v *domainView) candidate(now time.Duration, d *statepb.DomainRecord) string {
+	names := slices.SortedFunc(maps.Keys(v.contacts), func(a, b string) int {
+		return cmp.Or(rank(a, d)-rank(b, d), cmp.Compare(a, b))
+	})
+	for _, name := range names {
+		c := v.contacts[name]
+		fresh := now-c.seen <= contactFresh && c.mayBeAppointed
+		if fresh && (name != d.GetActive() || c.restarted) && v.grantor.MayAppoint(record(d), name, now) {
+			return name
+		}
+	}
+	return ""
+}
+
+func rank(name string, d *statepb.DomainRecord) int {
+	switch name {
+	case d.GetStandby():
+		return 0
+	case d.GetActive():
+		return 1
+	}
+	return 2
+}
+
+func (r *replica) appoint(v *domainView, d *statepb.DomainRecord, name string) {
+	r.log.Info().Str("domain", d.GetDomain()).Str("scheduler", name).Uint64("epoch", d.GetEpoch()+1).
+		Msg("appointing a scheduler")
+	r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_Appoint{Appoint: &statepb.Appoint{
+		Domain: d.GetDomain(), IfEpoch: d.GetEpoch(), Scheduler: name, Address: v.contacts[name].address,
+		Reason: "the scheduler lease of the former active scheduler is over",
+	}}})
+}
+
+// standbyDuty names a standby and has the active scheduler confirm it.
+func (r *replica) standbyDuty(now time.Duration, v *domainView, d *statepb.DomainRecord) {
+	active := v.contacts[d.GetActive()]
+	if !d.GetClean() && active != nil && active.revision == d.GetRevision() {
+		r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_ConfirmStandby{ConfirmStandby: &statepb.ConfirmStandby{
+			Domain: d.GetDomain(), IfEpoch: d.GetEpoch(), IfRevision: d.GetRevision(),
+		}}})
+		return
+	}
+	name := v.newStandby(now, d)
+	if name == "" {
+		return
+	}
+	r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_NameStandby{NameStandby: &statepb.NameStandby{
+		Domain: d.GetDomain(), IfEpoch: d.GetEpoch(), IfRevision: d.GetRevision(),
+		Scheduler: name, Address: v.contacts[name].address,
+	}}})
+}
+
+// newStandby returns the scheduler to name as standby, or "" to leave it. The
+// present one stays unless it is silent; a new address of it is taken over.
+func (v *domainView) newStandby(now time.Duration, d *statepb.DomainRecord) string {
+	present := v.contacts[d.GetStandby()]
+	if present != nil && now-present.seen <= standbyLost {
+		if present.address != d.GetStandbyAddress() {
+			return d.GetStandby()
+		}
+		return ""
+	}
+	for _, name := range slices.Sorted(maps.Keys(v.contacts)) {
+		if name != d.GetActive() && name != d.GetStandby() && now-v.contacts[name].seen <= contactFresh {
+			return name
+		}
+	}
+	return ""
+}
+
+// changeDomain proposes a change of a domain's schedulers. No lease is given
+// until it is decided: a lease of the old epoch must not be granted behind it.
+func (r *replica) changeDomain(v *domainView, c *statepb.Command) {
+	v.grantor.BeginChange()
+	r.decide(c, func(_ proto.Message, err error) {
+		v.grantor.EndChange()
+		if err != nil {
+			r.log.Warn().Err(err).Msg("change of a domain's schedulers failed")
+		}
+	})
+}
--- /dev/null
+++ b/control/serve_status.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"geraniumwall/raft"
+	"geraniumwall/rpc/controlpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// Step takes in messages of another replica.
+func (s *Server) Step(_ context.Context, q *controlpb.StepRequest) (*controlpb.StepResponse, error) {
+	messages := make([]raft.Message, 0, len(q.GetMessages()))
+	for _, data := range q.GetMessages() {
+		m, err := raft.DecodeMessage(data)
+		if err != nil {
+			return nil, invalid("%v", err)
+		}
+		messages = append(messages, m)
+	}
+	s.processes.merge(s.options.Now(), q.GetProcesses())
+	s.send(&received{messages})
+	return &controlpb.StepResponse{}, nil
+}
+
+// Status describes the replicas, domains and processes as the leader knows them.
+// A replica that knows no leader answers with what it has applied itself.
+func (s *Server) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	if v := s.view.Load(); !v.ready && v.leaderAddress != "" && v.status.Leader != v.status.ID {
+		return nil, notLeader(v.leaderAddress)
+	}
+	return s.LocalStatus(ctx)
+}
+
+// LocalStatus describes the state as this replica knows it.
+func (s *Server) LocalStatus(ctx context.Context) (*controlpb.StatusResponse, error) {
+	processes := s.reports()
+	return peek(ctx, s, func(r *replica) (*controlpb.StatusResponse, error) {
+		n := r.node.Status()
+		return &controlpb.StatusResponse{
+			Replica: n.ID, Leader: n.Leader, Term: n.Term, CommitIndex: n.Commit, AppliedIndex: r.machine.Index(),
+			Replicas: r.replicaStatus(n), Domains: r.domainStatus(), Processes: processes,
+			ConfigVersion: r.machine.Config().GetVersion(), TaskCounts: r.machine.TaskCounts(),
+		}, nil
+	})
+}
+
+func (r *replica) replicaStatus(n raft.Status) []*controlpb.ReplicaStatus {
+	match := map[uint64]uint64{n.ID: n.Last}
+	for _, p := range n.Peers {
+		match[p.ID] = p.Match
+	}
+	var list []*controlpb.ReplicaStatus
+	for _, m := range n.Membership.Members {
+		list = append(list, &controlpb.ReplicaStatus{
+			Id: m.ID, Address: m.Address, Domain: m.Domain, Voter: !m.Learner,
+			MatchIndex: match[m.ID], Joined: r.machine.Joined(m.ID),
+		})
+	}
+	return list
+}
+
+func (r *replica) domainStatus() []*controlpb.DomainStatus {
+	now := r.now()
+	var list []*controlpb.DomainStatus
+	for _, d := range r.machine.Domains() {
+		status := &controlpb.DomainStatus{
+			Domain: d.GetDomain(), Epoch: d.GetEpoch(), Active: d.GetActive(), Standby: d.GetStandby(),
+		}
+		if r.lead != nil {
+			v := r.lead.domain(d.GetDomain())
+			status.LeaseAgeMs = v.grantor.Age(now).Round(time.Millisecond).Milliseconds()
+			status.Load = v.load
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+// ChangeMembers adds, promotes or removes one replica.
+func (s *Server) ChangeMembers(
+	ctx context.Context, q *controlpb.ChangeMembersRequest,
+) (*controlpb.ChangeMembersResponse, error) {
+	kinds := map[string]raft.ChangeKind{
+		"add_learner": raft.AddLearner, "promote": raft.PromoteLearner, "remove": raft.RemoveMember,
+	}
+	kind, known := kinds[q.GetChange()]
+	if !known {
+		return nil, invalid("change %q is not known; use add_learner, promote or remove", q.GetChange())
+	}
+	change := raft.MemberChange{
+		Kind: kind, Member: raft.Member{ID: q.GetId(), Address: q.GetAddress(), Domain: q.GetDomain()},
+	}
+	_, err := s.await(ctx, func(done func(proto.Message, error)) { s.send(&changeMembers{change, done}) })
+	if err != nil {
+		return nil, err
+	}
+	return peek(ctx, s, func(r *replica) (*controlpb.ChangeMembersResponse, error) {
+		return &controlpb.ChangeMembersResponse{Replicas: r.replicaStatus(r.node.Status())}, nil
+	})
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -187,6 +187,17 @@
 	return names[s]
 }
 
+// HasEnded reports whether there is a task or a request that ended at or before
+// its index.
+func (m *Machine) HasEnded(tasksThrough, requestsThrough uint64) bool {
+	t, found := m.tasks.ended.Min()
+	if found && t.GetTask().GetChangedIndex() <= tasksThrough {
+		return true
+	}
+	q, found := m.requests.ended.Min()
+	return found && q.GetChangedIndex() <= requestsThrough
+}
+
 // assert ends the process when an invariant is violated: going on would spread
 // the damage to callers and to the snapshot.
 func assert(ok bool, format string, args ...any) {
--- a/state/transitions.go
+++ b/state/transitions.go
@@ -98,3 +98,6 @@
 func sameAttempt(a, b *controlpb.Attempt) bool {
 	return a.GetEpoch() == b.GetEpoch() && a.GetNumber() == b.GetNumber()
 }
+
+// Ended reports whether the task has its outcome.
+func Ended(t *controlpb.Task) bool { return ended(t.GetState()) }
