--- a/raft/log.go
+++ b/raft/log.go
@@ -1,6 +1,9 @@
 package raft
 
-import "sort"
+import (
+	"bytes"
+	"sort"
+)
 
 // raftLog is the log in memory. It holds the newest snapshot and the entries
 // above base, some of which may lie below the snapshot for slow followers.
@@ -110,6 +113,7 @@
 func (l *raftLog) merge(entries []Entry) uint64 {
 	for i, entry := range entries {
 		if l.matches(Position{Index: entry.Index, Term: entry.Term}) {
+			l.checkSame(entry)
 			continue
 		}
 		removed := l.truncate(entry.Index)
@@ -119,6 +123,17 @@
 	return 0
 }
 
+// checkSame asserts the log matching property: entries of equal index and term
+// are equal.
+func (l *raftLog) checkSame(entry Entry) {
+	if entry.Index <= l.base.Index {
+		return
+	}
+	stored := l.entries[entry.Index-l.first()]
+	same := stored.Kind == entry.Kind && bytes.Equal(stored.Data, entry.Data)
+	assert(same, "two entries of index %d and term %d differ", entry.Index, entry.Term)
+}
+
 // truncate removes the entries from the index on. It returns the index if
 // there were any, else 0.
 func (l *raftLog) truncate(index uint64) uint64 {
@@ -149,13 +164,12 @@
 }
 
 // commitTo raises the commit index.
-func (l *raftLog) commitTo(index uint64) bool {
+func (l *raftLog) commitTo(index uint64) {
 	if index <= l.commit {
-		return false
+		return
 	}
 	assert(index <= l.last().Index, "commit index %d is beyond the last entry %d", index, l.last().Index)
 	l.commit = index
-	return true
 }
 
 // unstable returns the entries that aren't durable yet.
