--- a/control/domains.go
+++ b/control/domains.go
@@ -71,7 +71,7 @@
 		return
 	}
 	if name := v.candidate(now, d); name != "" {
-		r.appoint(v, d, name)
+		r.appoint(now, v, d, name)
 		return
 	}
 	if d.GetActive() != "" && v.grantor.DomainOver(now) {
@@ -106,12 +106,13 @@
 	return 2
 }
 
-func (r *replica) appoint(v *domainView, d *statepb.DomainRecord, name string) {
+func (r *replica) appoint(now time.Duration, v *domainView, d *statepb.DomainRecord, name string) {
 	r.log.Info().Str("domain", d.GetDomain()).Str("scheduler", name).Uint64("epoch", d.GetEpoch()+1).
 		Msg("appointing a scheduler")
 	r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_Appoint{Appoint: &statepb.Appoint{
 		Domain: d.GetDomain(), IfEpoch: d.GetEpoch(), Scheduler: name, Address: v.contacts[name].address,
 		Reason: "the scheduler lease of the former active scheduler is over",
+		Clean:  v.grantor.CleanAfter(record(d), now),
 	}}})
 }
 
@@ -158,6 +159,9 @@
 	v.grantor.BeginChange()
 	r.decide(c, func(_ proto.Message, err error) {
 		v.grantor.EndChange()
+		if c.GetAppoint() != nil {
+			v.grantor.Assume(r.now())
+		}
 		if err != nil {
 			r.log.Warn().Err(err).Msg("change of a domain's schedulers failed")
 		}
--- /dev/null
+++ b/control/forming.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+
+	"geraniumwall/control/client"
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/workerapi"
+)
+
+const (
+	formTimeout = time.Second
+	formPause   = 200 * time.Millisecond
+	formLogging = 5 * time.Second
+)
+
+// forming serves a replica that has no data directory yet.
+type forming struct {
+	unready
+	replica uint64
+}
+
+// Status says that the replica's log is empty.
+func (f forming) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	return &controlpb.StatusResponse{Replica: f.replica}, nil
+}
+
+// errDiskLost keeps a replica from voting twice in one term.
+var errDiskLost = errors.New("the data directory is empty, but this replica has stored part of the log before; " +
+	"remove it from the membership and start it again under an id that was never used")
+
+// finding is what another replica tells one that starts without data.
+type finding int
+
+const (
+	// findingNone: no answer, or one that decides nothing.
+	findingNone finding = iota
+	// findingEmpty: the other replica's log is empty.
+	findingEmpty
+	// findingNew: the leader says that this replica never stored anything.
+	findingNew
+	// findingJoined: this replica's disk was lost.
+	findingJoined
+)
+
+// permitFirstStart waits until it is certain that no quorum of the replicas
+// remembers this one: the leader says so, or so many others have an empty log
+// that every quorum includes one of them.
+func permitFirstStart(ctx context.Context, s Settings, log zerolog.Logger) error {
+	if !s.initial() {
+		return nil
+	}
+	needed := len(s.Replicas) - (len(s.Replicas)/2 + 1) + 1
+	httpClient := &http.Client{Timeout: formTimeout}
+	var logged time.Time
+	for {
+		empty := 0
+		for _, other := range s.Replicas {
+			switch ask := inquire(ctx, httpClient, s.ReplicaID, other); {
+			case other.ID == s.ReplicaID:
+			case ask == findingJoined:
+				return errDiskLost
+			case ask == findingNew:
+				return nil
+			case ask == findingEmpty:
+				empty++
+			}
+		}
+		if empty >= needed || len(s.Replicas) == 1 {
+			return nil
+		}
+		if time.Since(logged) >= formLogging {
+			logged = time.Now()
+			log.Info().Int("answered", empty).Int("needed", needed).
+				Msg("first start: waiting for the other replicas; start them")
+		}
+		if err := sleep(ctx, formPause); err != nil {
+			return fmt.Errorf("first start: %w", err)
+		}
+	}
+}
+
+func inquire(ctx context.Context, c *http.Client, self uint64, other ReplicaAddress) finding {
+	if other.ID == self {
+		return findingNone
+	}
+	status, err := askStatus(ctx, c, other.Address)
+	if err != nil {
+		return findingNone
+	}
+	for _, r := range status.GetReplicas() {
+		if r.GetId() == self && r.GetJoined() {
+			return findingJoined
+		}
+		if r.GetId() == status.GetReplica() && r.GetMatchIndex() > 0 && status.GetLeader() != status.GetReplica() {
+			return findingNone
+		}
+	}
+	if status.GetLeader() == status.GetReplica() && status.GetLeader() != 0 {
+		return findingOfLeader(status)
+	}
+	return findingEmpty
+}
+
+// findingOfLeader trusts a leader that has applied an entry of its term.
+func findingOfLeader(status *controlpb.StatusResponse) finding {
+	for _, r := range status.GetReplicas() {
+		if r.GetId() == status.GetReplica() && r.GetJoined() {
+			return findingNew
+		}
+	}
+	return findingNone
+}
+
+// askStatus asks a replica, or the leader that it names.
+func askStatus(ctx context.Context, c *http.Client, address string) (*controlpb.StatusResponse, error) {
+	status, err := controlpb.NewControlProtobufClient("http://"+address, c).Status(ctx, &controlpb.StatusRequest{})
+	var te twirp.Error
+	if errors.As(err, &te) && te.Meta(client.MetaLeader) != "" {
+		leader := "http://" + te.Meta(client.MetaLeader)
+		return controlpb.NewControlProtobufClient(leader, c).Status(ctx, &controlpb.StatusRequest{})
+	}
+	return status, err
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+func unreadyError() error {
+	return failure(twirp.Unavailable, kindNotReady, workerapi.OutcomeNotRun,
+		"this replica has no log yet; send the request to another replica")
+}
--- /dev/null
+++ b/control/run.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+
+	"geraniumwall/daemon"
+	"geraniumwall/raft"
+	"geraniumwall/rpc/controlpb"
+)
+
+const (
+	// stopWithin bounds the wait for requests in progress on a planned stop.
+	stopWithin = 10 * time.Second
+	meterName  = "geraniumwall/control"
+)
+
+// switchHandler serves by a handler that can be exchanged.
+type switchHandler struct{ current atomic.Pointer[http.Handler] }
+
+func (h *switchHandler) set(next http.Handler) { h.current.Store(&next) }
+
+// ServeHTTP implements http.Handler.
+func (h *switchHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	(*h.current.Load()).ServeHTTP(w, r)
+}
+
+// Run runs a replica until ctx is over; it then hands leadership over, ends the
+// requests in progress and stops.
+func Run(ctx context.Context, s Settings, log zerolog.Logger) error {
+	if s.MetricsListen != "" {
+		if _, err := daemon.ServeMetrics(ctx, s.MetricsListen); err != nil {
+			return err
+		}
+	}
+	handler := &switchHandler{}
+	handler.set(formingHandler(s))
+	server, err := daemon.Listen(ctx, s.Listen, handler)
+	if err != nil {
+		return err
+	}
+	server.Serve()
+	log = log.With().Str("name", s.Name).Uint64("replica", s.ReplicaID).Logger()
+	log.Info().Str("address", server.Address()).Msg("control replica is listening")
+	store, stored, err := OpenStorage(s, func() error { return permitFirstStart(ctx, s, log) })
+	if err != nil {
+		return err
+	}
+	return errors.Join(runStored(ctx, s, log, store, stored, handler, server), store.Close())
+}
+
+func runStored(
+	ctx context.Context, s Settings, log zerolog.Logger,
+	store Storage, stored raft.Stored, handler *switchHandler, server *daemon.Server,
+) error {
+	failed := make(chan error, 1)
+	replica, err := New(Options{
+		Settings: s, Storage: store, Stored: stored, Log: log,
+		Seed:  rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
+		Meter: otel.Meter(meterName),
+		Fatal: func(err error) { failed <- err },
+	})
+	if err != nil {
+		return err
+	}
+	handler.set(replica.Handler())
+	log.Info().Uint64("term", stored.HardState.Term).Int("entries", len(stored.Entries)).Msg("control replica is running")
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	case err := <-server.Failed():
+		return fmt.Errorf("serve requests: %w", err)
+	}
+	return shutDown(replica, server)
+}
+
+func shutDown(replica *Server, server *daemon.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	replica.Transfer(ctx)
+	replica.EndPolls()
+	err := server.Shutdown(ctx)
+	replica.Stop()
+	if err != nil {
+		return fmt.Errorf("wait for requests in progress: %w", err)
+	}
+	return nil
+}
+
+// formingHandler answers before the replica has a log: Status says that the log is
+// empty, and nothing else is served.
+func formingHandler(s Settings) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(controlpb.ControlPathPrefix, controlpb.NewControlServer(forming{replica: s.ReplicaID}))
+	return mux
+}
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -8,8 +8,10 @@
 	Active  string
 	Standby string
 	// Clean means that no scheduler other than Standby can have a scheduler lease
-	// outstanding to the active scheduler. It is false from the replacement of a
-	// standby until the active scheduler has confirmed that it knows the new one.
+	// outstanding to this or a former active scheduler. It is false from an
+	// appointment or the replacement of a standby until the active scheduler has
+	// confirmed that it knows the record: until then the former standby may go on
+	// granting leases.
 	Clean bool
 }
 
@@ -34,7 +36,9 @@
 }
 
 // Assume treats both leases as renewed now. A new leader calls it when the first
-// entry of its term commits, since it doesn't know what its predecessor granted.
+// entry of its term commits, since it doesn't know what its predecessor granted,
+// and every leader calls it on an appointment, to give the appointed scheduler the
+// time to ask.
 func (g *Grantor) Assume(now time.Duration) {
 	g.scheduler.Renew(now, SchedulerLease)
 	g.domain.Renew(now, DomainLease)
@@ -65,6 +69,11 @@
 	return now - (g.scheduler.until - GrantorWait(SchedulerLease))
 }
 
+// CleanAfter returns Record.Clean for the record that follows an appointment.
+func (g *Grantor) CleanAfter(r Record, now time.Duration) bool {
+	return r.Active == "" || g.DomainOver(now) || (r.Clean && r.Standby == "")
+}
+
 // MayAppoint reports whether candidate may become the active scheduler. The
 // former active scheduler can then hold no lease from control; it can hold one
 // from its standby only if candidate is that standby, which waits it out itself.
--- a/state/domains.go
+++ b/state/domains.go
@@ -54,7 +54,7 @@
 	})
 	return m.setDomain(&statepb.DomainRecord{
 		Domain: c.GetDomain(), Epoch: c.GetIfEpoch() + 1,
-		Active: c.GetScheduler(), ActiveAddress: c.GetAddress(), Clean: true,
+		Active: c.GetScheduler(), ActiveAddress: c.GetAddress(), Clean: c.GetClean(),
 	}), nil
 }
 
