--- /dev/null
+++ b/cmd/geranium-scheduler/main.go
@@ -0,0 +1,23 @@
+// Command geranium-scheduler runs one of the two schedulers of a failure domain.
+package main
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"geraniumwall/daemon"
+	"geraniumwall/policy/firstfit"
+	"geraniumwall/schedulerd"
+)
+
+func main() {
+	settings := schedulerd.Defaults()
+	daemon.Main("geranium-scheduler", settings, func(ctx context.Context, log zerolog.Logger) error {
+		server, err := schedulerd.New(settings, log, firstfit.New())
+		if err != nil {
+			return err
+		}
+		return server.Run(ctx)
+	})
+}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
+	"geraniumwall/lease"
 	"geraniumwall/policy"
 	"geraniumwall/workerapi"
 )
@@ -12,26 +14,25 @@
 func (c *Core) startAttempt(now time.Duration, t *task, w *worker) {
 	assert(c.authority.mayAct(now), "start of task %s without the leases", t.ID)
 	assert(c.occupied[t.ID] == 0 && !t.isLive(), "two live attempts of task %s", t.ID)
-	lease := c.taskLease(now)
+	duration := c.taskLease(now)
 	c.attempts++
-	t.attempt = workerapi.Attempt{Epoch: c.authority.epoch, Number: c.attempts}
-	t.phase = phaseStarting
+	t.attempt = workerapi.Attempt{Epoch: c.authority.taken, Number: c.attempts}
+	c.setPhase(t, phaseStarting)
 	// The worker counts the lease from when it sent the heartbeat, which was before
 	// the heartbeat arrived.
-	t.until = w.heard + withMargin(lease)
+	t.until = w.heard + lease.GrantorWait(duration)
 	c.bindAttempt(t, w)
-	c.starting++
 	c.engine.Started(now, c.policyTask(t), w.id)
 	c.act(SendStart{Target: w.target(), Body: workerapi.Start{
 		Session: w.session.number, Epoch: w.session.epoch, Incarnation: w.incarnation, Sequence: w.sequence,
-		ID: t.ID, Attempt: t.attempt, Job: t.Job, Resources: t.Size, LeaseMS: lease.Milliseconds(),
+		ID: t.ID, Attempt: t.attempt, Job: t.Job, Resources: t.Size, LeaseMS: duration.Milliseconds(),
 		ExpectedMS: t.Expected.Milliseconds(), Checkpoint: t.Checkpoint, Payload: t.Payload,
 	}})
 }
 
 // taskLease is the longest lease that ends within the domain lease.
 func (c *Core) taskLease(now time.Duration) time.Duration {
-	return min(TaskLease, c.authority.domainUntil-now).Truncate(time.Millisecond)
+	return c.authority.leases.TaskLease(now).Truncate(time.Millisecond)
 }
 
 func (c *Core) bindAttempt(t *task, w *worker) {
@@ -45,9 +46,6 @@
 // releaseAttempt frees what the live attempt took up.
 func (c *Core) releaseAttempt(now time.Duration, t *task, kind policy.EndKind) {
 	w := t.on
-	if t.phase == phaseStarting {
-		c.starting--
-	}
 	w.ledger.remove(t.ID)
 	delete(w.live, t.ID)
 	c.vacate(t.ID)
@@ -97,8 +95,7 @@
 	if t.phase != phaseStarting {
 		return
 	}
-	c.starting--
-	t.phase = phaseRunning
+	c.setPhase(t, phaseRunning)
 }
 
 // neverStarted takes back an attempt that the worker refused before it began.
@@ -115,23 +112,20 @@
 	case t.cancel:
 		c.endTask(now, t, Report{Kind: ReportCancelled, Reason: "cancelled, and its attempt is over"})
 	case t.left:
-		t.phase = phaseEnded
-		delete(c.tasks, t.ID)
+		c.forgetTask(t)
 	default:
 		c.holdTask(now, t, notBefore)
 	}
 }
 
-// stopAttempt ends the renewal of the lease and asks the worker to stop. A second
-// reason replaces an eviction, so that a cancellation is not lost.
+// stopAttempt ends the renewal of the lease and asks the worker to stop. A
+// cancellation that follows an eviction is kept in the task itself.
 func (c *Core) stopAttempt(now time.Duration, t *task, why stopReason) {
 	if t.phase == phaseStopping {
 		return
 	}
-	if t.phase == phaseStarting {
-		c.starting--
-	}
-	t.phase, t.why = phaseStopping, why
+	c.setPhase(t, phaseStopping)
+	t.why = why
 	c.queueStop(now, t)
 }
 
@@ -203,11 +197,16 @@
 func (c *Core) expireAttempts(now time.Duration) {
 	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
-		for _, tid := range sortedKeys(w.live) {
-			if t := w.live[tid]; now >= t.until {
-				c.lost(now, t)
+		var over []string
+		for tid, t := range w.live {
+			if now >= t.until {
+				over = append(over, tid)
 			}
 		}
+		slices.Sort(over)
+		for _, tid := range over {
+			c.lost(now, w.live[tid])
+		}
 	}
 }
 
--- a/scheduler/authority.go
+++ b/scheduler/authority.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"geraniumwall/lease"
+)
 
 // Role of a scheduler in its domain.
 type Role string
@@ -14,17 +18,12 @@
 	RoleActive    Role = "active"
 )
 
-// authority holds the leases of the scheduler, and the promise it gave as a
-// standby. The times are ends of leases on the clock of this process.
+// authority is the role of the scheduler with the leases behind it.
 type authority struct {
-	role         Role
-	epoch        uint64
-	controlUntil time.Duration
-	peerUntil    time.Duration
-	domainUntil  time.Duration
-	// promisedUntil is the time before which the scheduler accepts no appointment.
-	promisedUntil time.Duration
-	takeoverAt    time.Duration
+	leases *lease.Authority
+	// taken is the epoch in which the scheduler is active, 0 if it is not.
+	taken      uint64
+	takeoverAt time.Duration
 	// peerHeard is when the active scheduler last asked for a lease.
 	peerHeard time.Duration
 	// resigned is set for good by a planned stop.
@@ -32,88 +31,78 @@
 }
 
 func newAuthority(now time.Duration) authority {
-	return authority{role: RoleNone, promisedUntil: now + withMargin(SchedulerLease), peerHeard: now}
+	return authority{leases: lease.NewAuthority(now), peerHeard: now}
 }
 
+func (a *authority) active() bool { return a.taken != 0 }
+
 // mayAct reports whether the scheduler may start tasks and renew task leases.
 func (a *authority) mayAct(now time.Duration) bool {
-	return a.role == RoleActive && now < max(a.controlUntil, a.peerUntil) && now < a.domainUntil
+	return a.active() && !a.resigned && a.leases.MayAct(now)
 }
 
-func (a *authority) resign() {
-	a.resigned = true
-	a.role = RoleNone
-	a.controlUntil, a.peerUntil, a.domainUntil = 0, 0, 0
+func (a *authority) role() Role {
+	switch {
+	case a.resigned:
+		return RoleNone
+	case a.active():
+		return RoleActive
+	case a.leases.Role() == lease.RoleActive:
+		return RoleAppointed
+	case a.leases.Role() == lease.RoleStandby:
+		return RoleStandby
+	}
+	return RoleNone
 }
 
-// Renewal is an answer of control to a lease request.
-type Renewal struct {
-	// SentAt is when the request was sent, and SentEpoch the epoch it named.
-	SentAt    time.Duration
-	SentEpoch uint64
-	Role      Role
-	Epoch     uint64
-	Scheduler time.Duration
-	Domain    time.Duration
-}
+// peerSilent reports whether the active scheduler has not been heard for long
+// enough to take over its slot grants.
+func (a *authority) peerSilent(now time.Duration) bool { return now-a.peerHeard >= silentAfter }
 
 // LeaseRequest is what the scheduler asks control for.
 type LeaseRequest struct {
 	Epoch          uint64
+	Revision       uint64
 	MayBeAppointed bool
 }
 
-// LeaseRequest returns the next request for the leases.
-func (c *Core) LeaseRequest(now time.Duration) LeaseRequest {
+// LeaseRequest returns the next request for the leases, and false once the
+// scheduler has resigned. The epoch is 0 unless the scheduler acts in it, so that
+// a restarted process does not continue the epoch of the one before.
+func (c *Core) LeaseRequest(now time.Duration) (LeaseRequest, bool) {
 	a := &c.authority
-	request := LeaseRequest{MayBeAppointed: now >= a.promisedUntil && !c.stopping}
-	if a.role == RoleActive || a.role == RoleAppointed {
-		request.Epoch = a.epoch
+	request := LeaseRequest{
+		Revision:       a.leases.Revision(),
+		MayBeAppointed: a.leases.MayBeAppointed(now) && !c.stopping,
+	}
+	if a.leases.Role() == lease.RoleActive {
+		request.Epoch = a.leases.Epoch()
 	}
-	return request
+	return request, !a.resigned
 }
 
-// ControlRenewed takes in an answer of control. Answers of an older epoch and
-// answers to a request that another epoch has overtaken change nothing.
-func (c *Core) ControlRenewed(now time.Duration, r Renewal) {
+// ControlRenewed takes in control's answer to a lease request sent at time sent.
+func (c *Core) ControlRenewed(now, sent time.Duration, answer lease.Answer) {
 	a := &c.authority
-	if r.Epoch < a.epoch || a.resigned {
-		return
-	}
-	if r.Role == RoleActive {
-		c.appointed(now, r)
+	if a.resigned || !a.leases.Answered(sent, answer) {
 		return
 	}
-	if a.role == RoleActive || a.role == RoleAppointed {
-		c.stepDown(now, "control appointed another scheduler")
+	if a.active() && (answer.Role != lease.RoleActive || answer.Epoch != a.taken) {
+		c.stepDown(now, "control ended the epoch")
 	}
-	a.role, a.epoch = r.Role, r.Epoch
+	c.advanceRole(now)
 }
 
-// appointed extends the leases of the epoch, or prepares the takeover of a new
-// epoch.
-func (c *Core) appointed(now time.Duration, r Renewal) {
-	a := &c.authority
-	if r.Epoch > a.epoch || (a.role != RoleActive && a.role != RoleAppointed) {
-		if a.role == RoleActive || a.role == RoleAppointed {
-			c.stepDown(now, "appointed for a new epoch")
-		}
-		a.role, a.epoch = RoleAppointed, r.Epoch
-		a.controlUntil, a.peerUntil, a.domainUntil = 0, 0, 0
-		a.takeoverAt = max(now, a.promisedUntil)
-	}
-	a.controlUntil = max(a.controlUntil, r.SentAt+r.Scheduler)
-	a.domainUntil = max(a.domainUntil, r.SentAt+r.Domain)
-	c.advanceRole(now)
+// PeerRenewed takes in a scheduler lease that the standby granted on a request
+// sent at time sent.
+func (c *Core) PeerRenewed(sent time.Duration, standby string, epoch uint64, d time.Duration) {
+	c.authority.leases.GrantedByStandby(sent, standby, epoch, d)
 }
 
-// PeerRenewed takes in a lease that the standby granted.
-func (c *Core) PeerRenewed(now, sentAt time.Duration, epoch uint64, lease time.Duration) {
-	a := &c.authority
-	if a.role != RoleActive || epoch != a.epoch || now >= sentAt+lease {
-		return
-	}
-	a.peerUntil = max(a.peerUntil, sentAt+lease)
+// PeerRequest returns the epoch to ask the standby for a lease in, and false if
+// there is nothing to ask for.
+func (c *Core) PeerRequest() (epoch uint64, standby string, ask bool) {
+	return c.authority.taken, c.authority.leases.Standby(), c.authority.active()
 }
 
 // PeerGrant is the answer of a standby to the active scheduler.
@@ -125,35 +114,28 @@
 
 // GrantPeer decides on a lease for the active scheduler of the epoch. By
 // granting it the scheduler commits to accept no appointment until it is over.
-func (c *Core) GrantPeer(now time.Duration, epoch uint64, lease time.Duration) PeerGrant {
+func (c *Core) GrantPeer(now time.Duration, active string, epoch uint64, d time.Duration) PeerGrant {
 	a := &c.authority
-	granted := a.role != RoleActive && a.role != RoleAppointed && epoch >= a.epoch && epoch > 0
-	granted = granted && lease > 0 && lease <= SchedulerLease && !a.resigned
+	granted := !a.resigned && d > 0 && a.leases.GrantToActive(now, active, epoch, d)
 	if granted {
-		a.epoch = epoch
-		a.promisedUntil = max(a.promisedUntil, now+withMargin(lease))
 		a.peerHeard = now
 	}
-	return PeerGrant{Granted: granted, Epoch: a.epoch, Role: a.role}
+	return PeerGrant{Granted: granted, Epoch: a.leases.Epoch(), Role: a.role()}
 }
 
-// PeerSilent reports whether the active scheduler has not been heard for long
-// enough to take over its slot grants.
-func (a *authority) peerSilent(now time.Duration) bool { return now-a.peerHeard >= silentAfter }
-
 // advanceRole makes an appointed scheduler active once its own promise is over
 // and while the leases of the appointment are valid.
 func (c *Core) advanceRole(now time.Duration) {
 	a := &c.authority
-	if a.role != RoleAppointed || now < a.takeoverAt || now >= a.controlUntil {
+	if a.resigned || a.active() || !a.leases.MayAct(now) {
 		return
 	}
-	a.role = RoleActive
+	a.taken = a.leases.Epoch()
 	c.takeOver(now)
 }
 
-// Role returns the role and the epoch.
-func (c *Core) Role() (Role, uint64) { return c.authority.role, c.authority.epoch }
+// Role returns the role and the newest known epoch.
+func (c *Core) Role() (Role, uint64) { return c.authority.role(), c.authority.leases.Epoch() }
 
 // MayAct reports whether the scheduler may start tasks and renew their leases.
 func (c *Core) MayAct(now time.Duration) bool { return c.authority.mayAct(now) }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -35,6 +35,8 @@
 	authority authority
 	workers   map[string]*worker
 	tasks     map[string]*task
+	// held are the tasks in phaseHeld.
+	held map[string]*task
 	// occupied counts the ledger entries of each task over all workers.
 	occupied  map[string]int
 	gateways  map[gatewayKey]*gateway
@@ -50,7 +52,6 @@
 	nextPlan time.Duration
 	nextMove time.Duration
 	starting int
-	running  int
 }
 
 // New returns a core without a role. It must not be appointed before one
@@ -63,6 +64,7 @@
 		authority: newAuthority(now),
 		workers:   map[string]*worker{},
 		tasks:     map[string]*task{},
+		held:      map[string]*task{},
 		occupied:  map[string]int{},
 		gateways:  map[gatewayKey]*gateway{},
 		reports:   newReportQueue(),
@@ -97,7 +99,7 @@
 	c.advanceRole(now)
 	c.checkWorkers(now)
 	c.expireGrants(now)
-	if c.authority.role == RoleActive {
+	if c.authority.active() {
 		c.expireAttempts(now)
 		c.releaseHeld(now)
 		c.react(now)
@@ -117,8 +119,22 @@
 func (c *Core) Resign(now time.Duration) {
 	c.stopping = true
 	c.stepDown(now, "planned stop")
-	c.authority.resign()
+	c.authority.resigned = true
 }
 
 // Version is the version of the configuration in force.
 func (c *Core) Version() uint64 { return c.version }
+
+// Settled reports whether no start is without an answer and no report without a
+// record, so that the role can be given up without a loss.
+func (c *Core) Settled() bool { return c.starting == 0 && len(c.reports.queue) == 0 }
+
+// Detached reports whether no worker has a session of this scheduler.
+func (c *Core) Detached() bool {
+	for _, w := range c.workers {
+		if w.session.held && !w.silent {
+			return false
+		}
+	}
+	return true
+}
--- a/scheduler/decisions.go
+++ b/scheduler/decisions.go
@@ -6,11 +6,11 @@
 	"geraniumwall/policy"
 )
 
-// Decision and Figure are those of package policy.
-type (
-	Decision = policy.Decision
-	Figure   = policy.Figure
-)
+// Decision explains one decision.
+type Decision = policy.Decision
+
+// Figure is one number behind a decision.
+type Figure = policy.Figure
 
 // maxDecisions bounds the store; the oldest decisions are dropped first.
 const maxDecisions = 8192
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -4,6 +4,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	"geraniumwall/lease"
 )
 
 // ErrStaleSync is returned for a grant sync that a newer one has overtaken.
@@ -152,12 +154,12 @@
 		}
 		// A gateway cannot hold more than it was granted.
 		slots := min(max(h.Slots, h.InUse), g.held(now))
-		g.confirm(slots, now+withMargin(GrantDuration))
+		g.confirm(slots, now+lease.GrantorWait(GrantDuration))
 	}
 }
 
 func (c *Core) answerSync(now time.Duration, key gatewayKey) GrantAnswer {
-	answer := GrantAnswer{Epoch: c.authority.epoch}
+	answer := GrantAnswer{Epoch: c.authority.leases.Epoch()}
 	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
 		if w.retired() {
@@ -199,7 +201,7 @@
 		g = &grant{}
 		w.grants[key] = g
 	}
-	g.offer(slots, now+withMargin(GrantDuration))
+	g.offer(slots, now+lease.GrantorWait(GrantDuration))
 	c.checkSlots(now, w)
 	return slots
 }
@@ -220,7 +222,7 @@
 		}
 	}
 	for key, g := range c.gateways {
-		if now-g.heard >= withMargin(GrantDuration) {
+		if now-g.heard >= lease.GrantorWait(GrantDuration) {
 			delete(c.gateways, key)
 			c.nextPlan = now
 		}
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -2,20 +2,13 @@
 
 import "time"
 
-// Lease durations, see docs/design.md 3.
-const (
-	SchedulerLease = 1500 * time.Millisecond
-	TaskLease      = 10 * time.Second
-	GrantDuration  = 3 * time.Second
-)
+// GrantDuration is the duration of a slot grant, see docs/design.md 3.
+const GrantDuration = 3 * time.Second
 
 // TickInterval is the longest time between two calls of Tick.
 const TickInterval = 50 * time.Millisecond
 
 const (
-	// clockRateErrorPercent bounds the difference of the clock rates of two hosts
-	// twice: a grantor waits this much longer than the lease.
-	clockRateErrorPercent = 2
 	// silentAfter is the silence after which a worker gets no new work.
 	silentAfter = time.Second
 	// minTaskLease is the shortest lease worth a start.
@@ -49,9 +42,3 @@
 	maxCapacity = int64(1) << 40
 	maxNameLen  = 128
 )
-
-// withMargin is the time after which a lease of duration d is certainly over for
-// its holder.
-func withMargin(d time.Duration) time.Duration {
-	return d + d*clockRateErrorPercent/100
-}
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumwall/lease"
 	"geraniumwall/policy"
 	"geraniumwall/workerapi"
 )
@@ -53,8 +54,9 @@
 	if !c.makeRoom(w, t.Size) {
 		return
 	}
-	t.attempt, t.phase = r.Attempt, phaseRunning
-	t.until = c.authority.takeoverAt + withMargin(TaskLease)
+	t.attempt = r.Attempt
+	c.setPhase(t, phaseRunning)
+	t.until = c.authority.takeoverAt + lease.GrantorWait(lease.TaskLease)
 	c.bindAttempt(t, w)
 	c.engine.Started(now, c.policyTask(t), w.id)
 	c.noteProgress(now, w, t, r)
@@ -82,18 +84,16 @@
 // no more recording.
 func (c *Core) observeFinal(now time.Duration, w *worker, t *task, r *workerapi.TaskReport, answer *workerapi.HeartbeatAnswer) {
 	c.dropStray(w, r.ID)
-	if t != nil && t.phase != phaseEnded {
-		live := t.isLive()
-		switch {
-		case live && t.on == w && t.attempt == r.Attempt:
-			c.settle(now, t, r)
-		case !live && t.settled.Less(r.Attempt) && c.occupied[t.ID] == 0:
-			c.settleUnseen(now, w, t, r)
-		}
+	switch {
+	case t == nil || t.phase == phaseEnded:
+	case t.isLive() && t.on == w && t.attempt == r.Attempt:
+		c.settle(now, t, r)
+	case t.undecided(r.Attempt) && c.occupied[t.ID] == 0:
+		c.settleUnseen(now, w, t, r)
 	}
 	ref := workerapi.TaskRef{ID: r.ID, Attempt: r.Attempt}
-	undecided := t != nil && t.phase != phaseEnded && !t.isLive() && t.settled.Less(r.Attempt)
-	if answer != nil && c.synced && !undecided && !c.reports.holds(ref) {
+	decided := t == nil || !t.undecided(r.Attempt)
+	if answer != nil && c.synced && decided && !c.reports.holds(ref) {
 		answer.Acknowledge = append(answer.Acknowledge, ref)
 	}
 }
@@ -132,8 +132,7 @@
 	report := Report{Task: t.ID, Attempt: r.Attempt, Worker: w.id, Checkpoint: r.Checkpoint, Result: r.Result, Reason: r.Error}
 	switch {
 	case t.left:
-		t.phase = phaseEnded
-		delete(c.tasks, t.ID)
+		c.forgetTask(t)
 	case r.Phase == workerapi.PhaseDone:
 		report.Kind = ReportDone
 		c.endTask(now, t, report)
@@ -151,7 +150,7 @@
 // cancelConcluded ends a cancelled task unless an unreported attempt may be alive.
 func (c *Core) cancelConcluded(now time.Duration, t *task, notBefore time.Duration) {
 	if now < notBefore {
-		t.phase, t.notBefore = phaseHeld, notBefore
+		c.holdTask(now, t, notBefore)
 		return
 	}
 	c.afterAttempt(now, t, notBefore)
@@ -188,18 +187,18 @@
 // renew extends the leases of the attempts that are to go on. The worker counts
 // from when it sent the heartbeat, which was before now.
 func (c *Core) renew(now time.Duration, w *worker, reports []workerapi.TaskReport, answer *workerapi.HeartbeatAnswer) {
-	lease := c.taskLease(now)
-	if !c.authority.mayAct(now) || lease < minTaskLease {
+	duration := c.taskLease(now)
+	if !c.authority.mayAct(now) || duration < minTaskLease {
 		return
 	}
-	answer.TaskLeaseMS = lease.Milliseconds()
+	answer.TaskLeaseMS = duration.Milliseconds()
 	for i := range reports {
 		r := &reports[i]
 		t := c.tasks[r.ID]
 		if t == nil || t.on != w || t.phase != phaseRunning || t.attempt != r.Attempt {
 			continue
 		}
-		t.until = max(t.until, now+withMargin(lease))
+		t.until = max(t.until, now+lease.GrantorWait(duration))
 		answer.Renew = append(answer.Renew, t.ref())
 	}
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -107,7 +107,7 @@
 
 // moveAway stops the tasks of a worker that leaves, with a checkpoint.
 func (c *Core) moveAway(now time.Duration, w *worker) {
-	if !w.leaving && !w.drained || w.silent || c.authority.role != RoleActive {
+	if !w.leaving && !w.drained || w.silent || !c.authority.active() {
 		return
 	}
 	for _, id := range sortedKeys(w.live) {
--- a/scheduler/recovery.go
+++ b/scheduler/recovery.go
@@ -8,23 +8,27 @@
 	c.authority.takeoverAt = now
 	c.attempts = 0
 	c.forgetTasks(now)
-	c.act(SyncFromStart{Epoch: c.authority.epoch})
+	c.act(SyncFromStart{Epoch: c.authority.taken})
 	c.act(RecordAudit{Action: "takeover", Subject: c.settings.Domain, Detail: c.settings.Name, At: now})
 	c.note(now, Decision{Subject: c.settings.Domain, Kind: "takeover", Reason: "appointed by control",
-		Figures: []Figure{{Name: "epoch", Value: float64(c.authority.epoch)}}})
+		Figures: []Figure{{Name: "epoch", Value: float64(c.authority.taken)}}})
 }
 
-// stepDown gives up the role. Slot grants stay until another scheduler attaches
-// to the workers.
+// stepDown gives up the role. The sessions go on for slot grants only, until
+// another scheduler attaches to the workers.
 func (c *Core) stepDown(now time.Duration, reason string) {
-	if c.authority.role == RoleActive {
+	if c.authority.active() {
 		c.act(StopSync{})
 		c.note(now, Decision{Subject: c.settings.Domain, Kind: "step_down", Reason: reason})
 	}
 	c.forgetTasks(now)
-	c.authority.role = RoleStandby
-	c.authority.controlUntil, c.authority.peerUntil, c.authority.domainUntil = 0, 0, 0
+	c.authority.taken = 0
 	c.authority.peerHeard = now
+	for _, id := range sortedKeys(c.workers) {
+		w := c.workers[id]
+		w.session.servicesOnly = w.session.held
+		c.tellEngine(now, w)
+	}
 }
 
 // forgetTasks drops everything that is known of tasks.
@@ -37,8 +41,7 @@
 		if t.isLive() {
 			c.releaseAttempt(now, t, "lost")
 		}
-		t.phase = phaseEnded
-		delete(c.tasks, id)
+		c.forgetTask(t)
 	}
 	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -41,19 +41,19 @@
 // flushReports sends the next batch if none is under way.
 func (c *Core) flushReports(now time.Duration) {
 	q := &c.reports
-	if c.authority.role != RoleActive || q.inFlight > 0 || len(q.queue) == 0 || now < q.retryAt {
+	if !c.authority.active() || q.inFlight > 0 || len(q.queue) == 0 || now < q.retryAt {
 		return
 	}
 	q.inFlight = min(len(q.queue), maxReportBatch)
 	batch := append([]Report(nil), q.queue[:q.inFlight]...)
-	c.act(SendReports{Epoch: c.authority.epoch, Events: batch})
+	c.act(SendReports{Epoch: c.authority.taken, Events: batch})
 }
 
 // ReportsAnswered takes in the outcome of a SendReports of the epoch. Events that
 // control refused as stale are decided otherwise, so they need no recording.
 func (c *Core) ReportsAnswered(now time.Duration, epoch uint64, recorded bool) {
 	q := &c.reports
-	if epoch != c.authority.epoch || c.authority.role != RoleActive || q.inFlight == 0 {
+	if epoch != c.authority.taken || !c.authority.active() || q.inFlight == 0 {
 		return
 	}
 	if recorded {
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -26,15 +26,15 @@
 	if now < s.retryAt || c.stopping {
 		return
 	}
-	full := c.authority.role == RoleActive && now < max(c.authority.controlUntil, c.authority.peerUntil)
-	full = full && (!s.held || s.servicesOnly || s.epoch != c.authority.epoch)
-	services := !full && c.authority.role != RoleActive && c.authority.peerSilent(now) && !s.held
+	full := c.authority.mayAct(now) && (!s.held || s.servicesOnly || s.epoch != c.authority.taken)
+	alone := c.authority.active() || c.authority.peerSilent(now)
+	services := !full && alone && !s.held
 	if !full && !services {
 		return
 	}
 	s.retryAt = now + commandRetry
 	c.act(SendAttach{Target: w.target(), Body: workerapi.Attach{
-		Scheduler: c.settings.Identity, Epoch: c.authority.epoch, ServicesOnly: services,
+		Scheduler: c.settings.Identity, Epoch: c.authority.leases.Epoch(), ServicesOnly: services,
 	}})
 }
 
@@ -55,7 +55,7 @@
 	if r.Failed || !r.Answer.Accepted || r.Answer.Incarnation != w.incarnation {
 		return
 	}
-	if !r.Body.ServicesOnly && (c.authority.role != RoleActive || r.Body.Epoch != c.authority.epoch) {
+	if !r.Body.ServicesOnly && (!c.authority.active() || r.Body.Epoch != c.authority.taken) {
 		return
 	}
 	if r.Answer.Session < w.session.number || !plausibleUse(r.Answer.SlotsInUse, w.slots) {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -31,7 +31,7 @@
 
 // Status returns the state of the scheduler.
 func (c *Core) Status(now time.Duration) Status {
-	s := Status{Role: c.authority.role, Epoch: c.authority.epoch, Version: c.version}
+	s := Status{Role: c.authority.role(), Epoch: c.authority.leases.Epoch(), Version: c.version}
 	s.Waiting, s.Running = c.countTasks()
 	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
--- a/scheduler/stray.go
+++ b/scheduler/stray.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumwall/lease"
 	"geraniumwall/workerapi"
 )
 
@@ -24,7 +25,7 @@
 		c.occupied[r.ID]++
 	}
 	s.ref = workerapi.TaskRef{ID: r.ID, Attempt: r.Attempt}
-	s.until = now + withMargin(TaskLease)
+	s.until = now + lease.GrantorWait(lease.TaskLease)
 	if !c.synced || now < s.retry || !w.session.held {
 		return
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"geraniumwall/config"
+	"geraniumwall/lease"
 	"geraniumwall/policy"
 	"geraniumwall/workerapi"
 )
@@ -78,6 +79,11 @@
 
 func (t *task) ref() workerapi.TaskRef { return workerapi.TaskRef{ID: t.ID, Attempt: t.attempt} }
 
+// undecided reports whether the end of the attempt would still change the task.
+func (t *task) undecided(a workerapi.Attempt) bool {
+	return t.phase != phaseEnded && !t.isLive() && t.settled.Less(a)
+}
+
 func (t *task) isLive() bool {
 	return t.phase == phaseStarting || t.phase == phaseRunning || t.phase == phaseStopping
 }
@@ -101,7 +107,7 @@
 // SyncTasks takes in changes of the tasks of the domain. With complete set, tasks
 // that are not in the list have left the domain.
 func (c *Core) SyncTasks(now time.Duration, epoch uint64, changed []BoundTask, complete bool) {
-	if c.authority.role != RoleActive || epoch != c.authority.epoch {
+	if !c.authority.active() || epoch != c.authority.taken {
 		return
 	}
 	listed := map[string]bool{}
@@ -145,10 +151,11 @@
 // scheduler may still run somewhere, so it is held until the task leases of the
 // scheduler before are certainly over, or until a worker reports it.
 func (c *Core) addTask(now time.Duration, b *BoundTask) {
-	t := &task{BoundTask: *b, enqueued: now, attempt: b.Attempt, phase: phaseHeld}
+	t := &task{BoundTask: *b, enqueued: now, attempt: b.Attempt}
 	c.tasks[t.ID] = t
-	if b.Epoch < c.authority.epoch {
-		t.notBefore = c.authority.takeoverAt + withMargin(TaskLease)
+	c.setPhase(t, phaseHeld)
+	if b.Epoch < c.authority.taken {
+		t.notBefore = c.authority.takeoverAt + lease.GrantorWait(lease.TaskLease)
 	}
 	if b.CancelRequested {
 		c.cancelTask(now, t)
@@ -159,25 +166,40 @@
 }
 
 func (c *Core) enqueue(now time.Duration, t *task) {
-	t.phase = phaseWaiting
+	c.setPhase(t, phaseWaiting)
 	c.engine.Enqueue(now, c.policyTask(t))
 }
 
-// hold keeps a task without a live attempt out of the queue until then.
+// holdTask keeps a task without a live attempt out of the queue until then.
 func (c *Core) holdTask(now time.Duration, t *task, until time.Duration) {
 	t.notBefore = until
 	if now >= until {
 		c.enqueue(now, t)
 		return
 	}
-	t.phase = phaseHeld
+	c.setPhase(t, phaseHeld)
+}
+
+// setPhase is the only writer of a task's phase.
+func (c *Core) setPhase(t *task, p phase) {
+	if t.phase == phaseStarting {
+		c.starting--
+	}
+	if p == phaseStarting {
+		c.starting++
+	}
+	delete(c.held, t.ID)
+	if p == phaseHeld {
+		c.held[t.ID] = t
+	}
+	t.phase = p
 }
 
 // releaseHeld queues the held tasks whose time has come.
 func (c *Core) releaseHeld(now time.Duration) {
-	for _, id := range sortedKeys(c.tasks) {
-		t := c.tasks[id]
-		if t.phase != phaseHeld || now < t.notBefore {
+	for _, id := range sortedKeys(c.held) {
+		t := c.held[id]
+		if now < t.notBefore {
 			continue
 		}
 		if t.cancel {
@@ -198,7 +220,7 @@
 	case t.phase == phaseWaiting:
 		c.engine.Dequeue(now, t.ID)
 		c.endTask(now, t, Report{Kind: ReportCancelled, Reason: "cancelled while it waited"})
-	case t.phase == phaseHeld && (now >= t.notBefore || t.Epoch == c.authority.epoch):
+	case t.phase == phaseHeld && (now >= t.notBefore || t.Epoch == c.authority.taken):
 		c.endTask(now, t, Report{Kind: ReportCancelled, Reason: "cancelled while it waited"})
 	case t.isLive():
 		c.stopAttempt(now, t, stopCancelled)
@@ -215,13 +237,18 @@
 		if t.phase == phaseWaiting {
 			c.engine.Dequeue(now, t.ID)
 		}
-		delete(c.tasks, t.ID)
+		c.forgetTask(t)
 	}
 }
 
+func (c *Core) forgetTask(t *task) {
+	c.setPhase(t, phaseEnded)
+	delete(c.tasks, t.ID)
+}
+
 // endTask records the outcome of a task without a live attempt.
 func (c *Core) endTask(now time.Duration, t *task, r Report) {
-	t.phase = phaseEnded
+	c.setPhase(t, phaseEnded)
 	r.Task, r.Attempt = t.ID, t.attempt
 	c.reports.add(r)
 	c.note(now, Decision{Subject: t.ID, Kind: string(r.Kind), Reason: r.Reason, Worker: r.Worker})
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"geraniumwall/lease"
 	"geraniumwall/policy"
 	"geraniumwall/workerapi"
 )
@@ -43,10 +44,9 @@
 
 // stray is a running attempt that is not the live attempt of a task.
 type stray struct {
-	ref    workerapi.TaskRef
-	until  time.Duration
-	retry  time.Duration
-	reason string
+	ref   workerapi.TaskRef
+	until time.Duration
+	retry time.Duration
 }
 
 // Heartbeat takes in a heartbeat and renews the leases of the attempts that are
@@ -64,7 +64,7 @@
 	}
 	c.refresh(now, w, hb)
 	c.checkSession(now, w, hb)
-	if w.session.held && !w.session.servicesOnly && c.authority.role == RoleActive {
+	if w.session.held && !w.session.servicesOnly && c.authority.active() {
 		c.observeTasks(now, w, hb.Tasks, &answer)
 		c.observeServices(now, w, hb)
 	}
@@ -337,7 +337,7 @@
 	if len(w.live) > 0 || len(w.strays) > 0 || w.granted(now) > 0 {
 		return
 	}
-	if !w.leaving && now-w.heard < withMargin(TaskLease) {
+	if !w.leaving && now-w.heard < lease.GrantorWait(lease.TaskLease) {
 		return
 	}
 	c.engine.RemoveWorker(now, w.id)
--- /dev/null
+++ b/schedulerd/metrics.go
@@ -0,0 +1,73 @@
+package schedulerd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"geraniumwall/scheduler"
+	"geraniumwall/workerapi"
+)
+
+// metrics are the counters of the process.
+type metrics struct {
+	heartbeats metric.Int64Counter
+	starts     metric.Int64Counter
+	syncs      metric.Int64Counter
+	grants     metric.Int64Histogram
+	renewals   metric.Int64Counter
+	events     metric.Int64Counter
+}
+
+func newMetrics() (*metrics, error) {
+	m := &metrics{}
+	meter := otel.Meter("geraniumwall/scheduler")
+	var errs []error
+	counter := func(name, description string) metric.Int64Counter {
+		c, err := meter.Int64Counter(name, metric.WithDescription(description))
+		errs = append(errs, err)
+		return c
+	}
+	m.heartbeats = counter("scheduler.heartbeats", "heartbeats received")
+	m.starts = counter("scheduler.starts", "starts sent to workers, by outcome")
+	m.syncs = counter("scheduler.grant_syncs", "grant syncs answered")
+	m.renewals = counter("scheduler.lease_renewals", "lease requests to control, by result")
+	m.events = counter("scheduler.task_events", "task events sent to control, by result")
+	grants, err := meter.Int64Histogram("scheduler.grants_per_sync", metric.WithDescription("grants in one answer"))
+	m.grants = grants
+	if err := errors.Join(append(errs, err)...); err != nil {
+		return nil, fmt.Errorf("create metrics: %w", err)
+	}
+	return m, nil
+}
+
+func result(ok bool) metric.AddOption {
+	return metric.WithAttributes(attribute.Bool("ok", ok))
+}
+
+func (m *metrics) heartbeat(ctx context.Context, refusal error) {
+	m.heartbeats.Add(ctx, 1, result(refusal == nil))
+}
+
+func (m *metrics) start(ctx context.Context, r scheduler.StartResult) {
+	outcome := r.Answer.Outcome
+	if r.Failed {
+		outcome = workerapi.OutcomeUnknown
+	}
+	m.starts.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", string(outcome))))
+}
+
+func (m *metrics) sync(ctx context.Context, grants int) {
+	m.syncs.Add(ctx, 1)
+	m.grants.Record(ctx, int64(grants))
+}
+
+func (m *metrics) renewal(ctx context.Context, ok bool) { m.renewals.Add(ctx, 1, result(ok)) }
+
+func (m *metrics) reports(ctx context.Context, n int, ok bool) {
+	m.events.Add(ctx, int64(n), result(ok))
+}
--- /dev/null
+++ b/schedulerd/service.go
@@ -0,0 +1,126 @@
+package schedulerd
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"geraniumwall/control/client"
+	"geraniumwall/rpc/schedulerpb"
+	"geraniumwall/scheduler"
+)
+
+const (
+	defaultExplainLimit = 50
+	maxExplainLimit     = 1000
+)
+
+// service implements the twirp service Scheduler.
+type service struct {
+	settings *Settings
+	loop     *loop
+	follower *client.Follower
+	metrics  *metrics
+}
+
+func (s *service) step(ctx context.Context, run func(now time.Duration, core *scheduler.Core)) error {
+	if err := s.loop.do(ctx, run); err != nil {
+		return twirp.Unavailable.Error(err.Error())
+	}
+	return nil
+}
+
+// SyncGrants returns the grants of a gateway.
+func (s *service) SyncGrants(ctx context.Context, r *schedulerpb.SyncGrantsRequest) (*schedulerpb.SyncGrantsResponse, error) {
+	s.follower.Notice(r.GetConfigVersion())
+	if r.GetGateway() == "" || r.GetIncarnation() == "" {
+		return nil, twirp.RequiredArgumentError("gateway and incarnation")
+	}
+	var answer scheduler.GrantAnswer
+	var refused error
+	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
+		answer, refused = core.SyncGrants(now, grantSync(r))
+	})
+	if err != nil {
+		return nil, err
+	}
+	if errors.Is(refused, scheduler.ErrStaleSync) {
+		return nil, twirp.FailedPrecondition.Error(refused.Error())
+	}
+	response := &schedulerpb.SyncGrantsResponse{
+		Scheduler: s.settings.Name, Epoch: answer.Epoch, Leaving: answer.Leaving,
+		ConfigVersion: s.follower.Current().Version,
+	}
+	for _, g := range answer.Grants {
+		response.Grants = append(response.Grants, grantMessage(s.settings.Domain, g))
+	}
+	s.metrics.sync(ctx, len(response.Grants))
+	return response, nil
+}
+
+// RenewSchedulerLease grants the active scheduler a lease.
+func (s *service) RenewSchedulerLease(ctx context.Context, r *schedulerpb.RenewSchedulerLeaseRequest) (*schedulerpb.RenewSchedulerLeaseResponse, error) {
+	if r.GetDomain() != s.settings.Domain {
+		return nil, twirp.InvalidArgumentError("domain", "this scheduler serves "+s.settings.Domain)
+	}
+	var grant scheduler.PeerGrant
+	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
+		grant = core.GrantPeer(now, r.GetActive(), r.GetEpoch(), millis(r.GetLeaseMs()))
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &schedulerpb.RenewSchedulerLeaseResponse{Granted: grant.Granted, Epoch: grant.Epoch, Role: string(grant.Role)}, nil
+}
+
+// Explain returns decisions, newest first.
+func (s *service) Explain(ctx context.Context, r *schedulerpb.ExplainRequest) (*schedulerpb.ExplainResponse, error) {
+	limit := int(r.GetLimit())
+	if limit <= 0 {
+		limit = defaultExplainLimit
+	}
+	var decisions []scheduler.Decision
+	err := s.step(ctx, func(_ time.Duration, core *scheduler.Core) {
+		decisions = core.Explain(r.GetSubject(), min(limit, maxExplainLimit))
+	})
+	if err != nil {
+		return nil, err
+	}
+	response := &schedulerpb.ExplainResponse{}
+	for _, d := range decisions {
+		response.Decisions = append(response.Decisions, decisionMessage(s.loop.clock, d))
+	}
+	return response, nil
+}
+
+// Status returns the state of the scheduler.
+func (s *service) Status(ctx context.Context, _ *schedulerpb.StatusRequest) (*schedulerpb.StatusResponse, error) {
+	var status scheduler.Status
+	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) { status = core.Status(now) })
+	if err != nil {
+		return nil, err
+	}
+	response := &schedulerpb.StatusResponse{
+		Scheduler: s.settings.Name, Domain: s.settings.Domain, Role: string(status.Role), Epoch: status.Epoch,
+		Waiting: int32(status.Waiting), Running: int32(status.Running), //nolint:gosec // counts
+		ConfigVersion: status.Version,
+	}
+	for _, w := range status.Workers {
+		response.Workers = append(response.Workers, workerStatusMessage(w))
+	}
+	return response, nil
+}
+
+// Drain stops new work on a worker, or ends that.
+func (s *service) Drain(ctx context.Context, r *schedulerpb.DrainRequest) (*schedulerpb.DrainResponse, error) {
+	found := false
+	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
+		found = core.Drain(now, r.GetWorker(), r.GetUndo(), r.GetActor())
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &schedulerpb.DrainResponse{Found: found}, nil
+}
--- /dev/null
+++ b/schedulerd/settings.go
@@ -0,0 +1,47 @@
+package schedulerd
+
+import "geraniumwall/settings"
+
+// Peer is the other scheduler of the domain.
+type Peer struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Settings of a scheduler process.
+type Settings struct {
+	// Name is unique among the schedulers of all domains.
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	// Listen is the address for workers, gateways and the other scheduler.
+	Listen        string `json:"listen"`
+	MetricsListen string `json:"metrics_listen"`
+	// Control lists the addresses of the control replicas.
+	Control []string `json:"control"`
+	// Peer may be omitted where a domain has one scheduler.
+	Peer *Peer `json:"peer,omitempty"`
+}
+
+// Defaults returns the settings before the file is read.
+func Defaults() *Settings {
+	return &Settings{Listen: "127.0.0.1:7200", MetricsListen: "127.0.0.1:7201"}
+}
+
+// Check reports every problem of the settings.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Required("name", s.Name)
+	c.Required("domain", s.Domain)
+	c.Address("listen", s.Listen)
+	if s.MetricsListen != "" {
+		c.Address("metrics_listen", s.MetricsListen)
+	}
+	c.Addresses("control", s.Control)
+	if s.Peer == nil {
+		return
+	}
+	c.Required("peer.name", s.Peer.Name)
+	c.Address("peer.address", s.Peer.Address)
+	if s.Peer.Name == s.Name {
+		c.Add("peer.name", "is the name of this scheduler", "give each scheduler its own name")
+	}
+}
