--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -5,14 +5,17 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
 
+	"geraniumwall/control/client"
 	"geraniumwall/daemon"
 	"geraniumwall/gateway"
+	"geraniumwall/operatorapi"
 )
 
 const (
@@ -71,13 +74,17 @@
 
 func (s *settingsFile) options(log zerolog.Logger) gateway.Options {
 	schedulers := make([]gateway.Scheduler, 0, len(s.Schedulers))
+	listed := make([]operatorapi.Scheduler, 0, len(s.Schedulers))
 	for _, peer := range s.Schedulers {
 		schedulers = append(schedulers, gateway.Scheduler(peer))
+		listed = append(listed, operatorapi.Scheduler(peer))
 	}
+	httpClient := &http.Client{}
 	return gateway.Options{
 		Name: s.Name, Domain: s.Domain, Incarnation: uuid.NewString(),
 		Control: s.Control, Schedulers: schedulers,
 		Clock: gateway.NewClock(), Log: log, Meter: otel.Meter(gateway.MeterName),
-		Seed: rand.Uint64(), //nolint:gosec // load spreading needs no secrecy
+		Operator: operatorapi.New(client.New(s.Control, httpClient), listed, httpClient),
+		Seed:     rand.Uint64(), //nolint:gosec // load spreading needs no secrecy
 	}
 }
