--- /dev/null
+++ b/state/records_test.go
@@ -0,0 +1,119 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/state/statepb"
+)
+
+func configCommand(id string, base uint64) *statepb.Command {
+	return &statepb.Command{Kind: &statepb.Command_ApplyConfig{ApplyConfig: &controlpb.ApplyConfigRequest{
+		ChangeId: id, BaseVersion: base, Author: "operator " + id, Content: []byte(id),
+	}}}
+}
+
+var _ = Describe("configuration", func() {
+	// Guards against a lost update: the later of two changes on one base must see
+	// who changed what.
+	It("answers a conflict with the changes since the base", func() {
+		d := driver{New()}
+		for i := range uint64(5) {
+			d.must(configCommand(fmt.Sprint(i), i))
+		}
+		answer := d.must(configCommand("late", 2)).(*controlpb.ApplyConfigResponse)
+		Expect(answer.GetAccepted()).To(BeFalse())
+		Expect(answer.GetVersion()).To(Equal(uint64(5)))
+		Expect(answer.GetSinceBase()).To(HaveLen(3))
+		Expect(answer.GetSinceBase()[0].GetAuthor()).To(Equal("operator 2"))
+	})
+
+	// Guards against a history that grows without bound or forgets the answer to a
+	// repeated change when contents are dropped.
+	It("drops old contents and keeps the answers", func() {
+		d := driver{New()}
+		for i := range uint64(keptContents + 50) {
+			d.must(configCommand(fmt.Sprint(i), i))
+		}
+		answer := d.must(configCommand("0", 0)).(*controlpb.ApplyConfigResponse)
+		Expect(answer.GetAccepted() && answer.GetRepeated()).To(BeTrue())
+		Expect(answer.GetVersion()).To(Equal(uint64(1)))
+		Expect(d.m.Configs(0, 1, true)[0].GetContent()).To(BeEmpty())
+		Expect(d.m.Config().GetContent()).NotTo(BeEmpty())
+	})
+})
+
+var _ = Describe("audit trail", func() {
+	// Guards against an edit or a gap that goes unnoticed.
+	It("detects an edited record and a missing one", func() {
+		d := driver{New()}
+		for i := range uint64(4) {
+			d.must(configCommand(fmt.Sprint(i), i))
+		}
+		records := d.m.Audit(0, 10, "", "")
+		Expect(VerifyAudit(records)).To(Succeed())
+		Expect(VerifyAudit(append(records[:1:1], records[2:]...))).NotTo(Succeed())
+		edited := proto.Clone(records[1]).(*controlpb.AuditRecord)
+		edited.Actor = "nobody"
+		Expect(VerifyAudit(append(records[:1:1], append([]*controlpb.AuditRecord{edited}, records[2:]...)...))).NotTo(Succeed())
+	})
+})
+
+var _ = Describe("retention", func() {
+	// Guards against the loss of records that are still needed.
+	It("drops only what ended at or before the index", func() {
+		d := driver{New()}
+		d.must(submitCommand("k1"))
+		d.must(submitCommand("k2"))
+		d.must(cancelCommand("t1"))
+		through := d.m.Index()
+		d.must(cancelCommand("t2"))
+		prune := &statepb.Command{Kind: &statepb.Command_Prune{Prune: &statepb.Prune{TasksThrough: through, Limit: 10}}}
+		Expect(d.must(prune).(*statepb.PruneResult).GetTasks()).To(Equal(uint32(1)))
+		_, found := d.m.Task("t1")
+		Expect(found).To(BeFalse())
+		_, found = d.m.Task("t2")
+		Expect(found).To(BeTrue())
+	})
+})
+
+// FuzzDecode guards against a panic on a damaged command.
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(submitCommand("k"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		c, err := Decode(data)
+		if err == nil {
+			_, _ = driver{New()}.apply(c)
+		}
+	})
+}
+
+// FuzzRestore guards against a panic on a damaged snapshot, and against one that
+// is accepted and then not written the same way.
+func FuzzRestore(f *testing.F) {
+	for _, s := range setups {
+		f.Add(snapshotOf(s.build().m))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Restore(data)
+		if err != nil {
+			return
+		}
+		again, err := Restore(snapshotOf(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(snapshotOf(again)) != string(snapshotOf(m)) {
+			t.Fatal("a restored snapshot is written differently")
+		}
+	})
+}
--- /dev/null
+++ b/state/transitions_test.go
@@ -0,0 +1,203 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/rpc/controlpb"
+)
+
+const (
+	kindDone          = controlpb.TaskEventKind_TASK_EVENT_KIND_DONE
+	kindFailed        = controlpb.TaskEventKind_TASK_EVENT_KIND_FAILED
+	kindEvicted       = controlpb.TaskEventKind_TASK_EVENT_KIND_EVICTED
+	kindCancelled     = controlpb.TaskEventKind_TASK_EVENT_KIND_CANCELLED
+	kindReturned      = controlpb.TaskEventKind_TASK_EVENT_KIND_RETURNED
+	kindRejected      = controlpb.TaskEventKind_TASK_EVENT_KIND_REJECTED
+	kindAttemptFailed = controlpb.TaskEventKind_TASK_EVENT_KIND_ATTEMPT_FAILED
+)
+
+var allKinds = []controlpb.TaskEventKind{
+	kindDone, kindFailed, kindEvicted, kindCancelled, kindReturned, kindRejected, kindAttemptFailed,
+}
+
+// The domain of the enumeration has epoch 3; the task is bound under epoch 2 and
+// its newest attempt is 2/5.
+var attempts = map[string]*controlpb.Attempt{
+	"older epoch":  attempt(1, 9),
+	"older number": attempt(2, 4),
+	"same":         attempt(2, 5),
+	"newer number": attempt(2, 6),
+	"newer epoch":  attempt(3, 1),
+	"future epoch": attempt(4, 1),
+}
+
+// setup brings task t1 into a state.
+type setup struct {
+	name  string
+	state controlpb.TaskState
+	// last is the event that closed attempt 2/5; 0 while it is open.
+	last   controlpb.TaskEventKind
+	cancel bool
+}
+
+var setups = []setup{
+	{name: "pending", state: pending},
+	{name: "bound", state: bound},
+	{name: "bound, evicted", state: bound, last: kindEvicted},
+	{name: "bound, attempt failed", state: bound, last: kindAttemptFailed},
+	{name: "bound, to be cancelled", state: bound, cancel: true},
+	{name: "done", state: done, last: kindDone},
+	{name: "failed", state: failed, last: kindFailed},
+	{name: "cancelled", state: cancelled, last: kindCancelled, cancel: true},
+	{name: "rejected", state: rejected, last: kindRejected},
+}
+
+func (s setup) build() driver {
+	d := driver{New()}
+	d.must(submitCommand("k"))
+	d.must(appointCommand("a", 0, "s"))
+	d.must(appointCommand("a", 1, "s"))
+	if s.state == pending {
+		d.must(appointCommand("a", 2, "s"))
+		return d
+	}
+	d.must(bindCommand("t1", "a", 2))
+	d.must(reportCommand("a", "s", 2, "t1", kindAttemptFailed, attempt(2, 4)))
+	if s.cancel {
+		d.must(cancelCommand("t1"))
+	}
+	// The end of attempt 2/5; an open one is made known by raising the record.
+	if s.last != 0 {
+		d.must(reportCommand("a", "s", 2, "t1", s.last, attempt(2, 5)))
+	} else {
+		r := d.m.tasks.byID["t1"]
+		after := copyRecord(r)
+		after.Task.Attempt, after.LastEvent = attempt(2, 5), 0
+		d.m.tasks.replace(r, after)
+	}
+	d.must(appointCommand("a", 2, "s"))
+	return d
+}
+
+// expected says what an event must do, independently of the implementation's
+// tables: whether it is recorded, and the state afterwards.
+func (s setup) expected(kind controlpb.TaskEventKind, relation string) (bool, controlpb.TaskState) {
+	if s.state == pending {
+		return false, pending
+	}
+	if relation == "same" && s.last == kind {
+		return true, s.state
+	}
+	stale := relation == "older epoch" || relation == "older number" || relation == "future epoch"
+	if s.state != bound || stale || (kind == kindCancelled && !s.cancel) {
+		return false, s.state
+	}
+	closing := kind == kindDone || kind == kindFailed || kind == kindEvicted || kind == kindAttemptFailed
+	if relation == "same" && s.last != 0 && closing && (s.last != kindAttemptFailed || kind != kindFailed) {
+		return false, bound
+	}
+	if s.cancel && kind == kindReturned {
+		return true, cancelled
+	}
+	return true, map[controlpb.TaskEventKind]controlpb.TaskState{
+		kindDone: done, kindFailed: failed, kindEvicted: bound, kindCancelled: cancelled,
+		kindReturned: pending, kindRejected: rejected, kindAttemptFailed: bound,
+	}[kind]
+}
+
+// send applies an event and reports whether it is recorded.
+func send(d driver, kind controlpb.TaskEventKind, a *controlpb.Attempt) bool {
+	answer := d.must(reportCommand("a", "s", 3, "t1", kind, a)).(*controlpb.ReportTasksResponse)
+	return len(answer.GetStale()) == 0
+}
+
+var _ = Describe("task transitions", func() {
+	// Guards against an event that moves a task it must not move: every event at
+	// every state with every relation of the attempts.
+	It("follow the table for every event at every state", func() {
+		for _, s := range setups {
+			for _, kind := range allKinds {
+				for relation, a := range attempts {
+					where := fmt.Sprintf("%s, event %v, %s attempt", s.name, kind, relation)
+					d := s.build()
+					recorded, state := s.expected(kind, relation)
+					Expect(send(d, kind, a)).To(Equal(recorded), where)
+					task, _ := d.m.Task("t1")
+					Expect(task.GetState()).To(Equal(state), where)
+					Expect(send(d, kind, a)).To(Equal(recorded), where+", repeated")
+					again, _ := d.m.Task("t1")
+					Expect(again).To(BeIdenticalTo(task), where+": the repetition changed the record")
+				}
+			}
+		}
+	})
+
+	// Guards against two outcomes of one task when events are duplicated and
+	// reordered: every sequence of three events over two attempts.
+	It("keep the first outcome in every order of events", func() {
+		type step struct {
+			kind controlpb.TaskEventKind
+			a    *controlpb.Attempt
+		}
+		var steps []step
+		for _, kind := range allKinds {
+			steps = append(steps, step{kind, attempt(2, 5)}, step{kind, attempt(3, 1)})
+		}
+		for _, first := range steps {
+			for _, second := range steps {
+				for _, third := range steps {
+					d := setups[4].build()
+					var outcome *controlpb.Task
+					for _, s := range []step{first, second, third} {
+						send(d, s.kind, s.a)
+						task, _ := d.m.Task("t1")
+						if outcome != nil {
+							Expect(task).To(BeIdenticalTo(outcome), fmt.Sprint(first, second, third))
+						}
+						if Ended(task) {
+							outcome = task
+						}
+					}
+				}
+			}
+		}
+	})
+
+	// Guards against a late copy of a return that unbinds a task which is bound to
+	// the same domain again and may run.
+	It("refuse a late return of an earlier binding", func() {
+		d := setups[1].build()
+		Expect(send(d, kindReturned, attempt(2, 5))).To(BeTrue())
+		d.must(bindCommand("t1", "a", 3))
+		Expect(send(d, kindReturned, attempt(2, 5))).To(BeFalse())
+		task, _ := d.m.Task("t1")
+		Expect(task.GetState()).To(Equal(bound))
+		Expect(task.GetAttempt().GetNumber()).To(Equal(uint64(6)))
+	})
+
+	// Guards against outcomes of a former active scheduler.
+	It("refuse reports of another epoch or scheduler", func() {
+		d := setups[1].build()
+		for _, c := range []struct {
+			scheduler string
+			epoch     uint64
+		}{{"s", 2}, {"other", 3}, {"s", 4}, {"", 3}} {
+			_, err := d.apply(reportCommand("a", c.scheduler, c.epoch, "t1", kindDone, attempt(2, 5)))
+			var refusal *Refusal
+			Expect(errors.As(err, &refusal)).To(BeTrue())
+			Expect(refusal.Kind).To(Equal(KindStaleEpoch))
+		}
+	})
+
+	// Guards against a task that is handed out again although it was cancelled.
+	It("cancel a task that is to be cancelled when its domain is over", func() {
+		d := setups[4].build()
+		d.must(expireCommand("a", 3))
+		task, _ := d.m.Task("t1")
+		Expect(task.GetState()).To(Equal(cancelled))
+	})
+})
