Make the stand-in worker's rules a pure machine and refuse a continued epoch

The worker rules move to fakeworker/machine so that the core can be explored against them without sockets. A start that arrives after its attempt was blocked was answered as done; it is refused now. A restarted scheduler that control leads into the epoch of the process before it claims a newer epoch instead: it does not know the starts of that epoch.

--- a/fakeworker/heartbeat.go
+++ b/fakeworker/heartbeat.go
@@ -16,22 +16,20 @@
 	heartbeatEvery   = 500 * time.Millisecond
 	heartbeatTimeout = time.Second
 	// heartbeatGap bounds the rate of heartbeats sent early because a task ended.
-	heartbeatGap = 100 * time.Millisecond
-	// keptSequences is how many heartbeats are remembered for starts.
-	keptSequences  = 256
+	heartbeatGap   = 100 * time.Millisecond
 	maxAnswerBytes = 4 << 20
 )
 
 // beat sends heartbeats to every scheduler.
 func (w *Worker) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		hb, sent := w.heartbeat(time.Now())
+		hb := w.heartbeat(time.Now())
 		body, err := json.Marshal(hb)
 		if err != nil {
 			panic(fmt.Sprintf("encode heartbeat: %v", err))
 		}
 		for _, address := range w.settings.Schedulers {
-			go w.exchange(ctx, address, hb, body, sent)
+			go w.exchange(ctx, address, hb, body)
 		}
 		w.pause(ctx, heartbeatGap, nil)
 		w.pause(ctx, heartbeatEvery-heartbeatGap, w.wake)
@@ -48,50 +46,20 @@
 	}
 }
 
-// heartbeat builds the next heartbeat. Leases count from the time returned, which
-// is before it is sent.
-func (w *Worker) heartbeat(now time.Time) (*workerapi.Heartbeat, time.Time) {
+// heartbeat builds the next heartbeat.
+func (w *Worker) heartbeat(now time.Time) *workerapi.Heartbeat {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.sequence++
-	w.sent[w.sequence] = now
-	delete(w.sent, w.sequence-keptSequences)
 	s := w.settings
 	hb := &workerapi.Heartbeat{
-		Worker: s.Name, Incarnation: w.incarnation, Sequence: w.sequence, Domain: s.Domain, Rack: s.Rack,
-		Address: w.Address(), Capacity: s.Capacity, Slots: s.Slots, Connections: s.Connections,
-		Services: s.Services, Draining: !w.draining.IsZero(),
-		Session: w.session.number, Holder: w.session.holder, Epoch: w.session.epoch,
-		SlotsInUse: map[uint64]int{}, Tasks: w.reports(false), Reports: w.serviceReports(now),
-		BootUnixMS: w.boot.UnixMilli(),
+		Domain: s.Domain, Rack: s.Rack, Address: w.Address(), Connections: s.Connections,
+		Services: s.Services, Reports: w.serviceReports(now), BootUnixMS: w.boot.UnixMilli(),
 	}
-	for session, n := range w.inUse {
-		hb.SlotsInUse[session] = n
-	}
-	for i := range hb.Tasks {
-		hb.Used = hb.Used.Plus(hb.Tasks[i].Used)
-	}
-	return hb, now
+	w.machine.Heartbeat(now.Sub(w.boot), hb)
+	return hb
 }
 
-// reports lists the attempts. A checkpoint of a running attempt is included only
-// while no scheduler has it, or if all are wanted.
-func (w *Worker) reports(all bool) []workerapi.TaskReport {
-	var list []workerapi.TaskReport
-	for _, a := range w.tasks {
-		if a.running() {
-			a.refresh()
-		}
-		r := a.report
-		if a.running() && !a.unsent && !all {
-			r.Checkpoint = nil
-		}
-		list = append(list, r)
-	}
-	return list
-}
-
-func (w *Worker) exchange(ctx context.Context, address string, hb *workerapi.Heartbeat, body []byte, sent time.Time) {
+func (w *Worker) exchange(ctx context.Context, address string, hb *workerapi.Heartbeat, body []byte) {
 	var answer workerapi.HeartbeatAnswer
 	if err := w.post(ctx, address, workerapi.PathHeartbeat, body, &answer); err != nil {
 		w.log.Debug().Err(err).Str("scheduler", address).Msg("heartbeat failed")
@@ -99,32 +67,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.heard[answer.Scheduler] = time.Now()
-	if answer.Scheduler != w.session.taskHolder {
-		return
-	}
-	w.renewed(hb, &answer, sent)
-}
-
-// renewed takes in the answer of the scheduler that holds the tasks.
-func (w *Worker) renewed(hb *workerapi.Heartbeat, answer *workerapi.HeartbeatAnswer, sent time.Time) {
-	lease := sent.Add(time.Duration(answer.TaskLeaseMS) * time.Millisecond)
-	for _, ref := range answer.Renew {
-		if a := w.tasks[ref.ID]; a != nil && a.running() && a.report.Attempt == ref.Attempt && lease.After(a.lease) {
-			a.lease = lease
-		}
-	}
-	for _, ref := range answer.Acknowledge {
-		if a := w.tasks[ref.ID]; a != nil && !a.running() && a.report.Attempt == ref.Attempt {
-			delete(w.tasks, ref.ID)
-		}
-	}
-	for i := range hb.Tasks {
-		r := &hb.Tasks[i]
-		if a := w.tasks[r.ID]; a != nil && a.unsent && bytes.Equal(r.Checkpoint, a.report.Checkpoint) {
-			a.unsent = false
-		}
-	}
+	w.machine.Answered(w.now(), hb, &answer)
 }
 
 // withdraw tells the schedulers that the worker leaves.
--- a/fakeworker/task.go
+++ b/fakeworker/machine/task.go
@@ -1,7 +1,9 @@
-package fakeworker
+package machine
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"geraniumwall/workerapi"
@@ -12,7 +14,7 @@
 	checkpointEvery = time.Second
 	// maxStep bounds the work of one quantum, so that a process that was frozen does
 	// not count the time as work.
-	maxStep = 5 * quantum
+	maxStep = 50 * time.Millisecond
 	// fenceAge is the time for which attempts of a task are remembered; no command
 	// is delayed for longer.
 	fenceAge = 10 * time.Minute
@@ -42,14 +44,14 @@
 // fence is the newest attempt of a task that the worker has seen or blocked.
 type fence struct {
 	attempt workerapi.Attempt
-	at      time.Time
+	at      time.Duration
 }
 
 // attempt is one attempt on this worker until its end is acknowledged.
 type attempt struct {
 	report  workerapi.TaskReport
 	payload Payload
-	lease   time.Time
+	lease   time.Duration
 	share   float64
 	// before is the run time of earlier attempts, ran that of this one.
 	before time.Duration
@@ -61,7 +63,7 @@
 
 func (a *attempt) running() bool { return a.report.Phase == workerapi.PhaseRunning }
 
-func newAttempt(c *workerapi.Start, lease time.Time) *attempt {
+func newAttempt(c *workerapi.Start, lease time.Duration) *attempt {
 	a := &attempt{lease: lease, share: 1, report: workerapi.TaskReport{
 		ID: c.ID, Attempt: c.Attempt, Phase: workerapi.PhaseRunning, Job: c.Job, Resources: c.Resources, Throttle: 1,
 	}}
@@ -99,33 +101,34 @@
 	}
 }
 
-// advance runs every task for one quantum and ends those whose lease is over.
-func (w *Worker) advance(now time.Time, step time.Duration) {
+// Advance runs every task for one quantum and ends those whose lease is over.
+func (m *Machine) Advance(now, step time.Duration) {
 	step = min(step, maxStep)
-	for _, a := range w.tasks {
+	for _, id := range m.taskIDs() {
+		a := m.tasks[id]
 		if !a.running() {
 			continue
 		}
-		if !now.Before(a.lease) {
+		if now >= a.lease {
 			a.save()
-			w.finish(a, workerapi.PhaseStopped, a.lease)
+			m.finish(a, workerapi.PhaseStopped, a.lease)
 			continue
 		}
 		a.ran += time.Duration(float64(step) * a.share)
 		switch {
 		case a.before+a.ran >= a.total() && a.payload.Fail:
 			a.report.Error = "the payload asks for a failure"
-			w.finish(a, workerapi.PhaseFailed, now)
+			m.finish(a, workerapi.PhaseFailed, now)
 		case a.before+a.ran >= a.total():
 			a.report.Result, _ = json.Marshal(Result{
-				Worker: w.settings.Name, Attempt: a.report.Attempt, RanMS: a.ran.Milliseconds(),
+				Worker: m.settings.Name, Attempt: a.report.Attempt, RanMS: a.ran.Milliseconds(),
 			})
-			w.finish(a, workerapi.PhaseDone, now)
+			m.finish(a, workerapi.PhaseDone, now)
 		case a.before+a.ran-a.saved >= checkpointEvery:
 			a.save()
 		}
 	}
-	w.forgetFences(now)
+	m.forgetFences(now)
 }
 
 var finalEvents = map[workerapi.Phase]EventKind{
@@ -133,51 +136,23 @@
 }
 
 // finish ends an attempt; it is reported until it is acknowledged.
-func (w *Worker) finish(a *attempt, phase workerapi.Phase, at time.Time) {
+func (m *Machine) finish(a *attempt, phase workerapi.Phase, at time.Duration) {
 	a.report.Phase = phase
 	a.refresh()
 	a.report.Used = workerapi.Resources{}
-	e := w.event(at, finalEvents[phase])
-	e.Task, e.Attempt, e.RanMS = a.report.ID, &a.report.Attempt, a.ran.Milliseconds()
-	w.record.add(e)
-	w.nudge()
+	m.record(Event{At: at, Kind: finalEvents[phase], Task: a.report.ID, Attempt: a.report.Attempt, Ran: a.ran})
 }
 
-// used is what running tasks take up by their declared sizes.
-func (w *Worker) used() workerapi.Resources {
-	var sum workerapi.Resources
-	for _, a := range w.tasks {
-		if a.running() {
-			sum = sum.Plus(a.report.Resources)
-		}
-	}
-	return sum
-}
-
-func (w *Worker) notePeak() {
-	used := w.used()
-	higher := used.CPUMillis > w.peak.CPUMillis || used.MemoryMB > w.peak.MemoryMB ||
-		used.Accelerators > w.peak.Accelerators || w.busy > w.slotPeak
-	if !higher {
-		return
-	}
-	w.peak.CPUMillis = max(w.peak.CPUMillis, used.CPUMillis)
-	w.peak.MemoryMB = max(w.peak.MemoryMB, used.MemoryMB)
-	w.peak.Accelerators = max(w.peak.Accelerators, used.Accelerators)
-	w.slotPeak = max(w.slotPeak, w.busy)
-	e := w.event(time.Now(), Peak)
-	peak := w.peak
-	e.Use, e.Slots = &peak, w.slotPeak
-	w.record.add(e)
-}
+// taskIDs returns the tasks in a fixed order, so that equal runs are equal.
+func (m *Machine) taskIDs() []string { return slices.Sorted(maps.Keys(m.tasks)) }
 
-func (w *Worker) forgetFences(now time.Time) {
-	if len(w.newest) < maxFence {
+func (m *Machine) forgetFences(now time.Duration) {
+	if len(m.newest) < maxFence {
 		return
 	}
-	for id, f := range w.newest {
-		if w.tasks[id] == nil && now.Sub(f.at) > fenceAge {
-			delete(w.newest, id)
+	for id, f := range m.newest {
+		if m.tasks[id] == nil && now-f.at > fenceAge {
+			delete(m.newest, id)
 		}
 	}
 }
--- a/fakeworker/record.go
+++ b/fakeworker/record.go
@@ -6,21 +6,22 @@
 	"os"
 	"sync"
 
+	"geraniumwall/fakeworker/machine"
 	"geraniumwall/workerapi"
 )
 
 // EventKind names what an Event records.
 type EventKind string
 
-// Kinds of events.
+// Kinds of events. A peak is a new highest use of the capacity or the slots.
 const (
-	TaskStart    EventKind = "task_start"
-	TaskStop     EventKind = "task_stop"
-	TaskDone     EventKind = "task_done"
-	TaskFailed   EventKind = "task_failed"
-	RequestStart EventKind = "request_start"
-	RequestEnd   EventKind = "request_end"
-	Peak         EventKind = "peak"
+	TaskStart    = EventKind(machine.TaskStart)
+	TaskStop     = EventKind(machine.TaskStop)
+	TaskDone     = EventKind(machine.TaskDone)
+	TaskFailed   = EventKind(machine.TaskFailed)
+	Peak         = EventKind(machine.Peak)
+	RequestStart = EventKind("request_start")
+	RequestEnd   = EventKind("request_end")
 )
 
 // Event is one line of the record file.
--- a/fakeworker/serve.go
+++ b/fakeworker/serve.go
@@ -78,26 +78,19 @@
 	switch {
 	case !slices.Contains(w.settings.Services, service):
 		return http.StatusNotFound, "the service is not offered here"
-	case number != w.session.number || number == 0:
-		return http.StatusServiceUnavailable, "the session is not in force"
-	case w.busy >= w.settings.Slots:
-		return http.StatusServiceUnavailable, "no slot is free"
 	case !w.draining.IsZero() && time.Since(w.draining) >= grantsOver:
 		return http.StatusServiceUnavailable, "the worker leaves"
 	}
-	w.busy++
-	w.inUse[number]++
-	w.notePeak()
+	if reason := w.machine.TakeSlot(w.now(), number); reason != "" {
+		return http.StatusServiceUnavailable, reason
+	}
 	return 0, ""
 }
 
 func (w *Worker) freeSlot(service string, number uint64, now time.Time, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.busy--
-	if w.inUse[number]--; w.inUse[number] == 0 {
-		delete(w.inUse, number)
-	}
+	w.machine.FreeSlot(number)
 	w.measure(service, now, took)
 }
 
@@ -120,15 +113,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	stretch := 1.0
-	for _, a := range w.tasks {
-		if !a.running() {
-			continue
-		}
-		coefficient, listed := s.Jobs[a.report.Job]
+	for _, load := range w.machine.Loads() {
+		coefficient, listed := s.Jobs[load.Job]
 		if !listed {
 			coefficient = s.Default
 		}
-		stretch += coefficient * a.share * float64(a.report.Resources.CPUMillis) / float64(w.settings.Capacity.CPUMillis)
+		stretch += coefficient * load.Share
 	}
 	return stretch
 }
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -11,15 +11,13 @@
 	"github.com/rs/zerolog"
 
 	"geraniumwall/daemon"
+	"geraniumwall/fakeworker/machine"
 	"geraniumwall/workerapi"
 )
 
 const (
 	// quantum is the step of simulated work.
 	quantum = 10 * time.Millisecond
-	// holderSilence is the silence of the holder after which another scheduler may
-	// take the session for services only.
-	holderSilence = time.Second
 	// grantsOver is the time after which no gateway holds a grant any more.
 	grantsOver = 3060 * time.Millisecond
 	// withdrawLimit bounds a planned stop; every task lease is over before.
@@ -38,29 +36,9 @@
 	wake        chan struct{}
 
 	mu       sync.Mutex
-	session  session
-	heard    map[string]time.Time
-	tasks    map[string]*attempt
-	newest   map[string]fence
-	sent     map[uint64]time.Time
-	sequence uint64
-	inUse    map[uint64]int
-	busy     int
+	machine  *machine.Machine
 	draining time.Time
 	meters   map[string]*meter
-	peak     workerapi.Resources
-	slotPeak int
-}
-
-// session is the newest accepted attach.
-type session struct {
-	number       uint64
-	holder       string
-	epoch        uint64
-	servicesOnly bool
-	// taskHolder and taskEpoch are of the newest full attach.
-	taskHolder string
-	taskEpoch  uint64
 }
 
 // New binds the address and opens the record file. Run starts to work.
@@ -71,11 +49,13 @@
 	}
 	w := &Worker{
 		settings: s, incarnation: uuid.NewString(), boot: time.Now(), log: log, record: record,
-		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
-		wake:  make(chan struct{}, 1),
-		heard: map[string]time.Time{}, tasks: map[string]*attempt{}, newest: map[string]fence{},
-		sent: map[uint64]time.Time{}, inUse: map[uint64]int{}, meters: map[string]*meter{},
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		wake:   make(chan struct{}, 1),
+		meters: map[string]*meter{},
 	}
+	w.machine = machine.New(machine.Settings{
+		Name: s.Name, Incarnation: w.incarnation, Capacity: s.Capacity, Slots: s.Slots,
+	}, w.recordTask)
 	w.server, err = daemon.Listen(context.Background(), s.Listen, w.routes())
 	if err != nil {
 		return nil, err
@@ -93,16 +73,16 @@
 func (w *Worker) Peak() (workerapi.Resources, int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.peak, w.slotPeak
+	return w.machine.Peak()
 }
 
 func (w *Worker) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+workerapi.PathAttach, handle(w.attach))
-	mux.HandleFunc("POST "+workerapi.PathStart, handle(w.start))
-	mux.HandleFunc("POST "+workerapi.PathStop, handle(w.stop))
-	mux.HandleFunc("POST "+workerapi.PathThrottle, handle(w.throttle))
-	mux.HandleFunc("POST "+workerapi.PathCheckpoint, handle(w.checkpoint))
+	mux.HandleFunc("POST "+workerapi.PathAttach, handle(w, w.machine.Attach))
+	mux.HandleFunc("POST "+workerapi.PathStart, handle(w, w.machine.Start))
+	mux.HandleFunc("POST "+workerapi.PathStop, handle(w, w.machine.Stop))
+	mux.HandleFunc("POST "+workerapi.PathThrottle, handle(w, w.machine.Throttle))
+	mux.HandleFunc("POST "+workerapi.PathCheckpoint, handle(w, w.machine.Checkpoint))
 	mux.HandleFunc("POST "+workerapi.PathServe+"{service}", w.serve)
 	return mux
 }
@@ -132,6 +112,7 @@
 func (w *Worker) leave(ctx context.Context) {
 	w.mu.Lock()
 	w.draining = time.Now()
+	w.machine.Drain()
 	w.mu.Unlock()
 	w.withdraw(ctx, false)
 	w.nudge()
@@ -148,7 +129,7 @@
 func (w *Worker) idle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.busy == 0 && len(w.tasks) == 0 && time.Since(w.draining) >= grantsOver
+	return w.machine.Idle() && time.Since(w.draining) >= grantsOver
 }
 
 // work advances the simulated tasks.
@@ -162,7 +143,7 @@
 			return
 		case now := <-ticker.C:
 			w.mu.Lock()
-			w.advance(now, now.Sub(last))
+			w.machine.Advance(now.Sub(w.boot), now.Sub(last))
 			w.mu.Unlock()
 			last = now
 		}
@@ -177,6 +158,25 @@
 	}
 }
 
+// now is the monotonic time since the start of the worker.
+func (w *Worker) now() time.Duration { return time.Since(w.boot) }
+
+// recordTask writes down an event of the machine. An attempt that ended is
+// reported soon.
+func (w *Worker) recordTask(m machine.Event) {
+	e := w.event(w.boot.Add(m.At), EventKind(m.Kind))
+	if m.Kind == machine.Peak {
+		use, slots := w.machine.Peak()
+		e.Use, e.Slots = &use, slots
+	} else {
+		e.Task, e.Attempt, e.RanMS = m.Task, &m.Attempt, m.Ran.Milliseconds()
+	}
+	w.record.add(e)
+	if m.Kind != machine.TaskStart && m.Kind != machine.Peak {
+		w.nudge()
+	}
+}
+
 func (w *Worker) event(at time.Time, kind EventKind) Event {
 	return Event{NS: at.UnixNano(), Worker: w.settings.Name, Incarnation: w.incarnation, Event: kind}
 }
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -81,6 +81,10 @@
 		return
 	}
 	switch {
+	case !r.Failed && r.Answer.Outcome == workerapi.OutcomeDone && r.Answer.Task.Attempt != t.attempt:
+		c.stopAttempt(now, t, stopUnknownStart)
+	case !r.Failed && r.Answer.Outcome == workerapi.OutcomeDone && isFinal(r.Answer.Task.Phase):
+		c.settle(now, t, &r.Answer.Task)
 	case !r.Failed && r.Answer.Outcome == workerapi.OutcomeDone:
 		c.confirmRunning(t)
 	case !r.Failed && r.Answer.Outcome == workerapi.OutcomeNotRun:
--- a/scheduler/authority.go
+++ b/scheduler/authority.go
@@ -26,6 +26,13 @@
 	takeoverAt time.Duration
 	// peerHeard is when the active scheduler last asked for a lease.
 	peerHeard time.Duration
+	// seen is the newest epoch in which another process acts or none does, as far as
+	// known. An appointment in a newer one can only be of this process.
+	seen  uint64
+	aware bool
+	// claim is sent as epoch after an appointment that may be of a process before
+	// this one, so that control appoints again.
+	claim uint64
 	// resigned is set for good by a planned stop.
 	resigned bool
 }
@@ -75,7 +82,7 @@
 		Revision:       a.leases.Revision(),
 		MayBeAppointed: a.leases.MayBeAppointed(now) && !c.stopping,
 	}
-	if a.leases.Role() == lease.RoleActive {
+	if request.Epoch = a.claim; a.leases.Role() == lease.RoleActive {
 		request.Epoch = a.leases.Epoch()
 	}
 	return request, !a.resigned
@@ -84,7 +91,7 @@
 // ControlRenewed takes in control's answer to a lease request sent at time sent.
 func (c *Core) ControlRenewed(now, sent time.Duration, answer lease.Answer) {
 	a := &c.authority
-	if a.resigned || !a.leases.Answered(sent, answer) {
+	if a.resigned || !a.ownEpoch(c.settings.Name, answer) || !a.leases.Answered(sent, answer) {
 		return
 	}
 	if a.active() && (answer.Role != lease.RoleActive || answer.Epoch != a.taken) {
@@ -93,6 +100,26 @@
 	c.advanceRole(now)
 }
 
+// ownEpoch reports whether an answer cannot continue the epoch of a process that
+// had this name before a restart. Such a process may have started tasks in its
+// epoch that this one does not know of.
+func (a *authority) ownEpoch(name string, answer lease.Answer) bool {
+	if answer.Role != lease.RoleActive {
+		hidden := answer.Epoch == 0 && answer.Active == name
+		a.aware = a.aware || !hidden
+		a.seen = max(a.seen, answer.Epoch)
+		return true
+	}
+	continues := a.leases.Role() == lease.RoleActive && a.leases.Epoch() == answer.Epoch
+	if !continues && (!a.aware || answer.Epoch <= a.seen) {
+		a.aware, a.seen = true, max(a.seen, answer.Epoch)
+		a.claim = a.seen + 1
+		return false
+	}
+	a.claim, a.seen = 0, answer.Epoch
+	return true
+}
+
 // PeerRenewed takes in a scheduler lease that the standby granted on a request
 // sent at time sent.
 func (c *Core) PeerRenewed(sent time.Duration, standby string, epoch uint64, d time.Duration) {
--- a/schedulerd/control_fake_test.go
+++ b/schedulerd/control_fake_test.go
@@ -22,7 +22,6 @@
 	tasks   map[string]*controlpb.Task
 	events  []*controlpb.TaskEvent
 	config  []byte
-	down    bool
 }
 
 func startFakeControl(config []byte) (*fakeControl, *httptest.Server) {
@@ -68,6 +67,9 @@
 		answer.Role = controlpb.SchedulerRole_SCHEDULER_ROLE_STANDBY
 	default:
 		answer.Role = controlpb.SchedulerRole_SCHEDULER_ROLE_NONE
+		if d.Active == r.GetScheduler() {
+			answer.Epoch, answer.Revision = 0, 0
+		}
 	}
 	return answer, nil
 }
