--- a/cmd/geranium-scheduler/main.go
+++ b/cmd/geranium-scheduler/main.go
@@ -14,6 +14,11 @@
 func main() {
 	settings := schedulerd.Defaults()
 	daemon.Main("geranium-scheduler", settings, func(ctx context.Context, log zerolog.Logger) error {
+		if settings.MetricsListen != "" {
+			if _, err := daemon.ServeMetrics(ctx, settings.MetricsListen); err != nil {
+				return err
+			}
+		}
 		server, err := schedulerd.New(settings, log, firstfit.New())
 		if err != nil {
 			return err
