Prove the core against faults at each step

Random runs found an attach answer that arrived after a repeated attach and overwrote the newer slot counts; it is ignored now.

--- a/fakeworker/machine/command.go
+++ b/fakeworker/machine/command.go
@@ -43,7 +43,8 @@
 
 func (m *Machine) acceptsServices(now time.Duration, c *workerapi.Attach) bool {
 	holder := m.session.holder
-	return holder == "" || holder == c.Scheduler || now-m.heard[holder] >= holderSilence
+	repeated := holder == c.Scheduler && m.session.servicesOnly
+	return holder == "" || repeated || now-m.heard[holder] >= holderSilence
 }
 
 func (m *Machine) adopt(now time.Duration, c *workerapi.Attach) {
--- /dev/null
+++ b/scheduler/faults_test.go
@@ -0,0 +1,152 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// scenario is a fixed sequence of task transitions: a task that runs to its end, one
+// that is cancelled while it runs, one that fails once too often, and one that moves
+// because its worker leaves. Without faults it is over after about 12 s.
+func scenario() *world {
+	w := newWorld(2, 0, 4)
+	w.after(2500*time.Millisecond, func() {
+		w.control.submit("plain", `{"run_ms":2500}`)
+		w.control.submit("cancelled", `{"run_ms":60000}`)
+		w.control.submit("failing", `{"run_ms":200,"fail":true}`)
+		w.control.submit("moved", `{"run_ms":4000}`)
+	})
+	w.after(4*time.Second, func() { w.control.cancel("cancelled") })
+	w.after(5*time.Second, func() { w.drainHolder("moved") })
+	return w
+}
+
+// drainHolder drains the worker that runs the task.
+func (w *world) drainHolder(task string) {
+	for _, h := range w.workers {
+		if w.running[task] != h.address() {
+			continue
+		}
+		for _, s := range w.schedulers {
+			if s.alive {
+				s.core.Drain(s.now(), h.name, false, "test")
+			}
+		}
+	}
+}
+
+// finish runs a scenario to its end and describes what went wrong, if anything. A
+// broken invariant inside the core is reported like any other failure.
+func finish(w *world, limit time.Duration) (failure string) {
+	defer func() {
+		if r := recover(); r != nil {
+			failure = fmt.Sprintf("at %v: panic: %v", w.now, r)
+		}
+	}()
+	w.run(6 * time.Second)
+	if w.runUntil(limit, w.control.ended) || w.failure != "" {
+		return w.failure
+	}
+	for id, t := range w.control.tasks {
+		failure += fmt.Sprintf("task %s is still %s; ", id, t.state)
+	}
+	return failure + fmt.Sprintf("running %v", w.running)
+}
+
+// limitWithFaults covers a failover, a task lease that must run out, and the rest
+// of the work.
+const limitWithFaults = 60 * time.Second
+
+var messageFates = map[string]fate{
+	"lost":           {drop: true},
+	"late":           {delay: 1500 * time.Millisecond},
+	"past the lease": {delay: 12 * time.Second},
+	"twice":          {twice: true},
+}
+
+// taskMessages are the messages of the task transitions.
+var taskMessages = []string{
+	"attach", "attach-answer", "start", "start-answer", "stop", "stop-answer", "report", "report-answer",
+	"sync", "sync-answer",
+}
+
+var _ = ginkgo.Describe("Task transitions", func() {
+	ginkgo.It("end without faults, each task once", func() {
+		w := scenario()
+		Expect(finish(w, 20*time.Second)).To(BeEmpty())
+		Expect(w.starts).To(Equal(map[string]int{"plain": 1, "cancelled": 1, "failing": 3, "moved": 2}))
+	})
+
+	ginkgo.It("survive the loss, delay and duplication of each message", func() {
+		base := scenario()
+		Expect(finish(base, 20*time.Second)).To(BeEmpty())
+		for _, label := range taskMessages {
+			Expect(base.counts[label]).To(BeNumerically(">", 0), label)
+			for n := 1; n <= min(base.counts[label], 12); n++ {
+				for name, what := range messageFates {
+					w := scenario()
+					w.fates = func(l string, i int) fate {
+						if l == label && i == n {
+							return what
+						}
+						return fate{}
+					}
+					Expect(finish(w, limitWithFaults)).To(BeEmpty(), "%s %d is %s", label, n, name)
+				}
+			}
+		}
+	})
+
+	ginkgo.It("survive the crash and the freeze of each process at each moment", func() {
+		for at := 1700 * time.Millisecond; at < 9*time.Second; at += 130 * time.Millisecond {
+			for _, c := range disturbances() {
+				w := scenario()
+				w.after(at, func() { c.happen(w) })
+				Expect(finish(w, limitWithFaults)).To(BeEmpty(), "%s at %v", c.name, at)
+			}
+		}
+	})
+})
+
+type disturbance struct {
+	name   string
+	happen func(w *world)
+}
+
+// disturbances are the faults of processes. Each crashed process returns 3 s later.
+func disturbances() []disturbance {
+	var list []disturbance
+	for i := range 2 {
+		list = append(list,
+			disturbance{fmt.Sprintf("crash of scheduler %d", i+1), func(w *world) {
+				w.schedulers[i].crash()
+				w.after(3*time.Second, w.schedulers[i].boot)
+			}},
+			disturbance{fmt.Sprintf("quick restart of scheduler %d", i+1), func(w *world) {
+				w.schedulers[i].crash()
+				w.after(100*time.Millisecond, w.schedulers[i].boot)
+			}},
+			disturbance{fmt.Sprintf("crash of worker %d", i+1), func(w *world) {
+				w.workers[i].crash()
+				w.after(3*time.Second, w.workers[i].boot)
+			}},
+			disturbance{fmt.Sprintf("partition of scheduler %d from control and its peer", i+1), func(w *world) {
+				from, name := w.now, w.schedulers[i].name
+				w.cut = func(a, b string) bool {
+					far := a[0] != 'w' && b[0] != 'w'
+					return far && (a == name || b == name) && w.now < from+7*time.Second
+				}
+			}},
+		)
+		for _, d := range []time.Duration{2 * time.Second, 14 * time.Second} {
+			list = append(list,
+				disturbance{fmt.Sprintf("freeze of scheduler %d for %v", i+1, d), func(w *world) { w.schedulers[i].frozen = w.now + d }},
+				disturbance{fmt.Sprintf("freeze of worker %d for %v", i+1, d), func(w *world) { w.workers[i].frozen = w.now + d }},
+			)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/scheduler/random_test.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	soakVariable = "GERANIUM_SOAK_SECONDS"
+	fixedSeed    = "20260711"
+	randomChecks = "150"
+	soakChecks   = "200"
+	// faultsEnd is when the last fault happens; the rest of a run must finish the work.
+	faultsEnd = 30 * time.Second
+	// settleLimit covers the end of a domain lease, an appointment and every task.
+	settleLimit = 240 * time.Second
+)
+
+// randomRun draws a world with tasks, faults of messages and of processes.
+func randomRun(t *rapid.T) {
+	w := newWorld(rapid.IntRange(1, 4).Draw(t, "workers"), rapid.IntRange(0, 3).Draw(t, "gateways"), rapid.IntRange(1, 4).Draw(t, "slots"))
+	faults := disturbances()
+	moment := func(label string) time.Duration {
+		return time.Duration(rapid.IntRange(0, int(faultsEnd/time.Millisecond)).Draw(t, label)) * time.Millisecond
+	}
+	for i := range rapid.IntRange(1, 12).Draw(t, "tasks") {
+		id := fmt.Sprintf("t%d", i)
+		payload := fmt.Sprintf(`{"run_ms":%d,"fail":%v}`, rapid.IntRange(1, 9000).Draw(t, "run"), rapid.IntRange(0, 9).Draw(t, "fail") == 0)
+		at := moment("submit")
+		w.after(at, func() { w.control.submit(id, payload) })
+		if rapid.IntRange(0, 3).Draw(t, "cancel") == 0 {
+			w.after(at+moment("cancelled")/4, func() { w.control.cancel(id) })
+		}
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "faults") {
+		d := faults[rapid.IntRange(0, len(faults)-1).Draw(t, "fault")]
+		w.after(moment("at"), func() { w.tryDisturb(d) })
+	}
+	w.randomMessages(rapid.Uint64().Draw(t, "messages"), rapid.IntRange(0, 20).Draw(t, "percent"))
+	if failure := finish(w, settleLimit); failure != "" {
+		t.Fatal(failure)
+	}
+}
+
+// tryDisturb skips faults of workers that the world does not have and crashes of
+// processes that are down already.
+func (w *world) tryDisturb(d disturbance) {
+	for _, s := range w.schedulers {
+		if !s.alive {
+			return
+		}
+	}
+	for _, h := range w.workers {
+		if !h.alive {
+			return
+		}
+	}
+	if len(w.workers) > 1 {
+		d.happen(w)
+	}
+}
+
+// randomMessages loses, delays and duplicates a share of all messages.
+func (w *world) randomMessages(seed uint64, percent int) {
+	random := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // reproducible faults
+	w.fates = func(string, int) fate {
+		if w.now > faultsEnd || random.IntN(100) >= percent {
+			return fate{}
+		}
+		switch random.IntN(4) {
+		case 0:
+			return fate{drop: true}
+		case 1:
+			return fate{twice: true}
+		case 2:
+			return fate{delay: time.Duration(random.IntN(3000)) * time.Millisecond}
+		}
+		return fate{delay: time.Duration(random.IntN(50)) * time.Millisecond}
+	}
+}
+
+func check(t *testing.T, seed, checks string) {
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, randomRun)
+}
+
+// TestRandomRuns guards the invariants against combinations of faults.
+func TestRandomRuns(t *testing.T) { check(t, fixedSeed, randomChecks) }
+
+// TestSoakRandomRuns looks for new failing seeds.
+func TestSoakRandomRuns(t *testing.T) {
+	seconds, err := strconv.Atoi(os.Getenv(soakVariable))
+	if err != nil {
+		t.Skip("set " + soakVariable)
+	}
+	for end := time.Now().Add(time.Duration(seconds) * time.Second); time.Now().Before(end) && !t.Failed(); {
+		seed := strconv.FormatUint(rand.Uint64N(1<<62), 10) //nolint:gosec // a new seed, printed below
+		t.Logf("seed %s", seed)
+		check(t, seed, soakChecks)
+	}
+}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -61,6 +61,10 @@
 	if r.Answer.Session < w.session.number || !plausibleUse(r.Answer.SlotsInUse, w.slots) {
 		return
 	}
+	if s := &w.session; s.held && s.number == r.Answer.Session && s.servicesOnly == r.Body.ServicesOnly {
+		// A repeated attach; heartbeats have newer counts than this answer.
+		return
+	}
 	c.hold(now, w, r)
 }
 
