--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,10 +1,9 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 
 	"geraniumwall/routing"
@@ -21,15 +20,18 @@
 		g.balancer.release(ticket, routing.ResultAbandoned)
 		return nil, false
 	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	request = request.WithContext(httptrace.WithClientTrace(c.ctx, trace))
 	response, err := g.workers.http.RoundTrip(request)
 	if err != nil {
-		return c.lost(ticket, err), true
+		return c.lost(ticket, connected), true
 	}
 	return c.received(ticket, response), true
 }
 
 func (c *call) workerRequest(ticket *routing.Ticket) *http.Request {
-	request := &http.Request{
+	return &http.Request{
 		Method: http.MethodPost,
 		URL: &url.URL{
 			Scheme: "http", Host: ticket.Address, Path: workerapi.PathServe + c.service.Name,
@@ -40,18 +42,16 @@
 		ContentLength: c.body.length,
 		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	return request.WithContext(c.ctx)
 }
 
-// lost judges an attempt without an answer. Only a connection that was never made
-// proves that the request was not run.
-func (c *call) lost(ticket routing.Ticket, err error) *answer {
-	if neverConnected(err) {
-		c.gateway.balancer.release(ticket, c.blame())
+// lost judges an attempt without an answer. Only an attempt that never got a
+// connection proves that the request was not run.
+func (c *call) lost(ticket routing.Ticket, connected bool) *answer {
+	c.gateway.balancer.release(ticket, c.blame())
+	if !connected {
 		return problemAnswer(notRun(http.StatusServiceUnavailable, typeUpstream, "The upstream could not be reached",
 			"retry later").after(defaultRetryAfter))
 	}
-	c.gateway.balancer.release(ticket, c.blame())
 	if c.ctx.Err() != nil {
 		return problemAnswer(unknownOutcome(http.StatusGatewayTimeout,
 			"the deadline passed while the request was running; "+c.remedy()))
@@ -76,11 +76,6 @@
 	return "find out what the service did; the request is never run again under this key"
 }
 
-func neverConnected(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // received judges the answer of an upstream.
 func (c *call) received(ticket routing.Ticket, response *http.Response) *answer {
 	if response.Header.Get(workerapi.HeaderOutcome) == string(workerapi.OutcomeNotRun) {
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/workerapi"
@@ -86,11 +88,12 @@
 
 // notRecorded answers when it is not known that the request was recorded. Nothing
 // was sent, so the outcome is not_run. If the record may exist, the gateway tries
-// to end it, so that a resend need not wait for the deadline.
+// to end it, so that a resend need not wait for the deadline. The replicas keep
+// the end even without a beginning, so a late beginning starts nothing.
 func (c *call) notRecorded(r record, err error) *answer {
 	var failed *client.Error
 	if !errors.As(err, &failed) || failed.Outcome != workerapi.OutcomeNotRun {
-		c.gateway.recordInBackground(r, notRunOutcome(), c.ends, true)
+		c.gateway.recordInBackground(r, notRunOutcome(), c.ends)
 	}
 	return problemAnswer(notRun(http.StatusServiceUnavailable, typeControl, "The request could not be recorded",
 		"resend with the same key").after(defaultRetryAfter))
@@ -109,7 +112,7 @@
 	c.ends = full
 	outcome := storedOutcome(a)
 	if err := c.gateway.end(c.ctx, r, outcome); err != nil {
-		c.gateway.recordInBackground(r, outcome, c.gateway.clock()+recordLongest, false)
+		c.gateway.recordInBackground(r, outcome, c.gateway.clock()+recordLongest)
 	}
 	return a
 }
@@ -130,15 +133,14 @@
 	return err
 }
 
-// recordInBackground records an outcome until the time ends. With again set the
-// beginning may not be recorded yet; it is repeated first with the same holder, so
-// that it cannot be recorded after the end.
-func (g *Gateway) recordInBackground(r record, outcome *controlpb.RequestOutcome, ends time.Duration, again bool) {
+// recordInBackground records an outcome until the time ends or the record shows
+// that it is not this holder's to end.
+func (g *Gateway) recordInBackground(r record, outcome *controlpb.RequestOutcome, ends time.Duration) {
 	g.recording.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), ends-g.clock())
 		defer cancel()
 		for ctx.Err() == nil {
-			if g.tryRecord(ctx, r, outcome, ends, again) {
+			if err := g.end(ctx, r, outcome); err == nil || refusedRecord(err) {
 				return
 			}
 			select {
@@ -149,17 +151,11 @@
 	})
 }
 
-func (g *Gateway) tryRecord(ctx context.Context, r record, outcome *controlpb.RequestOutcome, ends time.Duration, again bool) bool {
-	if again {
-		began, err := g.begin(ctx, r, ends-g.clock())
-		if err != nil {
-			return false
-		}
-		if began.GetState() != controlpb.RequestState_REQUEST_STATE_STARTED {
-			return true
-		}
-	}
-	return g.end(ctx, r, outcome) == nil
+// refusedRecord reports whether the replicas answered definitely that the outcome
+// cannot be recorded, so that repeating it is of no use.
+func refusedRecord(err error) bool {
+	var answer twirp.Error
+	return errors.As(err, &answer) && answer.Code() == twirp.FailedPrecondition
 }
 
 // storedOutcome is the form in which an answer is recorded.
--- /dev/null
+++ b/load/sleep_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package load
+
+import "time"
+
+func sleep(d time.Duration) { time.Sleep(d) }
