--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,9 +21,16 @@
 	longestDrain = 61 * time.Minute
 	// recordWait bounds the wait for records of outcomes at the end.
 	recordWait = 10 * time.Second
+	// The live heap is a few megabytes, so the default of 100 percent would collect
+	// garbage dozens of times a second under load. The soft limit takes over when
+	// queued bodies fill the heap.
+	gcPercent       = 400
+	memoryLimitByte = 256 << 20
 )
 
 func main() {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimitByte)
 	s := defaultSettings()
 	daemon.Main("geranium-gateway", s, func(ctx context.Context, log zerolog.Logger) error {
 		return run(ctx, s, log)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -57,12 +57,12 @@
 	outcome *controlpb.RequestOutcome
 }
 
-func (c *fakeControl) apply(f func() fault, effect func()) error {
+func (c *fakeControl) apply(f *func() fault, effect func()) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kind := faultNone
-	if f != nil {
-		kind = f()
+	if *f != nil {
+		kind = (*f)()
 	}
 	if kind == faultNone || kind == faultLoseAnswer {
 		effect()
@@ -79,7 +79,7 @@
 
 func (c *fakeControl) BeginRequest(_ context.Context, q *controlpb.BeginRequestRequest) (*controlpb.BeginRequestResponse, error) {
 	answer := &controlpb.BeginRequestResponse{}
-	err := c.apply(c.beginFault, func() { c.begin(q, answer) })
+	err := c.apply(&c.beginFault, func() { c.begin(q, answer) })
 	return answer, err
 }
 
@@ -102,7 +102,7 @@
 }
 
 func (c *fakeControl) EndRequest(_ context.Context, q *controlpb.EndRequestRequest) (*controlpb.EndRequestResponse, error) {
-	err := c.apply(c.endFault, func() {
+	err := c.apply(&c.endFault, func() {
 		key := q.Caller + "\x00" + q.IdempotencyKey
 		r := c.records[key]
 		if r == nil && q.Outcome.Outcome == "not_run" {
@@ -136,7 +136,7 @@
 
 func (c *fakeControl) SubmitTasks(_ context.Context, q *controlpb.SubmitTasksRequest) (*controlpb.SubmitTasksResponse, error) {
 	answer := &controlpb.SubmitTasksResponse{}
-	err := c.apply(c.submit, func() {
+	err := c.apply(&c.submit, func() {
 		c.batches = append(c.batches, len(q.Tasks))
 		for _, spec := range q.Tasks {
 			id := "task-" + spec.IdempotencyKey
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	recording sync.WaitGroup
 	stop      context.CancelFunc
 	running   sync.WaitGroup
+	stopOnce  sync.Once
 }
 
 // New returns a gateway that serves nothing until Start.
@@ -134,6 +135,10 @@
 // Stop returns the grants and ends all background work. Call it when no request is
 // in progress; ctx bounds the wait for records of outcomes.
 func (g *Gateway) Stop(ctx context.Context) {
+	g.stopOnce.Do(func() { g.stopAll(ctx) })
+}
+
+func (g *Gateway) stopAll(ctx context.Context) {
 	g.Drain()
 	g.waitForRecords(ctx)
 	g.submitter.stop()
