Never use an older session while a newer grant is in force

A random run of the core found that a gateway fell back to an older session when one scheduler withdrew the newer grant, and then counted from zero, so it could exceed the grant. The book now remembers the newest session until its grant has expired, and a session that comes back keeps its count.

--- a/routing/book.go
+++ b/routing/book.go
@@ -20,10 +20,17 @@
 }
 
 // Book merges the grant sets of several schedulers.
-type Book struct{ sets map[string]GrantSet }
+type Book struct {
+	sets map[string]GrantSet
+	// newest holds the grant with the highest session of each worker, even after
+	// its scheduler has withdrawn it: the worker refuses older sessions.
+	newest map[string]Grant
+}
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{sets: map[string]GrantSet{}} }
+func NewBook() *Book {
+	return &Book{sets: map[string]GrantSet{}, newest: map[string]Grant{}}
+}
 
 // Receive replaces the set of a scheduler. It returns false and changes nothing
 // if a set that was requested later is already in the book.
@@ -32,18 +39,25 @@
 		return false
 	}
 	b.sets[set.Scheduler] = set
+	for _, g := range set.Grants {
+		if old := b.newest[g.Worker]; old.Expires <= set.Sent || better(g, old) {
+			b.newest[g.Worker] = g
+		}
+	}
 	return true
 }
 
 // Usable returns the grants in force at now in order of worker name. Of several
 // unexpired grants for a worker the one with the highest session wins, since the
-// worker refuses every older session. Workers listed as leaving have none.
+// worker refuses every older session. An older session is used only when the newer
+// one has expired, as after a restart of the worker. Workers listed as leaving have
+// none.
 func (b *Book) Usable(now time.Duration) []Grant {
 	best := map[string]Grant{}
 	leaving := map[string]bool{}
 	for _, set := range b.sets {
 		for _, g := range set.Grants {
-			if g.Expires > now && better(g, best[g.Worker]) {
+			if g.Expires > now && !b.outdated(g, now) && better(g, best[g.Worker]) {
 				best[g.Worker] = g
 			}
 		}
@@ -64,6 +78,11 @@
 	return usable
 }
 
+func (b *Book) outdated(g Grant, now time.Duration) bool {
+	newest := b.newest[g.Worker]
+	return newest.Expires > now && newest.Session > g.Session
+}
+
 func better(a, b Grant) bool {
 	if a.Session != b.Session {
 		return a.Session > b.Session
@@ -71,13 +90,18 @@
 	return a.Expires > b.Expires
 }
 
-// Prune forgets sets of which nothing is in force any more.
+// Prune forgets what is not in force any more.
 func (b *Book) Prune(now time.Duration) {
 	for name, set := range b.sets {
 		if set.expired(now) {
 			delete(b.sets, name)
 		}
 	}
+	for worker, g := range b.newest {
+		if g.Expires <= now {
+			delete(b.newest, worker)
+		}
+	}
 }
 
 func (s GrantSet) expired(now time.Duration) bool {
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -147,7 +147,19 @@
 			u.former = append(u.former, old)
 		}
 	}
-	u.current = &session{number: number}
+	u.current = u.reopen(number)
+}
+
+// reopen returns the session with the number. A session that comes back keeps its
+// count of outstanding requests.
+func (u *upstream) reopen(number uint64) *session {
+	for i, s := range u.former {
+		if s.number == number {
+			u.former = append(u.former[:i], u.former[i+1:]...)
+			return s
+		}
+	}
+	return &session{number: number}
 }
 
 func (u *upstream) busy() bool { return u.current.outstanding > 0 || len(u.former) > 0 }
