--- a/control/processes.go
+++ b/control/processes.go
@@ -13,6 +13,10 @@
 // is longer than a configuration poll.
 const processForgotten = time.Minute
 
+// reportDelay bounds the time by which a forwarded report looks younger than it
+// is: a report of an older version within it comes from before the newer one.
+const reportDelay = 2 * time.Second
+
 type processReport struct {
 	kind    string
 	domain  string
@@ -35,7 +39,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if before, known := t.reports[process]; known && before.seen > seen {
+	before, known := t.reports[process]
+	if known && (before.seen > seen || version < before.version && seen-before.seen < reportDelay) {
 		return
 	}
 	t.reports[process] = processReport{kind: kind, domain: domain, version: version, seen: seen}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -57,12 +57,12 @@
 	outcome *controlpb.RequestOutcome
 }
 
-func (c *fakeControl) apply(f func() fault, effect func()) error {
+func (c *fakeControl) apply(f *func() fault, effect func()) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kind := faultNone
-	if f != nil {
-		kind = f()
+	if *f != nil {
+		kind = (*f)()
 	}
 	if kind == faultNone || kind == faultLoseAnswer {
 		effect()
@@ -79,7 +79,7 @@
 
 func (c *fakeControl) BeginRequest(_ context.Context, q *controlpb.BeginRequestRequest) (*controlpb.BeginRequestResponse, error) {
 	answer := &controlpb.BeginRequestResponse{}
-	err := c.apply(c.beginFault, func() { c.begin(q, answer) })
+	err := c.apply(&c.beginFault, func() { c.begin(q, answer) })
 	return answer, err
 }
 
@@ -87,10 +87,10 @@
 	key := q.Caller + "\x00" + q.IdempotencyKey
 	r := c.records[key]
 	switch {
-	case r == nil || (r.outcome != nil && r.outcome.Outcome == "not_run"):
+	case r == nil || (r.outcome != nil && r.outcome.Outcome == "not_run" && r.holder != q.Holder):
 		c.records[key] = &fakeRecord{holder: q.Holder, hash: q.BodyHash}
 		answer.State = controlpb.RequestState_REQUEST_STATE_STARTED
-	case !bytes.Equal(r.hash, q.BodyHash):
+	case r.hash != nil && !bytes.Equal(r.hash, q.BodyHash):
 		answer.State = controlpb.RequestState_REQUEST_STATE_KEY_CONFLICT
 	case r.outcome != nil:
 		answer.State, answer.Outcome = controlpb.RequestState_REQUEST_STATE_ENDED, r.outcome
@@ -102,8 +102,13 @@
 }
 
 func (c *fakeControl) EndRequest(_ context.Context, q *controlpb.EndRequestRequest) (*controlpb.EndRequestResponse, error) {
-	err := c.apply(c.endFault, func() {
-		r := c.records[q.Caller+"\x00"+q.IdempotencyKey]
+	err := c.apply(&c.endFault, func() {
+		key := q.Caller + "\x00" + q.IdempotencyKey
+		r := c.records[key]
+		if r == nil && q.Outcome.Outcome == "not_run" {
+			c.records[key] = &fakeRecord{holder: q.Holder, outcome: q.Outcome}
+			return
+		}
 		if r != nil && r.holder == q.Holder && r.outcome == nil {
 			r.outcome = q.Outcome
 		}
@@ -131,7 +136,7 @@
 
 func (c *fakeControl) SubmitTasks(_ context.Context, q *controlpb.SubmitTasksRequest) (*controlpb.SubmitTasksResponse, error) {
 	answer := &controlpb.SubmitTasksResponse{}
-	err := c.apply(c.submit, func() {
+	err := c.apply(&c.submit, func() {
 		c.batches = append(c.batches, len(q.Tasks))
 		for _, spec := range q.Tasks {
 			id := "task-" + spec.IdempotencyKey
