Add a fake of the worker side and scenarios that drive engines directly

The decisions need measurements before they are tuned. The fake runs tasks in virtual time, slows services by a hidden law of pair and load, and reports late, out of order and with noise. Scenarios: pairwise slowdown, load shift, noisy wave, wrong sizes, failing worker, cancellations, lost domain, busy fleet. Baselines: first fit, least loaded, static split, reactive eviction.

--- /dev/null
+++ b/experiments/run.go
@@ -0,0 +1,316 @@
+// Package experiments measures scheduling policies on focused scenarios. A
+// scenario drives an engine directly through a small fake of the worker side in
+// virtual time.
+package experiments
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"geraniumwall/config"
+	"geraniumwall/experiments/fake"
+	"geraniumwall/policy"
+	"geraniumwall/workerapi"
+)
+
+// Policy is an engine under test.
+type Policy struct {
+	Name string
+	New  func(seed uint64) policy.Engine
+	// Split is the part of the fleet that only serves; 0 shares all workers.
+	Split float64
+}
+
+// Event happens once in a scenario.
+type Event struct {
+	At time.Duration
+	Do func(r *run)
+}
+
+// Scenario is one situation at the size of a deployment.
+type Scenario struct {
+	Name     string
+	Spec     func(seed uint64) fake.Spec
+	Duration time.Duration
+	// Demand is the offered work as a part of the capacity for tasks; it may
+	// change with time.
+	Demand func(now time.Duration) float64
+	// Urgent is the number of urgent tasks a second.
+	Urgent float64
+	Events []Event
+	// Each job gets its part of the demand by weight; nil is equal parts.
+	Weights map[string]float64
+}
+
+// Result is the measurement of one run.
+type Result struct {
+	// P99 is the tail latency of each service in microseconds.
+	P99 []int64
+	// Done and Lost are core-seconds of batch work.
+	Done, Lost  float64
+	Evictions   int
+	Throttles   int
+	Totals      fake.Totals
+	UrgentDelay time.Duration
+	UrgentCount int
+	// LongestWait is the longest wait of any task for its first start.
+	LongestWait time.Duration
+	// TasksFailed counts tasks that failed for good, Impossible those reported so.
+	TasksFailed int
+	Impossible  map[string]int
+	Submitted   int
+	Decisions   map[string]int
+	Starts      int
+}
+
+const maxAttempts = 3
+
+// run is the state of one run.
+type run struct {
+	scenario *Scenario
+	spec     fake.Spec
+	fleet    *fake.Fleet
+	engine   policy.Engine
+	random   *rand.Rand
+	now      time.Duration
+	tasks    map[string]policy.Task
+	order    []string
+	waiting  map[string]bool
+	debt     map[string]float64
+	next     int
+	result   Result
+}
+
+// Run measures one policy in a scenario. A nil engine runs services alone.
+func Run(s *Scenario, p Policy, seed uint64, c config.Config) Result {
+	spec := s.Spec(seed)
+	spec.Split = p.Split
+	r := &run{
+		scenario: s, spec: spec, fleet: fake.New(spec), random: rand.New(rand.NewPCG(seed, 99)),
+		tasks: map[string]policy.Task{}, waiting: map[string]bool{}, debt: map[string]float64{},
+		result: Result{Impossible: map[string]int{}, Decisions: map[string]int{}},
+	}
+	if p.New != nil {
+		r.engine = p.New(seed)
+		r.engine.SetConfig(0, c)
+		for _, w := range r.fleet.Workers() {
+			r.engine.UpsertWorker(0, w)
+		}
+	}
+	for r.now = fake.Tick; r.now <= s.Duration; r.now += fake.Tick {
+		events := r.fleet.Step(r.now)
+		if r.engine != nil {
+			r.deliver(&events)
+			r.happen()
+			r.arrive()
+			r.schedule()
+			r.react()
+		}
+	}
+	return r.finish()
+}
+
+func (r *run) finish() Result {
+	r.result.Totals = r.fleet.Totals
+	r.result.Done, r.result.Lost = r.fleet.Totals.Done, r.fleet.Totals.Lost
+	for _, h := range r.fleet.Totals.Latency {
+		r.result.P99 = append(r.result.P99, h.ValueAtQuantile(99))
+	}
+	for id := range r.waiting {
+		r.result.LongestWait = max(r.result.LongestWait, r.now-r.tasks[id].Enqueued)
+	}
+	return r.result
+}
+
+func (r *run) deliver(events *fake.Events) {
+	for _, e := range events.Ended {
+		r.ended(e)
+	}
+	for _, report := range events.Reports {
+		r.engine.ReportService(r.now, report.Worker, report.ServiceReport)
+	}
+	for _, u := range events.Usages {
+		r.engine.ReportUsage(r.now, u.Worker, u.Usage)
+	}
+}
+
+// ended tells the engine and puts the task back unless it is over.
+func (r *run) ended(e fake.Ended) {
+	r.engine.Ended(r.now, e.Task.ID, e.Worker, e.Kind)
+	t := r.tasks[e.Task.ID]
+	switch e.Kind {
+	case policy.EndDone, policy.EndCancelled:
+		delete(r.tasks, t.ID)
+		return
+	case policy.EndFailed:
+		t.Failures++
+	case policy.EndEvicted, policy.EndLost:
+		t.Evictions++
+	}
+	if t.Failures >= maxAttempts {
+		r.result.TasksFailed++
+		delete(r.tasks, t.ID)
+		return
+	}
+	r.tasks[t.ID] = t
+	r.waiting[t.ID] = true
+	r.engine.Enqueue(r.now, t)
+}
+
+func (r *run) happen() {
+	for _, e := range r.scenario.Events {
+		if e.At == r.now {
+			e.Do(r)
+		}
+	}
+}
+
+// arrive submits tasks so that each job gets its part of the demand.
+func (r *run) arrive() {
+	offered := r.spec.Capacity.Minus(r.spec.Reserved).CPUMillis * int64(r.spec.Workers)
+	demand := r.scenario.Demand(r.now) * float64(offered) / 1000 * fake.Tick.Seconds()
+	total := 0.0
+	for i := range r.spec.Jobs {
+		total += r.weight(&r.spec.Jobs[i])
+	}
+	for i := range r.spec.Jobs {
+		j := &r.spec.Jobs[i]
+		if j.Priority == config.Urgent {
+			r.debt[j.Name] += r.scenario.Urgent * fake.Tick.Seconds() * 2 * r.random.Float64()
+		} else {
+			cost := float64(j.Declared.CPUMillis) / 1000 * j.Expected.Seconds()
+			r.debt[j.Name] += 2 * r.random.Float64() * demand * r.weight(j) / total / cost
+		}
+		for ; r.debt[j.Name] >= 1; r.debt[j.Name]-- {
+			r.submit(j)
+		}
+	}
+}
+
+func (r *run) weight(j *fake.Job) float64 {
+	if j.Priority == config.Urgent {
+		return 0
+	}
+	if r.scenario.Weights == nil {
+		return 1
+	}
+	return r.scenario.Weights[j.Name]
+}
+
+func (r *run) submit(j *fake.Job) {
+	r.next++
+	t := policy.Task{
+		ID: fmt.Sprintf("t%06d", r.next), Team: j.Team, Job: j.Name, Priority: j.Priority, Size: j.Declared,
+		Expected: j.Expected, Enqueued: r.now, Checkpoints: j.Checkpoints,
+	}
+	r.result.Submitted++
+	r.tasks[t.ID] = t
+	r.order = append(r.order, t.ID)
+	r.waiting[t.ID] = true
+	r.engine.Enqueue(r.now, t)
+}
+
+// startsPerTick limits the proposals of one call.
+const startsPerTick = 128
+
+func (r *run) schedule() {
+	placements, impossible := r.engine.Next(r.now, startsPerTick)
+	for _, p := range placements {
+		r.start(p)
+	}
+	for _, i := range impossible {
+		if !r.waiting[i.Task] {
+			continue
+		}
+		r.result.Impossible[r.tasks[i.Task].Job]++
+		r.drop(i.Task)
+	}
+	for _, d := range r.engine.Decisions() {
+		r.result.Decisions[d.Kind]++
+	}
+}
+
+func (r *run) drop(id string) {
+	r.engine.Dequeue(r.now, id)
+	delete(r.waiting, id)
+	delete(r.tasks, id)
+}
+
+func (r *run) start(p policy.Placement) {
+	t := r.tasks[p.Task]
+	size := p.Size
+	if size == (workerapi.Resources{}) {
+		size = t.Size
+	}
+	if !r.fleet.Start(r.now, t, size, p.Worker) {
+		r.engine.Refused(r.now, p.Task, p.Worker)
+		return
+	}
+	delete(r.waiting, t.ID)
+	reserved := t
+	reserved.Size = size
+	r.engine.Started(r.now, reserved, p.Worker)
+	r.result.Starts++
+	if t.Evictions > 0 || t.Failures > 0 {
+		return
+	}
+	waited := r.now - t.Enqueued
+	r.result.LongestWait = max(r.result.LongestWait, waited)
+	if t.Priority == config.Urgent {
+		r.result.UrgentCount++
+		r.result.UrgentDelay = max(r.result.UrgentDelay, waited)
+	}
+}
+
+func (r *run) react() {
+	for _, reaction := range r.engine.React(r.now) {
+		switch reaction.Kind {
+		case policy.Throttle:
+			r.result.Throttles++
+			r.fleet.Throttle(r.now, reaction.Task, reaction.Share)
+		case policy.Evict:
+			r.result.Evictions++
+			r.fleet.Evict(r.now, reaction.Task)
+		}
+	}
+}
+
+// cancel removes a part of all tasks at once.
+func (r *run) cancel(part float64) {
+	kept := r.order[:0]
+	for _, id := range r.order {
+		if _, alive := r.tasks[id]; !alive {
+			continue
+		}
+		if r.random.Float64() >= part || r.tasks[id].Priority == config.Urgent {
+			kept = append(kept, id)
+			continue
+		}
+		if on, ran := r.fleet.Cancel(id); ran {
+			r.engine.Ended(r.now, id, on, policy.EndCancelled)
+		} else {
+			r.engine.Dequeue(r.now, id)
+		}
+		delete(r.waiting, id)
+		delete(r.tasks, id)
+	}
+	r.order = kept
+}
+
+// lose cuts a domain off; its workers leave and its tasks wait again.
+func (r *run) lose(domain int) {
+	for _, w := range r.fleet.DomainWorkers(domain) {
+		r.engine.RemoveWorker(r.now, w.ID)
+	}
+	events := r.fleet.Lose(domain)
+	r.deliver(&events)
+}
+
+// restore brings a lost domain back.
+func (r *run) restore(domain int) {
+	r.fleet.Restore(domain)
+	for _, w := range r.fleet.DomainWorkers(domain) {
+		r.engine.UpsertWorker(r.now, w)
+	}
+}
