Check the restart time without the race detector only

Cause: with the race detector on a busy machine 9 of 12 runs of the test took 1.02 to 1.2 s; instrumented code is about ten times slower than the program whose time is stated. Ruled out: a longer limit, since the target is stated. The test still reopens the log under the race detector, checks the limit in plain builds by the shortest of five attempts, and the benchmark checks it too.

--- a/wal/bench_test.go
+++ b/wal/bench_test.go
@@ -1,6 +1,7 @@
 package wal_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -91,14 +92,26 @@
 	for b.Loop() {
 		reopen(b, disk)
 	}
+	if b.Elapsed() > time.Duration(b.N)*restartLimit {
+		b.Fatalf("opening %d records takes longer than %v", restartRecords, restartLimit)
+	}
 }
 
-// TestRestartTime guards the target time of a restart.
+// TestRestartTime guards the target time of a restart. The shortest of a few
+// attempts counts, since other processes may delay one.
 func TestRestartTime(t *testing.T) {
+	const attempts = 5
 	disk := filledStore(t)
-	began := time.Now()
-	reopen(t, disk)
-	if elapsed := time.Since(began); elapsed > restartLimit {
-		t.Fatalf("opening %d records took %v, the limit is %v", restartRecords, elapsed, restartLimit)
+	best := time.Duration(math.MaxInt64)
+	for range attempts {
+		began := time.Now()
+		reopen(t, disk)
+		best = min(best, time.Since(began))
+		if best <= restartLimit {
+			return
+		}
+	}
+	if !raceDetector {
+		t.Fatalf("opening %d records took %v, the limit is %v", restartRecords, best, restartLimit)
 	}
 }
--- /dev/null
+++ b/wal/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package wal_test
+
+const raceDetector = false
