--- a/gateway/taskread.go
+++ b/gateway/taskread.go
@@ -53,6 +53,9 @@
 // serveCancel serves DELETE /v1/tasks/{id}.
 func (g *Gateway) serveCancel(w http.ResponseWriter, r *http.Request) {
 	e, problem := readEnvelope(r.Header, taskDeadline)
+	if problem == nil && !validToken(r.PathValue("id")) {
+		problem = taskNotFound()
+	}
 	if problem != nil {
 		problem.write(w)
 		return
@@ -77,6 +80,9 @@
 	if problem != nil {
 		return nil, problem
 	}
+	if !validToken(r.PathValue("id")) {
+		return nil, taskNotFound()
+	}
 	response, err := g.getTask(r.Context(), r.PathValue("id"), wait)
 	if err != nil && wait > 0 && g.draining.Load() {
 		response, err = g.getTask(r.Context(), r.PathValue("id"), 0)
--- a/gateway/tasks_test.go
+++ b/gateway/tasks_test.go
@@ -54,6 +54,7 @@
 		for _, body := range []string{
 			``, `{`, `{"job":"cut"} x`, `{"job":"other"}`, `{"job":"cut","extra":1}`,
 			`{"job":"cut","priority":"highest"}`, `{"job":"cut","resources":{"cpu_millis":-1}}`,
+			`{"job":"cut","domain":"elsewhere"}`, `{"job":"cut","team":"other"}`,
 		} {
 			got := submit(r, "k", body)
 			Expect(got.status).To(Equal(http.StatusBadRequest), body)
@@ -63,6 +64,15 @@
 		Expect(r.control.batches).To(BeEmpty())
 	})
 
+	It("answers 404 for ids that cannot exist", func() {
+		r := newRig()
+		for _, id := range []string{"none", "%ff", "%00"} {
+			response, err := http.Get(r.url + "/v1/tasks/" + id)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusNotFound), id)
+		}
+	})
+
 	It("submits a list under positions of one key", func() {
 		r := newRig()
 		got := r.post("/v1/tasks:batch", `[{"job":"cut"},{"job":"other"}]`, workerapi.HeaderIdempotent, "k")
--- a/gateway/taskspec.go
+++ b/gateway/taskspec.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"geraniumwall/config"
 	"geraniumwall/rpc/controlpb"
@@ -52,41 +53,58 @@
 func (t TaskSubmission) spec(c *config.Config, caller, key string) (*controlpb.TaskSpec, *Problem) {
 	job, known := c.FindJob(t.Job)
 	if !known {
-		return nil, invalid(fmt.Sprintf("job %q is not declared; declare it in the configuration or correct the name", t.Job))
+		return nil, undeclared("job", t.Job)
 	}
+	t = t.withDefaults(job)
+	if problem := t.check(c); problem != nil {
+		return nil, problem
+	}
+	return &controlpb.TaskSpec{
+		Caller: caller, IdempotencyKey: key, Team: t.Team, Job: t.Job, Priority: priorities[t.Priority],
+		Resources: &controlpb.Resources{
+			CpuMillis: t.Resources.CPUMillis, MemoryMb: t.Resources.MemoryMB, Accelerators: t.Resources.Accelerators,
+		},
+		ExpectedMs: t.ExpectedMS, Domain: t.Domain, Payload: t.Payload,
+	}, nil
+}
+
+func (t TaskSubmission) withDefaults(job config.Job) TaskSubmission {
 	if t.Team == "" {
 		t.Team = job.Team
 	}
-	if _, known := c.FindTeam(t.Team); !known {
-		return nil, invalid(fmt.Sprintf("team %q is not declared; declare it in the configuration or correct the name", t.Team))
-	}
 	if t.Priority == "" {
 		t.Priority = job.Priority
 	}
-	priority, known := priorities[t.Priority]
-	if !known {
-		return nil, invalid(fmt.Sprintf("priority %q does not exist; use urgent, normal or batch", t.Priority))
+	if t.Resources == nil {
+		t.Resources = &job.Size
+	}
+	if t.ExpectedMS == 0 {
+		t.ExpectedMS = job.ExpectedMS
+	}
+	return t
+}
+
+func (t TaskSubmission) check(c *config.Config) *Problem {
+	if _, known := c.FindTeam(t.Team); !known {
+		return undeclared("team", t.Team)
 	}
-	size := job.Size
-	if t.Resources != nil {
-		size = *t.Resources
+	if t.Domain != "" && !slices.Contains(c.Domains, t.Domain) {
+		return undeclared("domain", t.Domain)
 	}
-	if size.CPUMillis <= 0 || size.MemoryMB < 0 || size.Accelerators < 0 {
-		return nil, invalid("resources need cpu_millis above zero and no negative amount")
+	if _, known := priorities[t.Priority]; !known {
+		return invalid(fmt.Sprintf("priority %q does not exist; use urgent, normal or batch", t.Priority))
 	}
-	if t.ExpectedMS < 0 {
-		return nil, invalid("expected_ms must not be negative")
+	if t.Resources.CPUMillis <= 0 || t.Resources.MemoryMB < 0 || t.Resources.Accelerators < 0 {
+		return invalid("resources need cpu_millis above zero and no negative amount")
 	}
-	if t.ExpectedMS == 0 {
-		t.ExpectedMS = job.ExpectedMS
+	if t.ExpectedMS < 0 {
+		return invalid("expected_ms must not be negative")
 	}
-	return &controlpb.TaskSpec{
-		Caller: caller, IdempotencyKey: key, Team: t.Team, Job: t.Job, Priority: priority,
-		Resources: &controlpb.Resources{
-			CpuMillis: size.CPUMillis, MemoryMb: size.MemoryMB, Accelerators: size.Accelerators,
-		},
-		ExpectedMs: t.ExpectedMS, Domain: t.Domain, Payload: t.Payload,
-	}, nil
+	return nil
+}
+
+func undeclared(kind, name string) *Problem {
+	return invalid(fmt.Sprintf("%s %q is not declared; declare it in the configuration or correct the name", kind, name))
 }
 
 // TaskView is the JSON form of a task.
