Hedge slow attempts of idempotent services

A frozen or stalled worker held a request until its deadline although other workers had free slots. After the 95th percentile of the service's recent latency a second attempt is now made on another worker, if one has a free slot at that moment and the retry budget permits it. Queued requests rule hedging out, since then it would only add load.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -40,6 +40,14 @@
 	return b.wait(ctx, d.Waiter, r.Tag.(chan routing.Decision))
 }
 
+// tryAcquire takes a slot of a worker other than avoid if one is free now.
+func (b *balancer) tryAcquire(service, avoid string) (routing.Ticket, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer endOnPanic()
+	return b.table.TryAcquire(service, avoid, b.clock())
+}
+
 func (b *balancer) wait(ctx context.Context, w *routing.Waiter, decided chan routing.Decision) (routing.Ticket, error) {
 	timer := time.NewTimer(w.Latest() - b.clock())
 	defer timer.Stop()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -114,7 +114,7 @@
 		if err != nil {
 			return c.notAdmitted(err, h)
 		}
-		a, sent := c.attempt(ticket)
+		a, sent := c.hedged(ticket)
 		if !sent {
 			continue
 		}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -52,6 +52,9 @@
 	Address     string
 	Session     uint64
 	Connections int
+	// HedgeAfter is the time after which the attempt takes longer than usual, or 0
+	// if that is not known.
+	HedgeAfter time.Duration
 
 	lane    *lane
 	session *session
--- a/routing/service.go
+++ b/routing/service.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+const (
+	// hedgeQuantile of the recent latency is the time after which a second attempt
+	// may be made, so that at most about one request in twenty is a candidate.
+	hedgeQuantile = 0.95
+	hedgeSamples  = 20
+	hedgeShortest = time.Millisecond
+)
+
 // Waiter is a queued request.
 type Waiter struct {
 	// Tag is the tag of the request.
@@ -30,6 +38,10 @@
 	// waiting is the number of entries of queue that are not done.
 	waiting int
 	latency average
+	window  window
+	// usual caches the hedgeQuantile of usualOf.
+	usual   time.Duration
+	usualOf *counts
 	// used is the slot time that the service has received, for fairness.
 	used      time.Duration
 	starvedAt time.Duration
@@ -50,6 +62,20 @@
 	return min(time.Duration(s.latency.value), left/2)
 }
 
+// hedgeAfter is the time after which an attempt takes longer than usual, or 0 if
+// too little is known.
+func (s *service) hedgeAfter(now time.Duration) time.Duration {
+	s.window.rotate(now)
+	complete := s.window.complete
+	if complete == nil || complete.total < hedgeSamples {
+		return 0
+	}
+	if s.usualOf != complete {
+		s.usualOf, s.usual = complete, max(hedgeShortest, complete.quantile(hedgeQuantile))
+	}
+	return s.usual
+}
+
 // wait estimates how long a new entry of the queue waits. With nothing
 // outstanding there is no estimate, and the request waits for new grants.
 func (s *service) wait() time.Duration {
--- a/routing/table.go
+++ b/routing/table.go
@@ -194,6 +194,20 @@
 	return Decision{Kind: Queued, Waiter: s.enqueue(r, now)}
 }
 
+// TryAcquire admits a request to an upstream other than avoid, or returns false if
+// none has room now.
+func (t *Table) TryAcquire(name, avoid string, now time.Duration) (Ticket, bool) {
+	s := t.services[name]
+	if s == nil || s.waiting > 0 {
+		return Ticket{}, false
+	}
+	l := t.choose(s, []string{avoid}, now)
+	if l == nil || l.up.name == avoid {
+		return Ticket{}, false
+	}
+	return t.take(l, now), true
+}
+
 // catchUp keeps a service that was idle from claiming the slot time it did not
 // use.
 func (t *Table) catchUp(s *service) {
@@ -210,6 +224,7 @@
 
 func (t *Table) take(l *lane, now time.Duration) Ticket {
 	ticket := l.up.take(l, now)
+	ticket.HedgeAfter = l.service.hedgeAfter(now)
 	t.relist(l.up, now)
 	return ticket
 }
@@ -247,6 +262,7 @@
 	s.latency.add(float64(took))
 	l.latency.add(float64(took))
 	l.window.add(took, now)
+	s.window.add(took, now)
 	if s.latency.value > 0 {
 		l.up.limiter.record(float64(took)/s.latency.value, float64(l.up.current.slots))
 	}
