Provoke failures on connections that are in use

net/http resends some requests itself when a reused connection breaks, so the table of failures must run on such connections; and an attempt that is refused after one that may have run must not turn the answer into not_run.

--- a/gateway/matrix_test.go
+++ b/gateway/matrix_test.go
@@ -132,6 +132,20 @@
 		}
 	}
 
+	It("never answers not_run when an earlier attempt may have run", func() {
+		for _, first := range []http.HandlerFunc{kill, truncate(10, 100), status(http.StatusInternalServerError)} {
+			u := newFakeUpstream("w1")
+			r := newRig(u.grant(2, 3*time.Second))
+			u.behave(func(w http.ResponseWriter, r *http.Request) {
+				u.behave(refuse)
+				first(w, r)
+			})
+			got := r.quote("x", workerapi.HeaderDeadline, "1000")
+			Expect(u.started.Load()).To(BeNumerically(">=", 2), "the request was not retried")
+			Expect(got.outcome).To(BeElementOf(workerapi.OutcomeUnknown, workerapi.OutcomeFailed))
+		}
+	})
+
 	It("sends nothing when the beginning is not recorded", func() {
 		for _, f := range []fault{faultRefuse, faultLoseCall, faultLoseAnswer} {
 			u := newFakeUpstream("w1")
@@ -156,8 +170,12 @@
 // against a second run and against a first answer that changes afterwards.
 func checkHold(b behaviour, begin, end func() fault) {
 	u := newFakeUpstream("w1")
-	u.behave(b.serve)
 	r := newRig(u.grant(2, 3*time.Second))
+	// The connection is in use already: net/http itself resends some requests when
+	// such a connection breaks.
+	Expect(r.hold("warm", "x").outcome).To(Equal(workerapi.OutcomeDone))
+	u.started.Store(0)
+	u.behave(b.serve)
 	r.control.mu.Lock()
 	r.control.beginFault, r.control.endFault = begin, end
 	r.control.mu.Unlock()
