Start urgent tasks when their team is at its quota

The budget and the room on hosts were ruled out: no hold existed while they waited. The quota of the team was full of its own normal tasks, so urgent ones counted as borrowed and were not admitted.

Urgent use is now accounted for on its own. Capacity that an urgent task gives up is kept for the next one for two minutes, several urgent tasks of one shape are given room in one call, and a hold no longer ignores kept capacity. Corrected sizes change in steps and only beyond the declared size, since sizes that move with each measurement left gaps that no task fitted.

--- a/experiments/baseline/baseline.go
+++ b/experiments/baseline/baseline.go
@@ -63,9 +63,15 @@
 	var placements []policy.Placement
 	kept := e.queue[:0:0]
 	planned := map[string]workerapi.Resources{}
+	// Room only shrinks during a call, so a size that found none is not tried again.
+	noRoom := map[workerapi.Resources]bool{}
 	for _, t := range e.queue {
-		on := e.roomiest(t.Size, planned)
+		on := ""
+		if !noRoom[t.Size] {
+			on = e.roomiest(t.Size, planned)
+		}
 		if on == "" {
+			noRoom[t.Size] = true
 			kept = append(kept, t)
 			continue
 		}
--- a/policy/engine/engine.go
+++ b/policy/engine/engine.go
@@ -37,6 +37,8 @@
 	NoSlack      bool
 	NoHolds      bool
 	NoPreemption bool
+	// NoHeadroom keeps nothing back for urgent tasks.
+	NoHeadroom bool
 	// NoSizing reserves the declared sizes, NoLowering never less.
 	NoSizing   bool
 	NoLowering bool
@@ -97,6 +99,7 @@
 	waiting   map[string]policy.Task
 	planned   []string
 	holds     map[string]hold
+	pieces    []piece
 	fails     map[failKey]failMark
 	urgent    map[string]fairness.Candidate
 	owners    map[string]fairness.Candidate
@@ -219,6 +222,7 @@
 	e.model.Forget(id)
 	e.order = slices.DeleteFunc(e.order, func(o *host) bool { return o == h })
 	e.dropHolds(id)
+	e.dropPieces(id)
 	e.forgetIfEmpty(h)
 	e.queue.SetTotal(e.index.Total())
 }
--- a/policy/engine/hold.go
+++ b/policy/engine/hold.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"geraniumwall/config"
+	"geraniumwall/policy"
 	"geraniumwall/policy/fairness"
 	"geraniumwall/policy/placement"
+	"geraniumwall/workerapi"
 )
 
 // Holds drain a host for a task that is too large to find room by chance.
@@ -61,7 +64,7 @@
 
 // drainTime is the time until enough tasks of the host have ended.
 func (e *Engine) drainTime(now time.Duration, h *host, r *placement.Request) time.Duration {
-	free := h.placed.Free
+	free := h.placed.Room()
 	after := time.Duration(0)
 	left := sortedTasks(h.tasks)
 	for !r.Need.Fits(free) && len(left) > 0 {
@@ -84,17 +87,25 @@
 	return max(expected-(now-t.started), time.Second)
 }
 
-// chooseHeld returns the held host of the request once it has room.
-func (e *Engine) chooseHeld(r *placement.Request) (placement.Choice, bool) {
-	held, known := e.holds[r.Task]
-	if !known {
-		return placement.Choice{}, false
+// placeHeld starts the tasks whose held hosts have room by now.
+func (e *Engine) placeHeld(now time.Duration, round *fairness.Round, limit int, out []policy.Placement) []policy.Placement {
+	for _, id := range slices.Sorted(maps.Keys(e.holds)) {
+		c, admitted := round.Find(id)
+		h := e.hosts[e.holds[id].worker].placed
+		if !admitted || len(out) >= limit || !h.Open || !c.Need.Fits(usable(h, &c)) {
+			continue
+		}
+		out = append(out, e.place(now, round, &c, &placement.Choice{Host: h, Candidates: 1}))
 	}
-	h := e.hosts[held.worker].placed
-	if !h.Open || !r.Need.Fits(h.Free) {
-		return placement.Choice{}, false
+	return out
+}
+
+// usable is the free capacity that a candidate may take.
+func usable(h *placement.Host, c *fairness.Candidate) workerapi.Resources {
+	if c.Class == config.Urgent {
+		return h.Free
 	}
-	return placement.Choice{Host: h, Candidates: 1}, true
+	return h.Room()
 }
 
 func (e *Engine) endHold(task string) {
--- a/policy/engine/lifecycle.go
+++ b/policy/engine/lifecycle.go
@@ -68,7 +68,7 @@
 	e.vacate(now, h, t)
 	delete(h.tasks, t.ID)
 	delete(e.tasks, t.ID)
-	e.queue.Release(t.Team, t.reserved)
+	e.queue.Release(t.Team, t.Priority, t.reserved)
 	e.forgetIfEmpty(h)
 }
 
@@ -120,7 +120,7 @@
 	t := &task{Task: p, worker: worker, reserved: p.Size, started: now, share: 1}
 	e.tasks[p.ID] = t
 	h.tasks[p.ID] = t
-	e.queue.Charge(t.Team, t.reserved)
+	e.queue.Charge(t.Team, t.Priority, t.reserved)
 	e.occupy(now, h, t)
 }
 
@@ -131,7 +131,7 @@
 		return
 	}
 	t.reserved = size
-	e.queue.Charge(t.Team, difference)
+	e.queue.Charge(t.Team, t.Priority, difference)
 	if h := e.hosts[t.worker]; h.present {
 		e.index.Resize(h.placed, difference)
 	}
@@ -179,6 +179,9 @@
 	case policy.EndEvicted, policy.EndLost:
 	}
 	e.release(now, t)
+	if kind == policy.EndDone {
+		e.keep(now, t)
+	}
 	e.applyHealth(now)
 }
 
--- a/policy/engine/next.go
+++ b/policy/engine/next.go
@@ -50,15 +50,16 @@
 	e.health.Step(now)
 	e.applyHealth(now)
 	e.expireHolds(now)
+	e.expirePieces(now)
 	clear(e.urgent)
 	clear(e.owners)
 	if len(e.fails) > maxFails {
 		clear(e.fails)
 	}
 	var placements []policy.Placement
-	var impossible []policy.Impossible
-	impossible = e.repeatReports(now)
+	impossible := e.repeatReports(now)
 	round := e.queue.Round(now)
+	placements = e.placeHeld(now, round, limit, placements)
 	for len(placements) < limit {
 		c, found := round.Pick()
 		if !found {
@@ -70,21 +71,26 @@
 		}
 		choice := e.choose(now, &c)
 		if choice.Host != nil {
-			round.Take(c)
-			e.plan(now, &c, e.hosts[choice.Host.ID])
-			placements = append(placements, e.proposal(now, &c, &choice))
+			placements = append(placements, e.place(now, round, &c, &choice))
 			continue
 		}
 		if reason := e.neverFits(now, &c); reason != "" {
 			impossible = append(impossible, e.park(now, &c, reason))
 			continue
 		}
-		e.noRoom(now, &c, &choice)
+		e.noRoom(now, round, &c, &choice)
 		round.Block(c)
 	}
 	return placements, impossible
 }
 
+// place plans a candidate on the chosen host and proposes it.
+func (e *Engine) place(now time.Duration, round *fairness.Round, c *fairness.Candidate, choice *placement.Choice) policy.Placement {
+	round.Take(*c)
+	e.plan(now, c, e.hosts[choice.Host.ID])
+	return e.proposal(now, c, choice)
+}
+
 // returnPlans treats proposals that were not answered as refused.
 func (e *Engine) returnPlans(now time.Duration) {
 	for len(e.planned) > 0 {
@@ -107,8 +113,10 @@
 // choose finds a host for a candidate, or none.
 func (e *Engine) choose(now time.Duration, c *fairness.Candidate) placement.Choice {
 	r := e.request(c)
-	if choice, held := e.chooseHeld(&r); held {
-		return choice
+	if c.Class == config.Urgent {
+		if choice, kept := e.chooseKept(&r); kept {
+			return choice
+		}
 	}
 	insist := c.Class == config.Urgent || (c.Overdue(now) && now-e.insisted >= insistEvery)
 	key := failKey{job: c.Job, need: c.Need, insist: insist}
@@ -223,9 +231,11 @@
 }
 
 // noRoom remembers who waits for room, and explains it once in a while.
-func (e *Engine) noRoom(now time.Duration, c *fairness.Candidate, choice *placement.Choice) {
+func (e *Engine) noRoom(now time.Duration, round *fairness.Round, c *fairness.Candidate, choice *placement.Choice) {
 	if c.Class == config.Urgent {
-		e.urgent[c.ID] = *c
+		for _, like := range round.Like(*c, maxRoomsMade) {
+			e.urgent[like.ID] = like
+		}
 	} else if !c.Borrowed {
 		e.owners[c.Team] = *c
 	}
--- a/policy/engine/room.go
+++ b/policy/engine/room.go
@@ -97,7 +97,7 @@
 // that takes too many.
 func (e *Engine) sacrifice(now time.Duration, h *host, need workerapi.Resources, victim func(*task) bool) *sacrifice {
 	s := &sacrifice{host: h}
-	free := h.placed.Free
+	free := h.placed.Room()
 	var list []*task
 	for _, t := range sortedTasks(h.tasks) {
 		if !t.planned && !e.isLeaving(now, t) && victim(t) {
--- a/policy/fairness/queue.go
+++ b/policy/fairness/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"fmt"
 	"time"
 
 	"geraniumwall/config"
@@ -82,9 +81,9 @@
 	}
 	for _, c := range teams {
 		t := q.team(c.Name)
-		used := t.used
+		used, urgent := t.used, t.urgent
 		*t = newTeam(c, domains)
-		t.used = used
+		t.used, t.urgent = used, urgent
 	}
 }
 
@@ -165,18 +164,13 @@
 }
 
 // Charge adds a running task to the account of its team.
-func (q *Queue) Charge(team string, size workerapi.Resources) {
-	t := q.team(team)
-	t.used = t.used.Plus(size)
+func (q *Queue) Charge(team string, class config.Priority, size workerapi.Resources) {
+	q.team(team).charge(class, size)
 }
 
 // Release takes a task off the account of its team.
-func (q *Queue) Release(team string, size workerapi.Resources) {
-	t := q.team(team)
-	t.used = t.used.Minus(size)
-	if t.used.Negative() {
-		panic(fmt.Sprintf("fairness: account of team %q is negative: %+v", team, t.used))
-	}
+func (q *Queue) Release(team string, class config.Priority, size workerapi.Resources) {
+	q.team(team).charge(class, workerapi.Resources{}.Minus(size))
 }
 
 // Possible reports whether the quota of the team can ever admit the size.
--- a/policy/fairness/round.go
+++ b/policy/fairness/round.go
@@ -58,7 +58,7 @@
 	for _, l := range q.lanes {
 		l.need = q.sizer(l.job, l.size)
 		waits := l.waitingForRoom >= 0 && now-l.waitingForRoom > lendingStopsAfter
-		if waits && l.team.limited && l.team.within(l.need) {
+		if waits && l.team.limited && l.team.within(l.class, l.need) {
 			r.lending = false
 		}
 	}
@@ -73,7 +73,7 @@
 		if l.blocked == r.queue.round {
 			continue
 		}
-		c, admitted := r.candidate(l)
+		c, admitted := r.candidate(l, l.head())
 		if admitted && (!found || r.before(&c, &best)) {
 			best = c
 			found = true
@@ -82,19 +82,40 @@
 	return best, found
 }
 
-func (r *Round) candidate(l *lane) (Candidate, bool) {
-	head := l.head()
-	borrowed := !l.team.within(l.need)
+func (r *Round) candidate(l *lane, item *Item) (Candidate, bool) {
+	borrowed := !l.team.within(l.class, l.need)
 	if borrowed && !r.mayBorrow(l) {
 		return Candidate{}, false
 	}
-	c := Candidate{Item: *head, Need: l.need, Rank: r.rank(head), Borrowed: borrowed}
+	c := Candidate{Item: *item, Need: l.need, Rank: r.rank(item), Borrowed: borrowed}
 	if !r.queue.rules.NoFairness {
 		c.Share = l.team.share(r.queue.total)
 	}
 	return c, true
 }
 
+// Find returns a waiting task if it is admitted.
+func (r *Round) Find(id string) (Candidate, bool) {
+	place := r.queue.places[id]
+	if place == nil {
+		return Candidate{}, false
+	}
+	item := place.Value.(*Item)
+	return r.candidate(r.queue.byShape[shapeOf(item)], item)
+}
+
+// Like returns the first n waiting tasks of the shape of a candidate.
+func (r *Round) Like(c Candidate, n int) []Candidate {
+	var list []Candidate
+	l := r.queue.byShape[shapeOf(&c.Item)]
+	for place := l.items.Front(); place != nil && len(list) < n; place = place.Next() {
+		if like, admitted := r.candidate(l, place.Value.(*Item)); admitted {
+			list = append(list, like)
+		}
+	}
+	return list
+}
+
 func (r *Round) mayBorrow(l *lane) bool {
 	return l.team.borrows && r.lending && !r.queue.rules.NoBorrow && l.need.Fits(r.idle)
 }
@@ -137,7 +158,7 @@
 func (r *Round) Take(c Candidate) {
 	l := r.queue.byShape[shapeOf(&c.Item)]
 	l.waitingForRoom = -1
-	r.queue.Charge(c.Team, c.Need)
+	r.queue.Charge(c.Team, c.Class, c.Need)
 	if c.Borrowed {
 		r.idle = r.idle.Minus(c.Need)
 	}
--- a/policy/fairness/team.go
+++ b/policy/fairness/team.go
@@ -3,6 +3,8 @@
 package fairness
 
 import (
+	"fmt"
+
 	"geraniumwall/config"
 	"geraniumwall/workerapi"
 )
@@ -17,6 +19,8 @@
 	limited bool
 	borrows bool
 	used    workerapi.Resources
+	// urgent is the part of used by urgent tasks.
+	urgent workerapi.Resources
 }
 
 // newTeam divides the quota by the number of domains, rounding up.
@@ -39,12 +43,29 @@
 
 // within reports whether the team stays within its quota. A team that runs
 // nothing may always run one task that fits its quota in the deployment, so
-// that the division by domains never blocks a task for good.
-func (t *Team) within(size workerapi.Resources) bool {
-	if !t.limited || t.used.Plus(size).Fits(t.quota) {
+// that the division by domains never blocks a task for good. Urgent tasks count
+// against the quota without the other tasks of the team, which would otherwise
+// hold back urgent work until they end.
+func (t *Team) within(class config.Priority, size workerapi.Resources) bool {
+	used := t.used
+	if class == config.Urgent {
+		used = t.urgent
+	}
+	if !t.limited || used.Plus(size).Fits(t.quota) {
 		return true
 	}
-	return t.used == workerapi.Resources{} && size.Fits(t.full)
+	return used == workerapi.Resources{} && size.Fits(t.full)
+}
+
+// charge adds a size, which may be negative, to the account.
+func (t *Team) charge(class config.Priority, size workerapi.Resources) {
+	t.used = t.used.Plus(size)
+	if class == config.Urgent {
+		t.urgent = t.urgent.Plus(size)
+	}
+	if t.used.Negative() || t.urgent.Negative() {
+		panic(fmt.Sprintf("fairness: account of team %q is negative: %+v", t.name, *t))
+	}
 }
 
 // possible reports whether a task of this size can ever be admitted.
--- a/policy/placement/host.go
+++ b/policy/placement/host.go
@@ -16,8 +16,10 @@
 	Rack     string
 	Capacity workerapi.Resources
 	// Offered is the capacity for tasks: Capacity without what services reserve.
-	Offered  workerapi.Resources
-	Free     workerapi.Resources
+	Offered workerapi.Resources
+	Free    workerapi.Resources
+	// Kept is the part of Free that only urgent tasks may use.
+	Kept     workerapi.Resources
 	Services []string
 	// Open is false while the host takes no new task.
 	Open bool
@@ -33,6 +35,15 @@
 	place int
 }
 
+// Room is the free capacity that every task may use.
+func (h *Host) Room() workerapi.Resources { return h.Free.Minus(h.Kept) }
+
+// Accepts reports whether new tasks may start on the host at all.
+func (h *Host) Accepts() bool {
+	full := h.Limit >= 0 && h.Running >= h.Limit
+	return h.Open && !full && h.HeldFor == ""
+}
+
 // sameJob is the number of running tasks of the job.
 func (h *Host) sameJob(job string) int { return h.Jobs[job] }
 
--- a/policy/placement/index.go
+++ b/policy/placement/index.go
@@ -109,7 +109,7 @@
 	h.Free = h.Offered
 	if old := x.hosts[h.ID]; old != nil {
 		h.Free = h.Offered.Minus(old.Offered.Minus(old.Free))
-		h.Jobs, h.Running, h.Limit, h.HeldFor = old.Jobs, old.Running, old.Limit, old.HeldFor
+		h.Jobs, h.Running, h.Limit, h.HeldFor, h.Kept = old.Jobs, old.Running, old.Limit, old.HeldFor, old.Kept
 		x.forget(now, old)
 	}
 	x.hosts[h.ID] = &h
@@ -204,6 +204,16 @@
 	x.Freed++
 }
 
+// Keep changes what is kept for urgent tasks on a host by the difference.
+func (x *Index) Keep(h *Host, difference workerapi.Resources) {
+	h.Kept = h.Kept.Plus(difference)
+	if h.Kept.Negative() {
+		panic("placement: less than nothing is kept on " + h.ID)
+	}
+	x.reindex(h)
+	x.Freed++
+}
+
 // SetLimit bounds the number of tasks that run on the host at once; a negative
 // limit is none.
 func (x *Index) SetLimit(h *Host, limit int) {
@@ -225,15 +235,15 @@
 
 // cellOf returns where a host belongs. Closed, full and held hosts are not indexed.
 func cellOf(h *Host) cell {
-	full := h.Limit >= 0 && h.Running >= h.Limit
-	if !h.Open || full || h.HeldFor != "" || h.Free.Negative() {
+	room := h.Room()
+	if !h.Accepts() || room.Negative() {
 		return noCell
 	}
 	grid := gridPlain
-	if h.Free.Accelerators > 0 {
+	if room.Accelerators > 0 {
 		grid = gridAccelerated
 	}
-	return cell{grid: grid, cpu: level(h.Free.CPUMillis, cpuLevelMillis), memory: level(h.Free.MemoryMB, memoryLevelMB)}
+	return cell{grid: grid, cpu: level(room.CPUMillis, cpuLevelMillis), memory: level(room.MemoryMB, memoryLevelMB)}
 }
 
 func (x *Index) reindex(h *Host) {
--- a/policy/placement/score.go
+++ b/policy/placement/score.go
@@ -66,7 +66,7 @@
 func (c *Chooser) score(r *Request, h *Host) (Choice, bool) {
 	one := Choice{Host: h}
 	refuse := false
-	left := h.Free.Minus(r.Need)
+	left := h.Room().Minus(r.Need)
 	cpu, memory := share(left.CPUMillis, h.Capacity.CPUMillis), share(left.MemoryMB, h.Capacity.MemoryMB)
 	if !c.Rules.NoPacking {
 		one.Room = (cpu + memory) / 2
--- a/policy/placement/search.go
+++ b/policy/placement/search.go
@@ -31,7 +31,7 @@
 
 // admits checks the hard conditions that the cells don't cover.
 func (r *Request) admits(h *Host) bool {
-	if !r.Need.Fits(h.Free) {
+	if !r.Need.Fits(h.Room()) {
 		return false
 	}
 	return r.Allowed(h)
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -71,10 +71,12 @@
 // measurements arrive, so that reading them is cheap.
 type job struct {
 	cpu, memory, seconds sketch
-	need                 workerapi.Resources
-	cpuCount             int
-	memoryCount          int
-	expected             time.Duration
+	// quantiles are as measured, need has the margin and is rounded up.
+	quantiles   workerapi.Resources
+	need        workerapi.Resources
+	cpuCount    int
+	memoryCount int
+	expected    time.Duration
 }
 
 // Estimator corrects the sizes and run times of all jobs.
@@ -112,12 +114,24 @@
 		j.memory.add(float64(peak.MemoryMB))
 	}
 	j.cpuCount, j.memoryCount = j.cpu.count(), j.memory.count()
+	j.quantiles = workerapi.Resources{CPUMillis: int64(j.cpu.value()), MemoryMB: int64(j.memory.value())}
 	j.need = workerapi.Resources{
-		CPUMillis: int64(j.cpu.value() * sizeMargin),
-		MemoryMB:  int64(j.memory.value() * sizeMargin),
+		CPUMillis: roundUp(j.cpu.value()*sizeMargin, cpuStep),
+		MemoryMB:  roundUp(j.memory.value()*sizeMargin, memoryStep),
 	}
 }
 
+// Steps of corrected sizes. Equal sizes fit where an earlier task has ended,
+// while sizes that move with every measurement leave gaps.
+const (
+	cpuStep    = 125
+	memoryStep = 256
+)
+
+func roundUp(v float64, step int64) int64 {
+	return (int64(v) + step - 1) / step * step
+}
+
 // ObserveRun takes the run time of a task that is done.
 func (e *Estimator) ObserveRun(name string, run time.Duration) {
 	j := e.job(name)
@@ -128,7 +142,8 @@
 }
 
 // Size is what to reserve for a task of the job: memory is never below the
-// declared size, processors never below a quarter of it.
+// declared size, processors never below a quarter of it. A declared size that
+// covers the quantile stands, without a margin on top.
 func (e *Estimator) Size(name string, declared workerapi.Resources) workerapi.Resources {
 	j := e.jobs[name]
 	if j == nil {
@@ -136,17 +151,25 @@
 	}
 	size := declared
 	if j.memoryCount >= minToRaise {
-		size.MemoryMB = max(declared.MemoryMB, j.need.MemoryMB)
+		size.MemoryMB = raise(declared.MemoryMB, j.quantiles.MemoryMB, j.need.MemoryMB)
 	}
 	if j.cpuCount >= minToRaise {
-		size.CPUMillis = max(declared.CPUMillis, j.need.CPUMillis)
+		size.CPUMillis = raise(declared.CPUMillis, j.quantiles.CPUMillis, j.need.CPUMillis)
 	}
 	if e.lowers && j.cpuCount >= minToLower {
-		size.CPUMillis = max(j.need.CPUMillis, int64(smallestShare*float64(declared.CPUMillis)))
+		size.CPUMillis = min(size.CPUMillis, max(j.need.CPUMillis, int64(smallestShare*float64(declared.CPUMillis))))
 	}
 	return size
 }
 
+// raise returns the need if the quantile is over the declared amount.
+func raise(declared, quantile, need int64) int64 {
+	if quantile > declared {
+		return need
+	}
+	return declared
+}
+
 // RunTime is the corrected run time, or the declared one while little is known.
 func (e *Estimator) RunTime(name string, declared time.Duration) time.Duration {
 	if j := e.jobs[name]; j != nil && j.expected > 0 {
