Refuse a former leader that restarts without its disk

Cause: TestReplicaWithoutItsDisk failed once in the whole suite: the lost replica was the leader, and restarted before the others had noticed. They answered its question about itself by naming it as leader, so it asked itself, found its own log empty, counted that as two empty replicas and started with an empty memory under its old id. It could then vote twice in a term.

Ruled out: a slow start of the process (its log says "running"), and the record of joined replicas (the new leader had it).

Change: an answer that comes from the asking replica itself decides nothing; only a direct answer counts as an empty log; a leader also counts a replica that has acknowledged entries as joined before the log says so. The end-to-end test now takes the leader's disk on purpose.

--- a/control/forming.go
+++ b/control/forming.go
@@ -95,6 +95,10 @@
 	if err != nil {
 		return findingNone
 	}
+	if status.GetReplica() == self {
+		// The other replica named this one, which has just lost its log, as leader.
+		return findingNone
+	}
 	for _, r := range status.GetReplicas() {
 		if r.GetId() == self && r.GetJoined() {
 			return findingJoined
@@ -106,6 +110,9 @@
 	if status.GetLeader() == status.GetReplica() && status.GetLeader() != 0 {
 		return findingOfLeader(status)
 	}
+	if status.GetReplica() != other.ID {
+		return findingNone
+	}
 	return findingEmpty
 }
 
--- /dev/null
+++ b/control/forming_test.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/rpc/controlpb"
+)
+
+// statusStub is a replica that answers Status and nothing else.
+type statusStub struct {
+	forming
+	status *controlpb.StatusResponse
+	leader string
+}
+
+func (s statusStub) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	if s.leader != "" {
+		return nil, notLeader(s.leader)
+	}
+	return s.status, nil
+}
+
+func serveStatus(t *testing.T, c controlpb.Control) string {
+	server := httptest.NewServer(controlpb.NewControlServer(c))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestLostLeader guards against a former leader that lost its disk and restarts
+// before the others have noticed: they still name it as leader, so its question
+// comes back to itself, and its own empty log must not count as theirs.
+func TestLostLeader(t *testing.T) {
+	g := NewWithT(t)
+	itself := serveStatus(t, forming{replica: 3})
+	follower := serveStatus(t, statusStub{leader: itself})
+	g.Expect(inquire(t.Context(), http.DefaultClient, 3, ReplicaAddress{ID: 1, Address: follower})).To(Equal(findingNone))
+
+	leader := serveStatus(t, statusStub{status: &controlpb.StatusResponse{Replica: 2, Leader: 2, Replicas: []*controlpb.ReplicaStatus{
+		{Id: 2, Joined: true, MatchIndex: 9}, {Id: 3, Joined: true, MatchIndex: 9},
+	}}})
+	named := serveStatus(t, statusStub{leader: leader})
+	g.Expect(inquire(t.Context(), http.DefaultClient, 3, ReplicaAddress{ID: 1, Address: named})).To(Equal(findingJoined))
+
+	empty := serveStatus(t, forming{replica: 1})
+	g.Expect(inquire(t.Context(), http.DefaultClient, 3, ReplicaAddress{ID: 1, Address: empty})).To(Equal(findingEmpty))
+}
--- a/control/serve_status.go
+++ b/control/serve_status.go
@@ -55,7 +55,7 @@
 	for _, m := range n.Membership.Members {
 		list = append(list, &controlpb.ReplicaStatus{
 			Id: m.ID, Address: m.Address, Domain: m.Domain, Voter: !m.Learner,
-			MatchIndex: match[m.ID], Joined: r.machine.Joined(m.ID),
+			MatchIndex: match[m.ID], Joined: r.machine.Joined(m.ID) || m.ID != n.ID && match[m.ID] > 0,
 		})
 	}
 	return list
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -307,11 +307,12 @@
 }
 
 // A replica that lost its disk must not come back under its old identity, since
-// it could vote twice in one term.
+// it could vote twice in one term. The leader is the hardest case: the others
+// still name it as leader when it asks them about itself.
 func TestReplicaWithoutItsDisk(t *testing.T) {
 	t.Parallel()
 	underFault(t, smallLayout(), 8*time.Second, func(r *faultRun) {
-		p := r.f.controls[2]
+		p := r.leader()
 		p.kill()
 		r.Expect(os.RemoveAll(r.f.dir + "/" + p.name)).To(Succeed())
 		r.Expect(p.start()).To(Succeed())
