--- a/wal/crash_test.go
+++ b/wal/crash_test.go
@@ -49,10 +49,11 @@
 	{local: saved(snapshot(11, 4))},
 	{write: &raft.Write{HardState: raft.HardState{Term: 5, Commit: 12}, Snapshot: saved(snapshot(20, 5))}},
 	{write: &raft.Write{HardState: raft.HardState{Term: 5, Commit: 20}, Entries: entries(5, 21, 22)}},
+	{local: saved(snapshot(22, 5))},
 }
 
-func options(fs wal.FS) wal.Options {
-	return wal.Options{Dir: "data", ReplicaID: 7, FS: fs, SegmentBytes: 256}
+func options(fs *memFS) wal.Options {
+	return wal.Options{Dir: "data", ReplicaID: 7, FS: fs, SegmentBytes: fs.segmentBytes}
 }
 
 // after returns the state that follows from an operation.
@@ -128,21 +129,26 @@
 }
 
 var _ = Describe("crash at each step", func() {
-	It("loses nothing synced and shows nothing torn, also when recovery crashes", func() {
+	DescribeTable("loses nothing synced and shows nothing torn, also when recovery crashes", func(segmentBytes int64) {
 		whole := newMemFS()
+		whole.segmentBytes = segmentBytes
 		play(whole)
 		Expect(whole.steps).To(BeNumerically(">", 50))
 		cases := 0
 		for at := range whole.steps {
 			for _, mode := range crashModes {
 				fs := newMemFS()
+				fs.segmentBytes = segmentBytes
 				fs.failAt, fs.failure = at, errCrash
 				allowed := play(fs)
 				cases += checkRecovery(fs, mode, allowed, fmt.Sprintf("crash at step %d, %+v", at, mode))
 			}
 		}
 		fmt.Fprintf(GinkgoWriter, "crash cases: %d\n", cases)
-	})
+	},
+		Entry("segments of several frames", int64(256)),
+		Entry("a segment for each frame", int64(1)),
+	)
 })
 
 // checkRecovery opens the disk after a crash, with a second crash at each step
--- a/wal/memfs_test.go
+++ b/wal/memfs_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"geraniumwall/wal"
 )
@@ -29,10 +30,12 @@
 	failAt  int
 	failure error
 	locked  bool
+	// segmentBytes is the segment size of stores on this disk.
+	segmentBytes int64
 }
 
 func newMemFS() *memFS {
-	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, failAt: -1}
+	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, failAt: -1, segmentBytes: 256}
 }
 
 func (m *memFS) step() error {
@@ -45,21 +48,67 @@
 
 // crashMode says what of the unsynced changes survives a crash.
 type crashMode struct {
-	directory bool
+	directory directoryMode
 	// data is the share of unsynced bytes that survives, in quarters.
 	data int
 }
 
-var crashModes = []crashMode{{false, 0}, {true, 0}, {true, 1}, {true, 2}, {true, 4}, {false, 4}}
+// directoryMode says which creations, renames and removals survive. Those of
+// different files may become durable in any order.
+type directoryMode int
+
+const (
+	noChanges directoryMode = iota
+	allChanges
+	// firstChanges and lastChanges keep those of the lower or higher half of
+	// the changed names.
+	firstChanges
+	lastChanges
+)
+
+var crashModes = []crashMode{
+	{noChanges, 0},
+	{noChanges, 4},
+	{allChanges, 0},
+	{allChanges, 1},
+	{allChanges, 2},
+	{allChanges, 4},
+	{firstChanges, 4},
+	{lastChanges, 4},
+}
+
+// survivors returns the directory after a crash. A rename is atomic, so a name
+// and its temporary form change together.
+func (m *memFS) survivors(mode directoryMode) map[string]*memFile {
+	var changed []string
+	for _, names := range []map[string]*memFile{m.files, m.durable} {
+		for name := range names {
+			if m.files[name] != m.durable[name] {
+				changed = append(changed, strings.TrimSuffix(name, ".tmp"))
+			}
+		}
+	}
+	slices.Sort(changed)
+	changed = slices.Compact(changed)
+	half := (len(changed) + 1) / 2
+	kept := map[directoryMode][]string{allChanges: changed, firstChanges: changed[:half], lastChanges: changed[half:]}[mode]
+	result := maps.Clone(m.durable)
+	for _, base := range kept {
+		for _, name := range []string{base, base + ".tmp"} {
+			delete(result, name)
+			if file := m.files[name]; file != nil {
+				result[name] = file
+			}
+		}
+	}
+	return result
+}
 
 // restart returns the disk after a crash.
 func (m *memFS) restart(mode crashMode) *memFS {
 	next := newMemFS()
-	source := m.durable
-	if mode.directory {
-		source = m.files
-	}
-	for name, file := range source {
+	next.segmentBytes = m.segmentBytes
+	for name, file := range m.survivors(mode.directory) {
 		data := slices.Clone(file.synced)
 		if len(file.data) >= len(data) {
 			unsynced := file.data[len(data):]
--- a/wal/store.go
+++ b/wal/store.go
@@ -112,6 +112,8 @@
 func (s *Store) saveReceived(w *raft.Write) error {
 	early := w.HardState
 	early.Commit = s.hard.Commit
+	// A segment that the append starts begins with s.hard.
+	s.hard = early
 	if err := s.append([]record{hardStateRecord(early)}); err != nil {
 		return err
 	}
