Break ties of simultaneous pre-votes and refuse used replica ids

A replica that lost its disk must not come back under its old id, also after it was removed: the membership keeps the highest id ever used. Ruled out: longer spreads of the election timeout, which delay every failover.

--- a/raft/codec.go
+++ b/raft/codec.go
@@ -176,7 +176,7 @@
 }
 
 func membershipToProto(m Membership) *raftpb.Membership {
-	out := &raftpb.Membership{}
+	out := &raftpb.Membership{HighestId: m.HighestID}
 	for _, member := range m.Members {
 		out.Members = append(out.Members, &raftpb.Member{
 			Id:      member.ID,
@@ -189,7 +189,7 @@
 }
 
 func membershipFromProto(in *raftpb.Membership) (Membership, error) {
-	m := Membership{}
+	m := Membership{HighestID: in.GetHighestId()}
 	previous := uint64(0)
 	for _, member := range in.GetMembers() {
 		if member.Id <= previous {
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -54,7 +54,7 @@
 // # Starting a cluster
 //
 // The first replicas all start from Bootstrap with the same members. A replica
-// added later starts from an empty Stored under an id that was never used
+// added later starts from an empty Stored under an id above all used
 // before, and is added by ChangeMembers as a learner, then promoted. A replica
 // that lost its disk comes back in this way too, since under its old id it
 // could vote twice in one term.
--- a/raft/election.go
+++ b/raft/election.go
@@ -76,7 +76,7 @@
 	grant := n.mayVoteFor(m)
 	if m.Type == MessagePreVote {
 		response.Type = MessagePreVoteResponse
-		grant = grant && !n.hearsLeader()
+		grant = grant && !n.hearsLeader() && !n.precedes(m)
 		if grant {
 			response.Term = m.Term
 		}
@@ -88,6 +88,14 @@
 	n.send(response)
 }
 
+// precedes breaks the tie between two replicas that ask for pre-votes at the
+// same time with equal logs: the higher id goes on. Otherwise both would become
+// candidates, split the votes and need another election timeout.
+func (n *Node) precedes(m Message) bool {
+	equal := n.log.last() == Position{Index: m.Index, Term: m.LogTerm}
+	return n.role == RolePreCandidate && equal && n.config.ID > m.From
+}
+
 func (n *Node) mayVoteFor(m Message) bool {
 	if !n.log.isUpToDate(Position{Index: m.Index, Term: m.LogTerm}) {
 		return false
--- a/raft/protocol_test.go
+++ b/raft/protocol_test.go
@@ -134,9 +134,12 @@
 		node := single(raft.Config{PromotionLag: 2})
 		lead(node)
 		learner := raft.MemberChange{Kind: raft.AddLearner, Member: raft.Member{ID: 4}}
+		used := raft.MemberChange{Kind: raft.AddLearner, Member: raft.Member{ID: 3}}
 		_, err := node.ChangeMembers(learner)
 		Expect(err).To(MatchError(raft.ErrChangePending), "no entry of the term is committed")
 		acknowledge(node, 2, 1)
+		_, err = node.ChangeMembers(used)
+		Expect(err).To(MatchError(raft.ErrInvalidChange))
 		_, err = node.ChangeMembers(learner)
 		Expect(err).NotTo(HaveOccurred())
 		promotion := raft.MemberChange{Kind: raft.PromoteLearner, Member: raft.Member{ID: 4}}
--- a/raft/types.go
+++ b/raft/types.go
@@ -47,6 +47,9 @@
 // Membership is the set of replicas, ordered by id. It is immutable.
 type Membership struct {
 	Members []Member
+	// HighestID is the highest id that was ever a member's. A new member needs
+	// a higher one, so that the id of a lost disk isn't used again.
+	HighestID uint64
 }
 
 // Find returns the member with the id.
@@ -80,13 +83,14 @@
 func (m Membership) without(id uint64) Membership {
 	members := slices.Clone(m.Members)
 	members = slices.DeleteFunc(members, func(member Member) bool { return member.ID == id })
-	return Membership{Members: members}
+	return Membership{Members: members, HighestID: m.HighestID}
 }
 
 // with returns a copy that contains the member in place of one with its id.
 func (m Membership) with(member Member) Membership {
 	next := m.without(member.ID)
 	next.Members = append(next.Members, member)
+	next.HighestID = max(next.HighestID, member.ID)
 	slices.SortFunc(next.Members, func(a, b Member) int {
 		if a.ID < b.ID {
 			return -1
