--- a/control/domains.go
+++ b/control/domains.go
@@ -61,24 +61,51 @@
 	answer.DomainLeaseMs = lease.DomainLease.Milliseconds()
 }
 
-// domainDuty decides about the schedulers of a domain.
+// domainDuty proposes what is to change about the schedulers of a domain. No lease
+// is given until a change is decided: a lease of the old epoch must not be granted
+// behind it.
 func (r *replica) domainDuty(now time.Duration, v *domainView, d *statepb.DomainRecord) {
-	if v.grantor.Changing() {
+	c := v.change(now, d)
+	if c == nil {
 		return
 	}
+	r.log.Info().Str("domain", d.GetDomain()).Uint64("epoch", d.GetEpoch()).Stringer("change", c).
+		Msg("changing the schedulers of a domain")
+	v.grantor.BeginChange()
+	r.decide(c, func(_ proto.Message, err error) {
+		v.changed(r.now(), c)
+		if err != nil {
+			r.log.Warn().Err(err).Msg("change of a domain's schedulers failed")
+		}
+	})
+}
+
+// changed ends the pause of renewals. An appointed scheduler gets the time to ask
+// for its leases.
+func (v *domainView) changed(now time.Duration, c *statepb.Command) {
+	v.grantor.EndChange()
+	if c.GetAppoint() != nil {
+		v.grantor.Assume(now)
+	}
+}
+
+// change returns the command that the state of a domain calls for, or nil.
+func (v *domainView) change(now time.Duration, d *statepb.DomainRecord) *statepb.Command {
+	if v.grantor.Changing() {
+		return nil
+	}
 	if d.GetActive() != "" && !v.grantor.SchedulerOver(now) {
-		r.standbyDuty(now, v, d)
-		return
+		return v.standbyChange(now, d)
 	}
 	if name := v.candidate(now, d); name != "" {
-		r.appoint(now, v, d, name)
-		return
+		return v.appoint(now, d, name)
 	}
-	if d.GetActive() != "" && v.grantor.DomainOver(now) {
-		r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_ExpireDomain{
-			ExpireDomain: &statepb.ExpireDomain{Domain: d.GetDomain(), IfEpoch: d.GetEpoch()},
-		}})
+	if d.GetActive() == "" || !v.grantor.DomainOver(now) {
+		return nil
 	}
+	return &statepb.Command{Kind: &statepb.Command_ExpireDomain{
+		ExpireDomain: &statepb.ExpireDomain{Domain: d.GetDomain(), IfEpoch: d.GetEpoch()},
+	}}
 }
 
 // candidate returns the scheduler to appoint, the standby first, or "".
@@ -106,33 +133,30 @@
 	return 2
 }
 
-func (r *replica) appoint(now time.Duration, v *domainView, d *statepb.DomainRecord, name string) {
-	r.log.Info().Str("domain", d.GetDomain()).Str("scheduler", name).Uint64("epoch", d.GetEpoch()+1).
-		Msg("appointing a scheduler")
-	r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_Appoint{Appoint: &statepb.Appoint{
+func (v *domainView) appoint(now time.Duration, d *statepb.DomainRecord, name string) *statepb.Command {
+	return &statepb.Command{Kind: &statepb.Command_Appoint{Appoint: &statepb.Appoint{
 		Domain: d.GetDomain(), IfEpoch: d.GetEpoch(), Scheduler: name, Address: v.contacts[name].address,
 		Reason: "the scheduler lease of the former active scheduler is over",
 		Clean:  v.grantor.CleanAfter(record(d), now),
-	}}})
+	}}}
 }
 
-// standbyDuty names a standby and has the active scheduler confirm it.
-func (r *replica) standbyDuty(now time.Duration, v *domainView, d *statepb.DomainRecord) {
+// standbyChange names a standby or records that the active scheduler knows it.
+func (v *domainView) standbyChange(now time.Duration, d *statepb.DomainRecord) *statepb.Command {
 	active := v.contacts[d.GetActive()]
 	if !d.GetClean() && active != nil && active.revision == d.GetRevision() {
-		r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_ConfirmStandby{ConfirmStandby: &statepb.ConfirmStandby{
+		return &statepb.Command{Kind: &statepb.Command_ConfirmStandby{ConfirmStandby: &statepb.ConfirmStandby{
 			Domain: d.GetDomain(), IfEpoch: d.GetEpoch(), IfRevision: d.GetRevision(),
-		}}})
-		return
+		}}}
 	}
 	name := v.newStandby(now, d)
 	if name == "" {
-		return
+		return nil
 	}
-	r.changeDomain(v, &statepb.Command{Kind: &statepb.Command_NameStandby{NameStandby: &statepb.NameStandby{
+	return &statepb.Command{Kind: &statepb.Command_NameStandby{NameStandby: &statepb.NameStandby{
 		Domain: d.GetDomain(), IfEpoch: d.GetEpoch(), IfRevision: d.GetRevision(),
 		Scheduler: name, Address: v.contacts[name].address,
-	}}})
+	}}}
 }
 
 // newStandby returns the scheduler to name as standby, or "" to leave it. The
@@ -152,18 +176,3 @@
 	}
 	return ""
 }
-
-// changeDomain proposes a change of a domain's schedulers. No lease is given
-// until it is decided: a lease of the old epoch must not be granted behind it.
-func (r *replica) changeDomain(v *domainView, c *statepb.Command) {
-	v.grantor.BeginChange()
-	r.decide(c, func(_ proto.Message, err error) {
-		v.grantor.EndChange()
-		if c.GetAppoint() != nil {
-			v.grantor.Assume(r.now())
-		}
-		if err != nil {
-			r.log.Warn().Err(err).Msg("change of a domain's schedulers failed")
-		}
-	})
-}
--- a/lease/authority.go
+++ b/lease/authority.go
@@ -98,6 +98,10 @@
 // MayBeAppointed reports whether the lease that this scheduler granted is over.
 func (a *Authority) MayBeAppointed(now time.Duration) bool { return a.granted.Over(now) }
 
+// GrantedUntil returns the time at which the lease that this scheduler granted is
+// over.
+func (a *Authority) GrantedUntil() time.Duration { return a.granted.Until() }
+
 // TaskLease returns the duration of a task lease given now: at most the rest of
 // the domain lease, and 0 while the scheduler may not act.
 func (a *Authority) TaskLease(now time.Duration) time.Duration {
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -92,3 +92,9 @@
 	}
 	return r.Clean && (candidate == r.Standby || r.Standby == "")
 }
+
+// Deadlines returns the times at which the scheduler lease and the domain lease
+// are over unless they are renewed.
+func (g *Grantor) Deadlines() (scheduler, domain time.Duration) {
+	return g.scheduler.Until(), g.domain.Until()
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -44,7 +44,12 @@
 	slices.SortFunc(c.snapshot.Requests, func(a, b *statepb.RequestRecord) int {
 		return compareKeys(keyOf(a), keyOf(b))
 	})
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.snapshot)
+	return EncodeSnapshot(c.snapshot)
+}
+
+// EncodeSnapshot returns the bytes of a snapshot whose lists are in order.
+func EncodeSnapshot(s *statepb.Snapshot) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
