Test announcements, grants, the applier and bursts of cancellations

A soak of the random runs had failed because the simulated freeze of a worker could be shortened by a second one, which left its queued events behind; that is a fault of the simulation and is corrected.

--- /dev/null
+++ b/scheduler/core_test.go
@@ -0,0 +1,277 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/lease"
+	"geraniumwall/policy"
+	"geraniumwall/policy/firstfit"
+	"geraniumwall/workerapi"
+)
+
+const ms = time.Millisecond
+
+func beat(worker string, sequence uint64) *workerapi.Heartbeat {
+	return &workerapi.Heartbeat{
+		Worker: worker, Incarnation: "1", Sequence: sequence, Domain: worldDomain, Address: worker + ":1",
+		Capacity: workerapi.Resources{CPUMillis: 8000, MemoryMB: 8000}, Slots: 8, Connections: 64,
+		Services: []string{"proof"},
+	}
+}
+
+// activeCore returns a core that is active in epoch 1 at 2 s with attached workers.
+func activeCore(workers int) *Core {
+	c := New(0, Settings{Name: "s1", Identity: "s1#1", Domain: worldDomain}, firstfit.New())
+	c.SetConfig(0, 1, worldConfig())
+	c.ControlRenewed(1900*ms, 1900*ms, lease.Answer{})
+	c.ControlRenewed(2000*ms, 2000*ms, lease.Answer{
+		Role: lease.RoleActive, Epoch: 1, Revision: 1, Active: "s1",
+		SchedulerLease: lease.SchedulerLease, DomainLease: lease.DomainLease,
+	})
+	for i := range workers {
+		id := fmt.Sprintf("w%04d", i)
+		_, err := c.Heartbeat(2000*ms, beat(id, 1))
+		Expect(err).NotTo(HaveOccurred())
+		c.AttachAnswered(2000*ms, AttachResult{
+			Target: c.workers[id].target(), Body: workerapi.Attach{Scheduler: "s1#1", Epoch: 1},
+			Answer: workerapi.AttachAnswer{Accepted: true, Session: 1, Holder: "s1#1", Epoch: 1, Incarnation: "1"},
+		})
+	}
+	c.SyncTasks(2000*ms, 1, nil, true)
+	c.TakeActions()
+	return c
+}
+
+func newTask(id string) BoundTask {
+	return BoundTask{
+		ID: id, Job: "batch", Size: workerapi.Resources{CPUMillis: 100, MemoryMB: 10},
+		Domain: worldDomain, Epoch: 1, Bound: true, Expected: time.Second,
+	}
+}
+
+func actionsOf[A Action](c *Core) []A {
+	var found []A
+	for _, a := range c.TakeActions() {
+		if typed, ok := a.(A); ok {
+			found = append(found, typed)
+		}
+	}
+	return found
+}
+
+var _ = ginkgo.Describe("Announcements", func() {
+	refused := func(c *Core, change func(*workerapi.Heartbeat)) *Refusal {
+		before := c.Status(2100 * ms)
+		hb := beat("w0000", 2)
+		change(hb)
+		_, err := c.Heartbeat(2100*ms, hb)
+		var refusal *Refusal
+		Expect(err).To(HaveOccurred())
+		Expect(err).To(BeAssignableToTypeOf(refusal))
+		Expect(c.Status(2100*ms)).To(Equal(before), "a refused announcement changed something")
+		return err.(*Refusal)
+	}
+	ginkgo.DescribeTable("that cannot be accepted change nothing and name the remedy",
+		func(kind RefusalKind, change func(*workerapi.Heartbeat)) {
+			refusal := refused(activeCore(1), change)
+			Expect(refusal.Kind).To(Equal(kind))
+			Expect(refusal.Remedy).NotTo(BeEmpty())
+		},
+		ginkgo.Entry("another domain", RefusedDomain, func(h *workerapi.Heartbeat) { h.Domain = "patan" }),
+		ginkgo.Entry("another incarnation", RefusedDuplicate, func(h *workerapi.Heartbeat) { h.Incarnation = "2" }),
+		ginkgo.Entry("another address", RefusedDuplicate, func(h *workerapi.Heartbeat) { h.Address = "x:1" }),
+		ginkgo.Entry("negative capacity", RefusedInvalid, func(h *workerapi.Heartbeat) { h.Capacity.MemoryMB = -1 }),
+		ginkgo.Entry("negative slots", RefusedInvalid, func(h *workerapi.Heartbeat) { h.Slots = -1 }),
+		ginkgo.Entry("more slots than fit", RefusedInvalid, func(h *workerapi.Heartbeat) {
+			h.Worker, h.Address, h.Slots, h.Connections = "new", "new:1", 81, 81
+		}),
+		ginkgo.Entry("more slots than connections", RefusedInvalid, func(h *workerapi.Heartbeat) { h.Connections = 7 }),
+		ginkgo.Entry("a size changed while it runs", RefusedInvalid, func(h *workerapi.Heartbeat) { h.Capacity.CPUMillis++ }),
+		ginkgo.Entry("more slots in use than offered", RefusedInvalid, func(h *workerapi.Heartbeat) {
+			h.SlotsInUse = map[uint64]int{1: 5, 2: 4}
+		}),
+		ginkgo.Entry("a running task above the capacity", RefusedInvalid, func(h *workerapi.Heartbeat) {
+			h.Tasks = []workerapi.TaskReport{{ID: "x", Phase: workerapi.PhaseRunning, Resources: workerapi.Resources{CPUMillis: 9000}}}
+		}),
+	)
+})
+
+var _ = ginkgo.Describe("A worker", func() {
+	ginkgo.It("that is silent for one second gets no start and no grant", func() {
+		c := activeCore(1)
+		sync := GrantSync{Gateway: "g", Domain: worldDomain, Incarnation: "1", Sequence: 1}
+		answer, err := c.SyncGrants(2100*ms, sync)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Grants).To(HaveLen(1))
+		c.SyncTasks(3000*ms, 1, []BoundTask{newTask("t")}, false)
+		c.Tick(3000 * ms)
+		Expect(actionsOf[SendStart](c)).To(BeEmpty())
+		sync.Sequence = 2
+		answer, err = c.SyncGrants(3000*ms, sync)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Grants).To(BeEmpty())
+	})
+
+	ginkgo.It("that restarts gets no task before the leases of its former tasks are over", func() {
+		c := activeCore(1)
+		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
+		c.Tick(2100 * ms)
+		Expect(actionsOf[SendStart](c)).To(HaveLen(1))
+		restarted := beat("w0000", 1)
+		restarted.Incarnation, restarted.Address = "2", "w0000:2"
+		_, err := c.Heartbeat(3100*ms, restarted)
+		Expect(err).NotTo(HaveOccurred())
+		for now := 3100 * ms; now < 12*time.Second; now += 500 * ms {
+			restarted.Sequence++
+			_, err = c.Heartbeat(now, restarted)
+			Expect(err).NotTo(HaveOccurred())
+			c.Tick(now)
+			Expect(actionsOf[SendStart](c)).To(BeEmpty())
+		}
+	})
+})
+
+var _ = ginkgo.Describe("Slot grants", func() {
+	share := func(c *Core, now time.Duration, gateway string, sequence uint64, demand int, held int) int {
+		answer, err := c.SyncGrants(now, GrantSync{
+			Gateway: gateway, Domain: worldDomain, Incarnation: "1", Sequence: sequence,
+			Demand:   map[string]int{"proof": demand},
+			Holdings: []Holding{{Worker: "w0000", Session: 1, Slots: held}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		if len(answer.Grants) == 0 {
+			return 0
+		}
+		return answer.Grants[0].Slots
+	}
+	keepAlive := func(c *Core, now time.Duration) {
+		hb := beat("w0000", uint64(now/ms))
+		hb.Session, hb.Holder = 1, "s1#1"
+		_, err := c.Heartbeat(now, hb)
+		Expect(err).NotTo(HaveOccurred())
+		c.Tick(now)
+	}
+
+	ginkgo.It("flow to the gateway with demand, and only after the other confirmed", func() {
+		c := activeCore(1)
+		Expect(share(c, 2100*ms, "a", 1, 0, 0)).To(Equal(8))
+		Expect(share(c, 2400*ms, "b", 1, 20, 0)).To(Equal(0), "a slot was granted twice")
+		keepAlive(c, 2500*ms)
+		reduced := share(c, 2700*ms, "a", 2, 0, 8)
+		Expect(reduced).To(BeNumerically("<", 8))
+		Expect(share(c, 2800*ms, "b", 2, 20, 0)).To(Equal(0), "the reduction was not confirmed yet")
+		Expect(share(c, 2900*ms, "a", 3, 0, reduced)).To(Equal(reduced))
+		Expect(share(c, 3000*ms, "b", 3, 20, 0)).To(Equal(8 - reduced))
+	})
+
+	ginkgo.It("of a gateway that is gone return when they have expired", func() {
+		c := activeCore(1)
+		Expect(share(c, 2100*ms, "a", 1, 5, 0)).To(Equal(8))
+		now := 2200 * ms
+		for ; now < 5100*ms; now += 300 * ms {
+			keepAlive(c, now)
+			Expect(share(c, now, "b", uint64(now), 5, 0)).To(Equal(0))
+		}
+		keepAlive(c, 5500*ms)
+		Expect(share(c, 5500*ms, "b", uint64(now), 5, 0)).To(Equal(8))
+	})
+
+	ginkgo.It("refuse a sync that a newer one has overtaken", func() {
+		c := activeCore(1)
+		share(c, 2100*ms, "a", 2, 0, 0)
+		_, err := c.SyncGrants(2200*ms, GrantSync{Gateway: "a", Incarnation: "1", Sequence: 1})
+		Expect(err).To(MatchError(ErrStaleSync))
+	})
+})
+
+var _ = ginkgo.Describe("A burst of cancellations", func() {
+	ginkgo.It("does not delay starts", func() {
+		c := activeCore(10)
+		var first []BoundTask
+		for i := range 400 {
+			first = append(first, newTask(fmt.Sprintf("t%03d", i)))
+		}
+		c.SyncTasks(2000*ms, 1, first, false)
+		c.Tick(2050 * ms)
+		for _, s := range actionsOf[SendStart](c) {
+			c.StartAnswered(2060*ms, StartResult{
+				Ref:    workerapi.TaskRef{ID: s.Body.ID, Attempt: s.Body.Attempt},
+				Answer: workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: workerapi.TaskReport{ID: s.Body.ID, Attempt: s.Body.Attempt, Phase: workerapi.PhaseRunning}},
+			})
+		}
+		for i := range first {
+			first[i].CancelRequested = true
+		}
+		c.SyncTasks(2100*ms, 1, append(first, newTask("urgent")), false)
+		c.Tick(2150 * ms)
+		actions := c.TakeActions()
+		stops, started := 0, -1
+		for i, a := range actions {
+			switch a := a.(type) {
+			case SendStart:
+				Expect(a.Body.ID).To(Equal("urgent"))
+				started = i
+			case SendStop:
+				Expect(started).To(BeNumerically(">=", 0), "a stop was sent before the start")
+				stops++
+			}
+		}
+		Expect(stops).To(Equal(maxStopsPerTick))
+	})
+})
+
+var _ = ginkgo.Describe("A restarted scheduler", func() {
+	ginkgo.It("does not continue the epoch of the process before it", func() {
+		c := New(0, Settings{Name: "s1", Identity: "s1#2", Domain: worldDomain}, firstfit.New())
+		answer := lease.Answer{
+			Role: lease.RoleActive, Epoch: 4, Revision: 9, Active: "s1",
+			SchedulerLease: lease.SchedulerLease, DomainLease: lease.DomainLease,
+		}
+		c.ControlRenewed(2000*ms, 2000*ms, answer)
+		Expect(c.MayAct(2000 * ms)).To(BeFalse())
+		request, _ := c.LeaseRequest(2100 * ms)
+		Expect(request.Epoch).To(BeNumerically(">", 4), "control must see that the process restarted")
+		answer.Epoch, answer.Revision = 5, 12
+		c.ControlRenewed(4000*ms, 4000*ms, answer)
+		Expect(c.MayAct(4000 * ms)).To(BeTrue())
+	})
+})
+
+// eager is an engine that proposes every task on one worker whether it fits or not.
+type eager struct {
+	*firstfit.Engine
+	tasks []string
+}
+
+func (e *eager) Enqueue(_ time.Duration, t policy.Task) { e.tasks = append(e.tasks, t.ID) }
+
+func (e *eager) Next(time.Duration, int) ([]policy.Placement, []policy.Impossible) {
+	var plan []policy.Placement
+	for _, id := range e.tasks {
+		plan = append(plan, policy.Placement{Task: id, Worker: "w0000"})
+	}
+	return plan, nil
+}
+
+var _ = ginkgo.Describe("The applier", func() {
+	ginkgo.It("refuses proposals that do not fit the ledger", func() {
+		c := activeCore(1)
+		c.engine = &eager{Engine: firstfit.New()}
+		var tasks []BoundTask
+		for i := range 10 {
+			t := newTask(fmt.Sprintf("t%d", i))
+			t.Size = workerapi.Resources{CPUMillis: 1500, MemoryMB: 100}
+			tasks = append(tasks, t)
+		}
+		c.SyncTasks(2000*ms, 1, tasks, false)
+		c.Tick(2050 * ms)
+		// 8000 millicores, of which 8 slots of 100 are reserved, hold 4 tasks.
+		Expect(actionsOf[SendStart](c)).To(HaveLen(4))
+		c.Tick(2100 * ms)
+		Expect(actionsOf[SendStart](c)).To(BeEmpty())
+	})
+})
--- a/scheduler/explore_test.go
+++ b/scheduler/explore_test.go
@@ -29,7 +29,7 @@
 	s.world.after(2*time.Second, s.boot)
 }
 
-func (s *schedulerProc) freezeFor() { s.frozen = s.world.now + 2500*time.Millisecond }
+func (s *schedulerProc) freezeFor() { s.world.freeze(&s.proc, 2500*time.Millisecond) }
 
 func (w *world) disturbActive(f func(*schedulerProc)) {
 	for _, s := range w.schedulers {
--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -143,8 +143,8 @@
 		)
 		for _, d := range []time.Duration{2 * time.Second, 14 * time.Second} {
 			list = append(list,
-				disturbance{fmt.Sprintf("freeze of scheduler %d for %v", i+1, d), func(w *world) { w.schedulers[i].frozen = w.now + d }},
-				disturbance{fmt.Sprintf("freeze of worker %d for %v", i+1, d), func(w *world) { w.workers[i].frozen = w.now + d }},
+				disturbance{fmt.Sprintf("freeze of scheduler %d for %v", i+1, d), func(w *world) { w.freeze(&w.schedulers[i].proc, d) }},
+				disturbance{fmt.Sprintf("freeze of worker %d for %v", i+1, d), func(w *world) { w.freeze(&w.workers[i].proc, d) }},
 			)
 		}
 	}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -141,6 +141,9 @@
 	f()
 }
 
+// freeze stops a process for a time; a freeze never shortens one before it.
+func (w *world) freeze(p *proc, d time.Duration) { p.frozen = max(p.frozen, w.now+d) }
+
 func (w *world) every(p *proc, period time.Duration, f func()) {
 	life := p.life
 	var step func()
