Scatter attempts over workers in the simulated domain

First fit put the next attempt on the same worker, where the worker refuses a second one, so a deliberate break (an unanswered start taken as never started) went unnoticed. A worker can also be cut off from both schedulers now.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -116,6 +116,31 @@
 		Expect(answer.Grants).To(BeEmpty())
 	})
 
+	ginkgo.It("that runs an unexpected attempt is told to stop it before the task starts elsewhere", func() {
+		c := activeCore(2)
+		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
+		hb := beat("w0001", 2)
+		hb.Session, hb.Holder = 1, "s1#1"
+		stray := workerapi.TaskReport{
+			ID: "t", Attempt: workerapi.Attempt{Number: 7}, Phase: workerapi.PhaseRunning,
+			Resources: workerapi.Resources{CPUMillis: 100, MemoryMB: 10},
+		}
+		hb.Tasks = []workerapi.TaskReport{stray}
+		_, err := c.Heartbeat(2100*ms, hb)
+		Expect(err).NotTo(HaveOccurred())
+		c.Tick(2150 * ms)
+		actions := c.TakeActions()
+		Expect(actions).To(HaveLen(1))
+		stop := actions[0].(SendStop)
+		stray.Phase = workerapi.PhaseStopped
+		c.StopAnswered(2200*ms, StopResult{
+			Target: stop.Target, Ref: workerapi.TaskRef{ID: "t", Attempt: stray.Attempt},
+			Answer: workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: stray},
+		})
+		c.Tick(2250 * ms)
+		Expect(actionsOf[SendStart](c)).To(HaveLen(1))
+	})
+
 	ginkgo.It("that restarts gets no task before the leases of its former tasks are over", func() {
 		c := activeCore(1)
 		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -141,6 +141,10 @@
 				}
 			}},
 		)
+		list = append(list, disturbance{fmt.Sprintf("partition of worker %d from both schedulers", i+1), func(w *world) {
+			from, name := w.now, w.workers[i].name
+			w.cut = func(a, b string) bool { return (a == name || b == name) && w.now < from+12*time.Second }
+		}})
 		for _, d := range []time.Duration{2 * time.Second, 14 * time.Second} {
 			list = append(list,
 				disturbance{fmt.Sprintf("freeze of scheduler %d for %v", i+1, d), func(w *world) { w.freeze(&w.schedulers[i].proc, d) }},
--- /dev/null
+++ b/scheduler/scatter_test.go
@@ -0,0 +1,46 @@
+package scheduler
+
+import (
+	"time"
+
+	"geraniumwall/policy"
+	"geraniumwall/policy/firstfit"
+)
+
+// scatter proposes another worker for each start, so that attempts of a task do
+// not meet on one worker, where the worker itself would refuse the second.
+type scatter struct {
+	*firstfit.Engine
+	workers []string
+	next    int
+}
+
+func newScatter() *scatter { return &scatter{Engine: firstfit.New()} }
+
+func (e *scatter) UpsertWorker(now time.Duration, w policy.Worker) {
+	e.RemoveWorker(now, w.ID)
+	if e.Engine.UpsertWorker(now, w); w.Accepting {
+		e.workers = append(e.workers, w.ID)
+	}
+}
+
+func (e *scatter) RemoveWorker(now time.Duration, id string) {
+	e.Engine.RemoveWorker(now, id)
+	for i, known := range e.workers {
+		if known == id {
+			e.workers = append(e.workers[:i:i], e.workers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (e *scatter) Next(now time.Duration, limit int) ([]policy.Placement, []policy.Impossible) {
+	plan, impossible := e.Engine.Next(now, limit)
+	for i := range plan {
+		if len(e.workers) > 0 {
+			e.next++
+			plan[i].Worker = e.workers[e.next%len(e.workers)]
+		}
+	}
+	return plan, impossible
+}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -8,7 +8,6 @@
 	"geraniumwall/config"
 	"geraniumwall/fakeworker/machine"
 	"geraniumwall/lease"
-	"geraniumwall/policy/firstfit"
 	"geraniumwall/workerapi"
 )
 
@@ -207,7 +206,7 @@
 func (s *schedulerProc) boot() {
 	s.alive, s.life = true, s.life+1
 	identity := fmt.Sprintf("%s#%d", s.name, s.life)
-	s.core = New(s.now(), Settings{Name: s.name, Identity: identity, Domain: worldDomain}, firstfit.New())
+	s.core = New(s.now(), Settings{Name: s.name, Identity: identity, Domain: worldDomain}, newScatter())
 	s.core.SetConfig(s.now(), 1, worldConfig())
 	s.world.every(&s.proc, TickInterval, func() { s.step(func(now time.Duration) { s.core.Tick(now) }) })
 	s.world.every(&s.proc, lease.RenewEvery, s.renew)
