--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -8,7 +8,6 @@
 	"geraniumwall/config"
 	"geraniumwall/fakeworker/machine"
 	"geraniumwall/lease"
-	"geraniumwall/policy/firstfit"
 	"geraniumwall/workerapi"
 )
 
@@ -141,6 +140,9 @@
 	f()
 }
 
+// freeze stops a process for a time; a freeze never shortens one before it.
+func (w *world) freeze(p *proc, d time.Duration) { p.frozen = max(p.frozen, w.now+d) }
+
 func (w *world) every(p *proc, period time.Duration, f func()) {
 	life := p.life
 	var step func()
@@ -204,7 +206,7 @@
 func (s *schedulerProc) boot() {
 	s.alive, s.life = true, s.life+1
 	identity := fmt.Sprintf("%s#%d", s.name, s.life)
-	s.core = New(s.now(), Settings{Name: s.name, Identity: identity, Domain: worldDomain}, firstfit.New())
+	s.core = New(s.now(), Settings{Name: s.name, Identity: identity, Domain: worldDomain}, newScatter())
 	s.core.SetConfig(s.now(), 1, worldConfig())
 	s.world.every(&s.proc, TickInterval, func() { s.step(func(now time.Duration) { s.core.Tick(now) }) })
 	s.world.every(&s.proc, lease.RenewEvery, s.renew)
