Bound the memory of bodies and blame frozen upstreams

Queued bodies could fill the memory of an entry host; all of them together are now limited to 128 MB and further requests get 503. A frozen worker was never ejected, since its attempts end by the deadline; an attempt that was given up after four times the usual latency now counts as a failure, while short deadlines of callers still blame no one. A dial that waits for a granted connection ends by itself, and a caller that stops sending a streamed body cannot hold the request beyond its deadline.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -104,7 +104,9 @@
 	copyHeaders(h, a.header)
 	h[workerapi.HeaderOutcome] = []string{string(a.outcome)}
 	if !a.streaming() {
-		h[headerContentLength] = []string{strconv.Itoa(len(a.body))}
+		if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+			h[headerContentLength] = []string{strconv.Itoa(len(a.body))}
+		}
 		w.WriteHeader(a.status)
 		w.Write(a.body)
 		return a.outcome
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,10 @@
 		return problemAnswer(notRun(http.StatusServiceUnavailable, typeOverloaded, "The upstream refused the request",
 			"retry later").after(defaultRetryAfter))
 	}
+	if response.StatusCode < http.StatusOK {
+		response.Body.Close()
+		return c.broken(ticket, fmt.Sprintf("the upstream answered status %d", response.StatusCode))
+	}
 	if echoed := response.Header.Get(workerapi.HeaderRequestID); echoed != "" && echoed != c.requestID {
 		response.Body.Close()
 		return c.broken(ticket, fmt.Sprintf("the upstream answered request %q", echoed))
--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -47,6 +47,17 @@
 		Expect(u.started.Load()).To(BeZero())
 	})
 
+	It("refuses bodies while too much memory is in use, and gives the memory back", func() {
+		u := newFakeUpstream("w1")
+		r := newRig(u.grant(2, 3*time.Second))
+		Expect(r.buffers.TryAcquire(bufferedMost - 10)).To(BeTrue())
+		Expect(r.quote(strings.Repeat("x", 100)).outcome).To(Equal(workerapi.OutcomeNotRun))
+		Expect(r.quote("small").status).To(Equal(http.StatusOK))
+		r.buffers.Release(bufferedMost - 10)
+		Expect(r.quote(strings.Repeat("x", 100)).status).To(Equal(http.StatusOK))
+		Eventually(func() bool { return r.buffers.TryAcquire(bufferedMost) }).Should(BeTrue())
+	})
+
 	It("keeps its own headers and those of one connection to itself", func() {
 		u := newFakeUpstream("w1")
 		u.behave(func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -13,6 +13,9 @@
 // attempt can be repeated and a slow caller uses no slot of a worker.
 const bufferLimit = 64 << 10
 
+// bufferedMost bounds the memory of all request bodies together.
+const bufferedMost = 128 << 20
+
 // requestBody is the body of a caller's request: held in memory, or a stream of
 // known length that can be sent once.
 type requestBody struct {
@@ -44,14 +47,15 @@
 	if r.ContentLength > limit {
 		return requestBody{}, tooLarge(limit)
 	}
-	if stream && r.ContentLength > bufferLimit {
-		return requestBody{stream: r.Body, length: r.ContentLength}, nil
-	}
 	if r.ContentLength == 0 {
 		return requestBody{}, nil
 	}
+	// A caller that stops sending would hold the request beyond its deadline.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(left))
+	if stream && r.ContentLength > bufferLimit {
+		return requestBody{stream: r.Body, length: r.ContentLength}, nil
+	}
 	data, err := readAll(io.LimitReader(r.Body, limit+1), r.ContentLength)
 	if err != nil {
 		return requestBody{}, bodyProblem(err)
@@ -63,6 +67,17 @@
 	return requestBody{data: data, length: int64(len(data))}, nil
 }
 
+// bufferSize is the memory that the body of a request may need.
+func bufferSize(r *http.Request, limit int64, stream bool) int64 {
+	if r.ContentLength < 0 {
+		return min(limit, bufferedMost)
+	}
+	if stream && r.ContentLength > bufferLimit {
+		return 0
+	}
+	return min(r.ContentLength, limit, bufferedMost)
+}
+
 // readAll reads r to its end; size is the expected length or negative.
 func readAll(r io.Reader, size int64) ([]byte, error) {
 	// One byte more lets the read that meets the end happen without growing.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -21,6 +21,8 @@
 	ctx     context.Context
 	header  http.Header
 	body    requestBody
+	// reserved is the memory that is reserved for the body in bytes.
+	reserved int64
 	// ends is the deadline on the gateway's clock.
 	ends time.Duration
 	// whole says that the answer must be held in memory completely.
@@ -57,6 +59,7 @@
 		problem.write(w)
 		return problem.Outcome
 	}
+	defer g.buffers.Release(c.reserved)
 	w.Header()[workerapi.HeaderRequestID] = []string{c.requestID}
 	ctx, cancel := c.context(r.Context())
 	defer cancel()
@@ -79,8 +82,14 @@
 		p.RequestID = c.requestID
 		return nil, p
 	}
+	c.reserved = bufferSize(r, s.MaxBodyBytes, s.Idempotent)
+	if !g.buffers.TryAcquire(c.reserved) {
+		return nil, notRun(http.StatusServiceUnavailable, typeOverloaded, "The gateway holds too many bodies",
+			"retry after the time in Retry-After").after(defaultRetryAfter)
+	}
 	c.body, problem = readBody(w, r, s.MaxBodyBytes, s.Idempotent, c.left())
 	if problem != nil {
+		g.buffers.Release(c.reserved)
 		problem.RequestID = c.requestID
 	}
 	return c, problem
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
+	"golang.org/x/sync/semaphore"
 
 	"geraniumwall/control/client"
 )
@@ -66,6 +67,7 @@
 	submitter *submitter
 	metrics   *metrics
 	settings  atomic.Pointer[serviceTable]
+	buffers   *semaphore.Weighted
 	holders   atomic.Uint64
 	draining  atomic.Bool
 	// drained is closed when the gateway begins to drain.
@@ -88,8 +90,9 @@
 	g.control = client.New(o.Control, internal)
 	g.follower = client.NewFollower(g.control, client.Identity{Process: o.Name, Kind: "gateway", Domain: o.Domain})
 	g.balancer = newBalancer(o.Domain, rand.NewPCG(o.Seed, uint64(len(o.Name))), o.Clock)
+	g.buffers = semaphore.NewWeighted(bufferedMost)
 	g.workers = newWorkerTransport()
-	g.submitter = newSubmitter(g.control)
+	g.submitter = newSubmitter(g.control, func() uint64 { return g.settings.Load().version })
 	g.settings.Store(newServiceTable(nil, m))
 	g.owner = newOwner(g)
 	for _, s := range o.Schedulers {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -47,12 +47,8 @@
 	if e.requestID == "" {
 		e.requestID = uuid.NewString()
 	}
-	for name, value := range map[string]string{
-		workerapi.HeaderCaller: e.caller, workerapi.HeaderRequestID: e.requestID, workerapi.HeaderIdempotent: e.key,
-	} {
-		if !validToken(value) {
-			return e, invalid(fmt.Sprintf("header %s must be at most %d visible ASCII characters", name, maxTokenLength))
-		}
+	if problem := e.check(); problem != nil {
+		return e, problem
 	}
 	if text := h.Get(workerapi.HeaderDeadline); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
@@ -64,6 +60,21 @@
 	return e, nil
 }
 
+func (e *envelope) check() *Problem {
+	var name string
+	switch {
+	case !validToken(e.caller):
+		name = workerapi.HeaderCaller
+	case !validToken(e.requestID):
+		name = workerapi.HeaderRequestID
+	case !validToken(e.key):
+		name = workerapi.HeaderIdempotent
+	default:
+		return nil
+	}
+	return invalid(fmt.Sprintf("header %s must be at most %d visible ASCII characters", name, maxTokenLength))
+}
+
 func validToken(s string) bool {
 	if len(s) > maxTokenLength {
 		return false
--- a/gateway/submitter.go
+++ b/gateway/submitter.go
@@ -38,13 +38,15 @@
 // submitter batches the submissions of many callers.
 type submitter struct {
 	control *client.Client
+	// version returns the configuration version in force.
+	version func() uint64
 	queue   chan *submission
 	cancel  context.CancelFunc
 	ctx     context.Context
 }
 
-func newSubmitter(c *client.Client) *submitter {
-	s := &submitter{control: c, queue: make(chan *submission, submitQueueMost)}
+func newSubmitter(c *client.Client, version func() uint64) *submitter {
+	s := &submitter{control: c, version: version, queue: make(chan *submission, submitQueueMost)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -95,7 +97,7 @@
 	if len(batch) == 0 {
 		return
 	}
-	request := &controlpb.SubmitTasksRequest{}
+	request := &controlpb.SubmitTasksRequest{ConfigVersion: s.version()}
 	for _, b := range batch {
 		request.Tasks = append(request.Tasks, b.spec)
 	}
--- a/gateway/suite_test.go
+++ b/gateway/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,5 +10,6 @@
 
 func TestGateway(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second)
 	RunSpecs(t, "gateway")
 }
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -124,6 +124,10 @@
 }
 
 func (t *workerTransport) reserve(ctx context.Context, address string) error {
+	// The dial of a request that took another connection goes on without it, so the
+	// wait needs a bound of its own.
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	for {
 		changed := t.tryReserve(address)
 		if changed == nil {
--- a/routing/health.go
+++ b/routing/health.go
@@ -14,6 +14,10 @@
 	failureShareMinimum = 20
 	ejectionBase        = 2 * time.Second
 	ejectionLongest     = 30 * time.Second
+	// abandonedFactor is how much longer than the service's average an abandoned
+	// attempt must have taken to count as a failure of the upstream, so that callers
+	// with short deadlines blame no one.
+	abandonedFactor = 4
 	// ejectionMemory is the time without ejection after which the next one is
 	// short again.
 	ejectionMemory = time.Minute
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -103,6 +103,25 @@
 		Expect(serve(t, 100, &now, ok)).To(HaveLen(4))
 	})
 
+	ginkgo.It("ejects a frozen upstream, but not for the short deadlines of callers", func() {
+		t := newTestTable(workers("home", 4, 8)...)
+		now := time.Duration(0)
+		serve(t, 50, &now, ok)
+		serve(t, 200, &now, func(Ticket) Result { return ResultAbandoned })
+		Expect(t.services["a"].local).To(HaveLen(4))
+		for range 40 {
+			d := ask(t, "a", now, time.Minute)
+			if d.Ticket.Worker == "home0" {
+				now += time.Second
+				t.Release(d.Ticket, ResultAbandoned, now)
+				continue
+			}
+			t.Release(d.Ticket, ResultOK, now+time.Millisecond)
+		}
+		Expect(t.upstreams["home0"].health.ejected(now) || t.upstreams["home0"].health.inARow > 0).To(BeTrue())
+		Expect(t.upstreams["home1"].health.inARow).To(BeZero())
+	})
+
 	ginkgo.It("brings a domain that returns up slowly", func() {
 		home, back := workers("home", 4, 8), workers("back", 4, 8)
 		for i := range back {
--- a/routing/table.go
+++ b/routing/table.go
@@ -247,13 +247,21 @@
 		l.up.health.record(false)
 		t.learnLatency(l, took, now)
 	case ResultFailed:
-		if l.up.health.record(true) && t.mayEject(now) {
-			l.up.health.eject(now)
-		}
+		t.learnFailure(l.up, now)
 	case ResultRefused:
 		ticket.session.refused = true
 		ticket.session.refusedAt = now
 	case ResultAbandoned:
+		if usual := l.service.latency; usual.count > 0 && float64(took) > abandonedFactor*usual.value {
+			l.latency.add(float64(took))
+			t.learnFailure(l.up, now)
+		}
+	}
+}
+
+func (t *Table) learnFailure(u *upstream, now time.Duration) {
+	if u.health.record(true) && t.mayEject(now) {
+		u.health.eject(now)
 	}
 }
 
