Number the grant syncs and report only what is in force

The scheduler frees a reduced slot when a later sync confirms the reduction. The gateway could send that sync before it had put the previous answer in force, so a larger grant could come into use after it was reported as small. A sync now waits until the answer before it is in force, and carries its sequence number, as the scheduler's contract asks.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -217,13 +217,34 @@
 		Expect(r.remote.last().Demands).To(ContainElement(HaveField("Service", Equal("quote"))))
 	})
 
+	It("reports the grants of each answer in the next sync", func() {
+		u := newFakeUpstream("w1")
+		r := newRig(u.grant(4, 3*time.Second))
+		slots := int32(1)
+		r.scheduler.mu.Lock()
+		r.scheduler.onSync = func(s *fakeScheduler) {
+			held, sequences := s.requests[len(s.requests)-1], len(s.requests)
+			Expect(held.Sequence).To(Equal(uint64(sequences)))
+			if slots > 1 {
+				Expect(held.Holdings).To(ContainElement(HaveField("Slots", Equal(slots))))
+			}
+			slots = slots%4 + 2
+			s.grants = []*schedulerpb.Grant{u.grant(slots, 3*time.Second)}
+		}
+		r.scheduler.mu.Unlock()
+		for range 20 {
+			r.links[0].nudge()
+			r.synced()
+		}
+	})
+
 	It("prefers the grant with the highest session", func() {
 		old, fresh := newFakeUpstream("w1"), newFakeUpstream("w1")
 		fresh.session.Store(2)
 		r := newRig(old.grant(2, 3*time.Second))
-		r.owner.send(grantsReceived{set: grantSet("other", r.clock.now(), &schedulerpb.SyncGrantsResponse{
+		r.owner.receiveGrants(context.Background(), grantSet("other", r.clock.now(), &schedulerpb.SyncGrantsResponse{
 			Grants: []*schedulerpb.Grant{fresh.grant(2, 3*time.Second)},
-		})})
+		}))
 		session := func() (s uint64) {
 			r.balancer.read(func(t *routing.Table, now time.Duration) {
 				s = t.Report("bern-a", now).Holdings[0].Session
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -25,6 +25,8 @@
 	scheduler Scheduler
 	client    schedulerpb.Scheduler
 	nudged    chan struct{}
+	// sequence counts the syncs from 1.
+	sequence uint64
 }
 
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
@@ -80,6 +82,7 @@
 
 func (l *link) sync(ctx context.Context, draining bool) {
 	g := l.gateway
+	l.sequence++
 	request := l.request(draining)
 	sent := g.clock()
 	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
@@ -90,7 +93,8 @@
 		return
 	}
 	g.follower.Notice(answer.GetConfigVersion())
-	g.owner.send(grantsReceived{set: grantSet(l.scheduler.Name, sent, answer)})
+	// The next sync reports what is held, so it must follow the use of this answer.
+	g.owner.receiveGrants(ctx, grantSet(l.scheduler.Name, sent, answer))
 }
 
 func (l *link) request(draining bool) *schedulerpb.SyncGrantsRequest {
@@ -99,7 +103,7 @@
 	g.balancer.read(func(t *routing.Table, now time.Duration) { report = t.Report(l.scheduler.Domain, now) })
 	request := &schedulerpb.SyncGrantsRequest{
 		Gateway: g.options.Name, Domain: g.options.Domain, Incarnation: g.options.Incarnation,
-		ConfigVersion: g.settings.Load().version, Draining: draining,
+		ConfigVersion: g.settings.Load().version, Draining: draining, Sequence: l.sequence,
 	}
 	for _, d := range report.Demands {
 		request.Demands = append(request.Demands, demandMessage(d))
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -19,7 +19,11 @@
 
 // Messages of the owner.
 type (
-	grantsReceived struct{ set routing.GrantSet }
+	grantsReceived struct {
+		set routing.GrantSet
+		// applied is closed when the grants are in force.
+		applied chan struct{}
+	}
 	configReceived struct{ snapshot *client.Snapshot }
 	tick           struct{}
 )
@@ -48,6 +52,7 @@
 		if o.book.Receive(m.set) {
 			o.publishGrants()
 		}
+		close(m.applied)
 	case configReceived:
 		o.publishConfig(m.snapshot)
 	case tick:
@@ -81,6 +86,16 @@
 
 func (o *owner) configChanged(s *client.Snapshot) { o.send(configReceived{snapshot: s}) }
 
+// receiveGrants returns when the grants are in force.
+func (o *owner) receiveGrants(ctx context.Context, set routing.GrantSet) {
+	applied := make(chan struct{})
+	o.send(grantsReceived{set: set, applied: applied})
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+}
+
 func (o *owner) send(message any) { o.system.Root.Send(o.pid, message) }
 
 func (o *owner) runTicks(ctx context.Context) {
