Ignore slowdowns of services far below their targets

Doing without reactions was ruled out as the remedy: it costs the margin under load.

The limit now applies when the predicted tail latency passes 0.9 of the target of the service; the score always counts the slowdown.

--- a/policy/engine/observe.go
+++ b/policy/engine/observe.go
@@ -61,7 +61,7 @@
 	placeBelow = 0.8
 	// slackBelow is the part of the target of a service below which its slowdown
 	// does not matter.
-	slackBelow = 0.5
+	slackBelow = 0.9
 )
 
 // relaxed reports whether a predicted tail latency is far below the target.
@@ -80,11 +80,9 @@
 	refuse := false
 	limit := e.limit()
 	e.model.Adding(w, job, func(a interference.Added) {
-		if e.relaxed(e.model.ServiceName(a.Service), a.P99Seconds) {
-			return
-		}
 		cost += (a.After*a.After - a.Before*a.Before) / (limit * limit)
-		refuse = refuse || a.After > placeBelow*limit
+		over := a.After > placeBelow*limit
+		refuse = refuse || (over && !e.relaxed(e.model.ServiceName(a.Service), a.P99Seconds))
 	})
 	return cost, refuse
 }
