--- a/policy/engine/engine.go
+++ b/policy/engine/engine.go
@@ -27,6 +27,8 @@
 	// NoReaction never throttles or evicts for a service.
 	NoReaction bool
 	NoThrottle bool
+	// NoMove leaves a throttled task where it is as long as its service recovers.
+	NoMove bool
 	// NoHysteresis ends a throttle as soon as the prediction allows it.
 	NoHysteresis bool
 	// NoBudget evicts without limits on number and minimum run.
--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -29,6 +29,10 @@
 	evictAbove = 1.2
 	// leastShare is the smallest processor share; less starves a task for no gain.
 	leastShare = 0.25
+	// moveAfter is the time at a reduced share after which a task may be moved,
+	// moveHorizon the time over which the cost of staying is counted.
+	moveAfter   = 15 * time.Second
+	moveHorizon = time.Minute
 	// urgentKeep is the part of the eviction budget kept for urgent tasks.
 	urgentKeep = 0.25
 	// evictionTimeout is the time after which a proposed eviction that did not
@@ -167,6 +171,9 @@
 	list := e.neighbours(now, h, worst.Service, worst.Load)
 	excess := worst.effect - throttleTo*e.limit()
 	throttled := false
+	if out, moved := e.moveOne(now, h, worst, list, out); moved {
+		return out
+	}
 	for i := range list {
 		n := &list[i]
 		if excess <= 0 || e.rules.NoThrottle {
@@ -187,6 +194,30 @@
 	return e.evictOne(now, h, worst, list, out)
 }
 
+// moveOne evicts a task that has been throttled for so long that the start
+// elsewhere costs less than going on at its share.
+func (e *Engine) moveOne(now time.Duration, h *host, worst *pressure, list []neighbour, out []policy.Reaction) ([]policy.Reaction, bool) {
+	var best *neighbour
+	for i := range list {
+		n := &list[i]
+		if n.share == 1 || now-n.changed < moveAfter || n.Priority == config.Urgent || !e.ranEnough(now, n.task) {
+			continue
+		}
+		gain := (1 - n.share) * min(e.remaining(now, n.task), moveHorizon).Seconds() * classCost(n.Priority)
+		if gain > n.loss && (best == nil || e.worth(n) > e.worth(best)) {
+			best = n
+		}
+	}
+	if e.rules.NoMove || best == nil || !e.spend(now, urgentKeep) {
+		return out, false
+	}
+	return append(out, e.evict(now, h, best.task, "has been throttled for longer than a start elsewhere costs", []policy.Figure{
+		{Name: "share", Value: best.share},
+		{Name: "loss_s", Value: best.loss},
+		{Name: "slowdown", Value: math.Exp(worst.effect)},
+	})), true
+}
+
 // shareFor is the largest share in quarters that removes the excess.
 func (e *Engine) shareFor(n *neighbour, excess float64) float64 {
 	if n.Priority == config.Urgent {
