--- a/experiments/run.go
+++ b/experiments/run.go
@@ -62,6 +62,15 @@
 	Submitted   int
 	Decisions   map[string]int
 	Starts      int
+	// DoneBy and OfferedBy are core-seconds of completed and submitted tasks by
+	// team, as declared; WaitBy is the longest wait by job.
+	DoneBy    map[string]float64
+	OfferedBy map[string]float64
+	WaitBy    map[string]time.Duration
+	// RackShare is the largest part of the tasks of a job that ran in one rack,
+	// as a mean over the run.
+	RackShare float64
+	racked    int
 }
 
 const maxAttempts = 3
@@ -79,6 +88,8 @@
 	waiting  map[string]bool
 	debt     map[string]float64
 	next     int
+	racks    map[string]string
+	placed   map[string]string
 	result   Result
 }
 
@@ -89,13 +100,16 @@
 	r := &run{
 		scenario: s, spec: spec, fleet: fake.New(spec), random: rand.New(rand.NewPCG(seed, 99)),
 		tasks: map[string]policy.Task{}, waiting: map[string]bool{}, debt: map[string]float64{},
-		result: Result{Impossible: map[string]int{}, Decisions: map[string]int{}},
+		racks: map[string]string{}, placed: map[string]string{},
+		result: Result{Impossible: map[string]int{}, Decisions: map[string]int{}, DoneBy: map[string]float64{},
+			OfferedBy: map[string]float64{}, WaitBy: map[string]time.Duration{}},
 	}
 	if p.New != nil {
 		r.engine = p.New(seed)
 		r.engine.SetConfig(0, c)
 		for _, w := range r.fleet.Workers() {
 			r.engine.UpsertWorker(0, w)
+			r.racks[w.ID] = w.Rack
 		}
 	}
 	for r.now = fake.Tick; r.now <= s.Duration; r.now += fake.Tick {
@@ -106,6 +120,7 @@
 			r.arrive()
 			r.schedule()
 			r.react()
+			r.sampleRacks()
 		}
 	}
 	return r.finish()
@@ -118,7 +133,7 @@
 		r.result.P99 = append(r.result.P99, h.ValueAtQuantile(99))
 	}
 	for id := range r.waiting {
-		r.result.LongestWait = max(r.result.LongestWait, r.now-r.tasks[id].Enqueued)
+		r.waited(r.tasks[id])
 	}
 	return r.result
 }
@@ -138,9 +153,11 @@
 // ended tells the engine and puts the task back unless it is over.
 func (r *run) ended(e fake.Ended) {
 	r.engine.Ended(r.now, e.Task.ID, e.Worker, e.Kind)
+	delete(r.placed, e.Task.ID)
 	t := r.tasks[e.Task.ID]
 	switch e.Kind {
 	case policy.EndDone, policy.EndCancelled:
+		r.result.DoneBy[t.Team] += declaredWork(&t)
 		delete(r.tasks, t.ID)
 		return
 	case policy.EndFailed:
@@ -205,12 +222,46 @@
 		Expected: j.Expected, Enqueued: r.now, Checkpoints: j.Checkpoints,
 	}
 	r.result.Submitted++
+	r.result.OfferedBy[t.Team] += declaredWork(&t)
 	r.tasks[t.ID] = t
 	r.order = append(r.order, t.ID)
 	r.waiting[t.ID] = true
 	r.engine.Enqueue(r.now, t)
 }
 
+// declaredWork is the size of a task in core-seconds.
+func declaredWork(t *policy.Task) float64 {
+	return float64(t.Size.CPUMillis) / 1000 * t.Expected.Seconds()
+}
+
+// Sampling of how jobs spread over racks.
+const (
+	sampleRacksEvery = 10 * time.Second
+	leastTasks       = 8
+)
+
+func (r *run) sampleRacks() {
+	if r.now%sampleRacksEvery != 0 {
+		return
+	}
+	total, inRack := map[string]int{}, map[[2]string]int{}
+	for id, on := range r.placed {
+		job := r.tasks[id].Job
+		total[job]++
+		inRack[[2]string{job, r.racks[on]}]++
+	}
+	largest := 0.0
+	for key, n := range inRack {
+		if total[key[0]] >= leastTasks {
+			largest = max(largest, float64(n)/float64(total[key[0]]))
+		}
+	}
+	if largest > 0 {
+		r.result.RackShare += (largest - r.result.RackShare) / float64(r.result.racked+1)
+		r.result.racked++
+	}
+}
+
 // startsPerTick limits the proposals of one call.
 const startsPerTick = 128
 
@@ -248,6 +299,7 @@
 		return
 	}
 	delete(r.waiting, t.ID)
+	r.placed[t.ID] = p.Worker
 	reserved := t
 	reserved.Size = size
 	r.engine.Started(r.now, reserved, p.Worker)
@@ -255,8 +307,7 @@
 	if t.Evictions > 0 || t.Failures > 0 {
 		return
 	}
-	waited := r.now - t.Enqueued
-	r.result.LongestWait = max(r.result.LongestWait, waited)
+	waited := r.waited(t)
 	if t.Priority == config.Urgent {
 		r.result.UrgentCount++
 		r.result.UrgentDelay = max(r.result.UrgentDelay, waited)
@@ -276,6 +327,13 @@
 	}
 }
 
+func (r *run) waited(t policy.Task) time.Duration {
+	waited := r.now - t.Enqueued
+	r.result.LongestWait = max(r.result.LongestWait, waited)
+	r.result.WaitBy[t.Job] = max(r.result.WaitBy[t.Job], waited)
+	return waited
+}
+
 // cancel removes a part of all tasks at once.
 func (r *run) cancel(part float64) {
 	kept := r.order[:0]
@@ -288,6 +346,7 @@
 			continue
 		}
 		if on, ran := r.fleet.Cancel(id); ran {
+			delete(r.placed, id)
 			r.engine.Ended(r.now, id, on, policy.EndCancelled)
 		} else {
 			r.engine.Dequeue(r.now, id)
--- a/experiments/scenarios.go
+++ b/experiments/scenarios.go
@@ -122,6 +122,10 @@
 // poisoned is the part of the tasks that fail wherever they run.
 const poisoned = 0.005
 
+// greedyWeights lets the cutting team ask for far more than its quota with small
+// tasks, while the others ask for less than theirs.
+var greedyWeights = map[string]float64{"cut-small": 8, "cut-large": 0.5, "mesh": 1, "pack": 0.5, "optimize": 1, "render": 0.5}
+
 // Demands of the scenarios, as parts of the capacity for tasks.
 const (
 	usualDemand     = 0.6
@@ -154,6 +158,7 @@
 			{At: 11 * time.Minute, Do: func(r *run) { r.restore(lostDomain) }},
 		}},
 		{Name: "busy", Spec: d.spec(day), Demand: constant(highDemand)},
+		{Name: "greedy-team", Spec: d.spec(day), Demand: constant(saturated), Weights: greedyWeights},
 	}
 	for i := range list {
 		list[i].Duration = runTime
--- a/policy/engine/engine.go
+++ b/policy/engine/engine.go
@@ -80,6 +80,8 @@
 	// breachedSince is the time since which a service is over its limit, or -1.
 	breachedSince time.Duration
 	calmSince     time.Duration
+	// quiet is set while nothing calls for a reaction; any change ends it.
+	quiet bool
 }
 
 // Engine decides for one failure domain.
@@ -238,6 +240,7 @@
 
 // occupy takes up the capacity of a host that is present.
 func (e *Engine) occupy(now time.Duration, h *host, t *task) {
+	h.quiet = false
 	if h.present {
 		e.index.Take(h.placed, t.Job, t.reserved)
 		e.model.Change(now, h.ID, t.Job, t.share)
@@ -246,6 +249,7 @@
 
 // vacate gives the capacity back.
 func (e *Engine) vacate(now time.Duration, h *host, t *task) {
+	h.quiet = false
 	if h.present {
 		e.index.Give(h.placed, t.Job, t.reserved)
 		e.model.Change(now, h.ID, t.Job, -t.share)
--- a/policy/engine/observe.go
+++ b/policy/engine/observe.go
@@ -12,6 +12,9 @@
 
 // ReportService learns from a measurement of a service on a worker.
 func (e *Engine) ReportService(now time.Duration, worker string, r workerapi.ServiceReport) {
+	if h := e.hosts[worker]; h != nil {
+		h.quiet = false
+	}
 	e.model.Observe(now, worker, interference.Sample{
 		Service: r.Service,
 		At:      now - time.Duration(r.AgeMS)*time.Millisecond,
--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -86,6 +86,9 @@
 		h.breachedSince = -1
 		return out
 	}
+	if h.quiet {
+		return out
+	}
 	worst, pressed := e.pressure(h)
 	limit := e.limit()
 	if !pressed || worst.effect <= limit {
@@ -93,6 +96,7 @@
 	} else if h.breachedSince < 0 {
 		h.breachedSince = now
 	}
+	h.quiet = worst.effect <= limit && !h.throttles()
 	if now-h.reacted < settleReaction {
 		return out
 	}
@@ -103,6 +107,7 @@
 		out = e.reduce(now, h, &worst, out)
 	case pressed && worst.effect > calmBelow*limit && !e.rules.NoHysteresis:
 		h.calmSince = now
+		out, _ = e.moveOne(now, h, &worst, e.neighbours(now, h, worst.Service, worst.Load), out)
 	case e.rules.NoHysteresis || now-h.calmSince >= calmFor:
 		out = e.relax(now, h, &worst, pressed, out)
 	}
@@ -112,6 +117,16 @@
 	return out
 }
 
+// throttles reports whether a task of the host is throttled.
+func (h *host) throttles() bool {
+	for _, t := range h.tasks {
+		if t.share != 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // neighbour is a task that slows the service.
 type neighbour struct {
 	*task
