--- a/policy/engine/engine.go
+++ b/policy/engine/engine.go
@@ -27,6 +27,8 @@
 	// NoReaction never throttles or evicts for a service.
 	NoReaction bool
 	NoThrottle bool
+	// NoMove leaves a throttled task where it is as long as its service recovers.
+	NoMove bool
 	// NoHysteresis ends a throttle as soon as the prediction allows it.
 	NoHysteresis bool
 	// NoBudget evicts without limits on number and minimum run.
@@ -78,6 +80,8 @@
 	// breachedSince is the time since which a service is over its limit, or -1.
 	breachedSince time.Duration
 	calmSince     time.Duration
+	// quiet is set while nothing calls for a reaction; any change ends it.
+	quiet bool
 }
 
 // Engine decides for one failure domain.
@@ -236,6 +240,7 @@
 
 // occupy takes up the capacity of a host that is present.
 func (e *Engine) occupy(now time.Duration, h *host, t *task) {
+	h.quiet = false
 	if h.present {
 		e.index.Take(h.placed, t.Job, t.reserved)
 		e.model.Change(now, h.ID, t.Job, t.share)
@@ -244,6 +249,7 @@
 
 // vacate gives the capacity back.
 func (e *Engine) vacate(now time.Duration, h *host, t *task) {
+	h.quiet = false
 	if h.present {
 		e.index.Give(h.placed, t.Job, t.reserved)
 		e.model.Change(now, h.ID, t.Job, -t.share)
