Schedule with the policy engine and measure capacity slopes

Cause: the scheduler process still used the first-fit baseline; and docs/CAPACITY.md needs measured slopes.

Change: geranium-scheduler uses policy/engine. make capacity measures processor time, bytes and memory of each role over workers, tasks and start rates, with the fit and its error (build tag capacity).

--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,8 @@
 experiments:
 	go run ./cmd/geranium-experiments
 
-capacity:
-	go run ./cmd/geranium-capacity
+capacity: build
+	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags capacity -count=1 -timeout 1200s -run TestCapacity -v ./e2e
 
 soak:
 	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./state ./scheduler/...
--- a/cmd/geranium-scheduler/main.go
+++ b/cmd/geranium-scheduler/main.go
@@ -3,11 +3,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"github.com/rs/zerolog"
 
 	"geraniumwall/daemon"
-	"geraniumwall/policy/firstfit"
+	"geraniumwall/policy/engine"
 	"geraniumwall/schedulerd"
 )
 
@@ -19,7 +20,7 @@
 				return err
 			}
 		}
-		server, err := schedulerd.New(settings, log, firstfit.New())
+		server, err := schedulerd.New(settings, log, engine.New(rand.Uint64())) //nolint:gosec // spreading needs no secrecy
 		if err != nil {
 			return err
 		}
