Give up leadership when the disk stalls

Cause: a leader whose write hangs applies nothing, since its entries are not durable, but its heartbeats keep the followers from electing another one. It now steps down after MaxWriteTime (1 s) and doesn't campaign until the write ends. Ruled out: applying on the leader before its own write is durable.

--- a/raft/config.go
+++ b/raft/config.go
@@ -11,6 +11,7 @@
 const (
 	DefaultElectionTimeout     = 500 * time.Millisecond
 	DefaultHeartbeatInterval   = 100 * time.Millisecond
+	DefaultMaxWriteTime        = time.Second
 	DefaultMaxBatchBytes       = 256 << 10
 	DefaultMaxInflightMessages = 32
 	DefaultMaxInflightBytes    = 4 << 20
@@ -32,6 +33,10 @@
 	ElectionTimeout time.Duration
 	// HeartbeatInterval is the time between two heartbeats of a leader.
 	HeartbeatInterval time.Duration
+	// MaxWriteTime is the longest that a Write may take before this replica gives
+	// up leadership: a leader with a stalled disk applies nothing, yet its
+	// heartbeats would keep the others from replacing it.
+	MaxWriteTime time.Duration
 	// MaxBatchBytes bounds the entries in one message; one entry always fits.
 	MaxBatchBytes int
 	// MaxInflightMessages and MaxInflightBytes bound what is sent to a follower
@@ -81,6 +86,7 @@
 func (c Config) withDefaults() Config {
 	orDefault(&c.ElectionTimeout, DefaultElectionTimeout)
 	orDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	orDefault(&c.MaxWriteTime, DefaultMaxWriteTime)
 	orDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
 	orDefault(&c.MaxInflightMessages, DefaultMaxInflightMessages)
 	orDefault(&c.MaxInflightBytes, DefaultMaxInflightBytes)
--- a/raft/election.go
+++ b/raft/election.go
@@ -4,7 +4,7 @@
 // for this replica, so a replica that was cut off disturbs nobody.
 func (n *Node) campaign() {
 	n.resetElectionTimer()
-	if !n.membership().IsVoter(n.config.ID) {
+	if !n.membership().IsVoter(n.config.ID) || n.writeStalled() {
 		return
 	}
 	n.role = RolePreCandidate
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -106,6 +106,10 @@
 
 func (n *Node) tickLeader() {
 	n.abortSlowTransfer()
+	if n.writeStalled() {
+		n.becomeFollower(n.hard.Term, 0)
+		return
+	}
 	if n.now-n.lead.quorumCheck >= n.config.ElectionTimeout {
 		n.lead.quorumCheck = n.now
 		if !n.hasActiveQuorum() {
--- a/raft/node.go
+++ b/raft/node.go
@@ -29,9 +29,10 @@
 	lead     *leadership
 	incoming *incomingSnapshot
 
-	writing  *Write
-	ready    Ready
-	deferred []Message
+	writing    *Write
+	writeStart time.Duration
+	ready      Ready
+	deferred   []Message
 }
 
 // New returns a follower with the stored state.
@@ -140,9 +141,15 @@
 		Messages:  n.deferred,
 	}
 	n.deferred = nil
+	n.writeStart = n.now
 	return n.writing
 }
 
+// writeStalled reports whether the disk has not finished a write in time.
+func (n *Node) writeStalled() bool {
+	return n.writing != nil && n.now-n.writeStart >= n.config.MaxWriteTime
+}
+
 // Advance tells that a write is durable. The write must be the outstanding one.
 func (n *Node) Advance(write *Write) {
 	assert(write != nil && write == n.writing, "Advance with a write that is not outstanding")
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -32,6 +32,15 @@
 		}
 	})
 
+	It("replaces a leader whose disk stalls", func() {
+		leader := c.awaitLeader()
+		leader.slowDisk = true
+		_, err := c.propose(leader, command(1))
+		Expect(err).NotTo(HaveOccurred())
+		replaced := func() bool { return c.leader() != nil && c.leader() != leader }
+		Expect(c.run(raft.DefaultMaxWriteTime+failoverLimit, replaced)).To(BeTrue())
+	})
+
 	It("confirms a read by a round, and fails it on a leader that was cut off", func() {
 		leader := c.awaitLeader()
 		Expect(leader.node.Read(7)).To(Succeed())
--- a/raft/protocol_test.go
+++ b/raft/protocol_test.go
@@ -130,7 +130,7 @@
 		Expect(node.Status().Membership.Members).To(HaveLen(3))
 	})
 
-	It("allows one membership change at a time, and only of a learner that has caught up", func() {
+	It("allows one membership change at a time, and only of a learner that has caught up, and no used id", func() {
 		node := single(raft.Config{PromotionLag: 2})
 		lead(node)
 		learner := raft.MemberChange{Kind: raft.AddLearner, Member: raft.Member{ID: 4}}
@@ -138,14 +138,17 @@
 		_, err := node.ChangeMembers(learner)
 		Expect(err).To(MatchError(raft.ErrChangePending), "no entry of the term is committed")
 		acknowledge(node, 2, 1)
+		_, err = node.ChangeMembers(raft.MemberChange{Kind: raft.RemoveMember, Member: raft.Member{ID: 3}})
+		Expect(err).NotTo(HaveOccurred())
+		acknowledge(node, 2, 2)
 		_, err = node.ChangeMembers(used)
-		Expect(err).To(MatchError(raft.ErrInvalidChange))
+		Expect(err).To(MatchError(raft.ErrInvalidChange), "its disk may be lost")
 		_, err = node.ChangeMembers(learner)
 		Expect(err).NotTo(HaveOccurred())
 		promotion := raft.MemberChange{Kind: raft.PromoteLearner, Member: raft.Member{ID: 4}}
 		_, err = node.ChangeMembers(promotion)
 		Expect(err).To(MatchError(raft.ErrChangePending))
-		acknowledge(node, 2, 2)
+		acknowledge(node, 2, 3)
 		for i := range 5 {
 			_, _ = node.Propose(command(i))
 		}
@@ -207,7 +210,8 @@
 	It("leads alone only after its vote is durable", func() {
 		stored := raft.Bootstrap([]raft.Member{{ID: 1}})
 		stored.HardState.Term = 1
-		node, err := raft.New(raft.Config{ID: 1, Random: rand.New(rand.NewPCG(1, 1))}, stored)
+		config := raft.Config{ID: 1, Random: rand.New(rand.NewPCG(1, 1)), MaxWriteTime: 2 * longTimeout}
+		node, err := raft.New(config, stored)
 		Expect(err).NotTo(HaveOccurred())
 		appendTo(node, raft.Message{From: 2, Term: 1}, 1)
 		earlier := node.Ready().Write
