--- /dev/null
+++ b/control/binder_test.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/settings"
+)
+
+func room(cpu int64) *controlpb.Resources {
+	return &controlpb.Resources{CpuMillis: cpu, MemoryMb: 1 << 20}
+}
+
+func pendingTask(id, domain string, cpu int64, p controlpb.Priority) *controlpb.Task {
+	return &controlpb.Task{Id: id, Spec: &controlpb.TaskSpec{
+		Domain: domain, Priority: p, Resources: &controlpb.Resources{CpuMillis: cpu},
+	}}
+}
+
+// planned returns the domain of each task that is bound.
+func planned(b *binder, now time.Duration, targets []*target, tasks ...*controlpb.Task) map[string]string {
+	scan := func(f func(*controlpb.Task) bool) {
+		for _, t := range tasks {
+			if !f(t) {
+				return
+			}
+		}
+	}
+	domains := map[string]string{}
+	for _, p := range b.plan(now, scan, targets) {
+		domains[p.GetTask()] = p.GetDomain()
+	}
+	return domains
+}
+
+var _ = Describe("binding", func() {
+	const batch, urgent = controlpb.Priority_PRIORITY_BATCH, controlpb.Priority_PRIORITY_URGENT
+	two := func(a, b, waiting int64) []*target {
+		return []*target{
+			{domain: "a", free: room(a), largest: room(a), workers: 1, waiting: waiting},
+			{domain: "b", free: room(b), largest: room(b), workers: 1, waiting: waiting},
+		}
+	}
+
+	// Guards against a domain that is filled while another one is idle, and against
+	// a preference that is ignored or that makes a task wait.
+	It("prefers the preferred domain with room, then spreads by free capacity", func() {
+		got := planned(newBinder(), 0, two(4000, 3000, 4), pendingTask("1", "b", 2000, batch),
+			pendingTask("2", "b", 2000, batch), pendingTask("3", "", 2000, batch), pendingTask("4", "", 2000, batch))
+		Expect(got).To(Equal(map[string]string{"1": "b", "2": "a", "3": "a"}))
+	})
+
+	// Guards against an urgent task that waits in control, where nothing is evicted
+	// for it.
+	It("binds an urgent task although nothing is free", func() {
+		Expect(planned(newBinder(), 0, two(0, 0, 99), pendingTask("1", "", 100, urgent))).To(HaveLen(1))
+	})
+
+	// Guards against a task that is bound to the domain that just returned it.
+	It("avoids a domain that returned the task for a while", func() {
+		b := newBinder()
+		b.returned(0, "1", "a")
+		Expect(planned(b, time.Second, two(9000, 100, 0), pendingTask("1", "a", 100, batch))).To(HaveKeyWithValue("1", "b"))
+		Expect(planned(b, time.Minute, two(9000, 100, 0), pendingTask("1", "a", 100, batch))).To(HaveKeyWithValue("1", "a"))
+	})
+
+	// Guards against bindings beyond the capacity before a load report shows them.
+	It("counts bindings that the load does not show yet", func() {
+		b := newBinder()
+		Expect(planned(b, 0, two(1000, 0, 4), pendingTask("1", "", 1000, batch))).To(HaveLen(1))
+		Expect(planned(b, recentBinding/2, two(1000, 0, 4), pendingTask("2", "", 1000, batch))).To(BeEmpty())
+	})
+})
+
+var _ = Describe("settings", func() {
+	layout := func(single bool, domains ...string) error {
+		s := &Settings{Name: "n", Domain: "a", Listen: "127.0.0.1:1", DataDir: "d", ReplicaID: 1, SingleDomainOK: single}
+		for i, d := range domains {
+			s.Replicas = append(s.Replicas, ReplicaAddress{uint64(i + 1), "127.0.0.1:" + string(rune('1'+i)), d})
+		}
+		return settings.Validate("test", s)
+	}
+
+	// Guards against a layout that the loss of one domain stops.
+	It("refuse replicas of which one domain holds too many", func() {
+		Expect(layout(false, "a", "b", "c")).To(Succeed())
+		Expect(layout(false, "a", "a", "b", "b", "c")).To(Succeed())
+		Expect(layout(false, "a", "a", "b")).To(MatchError(ContainSubstring("spread")))
+		Expect(layout(false, "a", "b")).To(MatchError(ContainSubstring("spread")))
+		Expect(layout(true, "a")).To(Succeed())
+	})
+})
--- a/control/disk.go
+++ b/control/disk.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// snapshotEntries and snapshotBytes bound the log behind a snapshot, and with
-	// it the time of a restart and the use of the disk.
-	snapshotEntries = 20_000
-	snapshotBytes   = 32 << 20
+	// DefaultSnapshotEntries and snapshotBytes bound the log behind a snapshot, and
+	// with it the time of a restart and the use of the disk.
+	DefaultSnapshotEntries = 20_000
+	snapshotBytes          = 32 << 20
 )
 
 // diskQueue carries out the writes of the log outside of the actor.
@@ -60,14 +60,14 @@
 
 func (s *snapshotting) reset() { s.entries, s.bytes = 0, 0 }
 
-func (s *snapshotting) due() bool {
-	return !s.busy && (s.entries >= snapshotEntries || s.bytes >= snapshotBytes)
+func (s *snapshotting) due(entries int) bool {
+	return !s.busy && (s.entries >= entries || s.bytes >= snapshotBytes)
 }
 
 // considerSnapshot captures the state when a snapshot is due and encodes it
 // outside of the actor.
 func (r *replica) considerSnapshot() {
-	if !r.snapshots.due() {
+	if !r.snapshots.due(r.options.SnapshotEntries) {
 		return
 	}
 	r.snapshots.busy = true
--- a/control/server.go
+++ b/control/server.go
@@ -62,6 +62,9 @@
 	// Seed varies the election timeouts and must differ between replicas.
 	Seed  uint64
 	Meter metric.Meter
+	// SnapshotEntries is the number of entries after which a snapshot is taken;
+	// 0 stands for DefaultSnapshotEntries.
+	SnapshotEntries int
 }
 
 func (o *Options) setDefaults() {
@@ -71,6 +74,9 @@
 	if o.Retention == (Retention{}) {
 		o.Retention = DefaultRetention
 	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = DefaultSnapshotEntries
+	}
 	if o.Now == nil {
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -90,8 +90,13 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return &Error{File: file, Problems: []string{"data after the end of the document; remove it"}}
 	}
+	return Validate(file, out)
+}
+
+// Validate checks settings that are already decoded.
+func Validate(file string, s Checked) error {
 	var c Checker
-	out.Check(&c)
+	s.Check(&c)
 	if len(c.problems) > 0 {
 		return &Error{File: file, Problems: c.problems}
 	}
