--- a/control/linear_test.go
+++ b/control/linear_test.go
@@ -53,33 +53,41 @@
 	l, op, seen := s.(ledger), in.(operation), out.(observed)
 	switch op.kind {
 	case "apply":
-		mark := fmt.Sprintf("[%s=", op.id)
-		if v, known := find(l.accepted, mark); known {
-			return seen.unknown || (seen.accepted && seen.version == v), l
-		}
-		if op.base != l.version {
-			return seen.unknown || (!seen.accepted && seen.version == l.version), l
-		}
-		l.version++
-		l.accepted += fmt.Sprintf("%s%d]", mark, l.version)
-		return seen.unknown || (seen.accepted && seen.version == l.version), l
+		return stepApply(l, op, seen)
 	case "begin":
-		want := controlpb.RequestState_REQUEST_STATE_STARTED
-		switch {
-		case l.holder == "":
-			l.holder = op.holder
-		case l.ended:
-			want = controlpb.RequestState_REQUEST_STATE_ENDED
-		case l.holder != op.holder:
-			want = controlpb.RequestState_REQUEST_STATE_IN_PROGRESS
-		}
-		return seen.unknown || seen.state == want, l
+		return stepBegin(l, op, seen)
 	}
 	refused := l.holder != op.holder
 	l.ended = l.ended || !refused
 	return seen.unknown || seen.refused == refused, l
 }
 
+func stepApply(l ledger, op operation, seen observed) (bool, any) {
+	mark := fmt.Sprintf("[%s=", op.id)
+	if v, known := find(l.accepted, mark); known {
+		return seen.unknown || (seen.accepted && seen.version == v), l
+	}
+	if op.base != l.version {
+		return seen.unknown || (!seen.accepted && seen.version == l.version), l
+	}
+	l.version++
+	l.accepted += fmt.Sprintf("%s%d]", mark, l.version)
+	return seen.unknown || (seen.accepted && seen.version == l.version), l
+}
+
+func stepBegin(l ledger, op operation, seen observed) (bool, any) {
+	want := controlpb.RequestState_REQUEST_STATE_STARTED
+	switch {
+	case l.holder == "":
+		l.holder = op.holder
+	case l.ended:
+		want = controlpb.RequestState_REQUEST_STATE_ENDED
+	case l.holder != op.holder:
+		want = controlpb.RequestState_REQUEST_STATE_IN_PROGRESS
+	}
+	return seen.unknown || seen.state == want, l
+}
+
 func find(accepted, mark string) (uint64, bool) {
 	for i := 0; i+len(mark) <= len(accepted); i++ {
 		if accepted[i:i+len(mark)] == mark {
