--- a/state/transitions_test.go
+++ b/state/transitions_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -87,16 +86,13 @@
 // expected says what an event must do, independently of the implementation's
 // tables: whether it is recorded, and the state afterwards.
 func (s setup) expected(kind controlpb.TaskEventKind, relation string) (bool, controlpb.TaskState) {
-	switch {
-	case s.state == pending:
-		return false, pending
-	case relation == "same" && s.last == kind:
+	if relation == "same" && s.last == kind {
 		return true, s.state
-	case s.state != bound || slices.Contains(staleRelations, relation) || kind == kindCancelled && !s.cancel:
+	}
+	if s.refuses(kind, relation) {
 		return false, s.state
-	case relation == "same" && s.attemptClosedFor(kind):
-		return false, bound
-	case s.cancel && kind == kindReturned:
+	}
+	if s.cancel && kind == kindReturned {
 		return true, cancelled
 	}
 	return true, map[controlpb.TaskEventKind]controlpb.TaskState{
@@ -105,12 +101,15 @@
 	}[kind]
 }
 
-var staleRelations = []string{"older epoch", "older number", "future epoch"}
-
-// attemptClosedFor says whether the recorded end of the attempt excludes another.
-func (s setup) attemptClosedFor(kind controlpb.TaskEventKind) bool {
-	ends := []controlpb.TaskEventKind{kindDone, kindFailed, kindEvicted, kindAttemptFailed}
-	return s.last != 0 && slices.Contains(ends, kind) && (s.last != kindAttemptFailed || kind != kindFailed)
+func (s setup) refuses(kind controlpb.TaskEventKind, relation string) bool {
+	if s.state != bound || (kind == kindCancelled && !s.cancel) {
+		return true
+	}
+	if relation != "same" {
+		return relation == "older epoch" || relation == "older number" || relation == "future epoch"
+	}
+	closing := kind == kindDone || kind == kindFailed || kind == kindEvicted || kind == kindAttemptFailed
+	return s.last != 0 && closing && (s.last != kindAttemptFailed || kind != kindFailed)
 }
 
 // send applies an event and reports whether it is recorded.
