Take in grants by worker and session, and order workers once

A gateway reports its requests under older sessions as further holdings of a worker; the last one listed replaced the holding of the session in force.

--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -52,7 +52,8 @@
 // StopSync ends the synchronization of tasks after the role was lost.
 type StopSync struct{}
 
-// RecordAudit appends an automatic decision to the audit trail.
+// RecordAudit appends a decision to the audit trail. Control itself records
+// evictions and appointments.
 type RecordAudit struct {
 	Action  string
 	Subject string
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -199,7 +199,7 @@
 
 // expireAttempts settles the attempts whose lease is certainly over.
 func (c *Core) expireAttempts(now time.Duration) {
-	for _, id := range sortedKeys(c.workers) {
+	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		var over []string
 		for tid, t := range w.live {
--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/workerapi"
+)
+
+var fleetSizes = []int{50, 200, 1000, 2000}
+
+// runningTasks is the number of tasks on each worker in the benchmarks.
+const runningTasks = 8
+
+// benchFleet returns an active core in which every worker runs tasks, with the
+// heartbeat of each worker.
+func benchFleet(b *testing.B, workers int) (*Core, []*workerapi.Heartbeat) {
+	RegisterTestingT(b)
+	c := activeCore(workers)
+	var tasks []BoundTask
+	for i := range workers * runningTasks {
+		t := newTask(fmt.Sprintf("t%06d", i))
+		t.Size = workerapi.Resources{CPUMillis: 800, MemoryMB: 100}
+		tasks = append(tasks, t)
+	}
+	c.SyncTasks(2000*ms, 1, tasks, false)
+	beats := map[string]*workerapi.Heartbeat{}
+	var order []*workerapi.Heartbeat
+	for _, id := range sortedKeys(c.workers) {
+		hb := beat(id, 2)
+		hb.Session, hb.Holder = 1, "s1#1"
+		beats[id] = hb
+		order = append(order, hb)
+	}
+	for c.engine.Waiting() > 0 {
+		c.Tick(2050 * ms)
+		for _, s := range actionsOf[SendStart](c) {
+			report := workerapi.TaskReport{
+				ID: s.Body.ID, Attempt: s.Body.Attempt, Phase: workerapi.PhaseRunning, Job: s.Body.Job,
+				Resources: s.Body.Resources, Used: s.Body.Resources, Progress: 0.5, SinceCheckpointMS: 700,
+			}
+			c.StartAnswered(2060*ms, StartResult{
+				Ref:    workerapi.TaskRef{ID: s.Body.ID, Attempt: s.Body.Attempt},
+				Answer: workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: report},
+			})
+			beats[s.Worker].Tasks = append(beats[s.Worker].Tasks, report)
+		}
+	}
+	return c, order
+}
+
+func forFleets(b *testing.B, run func(b *testing.B, workers int)) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) { run(b, n) })
+	}
+}
+
+// BenchmarkHeartbeat is one heartbeat with eight running tasks; it reports the
+// bytes of the exchange as JSON.
+func BenchmarkHeartbeat(b *testing.B) {
+	forFleets(b, func(b *testing.B, workers int) {
+		c, beats := benchFleet(b, workers)
+		var answer workerapi.HeartbeatAnswer
+		i := 0
+		for b.Loop() {
+			hb := beats[i%len(beats)]
+			hb.Sequence++
+			answer, _ = c.Heartbeat(2100*ms, hb)
+			i++
+		}
+		request, _ := json.Marshal(beats[0])
+		response, _ := json.Marshal(answer)
+		b.ReportMetric(float64(len(request)), "request-bytes")
+		b.ReportMetric(float64(len(response)), "answer-bytes")
+	})
+}
+
+// BenchmarkGrantSync is one sync of one of nine gateways that hold grants.
+func BenchmarkGrantSync(b *testing.B) {
+	forFleets(b, func(b *testing.B, workers int) {
+		c, _ := benchFleet(b, workers)
+		holdings := make([][]Holding, 9)
+		i := 0
+		for b.Loop() {
+			g := i % len(holdings)
+			answer, err := c.SyncGrants(2100*ms, GrantSync{
+				Gateway: fmt.Sprintf("g%d", g), Domain: worldDomain, Incarnation: "1", Sequence: uint64(i + 1),
+				Demand: map[string]int{"proof": 5}, Holdings: holdings[g],
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			holdings[g] = holdings[g][:0]
+			for _, grant := range answer.Grants {
+				holdings[g] = append(holdings[g], Holding{Worker: grant.Worker, Session: grant.Session, Slots: grant.Slots})
+			}
+			i++
+		}
+	})
+}
+
+// BenchmarkStart is the life of one task with first fit: binding, start, end and
+// the record of its result.
+func BenchmarkStart(b *testing.B) {
+	forFleets(b, func(b *testing.B, workers int) {
+		RegisterTestingT(b)
+		c := activeCore(workers)
+		i := 0
+		for b.Loop() {
+			i++
+			c.SyncTasks(2050*ms, 1, []BoundTask{newTask(fmt.Sprint(i))}, false)
+			c.place(2050 * ms)
+			s := actionsOf[SendStart](c)[0]
+			ref := workerapi.TaskRef{ID: s.Body.ID, Attempt: s.Body.Attempt}
+			report := workerapi.TaskReport{ID: ref.ID, Attempt: ref.Attempt, Phase: workerapi.PhaseDone}
+			c.StartAnswered(2050*ms, StartResult{Ref: ref, Answer: workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: report}})
+			c.flushReports(2050 * ms)
+			c.ReportsAnswered(2050*ms, 1, true)
+			c.TakeActions()
+			c.SyncTasks(2050*ms, 1, []BoundTask{{ID: ref.ID}}, false)
+		}
+	})
+}
+
+// BenchmarkTick is one tick while nothing changes.
+func BenchmarkTick(b *testing.B) {
+	forFleets(b, func(b *testing.B, workers int) {
+		c, _ := benchFleet(b, workers)
+		now := 2100 * ms
+		for b.Loop() {
+			now += time.Microsecond
+			c.Tick(min(now, 2900*ms))
+		}
+	})
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -34,7 +34,9 @@
 	version   uint64
 	authority authority
 	workers   map[string]*worker
-	tasks     map[string]*task
+	// order caches the sorted keys of workers; nil after a change of the set.
+	order []string
+	tasks map[string]*task
 	// held are the tasks in phaseHeld.
 	held map[string]*task
 	// occupied counts the ledger entries of each task over all workers.
@@ -46,12 +48,13 @@
 	stops     []*task
 	actions   []Action
 	// attempts numbers the attempts of the current epoch.
-	attempts uint64
-	synced   bool
-	stopping bool
-	nextPlan time.Duration
-	nextMove time.Duration
-	starting int
+	attempts   uint64
+	synced     bool
+	stopping   bool
+	nextPlan   time.Duration
+	nextMove   time.Duration
+	nextExpiry time.Duration
+	starting   int
 }
 
 // New returns a core without a role. It must not be appointed before one
@@ -88,11 +91,32 @@
 	}
 	c.version, c.config = version, cfg
 	c.engine.SetConfig(now, cfg)
-	for _, id := range sortedKeys(c.workers) {
-		c.adoptReserve(now, c.workers[id])
+	for _, id := range c.workerIDs() {
+		w := c.workers[id]
+		w.perSlot = c.perSlot(w.services)
+		c.adoptReserve(now, w)
 	}
 }
 
+func (c *Core) putWorker(w *worker) {
+	c.workers[w.id] = w
+	c.order = nil
+}
+
+func (c *Core) dropWorker(w *worker) {
+	delete(c.workers, w.id)
+	c.order = nil
+}
+
+// workerIDs returns the keys of the workers in order, so that equal events give
+// equal actions. The caller must not change the slice.
+func (c *Core) workerIDs() []string {
+	if c.order == nil {
+		c.order = sortedKeys(c.workers)
+	}
+	return c.order
+}
+
 // Tick advances everything that depends on the time alone. It is called at
 // least every TickInterval.
 func (c *Core) Tick(now time.Duration) {
--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -9,8 +9,8 @@
 )
 
 // scenario is a fixed sequence of task transitions: a task that runs to its end, one
-// that is cancelled while it runs, one that fails once too often, and one that moves
-// because its worker leaves. Without faults it is over after about 12 s.
+// that is cancelled while it runs, one that fails once too often, one that moves
+// because its worker leaves, and one that outlives most faults. Without faults it is over after about 12 s.
 func scenario() *world {
 	w := newWorld(2, 0, 4)
 	w.after(2500*time.Millisecond, func() {
@@ -18,6 +18,7 @@
 		w.control.submit("cancelled", `{"run_ms":60000}`)
 		w.control.submit("failing", `{"run_ms":200,"fail":true}`)
 		w.control.submit("moved", `{"run_ms":4000}`)
+		w.control.submit("long", `{"run_ms":9000}`)
 	})
 	w.after(4*time.Second, func() { w.control.cancel("cancelled") })
 	w.after(5*time.Second, func() { w.drainHolder("moved") })
@@ -77,7 +78,7 @@
 	ginkgo.It("end without faults, each task once", func() {
 		w := scenario()
 		Expect(finish(w, 20*time.Second)).To(BeEmpty())
-		Expect(w.starts).To(Equal(map[string]int{"plain": 1, "cancelled": 1, "failing": 3, "moved": 2}))
+		Expect(w.starts).To(Equal(map[string]int{"plain": 1, "cancelled": 1, "failing": 3, "moved": 2, "long": 1}))
 	})
 
 	ginkgo.It("survive the loss, delay and duplication of each message", func() {
@@ -100,6 +101,19 @@
 		}
 	})
 
+	ginkgo.It("survive a failover while a worker cannot be reached", func() {
+		for at := 3 * time.Second; at < 8*time.Second; at += 310 * time.Millisecond {
+			for worker := range 2 {
+				for _, crashed := range []int{0, 1} {
+					w := scenario()
+					w.after(at, func() { w.cutWorker(worker, 9*time.Second) })
+					w.after(at+400*time.Millisecond, w.schedulers[crashed].crashFor)
+					Expect(finish(w, limitWithFaults)).To(BeEmpty(), "worker %d, scheduler %d, %v", worker, crashed, at)
+				}
+			}
+		}
+	})
+
 	ginkgo.It("survive the crash and the freeze of each process at each moment", func() {
 		for at := 1700 * time.Millisecond; at < 9*time.Second; at += 130 * time.Millisecond {
 			for _, c := range disturbances() {
@@ -111,6 +125,14 @@
 	})
 })
 
+// cutWorker separates a worker from both schedulers for a time.
+func (w *world) cutWorker(i int, d time.Duration) {
+	before, from, name := w.cut, w.now, w.workers[i].name
+	w.cut = func(a, b string) bool {
+		return before(a, b) || (a == name || b == name) && w.now < from+d
+	}
+}
+
 type disturbance struct {
 	name   string
 	happen func(w *world)
@@ -134,16 +156,15 @@
 				w.after(3*time.Second, w.workers[i].boot)
 			}},
 			disturbance{fmt.Sprintf("partition of scheduler %d from control and its peer", i+1), func(w *world) {
-				from, name := w.now, w.schedulers[i].name
+				before, from, name := w.cut, w.now, w.schedulers[i].name
 				w.cut = func(a, b string) bool {
 					far := a[0] != 'w' && b[0] != 'w'
-					return far && (a == name || b == name) && w.now < from+7*time.Second
+					return before(a, b) || far && (a == name || b == name) && w.now < from+7*time.Second
 				}
 			}},
 		)
 		list = append(list, disturbance{fmt.Sprintf("partition of worker %d from both schedulers", i+1), func(w *world) {
-			from, name := w.now, w.workers[i].name
-			w.cut = func(a, b string) bool { return (a == name || b == name) && w.now < from+12*time.Second }
+			w.cutWorker(i, 12*time.Second)
 		}})
 		for _, d := range []time.Duration{2 * time.Second, 14 * time.Second} {
 			list = append(list,
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -140,7 +140,10 @@
 func (c *Core) confirmHoldings(now time.Duration, key gatewayKey, holdings []Holding) {
 	held := make(map[string]Holding, len(holdings))
 	for _, h := range holdings {
-		held[h.Worker] = h
+		// A gateway also reports requests under older sessions of a worker.
+		if w := c.workers[h.Worker]; w != nil && h.Session == w.session.number {
+			held[h.Worker] = h
+		}
 	}
 	for _, w := range c.workers {
 		g := w.grants[key]
@@ -148,7 +151,7 @@
 			continue
 		}
 		h, reported := held[w.id]
-		if !reported || h.Session != w.session.number {
+		if !reported {
 			g.confirm(0, 0)
 			continue
 		}
@@ -160,7 +163,7 @@
 
 func (c *Core) answerSync(now time.Duration, key gatewayKey) GrantAnswer {
 	answer := GrantAnswer{Epoch: c.authority.leases.Epoch()}
-	for _, id := range sortedKeys(c.workers) {
+	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		if w.retired() {
 			continue
@@ -190,6 +193,8 @@
 		own = g.held(now)
 	}
 	total := w.granted(now)
+	assert(total+w.session.older <= w.slots, "worker %s: %d slots granted and %d in use under older sessions, of %d",
+		w.id, total, w.session.older, w.slots)
 	// Requests beyond the grants were left by gateways that are gone.
 	taken := max(total, w.session.current)
 	free := w.ledger.slots - w.session.older - taken
@@ -197,12 +202,13 @@
 	if slots <= 0 {
 		return 0
 	}
+	assert(max(slots, own)+total-own+w.session.older <= w.slots, "worker %s: %d slots offered above %d granted, of %d",
+		w.id, slots, total, w.slots)
 	if g == nil {
 		g = &grant{}
 		w.grants[key] = g
 	}
 	g.offer(slots, now+lease.GrantorWait(GrantDuration))
-	c.checkSlots(now, w)
 	return slots
 }
 
@@ -211,8 +217,13 @@
 		w.id, w.granted(now), w.session.older, w.slots)
 }
 
-// expireGrants forgets grants and gateways whose time is over.
+// expireGrants forgets grants and gateways whose time is over. An expired grant
+// counts as nothing before it is forgotten.
 func (c *Core) expireGrants(now time.Duration) {
+	if now < c.nextExpiry {
+		return
+	}
+	c.nextExpiry = now + planInterval
 	for _, w := range c.workers {
 		for key, g := range w.grants {
 			g.answers = slices.DeleteFunc(g.answers, func(a grantAnswer) bool { return now >= a.until })
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -180,7 +180,6 @@
 	report.Kind, report.Checkpoint = ReportEvicted, t.Checkpoint
 	c.reports.add(report)
 	c.note(now, Decision{Subject: t.ID, Kind: "evicted", Reason: report.Reason, Worker: report.Worker})
-	c.act(RecordAudit{Action: "evict", Subject: t.ID, Detail: report.Reason, At: now})
 	c.holdTask(now, t, notBefore)
 }
 
--- a/scheduler/recovery.go
+++ b/scheduler/recovery.go
@@ -9,7 +9,6 @@
 	c.attempts = 0
 	c.forgetTasks(now)
 	c.act(SyncFromStart{Epoch: c.authority.taken})
-	c.act(RecordAudit{Action: "takeover", Subject: c.settings.Domain, Detail: c.settings.Name, At: now})
 	c.note(now, Decision{Subject: c.settings.Domain, Kind: "takeover", Reason: "appointed by control",
 		Figures: []Figure{{Name: "epoch", Value: float64(c.authority.taken)}}})
 }
@@ -24,7 +23,7 @@
 	c.forgetTasks(now)
 	c.authority.taken = 0
 	c.authority.peerHeard = now
-	for _, id := range sortedKeys(c.workers) {
+	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		w.session.servicesOnly = w.session.held
 		c.tellEngine(now, w)
@@ -43,7 +42,7 @@
 		}
 		c.forgetTask(t)
 	}
-	for _, id := range sortedKeys(c.workers) {
+	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		for _, tid := range sortedKeys(w.strays) {
 			c.dropStray(w, tid)
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -33,7 +33,7 @@
 func (c *Core) Status(now time.Duration) Status {
 	s := Status{Role: c.authority.role(), Epoch: c.authority.leases.Epoch(), Version: c.version}
 	s.Waiting, s.Running = c.countTasks()
-	for _, id := range sortedKeys(c.workers) {
+	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		s.Workers = append(s.Workers, WorkerStatus{
 			Worker: id, Rack: w.rack, State: w.state(), Free: w.ledger.free(), Tasks: len(w.live) + len(w.strays),
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -24,10 +24,12 @@
 	slots       int
 	connections int
 	services    []string
-	ledger      account
-	session     session
-	sequence    uint64
-	heard       time.Duration
+	// perSlot is the reservation that the configuration asks for each slot.
+	perSlot  workerapi.Resources
+	ledger   account
+	session  session
+	sequence uint64
+	heard    time.Duration
 	// live holds the tasks with a live attempt on this worker.
 	live map[string]*task
 	// strays are attempts that the worker reports and the scheduler did not expect.
@@ -217,7 +219,7 @@
 		w.drained = before.drained
 		w.predecessor = before
 	}
-	c.workers[w.id] = w
+	c.putWorker(w)
 	c.note(now, Decision{Subject: w.id, Kind: "registered", Reason: "first heartbeat of incarnation " + hb.Incarnation})
 	return w
 }
@@ -227,21 +229,24 @@
 // can be on one host.
 func (c *Core) retire(now time.Duration, w *worker) {
 	c.engine.RemoveWorker(now, w.id)
-	delete(c.workers, w.id)
+	c.dropWorker(w)
 	w.silent, w.leaving = true, true
 	w.session = session{}
 	w.known = policy.Worker{}
 	clear(w.grants)
 	w.id += "/" + w.incarnation
 	if len(w.live) > 0 || len(w.strays) > 0 {
-		c.workers[w.id] = w
+		c.putWorker(w)
 	}
 }
 
 func (c *Core) refresh(now time.Duration, w *worker, hb *workerapi.Heartbeat) {
 	w.address, w.rack = hb.Address, hb.Rack
 	w.sequence, w.heard = hb.Sequence, now
-	w.services = hb.Services
+	if !slices.Equal(w.services, hb.Services) {
+		w.services = hb.Services
+		w.perSlot = c.perSlot(w.services)
+	}
 	w.leaving = hb.Draining
 	w.silent = false
 	c.adoptReserve(now, w)
@@ -250,7 +255,7 @@
 // adoptReserve puts the reservation of the configuration in force as far as it
 // fits beside the tasks.
 func (c *Core) adoptReserve(now time.Duration, w *worker) {
-	w.ledger.reserve(c.perSlot(w.services), w.slots, w.busySlots(now))
+	w.ledger.reserve(w.perSlot, w.slots, w.busySlots(now))
 	c.tellEngine(now, w)
 }
 
@@ -260,7 +265,7 @@
 		return
 	}
 	reserved := w.ledger.reserved()
-	if wanted := c.perSlot(w.services).Times(int64(w.slots)); reserved.Fits(wanted) {
+	if wanted := w.perSlot.Times(int64(w.slots)); reserved.Fits(wanted) {
 		reserved = wanted
 	}
 	told := policy.Worker{
@@ -316,7 +321,7 @@
 // checkWorkers marks silent workers, attaches to workers without a session and
 // forgets those of which nothing can be alive.
 func (c *Core) checkWorkers(now time.Duration) {
-	for _, id := range sortedKeys(c.workers) {
+	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		if !w.silent && now-w.heard >= silentAfter {
 			w.silent = true
@@ -341,7 +346,7 @@
 		return
 	}
 	c.engine.RemoveWorker(now, w.id)
-	delete(c.workers, w.id)
+	c.dropWorker(w)
 	c.note(now, Decision{Subject: w.id, Kind: "forgotten", Reason: "silent, and nothing of it can be alive"})
 }
 
