--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -70,10 +71,9 @@
 		change(hb)
 		_, err := c.Heartbeat(2100*ms, hb)
 		var refusal *Refusal
-		Expect(err).To(HaveOccurred())
-		Expect(err).To(BeAssignableToTypeOf(refusal))
+		Expect(errors.As(err, &refusal)).To(BeTrue())
 		Expect(c.Status(2100*ms)).To(Equal(before), "a refused announcement changed something")
-		return err.(*Refusal)
+		return refusal
 	}
 	ginkgo.DescribeTable("that cannot be accepted change nothing and name the remedy",
 		func(kind RefusalKind, change func(*workerapi.Heartbeat)) {
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -62,20 +62,10 @@
 	m.expire(now)
 	restarted := d.Active == name && (q.Epoch > d.Epoch || q.Epoch == 0 && m.told >= d.Epoch)
 	if q.MayBeAppointed && (name != d.Active || restarted) && m.grantor.MayAppoint(*d, name, now) {
-		m.revision++
-		*d = lease.Record{Epoch: d.Epoch + 1, Active: name, Clean: true}
-		m.grantor.Assume(now)
-		m.bindPending()
+		m.appoint(now, name)
 		restarted = false
 	}
-	if d.Active != "" && name != d.Active && d.Standby != name {
-		m.revision++
-		d.Clean = d.Clean && d.Standby == ""
-		d.Standby = name
-	}
-	if name == d.Active && q.Revision == m.revision {
-		d.Clean = true
-	}
+	m.nameStandby(name, q.Revision)
 	answer := lease.Answer{Epoch: d.Epoch, Revision: m.revision, Active: d.Active, Standby: d.Standby}
 	switch {
 	case name == d.Active && restarted:
@@ -89,6 +79,26 @@
 	return answer
 }
 
+func (m *controlModel) appoint(now time.Duration, name string) {
+	m.revision++
+	m.record = lease.Record{Epoch: m.record.Epoch + 1, Active: name, Clean: true}
+	m.grantor.Assume(now)
+	m.bindPending()
+}
+
+// nameStandby names the other scheduler, and notes that the active one knows it.
+func (m *controlModel) nameStandby(name string, known uint64) {
+	d := &m.record
+	if d.Active != "" && name != d.Active && d.Standby != name {
+		m.revision++
+		d.Clean = d.Clean && d.Standby == ""
+		d.Standby = name
+	}
+	if name == d.Active && known == m.revision {
+		d.Clean = true
+	}
+}
+
 // expire unbinds the tasks of a domain whose lease is over.
 func (m *controlModel) expire(now time.Duration) {
 	if m.record.Active == "" || !m.grantor.DomainOver(now) {
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -27,6 +27,8 @@
 	handOverTime  = 4 * time.Second
 	shutdownTime  = 2 * time.Second
 	shutdownCheck = 50 * time.Millisecond
+	// refusalsLogged bounds the refused heartbeats in the log for each second.
+	refusalsLogged = 5
 )
 
 // Server is a scheduler process.
@@ -83,7 +85,9 @@
 		ctx: s.ctx, settings: s.settings, address: s.http.Address(), client: replicas, follower: s.follower,
 		loop: s.loop, log: s.log, metrics: m, peer: s.peer,
 	}
-	(&workerHandler{loop: s.loop, metrics: m}).register(mux)
+	// A worker with wrong settings repeats its heartbeat; a few lines a second do.
+	refusals := s.log.Sample(&zerolog.BurstSampler{Burst: refusalsLogged, Period: time.Second})
+	(&workerHandler{loop: s.loop, metrics: m, log: refusals}).register(mux)
 	handler := schedulerpb.NewSchedulerServer(&service{
 		settings: s.settings, loop: s.loop, follower: s.follower, metrics: m,
 	})
--- a/schedulerd/workers.go
+++ b/schedulerd/workers.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"geraniumwall/scheduler"
 	"geraniumwall/workerapi"
 )
@@ -28,6 +30,7 @@
 type workerHandler struct {
 	loop    *loop
 	metrics *metrics
+	log     zerolog.Logger
 }
 
 func (h *workerHandler) register(mux *http.ServeMux) {
@@ -51,6 +54,9 @@
 		return
 	}
 	h.metrics.heartbeat(r.Context(), refusal)
+	if refusal != nil {
+		h.log.Warn().Err(refusal).Msg("heartbeat refused")
+	}
 	writeResult(w, answer, refusal)
 }
 
