--- /dev/null
+++ b/cmd/geranium-gateway/main.go
@@ -0,0 +1,98 @@
+// Command geranium-gateway runs the gateway of an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+
+	"geraniumwall/control/client"
+	"geraniumwall/daemon"
+	"geraniumwall/gateway"
+	"geraniumwall/operatorapi"
+)
+
+const (
+	// longestDrain exceeds the longest deadline of a request.
+	longestDrain = 61 * time.Minute
+	// recordWait bounds the wait for records of outcomes at the end.
+	recordWait = 10 * time.Second
+	// The live heap is a few megabytes, so the default of 100 percent would collect
+	// garbage dozens of times a second under load. The soft limit takes over when
+	// queued bodies fill the heap.
+	gcPercent       = 400
+	memoryLimitByte = 256 << 20
+)
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimitByte)
+	s := defaultSettings()
+	daemon.Main("geranium-gateway", s, func(ctx context.Context, log zerolog.Logger) error {
+		return run(ctx, s, log)
+	})
+}
+
+func run(ctx context.Context, s *settingsFile, log zerolog.Logger) error {
+	metrics, err := daemon.ServeMetrics(ctx, s.MetricsListen)
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(s.options(log))
+	if err != nil {
+		return err
+	}
+	server, err := daemon.Listen(ctx, s.Listen, g.Handler())
+	if err != nil {
+		return err
+	}
+	g.Start()
+	server.Serve()
+	log.Info().Str("address", server.Address()).Str("metrics", metrics.Address()).Msg("gateway is serving")
+	select {
+	case <-ctx.Done():
+	case err := <-server.Failed():
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return shutDown(g, server, time.Duration(s.DrainMS)*time.Millisecond)
+}
+
+// shutDown lets the load balancer notice first, then waits for the requests in
+// progress and returns the grants.
+func shutDown(g *gateway.Gateway, server *daemon.Server, notice time.Duration) error {
+	g.Drain()
+	time.Sleep(notice)
+	ctx, cancel := context.WithTimeout(context.Background(), longestDrain)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("wait for requests in progress: %w", err)
+	}
+	bounded, release := context.WithTimeout(ctx, recordWait)
+	defer release()
+	g.Stop(bounded)
+	return nil
+}
+
+func (s *settingsFile) options(log zerolog.Logger) gateway.Options {
+	schedulers := make([]gateway.Scheduler, 0, len(s.Schedulers))
+	listed := make([]operatorapi.Scheduler, 0, len(s.Schedulers))
+	for _, peer := range s.Schedulers {
+		schedulers = append(schedulers, gateway.Scheduler(peer))
+		listed = append(listed, operatorapi.Scheduler(peer))
+	}
+	httpClient := &http.Client{}
+	return gateway.Options{
+		Name: s.Name, Domain: s.Domain, Incarnation: uuid.NewString(),
+		Control: s.Control, Schedulers: schedulers,
+		Clock: gateway.NewClock(), Log: log, Meter: otel.Meter(gateway.MeterName),
+		Operator: operatorapi.New(client.New(s.Control, httpClient), listed, httpClient),
+		Seed:     rand.Uint64(), //nolint:gosec // load spreading needs no secrecy
+	}
+}
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,371 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"geraniumwall/fakeworker"
+	"geraniumwall/operator"
+	"geraniumwall/workerapi"
+)
+
+const (
+	firstPort     = 21000
+	metricsSuffix = "/metrics"
+	readyTimeout  = 20 * time.Second
+	readyInterval = 50 * time.Millisecond
+	workerSlots   = 8
+	workerConns   = 64
+	// workerReportLagMS is the shortest lag of the brief's late measurements.
+	workerReportLagMS = 2000
+)
+
+// layout is the shape of a fleet.
+type layout struct {
+	domains          []string
+	controlDomains   []string
+	gatewaysPer      int
+	workersPer       int
+	workersInOneRack int
+	services         []string
+	// cuttable puts a relay on every connection between domains.
+	cuttable bool
+}
+
+var fleets atomic.Int32
+
+// fleet is a deployment of separate processes on one loopback address.
+type fleet struct {
+	layout
+	dir        string
+	ip         string
+	port       int
+	controls   []*process
+	schedulers map[string][]*process
+	gateways   map[string][]*process
+	workers    map[string][]*process
+	addresses  map[string]string
+	links      map[string]*link // by the two domains in order of name
+	relays     []*relay
+	client     *operator.Client
+}
+
+type address struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain,omitempty"`
+	Address string `json:"address"`
+}
+
+type replica struct {
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+}
+
+type controlSettings struct {
+	Name      string    `json:"name"`
+	Domain    string    `json:"domain"`
+	Listen    string    `json:"listen"`
+	DataDir   string    `json:"data_dir"`
+	Metrics   string    `json:"metrics_listen"`
+	ReplicaID uint64    `json:"replica_id"`
+	Replicas  []replica `json:"replicas"`
+}
+
+type schedulerSettings struct {
+	Name    string   `json:"name"`
+	Domain  string   `json:"domain"`
+	Listen  string   `json:"listen"`
+	Metrics string   `json:"metrics_listen"`
+	Control []string `json:"control"`
+	Peer    address  `json:"peer"`
+}
+
+type gatewaySettings struct {
+	Name       string    `json:"name"`
+	Domain     string    `json:"domain"`
+	Listen     string    `json:"listen"`
+	Metrics    string    `json:"metrics_listen"`
+	Control    []string  `json:"control"`
+	Schedulers []address `json:"schedulers"`
+}
+
+// newFleet writes the settings of every process of a layout. Each fleet has a
+// loopback address of its own, so that fixed ports never collide.
+func newFleet(dir string, l layout) (*fleet, error) {
+	pid := os.Getpid()
+	f := &fleet{
+		layout: l, dir: dir, port: firstPort,
+		ip:         fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+fleets.Add(1)),
+		schedulers: map[string][]*process{}, gateways: map[string][]*process{}, workers: map[string][]*process{},
+		addresses: map[string]string{}, links: map[string]*link{},
+	}
+	f.reserveAddresses()
+	if err := f.writeControls(); err != nil {
+		return nil, err
+	}
+	for _, domain := range l.domains {
+		if err := f.writeDomain(domain); err != nil {
+			return nil, err
+		}
+	}
+	f.client = &operator.Client{Gateways: f.gatewayAddresses(), Operator: "e2e", HTTP: &http.Client{}}
+	return f, nil
+}
+
+func (f *fleet) reserve(name string) {
+	f.port++
+	f.addresses[name] = fmt.Sprintf("%s:%d", f.ip, f.port)
+	f.port++
+	f.addresses[name+metricsSuffix] = fmt.Sprintf("%s:%d", f.ip, f.port)
+}
+
+// metrics is the address of the metrics of a process.
+func (f *fleet) metrics(name string) string { return f.addresses[name+metricsSuffix] }
+
+func (f *fleet) reserveAddresses() {
+	for i := range f.controlDomains {
+		f.reserve(controlName(i))
+	}
+	for _, domain := range f.domains {
+		for i := range 2 {
+			f.reserve(schedulerName(domain, i))
+		}
+		for i := range f.gatewaysPer {
+			f.reserve(gatewayName(domain, i))
+		}
+		for i := range f.workersPer {
+			f.reserve(workerName(domain, i))
+		}
+	}
+}
+
+func controlName(i int) string                  { return fmt.Sprintf("control-%d", i+1) }
+func schedulerName(domain string, i int) string { return fmt.Sprintf("scheduler-%s-%d", domain, i+1) }
+func gatewayName(domain string, i int) string   { return fmt.Sprintf("gateway-%s-%d", domain, i+1) }
+func workerName(domain string, i int) string    { return fmt.Sprintf("worker-%s-%d", domain, i+1) }
+
+// address returns the address at which a process of a domain reaches another.
+func (f *fleet) address(fromDomain, name, domain string) (string, error) {
+	if !f.cuttable || fromDomain == domain {
+		return f.addresses[name], nil
+	}
+	f.port++
+	listen := fmt.Sprintf("%s:%d", f.ip, f.port)
+	r, err := newRelay(listen, f.addresses[name], f.link(fromDomain, domain))
+	if err != nil {
+		return "", err
+	}
+	f.relays = append(f.relays, r)
+	return listen, nil
+}
+
+func (f *fleet) link(a, b string) *link {
+	key := min(a, b) + " " + max(a, b)
+	if f.links[key] == nil {
+		f.links[key] = &link{}
+	}
+	return f.links[key]
+}
+
+// cutOff cuts a domain off from all others, or joins it again.
+func (f *fleet) cutOff(domain string, cut bool) {
+	for key, l := range f.links {
+		if a, b, _ := strings.Cut(key, " "); a == domain || b == domain {
+			l.cut.Store(cut)
+		}
+	}
+}
+
+func (f *fleet) controlAddresses(fromDomain string) ([]string, error) {
+	var list []string
+	for i, domain := range f.controlDomains {
+		reached, err := f.address(fromDomain, controlName(i), domain)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, reached)
+	}
+	return list, nil
+}
+
+func (f *fleet) gatewayAddresses() []string {
+	var list []string
+	for _, domain := range f.domains {
+		for i := range f.gatewaysPer {
+			list = append(list, f.addresses[gatewayName(domain, i)])
+		}
+	}
+	return list
+}
+
+func (f *fleet) schedulerAddresses(fromDomain string) ([]address, error) {
+	var list []address
+	for _, domain := range f.domains {
+		for i := range 2 {
+			name := schedulerName(domain, i)
+			reached, err := f.address(fromDomain, name, domain)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, address{Name: name, Domain: domain, Address: reached})
+		}
+	}
+	return list, nil
+}
+
+func (f *fleet) writeControls() error {
+	for i, domain := range f.controlDomains {
+		var replicas []replica
+		for j, other := range f.controlDomains {
+			reached, err := f.address(domain, controlName(j), other)
+			if err != nil {
+				return err
+			}
+			replicas = append(replicas, replica{ID: uint64(j + 1), Address: reached, Domain: other})
+		}
+		name := controlName(i)
+		p, err := newProcess(f.dir, "geranium-control", name, controlSettings{
+			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
+			DataDir: filepath.Join(f.dir, name), ReplicaID: uint64(i + 1), Replicas: replicas,
+		})
+		if err != nil {
+			return err
+		}
+		f.controls = append(f.controls, p)
+	}
+	return nil
+}
+
+func (f *fleet) writeDomain(domain string) error {
+	control, err := f.controlAddresses(domain)
+	if err != nil {
+		return err
+	}
+	schedulers, err := f.schedulerAddresses(domain)
+	if err != nil {
+		return err
+	}
+	for i := range 2 {
+		name, peer := schedulerName(domain, i), schedulerName(domain, 1-i)
+		if err := f.add(f.schedulers, domain, "geranium-scheduler", name, schedulerSettings{
+			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name), Control: control,
+			Peer: address{Name: peer, Address: f.addresses[peer]},
+		}); err != nil {
+			return err
+		}
+	}
+	for i := range f.gatewaysPer {
+		name := gatewayName(domain, i)
+		if err := f.add(f.gateways, domain, "geranium-gateway", name, gatewaySettings{
+			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
+			Control: control, Schedulers: schedulers,
+		}); err != nil {
+			return err
+		}
+	}
+	for i := range f.workersPer {
+		name := workerName(domain, i)
+		if err := f.add(f.workers, domain, "fakeworker", name, fakeworker.Settings{
+			Name: name, Domain: domain, Rack: fmt.Sprintf("%s-rack-%d", domain, i/max(1, f.workersInOneRack)),
+			Listen:     f.addresses[name],
+			Schedulers: []string{f.addresses[schedulerName(domain, 0)], f.addresses[schedulerName(domain, 1)]},
+			Capacity:   workerapi.Resources{CPUMillis: 32_000, MemoryMB: 125_000},
+			Slots:      workerSlots, Connections: workerConns, Services: f.services,
+			RecordFile: filepath.Join(f.dir, name+".record"), ReportLagMS: workerReportLagMS,
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) add(to map[string][]*process, domain, binary, name string, settings any) error {
+	p, err := newProcess(f.dir, binary, name, settings)
+	if err != nil {
+		return err
+	}
+	to[domain] = append(to[domain], p)
+	return nil
+}
+
+func (f *fleet) all() []*process {
+	list := append([]*process(nil), f.controls...)
+	for _, domain := range f.domains {
+		list = append(list, f.schedulers[domain]...)
+		list = append(list, f.gateways[domain]...)
+		list = append(list, f.workers[domain]...)
+	}
+	return list
+}
+
+// start starts every process and waits until each gateway is ready.
+func (f *fleet) start(ctx context.Context) error {
+	for _, p := range f.all() {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for _, gateway := range f.gatewayAddresses() {
+		if err := waitHealthy(ctx, gateway); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waitHealthy(ctx context.Context, gateway string) error {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+"/healthz", nil)
+		if err != nil {
+			return err
+		}
+		answer, err := http.DefaultClient.Do(request)
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("gateway %s is not healthy: %w", gateway, err)
+		}
+		time.Sleep(readyInterval)
+	}
+}
+
+// killAll ends every process; it is for cleaning up.
+func (f *fleet) killAll() {
+	for _, p := range f.all() {
+		if p.running() {
+			p.thaw()
+			p.kill()
+		}
+	}
+	for _, r := range f.relays {
+		r.close()
+	}
+}
+
+// geranium runs the operator command against all gateways of the fleet.
+func (f *fleet) geranium(stdin []byte, arguments ...string) (string, error) {
+	command := exec.Command(binaryPath("geranium"),
+		append([]string{"-gateways", strings.Join(f.gatewayAddresses(), ","), "-operator", "e2e"}, arguments...)...)
+	command.Stdin = bytes.NewReader(stdin)
+	var out, problems bytes.Buffer
+	command.Stdout, command.Stderr = &out, &problems
+	err := command.Run()
+	if err != nil {
+		err = fmt.Errorf("geranium %v: %w: %s", arguments, err, problems.String())
+	}
+	return out.String(), err
+}
