--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -10,7 +10,7 @@
 
 // scenario is a fixed sequence of task transitions: a task that runs to its end, one
 // that is cancelled while it runs, one that fails once too often, one that moves
-// because its worker leaves, and one that outlives most faults. Without faults it is over after about 12 s.
+// because its worker leaves, and one that outlives most faults. Without faults it is over after about 18 s.
 func scenario() *world {
 	w := newWorld(2, 0, 4)
 	w.after(2500*time.Millisecond, func() {
@@ -18,7 +18,7 @@
 		w.control.submit("cancelled", `{"run_ms":60000}`)
 		w.control.submit("failing", `{"run_ms":200,"fail":true}`)
 		w.control.submit("moved", `{"run_ms":4000}`)
-		w.control.submit("long", `{"run_ms":9000}`)
+		w.control.submit("long", `{"run_ms":14000}`)
 	})
 	w.after(4*time.Second, func() { w.control.cancel("cancelled") })
 	w.after(5*time.Second, func() { w.drainHolder("moved") })
