Give the fault scenario a third worker

The test of a restarted worker renewed no leases and never attached the new incarnation, so it proved nothing; it does both now.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -29,24 +29,38 @@
 	c := New(0, Settings{Name: "s1", Identity: "s1#1", Domain: worldDomain}, firstfit.New())
 	c.SetConfig(0, 1, worldConfig())
 	c.ControlRenewed(1900*ms, 1900*ms, lease.Answer{})
-	c.ControlRenewed(2000*ms, 2000*ms, lease.Answer{
-		Role: lease.RoleActive, Epoch: 1, Revision: 1, Active: "s1",
-		SchedulerLease: lease.SchedulerLease, DomainLease: lease.DomainLease,
-	})
+	renewLeases(c, 2000*ms)
 	for i := range workers {
 		id := fmt.Sprintf("w%04d", i)
 		_, err := c.Heartbeat(2000*ms, beat(id, 1))
 		Expect(err).NotTo(HaveOccurred())
-		c.AttachAnswered(2000*ms, AttachResult{
-			Target: c.workers[id].target(), Body: workerapi.Attach{Scheduler: "s1#1", Epoch: 1},
-			Answer: workerapi.AttachAnswer{Accepted: true, Session: 1, Holder: "s1#1", Epoch: 1, Incarnation: "1"},
-		})
+		attach(c, 2000*ms, id)
 	}
 	c.SyncTasks(2000*ms, 1, nil, true)
 	c.TakeActions()
 	return c
 }
 
+func renewLeases(c *Core, now time.Duration) {
+	c.ControlRenewed(now, now, lease.Answer{
+		Role: lease.RoleActive, Epoch: 1, Revision: 1, Active: "s1",
+		SchedulerLease: lease.SchedulerLease, DomainLease: lease.DomainLease,
+	})
+}
+
+func attach(c *Core, now time.Duration, id string) {
+	w := c.workers[id]
+	c.AttachAnswered(now, AttachResult{
+		Target: w.target(), Body: workerapi.Attach{Scheduler: "s1#1", Epoch: 1},
+		Answer: workerapi.AttachAnswer{Accepted: true, Session: 1, Holder: "s1#1", Epoch: 1, Incarnation: w.incarnation},
+	})
+}
+
+func beatAgain(hb *workerapi.Heartbeat) *workerapi.Heartbeat {
+	hb.Sequence++
+	return hb
+}
+
 func newTask(id string) BoundTask {
 	return BoundTask{
 		ID: id, Job: "batch", Size: workerapi.Resources{CPUMillis: 100, MemoryMB: 10},
@@ -150,13 +164,21 @@
 		restarted.Incarnation, restarted.Address = "2", "w0000:2"
 		_, err := c.Heartbeat(3100*ms, restarted)
 		Expect(err).NotTo(HaveOccurred())
+		attach(c, 3100*ms, "w0000")
+		c.SyncTasks(3100*ms, 1, []BoundTask{newTask("other")}, false)
+		restarted.Session, restarted.Holder = 1, "s1#1"
 		for now := 3100 * ms; now < 12*time.Second; now += 500 * ms {
-			restarted.Sequence++
-			_, err = c.Heartbeat(now, restarted)
+			renewLeases(c, now)
+			_, err = c.Heartbeat(now, beatAgain(restarted))
 			Expect(err).NotTo(HaveOccurred())
 			c.Tick(now)
-			Expect(actionsOf[SendStart](c)).To(BeEmpty())
+			Expect(actionsOf[SendStart](c)).To(BeEmpty(), "both incarnations may be on one host")
 		}
+		_, err = c.Heartbeat(12300*ms, beatAgain(restarted))
+		Expect(err).NotTo(HaveOccurred())
+		c.Tick(12300 * ms)
+		c.Tick(12350 * ms)
+		Expect(actionsOf[SendStart](c)).To(HaveLen(2))
 	})
 })
 
--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -12,7 +12,7 @@
 // that is cancelled while it runs, one that fails once too often, one that moves
 // because its worker leaves, and one that outlives most faults. Without faults it is over after about 18 s.
 func scenario() *world {
-	w := newWorld(2, 0, 4)
+	w := newWorld(3, 0, 4)
 	w.after(2500*time.Millisecond, func() {
 		w.control.submit("plain", `{"run_ms":2500}`)
 		w.control.submit("cancelled", `{"run_ms":60000}`)
@@ -103,7 +103,7 @@
 
 	ginkgo.It("survive a failover while a worker cannot be reached", func() {
 		for at := 3 * time.Second; at < 8*time.Second; at += 310 * time.Millisecond {
-			for worker := range 2 {
+			for worker := range 3 {
 				for _, crashed := range []int{0, 1} {
 					w := scenario()
 					w.after(at, func() { w.cutWorker(worker, 9*time.Second) })
@@ -116,7 +116,7 @@
 
 	ginkgo.It("survive the crash and the freeze of each process at each moment", func() {
 		for at := 1700 * time.Millisecond; at < 9*time.Second; at += 130 * time.Millisecond {
-			for _, c := range disturbances() {
+			for _, c := range disturbances(3) {
 				w := scenario()
 				w.after(at, func() { c.happen(w) })
 				Expect(finish(w, limitWithFaults)).To(BeEmpty(), "%s at %v", c.name, at)
@@ -125,6 +125,11 @@
 	})
 })
 
+type disturbance struct {
+	name   string
+	happen func(w *world)
+}
+
 // cutWorker separates a worker from both schedulers for a time.
 func (w *world) cutWorker(i int, d time.Duration) {
 	before, from, name := w.cut, w.now, w.workers[i].name
@@ -133,45 +138,52 @@
 	}
 }
 
-type disturbance struct {
-	name   string
-	happen func(w *world)
-}
-
-// disturbances are the faults of processes. Each crashed process returns 3 s later.
-func disturbances() []disturbance {
+// disturbances are the faults of processes. Each crashed process returns later.
+func disturbances(workers int) []disturbance {
 	var list []disturbance
 	for i := range 2 {
-		list = append(list,
-			disturbance{fmt.Sprintf("crash of scheduler %d", i+1), func(w *world) {
-				w.schedulers[i].crash()
-				w.after(3*time.Second, w.schedulers[i].boot)
-			}},
-			disturbance{fmt.Sprintf("quick restart of scheduler %d", i+1), func(w *world) {
-				w.schedulers[i].crash()
-				w.after(100*time.Millisecond, w.schedulers[i].boot)
-			}},
-			disturbance{fmt.Sprintf("crash of worker %d", i+1), func(w *world) {
-				w.workers[i].crash()
-				w.after(3*time.Second, w.workers[i].boot)
-			}},
-			disturbance{fmt.Sprintf("partition of scheduler %d from control and its peer", i+1), func(w *world) {
-				before, from, name := w.cut, w.now, w.schedulers[i].name
-				w.cut = func(a, b string) bool {
-					far := a[0] != 'w' && b[0] != 'w'
-					return before(a, b) || far && (a == name || b == name) && w.now < from+7*time.Second
-				}
-			}},
-		)
-		list = append(list, disturbance{fmt.Sprintf("partition of worker %d from both schedulers", i+1), func(w *world) {
-			w.cutWorker(i, 12*time.Second)
-		}})
-		for _, d := range []time.Duration{2 * time.Second, 14 * time.Second} {
-			list = append(list,
-				disturbance{fmt.Sprintf("freeze of scheduler %d for %v", i+1, d), func(w *world) { w.freeze(&w.schedulers[i].proc, d) }},
-				disturbance{fmt.Sprintf("freeze of worker %d for %v", i+1, d), func(w *world) { w.freeze(&w.workers[i].proc, d) }},
-			)
-		}
+		list = append(list, schedulerFaults(i)...)
+	}
+	for i := range workers {
+		list = append(list, workerFaults(i)...)
 	}
 	return list
 }
+
+func schedulerFaults(i int) []disturbance {
+	named := func(what string) string { return fmt.Sprintf("%s of scheduler %d", what, i+1) }
+	freeze := func(d time.Duration) func(*world) { return func(w *world) { w.freeze(&w.schedulers[i].proc, d) } }
+	return []disturbance{
+		{named("crash"), func(w *world) {
+			w.schedulers[i].crash()
+			w.after(3*time.Second, w.schedulers[i].boot)
+		}},
+		{named("quick restart"), func(w *world) {
+			w.schedulers[i].crash()
+			w.after(100*time.Millisecond, w.schedulers[i].boot)
+		}},
+		{named("partition from control and the peer"), func(w *world) {
+			before, from, name := w.cut, w.now, w.schedulers[i].name
+			w.cut = func(a, b string) bool {
+				far := a[0] != 'w' && b[0] != 'w'
+				return before(a, b) || far && (a == name || b == name) && w.now < from+7*time.Second
+			}
+		}},
+		{named("short freeze"), freeze(2 * time.Second)},
+		{named("long freeze"), freeze(14 * time.Second)},
+	}
+}
+
+func workerFaults(i int) []disturbance {
+	named := func(what string) string { return fmt.Sprintf("%s of worker %d", what, i+1) }
+	freeze := func(d time.Duration) func(*world) { return func(w *world) { w.freeze(&w.workers[i].proc, d) } }
+	return []disturbance{
+		{named("crash"), func(w *world) {
+			w.workers[i].crash()
+			w.after(3*time.Second, w.workers[i].boot)
+		}},
+		{named("partition from both schedulers"), func(w *world) { w.cutWorker(i, 12*time.Second) }},
+		{named("short freeze"), freeze(2 * time.Second)},
+		{named("long freeze"), freeze(14 * time.Second)},
+	}
+}
--- a/scheduler/random_test.go
+++ b/scheduler/random_test.go
@@ -25,8 +25,9 @@
 
 // randomRun draws a world with tasks, faults of messages and of processes.
 func randomRun(t *rapid.T) {
-	w := newWorld(rapid.IntRange(1, 4).Draw(t, "workers"), rapid.IntRange(0, 3).Draw(t, "gateways"), rapid.IntRange(1, 4).Draw(t, "slots"))
-	faults := disturbances()
+	workers := rapid.IntRange(1, 4).Draw(t, "workers")
+	w := newWorld(workers, rapid.IntRange(0, 3).Draw(t, "gateways"), rapid.IntRange(1, 4).Draw(t, "slots"))
+	faults := disturbances(workers)
 	moment := func(label string) time.Duration {
 		return time.Duration(rapid.IntRange(0, int(faultsEnd/time.Millisecond)).Draw(t, label)) * time.Millisecond
 	}
@@ -49,8 +50,7 @@
 	}
 }
 
-// tryDisturb skips faults of workers that the world does not have and crashes of
-// processes that are down already.
+// tryDisturb skips a fault while a process is down, since it could crash twice.
 func (w *world) tryDisturb(d disturbance) {
 	for _, s := range w.schedulers {
 		if !s.alive {
@@ -62,9 +62,7 @@
 			return
 		}
 	}
-	if len(w.workers) > 1 {
-		d.happen(w)
-	}
+	d.happen(w)
 }
 
 // randomMessages loses, delays and duplicates a share of all messages.
