--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -9,15 +9,16 @@
 )
 
 // scenario is a fixed sequence of task transitions: a task that runs to its end, one
-// that is cancelled while it runs, one that fails once too often, and one that moves
-// because its worker leaves. Without faults it is over after about 12 s.
+// that is cancelled while it runs, one that fails once too often, one that moves
+// because its worker leaves, and one that outlives most faults. Without faults it is over after about 18 s.
 func scenario() *world {
-	w := newWorld(2, 0, 4)
+	w := newWorld(3, 0, 4)
 	w.after(2500*time.Millisecond, func() {
 		w.control.submit("plain", `{"run_ms":2500}`)
 		w.control.submit("cancelled", `{"run_ms":60000}`)
 		w.control.submit("failing", `{"run_ms":200,"fail":true}`)
 		w.control.submit("moved", `{"run_ms":4000}`)
+		w.control.submit("long", `{"run_ms":14000}`)
 	})
 	w.after(4*time.Second, func() { w.control.cancel("cancelled") })
 	w.after(5*time.Second, func() { w.drainHolder("moved") })
@@ -77,7 +78,7 @@
 	ginkgo.It("end without faults, each task once", func() {
 		w := scenario()
 		Expect(finish(w, 20*time.Second)).To(BeEmpty())
-		Expect(w.starts).To(Equal(map[string]int{"plain": 1, "cancelled": 1, "failing": 3, "moved": 2}))
+		Expect(w.starts).To(Equal(map[string]int{"plain": 1, "cancelled": 1, "failing": 3, "moved": 2, "long": 1}))
 	})
 
 	ginkgo.It("survive the loss, delay and duplication of each message", func() {
@@ -100,9 +101,22 @@
 		}
 	})
 
+	ginkgo.It("survive a failover while a worker cannot be reached", func() {
+		for at := 3 * time.Second; at < 8*time.Second; at += 310 * time.Millisecond {
+			for worker := range 3 {
+				for _, crashed := range []int{0, 1} {
+					w := scenario()
+					w.after(at, func() { w.cutWorker(worker, 9*time.Second) })
+					w.after(at+400*time.Millisecond, w.schedulers[crashed].crashFor)
+					Expect(finish(w, limitWithFaults)).To(BeEmpty(), "worker %d, scheduler %d, %v", worker, crashed, at)
+				}
+			}
+		}
+	})
+
 	ginkgo.It("survive the crash and the freeze of each process at each moment", func() {
 		for at := 1700 * time.Millisecond; at < 9*time.Second; at += 130 * time.Millisecond {
-			for _, c := range disturbances() {
+			for _, c := range disturbances(3) {
 				w := scenario()
 				w.after(at, func() { c.happen(w) })
 				Expect(finish(w, limitWithFaults)).To(BeEmpty(), "%s at %v", c.name, at)
@@ -116,41 +130,60 @@
 	happen func(w *world)
 }
 
-// disturbances are the faults of processes. Each crashed process returns 3 s later.
-func disturbances() []disturbance {
+// cutWorker separates a worker from both schedulers for a time.
+func (w *world) cutWorker(i int, d time.Duration) {
+	before, from, name := w.cut, w.now, w.workers[i].name
+	w.cut = func(a, b string) bool {
+		return before(a, b) || (a == name || b == name) && w.now < from+d
+	}
+}
+
+// disturbances are the faults of processes. Each crashed process returns later.
+func disturbances(workers int) []disturbance {
 	var list []disturbance
 	for i := range 2 {
-		list = append(list,
-			disturbance{fmt.Sprintf("crash of scheduler %d", i+1), func(w *world) {
-				w.schedulers[i].crash()
-				w.after(3*time.Second, w.schedulers[i].boot)
-			}},
-			disturbance{fmt.Sprintf("quick restart of scheduler %d", i+1), func(w *world) {
-				w.schedulers[i].crash()
-				w.after(100*time.Millisecond, w.schedulers[i].boot)
-			}},
-			disturbance{fmt.Sprintf("crash of worker %d", i+1), func(w *world) {
-				w.workers[i].crash()
-				w.after(3*time.Second, w.workers[i].boot)
-			}},
-			disturbance{fmt.Sprintf("partition of scheduler %d from control and its peer", i+1), func(w *world) {
-				from, name := w.now, w.schedulers[i].name
-				w.cut = func(a, b string) bool {
-					far := a[0] != 'w' && b[0] != 'w'
-					return far && (a == name || b == name) && w.now < from+7*time.Second
-				}
-			}},
-		)
-		list = append(list, disturbance{fmt.Sprintf("partition of worker %d from both schedulers", i+1), func(w *world) {
-			from, name := w.now, w.workers[i].name
-			w.cut = func(a, b string) bool { return (a == name || b == name) && w.now < from+12*time.Second }
-		}})
-		for _, d := range []time.Duration{2 * time.Second, 14 * time.Second} {
-			list = append(list,
-				disturbance{fmt.Sprintf("freeze of scheduler %d for %v", i+1, d), func(w *world) { w.freeze(&w.schedulers[i].proc, d) }},
-				disturbance{fmt.Sprintf("freeze of worker %d for %v", i+1, d), func(w *world) { w.freeze(&w.workers[i].proc, d) }},
-			)
-		}
+		list = append(list, schedulerFaults(i)...)
+	}
+	for i := range workers {
+		list = append(list, workerFaults(i)...)
 	}
 	return list
 }
+
+func schedulerFaults(i int) []disturbance {
+	named := func(what string) string { return fmt.Sprintf("%s of scheduler %d", what, i+1) }
+	freeze := func(d time.Duration) func(*world) { return func(w *world) { w.freeze(&w.schedulers[i].proc, d) } }
+	return []disturbance{
+		{named("crash"), func(w *world) {
+			w.schedulers[i].crash()
+			w.after(3*time.Second, w.schedulers[i].boot)
+		}},
+		{named("quick restart"), func(w *world) {
+			w.schedulers[i].crash()
+			w.after(100*time.Millisecond, w.schedulers[i].boot)
+		}},
+		{named("partition from control and the peer"), func(w *world) {
+			before, from, name := w.cut, w.now, w.schedulers[i].name
+			w.cut = func(a, b string) bool {
+				far := a[0] != 'w' && b[0] != 'w'
+				return before(a, b) || far && (a == name || b == name) && w.now < from+7*time.Second
+			}
+		}},
+		{named("short freeze"), freeze(2 * time.Second)},
+		{named("long freeze"), freeze(14 * time.Second)},
+	}
+}
+
+func workerFaults(i int) []disturbance {
+	named := func(what string) string { return fmt.Sprintf("%s of worker %d", what, i+1) }
+	freeze := func(d time.Duration) func(*world) { return func(w *world) { w.freeze(&w.workers[i].proc, d) } }
+	return []disturbance{
+		{named("crash"), func(w *world) {
+			w.workers[i].crash()
+			w.after(3*time.Second, w.workers[i].boot)
+		}},
+		{named("partition from both schedulers"), func(w *world) { w.cutWorker(i, 12*time.Second) }},
+		{named("short freeze"), freeze(2 * time.Second)},
+		{named("long freeze"), freeze(14 * time.Second)},
+	}
+}
