Keep idle connections to workers open

Only 8 connections to a worker stayed idle, so each burst of requests opened and closed connections: at 5,000 requests/s a profile showed 23% of the gateway's time in dialling, and in one bounded run with other work on the machine the p50 fell from 37 ms to 1.2 ms once all stayed open. The grant bounds them: each worker has its own transport, and one with more connections than granted loses the idle ones.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -23,7 +23,7 @@
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	request = request.WithContext(httptrace.WithClientTrace(c.ctx, trace))
-	response, err := g.workers.http.RoundTrip(request)
+	response, err := g.workers.roundTrip(request)
 	if err != nil {
 		return c.lost(ticket, connected), true
 	}
--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -94,8 +94,17 @@
 		close(g.open)
 		Eventually(r.outstanding).Should(BeZero())
 		Expect(u.peak.Load()).To(Equal(int64(2)))
-		r.workers.mu.Lock()
-		defer r.workers.mu.Unlock()
-		Expect(r.workers.workers[grant.Address].open).To(BeNumerically("<=", 2))
+		open := func() int {
+			r.workers.mu.Lock()
+			defer r.workers.mu.Unlock()
+			return r.workers.worker(grant.Address).open
+		}
+		Expect(open()).To(BeNumerically("<=", 2))
+		smaller := u.grant(1, 3*time.Second)
+		smaller.Connections = 1
+		r.scheduler.set(nil, smaller)
+		Eventually(open).Should(BeNumerically("<=", 1))
+		r.scheduler.set(nil)
+		Eventually(open).Should(BeZero())
 	})
 })
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	dialTimeout = time.Second
-	// idlePerWorker bounds idle connections to one worker.
-	idlePerWorker    = 8
+	dialTimeout      = time.Second
+	idlePerWorker    = 1024
 	idleConnTimeout  = 60 * time.Second
 	internalIdle     = 16
 	maxHeaderBytes   = 64 << 10
@@ -34,15 +33,15 @@
 // workerTransport holds the connections to workers. It never has more open to one
 // worker than its grant permits.
 type workerTransport struct {
-	http   *http.Transport
 	dialer net.Dialer
 
 	mu      sync.Mutex
-	workers map[string]*connectionCount
+	workers map[string]*workerConnections
 }
 
-// connectionCount is the use of one worker address.
-type connectionCount struct {
+// workerConnections are the connections to one worker address.
+type workerConnections struct {
+	http    *http.Transport
 	open    int
 	granted int
 	// changed is closed and replaced when a connection may be opened.
@@ -50,13 +49,17 @@
 }
 
 func newWorkerTransport() *workerTransport {
-	t := &workerTransport{
+	return &workerTransport{
 		dialer:  net.Dialer{Timeout: dialTimeout},
-		workers: map[string]*connectionCount{},
+		workers: map[string]*workerConnections{},
 	}
-	t.http = &http.Transport{
+}
+
+// newTransport returns the HTTP transport of one worker. All connections may stay
+// idle, or every burst would open connections and close them again.
+func (t *workerTransport) newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:            t.dial,
-		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    idlePerWorker,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -64,11 +67,27 @@
 		WriteBufferSize:        transportBufSize,
 		DisableCompression:     true,
 	}
-	return t
 }
 
-// limit puts the granted numbers of connections in force.
+// roundTrip sends a request to the worker at its URL.
+func (t *workerTransport) roundTrip(r *http.Request) (*http.Response, error) {
+	t.mu.Lock()
+	transport := t.worker(r.URL.Host).http
+	t.mu.Unlock()
+	return transport.RoundTrip(r)
+}
+
+// limit puts the granted numbers of connections in force. A worker with more open
+// than granted loses its idle connections; those in use are closed by a later call,
+// once they are idle.
 func (t *workerTransport) limit(grants []routing.Grant) {
+	for _, transport := range t.setLimits(grants) {
+		transport.CloseIdleConnections()
+	}
+}
+
+// setLimits returns the transports of workers with more connections than granted.
+func (t *workerTransport) setLimits(grants []routing.Grant) (exceeded []*http.Transport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	granted := make(map[string]int, len(grants))
@@ -76,9 +95,12 @@
 		granted[g.Address] += g.Connections
 	}
 	for address, n := range granted {
-		t.count(address).set(n)
+		t.worker(address).set(n)
 	}
 	for address, c := range t.workers {
+		if c.open > granted[address] {
+			exceeded = append(exceeded, c.http)
+		}
 		if granted[address] > 0 {
 			continue
 		}
@@ -87,25 +109,26 @@
 			delete(t.workers, address)
 		}
 	}
+	return exceeded
 }
 
-func (t *workerTransport) count(address string) *connectionCount {
+func (t *workerTransport) worker(address string) *workerConnections {
 	c := t.workers[address]
 	if c == nil {
-		c = &connectionCount{changed: make(chan struct{})}
+		c = &workerConnections{http: t.newTransport(), changed: make(chan struct{})}
 		t.workers[address] = c
 	}
 	return c
 }
 
-func (c *connectionCount) set(granted int) {
+func (c *workerConnections) set(granted int) {
 	if granted > c.granted {
 		c.signal()
 	}
 	c.granted = granted
 }
 
-func (c *connectionCount) signal() {
+func (c *workerConnections) signal() {
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -146,7 +169,7 @@
 func (t *workerTransport) tryReserve(address string) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.count(address)
+	c := t.worker(address)
 	if c.open < c.granted {
 		c.open++
 		return nil
@@ -157,15 +180,13 @@
 func (t *workerTransport) giveBack(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.count(address)
+	c := t.worker(address)
 	c.open--
 	c.signal()
-	if c.open == 0 && c.granted == 0 {
-		delete(t.workers, address)
-	}
 }
 
-func (t *workerTransport) close() { t.http.CloseIdleConnections() }
+// close closes all idle connections.
+func (t *workerTransport) close() { t.limit(nil) }
 
 // countedConn gives its reservation back when it is closed.
 type countedConn struct {
