Ask other domains at once and only while they are needed

Schedulers of other domains are now woken by the first request without a free slot and asked only while that lasts or their slots are in use. An ejected worker returns through slow start, and a request that is shed from the queue is answered before its deadline.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -17,10 +17,12 @@
 	mu    sync.Mutex
 	table *routing.Table
 	clock Clock
+	// starved is called when a request found no free slot.
+	starved func()
 }
 
-func newBalancer(domain string, source rand.Source, clock Clock) *balancer {
-	return &balancer{table: routing.NewTable(domain, source), clock: clock}
+func newBalancer(domain string, source rand.Source, clock Clock, starved func()) *balancer {
+	return &balancer{table: routing.NewTable(domain, source), clock: clock, starved: starved}
 }
 
 // shedError says that a request was not admitted.
@@ -34,7 +36,11 @@
 // acquire waits for a slot until the request could not end in time or ctx is over.
 func (b *balancer) acquire(ctx context.Context, r routing.Request) (routing.Ticket, error) {
 	d := b.step(func(t *routing.Table, now time.Duration) routing.Decision { return t.Acquire(r, now) })
-	if d.Kind != routing.Queued {
+	if d.Kind == routing.Admitted {
+		return d.Ticket, nil
+	}
+	b.starved()
+	if d.Kind == routing.Shed {
 		return verdict(d)
 	}
 	return b.wait(ctx, d.Waiter, r.Tag.(chan routing.Decision))
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -215,6 +215,10 @@
 		r.remote.set(nil, grant)
 		Expect(r.quote("x").status).To(Equal(http.StatusOK))
 		Expect(r.remote.last().Demands).To(ContainElement(HaveField("Service", Equal("quote"))))
+		r.clock.jumped.Add(int64(3 * time.Second))
+		r.synced()
+		after := r.remote.syncs()
+		Consistently(r.remote.syncs).WithTimeout(2 * syncInterval).Should(BeNumerically("<=", after+1))
 	})
 
 	It("reports the grants of each answer in the next sync", func() {
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -82,7 +82,7 @@
 				t.Fatalf("accepted %+v", g)
 			}
 		}
-		b := newBalancer("bern-a", zeroSource{}, func() time.Duration { return time.Second })
+		b := newBalancer("bern-a", zeroSource{}, func() time.Duration { return time.Second }, func() {})
 		b.configure(routingServices(c), config.DefaultRetryPercent)
 		book := routing.NewBook()
 		book.Receive(set)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 	internal := newInternalClient()
 	g.control = client.New(o.Control, internal)
 	g.follower = client.NewFollower(g.control, client.Identity{Process: o.Name, Kind: "gateway", Domain: o.Domain})
-	g.balancer = newBalancer(o.Domain, rand.NewPCG(o.Seed, uint64(len(o.Name))), o.Clock)
+	g.balancer = newBalancer(o.Domain, rand.NewPCG(o.Seed, uint64(len(o.Name))), o.Clock, g.askOtherDomains)
 	g.buffers = semaphore.NewWeighted(bufferedMost)
 	g.workers = newWorkerTransport()
 	g.submitter = newSubmitter(g.control, func() uint64 { return g.settings.Load().version })
@@ -152,6 +152,13 @@
 	g.workers.close()
 }
 
+// askOtherDomains wakes the links to schedulers that are not being asked.
+func (g *Gateway) askOtherDomains() {
+	for _, l := range g.links {
+		l.wake()
+	}
+}
+
 func (g *Gateway) waitForRecords(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"geraniumwall/routing"
@@ -19,12 +20,15 @@
 )
 
 // link syncs grants with one scheduler. Schedulers of other domains are asked only
-// while a service finds no free slot in the own domain or slots there are in use.
+// while a service finds no free slot in the own domain or their slots are in use;
+// after that their grants expire.
 type link struct {
 	gateway   *Gateway
 	scheduler Scheduler
 	client    schedulerpb.Scheduler
 	nudged    chan struct{}
+	// active is set while the scheduler is asked regularly.
+	active atomic.Bool
 	// sequence counts the syncs from 1.
 	sequence uint64
 }
@@ -41,7 +45,9 @@
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
 	for {
-		if l.needed() {
+		needed := l.needed()
+		l.active.Store(needed)
+		if needed {
 			l.sync(ctx, false)
 		}
 		select {
@@ -67,7 +73,7 @@
 	}
 	needed := false
 	l.gateway.balancer.read(func(t *routing.Table, now time.Duration) {
-		needed = t.Starved(now) || t.Holds(l.scheduler.Domain, now)
+		needed = t.Starved(now) || t.Uses(l.scheduler.Domain)
 	})
 	return needed
 }
@@ -80,6 +86,13 @@
 	}
 }
 
+// wake asks a scheduler of another domain at once when it is not being asked yet.
+func (l *link) wake() {
+	if !l.active.Load() {
+		l.nudge()
+	}
+}
+
 func (l *link) sync(ctx context.Context, draining bool) {
 	g := l.gateway
 	l.sequence++
--- a/routing/report.go
+++ b/routing/report.go
@@ -107,10 +107,10 @@
 	return false
 }
 
-// Holds reports whether the table still uses or holds slots in a domain.
-func (t *Table) Holds(domain string, now time.Duration) bool {
+// Uses reports whether requests are outstanding in a domain.
+func (t *Table) Uses(domain string) bool {
 	for _, u := range t.upstreams {
-		if u.domain == domain && (u.busy() || u.current.open(now)) {
+		if u.domain == domain && u.busy() {
 			return true
 		}
 	}
--- a/routing/service.go
+++ b/routing/service.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// answerShare of the time left is kept for the answer that sheds a queued request,
+// so that it reaches the caller before its deadline.
+const answerShare = 20
+
 const (
 	// hedgeQuantile of the recent latency is the time after which a second attempt
 	// may be made, so that at most about one request in twenty is a candidate.
@@ -50,7 +54,8 @@
 }
 
 func (s *service) enqueue(r Request, now time.Duration) *Waiter {
-	w := &Waiter{Tag: r.Tag, service: s, request: r, latest: r.Deadline - s.expected(r.Deadline-now)}
+	left := r.Deadline - now
+	w := &Waiter{Tag: r.Tag, service: s, request: r, latest: r.Deadline - max(s.expected(left), left/answerShare)}
 	s.queue = append(s.queue, w)
 	s.waiting++
 	return w
--- a/routing/table.go
+++ b/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	order     []*service
 	upstreams map[string]*upstream
 	budget    *Budget
+	// generation counts the configurations.
+	generation int
 }
 
 // NewTable returns an empty table of a gateway in a domain. The source decides
@@ -31,6 +34,7 @@
 // Configure replaces the services and the retry share. It returns the decisions
 // on requests that wait for a service that no longer exists.
 func (t *Table) Configure(services []ServiceConfig, retryPercent int, now time.Duration) []Wake {
+	t.generation++
 	t.budget.SetPercent(retryPercent)
 	kept := map[string]*service{}
 	t.order = t.order[:0]
@@ -123,9 +127,10 @@
 }
 
 func (t *Table) applyServices(u *upstream, names []string) {
-	if u.serves(names) {
+	if u.generation == t.generation && slices.Equal(u.services, names) {
 		return
 	}
+	u.generation, u.services = t.generation, names
 	old := map[string]*lane{}
 	for _, l := range u.lanes {
 		l.list(false)
@@ -145,18 +150,6 @@
 	}
 }
 
-func (u *upstream) serves(names []string) bool {
-	if len(names) != len(u.lanes) {
-		return false
-	}
-	for i, l := range u.lanes {
-		if l.service.name != names[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (t *Table) withdraw(u *upstream) {
 	u.unlisted = true
 	u.current.withdrawn = true
@@ -176,14 +169,14 @@
 	if s == nil {
 		return Decision{Kind: Shed, Reason: ShedNoService}
 	}
+	if len(s.local) == 0 {
+		s.starved, s.starvedAt = true, now
+	}
 	if s.head() == nil {
 		if l := t.choose(s, r.Avoid, now); l != nil {
 			return Decision{Kind: Admitted, Ticket: t.take(l, now)}
 		}
 	}
-	if len(s.local) == 0 {
-		s.starved, s.starvedAt = true, now
-	}
 	if s.waiting >= s.maxQueue {
 		return Decision{Kind: Shed, Reason: ShedQueueFull, RetryAfter: s.wait()}
 	}
@@ -262,6 +255,7 @@
 func (t *Table) learnFailure(u *upstream, now time.Duration) {
 	if u.health.record(true) && t.mayEject(now) {
 		u.health.eject(now)
+		u.joined, u.warming = u.health.until, true
 	}
 }
 
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -42,6 +42,9 @@
 	health   health
 	limiter  limiter
 	unlisted bool
+	// services and generation are those that the lanes were made for.
+	services   []string
+	generation int
 }
 
 // lane is the use of one upstream by one service.
