--- a/policy/engine/hold.go
+++ b/policy/engine/hold.go
@@ -25,6 +25,8 @@
 type hold struct {
 	worker string
 	since  time.Duration
+	// evicting is set when tasks were evicted for it.
+	evicting bool
 }
 
 // considerHold holds the host that will have room for the candidate first.
@@ -47,12 +49,13 @@
 		}
 	}
 	if best != nil {
-		e.hold(now, c.ID, best)
+		e.hold(now, c.ID, best, false)
 	}
 }
 
-func (e *Engine) hold(now time.Duration, task string, h *host) {
-	e.holds[task] = hold{worker: h.ID, since: now}
+func (e *Engine) hold(now time.Duration, task string, h *host, evicting bool) {
+	e.endHold(task)
+	e.holds[task] = hold{worker: h.ID, since: now, evicting: evicting}
 	e.index.Hold(h.placed, task)
 }
 
--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -81,6 +81,7 @@
 	return worst, found
 }
 
+// relieve decides for one worker.
 func (e *Engine) relieve(now time.Duration, h *host, out []policy.Reaction) []policy.Reaction {
 	if len(h.tasks) == 0 {
 		h.breachedSince = -1
@@ -90,29 +91,41 @@
 		return out
 	}
 	worst, pressed := e.pressure(h)
-	limit := e.limit()
-	if !pressed || worst.effect <= limit {
-		h.breachedSince = -1
-	} else if h.breachedSince < 0 {
-		h.breachedSince = now
-	}
-	h.quiet = worst.effect <= limit && h.throttled == 0
+	breached := pressed && worst.effect > e.limit()
+	h.quiet = !breached && h.throttled == 0
+	h.note(now, breached)
 	if now-h.reacted < settleReaction {
 		return out
 	}
 	before := len(out)
+	out = e.reactTo(now, h, &worst, pressed, out)
+	if len(out) > before {
+		h.reacted = now
+	}
+	return out
+}
+
+// note keeps the time since which a service of the worker is over its limit.
+func (h *host) note(now time.Duration, breached bool) {
+	if !breached {
+		h.breachedSince = -1
+	} else if h.breachedSince < 0 {
+		h.breachedSince = now
+	}
+}
+
+func (e *Engine) reactTo(now time.Duration, h *host, worst *pressure, pressed bool, out []policy.Reaction) []policy.Reaction {
+	limit := e.limit()
 	switch {
 	case pressed && worst.effect > limit:
 		h.calmSince = now
-		out = e.reduce(now, h, &worst, out)
+		return e.reduce(now, h, worst, out)
 	case pressed && worst.effect > calmBelow*limit && !e.rules.NoHysteresis:
 		h.calmSince = now
-		out, _ = e.moveOne(now, h, &worst, e.neighbours(now, h, worst.Service, worst.Load), out)
+		out, _ = e.moveOne(now, h, worst, e.neighbours(now, h, worst.Service, worst.Load), out)
+		return out
 	case e.rules.NoHysteresis || now-h.calmSince >= calmFor:
-		out = e.relax(now, h, &worst, pressed, out)
-	}
-	if len(out) > before {
-		h.reacted = now
+		return e.relax(now, h, worst, pressed, out)
 	}
 	return out
 }
--- /dev/null
+++ b/policy/engine/react_test.go
@@ -0,0 +1,218 @@
+package engine_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/config"
+	"geraniumwall/policy"
+	"geraniumwall/policy/engine"
+	"geraniumwall/workerapi"
+)
+
+// slowed drives one worker whose service is slowed by tasks of job "loud": each
+// unthrottled one adds the given factor. Reports arrive 4 s late.
+type slowed struct {
+	engine    *engine.Engine
+	now       time.Duration
+	each      float64
+	shares    map[string]float64
+	history   []float64
+	reactions []policy.Reaction
+}
+
+func newSlowed(each float64, evictionsPerMinute int) *slowed {
+	s := &slowed{engine: engine.New(3), each: each, shares: map[string]float64{}}
+	c := config.Config{
+		Services: []config.Service{{Name: "quote", TargetP99MS: 50}},
+		Policy:   config.Policy{EvictionsPerMinute: evictionsPerMinute, MinRunMS: 5000, SlowdownLimit: 1.25},
+	}
+	s.engine.SetConfig(0, c)
+	addWorkers(s.engine, 1, "quote")
+	return s
+}
+
+func (s *slowed) add(id string, priority config.Priority, checkpoints bool) {
+	t := batchTask(id, cores(4, 4))
+	t.Job, t.Priority, t.Checkpoints, t.Expected = "loud", priority, checkpoints, time.Hour
+	s.engine.Started(s.now, t, "w00")
+	s.shares[id] = 1
+}
+
+func (s *slowed) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += 500 * time.Millisecond
+		sum := 1.0
+		for _, share := range s.shares {
+			sum += s.each * share
+		}
+		s.history = append(s.history, sum)
+		if n := len(s.history); n > 8 && n%4 == 0 {
+			s.engine.ReportService(s.now, "w00", workerapi.ServiceReport{
+				Service: "quote", AgeMS: 4000, Load: 0.7, P99US: int64(50_000 * s.history[n-9]), Count: 200,
+			})
+		}
+		for _, r := range s.engine.React(s.now) {
+			s.reactions = append(s.reactions, r)
+			s.shares[r.Task] = r.Share
+			if r.Kind == policy.Evict {
+				delete(s.shares, r.Task)
+				s.engine.Ended(s.now, r.Task, r.Worker, policy.EndEvicted)
+			}
+		}
+	}
+}
+
+func (s *slowed) evicted() []string {
+	var ids []string
+	for _, r := range s.reactions {
+		if r.Kind == policy.Evict {
+			ids = append(ids, r.Task)
+		}
+	}
+	return ids
+}
+
+var _ = Describe("reaction to a slow service", func() {
+	// Guards against evictions where a throttle is enough, and against reactions
+	// before the slowdown was measured.
+	It("throttles before it evicts, and explains it", func() {
+		s := newSlowed(0.3, 30)
+		s.run(time.Minute)
+		Expect(s.reactions).To(BeEmpty())
+		s.add("a", config.Batch, true)
+		s.add("b", config.Batch, true)
+		s.run(time.Minute)
+		Expect(s.reactions).NotTo(BeEmpty())
+		Expect(s.reactions[0].Kind).To(Equal(policy.Throttle))
+		Expect(s.reactions[0].Decision.Reason).To(ContainSubstring("quote"))
+		Expect(s.reactions[0].Decision.Figures).To(ContainElement(HaveField("Name", "slowdown")))
+	})
+
+	// Guards against losing much work, or more important work, when a task without
+	// checkpoints or of a higher class runs beside a cheaper one.
+	It("evicts in the order of lost work", func() {
+		s := newSlowed(1.5, 30)
+		s.run(time.Minute)
+		s.add("costly", config.Batch, false)
+		s.add("normal", config.Normal, true)
+		s.add("cheap", config.Batch, true)
+		s.run(2 * time.Minute)
+		Expect(s.evicted()).To(Equal([]string{"cheap", "normal", "costly"}))
+	})
+
+	// Guards against a storm of evictions when every host is slow.
+	It("stays within the eviction budget and the minimum run", func() {
+		s := newSlowed(2, 2)
+		s.run(time.Minute)
+		for i := range 5 {
+			s.add(fmt.Sprint(i), config.Batch, true)
+		}
+		s.run(2 * time.Minute)
+		Expect(len(s.evicted())).To(BeNumerically("<=", 2+2*2), "two at once and two a minute")
+		for _, r := range s.reactions {
+			if r.Kind == policy.Evict {
+				Expect(r.Decision.At).To(BeNumerically(">=", time.Minute+5*time.Second))
+			}
+		}
+	})
+})
+
+var _ = Describe("room for tasks that must start", func() {
+	fill := func(e *engine.Engine, workers int, checkpoints bool) {
+		addWorkers(e, workers)
+		for i := range workers * 6 {
+			t := batchTask(fmt.Sprint("b", i), cores(4, 4))
+			t.Checkpoints = checkpoints
+			e.Started(0, t, fmt.Sprintf("w%02d", i/6))
+		}
+	}
+
+	// Guards against urgent work that waits behind a full fleet.
+	It("evicts the cheapest tasks for urgent work and starts it there", func() {
+		e := engine.New(1)
+		fill(e, 4, true)
+		now := 30 * time.Second
+		urgent := policy.Task{ID: "u", Team: "t", Job: "rush", Priority: config.Urgent, Size: cores(2, 2), Enqueued: now}
+		e.Enqueue(now, urgent)
+		placements, _ := e.Next(now, 10)
+		Expect(placements).To(BeEmpty())
+		reactions := e.React(now)
+		Expect(reactions).To(HaveLen(1))
+		Expect(reactions[0].Kind).To(Equal(policy.Evict))
+		Expect(e.React(now+100*time.Millisecond)).To(BeEmpty(), "one eviction is enough")
+		e.Ended(now+500*time.Millisecond, reactions[0].Task, reactions[0].Worker, policy.EndEvicted)
+		placements, _ = e.Next(now+500*time.Millisecond, 10)
+		Expect(placements).To(HaveLen(1))
+		Expect(placements[0].Worker).To(Equal(reactions[0].Worker))
+	})
+
+	// Guards against a host that admits more than its memory holds because a task
+	// uses more than it declared.
+	It("counts measured memory above the declared size", func() {
+		e := engine.New(1)
+		addWorkers(e, 1)
+		e.Started(0, batchTask("a", cores(1, 10)), "w00")
+		e.ReportUsage(10*time.Second, "w00", policy.Usage{Task: "a", Used: cores(1, 90), Age: 2 * time.Second})
+		e.Enqueue(10*time.Second, batchTask("b", cores(1, 40)))
+		placements, _ := e.Next(10*time.Second, 10)
+		Expect(placements).To(BeEmpty())
+	})
+
+	// Guards against a task that is tried for ever although it fails on every
+	// sound worker.
+	It("reports a task that fails wherever it runs", func() {
+		e := engine.New(1)
+		e.SetConfig(0, config.Config{Jobs: []config.Job{{Name: "j", MaxAttempts: 3}}})
+		addWorkers(e, 8)
+		t := batchTask("bad", cores(1, 1))
+		for attempt := range 3 {
+			now := time.Duration(attempt) * time.Minute
+			for i := range 8 {
+				good := batchTask(fmt.Sprint("good", attempt, i), cores(1, 1))
+				e.Started(now, good, fmt.Sprintf("w%02d", i))
+				e.Ended(now, good.ID, fmt.Sprintf("w%02d", i), policy.EndDone)
+			}
+			e.Enqueue(now, t)
+			placements, impossible := e.Next(now, 1)
+			Expect(impossible).To(BeEmpty())
+			Expect(placements).To(HaveLen(1))
+			e.Started(now, t, placements[0].Worker)
+			e.Ended(now, t.ID, placements[0].Worker, policy.EndFailed)
+		}
+		e.Enqueue(4*time.Minute, t)
+		placements, impossible := e.Next(4*time.Minute, 1)
+		Expect(placements).To(BeEmpty())
+		Expect(impossible).To(HaveLen(1))
+		Expect(impossible[0].Reason).To(ContainSubstring("failed on 3 workers"))
+	})
+
+	// Guards against lent quota that is never given back.
+	It("takes back lent quota for a team that waits within its own", func() {
+		e := engine.New(1)
+		e.SetConfig(0, config.Config{Domains: []string{"d"}, Teams: []config.Team{
+			{Name: "t", Weight: 1, Quota: config.Resources(cores(24, 100)), MayBorrow: true},
+			{Name: "owner", Weight: 1, Quota: config.Resources(cores(24, 100))},
+		}})
+		addWorkers(e, 2)
+		tasks := map[string]policy.Task{}
+		for i := range 12 {
+			t := batchTask(fmt.Sprint("b", i), cores(4, 4))
+			tasks[t.ID] = t
+			e.Enqueue(0, t)
+		}
+		Expect(startAll(e, 0, tasks)).To(HaveLen(12))
+		own := batchTask("own", cores(4, 4))
+		own.Team, own.Enqueued = "owner", time.Minute
+		e.Enqueue(time.Minute, own)
+		e.Next(time.Minute, 10)
+		Expect(e.React(time.Minute)).To(BeEmpty())
+		e.Next(80*time.Second, 10)
+		reactions := e.React(80 * time.Second)
+		Expect(reactions).To(HaveLen(1))
+		Expect(reactions[0].Decision.Reason).To(ContainSubstring("owner"))
+	})
+})
--- a/policy/engine/room.go
+++ b/policy/engine/room.go
@@ -61,7 +61,7 @@
 
 // preempt evicts the cheapest set of victims for a candidate and holds the host.
 func (e *Engine) preempt(now time.Duration, c *fairness.Candidate, victim func(*task) bool, keep float64, reason string, out []policy.Reaction) []policy.Reaction {
-	if _, held := e.holds[c.ID]; held {
+	if e.holds[c.ID].evicting {
 		return out
 	}
 	r := e.request(c)
@@ -84,7 +84,7 @@
 			{Name: "waited_s", Value: (now - c.Enqueued).Seconds()},
 		}))
 	}
-	e.hold(now, c.ID, best.host)
+	e.hold(now, c.ID, best.host, true)
 	return out
 }
 
--- a/policy/fairness/queue.go
+++ b/policy/fairness/queue.go
@@ -187,17 +187,22 @@
 	return t.limited && !t.used.Fits(t.quota)
 }
 
-// idle is the quota that no team uses.
+// idle is the quota that no team uses, without what is lent already.
 func (q *Queue) idle() workerapi.Resources {
-	var idle workerapi.Resources
+	var idle, lent workerapi.Resources
 	for _, t := range q.teams {
-		if !t.limited {
-			continue
+		if t.limited {
+			idle = idle.Plus(positive(t.quota.Minus(t.used)))
+			lent = lent.Plus(positive(t.used.Minus(t.quota)))
 		}
-		left := t.quota.Minus(t.used)
-		idle.CPUMillis += max(left.CPUMillis, 0)
-		idle.MemoryMB += max(left.MemoryMB, 0)
-		idle.Accelerators += max(left.Accelerators, 0)
 	}
-	return idle
+	return idle.Minus(lent)
+}
+
+func positive(r workerapi.Resources) workerapi.Resources {
+	return workerapi.Resources{
+		CPUMillis:    max(r.CPUMillis, 0),
+		MemoryMB:     max(r.MemoryMB, 0),
+		Accelerators: max(r.Accelerators, 0),
+	}
 }
--- /dev/null
+++ b/policy/fairness/queue_test.go
@@ -0,0 +1,134 @@
+package fairness_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/config"
+	"geraniumwall/policy/fairness"
+	"geraniumwall/workerapi"
+)
+
+func declared(_ string, size workerapi.Resources) workerapi.Resources { return size }
+
+func size(cpu int64) workerapi.Resources { return workerapi.Resources{CPUMillis: cpu, MemoryMB: cpu} }
+
+func team(name string, weight int, quota int64, borrows bool) config.Team {
+	return config.Team{Name: name, Weight: weight, Quota: config.Resources(size(quota)), MayBorrow: borrows}
+}
+
+func queue(teams ...config.Team) *fairness.Queue {
+	q := fairness.NewQueue(fairness.Rules{}, declared)
+	q.SetTeams(teams, 1)
+	q.SetTotal(size(100))
+	return q
+}
+
+func push(q *fairness.Queue, n int, team string, class config.Priority, cpu int64, at time.Duration) {
+	for i := range n {
+		q.Push(fairness.Item{ID: fmt.Sprint(team, class, at, i), Team: team, Class: class, Size: size(cpu), Enqueued: at})
+	}
+}
+
+// take picks and starts up to n tasks and counts them by team.
+func take(q *fairness.Queue, now time.Duration, n int) map[string]int {
+	taken := map[string]int{}
+	round := q.Round(now)
+	for range n {
+		c, found := round.Pick()
+		if !found {
+			break
+		}
+		round.Take(c)
+		taken[c.Team]++
+	}
+	return taken
+}
+
+var _ = Describe("order of waiting tasks", func() {
+	// Guards against a team that floods the queue and takes the shares of others.
+	It("divides capacity by weight whatever the order of arrival", func() {
+		q := queue(team("a", 1, 0, false), team("b", 3, 0, false))
+		push(q, 100, "a", config.Batch, 1, 0)
+		push(q, 100, "b", config.Batch, 1, time.Second)
+		taken := take(q, time.Minute, 40)
+		Expect(taken["a"]).To(BeNumerically("~", 10, 1))
+		Expect(taken["b"]).To(BeNumerically("~", 30, 1))
+	})
+
+	// Guards against batch work that waits for ever behind a steady stream of more
+	// important work of the same team.
+	It("lets every task start in the end", func() {
+		q := queue(team("a", 1, 0, false))
+		push(q, 1, "a", config.Batch, 1, 0)
+		for minute := 1; minute <= 40; minute++ {
+			now := time.Duration(minute) * time.Minute
+			push(q, 10, "a", config.Urgent, 1, now)
+			round := q.Round(now)
+			for range 10 {
+				c, _ := round.Pick()
+				round.Take(c)
+				if c.Class == config.Batch {
+					return
+				}
+			}
+		}
+		Fail("the batch task never started")
+	})
+
+	// Guards against use beyond the quota of a team that may not borrow.
+	It("holds a team to its quota", func() {
+		q := queue(team("a", 1, 10, false), team("b", 1, 90, false))
+		push(q, 50, "a", config.Batch, 1, 0)
+		Expect(take(q, 0, 50)).To(Equal(map[string]int{"a": 10}))
+	})
+
+	// Guards against urgent work that waits because its own team fills its quota
+	// with batch work: in the noisy wave it waited for 21 s.
+	It("admits urgent work of a team whose batch work fills its quota", func() {
+		q := queue(team("a", 1, 10, false))
+		push(q, 10, "a", config.Batch, 1, 0)
+		take(q, 0, 10)
+		push(q, 1, "a", config.Urgent, 1, 0)
+		Expect(take(q, 0, 1)).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("borrowing", func() {
+	// Guards against idle quota that nobody may use.
+	It("lends quota that is idle, and no more than that", func() {
+		q := queue(team("a", 1, 10, true), team("b", 1, 30, false))
+		q.Charge("b", config.Batch, size(10))
+		push(q, 100, "a", config.Batch, 1, 0)
+		Expect(take(q, 0, 100)["a"]).To(Equal(30))
+		Expect(take(q, time.Second, 100)).To(BeEmpty(), "what is lent stays lent in the next round")
+	})
+
+	// Guards against lending on while the owner waits for room.
+	It("lends nothing while a team within its quota waits for room", func() {
+		q := queue(team("a", 1, 10, true), team("b", 1, 90, false))
+		q.Charge("a", config.Batch, size(10))
+		push(q, 1, "b", config.Batch, 50, 0)
+		push(q, 5, "a", config.Batch, 1, 0)
+		round := q.Round(0)
+		c, _ := round.Pick()
+		Expect(c.Team).To(Equal("b"))
+		round.Block(c)
+		Expect(take(q, 5*time.Second, 5)["a"]).To(BeZero())
+	})
+})
+
+var _ = Describe("quota of a domain", func() {
+	// Guards against a task that fits the quota of the deployment but not the part
+	// of one domain, and would wait for ever.
+	It("admits one task larger than the part of the domain", func() {
+		q := fairness.NewQueue(fairness.Rules{}, declared)
+		q.SetTeams([]config.Team{team("a", 1, 40, false)}, 4)
+		push(q, 2, "a", config.Batch, 25, 0)
+		Expect(take(q, 0, 2)["a"]).To(Equal(1))
+		Expect(q.Possible("a", size(41))).To(BeFalse())
+	})
+})
--- a/policy/fairness/round.go
+++ b/policy/fairness/round.go
@@ -159,7 +159,7 @@
 	l := r.queue.byShape[shapeOf(&c.Item)]
 	l.waitingForRoom = -1
 	r.queue.Charge(c.Team, c.Class, c.Need)
-	if c.Borrowed {
+	if l.team.limited {
 		r.idle = r.idle.Minus(c.Need)
 	}
 	r.queue.Remove(c.ID)
