--- a/experiments/report.go
+++ b/experiments/report.go
@@ -117,7 +117,7 @@
 // compare measures the engine against all baselines in one scenario.
 func compare(prefix string, s Scenario, seeds int) ([]Line, error) {
 	policies := append([]Policy{Engine(nameEngine, noRules)}, Baselines()...)
-	outcomes, err := Measure(s, policies, seeds)
+	outcomes, err := MeasureAll(s, policies, seeds)
 	if err != nil {
 		return nil, err
 	}
--- a/experiments/rules.go
+++ b/experiments/rules.go
@@ -68,7 +68,7 @@
 		if len(tested) == 0 {
 			continue
 		}
-		outcomes, err := Measure(s, policies, seeds)
+		outcomes, err := MeasureAll(s, policies, seeds)
 		if err != nil {
 			return err
 		}
--- a/experiments/suite.go
+++ b/experiments/suite.go
@@ -63,8 +63,8 @@
 	return alone.P99, configuration(&spec, targets)
 }
 
-// Measure runs each policy with each seed and returns the outcomes by policy.
-func Measure(s Scenario, policies []Policy, seeds int) (map[string][]Outcome, error) {
+// MeasureAll runs each policy with each seed and returns the outcomes by policy.
+func MeasureAll(s Scenario, policies []Policy, seeds int) (map[string][]Outcome, error) {
 	out := map[string][]Outcome{}
 	for _, p := range policies {
 		out[p.Name] = make([]Outcome, seeds)
