Count lost work in core-seconds

Two scenarios are added: effects that swap halfway, for forgetting, and bursts of urgent tasks in a full fleet, for preemption.

--- a/experiments/fake/fleet.go
+++ b/experiments/fake/fleet.go
@@ -45,6 +45,8 @@
 	Split float64
 	// Broken workers fail every task.
 	Broken func(now time.Duration, worker int) bool
+	// SwapAt is the time at which the first two services swap what slows them.
+	SwapAt time.Duration
 }
 
 // running is an attempt on a worker.
@@ -183,20 +185,11 @@
 	f.byID[w.ID] = w
 }
 
-// Workers describes all workers.
-func (f *Fleet) Workers() []policy.Worker {
+// Workers describes the workers of a domain, or all if it is negative.
+func (f *Fleet) Workers(domain int) []policy.Worker {
 	var list []policy.Worker
 	for _, w := range f.workers {
-		list = append(list, w.Worker)
-	}
-	return list
-}
-
-// DomainWorkers lists the workers of a domain.
-func (f *Fleet) DomainWorkers(domain int) []policy.Worker {
-	var list []policy.Worker
-	for _, w := range f.workers {
-		if w.domain == domain {
+		if domain < 0 || w.domain == domain {
 			list = append(list, w.Worker)
 		}
 	}
@@ -206,6 +199,9 @@
 // Step advances the fleet by one tick that ends now.
 func (f *Fleet) Step(now time.Duration) Events {
 	var out Events
+	if f.spec.SwapAt > 0 && now == f.spec.SwapAt {
+		f.truth.swap(f.spec.Services[0].Name, f.spec.Services[1].Name)
+	}
 	for _, w := range f.workers {
 		f.serve(now, w)
 		f.work(now, w, &out)
@@ -252,7 +248,7 @@
 
 func (f *Fleet) report(now time.Duration, w *worker, s int, p99 float64) {
 	count := int64(math.Ceil(w.loads[s] * requestsPerRep))
-	measured := p99 * math.Exp(f.truth.noise*f.delay.NormFloat64()/math.Sqrt(float64(count)))
+	measured := p99 * math.Exp(reportNoise*f.delay.NormFloat64()/math.Sqrt(float64(count)))
 	late := shortestDelay + time.Duration(f.delay.Int64N(int64((longestDelay-shortestDelay)/Tick)))*Tick
 	due := now + late
 	f.queue[due] = append(f.queue[due], Report{Worker: w.ID, ServiceReport: workerapi.ServiceReport{
--- a/experiments/fake/truth.go
+++ b/experiments/fake/truth.go
@@ -44,7 +44,6 @@
 // truth holds the parameters that policies must not read.
 type truth struct {
 	pairs map[string]map[string]pair
-	noise float64
 }
 
 // Shares and sizes of true effects: most pairs get along, some don't.
@@ -62,7 +61,7 @@
 )
 
 func newTruth(random *rand.Rand, services []Service, jobs []Job) truth {
-	t := truth{pairs: map[string]map[string]pair{}, noise: reportNoise}
+	t := truth{pairs: map[string]map[string]pair{}}
 	for _, s := range services {
 		t.pairs[s.Name] = map[string]pair{}
 		for _, j := range jobs {
@@ -76,6 +75,8 @@
 	return t
 }
 
+func (t *truth) swap(a, b string) { t.pairs[a], t.pairs[b] = t.pairs[b], t.pairs[a] }
+
 // slowdown is the factor on the latency of a service among running tasks, and of
 // a host whose processors are overcommitted by the given factor.
 func (t *truth) slowdown(service string, load float64, tasks []*running, overcommit float64) float64 {
--- a/experiments/report.go
+++ b/experiments/report.go
@@ -62,6 +62,7 @@
 	{measureP99, "ratio", (*Outcome).P99Ratio},
 	{measureWork, "core_seconds", func(o *Outcome) float64 { return o.Done }},
 	{measureEvictions, "count", func(o *Outcome) float64 { return float64(o.Evictions) }},
+	{"evictions_in_worst_minute", "count", func(o *Outcome) float64 { return float64(o.WorstMinute) }},
 	{measureLost, "ratio", func(o *Outcome) float64 { return o.Lost / max(o.Done, 1) }},
 	{measureUrgent, "s", func(o *Outcome) float64 { return o.UrgentDelay.Seconds() }},
 	{measureBroken, "ratio", func(o *Outcome) float64 {
--- a/experiments/rules.go
+++ b/experiments/rules.go
@@ -25,24 +25,24 @@
 // rules lists every rule with the measures that it is meant for.
 func rules() []rule {
 	service := []string{measureP99, measureWork, "throttles", measureEvictions}
-	loss := []string{measureLost, measureEvictions, measureWork}
+	loss := []string{measureLost, measureEvictions, measureWork, "evictions_in_worst_minute"}
 	return []rule{
 		{"reaction", engine.Rules{NoReaction: true}, []string{"cancellations", "wrong-sizes"}, service},
 		{"throttle-first", engine.Rules{NoThrottle: true}, []string{"cancellations", "wrong-sizes"}, append(loss, measureP99)},
 		{"move-throttled", engine.Rules{NoMove: true}, []string{"cancellations", "wrong-sizes"}, service},
 		{"hysteresis", engine.Rules{NoHysteresis: true}, []string{"cancellations", "load-shift"}, service},
-		{"eviction-budget-and-minimum-run", engine.Rules{NoBudget: true}, []string{"cancellations", "wrong-sizes", "noisy-wave"}, loss},
-		{"least-lost-work", engine.Rules{NoLeastLoss: true}, []string{"cancellations", "wrong-sizes", "noisy-wave"}, loss},
+		{"eviction-budget-and-minimum-run", engine.Rules{NoBudget: true}, []string{"cancellations", "urgent-burst"}, loss},
+		{"least-lost-work", engine.Rules{NoLeastLoss: true}, []string{"cancellations", "wrong-sizes", "noisy-wave"}, append(loss, measureP99)},
 		{"slack-below-target", engine.Rules{NoSlack: true}, []string{"cancellations", "wrong-sizes"}, service},
 		{"interference-in-score", engine.Rules{Placement: placement.Rules{NoInterference: true}}, []string{"cancellations", "pairwise"}, service},
 		{"history", engine.Rules{Model: interference.Rules{NoHistory: true}}, []string{"cancellations", "noisy-wave"}, service},
 		{"shrinkage", engine.Rules{Model: interference.Rules{NoShrinkage: true}}, []string{"cancellations", "wrong-sizes"}, service},
-		{"forgetting", engine.Rules{Model: interference.Rules{NoForgetting: true}}, []string{"cancellations", "load-shift"}, service},
+		{"forgetting", engine.Rules{Model: interference.Rules{NoForgetting: true}}, []string{"effects-swap", "load-shift"}, service},
 		{"load-dependence", engine.Rules{Model: interference.Rules{NoLoad: true}}, []string{"cancellations", "load-shift"}, service},
 		{"packing", engine.Rules{Placement: placement.Rules{NoPacking: true}}, []string{"cancellations", "busy", "greedy-team"}, []string{measureP99, measureWork, "longest_wait_large"}},
 		{"rack-spread", engine.Rules{Placement: placement.Rules{NoSpread: true}}, []string{"pairwise", "lost-domain"}, []string{"largest_rack_share", measureLost, measureP99}},
 		{"holds", engine.Rules{NoHolds: true}, []string{"cancellations", "greedy-team"}, []string{"longest_wait_large", "longest_wait", measureWork}},
-		{"preemption", engine.Rules{NoPreemption: true}, []string{"noisy-wave", "cancellations"}, []string{measureUrgent, "least_served_team", measureEvictions}},
+		{"preemption", engine.Rules{NoPreemption: true}, []string{"urgent-burst", "cancellations"}, []string{measureUrgent, "least_served_team", measureEvictions}},
 		{"headroom", engine.Rules{NoHeadroom: true}, []string{"noisy-wave", "cancellations"}, []string{measureUrgent, measureEvictions, measureWork}},
 		{"fairness", engine.Rules{Fairness: fairness.Rules{NoFairness: true}}, []string{"greedy-team"}, []string{"least_served_team", "longest_wait"}},
 		{"borrowing", engine.Rules{Fairness: fairness.Rules{NoBorrow: true}}, []string{"greedy-team"}, []string{measureWork, "least_served_team", "longest_wait"}},
--- a/experiments/run.go
+++ b/experiments/run.go
@@ -71,9 +71,15 @@
 	// as a mean over the run.
 	RackShare float64
 	racked    int
+	// WorstMinute is the largest number of evictions in one minute.
+	WorstMinute int
+	thisMinute  int
 }
 
-const maxAttempts = 3
+const (
+	maxAttempts = 3
+	allDomains  = -1
+)
 
 // run is the state of one run.
 type run struct {
@@ -107,7 +113,7 @@
 	if p.New != nil {
 		r.engine = p.New(seed)
 		r.engine.SetConfig(0, c)
-		for _, w := range r.fleet.Workers() {
+		for _, w := range r.fleet.Workers(allDomains) {
 			r.engine.UpsertWorker(0, w)
 			r.racks[w.ID] = w.Rack
 		}
@@ -315,6 +321,9 @@
 }
 
 func (r *run) react() {
+	if r.now%time.Minute == 0 {
+		r.result.thisMinute = 0
+	}
 	for _, reaction := range r.engine.React(r.now) {
 		switch reaction.Kind {
 		case policy.Throttle:
@@ -322,6 +331,8 @@
 			r.fleet.Throttle(r.now, reaction.Task, reaction.Share)
 		case policy.Evict:
 			r.result.Evictions++
+			r.result.thisMinute++
+			r.result.WorstMinute = max(r.result.WorstMinute, r.result.thisMinute)
 			r.fleet.Evict(r.now, reaction.Task)
 		}
 	}
@@ -359,7 +370,7 @@
 
 // lose cuts a domain off; its workers leave and its tasks wait again.
 func (r *run) lose(domain int) {
-	for _, w := range r.fleet.DomainWorkers(domain) {
+	for _, w := range r.fleet.Workers(domain) {
 		r.engine.RemoveWorker(r.now, w.ID)
 	}
 	events := r.fleet.Lose(domain)
@@ -369,7 +380,7 @@
 // restore brings a lost domain back.
 func (r *run) restore(domain int) {
 	r.fleet.Restore(domain)
-	for _, w := range r.fleet.DomainWorkers(domain) {
+	for _, w := range r.fleet.Workers(domain) {
 		r.engine.UpsertWorker(r.now, w)
 	}
 }
--- a/experiments/scenarios.go
+++ b/experiments/scenarios.go
@@ -110,6 +110,9 @@
 	broken   = 7
 )
 
+// swapHalfway changes what the policies have learned.
+func swapHalfway(s *fake.Spec) { s.SwapAt = runTime / 2 }
+
 func brokenWorker(s *fake.Spec) {
 	s.Broken = func(now time.Duration, worker int) bool {
 		return worker == broken && now >= breaksAt && now < mendedAt
@@ -133,6 +136,7 @@
 	saturated       = 1.3
 	urgentPerSecond = 0.5
 	waveTasks       = 400
+	burstTasks      = 20
 	lostDomain      = 1
 	half            = 0.5
 )
@@ -158,11 +162,18 @@
 			{At: 11 * time.Minute, Do: func(r *run) { r.restore(lostDomain) }},
 		}},
 		{Name: "busy", Spec: d.spec(day), Demand: constant(highDemand)},
+		{Name: "effects-swap", Spec: d.spec(day, swapHalfway), Demand: constant(highDemand)},
+		{Name: "urgent-burst", Spec: d.spec(day), Demand: constant(saturated), Events: []Event{
+			{At: 8 * time.Minute, Do: func(r *run) { r.wave("rush", burstTasks) }},
+			{At: 14 * time.Minute, Do: func(r *run) { r.wave("rush", burstTasks) }},
+		}},
 		{Name: "greedy-team", Spec: d.spec(day), Demand: constant(saturated), Weights: greedyWeights},
 	}
 	for i := range list {
 		list[i].Duration = runTime
-		list[i].Urgent = urgentPerSecond
+		if list[i].Name != "urgent-burst" {
+			list[i].Urgent = urgentPerSecond
+		}
 	}
 	return list
 }
--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -135,7 +135,7 @@
 	*task
 	// effect is its part of the slowdown at its present share.
 	effect float64
-	// loss is the work lost by its eviction, in seconds, weighted by its class.
+	// loss is the work lost by its eviction, in core-seconds weighted by class.
 	loss float64
 }
 
@@ -174,15 +174,18 @@
 	}
 }
 
-// loss is the work that an eviction loses, in weighted seconds.
+// loss is the work that an eviction loses, in core-seconds weighted by class.
 func (e *Engine) loss(now time.Duration, t *task) float64 {
 	lost := restartLoss
 	if !t.Checkpoints {
 		lost += now - t.started
 	}
-	return lost.Seconds() * classCost(t.Priority)
+	return lost.Seconds() * cores(t) * classCost(t.Priority)
 }
 
+// cores is the declared size of a task in processors.
+func cores(t *task) float64 { return float64(t.Size.CPUMillis) / 1000 }
+
 // reduce throttles neighbours until the service is predicted to be within its
 // limit; when that doesn't help for long enough, it evicts one.
 func (e *Engine) reduce(now time.Duration, h *host, worst *pressure, out []policy.Reaction) []policy.Reaction {
@@ -221,7 +224,7 @@
 		if n.share == 1 || now-n.changed < moveAfter || n.Priority == config.Urgent || !e.ranEnough(now, n.task) {
 			continue
 		}
-		gain := (1 - n.share) * min(e.remaining(now, n.task), moveHorizon).Seconds() * classCost(n.Priority)
+		gain := (1 - n.share) * min(e.remaining(now, n.task), moveHorizon).Seconds() * cores(n.task) * classCost(n.Priority)
 		if gain > n.loss && (best == nil || e.worth(n) > e.worth(best)) {
 			best = n
 		}
@@ -231,7 +234,7 @@
 	}
 	return append(out, e.evict(now, h, best.task, "has been throttled for longer than a start elsewhere costs", []policy.Figure{
 		{Name: "share", Value: best.share},
-		{Name: "loss_s", Value: best.loss},
+		{Name: "loss_core_s", Value: best.loss},
 		{Name: "slowdown", Value: math.Exp(worst.effect)},
 	})), true
 }
@@ -321,7 +324,7 @@
 		{Name: "slowdown", Value: math.Exp(worst.effect)},
 		{Name: "limit", Value: math.Exp(e.limit())},
 		{Name: "explained", Value: best.effect},
-		{Name: "loss_s", Value: best.loss},
+		{Name: "loss_core_s", Value: best.loss},
 		{Name: "load", Value: worst.Load},
 	}))
 }
--- a/policy/engine/room.go
+++ b/policy/engine/room.go
@@ -80,7 +80,7 @@
 	for _, t := range best.tasks {
 		e.spend(now, keep)
 		out = append(out, e.evict(now, best.host, t, reason, []policy.Figure{
-			{Name: "loss_s", Value: e.loss(now, t)},
+			{Name: "loss_core_s", Value: e.loss(now, t)},
 			{Name: "waited_s", Value: (now - c.Enqueued).Seconds()},
 		}))
 	}
