Widen the prior of pairs

Tasks weigh by size since the cost of a start was measured, so the effect of one unit of weight of a small task is larger than the prior allowed, and the model learned it too slowly.

--- a/policy/interference/model.go
+++ b/policy/interference/model.go
@@ -8,7 +8,7 @@
 // Priors. The effect of a pair is the logarithm of the slowdown by a task of
 // weight 1.
 var (
-	pairPrior = prior{mean: 0.02, variance: 0.06 * 0.06, drift: 4e-6, fade: 30 * time.Minute}
+	pairPrior = prior{mean: 0.02, variance: 0.15 * 0.15, drift: 4e-6, fade: 30 * time.Minute}
 	basePrior = prior{variance: 0.5, drift: 2e-6}
 )
 
