Make room for a burst of urgent tasks in one call

Room is now made for 32 tasks in a call, half of the budget is kept for them, and at most 256 hosts are compared for one.

--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -34,7 +34,7 @@
 	moveAfter   = 15 * time.Second
 	moveHorizon = time.Minute
 	// urgentKeep is the part of the eviction budget kept for urgent tasks.
-	urgentKeep = 0.25
+	urgentKeep = 0.5
 	// evictionTimeout is the time after which a proposed eviction that did not
 	// happen may be proposed again.
 	evictionTimeout = 10 * time.Second
--- a/policy/engine/room.go
+++ b/policy/engine/room.go
@@ -14,7 +14,9 @@
 
 // Bounds of preemption in one call.
 const (
-	maxRoomsMade = 8
+	maxRoomsMade = 32
+	// maxScanned bounds the hosts that are compared for one task.
+	maxScanned = 256
 	// maxVictims is the largest number of tasks evicted for one.
 	maxVictims = 4
 	// reclaimAfter is the wait of a task within its quota after which borrowed
@@ -66,7 +68,8 @@
 	}
 	r := e.request(c)
 	var best *sacrifice
-	for _, h := range e.order {
+	for i := range min(len(e.order), maxScanned) {
+		h := e.order[(e.scanFrom+i)%len(e.order)]
 		if !e.holdable(&r, h) {
 			continue
 		}
@@ -74,6 +77,7 @@
 			best = s
 		}
 	}
+	e.scanFrom += maxScanned
 	if best == nil || !e.affords(now, len(best.tasks), keep) {
 		return out
 	}
