--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -34,7 +34,7 @@
 	moveAfter   = 15 * time.Second
 	moveHorizon = time.Minute
 	// urgentKeep is the part of the eviction budget kept for urgent tasks.
-	urgentKeep = 0.25
+	urgentKeep = 0.5
 	// evictionTimeout is the time after which a proposed eviction that did not
 	// happen may be proposed again.
 	evictionTimeout = 10 * time.Second
@@ -81,6 +81,7 @@
 	return worst, found
 }
 
+// relieve decides for one worker.
 func (e *Engine) relieve(now time.Duration, h *host, out []policy.Reaction) []policy.Reaction {
 	if len(h.tasks) == 0 {
 		h.breachedSince = -1
@@ -90,49 +91,51 @@
 		return out
 	}
 	worst, pressed := e.pressure(h)
-	limit := e.limit()
-	if !pressed || worst.effect <= limit {
-		h.breachedSince = -1
-	} else if h.breachedSince < 0 {
-		h.breachedSince = now
-	}
-	h.quiet = worst.effect <= limit && !h.throttles()
+	breached := pressed && worst.effect > e.limit()
+	h.quiet = !breached && h.throttled == 0
+	h.note(now, breached)
 	if now-h.reacted < settleReaction {
 		return out
 	}
 	before := len(out)
+	out = e.reactTo(now, h, &worst, pressed, out)
+	if len(out) > before {
+		h.reacted = now
+	}
+	return out
+}
+
+// note keeps the time since which a service of the worker is over its limit.
+func (h *host) note(now time.Duration, breached bool) {
+	if !breached {
+		h.breachedSince = -1
+	} else if h.breachedSince < 0 {
+		h.breachedSince = now
+	}
+}
+
+func (e *Engine) reactTo(now time.Duration, h *host, worst *pressure, pressed bool, out []policy.Reaction) []policy.Reaction {
+	limit := e.limit()
 	switch {
 	case pressed && worst.effect > limit:
 		h.calmSince = now
-		out = e.reduce(now, h, &worst, out)
+		return e.reduce(now, h, worst, out)
 	case pressed && worst.effect > calmBelow*limit && !e.rules.NoHysteresis:
 		h.calmSince = now
-		out, _ = e.moveOne(now, h, &worst, e.neighbours(now, h, worst.Service, worst.Load), out)
+		out, _ = e.moveOne(now, h, worst, e.neighbours(now, h, worst.Service, worst.Load), out)
+		return out
 	case e.rules.NoHysteresis || now-h.calmSince >= calmFor:
-		out = e.relax(now, h, &worst, pressed, out)
-	}
-	if len(out) > before {
-		h.reacted = now
+		return e.relax(now, h, worst, pressed, out)
 	}
 	return out
 }
 
-// throttles reports whether a task of the host is throttled.
-func (h *host) throttles() bool {
-	for _, t := range h.tasks {
-		if t.share != 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // neighbour is a task that slows the service.
 type neighbour struct {
 	*task
 	// effect is its part of the slowdown at its present share.
 	effect float64
-	// loss is the work lost by its eviction, in seconds, weighted by its class.
+	// loss is the work lost by its eviction, in core-seconds weighted by class.
 	loss float64
 }
 
@@ -140,7 +143,7 @@
 func (e *Engine) neighbours(now time.Duration, h *host, service string, load float64) []neighbour {
 	var list []neighbour
 	for _, t := range sortedTasks(h.tasks) {
-		full := e.model.Effect(service, t.Job, load)
+		full := e.model.Effect(service, t.Job, load) * t.weight
 		if t.planned || e.isLeaving(now, t) || full <= 0 {
 			continue
 		}
@@ -171,15 +174,18 @@
 	}
 }
 
-// loss is the work that an eviction loses, in weighted seconds.
+// loss is the work that an eviction loses, in core-seconds weighted by class.
 func (e *Engine) loss(now time.Duration, t *task) float64 {
 	lost := restartLoss
 	if !t.Checkpoints {
 		lost += now - t.started
 	}
-	return lost.Seconds() * classCost(t.Priority)
+	return lost.Seconds() * cores(t) * classCost(t.Priority)
 }
 
+// cores is the declared size of a task in processors.
+func cores(t *task) float64 { return float64(t.Size.CPUMillis) / 1000 }
+
 // reduce throttles neighbours until the service is predicted to be within its
 // limit; when that doesn't help for long enough, it evicts one.
 func (e *Engine) reduce(now time.Duration, h *host, worst *pressure, out []policy.Reaction) []policy.Reaction {
@@ -218,7 +224,7 @@
 		if n.share == 1 || now-n.changed < moveAfter || n.Priority == config.Urgent || !e.ranEnough(now, n.task) {
 			continue
 		}
-		gain := (1 - n.share) * min(e.remaining(now, n.task), moveHorizon).Seconds() * classCost(n.Priority)
+		gain := (1 - n.share) * min(e.remaining(now, n.task), moveHorizon).Seconds() * cores(n.task) * classCost(n.Priority)
 		if gain > n.loss && (best == nil || e.worth(n) > e.worth(best)) {
 			best = n
 		}
@@ -228,7 +234,7 @@
 	}
 	return append(out, e.evict(now, h, best.task, "has been throttled for longer than a start elsewhere costs", []policy.Figure{
 		{Name: "share", Value: best.share},
-		{Name: "loss_s", Value: best.loss},
+		{Name: "loss_core_s", Value: best.loss},
 		{Name: "slowdown", Value: math.Exp(worst.effect)},
 	})), true
 }
@@ -254,16 +260,28 @@
 		{Name: "limit", Value: math.Exp(e.limit())},
 		{Name: "load", Value: worst.Load},
 	}}
-	e.model.Change(now, h.ID, t.Job, share-t.share)
+	e.model.Change(now, h.ID, t.Job, t.weight*(share-t.share))
+	h.throttled += throttledCount(share) - throttledCount(t.share)
 	t.share = share
 	t.changed = now
 	e.explain(d)
 	return policy.Reaction{Kind: policy.Throttle, Task: t.ID, Worker: h.ID, Share: share, Decision: d}
 }
 
+// throttledCount is 1 for the share of a throttled task and 0 otherwise.
+func throttledCount(share float64) int {
+	if share < 1 {
+		return 1
+	}
+	return 0
+}
+
 // relax doubles the share of the throttled task with the least effect if the
 // service is predicted to stay below its limit.
 func (e *Engine) relax(now time.Duration, h *host, worst *pressure, pressed bool, out []policy.Reaction) []policy.Reaction {
+	if h.throttled == 0 {
+		return out
+	}
 	var best *task
 	least := math.Inf(1)
 	for _, t := range sortedTasks(h.tasks) {
@@ -272,7 +290,7 @@
 		}
 		effect := 0.0
 		if pressed {
-			effect = e.model.Effect(worst.Service, t.Job, worst.Load) * (min(1, 2*t.share) - t.share)
+			effect = e.model.Effect(worst.Service, t.Job, worst.Load) * t.weight * (min(1, 2*t.share) - t.share)
 		}
 		if effect < least {
 			best, least = t, effect
@@ -306,7 +324,7 @@
 		{Name: "slowdown", Value: math.Exp(worst.effect)},
 		{Name: "limit", Value: math.Exp(e.limit())},
 		{Name: "explained", Value: best.effect},
-		{Name: "loss_s", Value: best.loss},
+		{Name: "loss_core_s", Value: best.loss},
 		{Name: "load", Value: worst.Load},
 	}))
 }
--- a/policy/engine/room.go
+++ b/policy/engine/room.go
@@ -14,7 +14,9 @@
 
 // Bounds of preemption in one call.
 const (
-	maxRoomsMade = 8
+	maxRoomsMade = 32
+	// maxScanned bounds the hosts that are compared for one task.
+	maxScanned = 256
 	// maxVictims is the largest number of tasks evicted for one.
 	maxVictims = 4
 	// reclaimAfter is the wait of a task within its quota after which borrowed
@@ -61,12 +63,13 @@
 
 // preempt evicts the cheapest set of victims for a candidate and holds the host.
 func (e *Engine) preempt(now time.Duration, c *fairness.Candidate, victim func(*task) bool, keep float64, reason string, out []policy.Reaction) []policy.Reaction {
-	if _, held := e.holds[c.ID]; held {
+	if e.holds[c.ID].evicting {
 		return out
 	}
 	r := e.request(c)
 	var best *sacrifice
-	for _, h := range e.order {
+	for i := range min(len(e.order), maxScanned) {
+		h := e.order[(e.scanFrom+i)%len(e.order)]
 		if !e.holdable(&r, h) {
 			continue
 		}
@@ -74,17 +77,18 @@
 			best = s
 		}
 	}
+	e.scanFrom += maxScanned
 	if best == nil || !e.affords(now, len(best.tasks), keep) {
 		return out
 	}
 	for _, t := range best.tasks {
 		e.spend(now, keep)
 		out = append(out, e.evict(now, best.host, t, reason, []policy.Figure{
-			{Name: "loss_s", Value: e.loss(now, t)},
+			{Name: "loss_core_s", Value: e.loss(now, t)},
 			{Name: "waited_s", Value: (now - c.Enqueued).Seconds()},
 		}))
 	}
-	e.hold(now, c.ID, best.host)
+	e.hold(now, c.ID, best.host, true)
 	return out
 }
 
