End leases first in everything the stand-in worker does

Cause: TestFrozenWorker reported once that a task ran on two workers at once. A worker that was frozen past the end of a task lease handled a stop command before it advanced its tasks, and recorded the end of the attempt at the time of the stop, 3 s after the lease had ended and after the task had been started elsewhere.

Ruled out: a start before the lease was over (the scheduler waits 10.2 s from the heartbeat; the second start was after it), and a renewal after the thaw (a late answer counts from when its heartbeat was sent).

Change: every entry of the machine ends the attempts whose lease is over, at the end of the lease. The stand-in takes a checkpoint every 10 s instead of every second, so that its reports are not mostly checkpoints.

--- a/fakeworker/machine/command.go
+++ b/fakeworker/machine/command.go
@@ -20,6 +20,7 @@
 
 // Attach decides on a new session, see docs/design.md 3.2.
 func (m *Machine) Attach(now time.Duration, c *workerapi.Attach) workerapi.AttachAnswer {
+	m.expireLeases(now)
 	accepted := m.acceptsFull(c)
 	if c.ServicesOnly {
 		accepted = m.acceptsServices(now, c)
@@ -78,6 +79,7 @@
 
 // Start starts an attempt if it fits and is not fenced.
 func (m *Machine) Start(now time.Duration, c *workerapi.Start) workerapi.CommandAnswer {
+	m.expireLeases(now)
 	if reason := m.fenced(c.Session, c.Epoch); reason != "" {
 		return notRun(reason)
 	}
@@ -131,6 +133,7 @@
 
 // Stop ends an attempt, or blocks it if it was never started.
 func (m *Machine) Stop(now time.Duration, c *workerapi.Stop) workerapi.CommandAnswer {
+	m.expireLeases(now)
 	if reason := m.fenced(c.Session, c.Epoch); reason != "" {
 		return notRun(reason)
 	}
@@ -153,7 +156,8 @@
 }
 
 // Throttle sets the processor share of a running attempt.
-func (m *Machine) Throttle(_ time.Duration, c *workerapi.Throttle) workerapi.CommandAnswer {
+func (m *Machine) Throttle(now time.Duration, c *workerapi.Throttle) workerapi.CommandAnswer {
+	m.expireLeases(now)
 	if reason := m.fenced(c.Session, c.Epoch); reason != "" {
 		return notRun(reason)
 	}
@@ -170,7 +174,8 @@
 }
 
 // Checkpoint saves the progress of a running attempt.
-func (m *Machine) Checkpoint(_ time.Duration, c *workerapi.Stop) workerapi.CommandAnswer {
+func (m *Machine) Checkpoint(now time.Duration, c *workerapi.Stop) workerapi.CommandAnswer {
+	m.expireLeases(now)
 	if reason := m.fenced(c.Session, c.Epoch); reason != "" {
 		return notRun(reason)
 	}
--- a/fakeworker/machine/heartbeat.go
+++ b/fakeworker/machine/heartbeat.go
@@ -13,6 +13,7 @@
 // Heartbeat fills in the state of the worker. Leases count from now, so the
 // heartbeat must be sent after the call.
 func (m *Machine) Heartbeat(now time.Duration, hb *workerapi.Heartbeat) {
+	m.expireLeases(now)
 	m.sequence++
 	m.sent[m.sequence] = now
 	delete(m.sent, m.sequence-keptSequences)
--- a/fakeworker/machine/task.go
+++ b/fakeworker/machine/task.go
@@ -11,7 +11,7 @@
 
 const (
 	// checkpointEvery is the run time between two checkpoints of a task.
-	checkpointEvery = time.Second
+	checkpointEvery = 10 * time.Second
 	// maxStep bounds the work of one quantum, so that a process that was frozen does
 	// not count the time as work.
 	maxStep = 50 * time.Millisecond
@@ -103,17 +103,13 @@
 
 // Advance runs every task for one quantum and ends those whose lease is over.
 func (m *Machine) Advance(now, step time.Duration) {
+	m.expireLeases(now)
 	step = min(step, maxStep)
 	for _, id := range m.taskIDs() {
 		a := m.tasks[id]
 		if !a.running() {
 			continue
 		}
-		if now >= a.lease {
-			a.save()
-			m.finish(a, workerapi.PhaseStopped, a.lease)
-			continue
-		}
 		a.ran += time.Duration(float64(step) * a.share)
 		switch {
 		case a.before+a.ran >= a.total() && a.payload.Fail:
@@ -131,6 +127,18 @@
 	m.forgetFences(now)
 }
 
+// expireLeases ends the attempts whose lease is over, at the end of the lease. It
+// comes first in everything that the machine does, since a process that was
+// frozen may be asked something before it advances its tasks.
+func (m *Machine) expireLeases(now time.Duration) {
+	for _, id := range m.taskIDs() {
+		if a := m.tasks[id]; a.running() && now >= a.lease {
+			a.save()
+			m.finish(a, workerapi.PhaseStopped, a.lease)
+		}
+	}
+}
+
 var finalEvents = map[workerapi.Phase]EventKind{
 	workerapi.PhaseDone: TaskDone, workerapi.PhaseFailed: TaskFailed, workerapi.PhaseStopped: TaskStop,
 }
