Send only changes in heartbeats

Cause: every heartbeat carried every task to both schedulers, 1,246 bytes/s for each running task of a worker. At 31.5 tasks a worker would spend 43.7 KB/s; the limit is 17 KB/s.

Ruled out: fewer heartbeats, since silence of 1 s must stop new work; a digest of the running set, since a base sequence is exact and needs no hashing.

Change: package workerapi/delta. A heartbeat names the answered heartbeat it is relative to and carries what changed, what is gone, and the volatile values of a running attempt every tenth time; the scheduler restores the whole one or asks for it. An answer that renews everything says so in one field. A worker that always sends whole heartbeats stays valid.

--- a/fakeworker/heartbeat.go
+++ b/fakeworker/heartbeat.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumwall/workerapi"
+	"geraniumwall/workerapi/delta"
 )
 
 const (
@@ -24,12 +25,8 @@
 func (w *Worker) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		hb := w.heartbeat(time.Now())
-		body, err := json.Marshal(hb)
-		if err != nil {
-			panic(fmt.Sprintf("encode heartbeat: %v", err))
-		}
 		for _, address := range w.settings.Schedulers {
-			go w.exchange(ctx, address, hb, body)
+			go w.exchange(ctx, address, hb, w.shorten(address, hb))
 		}
 		w.pause(ctx, heartbeatGap, nil)
 		w.pause(ctx, heartbeatEvery-heartbeatGap, w.wake)
@@ -59,14 +56,36 @@
 	return hb
 }
 
+// shorten encodes the heartbeat for one scheduler.
+func (w *Worker) shorten(address string, hb *workerapi.Heartbeat) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.senders[address] == nil {
+		w.senders[address] = delta.NewSender()
+	}
+	body, err := json.Marshal(w.senders[address].Shorten(hb))
+	if err != nil {
+		panic(fmt.Sprintf("encode heartbeat: %v", err))
+	}
+	return body
+}
+
 func (w *Worker) exchange(ctx context.Context, address string, hb *workerapi.Heartbeat, body []byte) {
 	var answer workerapi.HeartbeatAnswer
-	if err := w.post(ctx, address, workerapi.PathHeartbeat, body, &answer); err != nil {
+	err := w.post(ctx, address, workerapi.PathHeartbeat, body, &answer)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.senders[address].Failed(hb.Sequence)
 		w.log.Debug().Err(err).Str("scheduler", address).Msg("heartbeat failed")
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.senders[address].Answered(hb.Sequence, &answer)
+	if answer.SendWhole {
+		w.nudge()
+		return
+	}
+	delta.Expand(hb, &answer)
 	w.machine.Answered(w.now(), hb, &answer)
 }
 
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -13,6 +13,7 @@
 	"geraniumwall/daemon"
 	"geraniumwall/fakeworker/machine"
 	"geraniumwall/workerapi"
+	"geraniumwall/workerapi/delta"
 )
 
 const (
@@ -39,6 +40,8 @@
 	machine  *machine.Machine
 	draining time.Time
 	meters   map[string]*meter
+	// senders shorten the heartbeats to each scheduler, by address.
+	senders map[string]*delta.Sender
 }
 
 // New binds the address and opens the record file. Run starts to work.
@@ -51,7 +54,7 @@
 		settings: s, incarnation: uuid.NewString(), boot: time.Now(), log: log, record: record,
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
 		wake:   make(chan struct{}, 1),
-		meters: map[string]*meter{},
+		meters: map[string]*meter{}, senders: map[string]*delta.Sender{},
 	}
 	w.machine = machine.New(machine.Settings{
 		Name: s.Name, Incarnation: w.incarnation, Capacity: s.Capacity, Slots: s.Slots,
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -87,7 +87,7 @@
 	}
 	// A worker with wrong settings repeats its heartbeat; a few lines a second do.
 	refusals := s.log.Sample(&zerolog.BurstSampler{Burst: refusalsLogged, Period: time.Second})
-	(&workerHandler{loop: s.loop, metrics: m, log: refusals}).register(mux)
+	(&workerHandler{loop: s.loop, metrics: m, log: refusals, receivers: newReceivers()}).register(mux)
 	handler := schedulerpb.NewSchedulerServer(&service{
 		settings: s.settings, loop: s.loop, follower: s.follower, metrics: m,
 	})
--- a/schedulerd/workers.go
+++ b/schedulerd/workers.go
@@ -12,6 +12,7 @@
 
 	"geraniumwall/scheduler"
 	"geraniumwall/workerapi"
+	"geraniumwall/workerapi/delta"
 )
 
 // maxHeartbeatBytes bounds the body of a worker's request; checkpoints and
@@ -28,9 +29,10 @@
 
 // workerHandler serves the requests of workers.
 type workerHandler struct {
-	loop    *loop
-	metrics *metrics
-	log     zerolog.Logger
+	loop      *loop
+	metrics   *metrics
+	log       zerolog.Logger
+	receivers *receivers
 }
 
 func (h *workerHandler) register(mux *http.ServeMux) {
@@ -44,6 +46,11 @@
 		writeProblem(w, http.StatusBadRequest, "invalid_heartbeat", err)
 		return
 	}
+	hb, held := h.receivers.restore(hb)
+	if !held {
+		writeResult(w, workerapi.HeartbeatAnswer{SendWhole: true}, nil)
+		return
+	}
 	var answer workerapi.HeartbeatAnswer
 	var refusal error
 	err = h.loop.do(r.Context(), func(now time.Duration, core *scheduler.Core) {
@@ -57,6 +64,7 @@
 	if refusal != nil {
 		h.log.Warn().Err(refusal).Msg("heartbeat refused")
 	}
+	delta.Collapse(hb, &answer)
 	writeResult(w, answer, refusal)
 }
 
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -111,16 +111,21 @@
 type Heartbeat struct {
 	Worker string `json:"worker"`
 	// Incarnation changes when the worker restarts.
-	Incarnation string    `json:"incarnation"`
-	Sequence    uint64    `json:"sequence"`
+	Incarnation string `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	// Base is the sequence of an answered heartbeat; fields and tasks that are left
+	// out are as they were in it. 0 is a whole heartbeat. See package delta.
+	Base uint64 `json:"base,omitempty"`
+	// Gone lists the tasks of the base that are no longer reported.
+	Gone        []string  `json:"gone,omitempty"`
 	Domain      string    `json:"domain"`
-	Rack        string    `json:"rack"`
-	Address     string    `json:"address"`
-	Capacity    Resources `json:"capacity"`
-	Slots       int       `json:"slots"`
-	Connections int       `json:"connections"`
-	Services    []string  `json:"services"`
-	Draining    bool      `json:"draining"`
+	Rack        string    `json:"rack,omitempty"`
+	Address     string    `json:"address,omitempty"`
+	Capacity    Resources `json:"capacity,omitzero"`
+	Slots       int       `json:"slots,omitempty"`
+	Connections int       `json:"connections,omitempty"`
+	Services    []string  `json:"services,omitempty"`
+	Draining    bool      `json:"draining,omitempty"`
 	// Session and Holder are of the newest accepted attach.
 	Session uint64 `json:"session"`
 	Holder  string `json:"holder"`
@@ -129,9 +134,9 @@
 	SlotsInUse map[uint64]int  `json:"slots_in_use,omitempty"`
 	Tasks      []TaskReport    `json:"tasks,omitempty"`
 	Reports    []ServiceReport `json:"reports,omitempty"`
-	Used       Resources       `json:"used"`
+	Used       Resources       `json:"used,omitzero"`
 	// BootUnixMS is the wall clock at start, for people only.
-	BootUnixMS int64 `json:"boot_unix_ms"`
+	BootUnixMS int64 `json:"boot_unix_ms,omitempty"`
 }
 
 // TaskRef names one attempt of a task.
@@ -145,8 +150,13 @@
 type HeartbeatAnswer struct {
 	Scheduler string `json:"scheduler"`
 	// Renew lists the attempts whose lease is renewed for TaskLeaseMS.
-	Renew       []TaskRef `json:"renew,omitempty"`
-	TaskLeaseMS int64     `json:"task_lease_ms"`
+	Renew []TaskRef `json:"renew,omitempty"`
+	// RenewAll stands for a Renew with every running attempt of the heartbeat.
+	RenewAll    bool  `json:"renew_all,omitempty"`
+	TaskLeaseMS int64 `json:"task_lease_ms,omitempty"`
+	// SendWhole says that the scheduler does not hold the base of the heartbeat. The
+	// answer then does nothing else, and the next heartbeat must be whole.
+	SendWhole bool `json:"send_whole,omitempty"`
 	// Acknowledge lists final attempts whose outcome is recorded durably.
 	Acknowledge []TaskRef `json:"acknowledge,omitempty"`
 	// Version is the configuration version of the scheduler.
