--- a/control/metrics.go
+++ b/control/metrics.go
@@ -15,6 +15,8 @@
 // metrics are the instruments of a replica.
 type metrics struct {
 	proposals metric.Float64Histogram
+	// peerBytes counts both directions of the connections made to other replicas.
+	peerBytes metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter, s *Server) (*metrics, error) {
@@ -23,6 +25,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
+	peerBytes, err := meter.Int64Counter("control.peer.bytes",
+		metric.WithUnit("By"), metric.WithDescription("Traffic on connections made to other replicas, both directions."))
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
 	gauges := map[string]func(*view) int64{
 		"control.applied.index": func(v *view) int64 { return int64(v.applied) },
 		"control.commit.index":  func(v *view) int64 { return int64(v.status.Commit) },
@@ -39,7 +46,7 @@
 			return nil, fmt.Errorf("metrics: %w", err)
 		}
 	}
-	return &metrics{proposals: proposals}, nil
+	return &metrics{proposals: proposals, peerBytes: peerBytes}, nil
 }
 
 func boolGauge(b bool) int64 {
--- a/control/server.go
+++ b/control/server.go
@@ -120,7 +120,7 @@
 	}
 	s.metrics = m
 	if s.options.Transport == nil {
-		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(), s.reports)
+		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m), s.reports)
 	}
 	r, err := s.newReplica()
 	if err != nil {
@@ -131,10 +131,6 @@
 	return s, nil
 }
 
-func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
-}
-
 func (s *Server) newReplica() (*replica, error) {
 	o := s.options
 	seed := o.Settings.ReplicaID
--- a/state/transitions_test.go
+++ b/state/transitions_test.go
@@ -196,6 +196,18 @@
 		}
 	})
 
+	// Guards against a domain that ends a task which is bound to another one.
+	It("refuse events of another domain", func() {
+		d := setups[1].build()
+		for epoch := range uint64(3) {
+			d.must(appointCommand("b", epoch, "s"))
+		}
+		for _, kind := range allKinds {
+			answer := d.must(reportCommand("b", "s", 3, "t1", kind, attempt(3, 9))).(*controlpb.ReportTasksResponse)
+			Expect(answer.GetStale()).To(Equal([]string{"t1"}))
+		}
+	})
+
 	// Guards against a task that is handed out again although it was cancelled.
 	It("cancel a task that is to be cancelled when its domain is over", func() {
 		d := setups[4].build()
