--- a/control/disk.go
+++ b/control/disk.go
@@ -12,6 +12,9 @@
 	// with it the time of a restart and the use of the disk.
 	DefaultSnapshotEntries = 20_000
 	snapshotBytes          = 32 << 20
+	// recordsPerEntry makes snapshots of a large state rarer, so that writing them
+	// stays a small part of the disk's work.
+	recordsPerEntry = 4
 )
 
 // diskQueue carries out the writes of the log outside of the actor.
@@ -67,7 +70,7 @@
 // considerSnapshot captures the state when a snapshot is due and encodes it
 // outside of the actor.
 func (r *replica) considerSnapshot() {
-	if !r.snapshots.due(r.options.SnapshotEntries) {
+	if !r.snapshots.due(max(r.options.SnapshotEntries, r.machine.Records()/recordsPerEntry)) {
 		return
 	}
 	r.snapshots.busy = true
--- a/control/duties.go
+++ b/control/duties.go
@@ -16,7 +16,7 @@
 	// expireBatch bounds the requests in one log entry.
 	expireBatch = 512
 	// sampleEvery is the resolution of the retention times.
-	sampleEvery = 10 * time.Second
+	sampleEvery = time.Minute
 	// pruneBatch bounds the records that one log entry drops.
 	pruneBatch = 2048
 )
@@ -143,6 +143,7 @@
 	keep := r.options.Retention
 	t.note(now, r.machine.Index(), max(keep.Tasks, keep.Requests))
 	tasks, requests := t.before(now, keep.Tasks), t.before(now, keep.Requests)
+	tasks = max(tasks, r.machine.EndedBeyond(keep.MaxTasks))
 	if t.busy || !r.machine.HasEnded(tasks, requests) {
 		return
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -40,10 +40,13 @@
 type Retention struct {
 	Tasks    time.Duration
 	Requests time.Duration
+	// MaxTasks bounds the ended tasks that are kept; the oldest go first.
+	MaxTasks int
 }
 
-// DefaultRetention is longer than any caller's retries.
-var DefaultRetention = Retention{Tasks: time.Hour, Requests: time.Hour}
+// DefaultRetention keeps a night's results for the morning. The bound on the count
+// keeps memory and snapshots small when tasks end at the peak rate for long.
+var DefaultRetention = Retention{Tasks: 24 * time.Hour, Requests: time.Hour, MaxTasks: 250_000}
 
 // Options are what a replica is made of.
 type Options struct {
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -139,6 +139,27 @@
 			Should(Equal(controlpb.RequestState_REQUEST_STATE_UNKNOWN))
 	})
 
+	// Guards against memory that grows with every task that ever ran.
+	It("drops the oldest ended tasks beyond the bound", func() {
+		c := newCluster(1, 0)
+		defer c.stop()
+		s := c.leader()
+		s.send(&local{func(r *replica) { r.options.Retention.MaxTasks = 3 }})
+		for i := range 10 {
+			_, err := submitOne(context.Background(), s, fmt.Sprint(i))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = s.CancelTasks(context.Background(), &controlpb.CancelTasksRequest{Ids: []string{fmt.Sprintf("t%d", i+1)}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Eventually(func() map[string]int64 {
+			status, _ := s.Status(context.Background(), &controlpb.StatusRequest{})
+			return status.GetTaskCounts()
+		}, "3s").Should(HaveKeyWithValue("cancelled", int64(3)))
+		got, err := s.GetTask(context.Background(), &controlpb.GetTaskRequest{Id: "t10"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.GetFound()).To(BeTrue())
+	})
+
 	// Guards against a replica that can't catch up once the entries it lacks are
 	// compacted.
 	It("brings a replica back by a snapshot", func() {
--- a/state/machine.go
+++ b/state/machine.go
@@ -198,6 +198,20 @@
 	return found && q.GetChangedIndex() <= requestsThrough
 }
 
+// EndedBeyond returns the index at or before which the ended tasks beyond the
+// newest keep ones ended, 0 if there are no more than keep.
+func (m *Machine) EndedBeyond(keep int) uint64 {
+	excess := m.tasks.ended.Len() - keep
+	if excess <= 0 {
+		return 0
+	}
+	r, _ := m.tasks.ended.GetAt(excess - 1)
+	return r.GetTask().GetChangedIndex()
+}
+
+// Records returns the number of tasks and requests.
+func (m *Machine) Records() int { return len(m.tasks.byID) + len(m.requests.byKey) }
+
 // assert ends the process when an invariant is violated: going on would spread
 // the damage to callers and to the snapshot.
 func assert(ok bool, format string, args ...any) {
--- a/state/random_test.go
+++ b/state/random_test.go
@@ -107,6 +107,11 @@
 	switch k := c.GetKind().(type) {
 	case *statepb.Command_ApplyConfig:
 		o.checkConfig(t, k.ApplyConfig, answer.(*controlpb.ApplyConfigResponse))
+	case *statepb.Command_Bind:
+		b := k.Bind.GetBindings()[0]
+		if b.GetIfEpoch() != o.epochs[b.GetDomain()] && answer.(*statepb.BindResult).GetBound() != 0 {
+			t.Fatalf("bound under epoch %d, the domain has %d", b.GetIfEpoch(), o.epochs[b.GetDomain()])
+		}
 	case *statepb.Command_BeginRequest:
 		o.checkBegin(t, k.BeginRequest, answer.(*controlpb.BeginRequestResponse))
 	case *statepb.Command_EndRequest:
