--- a/state/random_test.go
+++ b/state/random_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	"google.golang.org/protobuf/proto"
@@ -196,33 +201,52 @@
 	}
 }
 
+// randomRun applies random commands to two machines, of which one is restored
+// from snapshots now and then, and compares both with the model.
+func randomRun(t *rapid.T) {
+	d := driver{New()}
+	copied := driver{New()}
+	o := newModel()
+	for range rapid.IntRange(20, 120).Draw(t, "steps") {
+		c := drawCommand(t, d.m)
+		answer, err := d.apply(c)
+		other, otherErr := copied.apply(c)
+		if !proto.Equal(answer, other) || fmt.Sprint(err) != fmt.Sprint(otherErr) {
+			t.Fatalf("%v: answers differ: %v %v, %v %v", c, answer, err, other, otherErr)
+		}
+		o.check(t, d.m, c, answer, err)
+		if number(t, 20) == 0 {
+			restored, err := Restore(snapshotOf(copied.m))
+			if err != nil {
+				t.Fatal(err)
+			}
+			copied.m = restored
+		}
+	}
+	if !bytes.Equal(snapshotOf(d.m), snapshotOf(copied.m)) {
+		t.Fatal("snapshots of the same state differ")
+	}
+}
+
 var _ = Describe("random command sequences", func() {
 	// Guards against a state that breaks an invariant, differs from the model, or
 	// differs after a restore from a snapshot.
 	It("agree with the model and survive a restore", func() {
-		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			d := driver{New()}
-			copied := driver{New()}
-			o := newModel()
-			for range rapid.IntRange(20, 120).Draw(t, "steps") {
-				c := drawCommand(t, d.m)
-				answer, err := d.apply(c)
-				other, otherErr := copied.apply(c)
-				if !proto.Equal(answer, other) || fmt.Sprint(err) != fmt.Sprint(otherErr) {
-					t.Fatalf("%v: answers differ: %v %v, %v %v", c, answer, err, other, otherErr)
-				}
-				o.check(t, d.m, c, answer, err)
-				if number(t, 20) == 0 {
-					restored, err := Restore(snapshotOf(copied.m))
-					if err != nil {
-						t.Fatal(err)
-					}
-					copied.m = restored
-				}
-			}
-			if !bytes.Equal(snapshotOf(d.m), snapshotOf(copied.m)) {
-				t.Fatal("snapshots of the same state differ")
-			}
-		})
+		rapid.Check(GinkgoT(), randomRun)
 	})
 })
+
+// TestSoak repeats the random runs with new seeds for GERANIUM_SOAK_SECONDS.
+func TestSoak(t *testing.T) {
+	seconds, err := strconv.Atoi(os.Getenv("GERANIUM_SOAK_SECONDS"))
+	if err != nil || seconds <= 0 {
+		t.Skip("GERANIUM_SOAK_SECONDS is not set")
+	}
+	end := time.Now().Add(time.Duration(seconds) * time.Second)
+	for seed := uint64(1); time.Now().Before(end); seed++ {
+		if err := flag.Set("rapid.seed", strconv.FormatUint(seed, 10)); err != nil {
+			t.Fatal(err)
+		}
+		rapid.Check(t, randomRun)
+	}
+}
