Keep short tasks flowing and test renewals on an isolated leader

A trial with two schedulers in each of two domains, three workers and 300 tasks of 0.5 s left 89 tasks pending after 2 s, because bindings counted against the free capacity for a second and only four tasks could wait for each worker. The test of an isolated leader spent its whole time on the read, so that a renewal answered without a heartbeat round went unnoticed in a deliberate break.

--- a/control/binder.go
+++ b/control/binder.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumwall/lease"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/state/statepb"
 )
@@ -16,11 +17,12 @@
 	// returned it.
 	returnPause = 30 * time.Second
 	// recentBinding is the time after which a domain's load report includes a
-	// binding.
-	recentBinding = time.Second
+	// binding: one renewal until the task is started and one that reports it.
+	recentBinding = 2 * lease.RenewEvery
 	// queuePerWorker is the number of tasks that may wait in a domain for each of
-	// its workers, so that its scheduler has a choice.
-	queuePerWorker = 4
+	// its workers. It lets the scheduler choose, and short tasks follow each other
+	// without a pause for the next load report.
+	queuePerWorker = 16
 	// loadFresh is the age up to which a load report is used.
 	loadFresh = 3 * time.Second
 )
--- a/control/binder_test.go
+++ b/control/binder_test.go
@@ -48,7 +48,7 @@
 	// Guards against a domain that is filled while another one is idle, and against
 	// a preference that is ignored or that makes a task wait.
 	It("prefers the preferred domain with room, then spreads by free capacity", func() {
-		got := planned(newBinder(), 0, two(4000, 3000, 4), pendingTask("1", "b", 2000, batch),
+		got := planned(newBinder(), 0, two(4000, 3000, queuePerWorker), pendingTask("1", "b", 2000, batch),
 			pendingTask("2", "b", 2000, batch), pendingTask("3", "", 2000, batch), pendingTask("4", "", 2000, batch))
 		Expect(got).To(Equal(map[string]string{"1": "b", "2": "a", "3": "a"}))
 	})
@@ -70,8 +70,8 @@
 	// Guards against bindings beyond the capacity before a load report shows them.
 	It("counts bindings that the load does not show yet", func() {
 		b := newBinder()
-		Expect(planned(b, 0, two(1000, 0, 4), pendingTask("1", "", 1000, batch))).To(HaveLen(1))
-		Expect(planned(b, recentBinding/2, two(1000, 0, 4), pendingTask("2", "", 1000, batch))).To(BeEmpty())
+		Expect(planned(b, 0, two(1000, 0, queuePerWorker), pendingTask("1", "", 1000, batch))).To(HaveLen(1))
+		Expect(planned(b, recentBinding/2, two(1000, 0, queuePerWorker), pendingTask("2", "", 1000, batch))).To(BeEmpty())
 	})
 })
 
--- a/control/linear_test.go
+++ b/control/linear_test.go
@@ -328,12 +328,22 @@
 		defer c.stop()
 		old := c.leader()
 		c.isolate(old.view.Load().status.ID, true)
-		ctx, cancel := within1s()
-		defer cancel()
-		_, err := old.GetTask(ctx, &controlpb.GetTaskRequest{Id: "t1"})
-		Expect(err).To(HaveOccurred())
-		_, err = old.RenewLease(ctx, &controlpb.RenewLeaseRequest{Domain: "d", Scheduler: "s"})
-		Expect(err).To(HaveOccurred())
+		failures := make(chan error, 2)
+		go func() {
+			ctx, cancel := within1s()
+			defer cancel()
+			_, err := old.GetTask(ctx, &controlpb.GetTaskRequest{Id: "t1"})
+			failures <- err
+		}()
+		go func() {
+			ctx, cancel := within1s()
+			defer cancel()
+			_, err := old.RenewLease(ctx, &controlpb.RenewLeaseRequest{Domain: "d", Scheduler: "s"})
+			failures <- err
+		}()
+		for range 2 {
+			Expect(<-failures).To(HaveOccurred())
+		}
 	})
 })
 
