--- a/control/leases_test.go
+++ b/control/leases_test.go
@@ -393,6 +393,20 @@
 		})
 	})
 
+	// Guards against a lease of the old epoch that is granted while an appointment is
+	// proposed and not committed.
+	It("gives no lease while a change is undecided", func() {
+		w := startWorld([schedulers + 2]int64{100, 100, 100, 100, 100})
+		v := w.control.domain(testDomain)
+		v.grantor.BeginChange()
+		q := &controlpb.RenewLeaseRequest{Domain: testDomain, Scheduler: nameOf(0), Epoch: w.record.GetEpoch()}
+		answer := w.control.renew(w.clock(0), w.record, q)
+		Expect(answer.GetRole()).To(Equal(controlpb.SchedulerRole_SCHEDULER_ROLE_NONE))
+		v.grantor.EndChange()
+		answer = w.control.renew(w.clock(0), w.record, q)
+		Expect(answer.GetRole()).To(Equal(controlpb.SchedulerRole_SCHEDULER_ROLE_ACTIVE))
+	})
+
 	// Guards against a chain that is safe because nobody ever acts.
 	It("appoints the standby after a failure and a restarted scheduler after both failed", func() {
 		w := startWorld([schedulers + 2]int64{100, 100, 100, 100, 100})
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -177,6 +177,7 @@
 		Eventually(func() uint64 { return c.server(behind).view.Load().applied }, "10s").
 			Should(BeNumerically(">=", 5000))
 		Expect(c.disks[behind].stored.Snapshot.Index).To(BeNumerically(">", 0))
+		Eventually(func() string { return stateOf(c.server(behind)) }, "5s").Should(Equal(stateOf(s)))
 	})
 
 	// Guards against replicas that work only with the stand-ins for network and
@@ -225,6 +226,13 @@
 	})
 })
 
+// stateOf returns the bytes of a replica's state.
+func stateOf(s *Server) string {
+	data, err := peek(context.Background(), s, func(r *replica) ([]byte, error) { return r.machine.Capture().Encode() })
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
 var _ = Describe("the first start of a replica", func() {
 	answering := func(status *controlpb.StatusResponse) string {
 		server := httptest.NewServer(controlpb.NewControlServer(fixedStatus{status: status}))
--- a/state/feed.go
+++ b/state/feed.go
@@ -9,7 +9,7 @@
 
 // keptChanges bounds the changes remembered for each domain. A reader that is
 // further behind gets the complete set.
-const keptChanges = 65536
+const keptChanges = 16384
 
 // change is one entry of a domain's feed.
 type change struct {
