--- a/cmd/geranium-bench/measure.go
+++ b/cmd/geranium-bench/measure.go
@@ -183,10 +183,19 @@
 // throughput measures requests per second of senders that wait for each answer.
 func (c *measureCommand) throughput(ctx context.Context) ([]Measurement, error) {
 	direct, _ := closedLoop(ctx, c.directly(throughputSenders))
+	before, err := c.metric(ctx, processorMetric)
+	if err != nil {
+		return nil, err
+	}
 	through, n := closedLoop(ctx, c.throughGateway(throughputSenders))
-	return []Measurement{{
-		Name: "gateway_throughput", Value: through, Unit: "requests/s", Baseline: direct, Ratio: through / direct, N: n,
-	}}, ctx.Err()
+	after, err := c.metric(ctx, processorMetric)
+	if err != nil {
+		return nil, err
+	}
+	return []Measurement{
+		{Name: "gateway_throughput", Value: through, Unit: "requests/s", Baseline: direct, Ratio: through / direct, N: n},
+		{Name: "gateway_processor_time_per_request", Value: (after - before) / float64(n) * microsPerSecond, Unit: "us", N: n},
+	}, ctx.Err()
 }
 
 func closedLoop(ctx context.Context, s load.Sender) (rate float64, n int64) {
--- a/cmd/geranium-bench/process.go
+++ b/cmd/geranium-bench/process.go
@@ -22,6 +22,9 @@
 	idleAimMB      = 64
 	kilobytesPerMB = 1024
 	mallocsMetric  = "go_memstats_mallocs_total"
+	// processorMetric is processor time in seconds.
+	processorMetric = "process_cpu_seconds_total"
+	microsPerSecond = 1e6
 )
 
 // idleMemory reads the resident memory of the processes while nothing is sent.
@@ -70,7 +73,7 @@
 // those of a pause of the same length in which nothing is sent.
 func (c *measureCommand) allocations(ctx context.Context) ([]Measurement, error) {
 	sender := c.throughGateway(1)
-	before, err := c.mallocs(ctx)
+	before, err := c.metric(ctx, mallocsMetric)
 	if err != nil {
 		return nil, err
 	}
@@ -79,12 +82,12 @@
 		sender.Send(ctx, load.Request{Sequence: uint64(i), Kind: benchKind()})
 	}
 	took := time.Since(start)
-	busy, err := c.mallocs(ctx)
+	busy, err := c.metric(ctx, mallocsMetric)
 	if err != nil {
 		return nil, err
 	}
 	time.Sleep(took)
-	idle, err := c.mallocs(ctx)
+	idle, err := c.metric(ctx, mallocsMetric)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +95,8 @@
 	return []Measurement{{Name: "gateway_allocations_per_request", Value: each, Unit: "allocations", N: allocationRequests}}, nil
 }
 
-func (c *measureCommand) mallocs(ctx context.Context) (float64, error) {
+// metric reads one figure of the gateway's metrics.
+func (c *measureCommand) metric(ctx context.Context, name string) (float64, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.metrics+daemon.PathMetrics, nil)
 	if err != nil {
 		return 0, err
@@ -102,7 +106,7 @@
 		return 0, err
 	}
 	defer response.Body.Close()
-	return findMetric(response.Body, mallocsMetric)
+	return findMetric(response.Body, name)
 }
 
 func findMetric(r io.Reader, name string) (float64, error) {
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -65,6 +65,18 @@
 		Expect(u.started.Load()).To(BeZero())
 	})
 
+	It("counts a grant from the time at which the sync was sent", func() {
+		u := newFakeUpstream("w1")
+		r := newRig(u.grant(2, 3*time.Second))
+		r.scheduler.mu.Lock()
+		r.scheduler.onSync = func(*fakeScheduler) { r.clock.jumped.Add(int64(4 * time.Second)) }
+		r.scheduler.mu.Unlock()
+		r.synced()
+		Expect(r.usable()).To(BeZero())
+		Expect(r.quote("x", workerapi.HeaderDeadline, "100").outcome).To(Equal(workerapi.OutcomeNotRun))
+		Expect(u.started.Load()).To(BeZero())
+	})
+
 	It("sheds when every grant has expired and the scheduler is silent", func() {
 		u := newFakeUpstream("w1")
 		r := newRig(u.grant(2, 3*time.Second))
