--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,12 +15,14 @@
 var _ = Describe("hedging", func() {
 	// warm teaches the gateway the usual latency of the service.
 	warm := func(r *rig) {
-		for range 30 {
+		for i := range 30 {
 			Expect(r.quote("x").status).To(Equal(http.StatusOK))
+			Expect(r.hold(fmt.Sprint("warm", i), "x").status).To(Equal(http.StatusOK))
 		}
 		r.clock.jumped.Add(int64(2 * time.Second))
 		r.synced()
 		Expect(r.quote("x").status).To(Equal(http.StatusOK))
+		Expect(r.hold("warm", "x").status).To(Equal(http.StatusOK))
 	}
 
 	It("answers from another worker when one is frozen", func() {
@@ -54,7 +57,7 @@
 		var started atomic.Int64
 		slow := func(w http.ResponseWriter, _ *http.Request) {
 			started.Add(1)
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
 		}
 		a.behave(slow)
 		b.behave(slow)
