Keep cancelled requests out of the memory of a queue

Entries of requests that were cancelled behind an old head stayed in the queue until the head left, which can take an hour. The queue is now compacted. A batch of tasks that was accepted only in part no longer reports the outcome done.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -60,7 +60,6 @@
 		return problem.Outcome
 	}
 	defer g.buffers.Release(c.reserved)
-	w.Header()[workerapi.HeaderRequestID] = []string{c.requestID}
 	ctx, cancel := c.context(r.Context())
 	defer cancel()
 	c.ctx = ctx
@@ -76,6 +75,7 @@
 	if problem != nil {
 		return nil, problem
 	}
+	w.Header()[workerapi.HeaderRequestID] = []string{e.requestID}
 	c := &call{envelope: e, gateway: g, service: s, header: r.Header, ends: started + e.deadline, whole: !s.Idempotent}
 	if !s.Idempotent && c.key == "" {
 		p := invalid("the service is not idempotent: send a unique " + workerapi.HeaderIdempotent + " header")
--- a/gateway/taskread.go
+++ b/gateway/taskread.go
@@ -19,7 +19,7 @@
 		problem.write(w)
 		return
 	}
-	writeJSON(w, http.StatusOK, viewOf(task))
+	writeJSON(w, http.StatusOK, workerapi.OutcomeDone, viewOf(task))
 }
 
 // serveResult serves GET /v1/tasks/{id}/result.
@@ -72,7 +72,7 @@
 		taskNotFound().write(w)
 		return
 	}
-	writeJSON(w, http.StatusAccepted, viewOf(response.GetTasks()[0]))
+	writeJSON(w, http.StatusAccepted, workerapi.OutcomeDone, viewOf(response.GetTasks()[0]))
 }
 
 func (g *Gateway) findTask(r *http.Request) (*controlpb.Task, *Problem) {
--- a/gateway/tasks.go
+++ b/gateway/tasks.go
@@ -43,6 +43,30 @@
 	Results []BatchResult `json:"results"`
 }
 
+// outcome is done if every task was accepted and not_run if certainly none was;
+// failed is a batch that was accepted in part.
+func (b BatchResponse) outcome() workerapi.Outcome {
+	accepted, refused := 0, 0
+	for _, r := range b.Results {
+		switch {
+		case r.Problem == nil:
+			accepted++
+		case r.Problem.Outcome == workerapi.OutcomeUnknown:
+			return workerapi.OutcomeUnknown
+		default:
+			refused++
+		}
+	}
+	switch {
+	case refused == 0:
+		return workerapi.OutcomeDone
+	case accepted == 0:
+		return workerapi.OutcomeNotRun
+	default:
+		return workerapi.OutcomeFailed
+	}
+}
+
 // serveSubmit serves POST /v1/tasks.
 func (g *Gateway) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	var t TaskSubmission
@@ -60,7 +84,7 @@
 		return
 	}
 	w.Header().Set("Location", pathTasks+result.ID)
-	writeJSON(w, http.StatusAccepted, result)
+	writeJSON(w, http.StatusAccepted, workerapi.OutcomeDone, result)
 }
 
 // serveBatch serves POST /v1/tasks:batch. Every task gets the key of the request
@@ -85,7 +109,7 @@
 		})
 	}
 	all.Wait()
-	writeJSON(w, http.StatusAccepted, response)
+	writeJSON(w, http.StatusAccepted, response.outcome(), response)
 }
 
 func (g *Gateway) readSubmission(w http.ResponseWriter, r *http.Request, limit int64, out any) (envelope, *Problem) {
@@ -155,7 +179,7 @@
 	}
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
+func writeJSON(w http.ResponseWriter, status int, outcome workerapi.Outcome, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
 		panic("gateway: an answer cannot be encoded: " + err.Error())
@@ -163,7 +187,7 @@
 	h := w.Header()
 	h.Set(headerContentType, contentTypeJSON)
 	h.Set(headerContentLength, strconv.Itoa(len(body)))
-	h.Set(workerapi.HeaderOutcome, string(workerapi.OutcomeDone))
+	h.Set(workerapi.HeaderOutcome, string(outcome))
 	w.WriteHeader(status)
 	w.Write(body)
 }
--- a/gateway/tasks_test.go
+++ b/gateway/tasks_test.go
@@ -77,6 +77,7 @@
 		r := newRig()
 		got := r.post("/v1/tasks:batch", `[{"job":"cut"},{"job":"other"}]`, workerapi.HeaderIdempotent, "k")
 		Expect(got.status).To(Equal(http.StatusAccepted))
+		Expect(got.outcome).To(Equal(workerapi.OutcomeFailed))
 		Expect(got.body).To(ContainSubstring(`{"id":"task-k/0"}`))
 		Expect(got.body).To(ContainSubstring(typeInvalid))
 	})
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -185,6 +185,17 @@
 		Expect(t.services["a"].waiting).To(BeNumerically("~", 8, 2))
 	})
 
+	ginkgo.It("keeps no memory of cancelled requests behind an old one", func() {
+		t := newTestTable(workers("home", 1, 1)...)
+		ask(t, "a", 0, time.Hour)
+		old := ask(t, "a", 0, time.Hour)
+		for range 1000 {
+			Expect(t.Cancel(ask(t, "a", 0, time.Hour).Waiter)).To(BeTrue())
+		}
+		Expect(len(t.services["a"].queue)).To(BeNumerically("<=", 2+queueSlack))
+		Expect(t.services["a"].head()).To(Equal(old.Waiter))
+	})
+
 	ginkgo.It("shares slots between two services by slot time", func() {
 		t := newTestTable(workers("home", 1, 2)...)
 		running := []Ticket{ask(t, "a", 0, time.Hour).Ticket, ask(t, "a", 0, time.Hour).Ticket}
--- a/routing/service.go
+++ b/routing/service.go
@@ -6,6 +6,9 @@
 // so that it reaches the caller before its deadline.
 const answerShare = 20
 
+// queueSlack is the number of entries from which a queue is compacted.
+const queueSlack = 32
+
 const (
 	// hedgeQuantile of the recent latency is the time after which a second attempt
 	// may be made, so that at most about one request in twenty is a candidate.
@@ -106,6 +109,22 @@
 func (s *service) finish(w *Waiter) {
 	w.done = true
 	s.waiting--
+	s.compact()
+}
+
+// compact drops entries that are done from behind an old head, so that the memory
+// of the queue stays in proportion to the waiting requests.
+func (s *service) compact() {
+	if len(s.queue) <= 2*s.waiting+queueSlack {
+		return
+	}
+	kept := make([]*Waiter, 0, s.waiting)
+	for _, w := range s.queue {
+		if !w.done {
+			kept = append(kept, w)
+		}
+	}
+	s.queue = kept
 }
 
 // list puts the lane on the list of free lanes or takes it off.
