--- a/gateway/calls_test.go
+++ b/gateway/calls_test.go
@@ -36,6 +36,27 @@
 		Eventually(r.outstanding).Should(BeZero())
 	})
 
+	It("never gives a late answer to the next caller", func() {
+		u := newFakeUpstream("w1")
+		grant := u.grant(1, 3*time.Second)
+		grant.Connections = 1
+		r := newRig(grant)
+		u.behave(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("X-Late") != "" {
+				// Answers although the gateway has given up.
+				time.Sleep(150 * time.Millisecond)
+			}
+			echo(w, r)
+		})
+		for i := range 4 {
+			late := r.quote("late", "X-Late", "1", workerapi.HeaderDeadline, "100")
+			Expect(late.outcome).NotTo(Equal(workerapi.OutcomeDone))
+			id := fmt.Sprint("id-", i)
+			got := r.quote("next", workerapi.HeaderRequestID, id, workerapi.HeaderDeadline, "5000")
+			Expect(got.body).To(Equal(id + " next"))
+		}
+	})
+
 	It("runs a hold once and answers a resend from the record", func() {
 		u := newFakeUpstream("w1")
 		r := newRig(u.grant(4, 3*time.Second))
