--- /dev/null
+++ b/cmd/geranium-scheduler/main.go
@@ -0,0 +1,29 @@
+// Command geranium-scheduler runs one of the two schedulers of a failure domain.
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/rs/zerolog"
+
+	"geraniumwall/daemon"
+	"geraniumwall/policy/engine"
+	"geraniumwall/schedulerd"
+)
+
+func main() {
+	settings := schedulerd.Defaults()
+	daemon.Main("geranium-scheduler", settings, func(ctx context.Context, log zerolog.Logger) error {
+		if settings.MetricsListen != "" {
+			if _, err := daemon.ServeMetrics(ctx, settings.MetricsListen); err != nil {
+				return err
+			}
+		}
+		server, err := schedulerd.New(settings, log, engine.New(rand.Uint64())) //nolint:gosec // spreading needs no secrecy
+		if err != nil {
+			return err
+		}
+		return server.Run(ctx)
+	})
+}
--- /dev/null
+++ b/fakeworker/heartbeat.go
@@ -0,0 +1,109 @@
+package fakeworker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"geraniumwall/workerapi"
+)
+
+const (
+	heartbeatEvery   = 500 * time.Millisecond
+	heartbeatTimeout = time.Second
+	// heartbeatGap bounds the rate of heartbeats sent early because a task ended.
+	heartbeatGap   = 100 * time.Millisecond
+	maxAnswerBytes = 4 << 20
+)
+
+// beat sends heartbeats to every scheduler.
+func (w *Worker) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		hb := w.heartbeat(time.Now())
+		body, err := json.Marshal(hb)
+		if err != nil {
+			panic(fmt.Sprintf("encode heartbeat: %v", err))
+		}
+		for _, address := range w.settings.Schedulers {
+			go w.exchange(ctx, address, hb, body)
+		}
+		w.pause(ctx, heartbeatGap, nil)
+		w.pause(ctx, heartbeatEvery-heartbeatGap, w.wake)
+	}
+}
+
+func (w *Worker) pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
+	}
+}
+
+// heartbeat builds the next heartbeat.
+func (w *Worker) heartbeat(now time.Time) *workerapi.Heartbeat {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.settings
+	hb := &workerapi.Heartbeat{
+		Domain: s.Domain, Rack: s.Rack, Address: w.Address(), Connections: s.Connections,
+		Services: s.Services, Reports: w.serviceReports(now), BootUnixMS: w.boot.UnixMilli(),
+	}
+	w.machine.Heartbeat(now.Sub(w.boot), hb)
+	return hb
+}
+
+func (w *Worker) exchange(ctx context.Context, address string, hb *workerapi.Heartbeat, body []byte) {
+	var answer workerapi.HeartbeatAnswer
+	if err := w.post(ctx, address, workerapi.PathHeartbeat, body, &answer); err != nil {
+		w.log.Debug().Err(err).Str("scheduler", address).Msg("heartbeat failed")
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machine.Answered(w.now(), hb, &answer)
+}
+
+// withdraw tells the schedulers that the worker leaves.
+func (w *Worker) withdraw(ctx context.Context, done bool) {
+	body, err := json.Marshal(workerapi.Withdraw{Worker: w.settings.Name, Incarnation: w.incarnation, Done: done})
+	if err != nil {
+		panic(fmt.Sprintf("encode withdrawal: %v", err))
+	}
+	for _, address := range w.settings.Schedulers {
+		var none struct{}
+		if err := w.post(ctx, address, workerapi.PathWithdraw, body, &none); err != nil {
+			w.log.Debug().Err(err).Str("scheduler", address).Msg("withdrawal failed")
+		}
+	}
+}
+
+func (w *Worker) post(ctx context.Context, address, path string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("request to scheduler %s: %w", address, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := w.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%s to scheduler %s: %w", path, address, err)
+	}
+	defer response.Body.Close()
+	limited := io.LimitReader(response.Body, maxAnswerBytes)
+	if response.StatusCode != http.StatusOK {
+		detail, _ := io.ReadAll(limited)
+		return fmt.Errorf("%s to scheduler %s: status %d: %s", path, address, response.StatusCode, detail)
+	}
+	if err := json.NewDecoder(limited).Decode(answer); err != nil {
+		return fmt.Errorf("answer of scheduler %s to %s: %w", address, path, err)
+	}
+	return nil
+}
