Keep quarantines over restarts and count the minimum run from the checkpoint

A failing worker that left and came back got a clean record, and in a domain of a dozen workers a second failing worker was never quarantined because a tenth of them is one. The minimum run before an eviction counted from the start of the attempt, while the configuration counts it from the last checkpoint.

--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -336,9 +336,14 @@
 	return n.effect / n.loss
 }
 
-// ranEnough protects a task from being moved again before it got anything done.
+// ranEnough protects a task from being moved again before it got anything done
+// since its last checkpoint.
 func (e *Engine) ranEnough(now time.Duration, t *task) bool {
-	return e.rules.NoBudget || now-t.started >= time.Duration(e.config.Policy.MinRunMS)*time.Millisecond
+	ran := now - t.started
+	if t.usageAt > t.started {
+		ran = min(ran, t.sinceCheckpoint+now-t.usageAt)
+	}
+	return e.rules.NoBudget || ran >= time.Duration(e.config.Policy.MinRunMS)*time.Millisecond
 }
 
 // spend takes one eviction from the budget; keep is the part that must be left.
--- a/policy/health/health.go
+++ b/policy/health/health.go
@@ -23,8 +23,10 @@
 	fleetMinimum = 4
 	// maxQuarantinedShare bounds the capacity that quarantine can cost.
 	maxQuarantinedShare = 0.1
-	firstProbeAfter     = 30 * time.Second
-	longestProbeAfter   = 10 * time.Minute
+	// minQuarantined is allowed in a small domain as well.
+	minQuarantined    = 2
+	firstProbeAfter   = 30 * time.Second
+	longestProbeAfter = 10 * time.Minute
 	// readmittedAt is the limit of running tasks from which a worker is healthy.
 	readmittedAt = 16
 	// unlimited is the limit of a healthy worker.
@@ -48,6 +50,8 @@
 	limit      int
 	probeAfter time.Duration
 	until      time.Duration
+	// absent workers have left while in quarantine.
+	absent bool
 }
 
 // jobRecord counts the outcomes of a job by worker.
@@ -100,13 +104,24 @@
 
 // Add makes a worker known; its record is kept when it is known already.
 func (t *Tracker) Add(id string) {
-	if t.workers[id] == nil {
-		t.workers[id] = &worker{limit: unlimited}
+	w := t.workers[id]
+	if w == nil {
+		w = &worker{limit: unlimited}
+		t.workers[id] = w
 	}
+	w.absent = false
 }
 
-// Forget removes a worker that left.
-func (t *Tracker) Forget(id string) { delete(t.workers, id) }
+// Forget removes a worker that left. A quarantine stays in force until its end,
+// so that a failing worker cannot shed it by a restart.
+func (t *Tracker) Forget(id string) {
+	w := t.workers[id]
+	if w != nil && w.quarantined {
+		w.absent = true
+		return
+	}
+	delete(t.workers, id)
+}
 
 // ForgetTask drops the failures of a task that has ended for good.
 func (t *Tracker) ForgetTask(task string) { delete(t.taskFailures, task) }
@@ -317,11 +332,11 @@
 func (t *Tracker) quarantinedFull() bool {
 	n := 0
 	for _, w := range t.workers {
-		if w.quarantined || w.probing {
+		if !w.absent && (w.quarantined || w.probing) {
 			n++
 		}
 	}
-	return n >= max(1, int(maxQuarantinedShare*float64(len(t.workers))))
+	return n >= max(minQuarantined, int(maxQuarantinedShare*float64(len(t.workers))))
 }
 
 // Step ends quarantines that are over: the worker gets one task as a probe.
@@ -336,6 +351,10 @@
 			kept = append(kept, id)
 			continue
 		}
+		if w.absent {
+			delete(t.workers, id)
+			continue
+		}
 		w.quarantined, w.probing, w.limit, w.successes = false, true, 1, 0
 		t.changes = append(t.changes, Change{Worker: id, Limit: 1, Kind: Probed})
 	}
--- a/policy/health/health_test.go
+++ b/policy/health/health_test.go
@@ -68,6 +68,15 @@
 		Expect(len(limits)).To(BeNumerically(">=", 10))
 	})
 
+	// Guards against a failing worker that sheds its quarantine by a restart.
+	It("stays in quarantine when it leaves and comes back", func() {
+		t := fleet()
+		failUntilQuarantined(t, 0, worker(7))
+		t.Forget(worker(7))
+		t.Add(worker(7))
+		Expect(t.Limit(worker(7))).To(BeZero())
+	})
+
 	// Guards against probes that cost a task every 30 s for as long as it is broken.
 	It("is probed less often after each failed probe", func() {
 		t := fleet()
