--- a/policy/engine/engine_test.go
+++ b/policy/engine/engine_test.go
@@ -174,4 +174,32 @@
 		placements, _ = e.Next(3*time.Second, 10)
 		Expect(placements).To(HaveLen(1))
 	})
+
+	// Guards against endless refusals by an applier whose ledger counts declared
+	// sizes while plans count smaller, corrected ones.
+	It("reserves declared sizes once the applier is seen to", func() {
+		e := engine.New(1)
+		addWorkers(e, 1)
+		for i := range 30 {
+			t := batchTask(fmt.Sprint("measured", i), cores(4, 4))
+			e.Started(0, t, "w00")
+			e.ReportUsage(10*time.Second, "w00", policy.Usage{Task: t.ID, Used: cores(1, 1)})
+			e.Ended(20*time.Second, t.ID, "w00", policy.EndDone)
+		}
+		for i := range 8 {
+			e.Enqueue(30*time.Second, batchTask(fmt.Sprint(i), cores(4, 4)))
+		}
+		placements, _ := e.Next(30*time.Second, 10)
+		Expect(placements).To(HaveLen(8))
+		Expect(placements[0].Size.CPUMillis).To(BeNumerically("<", 4000))
+		for i, p := range placements {
+			if i < 6 {
+				e.Started(30*time.Second, batchTask(p.Task, cores(4, 4)), p.Worker)
+			} else {
+				e.Refused(30*time.Second, p.Task, p.Worker)
+			}
+		}
+		placements, _ = e.Next(31*time.Second, 10)
+		Expect(placements).To(BeEmpty(), "24 of 24 processors are reserved")
+	})
 })
