Accept the end of an urgent task on a worker that left

The end of the last task of a removed worker dropped the record of the worker before capacity was kept for urgent work, and the engine crashed.

--- a/policy/engine/engine_test.go
+++ b/policy/engine/engine_test.go
@@ -175,6 +175,18 @@
 		Expect(placements).To(HaveLen(1))
 	})
 
+	// Guards against a crash when the last task of a worker that left is reported done.
+	It("accepts the end of an urgent task on a worker that left", func() {
+		e := engine.New(1)
+		addWorkers(e, 1)
+		t := batchTask("urgent", cores(1, 1))
+		t.Priority = config.Urgent
+		e.Started(0, t, "w00")
+		e.RemoveWorker(time.Second, "w00")
+		e.Ended(2*time.Second, "urgent", "w00", policy.EndDone)
+		Expect(e.Waiting()).To(BeZero())
+	})
+
 	// Guards against endless refusals by an applier whose ledger counts declared
 	// sizes while plans count smaller, corrected ones.
 	It("reserves declared sizes once the applier is seen to", func() {
--- a/policy/engine/headroom.go
+++ b/policy/engine/headroom.go
@@ -27,7 +27,7 @@
 // keep holds back what an urgent task gave up.
 func (e *Engine) keep(now time.Duration, t *task) {
 	h := e.hosts[t.worker]
-	if e.rules.NoHeadroom || t.Priority != config.Urgent || !h.present || len(e.pieces) >= maxKept {
+	if e.rules.NoHeadroom || t.Priority != config.Urgent || h == nil || !h.present || len(e.pieces) >= maxKept {
 		return
 	}
 	e.pieces = append(e.pieces, piece{worker: h.ID, size: t.reserved, until: now + keepFor})
