--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 # The end-to-end tests run after the others, so that they have the machine to
 # themselves: they check times that callers see.
 unit: build
-	go test -race -count=1 -timeout 900s $$(go list ./... | grep -v /e2e)
+	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -race -count=1 -timeout 900s $$(go list ./... | grep -v /e2e)
 	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -count=1 -timeout 900s -parallel 3 ./e2e
 
 bench: build
@@ -42,7 +42,7 @@
 	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags capacity -count=1 -timeout 1200s -run TestCapacity -v ./e2e
 
 soak:
-	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./state ./scheduler/...
+	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./state ./scheduler/... ./routing ./control
 
 generate:
 	scripts/generate.sh
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -316,10 +316,45 @@
 		p.kill()
 		r.Expect(os.RemoveAll(r.f.dir + "/" + p.name)).To(Succeed())
 		r.Expect(p.start()).To(Succeed())
-		r.Eventually(p.exited).WithTimeout(takeoverTime*3).Should(Receive(HaveOccurred()), "it must refuse to run")
+		r.Eventually(p.exit.done).WithTimeout(takeoverTime*3).Should(BeClosed(), "it must refuse to run")
+		r.Expect(p.exit.err).To(HaveOccurred())
 		p.command = nil
 		log, err := os.ReadFile(p.logFile)
 		r.Expect(err).NotTo(HaveOccurred())
 		r.Expect(string(log)).To(ContainSubstring("under an id that was never used"), "the error must name the remedy")
 	})
 }
+
+// A planned stop of each kind of process cuts off no request in progress.
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	t.Parallel()
+	l := smallLayout()
+	l.gatewaysPer = 2
+	underFault(t, l, 8*time.Second, func(r *faultRun) {
+		const requests = 8
+		inProgress := newDriver([]string{r.f.addresses[gatewayName("bern-a", 0)]})
+		outcomes := make(chan callResult, 2*requests)
+		for i := range requests {
+			go func() { outcomes <- inProgress.call(r.ctx, "quote-check", "", `{"work_ms":1500}`) }()
+			go func() {
+				outcomes <- inProgress.call(r.ctx, "stock-hold", fmt.Sprintf("stopping-%d", i), `{"work_ms":1500}`)
+			}()
+		}
+		time.Sleep(500 * time.Millisecond)
+		stopped := []*process{r.f.gateways["bern-a"][0], r.f.workers["bern-a"][0], r.active("bern-a"), r.leader()}
+		ended := make(chan error, len(stopped))
+		for _, p := range stopped {
+			go func() { ended <- p.stop() }()
+		}
+		for range 2 * requests {
+			result := <-outcomes
+			r.Expect(result.outcome).To(Equal(workerapi.OutcomeDone), "%s status %d: %s", result.kind, result.status, result.body)
+		}
+		for range stopped {
+			r.Expect(<-ended).To(Succeed())
+		}
+		for _, p := range stopped {
+			r.Expect(p.start()).To(Succeed())
+		}
+	})
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -23,7 +23,13 @@
 	settings string
 	logFile  string
 	command  *exec.Cmd
-	exited   chan error
+	exit     *exit
+}
+
+// exit is the end of one run of a process; err is set before done is closed.
+type exit struct {
+	done chan struct{}
+	err  error
 }
 
 // newProcess writes the settings of a process; start starts it.
@@ -59,9 +65,12 @@
 	if err := p.command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w; run make build first", p.name, err)
 	}
-	exited := make(chan error, 1)
-	p.exited = exited
-	go func(c *exec.Cmd) { exited <- c.Wait() }(p.command)
+	e := &exit{done: make(chan struct{})}
+	p.exit = e
+	go func(c *exec.Cmd) {
+		e.err = c.Wait()
+		close(e.done)
+	}(p.command)
 	return nil
 }
 
@@ -73,7 +82,7 @@
 		return
 	}
 	_ = p.command.Process.Kill()
-	<-p.exited
+	<-p.exit.done
 	p.command = nil
 }
 
@@ -84,9 +93,9 @@
 	}
 	_ = p.command.Process.Signal(syscall.SIGTERM)
 	select {
-	case err := <-p.exited:
+	case <-p.exit.done:
 		p.command = nil
-		return err
+		return p.exit.err
 	case <-time.After(stopTimeout):
 		p.kill()
 		return errors.New(p.name + " did not stop after SIGTERM")
