Name links, attempts and releases by the usual terms

Some functions of the gateway had figurative names. They now say trigger, activate, evaluate, release and returnGrants. No change of behaviour; the tests of routing and gateway pass under the race detector.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -132,7 +132,7 @@
 	}
 	result := routing.ResultAbandoned
 	if errors.Is(err, errUpstreamEnded) {
-		result = c.blame()
+		result = c.lostResult()
 	}
 	c.gateway.balancer.release(a.ticket, result)
 	c.service.metrics.ended(workerapi.OutcomeUnknown, c.deadline-c.left())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,10 +44,10 @@
 	}
 }
 
-// lost judges an attempt without an answer. Only an attempt that never got a
+// lost classifies an attempt without an answer. Only an attempt that never got a
 // connection proves that the request was not run.
 func (c *call) lost(ticket routing.Ticket, connected bool) *answer {
-	c.gateway.balancer.release(ticket, c.blame())
+	c.gateway.balancer.release(ticket, c.lostResult())
 	if !connected {
 		return problemAnswer(notRun(http.StatusServiceUnavailable, typeUpstream, "The upstream could not be reached",
 			"retry later").after(defaultRetryAfter))
@@ -60,9 +60,9 @@
 		"the connection to the upstream was lost; "+c.remedy()))
 }
 
-// blame returns the result of a lost attempt: the upstream is not blamed when the
+// lostResult returns the result of a lost attempt: it does not count against the upstream when the
 // gateway or the caller gave up.
-func (c *call) blame() routing.Result {
+func (c *call) lostResult() routing.Result {
 	if c.ctx.Err() != nil {
 		return routing.ResultAbandoned
 	}
@@ -76,7 +76,7 @@
 	return "find out what the service did; the request is never run again under this key"
 }
 
-// received judges the answer of an upstream.
+// received classifies the answer of an upstream.
 func (c *call) received(ticket routing.Ticket, response *http.Response) *answer {
 	if response.Header.Get(workerapi.HeaderOutcome) == string(workerapi.OutcomeNotRun) {
 		response.Body.Close()
@@ -99,12 +99,12 @@
 func (g *Gateway) refused(ticket routing.Ticket) {
 	g.balancer.release(ticket, routing.ResultRefused)
 	for _, l := range g.links {
-		l.nudge()
+		l.trigger()
 	}
 }
 
 // broken is an answer that must not be passed on.
 func (c *call) broken(ticket routing.Ticket, what string) *answer {
-	c.gateway.balancer.release(ticket, c.blame())
+	c.gateway.balancer.release(ticket, c.lostResult())
 	return problemAnswer(unknownOutcome(http.StatusBadGateway, what+"; "+c.remedy()))
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -129,7 +129,7 @@
 		}
 		h.attempts++
 		h.avoid = append(h.avoid, ticket.Worker)
-		if final := c.judge(a, h); final != nil {
+		if final := c.evaluate(a, h); final != nil {
 			return final
 		}
 		c.service.metrics.retried()
@@ -142,9 +142,9 @@
 	})
 }
 
-// judge returns the final answer after an attempt, or nil if another attempt is
+// evaluate returns the final answer after an attempt, or nil if another attempt is
 // permitted.
-func (c *call) judge(a *answer, h *history) *answer {
+func (c *call) evaluate(a *answer, h *history) *answer {
 	if a.certain() && a.outcome == workerapi.OutcomeDone {
 		return a
 	}
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -249,7 +249,7 @@
 		}
 		r.scheduler.mu.Unlock()
 		for range 20 {
-			r.links[0].nudge()
+			r.links[0].trigger()
 			r.synced()
 		}
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,7 +155,7 @@
 // askOtherDomains wakes the links to schedulers that are not being asked.
 func (g *Gateway) askOtherDomains() {
 	for _, l := range g.links {
-		l.wake()
+		l.activate()
 	}
 }
 
@@ -176,7 +176,7 @@
 func (g *Gateway) returnGrants(ctx context.Context) {
 	var all sync.WaitGroup
 	for _, l := range g.links {
-		all.Go(func() { l.giveUp(ctx) })
+		all.Go(func() { l.returnGrants(ctx) })
 	}
 	all.Wait()
 }
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -15,8 +15,8 @@
 	// syncTimeout bounds one sync, so that a silent scheduler is asked again
 	// before the grants expire.
 	syncTimeout = time.Second
-	// nudgePause separates syncs that are triggered by refused requests.
-	nudgePause = 20 * time.Millisecond
+	// triggerPause separates syncs that are triggered by refused requests.
+	triggerPause = 20 * time.Millisecond
 )
 
 // link syncs grants with one scheduler. Schedulers of other domains are asked only
@@ -26,7 +26,7 @@
 	gateway   *Gateway
 	scheduler Scheduler
 	client    schedulerpb.Scheduler
-	nudged    chan struct{}
+	triggered chan struct{}
 	// active is set while the scheduler is asked regularly.
 	active atomic.Bool
 	// sequence counts the syncs from 1.
@@ -36,8 +36,8 @@
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
 		gateway: g, scheduler: s,
-		client: schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c),
-		nudged: make(chan struct{}, 1),
+		client:    schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c),
+		triggered: make(chan struct{}, 1),
 	}
 }
 
@@ -54,7 +54,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-l.nudged:
+		case <-l.triggered:
 			l.pause(ctx)
 		}
 	}
@@ -63,7 +63,7 @@
 func (l *link) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(nudgePause):
+	case <-time.After(triggerPause):
 	}
 }
 
@@ -78,18 +78,18 @@
 	return needed
 }
 
-// nudge triggers a sync at once.
-func (l *link) nudge() {
+// trigger starts a sync at once.
+func (l *link) trigger() {
 	select {
-	case l.nudged <- struct{}{}:
+	case l.triggered <- struct{}{}:
 	default:
 	}
 }
 
-// wake asks a scheduler of another domain at once when it is not being asked yet.
-func (l *link) wake() {
+// activate asks a scheduler of another domain at once when it is not being asked yet.
+func (l *link) activate() {
 	if !l.active.Load() {
-		l.nudge()
+		l.trigger()
 	}
 }
 
@@ -157,8 +157,8 @@
 	return set
 }
 
-// giveUp reports that the gateway uses none of its grants any more.
-func (l *link) giveUp(ctx context.Context) {
+// returnGrants reports that the gateway uses none of its grants any more.
+func (l *link) returnGrants(ctx context.Context) {
 	if l.needed() {
 		l.sync(ctx, true)
 	}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -140,10 +140,10 @@
 	}
 	conn, err := t.dialer.DialContext(ctx, network, address)
 	if err != nil {
-		t.giveBack(address)
+		t.unreserve(address)
 		return nil, err
 	}
-	return &countedConn{Conn: conn, closed: func() { t.giveBack(address) }}, nil
+	return &countedConn{Conn: conn, closed: func() { t.unreserve(address) }}, nil
 }
 
 func (t *workerTransport) reserve(ctx context.Context, address string) error {
@@ -177,7 +177,7 @@
 	return c.changed
 }
 
-func (t *workerTransport) giveBack(address string) {
+func (t *workerTransport) unreserve(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.worker(address)
--- a/routing/health.go
+++ b/routing/health.go
@@ -16,7 +16,7 @@
 	ejectionLongest     = 30 * time.Second
 	// abandonedFactor is how much longer than the service's average an abandoned
 	// attempt must have taken to count as a failure of the upstream, so that callers
-	// with short deadlines blame no one.
+	// with short deadlines eject no one.
 	abandonedFactor = 4
 	// ejectionMemory is the time without ejection after which the next one is
 	// short again.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -35,7 +35,7 @@
 
 // Results of an attempt.
 const (
-	// ResultOK is a complete answer that does not blame the upstream.
+	// ResultOK is a complete answer that does not count against the upstream.
 	ResultOK Result = iota
 	// ResultFailed is a lost connection, a truncated answer or a 5xx status.
 	ResultFailed
--- a/routing/table.go
+++ b/routing/table.go
@@ -225,7 +225,7 @@
 // Release ends the use of a ticket and returns decisions on queued requests.
 func (t *Table) Release(ticket Ticket, result Result, now time.Duration) []Wake {
 	u := ticket.lane.up
-	u.giveBack(ticket)
+	u.release(ticket)
 	t.learn(ticket, result, now)
 	t.relist(u, now)
 	return t.dispatch(now)
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -104,7 +104,7 @@
 	}
 }
 
-func (u *upstream) giveBack(t Ticket) {
+func (u *upstream) release(t Ticket) {
 	if t.session.outstanding <= 0 {
 		panic(fmt.Sprintf("routing: ticket of worker %s session %d released twice", u.name, t.Session))
 	}
