Number attempts above the record of a task from another domain

Cause: a task that one domain returned and control bound to another stayed bound for ever, seen with real processes: the second domain numbered its first attempt 1, below the record that the binding had raised, so the outcome was refused as stale each time.

Ruled out: a lost report (control answered "stale"), and the epoch (both domains were in epoch 1).

Change: a scheduler's attempt counter rises to the number of each task that it takes in.

Result: the new test fails before and passes after.

--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -151,6 +151,9 @@
 // scheduler may still run somewhere, so it is held until the task leases of the
 // scheduler before are certainly over, or until a worker reports it.
 func (c *Core) addTask(now time.Duration, b *BoundTask) {
+	// A binding raises the number of the task's record, also when the task comes
+	// from another domain; an outcome of an attempt not above it is refused as stale.
+	c.attempts = max(c.attempts, b.Attempt.Number)
 	t := &task{BoundTask: *b, enqueued: now, attempt: b.Attempt}
 	c.tasks[t.ID] = t
 	c.setPhase(t, phaseHeld)
