--- a/experiments/fake/fleet.go
+++ b/experiments/fake/fleet.go
@@ -61,7 +61,7 @@
 	saved    time.Duration
 	started  time.Duration
 	share    float64
-	poisoned bool
+	faulty   bool
 	evictAt  time.Duration
 	wanted   float64
 	shareAt  time.Duration
--- a/experiments/fake/work.go
+++ b/experiments/fake/work.go
@@ -44,7 +44,7 @@
 		Accelerators: r.spec.Declared.Accelerators,
 	}
 	r.work = time.Duration(float64(r.spec.Expected) * duration * (0.6 + 0.8*u))
-	r.poisoned = hash(r.task.ID+"/fails", f.spec.Seed) < r.spec.FailEach
+	r.faulty = hash(r.task.ID+"/fails", f.spec.Seed) < r.spec.FailEach
 }
 
 func orOne(v float64) float64 {
@@ -79,7 +79,7 @@
 		}
 		f.advance(now, r, rate)
 		switch {
-		case (broken || r.poisoned) && now-r.started >= failsAfter:
+		case (broken || r.faulty) && now-r.started >= failsAfter:
 			f.fail(r, broken, out)
 		case r.evictAt >= 0 && now >= r.evictAt:
 			f.evicted(r, out)
--- a/experiments/scenarios.go
+++ b/experiments/scenarios.go
@@ -118,12 +118,12 @@
 		return worker == broken && now >= breaksAt && now < mendedAt
 	}
 	for i := range s.Jobs {
-		s.Jobs[i].FailEach = poisoned
+		s.Jobs[i].FailEach = faulty
 	}
 }
 
-// poisoned is the part of the tasks that fail wherever they run.
-const poisoned = 0.005
+// faulty is the part of the tasks that fail wherever they run.
+const faulty = 0.005
 
 // greedyWeights lets the cutting team ask for far more than its quota with small
 // tasks, while the others ask for less than theirs.
--- a/policy/engine/engine.go
+++ b/policy/engine/engine.go
@@ -90,29 +90,29 @@
 
 // Engine decides for one failure domain.
 type Engine struct {
-	rules    Rules
-	config   config.Config
-	jobs     map[string]config.Job
-	targets  map[string]time.Duration
-	apart    map[string]map[string]bool
-	queue    *fairness.Queue
-	index    *placement.Index
-	chooser  placement.Chooser
-	model    *interference.Model
-	sizes    *sizing.Estimator
-	health   *health.Tracker
-	hosts    map[string]*host
-	order    []*host
-	tasks    map[string]*task
-	waiting  map[string]policy.Task
-	planned  []string
-	holds    map[string]hold
-	pieces   []piece
-	fails    map[failKey]failMark
-	urgent   map[string]fairness.Candidate
-	owners   map[string]fairness.Candidate
-	tokens   tokens
-	insisted time.Duration
+	rules        Rules
+	config       config.Config
+	jobs         map[string]config.Job
+	targets      map[string]time.Duration
+	apart        map[string]map[string]bool
+	queue        *fairness.Queue
+	index        *placement.Index
+	chooser      placement.Chooser
+	model        *interference.Model
+	sizes        *sizing.Estimator
+	health       *health.Tracker
+	hosts        map[string]*host
+	order        []*host
+	tasks        map[string]*task
+	waiting      map[string]policy.Task
+	planned      []string
+	holds        map[string]hold
+	reservations []reservation
+	fails        map[failKey]failMark
+	urgent       map[string]fairness.Candidate
+	owners       map[string]fairness.Candidate
+	tokens       tokens
+	insisted     time.Duration
 	// scanFrom is where the next search for tasks to evict starts in order.
 	scanFrom  int
 	grown     time.Duration
@@ -233,7 +233,7 @@
 	e.model.Forget(id)
 	e.order = slices.DeleteFunc(e.order, func(o *host) bool { return o == h })
 	e.dropHolds(id)
-	e.dropPieces(id)
+	e.dropReservations(id)
 	e.forgetIfEmpty(h)
 	e.queue.SetTotal(e.index.Total())
 }
--- a/policy/engine/next.go
+++ b/policy/engine/next.go
@@ -50,7 +50,7 @@
 	e.health.Step(now)
 	e.applyHealth(now)
 	e.expireHolds(now)
-	e.expirePieces(now)
+	e.expireReservations(now)
 	clear(e.urgent)
 	clear(e.owners)
 	if len(e.fails) > maxFails {
--- a/policy/engine/room.go
+++ b/policy/engine/room.go
@@ -54,8 +54,8 @@
 	return out
 }
 
-// sacrifice is a set of tasks of one host whose eviction makes room.
-type sacrifice struct {
+// evictionSet is a set of tasks of one host whose eviction makes room.
+type evictionSet struct {
 	host  *host
 	tasks []*task
 	loss  float64
@@ -67,13 +67,13 @@
 		return out
 	}
 	r := e.request(c)
-	var best *sacrifice
+	var best *evictionSet
 	for i := range min(len(e.order), maxScanned) {
 		h := e.order[(e.scanFrom+i)%len(e.order)]
 		if !e.holdable(&r, h) {
 			continue
 		}
-		if s := e.sacrifice(now, h, c.Need, victim); s != nil && (best == nil || s.loss < best.loss) {
+		if s := e.evictionsFor(now, h, c.Need, victim); s != nil && (best == nil || s.loss < best.loss) {
 			best = s
 		}
 	}
@@ -97,10 +97,10 @@
 	return e.rules.NoBudget || e.tokens.left >= float64(n)+keep*e.tokens.perMinute
 }
 
-// sacrifice picks tasks of the host, cheapest first, until the need fits; nil if
+// evictionsFor picks tasks of the host, cheapest first, until the need fits; nil if
 // that takes too many.
-func (e *Engine) sacrifice(now time.Duration, h *host, need workerapi.Resources, victim func(*task) bool) *sacrifice {
-	s := &sacrifice{host: h}
+func (e *Engine) evictionsFor(now time.Duration, h *host, need workerapi.Resources, victim func(*task) bool) *evictionSet {
+	s := &evictionSet{host: h}
 	free := h.placed.Room()
 	var list []*task
 	for _, t := range sortedTasks(h.tasks) {
--- a/policy/health/health_test.go
+++ b/policy/health/health_test.go
@@ -96,7 +96,7 @@
 	It("blames a task or job that fails on many workers", func() {
 		t := fleet()
 		for i := range 40 {
-			t.Failure(time.Duration(i)*30*time.Second, worker(i%5), fmt.Sprint("bad", i/5), "poison")
+			t.Failure(time.Duration(i)*30*time.Second, worker(i%5), fmt.Sprint("bad", i/5), "faulty")
 			t.Success(worker(i%5), fmt.Sprint("good", i), "job")
 		}
 		for i := range 50 {
--- a/policy/interference/model.go
+++ b/policy/interference/model.go
@@ -204,7 +204,7 @@
 	number := m.serviceID(sample.Service)
 	y := math.Log(sample.P99.Seconds())
 	err := m.learn(now, m.services[number], &sample, weights, y)
-	w.look(number, &sample, err)
+	w.updateView(number, &sample, err)
 }
 
 // learn corrects the parameters and returns the error of the prediction.
@@ -243,8 +243,8 @@
 	residualLimit = 0.4
 )
 
-// look updates the view of the worker unless the sample is older than it.
-func (w *Worker) look(number int, sample *Sample, err float64) {
+// updateView updates the view of the worker unless the sample is older than it.
+func (w *Worker) updateView(number int, sample *Sample, err float64) {
 	for i := range w.views {
 		v := &w.views[i]
 		if v.service != number {
