--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -52,11 +52,23 @@
 		return w.failure
 	}
 	for id, t := range w.control.tasks {
-		failure += fmt.Sprintf("task %s is still %s; ", id, t.state)
+		if t.state == "pending" || t.state == "bound" {
+			failure += fmt.Sprintf("task %s is still %s: %s; ", id, t.state, w.explain(id))
+		}
 	}
 	return failure + fmt.Sprintf("running %v", w.running)
 }
 
+// explain returns what the schedulers know of a task and decided last about it.
+func (w *world) explain(id string) (text string) {
+	for _, s := range w.schedulers {
+		if t := s.core.tasks[id]; t != nil {
+			text += fmt.Sprintf("%s has it in phase %d, %+v ", s.name, t.phase, s.core.Explain(id, 2))
+		}
+	}
+	return text
+}
+
 // limitWithFaults covers a failover, a task lease that must run out, and the rest
 // of the work.
 const limitWithFaults = 60 * time.Second
--- a/scheduler/random_test.go
+++ b/scheduler/random_test.go
@@ -85,7 +85,7 @@
 }
 
 func check(t *testing.T, seed, checks string) {
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
