Match the answer of a report to its batch

A soak found two tasks that stayed bound for ever: the answer to one report was delivered twice, and the second delivery counted the next report, which was lost, as recorded. Batches are numbered now and the seed is a test. In the simulated domain a repeated task sync answer started a further chain of requests each time, which made such runs slow; one answer is taken in for each request.

--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -42,7 +42,9 @@
 
 // SendReports records events in control; the result goes to ReportsAnswered.
 type SendReports struct {
-	Epoch  uint64
+	Epoch uint64
+	// Batch numbers the sends, so that a repeated answer is not taken for the next.
+	Batch  uint64
 	Events []Report
 }
 
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -119,7 +119,7 @@
 			report := workerapi.TaskReport{ID: ref.ID, Attempt: ref.Attempt, Phase: workerapi.PhaseDone}
 			c.StartAnswered(2050*ms, StartResult{Ref: ref, Answer: workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: report}})
 			c.flushReports(2050 * ms)
-			c.ReportsAnswered(2050*ms, 1, true)
+			c.ReportsAnswered(2050*ms, 1, c.reports.batch, true)
 			c.TakeActions()
 			c.SyncTasks(2050*ms, 1, []BoundTask{{ID: ref.ID}}, false)
 		}
--- a/scheduler/random_test.go
+++ b/scheduler/random_test.go
@@ -108,3 +108,7 @@
 		check(t, seed, soakChecks)
 	}
 }
+
+// TestRepeatedReportAnswer guards against a repeated answer to one report that
+// counted the next report as recorded, so that a task never ended.
+func TestRepeatedReportAnswer(t *testing.T) { check(t, "734387519755943527", "1") }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -12,6 +12,7 @@
 type reportQueue struct {
 	queue    []Report
 	inFlight int
+	batch    uint64
 	retryAt  time.Duration
 	pending  map[workerapi.TaskRef]int
 }
@@ -46,14 +47,15 @@
 	}
 	q.inFlight = min(len(q.queue), maxReportBatch)
 	batch := append([]Report(nil), q.queue[:q.inFlight]...)
-	c.act(SendReports{Epoch: c.authority.taken, Events: batch})
+	q.batch++
+	c.act(SendReports{Epoch: c.authority.taken, Batch: q.batch, Events: batch})
 }
 
-// ReportsAnswered takes in the outcome of a SendReports of the epoch. Events that
+// ReportsAnswered takes in the outcome of a SendReports. Events that
 // control refused as stale are decided otherwise, so they need no recording.
-func (c *Core) ReportsAnswered(now time.Duration, epoch uint64, recorded bool) {
+func (c *Core) ReportsAnswered(now time.Duration, epoch, batch uint64, recorded bool) {
 	q := &c.reports
-	if epoch != c.authority.taken || !c.authority.active() || q.inFlight == 0 {
+	if epoch != c.authority.taken || !c.authority.active() || q.inFlight == 0 || batch != q.batch {
 		return
 	}
 	if recorded {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -251,7 +251,7 @@
 			})
 	case SendReports:
 		finish := func(recorded bool) {
-			s.step(func(now time.Duration) { s.core.ReportsAnswered(now, a.Epoch, recorded) })
+			s.step(func(now time.Duration) { s.core.ReportsAnswered(now, a.Epoch, a.Batch, recorded) })
 		}
 		call(w, "report", &s.proc, &w.control.proc, func() bool { return w.control.report(s.name, a) }, finish,
 			func() { finish(false) })
@@ -282,11 +282,18 @@
 		return
 	}
 	w, after := s.world, s.after
+	// The link to control takes in one answer for each request; a repeated answer
+	// would start a second chain of requests with an older index.
+	taken := false
 	again := func() {
 		w.after(100*time.Millisecond, func() { w.on(&s.proc, s.life, func() { s.follow(sync, epoch) }) })
 	}
 	call(w, "sync", &s.proc, &w.control.proc, func() *syncAnswer { return w.control.sync(epoch, after) },
 		func(answer *syncAnswer) {
+			if taken {
+				return
+			}
+			taken = true
 			if answer != nil && s.sync == sync {
 				s.after = answer.index
 				s.step(func(now time.Duration) { s.core.SyncTasks(now, epoch, answer.tasks, after == 0) })
--- a/schedulerd/control.go
+++ b/schedulerd/control.go
@@ -143,7 +143,7 @@
 			l.log.Warn().Int("events", n).Msg("control refused events as stale")
 		}
 		l.metrics.reports(ctx, len(events), err == nil)
-		l.loop.send(func(now time.Duration, core *scheduler.Core) { core.ReportsAnswered(now, a.Epoch, err == nil) })
+		l.loop.send(func(now time.Duration, core *scheduler.Core) { core.ReportsAnswered(now, a.Epoch, a.Batch, err == nil) })
 	}()
 }
 
