Reserve the size that the engine corrected from usage

Cause: the policy engine corrects declared sizes by what tasks really use, and the ledger went on reserving the declared ones, so a job that needs more than it declares could overfill a host.

Change: the applier checks and reserves the proposed size, sends it with the start and tells the engine; the waiting task keeps its declared size, so that corrections do not compound. The setup of the earlier test is corrected, its check unchanged.

Without the attempt counter's rise the earlier test fails; with the declared size in the check the new one ends in the assertion on the ledger.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -22,10 +22,10 @@
 	// the heartbeat arrived.
 	t.until = w.heard + lease.GrantorWait(duration)
 	c.bindAttempt(t, w)
-	c.engine.Started(now, c.policyTask(t), w.id)
+	c.engine.Started(now, c.policyTask(t, t.reserved), w.id)
 	c.act(SendStart{Target: w.target(), Body: workerapi.Start{
 		Session: w.session.number, Epoch: w.session.epoch, Incarnation: w.incarnation, Sequence: w.sequence,
-		ID: t.ID, Attempt: t.attempt, Job: t.Job, Resources: t.Size, LeaseMS: duration.Milliseconds(),
+		ID: t.ID, Attempt: t.attempt, Job: t.Job, Resources: t.reserved, LeaseMS: duration.Milliseconds(),
 		ExpectedMS: t.Expected.Milliseconds(), Checkpoint: t.Checkpoint, Payload: t.Payload,
 	}})
 }
@@ -38,7 +38,7 @@
 func (c *Core) bindAttempt(t *task, w *worker) {
 	t.on = w
 	w.live[t.ID] = t
-	w.ledger.add(t.ID, t.Size)
+	w.ledger.add(t.ID, t.reserved)
 	c.occupied[t.ID]++
 	assert(c.occupied[t.ID] == 1, "two live attempts of task %s", t.ID)
 }
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -50,15 +50,15 @@
 // adopt takes over an attempt that a scheduler before this one started.
 func (c *Core) adopt(now time.Duration, w *worker, t *task, r *workerapi.TaskReport) {
 	c.dropStray(w, r.ID)
-	t.Size = r.Resources
-	if !c.makeRoom(w, t.Size) {
+	t.reserved = r.Resources
+	if !c.makeRoom(w, t.reserved) {
 		return
 	}
 	t.attempt = r.Attempt
 	c.setPhase(t, phaseRunning)
 	t.until = c.authority.takeoverAt + lease.GrantorWait(lease.TaskLease)
 	c.bindAttempt(t, w)
-	c.engine.Started(now, c.policyTask(t), w.id)
+	c.engine.Started(now, c.policyTask(t, t.reserved), w.id)
 	c.noteProgress(now, w, t, r)
 	c.note(now, Decision{Subject: t.ID, Kind: "adopted", Reason: "the worker reports that it runs", Worker: w.id})
 	if t.cancel {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -29,17 +29,22 @@
 // apply is the only place that turns a proposal into a start.
 func (c *Core) apply(now time.Duration, p policy.Placement) {
 	t, w := c.tasks[p.Task], c.workers[p.Worker]
-	if reason := c.obstacle(now, t, w); reason != "" {
+	size := p.Size
+	if t != nil && size == (workerapi.Resources{}) {
+		size = t.Size
+	}
+	if reason := c.obstacle(now, t, w, size); reason != "" {
 		c.engine.Refused(now, p.Task, p.Worker)
 		c.note(now, Decision{Subject: p.Task, Kind: "refused", Reason: reason, Worker: p.Worker})
 		return
 	}
 	c.note(now, p.Decision)
+	t.reserved = size
 	c.startAttempt(now, t, w)
 }
 
 // obstacle is the reason against a start, or empty.
-func (c *Core) obstacle(now time.Duration, t *task, w *worker) string {
+func (c *Core) obstacle(now time.Duration, t *task, w *worker, size workerapi.Resources) string {
 	switch {
 	case t == nil || t.phase != phaseWaiting || t.cancel || t.left:
 		return "the task does not wait"
@@ -47,7 +52,7 @@
 		return "the worker takes no new work"
 	case c.occupied[t.ID] > 0:
 		return "an older attempt is not confirmed as stopped"
-	case !w.ledger.fits(t.Size):
+	case !w.ledger.fits(size):
 		return "the ledger of the worker has no room"
 	case c.apart(t, w):
 		return "the configuration keeps the job apart from a service of the worker"
--- a/scheduler/rebound_test.go
+++ b/scheduler/rebound_test.go
@@ -14,7 +14,7 @@
 		c := activeCore(1)
 		t := newTask("returned")
 		t.Attempt = workerapi.Attempt{Epoch: 1, Number: 40}
-		c.SyncTasks(2010*ms, 2, []BoundTask{t}, false)
+		c.SyncTasks(2010*ms, 1, []BoundTask{t}, false)
 		renewLeases(c, 2100*ms)
 		c.Tick(2100 * ms)
 		starts := actionsOf[SendStart](c)
--- /dev/null
+++ b/scheduler/reserve_test.go
@@ -0,0 +1,51 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/policy"
+	"geraniumwall/policy/firstfit"
+	"geraniumwall/workerapi"
+)
+
+// correcting proposes more than the declared size, as an engine does that has seen
+// a job use more than it declares.
+type correcting struct {
+	*firstfit.Engine
+	size    workerapi.Resources
+	started []workerapi.Resources
+}
+
+func (e *correcting) Next(now time.Duration, limit int) ([]policy.Placement, []policy.Impossible) {
+	placements, impossible := e.Engine.Next(now, limit)
+	for i := range placements {
+		placements[i].Size = e.size
+	}
+	return placements, impossible
+}
+
+func (e *correcting) Started(now time.Duration, t policy.Task, worker string) {
+	e.started = append(e.started, t.Size)
+	e.Engine.Started(now, t, worker)
+}
+
+var _ = ginkgo.Describe("The applier", func() {
+	// Guards against a host that is given more than it holds because the ledger
+	// reserves the declared size of tasks that use more.
+	ginkgo.It("reserves the corrected size and refuses it where it does not fit", func() {
+		engine := &correcting{size: workerapi.Resources{CPUMillis: 300, MemoryMB: 5000}}
+		c := activeCore(1)
+		engine.Engine = c.engine.(*firstfit.Engine)
+		c.engine = engine
+		c.SyncTasks(2010*ms, 1, []BoundTask{newTask("a"), newTask("b")}, false)
+		renewLeases(c, 2100*ms)
+		c.Tick(2100 * ms)
+		starts := actionsOf[SendStart](c)
+		Expect(starts).To(HaveLen(1), "both fit by their declared sizes, one by the corrected")
+		Expect(starts[0].Body.Resources).To(Equal(engine.size))
+		Expect(engine.started).To(Equal([]workerapi.Resources{engine.size}))
+	})
+})
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -66,8 +66,11 @@
 	notBefore time.Duration
 	// attempt is the newest attempt; on and until belong to it while it is live.
 	attempt workerapi.Attempt
-	on      *worker
-	until   time.Duration
+	// reserved is what the live attempt takes up: the declared size as the engine
+	// corrected it from usage.
+	reserved workerapi.Resources
+	on       *worker
+	until    time.Duration
 	// settled is the newest attempt whose end was taken in.
 	settled    workerapi.Attempt
 	why        stopReason
@@ -88,10 +91,12 @@
 	return t.phase == phaseStarting || t.phase == phaseRunning || t.phase == phaseStopping
 }
 
-func (c *Core) policyTask(t *task) policy.Task {
+// policyTask describes a task with the given size, which is the declared one while
+// it waits and the reserved one while it runs.
+func (c *Core) policyTask(t *task, size workerapi.Resources) policy.Task {
 	job, _ := c.config.FindJob(t.Job)
 	return policy.Task{
-		ID: t.ID, Team: t.Team, Job: t.Job, Priority: t.Priority, Size: t.Size, Expected: t.Expected,
+		ID: t.ID, Team: t.Team, Job: t.Job, Priority: t.Priority, Size: size, Expected: t.Expected,
 		Enqueued: t.enqueued, Evictions: t.Evictions, Failures: t.Failures, Checkpoints: job.Checkpoints,
 	}
 }
@@ -170,7 +175,7 @@
 
 func (c *Core) enqueue(now time.Duration, t *task) {
 	c.setPhase(t, phaseWaiting)
-	c.engine.Enqueue(now, c.policyTask(t))
+	c.engine.Enqueue(now, c.policyTask(t, t.Size))
 }
 
 // holdTask keeps a task without a live attempt out of the queue until then.
