Test every command of the tour and its exit code

The README's tour had no test, and a run of it against a fleet showed these faults:

- geranium wait always failed with exit code 4: its default of five minutes is above the 60 s that a gateway accepts in wait_ms.
The client now splits the wait, and wait fails when the task has not ended in time.
- A change whose answer was lost ended with exit code 1 as if it had failed, or with the not_run of the next gateway.
It is now exit code 5 unless a later gateway resolves it.
- check, drain and version ignored -json, and -json was refused after the name of the command. diff -json printed null for no change.
- Extra arguments were ignored, so that "status workers" looked right.
- A missing gateway address is now a usage error (2) instead of 1.

TestTour runs the commands in both forms against separate processes; the splitting and the unknown outcome have tests in package operator.

--- a/cmd/geranium/app.go
+++ b/cmd/geranium/app.go
@@ -59,6 +59,7 @@
 
 // SetFlags declares the flags of the subcommand.
 func (c *command) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.app.json, "json", c.app.json, "print JSON for programs")
 	if c.flags != nil {
 		c.flags(f)
 	}
@@ -66,7 +67,10 @@
 
 // Execute runs the subcommand and maps its error to an exit code.
 func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := c.run(ctx, f)
+	err := c.checkArguments(f)
+	if err == nil {
+		err = c.run(ctx, f)
+	}
 	if err == nil {
 		return subcommands.ExitSuccess
 	}
@@ -74,6 +78,18 @@
 	return exitCode(err)
 }
 
+// checkArguments refuses arguments that the subcommand would ignore.
+func (c *command) checkArguments(f *flag.FlagSet) error {
+	allowed := 0
+	if c.arguments != "" {
+		allowed = 1
+	}
+	if f.NArg() > allowed {
+		return &usageError{fmt.Sprintf("unexpected argument %q; flags go before arguments", f.Arg(allowed))}
+	}
+	return nil
+}
+
 // usageError is a wrong call of a command.
 type usageError struct{ text string }
 
@@ -93,9 +109,12 @@
 func exitCode(err error) subcommands.ExitStatus {
 	var usage *usageError
 	var conflict *conflictError
+	var unknown *operator.UnknownError
 	var problem *operatorapi.Problem
 	switch {
-	case errors.As(err, &usage):
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &usage), errors.Is(err, operator.ErrNoGateway):
 		return subcommands.ExitUsageError
 	case errors.As(err, &conflict):
 		return exitConflict
--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -95,7 +95,7 @@
 			app: a, name: "wait", arguments: "TASK", synopsis: "wait until a task has ended and print it",
 			flags: func(f *flag.FlagSet) { f.DurationVar(&wait, "timeout", defaultTaskWait, "how long to wait") },
 			run: func(ctx context.Context, f *flag.FlagSet) error {
-				return a.task(ctx, f, func(id string) ([]byte, error) { return a.client.Task(ctx, id, wait) })
+				return a.wait(ctx, f, wait)
 			},
 		},
 		&command{
@@ -134,6 +134,20 @@
 	})
 }
 
+// wait prints the task, and fails if it has not ended in time.
+func (a *app) wait(ctx context.Context, f *flag.FlagSet, timeout time.Duration) error {
+	var last []byte
+	err := a.task(ctx, f, func(id string) ([]byte, error) {
+		task, err := a.client.Task(ctx, id, timeout)
+		last = task
+		return task, err
+	})
+	if err == nil && !operator.Ended(last) {
+		return fmt.Errorf("task %s has not ended after %v; see geranium explain %s", f.Arg(0), timeout, f.Arg(0))
+	}
+	return err
+}
+
 func (a *app) task(_ context.Context, f *flag.FlagSet, call func(string) ([]byte, error)) error {
 	id, err := one(f, "task id")
 	if err != nil {
@@ -235,7 +249,11 @@
 	if undo {
 		state = "accepting work"
 	}
-	return a.printf("%s: %s\n", worker, state)
+	result := map[string]string{"worker": worker, "state": state}
+	return a.print(result, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "%s: %s\n", worker, state)
+		return err
+	})
 }
 
 func (a *app) version(context.Context, *flag.FlagSet) error {
@@ -243,5 +261,12 @@
 	if info, ok := debug.ReadBuildInfo(); ok {
 		revision = info.Main.Version
 	}
-	return a.printf("geranium %s, configuration format %d\n", revision, config.Format)
+	result := struct {
+		Revision string `json:"revision"`
+		Format   int    `json:"configuration_format"`
+	}{revision, config.Format}
+	return a.print(result, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "geranium %s, configuration format %d\n", revision, config.Format)
+		return err
+	})
 }
--- a/cmd/geranium/config.go
+++ b/cmd/geranium/config.go
@@ -64,8 +64,18 @@
 	if err != nil {
 		return err
 	}
-	return a.printf("%s: %d domains, %d teams, %d services, %d jobs: no problems\n",
-		parsed.Deployment, len(parsed.Domains), len(parsed.Teams), len(parsed.Services), len(parsed.Jobs))
+	result := struct {
+		Deployment string `json:"deployment"`
+		Domains    int    `json:"domains"`
+		Teams      int    `json:"teams"`
+		Services   int    `json:"services"`
+		Jobs       int    `json:"jobs"`
+	}{parsed.Deployment, len(parsed.Domains), len(parsed.Teams), len(parsed.Services), len(parsed.Jobs)}
+	return a.print(result, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "%s: %d domains, %d teams, %d services, %d jobs: no problems\n",
+			result.Deployment, result.Domains, result.Teams, result.Services, result.Jobs)
+		return err
+	})
 }
 
 // inForce returns the configuration in force; version 0 has an empty one.
--- /dev/null
+++ b/e2e/tour_test.go
@@ -0,0 +1,155 @@
+package e2e_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Exit codes of geranium, as docs/operations.md lists them.
+const (
+	exitSuccess  = 0
+	exitFailure  = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitRefused  = 4
+	exitUnknown  = 5
+)
+
+// tour runs geranium against one fleet.
+type tour struct {
+	*WithT
+	f    *fleet
+	path string // a file with the example configuration
+}
+
+func newTour(t *testing.T) *tour {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), faultTimeout)
+	t.Cleanup(cancel)
+	g := NewWithT(t)
+	f, err := newFleet(t.TempDir(), smallLayout())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(f.killAll)
+	g.Expect(f.start(ctx)).To(Succeed())
+	document, err := exec.Command("go", "run", examplePath).Output()
+	g.Expect(err).NotTo(HaveOccurred())
+	path := filepath.Join(f.dir, "lichtdach.json")
+	g.Expect(os.WriteFile(path, document, 0o600)).To(Succeed())
+	return &tour{WithT: g, f: f, path: path}
+}
+
+// run runs one command, requires its exit code and returns its output.
+func (t *tour) run(code int, arguments ...string) string {
+	out, err := t.f.geranium([]byte(`{"team":"planning","job":"cutting-plan","payload":{"run_ms":200}}`), arguments...)
+	t.Expect(codeOf(err)).To(Equal(code), "geranium %v: %v", arguments, err)
+	return out
+}
+
+func codeOf(err error) int {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	if err != nil {
+		return -1
+	}
+	return exitSuccess
+}
+
+// both runs a command for people and with -json, whose output must be JSON.
+func (t *tour) both(arguments ...string) string {
+	out := t.run(exitSuccess, append([]string{"-json"}, arguments...)...)
+	t.Expect(json.Valid([]byte(out))).To(BeTrue(), "geranium -json %v: %s", arguments, out)
+	after := append([]string{arguments[0], "-json"}, arguments[1:]...)
+	t.Expect(json.Valid([]byte(t.run(exitSuccess, after...)))).To(BeTrue(), "geranium %v", after)
+	return t.run(exitSuccess, arguments...)
+}
+
+// Guards against a command of the tour that no longer works, prints no JSON for
+// programs, or ends with an exit code that is not the documented one.
+func TestTour(t *testing.T) {
+	t.Parallel()
+	tour := newTour(t)
+	tour.configuration()
+	tour.work()
+	tour.fleetCommands()
+	tour.exitCodes()
+}
+
+func (t *tour) configuration() {
+	t.Expect(t.both("check", t.path)).To(ContainSubstring("no problems"))
+	t.Eventually(func() int {
+		_, err := t.f.geranium(nil, "history")
+		return codeOf(err)
+	}).WithTimeout(readyTimeout).Should(Equal(exitSuccess))
+	t.Expect(t.both("diff", t.path)).To(ContainSubstring("job cutting-plan"))
+	t.Expect(t.run(exitSuccess, "apply", "-comment", "first configuration", "-base", "0", "-change", "tour", t.path)).
+		To(ContainSubstring("accepted as version 1"))
+	t.Expect(t.both("diff", t.path)).To(ContainSubstring("no change"))
+	t.Expect(t.both("history")).To(ContainSubstring("first configuration"))
+	t.Expect(t.both("show")).To(ContainSubstring("cutting-plan"))
+	t.Expect(t.run(exitSuccess, "rollback", "1")).To(ContainSubstring("accepted as version 2"))
+	t.Expect(t.run(exitSuccess, "rollback", "-json", "1")).To(ContainSubstring(`"version": 3`))
+	t.Expect(t.both("schema")).To(ContainSubstring("$schema"))
+	t.both("version")
+}
+
+func (t *tour) work() {
+	var id string
+	t.Eventually(func() error {
+		out, err := t.f.geranium([]byte(`{"team":"planning","job":"cutting-plan","payload":{"run_ms":200}}`), "submit", "-key", "plan-1", "-")
+		id = strings.TrimSpace(out)
+		return err
+	}).WithTimeout(readyTimeout).Should(Succeed())
+	t.Expect(t.both("submit", "-key", "plan-1", "-")).To(Equal(id + "\n"))
+	t.Expect(t.both("wait", id)).To(ContainSubstring(`"done"`))
+	t.Expect(t.both("explain", id)).To(ContainSubstring("placed"))
+	long, err := t.f.geranium([]byte(`{"team":"planning","job":"cutting-plan","payload":{"run_ms":60000}}`), "submit", "-key", "plan-2", "-")
+	t.Expect(err).NotTo(HaveOccurred())
+	t.run(exitFailure, "wait", "-timeout", "100ms", strings.TrimSpace(long))
+	t.both("cancel", strings.TrimSpace(long))
+	t.Expect(t.run(exitSuccess, "wait", "-timeout", "10s", strings.TrimSpace(long))).To(ContainSubstring(`"cancelled"`))
+}
+
+func (t *tour) fleetCommands() {
+	t.Expect(t.both("status")).To(ContainSubstring("active"))
+	worker := workerName(t.f.domains[0], 0)
+	t.Expect(t.both("status", "-workers")).To(ContainSubstring(worker))
+	t.Expect(t.both("drain", worker)).To(ContainSubstring("draining"))
+	t.Expect(t.both("drain", "-undo", worker)).To(ContainSubstring("accepting work"))
+	t.Eventually(func() string { return t.both("audit") }).WithTimeout(takeoverTime).
+		Should(And(ContainSubstring("first configuration"), ContainSubstring(worker)))
+}
+
+func (t *tour) exitCodes() {
+	t.run(exitUsage, "apply")
+	t.run(exitUsage, "no-such-command")
+	t.run(exitUsage, "status", "extra")
+	t.run(exitUsage, "show", "first")
+	t.run(exitUsage, "-gateways", "", "status")
+	t.run(exitFailure, "check", t.path+".missing")
+	t.run(exitFailure, "-gateways", t.f.ip+":1", "status")
+	t.run(exitFailure, "-gateways", t.f.ip+":1", "apply", "-base", "3", t.path)
+	t.run(exitConflict, "apply", "-base", "0", t.path)
+	t.run(exitRefused, "check", "-")
+	t.run(exitRefused, "show", "999")
+	t.run(exitRefused, "drain", "no-such-worker")
+	t.run(exitRefused, "wait", "no-such-task")
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer silent.Close()
+	lost := strings.TrimPrefix(silent.URL, "http://")
+	t.run(exitUnknown, "-gateways", lost, "apply", "-base", "3", t.path)
+	t.run(exitUnknown, "-gateways", lost+","+t.f.ip+":1", "submit", "-key", "plan-3", "-")
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -19,7 +20,11 @@
 	"geraniumwall/workerapi"
 )
 
-const callTimeout = 10 * time.Second
+const (
+	callTimeout = 10 * time.Second
+	// longestTaskPoll stays below the longest wait that a gateway accepts, 60 s.
+	longestTaskPoll = 50 * time.Second
+)
 
 // Client calls the gateways. A call that fails is repeated on the next gateway;
 // every call is idempotent, changes and tasks by their change id or key.
@@ -50,16 +55,43 @@
 	if len(c.Gateways) == 0 {
 		return ErrNoGateway
 	}
-	var last error
+	var last, unresolved error
 	for _, gateway := range c.Gateways {
 		last = c.send(ctx, gateway, r, out)
 		if last == nil || !worthAnother(last) {
 			return last
 		}
+		if r.method != http.MethodGet && mayHaveRun(last) {
+			unresolved = last
+		}
+	}
+	if unresolved != nil {
+		return &UnknownError{Err: unresolved}
 	}
 	return last
 }
 
+// UnknownError is a change that may have taken effect: a gateway may have carried
+// it out without an answer, and no later gateway resolved it.
+type UnknownError struct{ Err error }
+
+// Error returns the first cause and says that the outcome is unknown.
+func (e *UnknownError) Error() string { return "outcome unknown: " + e.Err.Error() }
+
+// Unwrap returns the failure that left the outcome open.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// mayHaveRun reports whether a failed call can have had an effect. Only a
+// connection that was never made and an answer not_run exclude it.
+func mayHaveRun(err error) bool {
+	var p *operatorapi.Problem
+	if errors.As(err, &p) {
+		return p.Outcome != string(workerapi.OutcomeNotRun)
+	}
+	var op *net.OpError
+	return !errors.As(err, &op) || op.Op != "dial"
+}
+
 func worthAnother(err error) bool {
 	var p *operatorapi.Problem
 	return !errors.As(err, &p) || p.Status >= http.StatusInternalServerError
@@ -192,8 +224,31 @@
 	return accepted.ID, err
 }
 
-// Task returns a task as JSON; with wait it waits until the task has ended.
+// Task returns a task as JSON; with wait it waits until the task has ended. A
+// longer wait than one call may take is split into several calls.
 func (c *Client) Task(ctx context.Context, id string, wait time.Duration) (json.RawMessage, error) {
+	for {
+		step := min(wait, longestTaskPoll)
+		wait -= step
+		task, err := c.pollTask(ctx, id, step)
+		if err != nil || wait <= 0 || Ended(task) {
+			return task, err
+		}
+	}
+}
+
+// Ended reports whether a task is in a final state.
+func Ended(task json.RawMessage) bool {
+	var view struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(task, &view) != nil {
+		return false
+	}
+	return view.State != "pending" && view.State != "bound"
+}
+
+func (c *Client) pollTask(ctx context.Context, id string, wait time.Duration) (json.RawMessage, error) {
 	var task json.RawMessage
 	query := url.Values{}
 	if wait > 0 {
--- /dev/null
+++ b/operator/client_test.go
@@ -0,0 +1,73 @@
+package operator_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/operator"
+)
+
+// longestWaitMS is what a gateway accepts in wait_ms.
+const longestWaitMS = 60_000
+
+func clientOf(handlers ...http.HandlerFunc) *operator.Client {
+	c := &operator.Client{Operator: "test", HTTP: &http.Client{}}
+	for _, h := range handlers {
+		server := httptest.NewServer(h)
+		DeferCleanup(server.Close)
+		c.Gateways = append(c.Gateways, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return c
+}
+
+func dropped(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func answered(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/problem+json")
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+var _ = Describe("Client", func() {
+	It("splits a wait that is longer than a gateway accepts", func(ctx context.Context) {
+		var waits []int
+		c := clientOf(func(w http.ResponseWriter, r *http.Request) {
+			ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+			waits = append(waits, ms)
+			state := "bound"
+			if len(waits) == 3 {
+				state = "done"
+			}
+			_, _ = w.Write([]byte(`{"state":"` + state + `"}`))
+		})
+		task, err := c.Task(ctx, "t1", 5*time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(task)).To(ContainSubstring("done"))
+		Expect(waits).To(HaveLen(3))
+		Expect(waits).To(HaveEach(BeNumerically("<=", longestWaitMS)))
+	})
+
+	It("keeps a change unknown when a later gateway only says that its own attempt did not run", func(ctx context.Context) {
+		c := clientOf(dropped, answered(http.StatusServiceUnavailable, `{"status":503,"outcome":"not_run"}`))
+		_, err := c.Apply(ctx, 1, "change", "", nil)
+		var unknown *operator.UnknownError
+		Expect(err).To(BeAssignableToTypeOf(unknown))
+	})
+
+	It("reports a refusal by a later gateway as final", func(ctx context.Context) {
+		c := clientOf(dropped, answered(http.StatusUnprocessableEntity, `{"status":422,"outcome":"not_run"}`))
+		_, err := c.Apply(ctx, 1, "change", "", nil)
+		var unknown *operator.UnknownError
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(BeAssignableToTypeOf(unknown))
+	})
+})
--- a/operator/diff.go
+++ b/operator/diff.go
@@ -21,7 +21,7 @@
 
 // Diff lists the differences from before to after by declared name.
 func Diff(before, after config.Config) []Change {
-	var changes []Change
+	changes := []Change{}
 	changes = append(changes, diffList("domain", asMap(before.Domains, self), asMap(after.Domains, self), domainEffect)...)
 	changes = append(changes, diffList("team", asMap(before.Teams, teamName), asMap(after.Teams, teamName), teamEffect)...)
 	changes = append(changes, diffList("service", asMap(before.Services, serviceName), asMap(after.Services, serviceName), serviceEffect)...)
