Verify and export the audit trail with geranium

geranium audit -verify walks the whole trail page by page and checks the hash chain with the rule of package state, also across the border of two pages. It names the first record that was edited or that follows a gap. A trail that was rewritten and hashed again, or cut at its end, has an intact chain; -anchor SEQUENCE:HASH of an earlier run detects both. -export prints the trail as JSON lines.

--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -162,9 +162,7 @@
 
 func (a *app) fleetCommands() []subcommands.Command {
 	var workers, undo bool
-	var after uint64
-	var limit int
-	var actor, action string
+	var auditing auditFlags
 	return []subcommands.Command{
 		&command{
 			app: a, name: "status", synopsis: "show replicas, domains, schedulers and leases",
@@ -179,19 +177,8 @@
 			run:   func(ctx context.Context, f *flag.FlagSet) error { return a.drain(ctx, f, undo) },
 		},
 		&command{
-			app: a, name: "audit", synopsis: "list who changed what, and the automatic decisions",
-			flags: func(f *flag.FlagSet) {
-				pageFlags(&after, &limit)(f)
-				f.StringVar(&actor, "actor", "", "only records of this actor")
-				f.StringVar(&action, "action", "", "only records of this action")
-			},
-			run: func(ctx context.Context, _ *flag.FlagSet) error {
-				records, err := a.client.Audit(ctx, after, limit, actor, action)
-				if err != nil {
-					return err
-				}
-				return a.print(records, func(w io.Writer) error { return operator.WriteAudit(w, records) })
-			},
+			app: a, name: "audit", synopsis: "list who changed what, and the automatic decisions", flags: auditing.set,
+			run: func(ctx context.Context, _ *flag.FlagSet) error { return a.audit(ctx, &auditing) },
 		},
 		&command{app: a, name: "version", synopsis: "print the version of this program", run: a.version},
 	}
