Say in geranium diff what running work a change concerns

The status counts tasks by state and by domain. diff gives these counts for a removed domain, and says "none" when every accepted task has ended. Tasks of a removed job or above a lowered quota are in no report, so diff says "not known" with the total instead of a guess.

Three declared effects were untrue and are corrected: a domain that is removed from the configuration still receives tasks while its schedulers hold their lease, since bindings follow the leases and not the configuration; tasks of a removed team run on without a quota; tasks of a removed job use the default number of attempts.

--- a/cmd/geranium/config.go
+++ b/cmd/geranium/config.go
@@ -102,6 +102,11 @@
 		return err
 	}
 	changes := operator.Diff(before, after)
+	status, err := a.client.Status(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintf(a.err, "geranium diff: no status, running work is not known: %v\n", err)
+	}
+	operator.RunningWorkOf(status).Annotate(changes, before, after)
 	return a.print(changes, func(w io.Writer) error { return operator.WriteDiff(w, changes) })
 }
 
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -9,10 +9,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"geraniumwall/config"
 )
 
 // Exit codes of geranium, as docs/operations.md lists them.
@@ -117,6 +120,7 @@
 	long, err := t.f.geranium([]byte(`{"team":"planning","job":"cutting-plan","payload":{"run_ms":60000}}`), "submit", "-key", "plan-2", "-")
 	t.Expect(err).NotTo(HaveOccurred())
 	t.run(exitFailure, "wait", "-timeout", "100ms", strings.TrimSpace(long))
+	t.Expect(t.both("diff", t.withoutJob("cutting-plan"))).To(MatchRegexp("of the job: not known; .* bound in all"))
 	t.both("cancel", strings.TrimSpace(long))
 	t.Expect(t.run(exitSuccess, "wait", "-timeout", "10s", strings.TrimSpace(long))).To(ContainSubstring(`"cancelled"`))
 }
@@ -153,3 +157,18 @@
 	t.run(exitUnknown, "-gateways", lost, "apply", "-base", "3", t.path)
 	t.run(exitUnknown, "-gateways", lost+","+t.f.ip+":1", "submit", "-key", "plan-3", "-")
 }
+
+// withoutJob writes the example configuration without a job.
+func (t *tour) withoutJob(job string) string {
+	document, err := os.ReadFile(t.path)
+	t.Expect(err).NotTo(HaveOccurred())
+	c, err := config.Parse(document)
+	t.Expect(err).NotTo(HaveOccurred())
+	c.Jobs = slices.DeleteFunc(c.Jobs, func(j config.Job) bool { return j.Name == job })
+	c.Apart = slices.DeleteFunc(c.Apart, func(p config.Pair) bool { return p.Job == job })
+	document, err = config.Marshal(c)
+	t.Expect(err).NotTo(HaveOccurred())
+	path := t.path + ".without"
+	t.Expect(os.WriteFile(path, document, 0o600)).To(Succeed())
+	return path
+}
--- a/operator/diff.go
+++ b/operator/diff.go
@@ -17,6 +17,8 @@
 	After  string `json:"after,omitempty"`
 	// Effect says what the change does to running work.
 	Effect string `json:"effect"`
+	// Running names the running work that it concerns, as far as it is known.
+	Running string `json:"running,omitempty"`
 }
 
 // Diff lists the differences from before to after by declared name.
@@ -43,16 +45,18 @@
 func pairName(p config.Pair) string       { return p.Service + "/" + p.Job }
 func text(v any) string                   { return fmt.Sprintf("%+v", v) }
 func domainEffect(added, removed bool) string {
-	return effect(added, removed, "tasks may be bound to it", "no task is bound to it any more", "")
+	return effect(added, removed, "tasks may name it; the quotas of all teams are divided by the new number of domains",
+		"new tasks that name it are refused; others may still be bound to it until its schedulers are stopped; quotas are divided anew", "")
 }
 func teamEffect(added, removed bool) string {
-	return effect(added, removed, "may submit tasks", "its new tasks are refused; accepted ones finish", "quota and weight apply to the next starts")
+	return effect(added, removed, "may submit tasks", "its new tasks are refused; accepted ones finish with weight 1 and no quota",
+		"quota and weight apply to the next starts; running tasks stay unless another team needs what they borrow; a waiting task above the whole quota cannot run")
 }
 func serviceEffect(added, removed bool) string {
 	return effect(added, removed, "requests are routed once workers announce it", "new requests are refused with 404", "applies to new requests; a larger size per slot may evict tasks")
 }
 func jobEffect(added, removed bool) string {
-	return effect(added, removed, "tasks may name it", "new tasks are refused; accepted ones finish", "applies to new tasks; accepted ones keep their size")
+	return effect(added, removed, "tasks may name it", "new tasks are refused; accepted ones finish with the default number of attempts", "applies to new tasks; accepted ones keep their size")
 }
 func apartEffect(added, removed bool) string {
 	return effect(added, removed, "new tasks of the job avoid the hosts; running ones stay", "new tasks of the job may share the hosts", "")
@@ -112,7 +116,7 @@
 	}
 	for _, c := range changes {
 		lines.WriteString(c.Place + "\n")
-		for _, line := range []struct{ mark, text string }{{"-", c.Before}, {"+", c.After}, {"=", c.Effect}} {
+		for _, line := range []struct{ mark, text string }{{"-", c.Before}, {"+", c.After}, {"=", c.Effect}, {"*", c.Running}} {
 			if line.text != "" {
 				lines.WriteString("  " + line.mark + " " + line.text + "\n")
 			}
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -12,6 +12,7 @@
 
 const (
 	tablePadding = 2
+	roleActive   = "active"
 	// seenRecently is above the long poll of a process that follows the configuration.
 	seenRecently = 15 * time.Second
 )
@@ -109,7 +110,7 @@
 func writeWorkers(w io.Writer, s operatorapi.Status) error {
 	var rows []string
 	for _, one := range s.Schedulers {
-		if one.Role != "active" {
+		if one.Role != roleActive {
 			continue
 		}
 		for _, k := range one.Workers {
