Replace a control replica with geranium replica

geranium replica add, promote and remove call ChangeMembers through any gateway.

The start now waits for a leader that says whether the replica has stored part of the log before.

--- a/cmd/geranium/app.go
+++ b/cmd/geranium/app.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -80,10 +81,7 @@
 
 // checkArguments refuses arguments that the subcommand would ignore.
 func (c *command) checkArguments(f *flag.FlagSet) error {
-	allowed := 0
-	if c.arguments != "" {
-		allowed = 1
-	}
+	allowed := len(strings.Fields(c.arguments))
 	if f.NArg() > allowed {
 		return &usageError{fmt.Sprintf("unexpected argument %q; flags go before arguments", f.Arg(allowed))}
 	}
--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -163,6 +163,7 @@
 func (a *app) fleetCommands() []subcommands.Command {
 	var workers, undo bool
 	var auditing auditFlags
+	var changing replicaFlags
 	return []subcommands.Command{
 		&command{
 			app: a, name: "status", synopsis: "show replicas, domains, schedulers and leases",
@@ -180,6 +181,11 @@
 			app: a, name: "audit", synopsis: "list who changed what, and the automatic decisions", flags: auditing.set,
 			run: func(ctx context.Context, _ *flag.FlagSet) error { return a.audit(ctx, &auditing) },
 		},
+		&command{
+			app: a, name: "replica", arguments: "add|promote|remove ID", synopsis: "change the membership of the control replicas",
+			flags: changing.set,
+			run:   func(ctx context.Context, f *flag.FlagSet) error { return a.replica(ctx, f, &changing) },
+		},
 		&command{app: a, name: "version", synopsis: "print the version of this program", run: a.version},
 	}
 }
--- a/control/forming.go
+++ b/control/forming.go
@@ -54,9 +54,6 @@
 // remembers this one: the leader says so, or so many others have an empty log
 // that every quorum includes one of them.
 func permitFirstStart(ctx context.Context, s Settings, log zerolog.Logger) error {
-	if !s.initial() {
-		return nil
-	}
 	needed := len(s.Replicas) - (len(s.Replicas)/2 + 1) + 1
 	httpClient := &http.Client{Timeout: formTimeout}
 	var logged time.Time
@@ -73,7 +70,9 @@
 				empty++
 			}
 		}
-		if empty >= needed || len(s.Replicas) == 1 {
+		// Empty logs say nothing of a replica that was added later: it is added by a
+		// leader, which alone can tell its first start from the loss of its disk.
+		if s.initial() && (empty >= needed || len(s.Replicas) == 1) {
 			return nil
 		}
 		if time.Since(logged) >= formLogging {
--- a/operator/client.go
+++ b/operator/client.go
@@ -212,6 +212,17 @@
 	return err
 }
 
+// ChangeReplica adds, promotes or removes a control replica and returns the members.
+func (c *Client) ChangeReplica(
+	ctx context.Context, change operatorapi.ReplicaChange, r operatorapi.Replica,
+) ([]operatorapi.Replica, error) {
+	var members []operatorapi.Replica
+	query := url.Values{"id": {strconv.FormatUint(r.ID, 10)}, "address": {r.Address}, "domain": {r.Domain}}
+	path := operatorapi.Prefix + "replica/" + string(change)
+	err := c.do(ctx, request{method: http.MethodPost, path: path, query: query}, &members)
+	return members, err
+}
+
 // Submit submits a task under an idempotency key and returns its id.
 func (c *Client) Submit(ctx context.Context, key string, document []byte) (string, error) {
 	var accepted struct {
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -107,6 +107,15 @@
 	return table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH", rows)
 }
 
+// WriteReplicas writes the control replicas as a table.
+func WriteReplicas(w io.Writer, replicas []operatorapi.Replica) error {
+	rows := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		rows = append(rows, row(r.ID, r.Domain, r.Address, r.Voter, r.MatchIndex))
+	}
+	return table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH", rows)
+}
+
 func writeWorkers(w io.Writer, s operatorapi.Status) error {
 	var rows []string
 	for _, one := range s.Schedulers {
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -66,6 +66,7 @@
 	mux.HandleFunc("GET "+Prefix+"status", s.status)
 	mux.HandleFunc("GET "+Prefix+"explain/{subject}", s.explain)
 	mux.HandleFunc("POST "+Prefix+"drain/{worker}", s.drain)
+	mux.HandleFunc("POST "+Prefix+"replica/{change}", s.changeReplica)
 	return mux
 }
 
