Let the fake replicas of the first-start test answer under their own ids

Cause: the test's fake replica 3 answered with the id of replica 2. Since the fix for a former leader without its disk, only an answer that a replica gives about itself counts as an empty log, so the fixture no longer described a real first start and the test failed.

Change: each fake answers under its own id; the checks are unchanged.

Result: the three first-start tests pass.

--- a/control/service_test.go
+++ b/control/service_test.go
@@ -249,7 +249,7 @@
 			{1, "127.0.0.1:1", "a"}, {2, answering(two), "b"}, {3, answering(three), "c"},
 		}}, zerolog.Nop())
 	}
-	empty := &controlpb.StatusResponse{Replica: 2}
+	empty := func(id uint64) *controlpb.StatusResponse { return &controlpb.StatusResponse{Replica: id} }
 	member := func(id, match uint64, joined bool) *controlpb.ReplicaStatus {
 		return &controlpb.ReplicaStatus{Id: id, MatchIndex: match, Joined: joined}
 	}
@@ -260,12 +260,12 @@
 		leader := &controlpb.StatusResponse{Replica: 2, Leader: 2, Replicas: []*controlpb.ReplicaStatus{
 			member(1, 5, true), member(2, 9, true),
 		}}
-		Expect(permit(leader, empty)).To(MatchError(errDiskLost))
+		Expect(permit(leader, empty(3))).To(MatchError(errDiskLost))
 	})
 
 	// Guards against a cluster that can't be started for the first time.
 	It("is permitted by empty replicas or a leader that does not know it", func() {
-		Expect(permit(empty, empty)).To(Succeed())
+		Expect(permit(empty(2), empty(3))).To(Succeed())
 		leader := &controlpb.StatusResponse{Replica: 2, Leader: 2, Replicas: []*controlpb.ReplicaStatus{
 			member(1, 0, false), member(2, 9, true),
 		}}
@@ -276,7 +276,7 @@
 	// Guards against a start on the word of replicas that may not know it yet.
 	It("waits while the others have a log and no leader", func() {
 		follower := &controlpb.StatusResponse{Replica: 2, Replicas: []*controlpb.ReplicaStatus{member(2, 4, true), member(1, 0, false)}}
-		Expect(permit(follower, empty)).To(MatchError(context.DeadlineExceeded))
+		Expect(permit(follower, empty(3))).To(MatchError(context.DeadlineExceeded))
 	})
 })
 
