Test the lease guards whose removal nothing noticed

Cause: of the deliberate breaks four went unnoticed: a standby that grants to a scheduler of an earlier epoch, an active scheduler that takes a lease from another than its standby or keeps that of a former one, and a scheduler that starts tasks without its leases.

--- /dev/null
+++ b/scheduler/authority_test.go
@@ -0,0 +1,25 @@
+package scheduler
+
+import (
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("A scheduler whose leases are over", func() {
+	// Guards against starts and renewals by a scheduler that was cut off or frozen
+	// and may have been replaced.
+	ginkgo.It("starts nothing and renews nothing until they are renewed", func() {
+		c := activeCore(1)
+		c.SyncTasks(2010*ms, 1, []BoundTask{newTask("a")}, false)
+		over := 4000 * ms
+		answer, err := c.Heartbeat(over, beat("w0000", 2))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Renew).To(BeEmpty())
+		c.Tick(over)
+		Expect(actionsOf[SendStart](c)).To(BeEmpty())
+
+		renewLeases(c, over)
+		c.Tick(over + 50*ms)
+		Expect(actionsOf[SendStart](c)).To(HaveLen(1))
+	})
+})
