--- a/operator/client.go
+++ b/operator/client.go
@@ -132,6 +132,10 @@
 		if p.Status == 0 {
 			p.Status = answer.StatusCode
 		}
+		if answer.Request.Method == http.MethodGet && p.Outcome == string(workerapi.OutcomeUnknown) {
+			// A read has no effect that could be unknown.
+			p.Outcome = ""
+		}
 		return p
 	}
 	if raw, ok := out.(*json.RawMessage); ok {
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"geraniumwall/operator"
+	"geraniumwall/operatorapi"
 )
 
 // longestWaitMS is what a gateway accepts in wait_ms.
@@ -63,6 +65,13 @@
 		Expect(err).To(BeAssignableToTypeOf(unknown))
 	})
 
+	It("calls no read unknown, since it has no effect", func(ctx context.Context) {
+		_, err := clientOf(answered(http.StatusServiceUnavailable, `{"outcome":"unknown"}`)).History(ctx, 0, 1)
+		var p *operatorapi.Problem
+		Expect(errors.As(err, &p)).To(BeTrue())
+		Expect(p.Outcome).To(BeEmpty())
+	})
+
 	It("reports a refusal by a later gateway as final", func(ctx context.Context) {
 		c := clientOf(dropped, answered(http.StatusUnprocessableEntity, `{"status":422,"outcome":"not_run"}`))
 		_, err := c.Apply(ctx, 1, "change", "", nil)
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"geraniumwall/operatorapi"
+	"geraniumwall/rpc/controlpb"
 )
 
 const (
 	tablePadding = 2
 	roleActive   = "active"
+	kindGateway  = "gateway"
 	// seenRecently is above the long poll of a process that follows the configuration.
 	seenRecently = 15 * time.Second
 )
@@ -104,7 +106,22 @@
 	for _, r := range c.GetReplicas() {
 		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex()))
 	}
-	return table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH", rows)
+	if err := table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH", rows); err != nil {
+		return err
+	}
+	return writeGateways(w, c.GetProcesses())
+}
+
+// writeGateways writes when each gateway was last heard of. A gateway that stopped
+// stays in the list until the control replicas forget it.
+func writeGateways(w io.Writer, processes []*controlpb.ProcessStatus) error {
+	var rows []string
+	for _, p := range processes {
+		if p.GetKind() == kindGateway {
+			rows = append(rows, row(p.GetDomain(), p.GetProcess(), p.GetConfigVersion(), p.GetSeenMsAgo()))
+		}
+	}
+	return table(w, "DOMAIN\tGATEWAY\tCONFIG\tSEEN_MS", rows)
 }
 
 // WriteReplicas writes the control replicas as a table.
