Complete geranium commands in bash

geranium completion prints a script with the names of the commands and the flags of each, taken from the registered commands. The tour's test runs it in bash.

--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -186,6 +186,7 @@
 			flags: changing.set,
 			run:   func(ctx context.Context, f *flag.FlagSet) error { return a.replica(ctx, f, &changing) },
 		},
+		&command{app: a, name: "completion", synopsis: "print the completion script for bash", run: a.completion},
 		&command{app: a, name: "version", synopsis: "print the version of this program", run: a.version},
 	}
 }
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -105,6 +105,7 @@
 	t.Expect(t.run(exitSuccess, "rollback", "-json", "1")).To(ContainSubstring(`"version": 3`))
 	t.Expect(t.both("schema")).To(ContainSubstring("$schema"))
 	t.both("version")
+	t.completion()
 }
 
 func (t *tour) work() {
@@ -172,3 +173,18 @@
 	t.Expect(os.WriteFile(path, document, 0o600)).To(Succeed())
 	return path
 }
+
+// completion checks in bash that the script completes a command and a flag.
+func (t *tour) completion() {
+	path := filepath.Join(t.f.dir, "completion.bash")
+	t.Expect(os.WriteFile(path, []byte(t.run(exitSuccess, "completion")), 0o600)).To(Succeed())
+	complete := func(words string) string {
+		script := `source "$0"; COMP_WORDS=(geranium ` + words + `); COMP_CWORD=$((${#COMP_WORDS[@]}-1)); _geranium; echo "${COMPREPLY[@]}"`
+		out, err := exec.Command("bash", "-c", script, path).Output()
+		t.Expect(err).NotTo(HaveOccurred())
+		return strings.TrimSpace(string(out))
+	}
+	t.Expect(complete("rol")).To(Equal("rollback"))
+	t.Expect(complete("-json audit -ver")).To(Equal("-verify"))
+	t.Expect(complete("replica pro")).To(Equal("promote"))
+}
