Start benchmark replicas from a test instead of a command

Cause: the benchmark of the control replicas was a command that started processes; a program of the product starts none.

Change: the measurements are package controlbench, which is given the processes; only its test, under the build tag bench, starts geranium-control. make bench runs it after the gateway's.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	if [ -n "$$unformatted" ]; then echo "run gofmt -w on: $$unformatted"; exit 1; fi
 
 vet:
-	go vet ./...
+	go vet ./... && go vet -tags "bench capacity" ./e2e ./controlbench
 
 lint:
 	go run $(GOLANGCI) run ./...
@@ -34,6 +34,7 @@
 
 bench: build
 	GERANIUM_BIN=$(CURDIR)/$(BIN) scripts/bench.sh
+	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags bench -count=1 -timeout 600s -v ./controlbench | grep -v -e "^===" -e "^---" -e "^PASS"
 
 experiments:
 	go run ./cmd/geranium-experiments
--- a/cmd/geranium-bench-control/cluster.go
+++ b/controlbench/cluster.go
@@ -1,4 +1,4 @@
-package main
+package controlbench
 
 import (
 	"bufio"
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -29,18 +28,18 @@
 
 // cluster is three replica processes.
 type cluster struct {
-	binary   string
-	settings []string
-	address  []string
-	metrics  []string
-	process  []*exec.Cmd
-	client   *client.Client
-	http     *http.Client
+	processes Processes
+	running   [replicas]bool
+	settings  []string
+	address   []string
+	metrics   []string
+	client    *client.Client
+	http      *http.Client
 }
 
 // startCluster starts the replicas on free ports and waits for a leader.
-func startCluster(binary, dir string) (*cluster, error) {
-	c := &cluster{binary: binary, process: make([]*exec.Cmd, replicas)}
+func startCluster(p Processes, dir string) (*cluster, error) {
+	c := &cluster{processes: p}
 	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * rateClients}}
 	var members []control.ReplicaAddress
 	for i := range replicas {
@@ -87,22 +86,18 @@
 }
 
 func (c *cluster) start(i int) error {
-	c.process[i] = exec.Command(c.binary, "-settings", c.settings[i]) //nolint:gosec,noctx // the operator's own argument
-	return c.process[i].Start()
+	c.running[i] = true
+	return c.processes.Start(i, c.settings[i])
 }
 
-// kill ends a replica without notice.
 func (c *cluster) kill(i int) error {
-	if err := c.process[i].Process.Kill(); err != nil {
-		return err
-	}
-	_ = c.process[i].Wait()
-	return nil
+	c.running[i] = false
+	return c.processes.Kill(i)
 }
 
 func (c *cluster) stop() {
-	for i := range c.process {
-		if c.process[i] != nil {
+	for i, running := range c.running {
+		if running {
 			_ = c.kill(i)
 		}
 	}
@@ -137,7 +132,7 @@
 func (c *cluster) usage() (usage, error) {
 	var u usage
 	for i := range replicas {
-		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.process[i].Process.Pid))
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.processes.PID(i)))
 		if err != nil {
 			return u, err
 		}
