Wait for processes that were heard of in the last 20 s

A live gateway was last seen 15.1 s ago after a partition, so the limit of 15 s could leave it out when apply waits until a version is in force everywhere.

--- a/operator/tables.go
+++ b/operator/tables.go
@@ -15,8 +15,10 @@
 	tablePadding = 2
 	roleActive   = "active"
 	kindGateway  = "gateway"
-	// seenRecently is above the long poll of a process that follows the configuration.
-	seenRecently = 15 * time.Second
+	// seenRecently is above the long poll of 10 s of a process that follows the
+	// configuration, with the time until the leader hears of it: a live gateway was
+	// last seen 15.1 s ago after a partition.
+	seenRecently = 20 * time.Second
 )
 
 // table writes rows in aligned columns.
