Follow the leader to a replica that no settings name

Cause: TestSecondLossAfterRepair failed in the whole suite: the replica that had replaced a lost one became leader at an address of its own. The others named it, but the clients in gateways and schedulers ignored a leader that was not in their settings, so no durable work was possible any more. It had passed before because another replica had won the election.

Ruled out: a lost quorum (the log committed), and the membership change.

Change: the control client calls whichever address a replica names as leader. It also keeps to the known leader after the first attempt; until now only the first attempt of a call used it. The engine no longer stores a placement's decision that the applier notes as well, which showed each start twice in geranium explain.

--- a/control/client/client.go
+++ b/control/client/client.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,21 +58,29 @@
 // Client is safe for concurrent use.
 type Client struct {
 	addresses []string
-	stubs     map[string]controlpb.Control
+	http      *http.Client
+	stubs     sync.Map     // address to controlpb.Control
 	leader    atomic.Value // string: address of the last known leader
 	next      atomic.Uint64
 }
 
 // New returns a client of the replicas at the addresses, each host:port.
 func New(addresses []string, httpClient *http.Client) *Client {
-	c := &Client{addresses: addresses, stubs: map[string]controlpb.Control{}}
-	for _, a := range addresses {
-		c.stubs[a] = controlpb.NewControlProtobufClient("http://"+a, httpClient)
-	}
+	c := &Client{addresses: addresses, http: httpClient}
 	c.leader.Store("")
 	return c
 }
 
+// stub returns the stub of a replica. The address may be one that another replica
+// named as leader: a replica that was added later is in no settings.
+func (c *Client) stub(address string) controlpb.Control {
+	if known, ok := c.stubs.Load(address); ok {
+		return known.(controlpb.Control)
+	}
+	made, _ := c.stubs.LoadOrStore(address, controlpb.NewControlProtobufClient("http://"+address, c.http))
+	return made.(controlpb.Control)
+}
+
 // Call runs f against the leader and retries on other replicas until it succeeds,
 // fails for a reason that is not about the replica, or ctx is over. Every method
 // of Control is idempotent under its key, so a retry is safe. extra is added to
@@ -82,9 +92,9 @@
 	var none R
 	outcome := workerapi.OutcomeNotRun
 	for attempt := 0; ; attempt++ {
-		address := c.target(attempt)
+		address := c.target()
 		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
-		answer, err := f(c.stubs[address], bounded, request)
+		answer, err := f(c.stub(address), bounded, request)
 		cancel()
 		if err == nil {
 			c.leader.Store(address)
@@ -116,7 +126,7 @@
 	for range c.addresses {
 		address := c.addresses[int(c.next.Add(1))%len(c.addresses)]
 		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
-		answer, err := f(c.stubs[address], bounded, request)
+		answer, err := f(c.stub(address), bounded, request)
 		cancel()
 		if err == nil {
 			return answer, nil
@@ -126,8 +136,10 @@
 	return none, fmt.Errorf("no control replica answered: %w", last)
 }
 
-func (c *Client) target(attempt int) string {
-	if hint := c.leader.Load().(string); hint != "" && attempt == 0 {
+// target returns the last known leader, or the next replica if there is none; a
+// failed attempt forgets the leader.
+func (c *Client) target() string {
+	if hint := c.leader.Load().(string); hint != "" {
 		return hint
 	}
 	return c.addresses[int(c.next.Add(1))%len(c.addresses)]
@@ -146,15 +158,18 @@
 	default:
 		return false
 	}
-	hint := te.Meta(MetaLeader)
-	if _, known := c.stubs[hint]; known && hint != address {
+	c.forget(address)
+	if hint := te.Meta(MetaLeader); hint != address && isAddress(hint) {
 		c.leader.Store(hint)
-	} else {
-		c.forget(address)
 	}
 	return true
 }
 
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
 func (c *Client) forget(address string) { c.leader.CompareAndSwap(address, "") }
 
 // mayHaveRun reports whether a failed attempt can have had an effect.
--- a/policy/engine/next.go
+++ b/policy/engine/next.go
@@ -153,7 +153,6 @@
 	if c.Borrowed {
 		d.Reason += ", on borrowed quota"
 	}
-	e.explain(d)
 	return policy.Placement{Task: c.ID, Worker: choice.Host.ID, Size: c.Need, Decision: d}
 }
 
