Wait for the first appointment in the metrics test

Cause: TestMetricsOfEachProcess failed 2 of 4 times: it read the lease age from the leader before any scheduler had been appointed, when there is none.

Change: it waits for the metric within the same limit as for the others.

--- a/e2e/metrics_test.go
+++ b/e2e/metrics_test.go
@@ -36,7 +36,12 @@
 			inForce(schedulerName(domain, i), "scheduler_config_version")
 		}
 	}
-	leader, err := tour.f.leader(t.Context())
-	tour.Expect(err).NotTo(HaveOccurred())
-	tour.Expect(scrape(leader.name)).To(ContainSubstring("control_lease_age_seconds{"))
+	// The age appears with the first appointment, and the leader may still change.
+	tour.Eventually(func() string {
+		leader, err := tour.f.leader(t.Context())
+		if err != nil {
+			return err.Error()
+		}
+		return scrape(leader.name)
+	}).WithTimeout(readyTimeout).Should(ContainSubstring("control_lease_age_seconds{"))
 }
