Bind no task to a domain that the configuration no longer declares

Cause: an operator who takes a domain out of the configuration still got tasks bound to it while its schedulers held their leases; found by reading.

Ruled out: refusing the schedulers' leases at once, since the tasks that run there must end or move in their own time.

Change: the binder leaves out undeclared domains; without a configuration nothing changes.

Result: the new test fails without the check and passes with it; the control suite passes.

--- a/control/binder_test.go
+++ b/control/binder_test.go
@@ -6,8 +6,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"geraniumwall/config"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/settings"
+	"geraniumwall/state"
+	"geraniumwall/state/statepb"
 )
 
 func room(cpu int64) *controlpb.Resources {
@@ -93,3 +96,31 @@
 		Expect(layout(true, "a")).To(Succeed())
 	})
 })
+
+var _ = Describe("the domains that get tasks", func() {
+	// Guards against tasks that go on being bound to a domain which an operator has
+	// taken out of the configuration.
+	It("are those that the configuration declares", func() {
+		m := state.New()
+		for i, domain := range []string{"a", "b"} {
+			_, err := m.Apply(uint64(i+1), &statepb.Command{Kind: &statepb.Command_Appoint{
+				Appoint: &statepb.Appoint{Domain: domain, Scheduler: "s-" + domain},
+			}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		l := newLeadership(1, 0, m)
+		for _, domain := range []string{"a", "b"} {
+			v := l.domain(domain)
+			v.grantor.Renew(0)
+			v.load = &controlpb.DomainLoad{Workers: 1}
+		}
+		names := func(declared *config.Config) (list []string) {
+			for _, g := range l.targets(0, m, declared) {
+				list = append(list, g.domain)
+			}
+			return list
+		}
+		Expect(names(nil)).To(ConsistOf("a", "b"))
+		Expect(names(&config.Config{Domains: []string{"b"}})).To(ConsistOf("b"))
+	})
+})
--- a/control/duties.go
+++ b/control/duties.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"geraniumwall/config"
 	"geraniumwall/lease"
 	"geraniumwall/state"
 	"geraniumwall/state/statepb"
@@ -27,7 +29,7 @@
 	if lead.binding || r.machine.PendingCount() == 0 {
 		return
 	}
-	targets := lead.targets(now, r.machine)
+	targets := lead.targets(now, r.machine, r.config.load().parsed)
 	if len(targets) == 0 {
 		return
 	}
@@ -42,11 +44,16 @@
 
 // targets returns the domains whose active scheduler holds its lease and has
 // reported its load lately, in order of name.
-func (l *leadership) targets(now time.Duration, m *state.Machine) []*target {
+//
+// A domain that the configuration no longer declares gets no further tasks.
+func (l *leadership) targets(now time.Duration, m *state.Machine, declared *config.Config) []*target {
 	var targets []*target
 	for _, d := range m.Domains() {
 		v := l.domain(d.GetDomain())
 		present := d.GetActive() != "" && !v.grantor.SchedulerOver(now) && !v.grantor.Changing()
+		if declared != nil && !slices.Contains(declared.Domains, d.GetDomain()) {
+			continue
+		}
 		if !present || v.load == nil || now-v.loadSeen > loadFresh || v.load.GetWorkers() == 0 {
 			continue
 		}
