Use the field's terms in a few names and comments

Cause: a read-through as a newcomer found names that explain nothing (promises, guilty) and two figurative comments.

Change: renamed, reworded; no behaviour changed.

--- a/policy/health/health.go
+++ b/policy/health/health.go
@@ -245,8 +245,8 @@
 
 func (t *Tracker) judge(now time.Duration, id string, w *worker) {
 	blame := t.blame(w, id, now)
-	guilty := blame >= quarantineBlame || (w.probing && blame >= probeBlame)
-	if !t.enabled || !guilty {
+	faulty := blame >= quarantineBlame || (w.probing && blame >= probeBlame)
+	if !t.enabled || !faulty {
 		return
 	}
 	if !w.probing && (t.fleetAtFault(now) || t.quarantinedFull()) {
--- a/raft/message.go
+++ b/raft/message.go
@@ -65,9 +65,9 @@
 	return false
 }
 
-// promises reports whether the message tells others about something that the
+// dependsOnWrite reports whether the message tells others about something that the
 // sender must still know after a crash.
-func (m Message) promises() bool {
+func (m Message) dependsOnWrite() bool {
 	switch m.Type {
 	case MessageVote, MessageVoteResponse, MessageAppendResponse, MessageSnapshotResponse:
 		return true
--- a/raft/node.go
+++ b/raft/node.go
@@ -186,7 +186,7 @@
 		m.Term = n.hard.Term
 	}
 	assert(m.To != n.config.ID, "message of type %d to itself", m.Type)
-	if m.promises() || n.voteUnsaved() {
+	if m.dependsOnWrite() || n.voteUnsaved() {
 		n.deferred = append(n.deferred, m)
 		return
 	}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -219,7 +219,7 @@
 func (c *Core) lost(now time.Duration, t *task) {
 	w := t.on
 	c.releaseAttempt(now, t, policy.EndLost)
-	c.note(now, Decision{Subject: t.ID, Kind: "lost", Reason: "its lease is over without a word from the worker", Worker: w.id})
+	c.note(now, Decision{Subject: t.ID, Kind: "lost", Reason: "the lease ended without a report from the worker", Worker: w.id})
 	if !t.cancel && !t.left {
 		c.reports.add(Report{
 			Task: t.ID, Kind: ReportEvicted, Attempt: t.attempt, Worker: w.id,
--- a/scheduler/authority.go
+++ b/scheduler/authority.go
@@ -150,7 +150,7 @@
 	return PeerGrant{Granted: granted, Epoch: a.leases.Epoch(), Role: a.role()}
 }
 
-// advanceRole makes an appointed scheduler active once its own promise is over
+// advanceRole makes an appointed scheduler active once the lease that it granted is over
 // and while the leases of the appointment are valid.
 func (c *Core) advanceRole(now time.Duration) {
 	a := &c.authority
