Run the killed-replica test wherever the binaries are built

Cause: TestKilledReplicas skipped itself without GERANIUM_BIN, so a run that lost the variable would have passed without it.

Change: it uses bin/ of the repository by default and fails if the binary is missing, with the remedy.

--- a/cmd/geranium-control/main_test.go
+++ b/cmd/geranium-control/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,11 +23,9 @@
 // TestKilledReplicas guards against accepted work that is lost, or a service that
 // stays away, when any one replica is killed and restarted.
 func TestKilledReplicas(t *testing.T) {
-	binary := filepath.Join(os.Getenv("GERANIUM_BIN"), "geranium-control")
-	if os.Getenv("GERANIUM_BIN") == "" {
-		t.Skip("GERANIUM_BIN is not set; run make unit")
-	}
 	g := NewWithT(t)
+	binary := filepath.Join(cmp.Or(os.Getenv("GERANIUM_BIN"), filepath.Join("..", "..", "bin")), "geranium-control")
+	g.Expect(binary).To(BeAnExistingFile(), "run make build first")
 	dir := t.TempDir()
 	var members []control.ReplicaAddress
 	var addresses []string
