Ask the listed control replicas before an unlisted leader

Cause: TestDomainCutOff failed once after clients began to follow a leader that is not in their settings: a hold inside the domain that was cut off was answered done. Before the cut the gateway had learned the leader under the address that another domain uses for it, which in the test is a relay on a link that was not cut. On real hosts an address is the same for everybody; still, the configured addresses are how a process is meant to reach the replicas.

Ruled out: a commit without a quorum (the leader outside had one and recorded the hold).

Change: an unlisted leader is followed only after a whole round in which no listed replica led.

--- a/control/client/client.go
+++ b/control/client/client.go
@@ -3,11 +3,13 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,6 +93,7 @@
 ) (R, error) {
 	var none R
 	outcome := workerapi.OutcomeNotRun
+	unlisted := ""
 	for attempt := 0; ; attempt++ {
 		address := c.target()
 		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
@@ -103,10 +106,13 @@
 		if mayHaveRun(err) {
 			outcome = workerapi.OutcomeUnknown
 		}
-		if !c.learn(address, err) {
+		named, again := c.learn(address, err)
+		if !again {
 			return none, &Error{Method: method, Outcome: outcome, Err: err}
 		}
+		unlisted = cmp.Or(named, unlisted)
 		if attempt%len(c.addresses) == len(c.addresses)-1 {
+			c.follow(&unlisted)
 			pause(ctx, retryPause)
 		}
 		if ctx.Err() != nil {
@@ -146,23 +152,36 @@
 }
 
 // learn updates the leader after a failed attempt and reports whether another
-// attempt can help.
-func (c *Client) learn(address string, err error) bool {
+// attempt can help. A named leader that is not among the addresses is returned.
+func (c *Client) learn(address string, err error) (unlisted string, again bool) {
+	c.forget(address)
 	var te twirp.Error
 	if !errors.As(err, &te) {
-		c.forget(address)
-		return true
+		return "", true
 	}
 	switch te.Code() {
 	case twirp.Unavailable, twirp.DeadlineExceeded, twirp.Internal, twirp.Canceled, twirp.BadRoute, twirp.Unknown:
 	default:
-		return false
+		return "", false
 	}
-	c.forget(address)
-	if hint := te.Meta(MetaLeader); hint != address && isAddress(hint) {
+	hint := te.Meta(MetaLeader)
+	switch {
+	case hint == address || !isAddress(hint):
+		return "", true
+	case slices.Contains(c.addresses, hint):
 		c.leader.Store(hint)
+		return "", true
+	}
+	return hint, true
+}
+
+// follow makes an unlisted replica the known leader after a round in which none
+// of the listed ones led. The listed addresses come first, since they are how this
+// process reaches the replicas.
+func (c *Client) follow(unlisted *string) {
+	if *unlisted != "" && c.leader.CompareAndSwap("", *unlisted) {
+		*unlisted = ""
 	}
-	return true
 }
 
 func isAddress(text string) bool {
