Check the commanded attempt of the stand-in worker in one place

Cause: a read of the whole change found that throttle and checkpoint repeat the same fencing and the same search for the running attempt.

Ruled out: merging start and stop into it, which must act on attempts that do not run.

Change: one function returns the attempt or the reason to refuse; the answers are the same.

--- a/fakeworker/machine/command.go
+++ b/fakeworker/machine/command.go
@@ -155,16 +155,26 @@
 	return workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: a.report}
 }
 
+// commanded returns the running attempt that a command names, or the reason to
+// refuse the command.
+func (m *Machine) commanded(session, epoch uint64, id string, number workerapi.Attempt) (*attempt, string) {
+	if reason := m.fenced(session, epoch); reason != "" {
+		return nil, reason
+	}
+	a := m.tasks[id]
+	if a == nil || !a.running() || a.report.Attempt != number {
+		return nil, "the attempt does not run here"
+	}
+	return a, ""
+}
+
 // Throttle sets the processor share of a running attempt.
 func (m *Machine) Throttle(now time.Duration, c *workerapi.Throttle) workerapi.CommandAnswer {
 	m.expireLeases(now)
-	if reason := m.fenced(c.Session, c.Epoch); reason != "" {
+	a, reason := m.commanded(c.Session, c.Epoch, c.ID, c.Attempt)
+	if reason != "" {
 		return notRun(reason)
 	}
-	a := m.tasks[c.ID]
-	if a == nil || !a.running() || a.report.Attempt != c.Attempt {
-		return notRun("the attempt does not run here")
-	}
 	if !(c.Share > 0 && c.Share <= 1) {
 		return notRun("the share is not above 0 and at most 1")
 	}
@@ -176,13 +186,10 @@
 // Checkpoint saves the progress of a running attempt.
 func (m *Machine) Checkpoint(now time.Duration, c *workerapi.Stop) workerapi.CommandAnswer {
 	m.expireLeases(now)
-	if reason := m.fenced(c.Session, c.Epoch); reason != "" {
+	a, reason := m.commanded(c.Session, c.Epoch, c.ID, c.Attempt)
+	if reason != "" {
 		return notRun(reason)
 	}
-	a := m.tasks[c.ID]
-	if a == nil || !a.running() || a.report.Attempt != c.Attempt {
-		return notRun("the attempt does not run here")
-	}
 	a.save()
 	a.refresh()
 	return workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: a.report}
