Refuse a submission definitely within 2 s without a quorum

Cause: a batch of submissions looked for a leader for 5 s, which is also the caller's default deadline, so the caller gave up first and the outcome was unknown. Submissions behind the two batches in progress waited as long. A dial that outlasted its attempt (a silent cut) also counted as sent, since net/http reports it as a timeout of the request.

The search for a leader now ends after 2 s or three quarters of the caller's deadline as long as no replica can have the proposal. A submission that no batch took by then is withdrawn. A trace of the attempt tells a dial that never ended from a request that was sent. geranium shortens the deadline at the gateways after the first that refused.

Ruled out: a shorter timeout of the whole batch, which would turn slow commits into unknown outcomes. Once a replica may have the proposal, the batch still goes on to its deadline.

--- a/control/client/client.go
+++ b/control/client/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -35,6 +36,8 @@
 	attemptTimeout = time.Second
 	// retryPause separates rounds over all replicas while there is no leader.
 	retryPause = 50 * time.Millisecond
+	// noPatience leaves only the context to end a call.
+	noPatience = time.Duration(math.MaxInt64)
 )
 
 // Error is a failed call. Outcome is not_run if no replica can have recorded
@@ -90,20 +93,39 @@
 func Call[Q, R any](
 	ctx context.Context, c *Client, method string, extra time.Duration,
 	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
+) (R, error) {
+	return call(ctx, c, method, extra, noPatience, f, request)
+}
+
+// CallWithin is Call that ends after patience as long as no replica can have
+// recorded anything. Once one may have, it goes on until ctx is over, since only
+// another answer can resolve the outcome. Every replica is asked at least once.
+func CallWithin[Q, R any](
+	ctx context.Context, c *Client, method string, patience time.Duration,
+	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
+) (R, error) {
+	return call(ctx, c, method, 0, patience, f, request)
+}
+
+func call[Q, R any](
+	ctx context.Context, c *Client, method string, extra, patience time.Duration,
+	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
 ) (R, error) {
 	var none R
 	outcome := workerapi.OutcomeNotRun
 	unlisted := ""
+	began := time.Now()
 	for attempt := 0; ; attempt++ {
 		address := c.target()
 		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
-		answer, err := f(c.stub(address), bounded, request)
+		traced, t := trace(bounded)
+		answer, err := f(c.stub(address), traced, request)
 		cancel()
 		if err == nil {
 			c.leader.Store(address)
 			return answer, nil
 		}
-		if mayHaveRun(err) {
+		if mayHaveRun(err) && !t.neverSent() {
 			outcome = workerapi.OutcomeUnknown
 		}
 		named, again := c.learn(address, err)
@@ -113,6 +135,9 @@
 		unlisted = cmp.Or(named, unlisted)
 		if attempt%len(c.addresses) == len(c.addresses)-1 {
 			c.follow(&unlisted)
+			if outcome == workerapi.OutcomeNotRun && time.Since(began) >= patience {
+				return none, &Error{Method: method, Outcome: outcome, Err: err}
+			}
 			pause(ctx, retryPause)
 		}
 		if ctx.Err() != nil {
--- a/control/client/client_test.go
+++ b/control/client/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +14,7 @@
 	"github.com/twitchtv/twirp"
 
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/workerapi"
 )
 
 // replica answers Status as the leader, or names the leader.
@@ -56,3 +59,34 @@
 	g.Expect(added.calls).To(Equal(3))
 	g.Expect(follower.calls).To(Equal(asked), "the leader is remembered")
 }
+
+// TestNeverSent guards against an unknown outcome where nothing was sent: the dial
+// to a replica behind a silent cut lasts as long as the attempt.
+func TestNeverSent(t *testing.T) {
+	g := NewWithT(t)
+	silent := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c := New([]string{"127.0.0.1:1"}, &http.Client{Transport: &http.Transport{DialContext: silent}})
+	_, err := CallWithin(t.Context(), c, "Status", 0, controlpb.Control.Status, &controlpb.StatusRequest{})
+	var failed *Error
+	g.Expect(errors.As(err, &failed)).To(BeTrue())
+	g.Expect(failed.Outcome).To(Equal(workerapi.OutcomeNotRun))
+}
+
+// TestPatience guards against a definite refusal while a replica that was asked and
+// did not answer may have recorded the request.
+func TestPatience(t *testing.T) {
+	g := NewWithT(t)
+	unsure := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(unsure.Close)
+	c := New([]string{strings.TrimPrefix(unsure.URL, "http://"), "127.0.0.1:1"}, http.DefaultClient)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	_, err := CallWithin(ctx, c, "Status", 100*time.Millisecond, controlpb.Control.Status, &controlpb.StatusRequest{})
+	var failed *Error
+	g.Expect(errors.As(err, &failed)).To(BeTrue())
+	g.Expect(failed.Outcome).To(Equal(workerapi.OutcomeUnknown))
+	g.Expect(ctx.Err()).To(HaveOccurred(), "it tries to resolve the outcome until the deadline")
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"testing"
@@ -9,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"geraniumwall/operatorapi"
 	"geraniumwall/workerapi"
 )
 
@@ -255,11 +257,24 @@
 		r.d.mu.Unlock()
 		r.Expect(served).To(BeNumerically(">", 200))
 		r.Expect(failed).To(BeNumerically("<=", served/100), "quote checks without a quorum")
+		r.refusedSoon()
 		r.Expect(r.f.controls[0].start()).To(Succeed())
 		r.Expect(r.f.controls[1].start()).To(Succeed())
 	})
 }
 
+// refusedSoon checks that a submission is refused definitely and within seconds.
+func (r *faultRun) refusedSoon() {
+	began := time.Now()
+	_, err := r.f.client.Submit(r.ctx, "no-quorum", []byte(`{"job":"cutting-plan"}`))
+	took := time.Since(began)
+	var problem *operatorapi.Problem
+	r.Expect(errors.As(err, &problem)).To(BeTrue(), "%v", err)
+	r.Expect(problem.Outcome).To(Equal(string(workerapi.OutcomeNotRun)))
+	r.t.Logf("submission refused by %d gateways after %v", len(r.f.client.Gateways), took)
+	r.Expect(took).To(BeNumerically("<", 5*time.Second))
+}
+
 // A domain that is cut off serves its own callers and finishes its tasks; both
 // sides agree again after the cut.
 func TestDomainCutOff(t *testing.T) {
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -36,6 +36,8 @@
 	faultLoseCall
 	// faultLoseAnswer takes effect and answers an internal error.
 	faultLoseAnswer
+	// faultNoLeader answers as a replica without a leader.
+	faultNoLeader
 )
 
 // fakeControl is a linearizable control service in memory.
@@ -72,6 +74,8 @@
 		return nil
 	case faultRefuse:
 		return twirp.NewError(twirp.FailedPrecondition, "refused").WithMeta("outcome", "not_run")
+	case faultNoLeader:
+		return twirp.NewError(twirp.Unavailable, "no leader").WithMeta("outcome", "not_run")
 	default:
 		return twirp.NewError(twirp.Unavailable, "lost")
 	}
--- a/gateway/submitter.go
+++ b/gateway/submitter.go
@@ -18,11 +18,16 @@
 	submitBatchBytes = 1 << 20
 	submitQueueMost  = 4096
 	submitTimeout    = 5 * time.Second
+	// submitPatience is how long a submission looks for a leader before it is
+	// refused as not_run. It covers an election of the log.
+	submitPatience = 2 * time.Second
 )
 
 // submission is one task on its way to the control replicas.
 type submission struct {
 	spec *controlpb.TaskSpec
+	// giveUp is when the submission is refused unless a replica may have it.
+	giveUp time.Time
 	// claimed decides between a batch that takes the submission and a caller that
 	// gives it up.
 	claimed atomic.Bool
@@ -103,12 +108,33 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
-	response, err := client.Call(ctx, s.control, "SubmitTasks", 0, controlpb.Control.SubmitTasks, request)
+	response, err := client.CallWithin(ctx, s.control, "SubmitTasks", patience(batch), controlpb.Control.SubmitTasks, request)
 	for i, b := range batch {
 		b.done <- outcomeAt(response, i, err)
 	}
 }
 
+// patience is the time left to the first submission of the batch.
+func patience(batch []*submission) time.Duration {
+	first := batch[0].giveUp
+	for _, b := range batch {
+		if b.giveUp.Before(first) {
+			first = b.giveUp
+		}
+	}
+	return time.Until(first)
+}
+
+// giveUpAt leaves a quarter of the caller's time for a definite answer.
+func giveUpAt(ctx context.Context) time.Time {
+	now := time.Now()
+	wait := submitPatience
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, deadline.Sub(now)*3/4)
+	}
+	return now.Add(wait)
+}
+
 func outcomeAt(response *controlpb.SubmitTasksResponse, i int, err error) submitOutcome {
 	if err != nil {
 		return submitOutcome{err: err}
@@ -119,21 +145,30 @@
 	return submitOutcome{result: response.GetResults()[i]}
 }
 
-// submit waits for the outcome until ctx is over.
+// submit waits for the outcome until ctx is over. A submission that no batch has
+// taken in its patience is withdrawn.
 func (s *submitter) submit(ctx context.Context, spec *controlpb.TaskSpec) submitOutcome {
-	entry := &submission{spec: spec, done: make(chan submitOutcome, 1)}
+	entry := &submission{spec: spec, giveUp: giveUpAt(ctx), done: make(chan submitOutcome, 1)}
 	select {
 	case s.queue <- entry:
 	default:
 		return submitOutcome{err: errSubmitQueueFull}
 	}
+	withdraw := time.NewTimer(time.Until(entry.giveUp))
+	defer withdraw.Stop()
 	select {
 	case o := <-entry.done:
 		return o
+	case <-withdraw.C:
 	case <-ctx.Done():
 	}
 	if entry.claimed.CompareAndSwap(false, true) {
 		return submitOutcome{err: errNotSubmitted}
 	}
-	return submitOutcome{err: errSubmitPending}
+	select {
+	case o := <-entry.done:
+		return o
+	case <-ctx.Done():
+		return submitOutcome{err: errSubmitPending}
+	}
 }
--- a/gateway/tasks_test.go
+++ b/gateway/tasks_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -49,6 +50,30 @@
 		}
 	})
 
+	// Guards against an unknown outcome at the caller's deadline while no replica
+	// leads, also for those who wait behind the batches in progress.
+	It("refuses submissions soon and definitely without a quorum", func() {
+		r := newRig()
+		r.control.mu.Lock()
+		r.control.submit = always(faultNoLeader)
+		r.control.mu.Unlock()
+		began := time.Now()
+		var all sync.WaitGroup
+		for i := range 20 {
+			all.Go(func() {
+				defer GinkgoRecover()
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				got := submit(r, fmt.Sprint("k", i), `{"job":"cut"}`)
+				Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+				Expect(got.outcome).To(Equal(workerapi.OutcomeNotRun))
+			})
+		}
+		all.Wait()
+		Expect(time.Since(began)).To(BeNumerically("<", 3500*time.Millisecond))
+		got := submit(r, "k", `{"job":"cut"}`, workerapi.HeaderDeadline, "300")
+		Expect(got.outcome).To(Equal(workerapi.OutcomeNotRun))
+	})
+
 	It("rejects invalid submissions before they are sent", func() {
 		r := newRig()
 		for _, body := range []string{
--- a/operator/client.go
+++ b/operator/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -24,6 +25,9 @@
 	callTimeout = 10 * time.Second
 	// longestTaskPoll stays below the longest wait that a gateway accepts, 60 s.
 	longestTaskPoll = 50 * time.Second
+	// laterSubmitDeadline is the deadline at the gateways after one that refused a
+	// submission: that one has waited for an election of the log already.
+	laterSubmitDeadline = 500 * time.Millisecond
 )
 
 // Client calls the gateways. A call that fails is repeated on the next gateway;
@@ -47,6 +51,9 @@
 	headers map[string]string
 	body    []byte
 	timeout time.Duration
+	// laterDeadline shortens the deadline at the gateways after a definite refusal;
+	// 0 keeps it.
+	laterDeadline time.Duration
 }
 
 // do sends the request to the gateways in turn and decodes the answer into out.
@@ -63,6 +70,8 @@
 		}
 		if r.method != http.MethodGet && mayHaveRun(last) {
 			unresolved = last
+		} else {
+			r.shorten(last)
 		}
 	}
 	if unresolved != nil {
@@ -71,6 +80,15 @@
 	return last
 }
 
+// shorten sets the later deadline after a gateway's refusal.
+func (r *request) shorten(refusal error) {
+	var p *operatorapi.Problem
+	if r.laterDeadline > 0 && errors.As(refusal, &p) {
+		r.headers = maps.Clone(r.headers)
+		r.headers[workerapi.HeaderDeadline] = strconv.FormatInt(r.laterDeadline.Milliseconds(), 10)
+	}
+}
+
 // UnknownError is a change that may have taken effect: a gateway may have carried
 // it out without an answer, and no later gateway resolved it.
 type UnknownError struct{ Err error }
@@ -233,7 +251,7 @@
 		ID string `json:"id"`
 	}
 	err := c.do(ctx, request{
-		method: http.MethodPost, path: "/v1/tasks", body: document,
+		method: http.MethodPost, path: "/v1/tasks", body: document, laterDeadline: laterSubmitDeadline,
 		headers: map[string]string{workerapi.HeaderIdempotent: key, "Content-Type": "application/json"},
 	}, &accepted)
 	return accepted.ID, err
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -72,6 +72,20 @@
 		Expect(p.Outcome).To(BeEmpty())
 	})
 
+	// Guards against a submission that waits for an election at every gateway.
+	It("shortens the deadline after a gateway that refused a submission", func(ctx context.Context) {
+		var deadlines []string
+		refuse := func(w http.ResponseWriter, r *http.Request) {
+			deadlines = append(deadlines, r.Header.Get("Geranium-Deadline-Ms"))
+			answered(http.StatusServiceUnavailable, `{"status":503,"outcome":"not_run"}`)(w, r)
+		}
+		_, err := clientOf(refuse, refuse, refuse).Submit(ctx, "key", nil)
+		var p *operatorapi.Problem
+		Expect(errors.As(err, &p)).To(BeTrue())
+		Expect(p.Outcome).To(Equal("not_run"))
+		Expect(deadlines).To(Equal([]string{"", "500", "500"}))
+	})
+
 	It("reports a refusal by a later gateway as final", func(ctx context.Context) {
 		c := clientOf(dropped, answered(http.StatusUnprocessableEntity, `{"status":422,"outcome":"not_run"}`))
 		_, err := c.Apply(ctx, 1, "change", "", nil)
