Keep drains of workers in the log

Cause: a drain was kept in the memory of the two schedulers only, so it was lost once both had restarted, and each of them audited it.

DrainWorker is a command of the replicated state with one audit record for each change. Renewals of the scheduler lease carry the drained workers when they changed; a scheduler has them before it may place anything. The Drain call of the schedulers is gone, and the gateway checks the name with their status.

Ruled out: carrying the drain in the worker's session, which a restart of the worker loses, and keeping the call beside the log, which gives two orders.

After: TestTour kills both schedulers and finds the worker draining and one record.

--- a/control/serve_domains.go
+++ b/control/serve_domains.go
@@ -26,6 +26,9 @@
 			d := r.machine.Domain(q.GetDomain())
 			answer := r.lead.renew(r.now(), d, q)
 			answer.ConfigVersion = r.machine.Config().GetVersion()
+			if answer.Drains = r.machine.DrainsIndex(); answer.GetDrains() > q.GetKnownDrains() {
+				answer.Drained, _ = r.machine.Drained()
+			}
 			return answer, nil
 		})
 }
@@ -85,6 +88,20 @@
 	r.feeds[domain] = kept
 }
 
+// DrainWorker drains a worker or ends that.
+func (s *Server) DrainWorker(
+	ctx context.Context, q *controlpb.DrainWorkerRequest,
+) (*controlpb.DrainWorkerResponse, error) {
+	if q.GetWorker() == "" || q.GetActor() == "" {
+		return nil, invalid("worker or actor is missing; send both")
+	}
+	got, err := s.propose(ctx, &statepb.Command{Kind: &statepb.Command_DrainWorker{DrainWorker: q}})
+	if err != nil {
+		return nil, err
+	}
+	return got.(*controlpb.DrainWorkerResponse), nil
+}
+
 // ReportTasks records events of a domain's tasks by one log entry.
 func (s *Server) ReportTasks(
 	ctx context.Context, q *controlpb.ReportTasksRequest,
--- a/control/serve_status.go
+++ b/control/serve_status.go
@@ -38,10 +38,11 @@
 	processes := s.reports()
 	return peek(ctx, s, func(r *replica) (*controlpb.StatusResponse, error) {
 		n := r.node.Status()
+		drained, _ := r.machine.Drained()
 		return &controlpb.StatusResponse{
 			Replica: n.ID, Leader: n.Leader, Term: n.Term, CommitIndex: n.Commit, AppliedIndex: r.machine.Index(),
 			Replicas: r.replicaStatus(n), Domains: r.domainStatus(), Processes: processes,
-			ConfigVersion: r.machine.Config().GetVersion(), TaskCounts: r.machine.TaskCounts(),
+			ConfigVersion: r.machine.Config().GetVersion(), TaskCounts: r.machine.TaskCounts(), Drained: drained,
 		}, nil
 	})
 }
--- a/control/unready.go
+++ b/control/unready.go
@@ -74,6 +74,11 @@
 	return nil, unreadyError()
 }
 
+// DrainWorker is not served yet.
+func (unready) DrainWorker(context.Context, *controlpb.DrainWorkerRequest) (*controlpb.DrainWorkerResponse, error) {
+	return nil, unreadyError()
+}
+
 // Status is not served yet.
 func (unready) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
 	return nil, unreadyError()
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -131,11 +131,42 @@
 	worker := workerName(t.f.domains[0], 0)
 	t.Expect(t.both("status", "-workers")).To(ContainSubstring(worker))
 	t.Expect(t.both("drain", worker)).To(ContainSubstring("draining"))
+	t.drainSurvivesRestarts(worker)
 	t.Expect(t.both("drain", "-undo", worker)).To(ContainSubstring("accepting work"))
 	t.Eventually(func() string { return t.both("audit") }).WithTimeout(takeoverTime).
 		Should(And(ContainSubstring("first configuration"), ContainSubstring(worker)))
 }
 
+// drainSurvivesRestarts guards against a drain that only the schedulers remember,
+// and against a record of it from each of them.
+func (t *tour) drainSurvivesRestarts(worker string) {
+	ctx := context.Background()
+	state := func() string {
+		status, err := t.f.client.Status(ctx)
+		t.Expect(err).NotTo(HaveOccurred())
+		for _, s := range status.Schedulers {
+			for _, w := range s.Workers {
+				if s.Role == "active" && w.Worker == worker {
+					return w.State
+				}
+			}
+		}
+		return ""
+	}
+	t.Eventually(state).WithTimeout(takeoverTime).Should(Equal("draining"))
+	for _, p := range t.f.schedulers[t.f.domains[0]] {
+		p.kill()
+	}
+	for _, p := range t.f.schedulers[t.f.domains[0]] {
+		t.Expect(p.start()).To(Succeed())
+	}
+	t.Eventually(state).WithTimeout(longFreeze).ShouldNot(BeEmpty())
+	t.Expect(state()).To(Equal("draining"), "after the restart of both schedulers")
+	records, err := t.f.client.Audit(ctx, 0, 100, "", "drain")
+	t.Expect(err).NotTo(HaveOccurred())
+	t.Expect(records).To(HaveLen(1))
+}
+
 func (t *tour) exitCodes() {
 	t.run(exitUsage, "apply")
 	t.run(exitUsage, "no-such-command")
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumwall/control/client"
@@ -96,19 +97,37 @@
 		writeProblem(w, badInput(HeaderOperator, "name the operator in the header "+HeaderOperator))
 		return
 	}
-	worker := r.PathValue("worker")
-	request := &schedulerpb.DrainRequest{Worker: worker, Undo: r.URL.Query().Get("undo") == "true", Actor: operator}
-	found := make([]bool, len(s.schedulers))
-	s.each(r.Context(), func(ctx context.Context, i int, one scheduler) {
-		answer, err := one.stub.Drain(ctx, request)
-		found[i] = err == nil && answer.GetFound()
-	})
-	for _, one := range found {
-		if one {
-			writeJSON(w, http.StatusOK, request)
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	request := &controlpb.DrainWorkerRequest{
+		Worker: r.PathValue("worker"), Undo: r.URL.Query().Get("undo") == "true", Actor: operator,
+	}
+	// The drain of a worker that is gone can be undone.
+	if !request.GetUndo() && !s.knows(ctx, request.GetWorker()) {
+		writeProblem(w, &Problem{Status: http.StatusNotFound, Title: "no such worker",
+			Detail: "no scheduler knows worker " + request.GetWorker() + "; see geranium status for the names", Outcome: "not_run"})
+		return
+	}
+	if _, err := client.Call(ctx, s.control, "DrainWorker", 0, controlpb.Control.DrainWorker, request); err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, request)
+}
+
+// knows reports whether a scheduler knows a worker.
+func (s *Server) knows(ctx context.Context, worker string) bool {
+	var found atomic.Bool
+	s.each(ctx, func(ctx context.Context, _ int, one scheduler) {
+		answer, err := one.stub.Status(ctx, &schedulerpb.StatusRequest{})
+		if err != nil {
 			return
 		}
-	}
-	writeProblem(w, &Problem{Status: http.StatusNotFound, Title: "no such worker",
-		Detail: "no scheduler knows worker " + worker + "; see geranium status for the names", Outcome: "not_run"})
+		for _, w := range answer.GetWorkers() {
+			if w.GetWorker() == worker {
+				found.Store(true)
+			}
+		}
+	})
+	return found.Load()
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -36,7 +36,10 @@
 	workers   map[string]*worker
 	// order caches the sorted keys of workers; nil after a change of the set.
 	order []string
-	tasks map[string]*task
+	// drained names the drained workers as of the log index drains.
+	drained map[string]bool
+	drains  uint64
+	tasks   map[string]*task
 	// held are the tasks in phaseHeld.
 	held map[string]*task
 	// occupied counts the ledger entries of each task over all workers.
@@ -66,6 +69,7 @@
 		engine:    engine,
 		authority: newAuthority(now),
 		workers:   map[string]*worker{},
+		drained:   map[string]bool{},
 		tasks:     map[string]*task{},
 		held:      map[string]*task{},
 		occupied:  map[string]int{},
--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -33,7 +33,7 @@
 		}
 		for _, s := range w.schedulers {
 			if s.alive {
-				s.core.Drain(s.now(), h.name, false, "test")
+				s.core.SetDrained(s.now(), 1, []string{h.name})
 			}
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -213,10 +213,10 @@
 		live:        map[string]*task{},
 		strays:      map[string]*stray{},
 		grants:      map[gatewayKey]*grant{},
+		drained:     c.drained[hb.Worker],
 	}
 	if before != nil {
 		c.retire(now, before)
-		w.drained = before.drained
 		w.predecessor = before
 	}
 	c.putWorker(w)
@@ -350,19 +350,29 @@
 	c.note(now, Decision{Subject: w.id, Kind: "forgotten", Reason: "silent, and nothing of it can be alive"})
 }
 
-// Drain stops new work on a worker and moves its tasks, or ends that. It reports
-// whether the worker is known.
-func (c *Core) Drain(now time.Duration, id string, undo bool, actor string) bool {
-	w := c.workers[id]
-	if w == nil {
-		return false
-	}
-	w.drained = !undo
-	c.tellEngine(now, w)
-	action := map[bool]string{false: "drain", true: "undrain"}[undo]
-	c.act(RecordAudit{Action: action, Subject: id, Detail: "requested by " + actor, At: now})
-	c.note(now, Decision{Subject: id, Kind: action, Reason: "requested by " + actor})
-	return true
+// Drains is the log index of the drains in force.
+func (c *Core) Drains() uint64 { return c.drains }
+
+// SetDrained puts the drained workers as of a log index in force: they get no new
+// work and their tasks are moved. Older sets are ignored.
+func (c *Core) SetDrained(now time.Duration, index uint64, names []string) {
+	if index <= c.drains {
+		return
+	}
+	c.drains = index
+	clear(c.drained)
+	for _, name := range names {
+		c.drained[name] = true
+	}
+	for _, id := range c.workerIDs() {
+		w := c.workers[id]
+		if drained := c.drained[w.name]; drained != w.drained {
+			w.drained = drained
+			c.tellEngine(now, w)
+			kind := map[bool]string{true: "drain", false: "undrain"}[drained]
+			c.note(now, Decision{Subject: id, Kind: kind, Reason: "requested by an operator"})
+		}
+	}
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/schedulerd/control.go
+++ b/schedulerd/control.go
@@ -56,11 +56,12 @@
 	var load scheduler.Load
 	var ask bool
 	var sent time.Duration
+	var drains uint64
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	err := l.loop.do(ctx, func(now time.Duration, core *scheduler.Core) {
 		request, ask = core.LeaseRequest(now)
-		load, sent = core.Load(), now
+		load, drains, sent = core.Load(), core.Drains(), now
 	})
 	if err != nil || !ask {
 		return
@@ -69,6 +70,7 @@
 		Domain: l.settings.Domain, Scheduler: l.settings.Name, Address: l.address,
 		Epoch: request.Epoch, MayBeAppointed: request.MayBeAppointed, KnownRevision: request.Revision,
 		Load: loadMessage(load), ConfigVersion: l.follower.Current().Version,
+		KnownDrains: drains,
 	})
 	if err != nil {
 		l.metrics.renewal(ctx, false)
@@ -78,6 +80,9 @@
 	l.follower.Notice(answer.GetConfigVersion())
 	l.peer.learn(answer)
 	l.loop.send(func(now time.Duration, core *scheduler.Core) {
+		if answer.GetDrains() > drains {
+			core.SetDrained(now, answer.GetDrains(), answer.GetDrained())
+		}
 		core.ControlRenewed(now, sent, leaseAnswer(answer))
 	})
 }
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -134,15 +134,3 @@
 	}
 	return response, nil
 }
-
-// Drain stops new work on a worker, or ends that.
-func (s *service) Drain(ctx context.Context, r *schedulerpb.DrainRequest) (*schedulerpb.DrainResponse, error) {
-	found := false
-	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
-		found = core.Drain(now, r.GetWorker(), r.GetUndo(), r.GetActor())
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &schedulerpb.DrainResponse{Found: found}, nil
-}
--- a/state/machine.go
+++ b/state/machine.go
@@ -26,6 +26,7 @@
 	configs  configHistory
 	audit    auditTrail
 	joined   map[uint64]bool
+	drains   drainTable
 }
 
 // New returns the state before the first command.
@@ -35,6 +36,7 @@
 		requests: newRequestTable(),
 		domains:  map[string]*statepb.DomainRecord{},
 		joined:   map[uint64]bool{},
+		drains:   drainTable{workers: map[string]bool{}},
 	}
 }
 
@@ -59,6 +61,7 @@
 	KindOtherHolder    Kind = "other_holder"
 	KindKeyConflict    Kind = "key_conflict"
 	KindAlreadyEnded   Kind = "already_ended"
+	KindTooManyDrains  Kind = "too_many_drains"
 )
 
 // Error returns the text of the refusal, which names the remedy.
@@ -120,6 +123,8 @@
 		return m.applyConfig(c.GetUnixMs(), k.ApplyConfig), nil
 	case *statepb.Command_Audit:
 		return m.recordAudit(c.GetUnixMs(), k.Audit), nil
+	case *statepb.Command_DrainWorker:
+		return m.drainWorker(c.GetUnixMs(), k.DrainWorker)
 	case *statepb.Command_Prune:
 		return m.prune(k.Prune), nil
 	}
--- a/state/records_test.go
+++ b/state/records_test.go
@@ -117,3 +117,40 @@
 		}
 	})
 }
+
+// Guards against a drain that is lost with a restart, audited twice or put back by
+// a repeated request.
+var _ = Describe("drained workers", func() {
+	drain := func(worker string, undo bool) *statepb.Command {
+		return &statepb.Command{Kind: &statepb.Command_DrainWorker{DrainWorker: &controlpb.DrainWorkerRequest{
+			Worker: worker, Undo: undo, Actor: "op",
+		}}}
+	}
+	It("keeps one record for each change and survives a snapshot", func() {
+		d := driver{New()}
+		for range 2 {
+			d.must(drain("w1", false))
+			d.must(drain("w2", false))
+		}
+		d.must(drain("w2", true))
+		restored, err := Restore(snapshotOf(d.m))
+		Expect(err).NotTo(HaveOccurred())
+		names, index := restored.Drained()
+		Expect(names).To(Equal([]string{"w1"}))
+		Expect(index).To(Equal(d.m.Index()))
+		Expect(restored.Audit(0, 10, "op", "drain")).To(HaveLen(2))
+		Expect(restored.Audit(0, 10, "op", "undrain")).To(HaveLen(1))
+		Expect(VerifyAudit(restored.Audit(0, 10, "", ""))).To(Succeed())
+	})
+
+	It("refuses more than it can send to every scheduler", func() {
+		d := driver{New()}
+		for i := range maxDrained {
+			d.must(drain(fmt.Sprint(i), false))
+		}
+		_, err := d.apply(drain("one more", false))
+		Expect(err).To(MatchError(ContainSubstring("undo the drain")))
+		d.must(drain("0", true))
+		d.must(drain("one more", false))
+	})
+})
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -19,6 +19,7 @@
 
 // Capture returns a view of the present state.
 func (m *Machine) Capture() Capture {
+	drained, drains := m.Drained()
 	return Capture{&statepb.Snapshot{
 		Index:         m.index,
 		NextTask:      m.tasks.next,
@@ -30,6 +31,8 @@
 		AuditSequence: m.audit.sequence,
 		AuditHash:     m.audit.hash,
 		Joined:        slices.Sorted(maps.Keys(m.joined)),
+		Drained:       drained,
+		Drains:        drains,
 	}}
 }
 
@@ -81,6 +84,10 @@
 	for _, id := range s.GetJoined() {
 		m.joined[id] = true
 	}
+	for _, name := range s.GetDrained() {
+		m.drains.workers[name] = true
+	}
+	m.drains.changed = s.GetDrains()
 	for _, v := range s.GetConfigs() {
 		m.configs.load(v)
 	}
