Check the layout of members, tell a removed replica, confirm Status

Cause: ChangeMembers accepted voters of which the loss of one domain stops the log, which only the settings refused. A removed replica got no entry any more, so it asked for votes for ever and served an old configuration to processes that followed it. Status showed a leader's own view without asking its quorum.

The leader refuses a change whose layout one domain can stop, except the steps of a replacement: an even number of voters that one removal makes safe again, and the removal of a lost voter. A replica whose committed membership lacks the sender of messages answers that it was removed; the sender logs that once and neither votes nor serves GetConfig any more. Status takes a heartbeat round and says confirmed; without a quorum it shows the local state after 0.5 s, unconfirmed. A replica that starts without data believes only a confirmed leader.

Ruled out: refusing every even layout, which leaves no way to replace a replica of three domains.

TestSecondLossAfterRepair failed once after 150 s beside the race tests of package control, cause not looked at, and passed alone in 17 s.

--- a/control/forming.go
+++ b/control/forming.go
@@ -115,8 +115,12 @@
 	return findingEmpty
 }
 
-// findingOfLeader trusts a leader that has applied an entry of its term.
+// findingOfLeader trusts a leader that has applied an entry of its term and that a
+// quorum has confirmed: one that is cut off may not know that this replica joined.
 func findingOfLeader(status *controlpb.StatusResponse) finding {
+	if !status.GetConfirmed() {
+		return findingNone
+	}
 	for _, r := range status.GetReplicas() {
 		if r.GetId() == status.GetReplica() && r.GetJoined() {
 			return findingNew
--- /dev/null
+++ b/control/members_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"context"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/raft"
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/workerapi"
+)
+
+var _ = Describe("membership of the replicas", func() {
+	// Guards against a change after which the loss of one domain stops the log, and
+	// against a check that leaves no way to replace a replica.
+	It("refuses layouts that one domain can stop, but no step of a replacement", func() {
+		members := func(domains string) raft.Membership {
+			m := raft.Membership{}
+			for i, d := range strings.Split(domains, "") {
+				m.Members = append(m.Members, raft.Member{ID: uint64(i + 1), Domain: d})
+				m.HighestID = uint64(i + 1)
+			}
+			return m
+		}
+		const add, remove = raft.AddLearner, raft.RemoveMember
+		for _, one := range []struct {
+			before string
+			kind   raft.ChangeKind
+			id     uint64
+			domain string
+			lost   uint64
+			want   bool
+		}{
+			{"abc", add, 4, "d", 0, true},
+			{"abc", add, 4, "c", 0, true},
+			{"abcc", remove, 3, "", 0, true},
+			{"abcc", remove, 1, "", 0, false},
+			{"abc", remove, 3, "", 0, false},
+			{"abc", remove, 3, "", 3, true},
+			{"ab", add, 3, "c", 0, true},
+			{"ab", add, 3, "a", 0, false},
+			{"aabc", add, 5, "b", 0, true},
+			{"aabc", add, 5, "a", 0, false},
+			{"aabbc", remove, 5, "", 0, false},
+			{"aabbc", remove, 1, "", 0, true},
+		} {
+			change := raft.MemberChange{Kind: one.kind, Member: raft.Member{ID: one.id, Domain: one.domain}}
+			err := checkChange(members(one.before), change, func(id uint64) bool { return id == one.lost })
+			Expect(err == nil).To(Equal(one.want), "%+v: %v", one, err)
+			if err != nil {
+				Expect(err).To(And(MatchError(raft.ErrInvalidChange), MatchError(ContainSubstring("first"))))
+			}
+		}
+	})
+
+	// Guards against a leader that shows an old state as the present one.
+	It("says whether a quorum confirmed the status", func() {
+		c := newCluster(3, 0)
+		defer c.stop()
+		leader := c.leader()
+		status, err := leader.Status(context.Background(), &controlpb.StatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.GetConfirmed()).To(BeTrue())
+		c.isolate(leader.view.Load().status.ID, true)
+		status, err = leader.Status(context.Background(), &controlpb.StatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.GetConfirmed()).To(BeFalse())
+	})
+
+	// Guards against a removed replica that goes on asking for votes and serves an
+	// old configuration to processes that follow it.
+	It("tells a removed replica, which then asks and serves nothing more", func() {
+		c := newHTTPCluster()
+		leader := c.leader()
+		id := leader.view.Load().status.ID%3 + 1
+		Eventually(func() error {
+			_, err := leader.ChangeMembers(context.Background(), &controlpb.ChangeMembersRequest{Change: "remove", Id: id})
+			return err
+		}, "5s").Should(Succeed())
+		removed := c.servers[id]
+		Eventually(func() bool { return removed.view.Load().retired }, "10s").Should(BeTrue())
+		term := removed.view.Load().status.Term
+		_, err := removed.GetConfig(context.Background(), &controlpb.GetConfigRequest{})
+		Expect(outcomeOf(err)).To(Equal(workerapi.OutcomeNotRun))
+		Consistently(func() uint64 { return removed.view.Load().status.Term }, "2s").Should(Equal(term))
+		for other, s := range c.servers {
+			Expect(s.view.Load().retired).To(Equal(other == id))
+		}
+	})
+})
--- a/control/messages.go
+++ b/control/messages.go
@@ -43,6 +43,8 @@
 	local struct{ run func(r *replica) }
 	// transfer hands leadership over.
 	transfer struct{}
+	// removal tells that the membership without this replica is committed.
+	removal struct{}
 )
 
 // proposal is an appended command whose fate is not known yet.
--- a/control/replica.go
+++ b/control/replica.go
@@ -42,6 +42,9 @@
 	ended     map[string][]chan *controlpb.Task
 	feeds     map[string][]feedWaiter
 	members   raft.Membership
+	// removed is set once another replica said that the membership without this
+	// one is committed.
+	removed bool
 }
 
 // view is what other goroutines know of the replica.
@@ -51,6 +54,8 @@
 	// leaderAddress is empty when the leader is unknown.
 	leaderAddress string
 	applied       uint64
+	// retired is set on a replica that was removed.
+	retired bool
 }
 
 // waitingRead is a confirmed read that waits for an entry to be applied.
@@ -65,8 +70,18 @@
 	done  chan struct{}
 }
 
-// receive handles one message and then does the work that came up.
+// receive handles one message and then does the work that came up. A removed
+// replica lets no time pass and takes in no messages, so that it never asks for
+// votes again.
 func (r *replica) receive(message any) {
+	switch message.(type) {
+	case *removal:
+		r.retire()
+	case *tick, *received:
+		if r.removed {
+			return
+		}
+	}
 	switch m := message.(type) {
 	case *tick:
 		r.node.Tick(r.now())
@@ -203,6 +218,12 @@
 }
 
 func (r *replica) changeMembers(m *changeMembers) {
+	if s := r.node.Status(); s.Role == raft.RoleLeader && !r.options.Settings.SingleDomainOK {
+		if err := checkChange(s.Membership, m.change, r.lost); err != nil {
+			m.done(nil, err)
+			return
+		}
+	}
 	position, err := r.node.ChangeMembers(m.change)
 	if err != nil {
 		m.done(nil, err)
@@ -259,6 +280,7 @@
 	r.updatePeers(s.Membership)
 	r.view.Store(&view{
 		status: s, ready: r.lead != nil, applied: r.machine.Index(), leaderAddress: r.addressOf(s.Leader),
+		retired: r.removed,
 	})
 }
 
@@ -278,6 +300,17 @@
 	}
 }
 
+// retire ends the part of a removed replica in the log. Its process goes on, so
+// that its log can be looked at, and answers that it does not lead.
+func (r *replica) retire() {
+	if r.removed {
+		return
+	}
+	r.removed = true
+	r.log.Error().Msg("this replica was removed from the membership; stop the process and delete its data directory, " +
+		"or add the host again under an id that was never used")
+}
+
 // transferLeadership hands over to the active voter with the most entries.
 func (r *replica) transferLeadership() {
 	s := r.node.Status()
--- a/control/serve_config.go
+++ b/control/serve_config.go
@@ -43,6 +43,10 @@
 func (s *Server) GetConfig(
 	ctx context.Context, q *controlpb.GetConfigRequest,
 ) (*controlpb.GetConfigResponse, error) {
+	if s.view.Load().retired {
+		// A removed replica gets no entries any more.
+		return nil, notLeader("")
+	}
 	s.processes.record(s.options.Now(), q.GetProcess(), q.GetKind(), q.GetDomain(), q.GetKnownVersion())
 	v := s.config.load()
 	if v.version.GetVersion() <= q.GetKnownVersion() && q.GetWaitMs() > 0 {
--- a/control/serve_status.go
+++ b/control/serve_status.go
@@ -20,31 +20,57 @@
 		messages = append(messages, m)
 	}
 	s.processes.merge(s.options.Now(), q.GetProcesses())
+	if s.view.Load().removed(q.GetFrom()) {
+		return &controlpb.StepResponse{Removed: true}, nil
+	}
 	s.send(&received{messages})
 	return &controlpb.StepResponse{}, nil
 }
 
+// removed reports whether a replica was a member and is none as of the last
+// committed entry.
+func (v *view) removed(id uint64) bool {
+	_, member := v.status.Committed.Find(id)
+	return !member && id != 0 && id <= v.status.Committed.HighestID
+}
+
+// confirmWithin bounds the wait for the heartbeat round of Status, so that it
+// still answers its callers when the quorum is lost.
+const confirmWithin = 500 * time.Millisecond
+
 // Status describes the replicas, domains and processes as the leader knows them.
-// A replica that knows no leader answers with what it has applied itself.
+// It is linearizable if it says that it is confirmed. A replica that knows no
+// leader, or a leader without a quorum, answers with what it has applied itself.
 func (s *Server) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
-	if v := s.view.Load(); !v.ready && v.leaderAddress != "" && v.status.Leader != v.status.ID {
+	v := s.view.Load()
+	if !v.ready && v.leaderAddress != "" && v.status.Leader != v.status.ID {
 		return nil, notLeader(v.leaderAddress)
 	}
+	if v.ready {
+		bounded, cancel := context.WithTimeout(ctx, confirmWithin)
+		defer cancel()
+		answer, err := lookup(bounded, s, s.describe)
+		if err == nil {
+			answer.Confirmed = true
+			return answer, nil
+		}
+	}
 	return s.LocalStatus(ctx)
 }
 
 // LocalStatus describes the state as this replica knows it.
 func (s *Server) LocalStatus(ctx context.Context) (*controlpb.StatusResponse, error) {
-	processes := s.reports()
-	return peek(ctx, s, func(r *replica) (*controlpb.StatusResponse, error) {
-		n := r.node.Status()
-		drained, _ := r.machine.Drained()
-		return &controlpb.StatusResponse{
-			Replica: n.ID, Leader: n.Leader, Term: n.Term, CommitIndex: n.Commit, AppliedIndex: r.machine.Index(),
-			Replicas: r.replicaStatus(n), Domains: r.domainStatus(), Processes: processes,
-			ConfigVersion: r.machine.Config().GetVersion(), TaskCounts: r.machine.TaskCounts(), Drained: drained,
-		}, nil
-	})
+	return peek(ctx, s, s.describe)
+}
+
+func (s *Server) describe(r *replica) (*controlpb.StatusResponse, error) {
+	n := r.node.Status()
+	drained, _ := r.machine.Drained()
+	return &controlpb.StatusResponse{
+		Replica: n.ID, Leader: n.Leader, Term: n.Term, CommitIndex: n.Commit, AppliedIndex: r.machine.Index(),
+		Replicas: r.replicaStatus(n), Domains: r.domainStatus(), Processes: s.reports(),
+		ConfigVersion: r.machine.Config().GetVersion(), TaskCounts: r.machine.TaskCounts(), Drained: drained,
+	}, nil
 }
 
 func (r *replica) replicaStatus(n raft.Status) []*controlpb.ReplicaStatus {
--- a/control/server.go
+++ b/control/server.go
@@ -123,7 +123,8 @@
 	}
 	s.metrics = m
 	if s.options.Transport == nil {
-		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m), s.reports)
+		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m), s.reports,
+			func() { s.send(&removal{}) })
 	}
 	r, err := s.newReplica()
 	if err != nil {
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -186,31 +186,9 @@
 	// Guards against replicas that work only with the stand-ins for network and
 	// disk, and against a version that a follower saw and the leader doesn't list.
 	It("runs over HTTP with data on disk and lists the processes of followers", func() {
-		var servers []*Server
-		var listeners []net.Listener
-		settings := Settings{SingleDomainOK: true}
-		for i := range 3 {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			listeners = append(listeners, l)
-			settings.Replicas = append(settings.Replicas, ReplicaAddress{uint64(i + 1), l.Addr().String(), "d"})
-		}
-		dir := GinkgoT().TempDir()
-		for i, l := range listeners {
-			own := settings
-			own.ReplicaID, own.DataDir = uint64(i+1), filepath.Join(dir, fmt.Sprint(i))
-			store, stored, err := OpenStorage(own, func() error { return nil })
-			Expect(err).NotTo(HaveOccurred())
-			s, err := New(Options{Settings: own, Storage: store, Stored: stored, Log: zerolog.Nop(), Seed: 5})
-			Expect(err).NotTo(HaveOccurred())
-			server := &http.Server{Handler: s.Handler()}
-			go func() { _ = server.Serve(l) }()
-			servers = append(servers, s)
-			DeferCleanup(func() { s.EndPolls(); server.Close(); s.Stop(); store.Close() })
-		}
-		c := &cluster{servers: map[uint64]*Server{1: servers[0], 2: servers[1], 3: servers[2]}, members: settings.members()}
+		c := newHTTPCluster()
 		leader := c.leader()
-		follower := servers[leader.view.Load().status.ID%3]
+		follower := c.servers[leader.view.Load().status.ID%3+1]
 		ctx := context.Background()
 		poll := make(chan uint64, 1)
 		go func() {
@@ -229,6 +207,33 @@
 	})
 })
 
+// newHTTPCluster starts three replicas with HTTP and data on disk.
+func newHTTPCluster() *cluster {
+	var servers []*Server
+	var listeners []net.Listener
+	settings := Settings{SingleDomainOK: true}
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listeners = append(listeners, l)
+		settings.Replicas = append(settings.Replicas, ReplicaAddress{uint64(i + 1), l.Addr().String(), "d"})
+	}
+	dir := GinkgoT().TempDir()
+	for i, l := range listeners {
+		own := settings
+		own.ReplicaID, own.DataDir = uint64(i+1), filepath.Join(dir, fmt.Sprint(i))
+		store, stored, err := OpenStorage(own, func() error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		s, err := New(Options{Settings: own, Storage: store, Stored: stored, Log: zerolog.Nop(), Seed: 5})
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: s.Handler()}
+		go func() { _ = server.Serve(l) }()
+		servers = append(servers, s)
+		DeferCleanup(func() { s.EndPolls(); server.Close(); s.Stop(); store.Close() })
+	}
+	return &cluster{servers: map[uint64]*Server{1: servers[0], 2: servers[1], 3: servers[2]}, members: settings.members()}
+}
+
 // stateOf returns the hash of a replica's state.
 func stateOf(s *Server) string {
 	data, err := peek(context.Background(), s, func(r *replica) ([]byte, error) { return r.machine.Capture().Encode() })
@@ -266,11 +271,13 @@
 	// Guards against a cluster that can't be started for the first time.
 	It("is permitted by empty replicas or a leader that does not know it", func() {
 		Expect(permit(empty(2), empty(3))).To(Succeed())
-		leader := &controlpb.StatusResponse{Replica: 2, Leader: 2, Replicas: []*controlpb.ReplicaStatus{
+		leader := &controlpb.StatusResponse{Replica: 2, Leader: 2, Confirmed: true, Replicas: []*controlpb.ReplicaStatus{
 			member(1, 0, false), member(2, 9, true),
 		}}
-		Expect(permit(leader, &controlpb.StatusResponse{Replica: 3, Replicas: []*controlpb.ReplicaStatus{member(3, 4, true)}})).
-			To(Succeed())
+		other := &controlpb.StatusResponse{Replica: 3, Replicas: []*controlpb.ReplicaStatus{member(3, 4, true)}}
+		Expect(permit(leader, other)).To(Succeed())
+		leader.Confirmed = false
+		Expect(permit(leader, other)).To(MatchError(context.DeadlineExceeded), "a leader that may be cut off")
 	})
 
 	// Guards against a start on the word of replicas that may not know it yet.
--- a/control/transport.go
+++ b/control/transport.go
@@ -38,11 +38,13 @@
 	self      uint64
 	client    *http.Client
 	processes func() []*controlpb.ProcessStatus
-	ctx       context.Context
-	cancel    context.CancelFunc
-	group     sync.WaitGroup
-	mu        sync.Mutex
-	peers     map[uint64]*peer
+	// removed is called when a peer says that this replica was removed.
+	removed func()
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	peers   map[uint64]*peer
 }
 
 type peer struct {
@@ -54,11 +56,11 @@
 }
 
 func newHTTPTransport(
-	self uint64, client *http.Client, processes func() []*controlpb.ProcessStatus,
+	self uint64, client *http.Client, processes func() []*controlpb.ProcessStatus, removed func(),
 ) *httpTransport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &httpTransport{
-		self: self, client: client, processes: processes, ctx: ctx, cancel: cancel, peers: map[uint64]*peer{},
+		self: self, client: client, processes: processes, removed: removed, ctx: ctx, cancel: cancel, peers: map[uint64]*peer{},
 	}
 }
 
@@ -138,5 +140,8 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	_, _ = stub.Step(bounded, request)
+	answer, err := stub.Step(bounded, request)
+	if err == nil && answer.GetRemoved() {
+		t.removed()
+	}
 }
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -104,6 +104,11 @@
 	if err != nil {
 		return err
 	}
+	if !c.GetConfirmed() {
+		if _, err := fmt.Fprintln(w, "not confirmed by a quorum: this is what one replica knows and may be old"); err != nil {
+			return err
+		}
+	}
 	rows := make([]string, 0, len(c.GetReplicas()))
 	for _, r := range c.GetReplicas() {
 		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex()))
--- a/raft/node.go
+++ b/raft/node.go
@@ -205,6 +205,7 @@
 		First:      n.log.first(),
 		Last:       n.log.last().Index,
 		Membership: n.membership(),
+		Committed:  n.membershipAt(n.log.commit),
 	}
 	if n.role == RoleLeader {
 		s.LeaderReady = n.committedInTerm()
--- a/raft/types.go
+++ b/raft/types.go
@@ -204,6 +204,8 @@
 	First      uint64
 	Last       uint64
 	Membership Membership
+	// Committed is the membership as of the commit index.
+	Committed Membership
 	// LeaderReady is true on a leader that has committed an entry of its term.
 	LeaderReady bool
 	// Transferee is the target of a leadership transfer in progress, or 0.
