Refuse a single control replica unless state may be lost

Cause: with one replica nothing remembers that it had a log, so after the loss of its disk it started empty and served as if it were new.

Settings with a single replica are refused unless state_may_be_lost is set, and such a replica warns at each start. The bench script and the metrics test set it. The settings test that took a single replica with single_domain_ok now expects the refusal, and tests three replicas of one domain in its place.

Ruled out: a marker outside the data directory, which a lost host loses too.

Before: the single replica was accepted. After: refused with the name of the setting (settings tests of package control).

--- a/control/binder_test.go
+++ b/control/binder_test.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"geraniumwall/config"
 	"geraniumwall/rpc/controlpb"
@@ -93,7 +95,25 @@
 		Expect(layout(false, "a", "a", "b", "b", "c")).To(Succeed())
 		Expect(layout(false, "a", "a", "b")).To(MatchError(ContainSubstring("spread")))
 		Expect(layout(false, "a", "b")).To(MatchError(ContainSubstring("spread")))
-		Expect(layout(true, "a")).To(Succeed())
+		Expect(layout(true, "a", "a", "a")).To(Succeed())
+	})
+
+	// Guards against a single replica that starts empty after the loss of its disk
+	// although nobody accepted that.
+	It("refuse a single replica unless they say that state may be lost", func() {
+		Expect(layout(true, "a")).To(MatchError(ContainSubstring("state_may_be_lost")))
+		s := &Settings{
+			Name: "n", Domain: "a", Listen: "127.0.0.1:1", DataDir: "d", ReplicaID: 1, SingleDomainOK: true, StateMayBeLost: true,
+			Replicas: []ReplicaAddress{{1, "127.0.0.1:1", "a"}},
+		}
+		Expect(settings.Validate("test", s)).To(Succeed())
+		var out strings.Builder
+		warnOfLoss(*s, zerolog.New(&out))
+		Expect(out.String()).To(ContainSubstring("lost with its disk"))
+		s.Replicas = append(s.Replicas, s.Replicas[0])
+		out.Reset()
+		warnOfLoss(*s, zerolog.New(&out))
+		Expect(out.String()).To(BeEmpty())
 	})
 })
 
--- a/control/run.go
+++ b/control/run.go
@@ -48,6 +48,7 @@
 	server.Serve()
 	log = log.With().Str("name", s.Name).Uint64("replica", s.ReplicaID).Logger()
 	log.Info().Str("address", server.Address()).Msg("control replica is listening")
+	warnOfLoss(s, log)
 	store, stored, err := OpenStorage(s, func() error { return permitFirstStart(ctx, s, log) })
 	if err != nil {
 		return err
@@ -55,6 +56,15 @@
 	return errors.Join(runStored(ctx, s, log, store, stored, handler, server), store.Close())
 }
 
+// warnOfLoss is repeated at each start, so that a test system is not taken for one
+// that keeps its state.
+func warnOfLoss(s Settings, log zerolog.Logger) {
+	if len(s.Replicas) == 1 {
+		log.Warn().Msg("single control replica: tasks, configuration and audit trail are lost with its disk, " +
+			"and it starts empty without notice; list 3 or 5 replicas to keep them")
+	}
+}
+
 func runStored(
 	ctx context.Context, s Settings, log zerolog.Logger,
 	store Storage, stored raft.Stored, handler *switchHandler, server *daemon.Server,
--- a/control/settings.go
+++ b/control/settings.go
@@ -35,6 +35,9 @@
 	Replicas  []ReplicaAddress `json:"replicas"`
 	// SingleDomainOK permits a layout that the loss of one domain stops.
 	SingleDomainOK bool `json:"single_domain_ok"`
+	// StateMayBeLost permits a single replica. Nothing else remembers its log, so it
+	// starts empty after the loss of its disk instead of refusing to start.
+	StateMayBeLost bool `json:"state_may_be_lost"`
 }
 
 // Check reports every problem of the settings.
@@ -77,6 +80,10 @@
 // checkLayout refuses replicas of which the loss of one domain would leave no
 // majority.
 func (s *Settings) checkLayout(c *settings.Checker) {
+	if len(s.Replicas) == 1 && !s.StateMayBeLost {
+		c.Add("replicas", "lists a single replica, which can't notice the loss of its disk and would start empty",
+			"list 3 or 5 replicas, or set state_may_be_lost for a test system")
+	}
 	if s.SingleDomainOK || len(s.Replicas) == 0 {
 		return
 	}
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -86,7 +86,7 @@
 
 func controlInstruments(m metric.Meter) {
 	settings := control.Settings{
-		Name: "c", Domain: "a", Listen: "127.0.0.1:0", DataDir: GinkgoT().TempDir(), ReplicaID: 1, SingleDomainOK: true,
+		Name: "c", Domain: "a", Listen: "127.0.0.1:0", DataDir: GinkgoT().TempDir(), ReplicaID: 1, SingleDomainOK: true, StateMayBeLost: true,
 		Replicas: []control.ReplicaAddress{{ID: 1, Address: "127.0.0.1:1", Domain: "a"}},
 	}
 	store, stored, err := control.OpenStorage(settings, func() error { return nil })
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -39,7 +39,7 @@
 mkdir "$work/data"
 start control geranium-control "{\"name\":\"bench-c\",\"domain\":\"bench-a\",\"listen\":\"$control\",
  \"metrics_listen\":\"$host:$((port + 21))\",\"data_dir\":\"$work/data\",\"replica_id\":1,
- \"replicas\":[{\"id\":1,\"address\":\"$control\",\"domain\":\"bench-a\"}],\"single_domain_ok\":true}"
+ \"replicas\":[{\"id\":1,\"address\":\"$control\",\"domain\":\"bench-a\"}],\"single_domain_ok\":true,\"state_may_be_lost\":true}"
 start scheduler geranium-scheduler "{\"name\":\"bench-s\",\"domain\":\"bench-a\",\"listen\":\"$scheduler\",
  \"metrics_listen\":\"$host:$((port + 23))\",\"control\":[\"$control\"]}"
 
