Promote only a learner that has stored something

Cause: a new learner counts as in contact for an election timeout, and with a log shorter than the promotion lag of 256 entries it counts as caught up with nothing stored. A promotion right after the addition then raised the quorum to three of four while only two ran. The leader stepped down, and the new replica, which starts only on the word of a confirmed leader, never started.

A learner that has acknowledged nothing is not promoted.

Ruled out: believing an unconfirmed leader at a first start, which is what hid this before; it may be cut off and not know that the replica joined.

--- a/raft/membership.go
+++ b/raft/membership.go
@@ -105,14 +105,15 @@
 }
 
 // promoted makes a learner a voter if it is in contact and has nearly all
-// entries, since otherwise the larger quorum could stall the log.
+// entries, since otherwise the larger quorum could stall the log. One that has
+// acknowledged nothing may not have started, however short the log is.
 func (n *Node) promoted(member Member, found bool) (Membership, error) {
 	current := n.membership()
 	if !found || !member.Learner {
 		return current, fmt.Errorf("%w: replica %d is no learner; add it as a learner first", ErrInvalidChange, member.ID)
 	}
 	peer := n.lead.peers[member.ID]
-	if !n.isActive(peer) || peer.match+n.config.PromotionLag < n.log.last().Index {
+	if peer.match == 0 || !n.isActive(peer) || peer.match+n.config.PromotionLag < n.log.last().Index {
 		return current, ErrNotCaughtUp
 	}
 	member.Learner = false
--- a/raft/protocol_test.go
+++ b/raft/protocol_test.go
@@ -156,6 +156,19 @@
 		Expect(err).To(MatchError(raft.ErrNotCaughtUp))
 	})
 
+	// Guards against a quorum that needs a replica which has not started: a short log
+	// is within the promotion lag of an empty one.
+	It("promotes no learner that has never stored anything", func() {
+		node := single(raft.Config{PromotionLag: 100})
+		lead(node)
+		acknowledge(node, 2, 1)
+		_, err := node.ChangeMembers(raft.MemberChange{Kind: raft.AddLearner, Member: raft.Member{ID: 4}})
+		Expect(err).NotTo(HaveOccurred())
+		acknowledge(node, 2, 2)
+		_, err = node.ChangeMembers(raft.MemberChange{Kind: raft.PromoteLearner, Member: raft.Member{ID: 4}})
+		Expect(err).To(MatchError(raft.ErrNotCaughtUp))
+	})
+
 	It("bounds what is sent to a follower that doesn't acknowledge, and what isn't committed", func() {
 		node := single(raft.Config{MaxInflightMessages: 3, MaxBatchBytes: 1, MaxUncommittedBytes: 2000})
 		lead(node)
