Test one-way cuts and slow links between domains with processes

Cause: the relay of the end-to-end tests cut both directions at once and never slowed a link, so one-way cuts and slow links were tested on the cores only.

The relay has two directions for each pair of domains, each with a cut, a delay and a rate.

Ruled out: relays between gateways and workers, since a worker announces its own address; this needs a setting for the announced address.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -53,7 +53,7 @@
 	gateways   map[string][]*process
 	workers    map[string][]*process
 	addresses  map[string]string
-	links      map[string]*link // by the two domains in order of name
+	links      map[[2]string]*direction // by the two domains in order of name
 	relays     []*relay
 	client     *operator.Client
 }
@@ -106,7 +106,7 @@
 		layout: l, dir: dir, port: firstPort,
 		ip:         fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+fleets.Add(1)),
 		schedulers: map[string][]*process{}, gateways: map[string][]*process{}, workers: map[string][]*process{},
-		addresses: map[string]string{}, links: map[string]*link{},
+		addresses: map[string]string{}, links: map[[2]string]*direction{},
 	}
 	f.reserveAddresses()
 	if err := f.writeControls(); err != nil {
@@ -160,7 +160,7 @@
 	}
 	f.port++
 	listen := fmt.Sprintf("%s:%d", f.ip, f.port)
-	r, err := newRelay(listen, f.addresses[name], f.link(fromDomain, domain))
+	r, err := newRelay(listen, f.addresses[name], f.direction(fromDomain, domain), f.direction(domain, fromDomain))
 	if err != nil {
 		return "", err
 	}
@@ -168,23 +168,46 @@
 	return listen, nil
 }
 
-func (f *fleet) link(a, b string) *link {
-	key := min(a, b) + " " + max(a, b)
+func (f *fleet) direction(from, to string) *direction {
+	key := [2]string{from, to}
 	if f.links[key] == nil {
-		f.links[key] = &link{}
+		f.links[key] = &direction{}
 	}
 	return f.links[key]
 }
 
 // cutOff cuts a domain off from all others, or joins it again.
 func (f *fleet) cutOff(domain string, cut bool) {
-	for key, l := range f.links {
-		if a, b, _ := strings.Cut(key, " "); a == domain || b == domain {
-			l.cut.Store(cut)
+	f.cutFrom(domain, cut)
+	f.cutTo(domain, cut)
+}
+
+// cutFrom drops what a domain sends to the others, and nothing else.
+func (f *fleet) cutFrom(domain string, cut bool) {
+	for key, d := range f.links {
+		if key[0] == domain {
+			d.cut.Store(cut)
 		}
 	}
 }
 
+// cutTo drops what the others send to a domain, and nothing else.
+func (f *fleet) cutTo(domain string, cut bool) {
+	for key, d := range f.links {
+		if key[1] == domain {
+			d.cut.Store(cut)
+		}
+	}
+}
+
+// slow gives every direction a delay and a rate in bytes per second.
+func (f *fleet) slow(delay time.Duration, rate int64) {
+	for _, d := range f.links {
+		d.delay.Store(int64(delay))
+		d.rate.Store(rate)
+	}
+}
+
 func (f *fleet) controlAddresses(fromDomain string) ([]string, error) {
 	var list []string
 	for i, domain := range f.controlDomains {
--- a/e2e/relay_test.go
+++ b/e2e/relay_test.go
@@ -4,27 +4,43 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// link is the connection between two failure domains. While it is cut, nothing
-// passes and nobody is told, as in a silent network partition.
-type link struct{ cut atomic.Bool }
+// direction is one way of the connection between two failure domains. While it is
+// cut, nothing passes and nobody is told, as in a silent network partition.
+type direction struct {
+	cut atomic.Bool
+	// delay in nanoseconds and rate in bytes per second apply to each stream; a rate
+	// of 0 is no limit.
+	delay, rate atomic.Int64
+}
+
+// hold waits as long as the direction takes to carry n bytes.
+func (d *direction) hold(n int) {
+	wait := time.Duration(d.delay.Load())
+	if rate := d.rate.Load(); rate > 0 {
+		wait += time.Duration(int64(n) * int64(time.Second) / rate)
+	}
+	time.Sleep(wait)
+}
 
 // relay forwards TCP connections over a link.
 type relay struct {
 	listener net.Listener
 	target   string
-	link     *link
-	mu       sync.Mutex
-	conns    []net.Conn
+	// there leads to the target, back from it.
+	there, back *direction
+	mu          sync.Mutex
+	conns       []net.Conn
 }
 
-func newRelay(listen, target string, l *link) (*relay, error) {
+func newRelay(listen, target string, there, back *direction) (*relay, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: listener, target: target, link: l}
+	r := &relay{listener: listener, target: target, there: there, back: back}
 	go r.accept()
 	return r, nil
 }
@@ -36,7 +52,7 @@
 			return
 		}
 		r.keep(from)
-		if r.link.cut.Load() {
+		if r.there.cut.Load() {
 			continue
 		}
 		to, err := net.Dial("tcp", r.target)
@@ -45,21 +61,21 @@
 			continue
 		}
 		r.keep(to)
-		go r.copy(from, to)
-		go r.copy(to, from)
+		go r.copy(from, to, r.there)
+		go r.copy(to, from, r.back)
 	}
 }
 
 // copy drops what arrives during a cut. A connection that lost bytes is closed
 // when the next bytes arrive after the cut, so that no stream has a hole.
-func (r *relay) copy(from, to net.Conn) {
+func (r *relay) copy(from, to net.Conn, d *direction) {
 	defer from.Close()
 	defer to.Close()
 	buffer := make([]byte, 32<<10)
 	lost := false
 	for {
 		n, err := from.Read(buffer)
-		if r.link.cut.Load() {
+		if d.cut.Load() {
 			lost = true
 			if err == nil {
 				continue
@@ -68,6 +84,7 @@
 		if err != nil || lost {
 			return
 		}
+		d.hold(n)
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
