End the process on a broken assertion of a control replica

Cause: without Options.Fatal a replica panicked in the goroutine of its actor, which the actor library recovers, so the process went on without its replica.

The default panics in a goroutine of its own. The test cluster ignores only the crash of its disks.

Ruled out: a supervisor that stops the actor, which leaves the process running.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -27,13 +27,22 @@
 	stored  raft.Stored
 }
 
+var errCrashed = errors.New("crashed")
+
+// onlyCrashes ends the test process on every failure but the crash of a disk.
+func onlyCrashes(err error) {
+	if !errors.Is(err, errCrashed) {
+		go func() { panic(err) }()
+	}
+}
+
 func (d *memoryDisk) Save(w *raft.Write) error {
 	d.frozen.RLock()
 	defer d.frozen.RUnlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.crashed.Load() {
-		return errors.New("crashed")
+		return errCrashed
 	}
 	if w.Snapshot != nil {
 		d.stored.Snapshot, d.stored.Entries = *w.Snapshot, nil
@@ -114,7 +123,7 @@
 	disk.mu.Unlock()
 	s, err := New(Options{
 		Settings: Settings{ReplicaID: id}, Storage: disk, Stored: stored, Log: zerolog.Nop(),
-		Transport: port{c, id}, Fatal: func(error) {}, Seed: 7,
+		Transport: port{c, id}, Fatal: onlyCrashes, Seed: 7,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	c.mu.Lock()
--- /dev/null
+++ b/control/panic_test.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"geraniumwall/raft"
+)
+
+// endWithin is the time after which the child counts as still running.
+const endWithin = 10 * time.Second
+
+// breakInvariant fails in the actor of a replica that has the default of Fatal.
+func breakInvariant() {
+	members := []raft.Member{{ID: 1, Address: "a", Domain: "d"}}
+	s, err := New(Options{
+		Settings: Settings{ReplicaID: 1}, Storage: &memoryDisk{}, Stored: raft.Bootstrap(members), Log: zerolog.Nop(),
+		Transport: port{&cluster{}, 1},
+	})
+	if err != nil {
+		os.Exit(0)
+	}
+	s.send(&local{func(*replica) { panic("broken invariant of the test") }})
+}
+
+// TestEndOnPanic guards against a process that goes on after a broken invariant,
+// because the actor library recovered the panic, or that ends without saying why.
+func TestEndOnPanic(t *testing.T) {
+	const variable = "GERANIUM_TEST_END_ON_PANIC"
+	if os.Getenv(variable) != "" {
+		breakInvariant()
+		time.Sleep(endWithin)
+		os.Exit(0)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*endWithin)
+	defer cancel()
+	child := exec.CommandContext(ctx, os.Args[0], "-test.run=^TestEndOnPanic$")
+	child.Env = append(os.Environ(), variable+"=1")
+	output, err := child.CombinedOutput()
+	var ended *exec.ExitError
+	g := NewWithT(t)
+	g.Expect(errors.As(err, &ended)).To(BeTrue(), "%v: %s", err, output)
+	g.Expect(ended.ExitCode()).To(Equal(2), "%s", output)
+	g.Expect(string(output)).To(ContainSubstring("broken invariant of the test"))
+}
--- a/control/server.go
+++ b/control/server.go
@@ -57,7 +57,7 @@
 	// Transport sends to other replicas; nil stands for HTTP.
 	Transport Transport
 	// Fatal is called with a failure after which the process must end; nil stands
-	// for a panic.
+	// for a panic that ends it.
 	Fatal     func(error)
 	Retention Retention
 	// Now is a monotonic clock; nil stands for the time since New.
@@ -72,7 +72,8 @@
 
 func (o *Options) setDefaults() {
 	if o.Fatal == nil {
-		o.Fatal = func(err error) { panic(err) }
+		// The actor library recovers a panic of the actor's own goroutine.
+		o.Fatal = func(err error) { go func() { panic(err) }() }
 	}
 	if o.Retention == (Retention{}) {
 		o.Retention = DefaultRetention
