Carry internal traffic and heartbeats over HTTP/2

HTTP/1.1 headers are most of the bytes between the processes (docs/CAPACITY.md, "What does not hold"), and each package built its own client. Package transport now builds them all: HTTP/2 with prior knowledge between the system's processes and for heartbeats, HTTP/1.1 for commands to workers, and servers that accept both. Requests from gateways to workers keep the transport of package gateway, which counts connections.

Commands over HTTP/2 were ruled out: a scheduler would hold an idle connection with pings to each worker, and a worker would have to serve HTTP/2. Pings after 600 ms without a frame and a limit of 500 ms for their answer replace a silently cut connection before a scheduler lease is over; heartbeats every 500 ms keep the pings from being sent.

TestDomainCutOff, TestFrozenScheduler, TestFrozenWorker, TestFrozenLeader and TestQuorumLost pass.

The fakes of the package tests are served by transport.NewServer, since an httptest server speaks HTTP/1.1 only.

--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -17,6 +16,7 @@
 	"geraniumwall/daemon"
 	"geraniumwall/gateway"
 	"geraniumwall/operatorapi"
+	"geraniumwall/transport"
 )
 
 const (
@@ -87,7 +87,7 @@
 		schedulers = append(schedulers, gateway.Scheduler(peer))
 		listed = append(listed, operatorapi.Scheduler(peer))
 	}
-	httpClient := &http.Client{}
+	httpClient := transport.NewClient(transport.ClientOptions{})
 	return gateway.Options{
 		Name: s.Name, Domain: s.Domain, Incarnation: uuid.NewString(),
 		Control: s.Control, Schedulers: schedulers,
--- a/control/conn.go
+++ b/control/conn.go
@@ -4,23 +4,15 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
+
+	"geraniumwall/transport"
 )
 
 // newHTTPClient returns a client that counts its traffic.
 func newHTTPClient(m *metrics) *http.Client {
-	dialer := &net.Dialer{}
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: c, metrics: m}, nil
-		},
-	}}
+	return transport.NewClient(transport.ClientOptions{
+		Wrap: func(c net.Conn) net.Conn { return &countingConn{Conn: c, metrics: m} },
+	})
 }
 
 // countingConn counts the bytes of one connection to another replica.
--- a/control/forming.go
+++ b/control/forming.go
@@ -12,6 +12,7 @@
 
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -55,7 +56,7 @@
 // that every quorum includes one of them.
 func permitFirstStart(ctx context.Context, s Settings, log zerolog.Logger) error {
 	needed := len(s.Replicas) - (len(s.Replicas)/2 + 1) + 1
-	httpClient := &http.Client{Timeout: formTimeout}
+	httpClient := transport.NewClient(transport.ClientOptions{Timeout: formTimeout})
 	var logged time.Time
 	for {
 		empty := 0
@@ -127,10 +128,10 @@
 
 // askStatus asks a replica, or the leader that it names.
 func askStatus(ctx context.Context, c *http.Client, address string) (*controlpb.StatusResponse, error) {
-	status, err := controlpb.NewControlProtobufClient("http://"+address, c).Status(ctx, &controlpb.StatusRequest{})
+	status, err := controlpb.NewControlProtobufClient(transport.URL(address), c).Status(ctx, &controlpb.StatusRequest{})
 	var te twirp.Error
 	if errors.As(err, &te) && te.Meta(client.MetaLeader) != "" {
-		leader := "http://" + te.Meta(client.MetaLeader)
+		leader := transport.URL(te.Meta(client.MetaLeader))
 		return controlpb.NewControlProtobufClient(leader, c).Status(ctx, &controlpb.StatusRequest{})
 	}
 	return status, err
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"fmt"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"sync"
@@ -17,6 +16,7 @@
 
 	"geraniumwall/lease"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/transport"
 )
 
 // agent is a scheduler that only renews its leases.
@@ -203,7 +203,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			s, err := New(Options{Settings: own, Storage: store, Stored: stored, Log: zerolog.Nop(), Seed: 5})
 			Expect(err).NotTo(HaveOccurred())
-			server := &http.Server{Handler: s.Handler()}
+			server := transport.NewServer(s.Handler())
 			go func() { _ = server.Serve(l) }()
 			servers = append(servers, s)
 			DeferCleanup(func() { s.EndPolls(); server.Close(); s.Stop(); store.Close() })
@@ -238,7 +238,9 @@
 
 var _ = Describe("the first start of a replica", func() {
 	answering := func(status *controlpb.StatusResponse) string {
-		server := httptest.NewServer(controlpb.NewControlServer(fixedStatus{status: status}))
+		server := httptest.NewUnstartedServer(nil)
+		server.Config = transport.NewServer(controlpb.NewControlServer(fixedStatus{status: status}))
+		server.Start()
 		DeferCleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
--- a/controlbench/cluster.go
+++ b/controlbench/cluster.go
@@ -16,6 +16,7 @@
 	"geraniumwall/control"
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/transport"
 )
 
 const (
@@ -40,7 +41,7 @@
 // startCluster starts the replicas on free ports and waits for a leader.
 func startCluster(p Processes, dir string) (*cluster, error) {
 	c := &cluster{processes: p}
-	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * rateClients}}
+	c.http = transport.NewClient(transport.ClientOptions{})
 	var members []control.ReplicaAddress
 	for i := range replicas {
 		address, err := freeAddress()
@@ -106,7 +107,7 @@
 func (c *cluster) status(i int) (*controlpb.StatusResponse, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	stub := controlpb.NewControlProtobufClient("http://"+c.address[i], c.http)
+	stub := controlpb.NewControlProtobufClient(transport.URL(c.address[i]), c.http)
 	return stub.Status(ctx, &controlpb.StatusRequest{})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,11 +12,11 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // Exit codes of the daemons.
@@ -25,8 +25,6 @@
 	ExitUsage   = 2
 )
 
-const readHeaderTimeout = 10 * time.Second
-
 // Main parses the flags, loads the settings into s, which holds the defaults, and
 // runs the daemon until SIGTERM or SIGINT. run must finish the work in progress
 // before it returns. Main does not return.
@@ -72,7 +70,7 @@
 		return nil, fmt.Errorf("listen on %s: %w; choose a free address in the settings", address, err)
 	}
 	return &Server{
-		http:     &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+		http:     transport.NewServer(handler),
 		listener: listener,
 		failed:   make(chan error, 1),
 	}, nil
--- a/fakeworker/heartbeat.go
+++ b/fakeworker/heartbeat.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 	"geraniumwall/workerapi/delta"
 )
@@ -106,7 +107,7 @@
 func (w *Worker) post(ctx context.Context, address, path string, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, transport.URL(address)+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("request to scheduler %s: %w", address, err)
 	}
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -12,6 +12,7 @@
 
 	"geraniumwall/daemon"
 	"geraniumwall/fakeworker/machine"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 	"geraniumwall/workerapi/delta"
 )
@@ -52,7 +53,7 @@
 	}
 	w := &Worker{
 		settings: s, incarnation: uuid.NewString(), boot: time.Now(), log: log, record: record,
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		http:   transport.NewClient(transport.ClientOptions{}),
 		wake:   make(chan struct{}, 1),
 		meters: map[string]*meter{}, senders: map[string]*delta.Sender{},
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"geraniumwall/control/client"
+	"geraniumwall/transport"
 )
 
 // Scheduler names one scheduler.
@@ -86,7 +87,7 @@
 		return nil, err
 	}
 	g := &Gateway{options: o, log: o.Log, clock: o.Clock, metrics: m, drained: make(chan struct{})}
-	internal := newInternalClient()
+	internal := transport.NewClient(transport.ClientOptions{})
 	g.control = client.New(o.Control, internal)
 	g.follower = client.NewFollower(g.control, client.Identity{Process: o.Name, Kind: "gateway", Domain: o.Domain})
 	g.balancer = newBalancer(o.Domain, rand.NewPCG(o.Seed, uint64(len(o.Name))), o.Clock, g.askOtherDomains)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -8,6 +8,7 @@
 
 	"geraniumwall/routing"
 	"geraniumwall/rpc/schedulerpb"
+	"geraniumwall/transport"
 )
 
 const (
@@ -36,7 +37,7 @@
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
 		gateway: g, scheduler: s,
-		client:    schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c),
+		client:    schedulerpb.NewSchedulerProtobufClient(transport.URL(s.Address), c),
 		triggered: make(chan struct{}, 1),
 	}
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"geraniumwall/routing"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -19,7 +20,9 @@
 
 // serveOn serves a handler on a free loopback port and returns its address.
 func serveOn(h http.Handler) string {
-	s := httptest.NewServer(h)
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = transport.NewServer(h)
+	s.Start()
 	DeferCleanup(s.CloseClientConnections)
 	return strings.TrimPrefix(s.URL, "http://")
 }
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -14,22 +14,10 @@
 	dialTimeout      = time.Second
 	idlePerWorker    = 1024
 	idleConnTimeout  = 60 * time.Second
-	internalIdle     = 16
 	maxHeaderBytes   = 64 << 10
 	transportBufSize = 8 << 10
 )
 
-// newInternalClient returns the HTTP client for control replicas and schedulers.
-func newInternalClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: internalIdle,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}}
-}
-
 // workerTransport holds the connections to workers. It never has more open to one
 // worker than its grant permits.
 type workerTransport struct {
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -19,6 +19,7 @@
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/schedulerpb"
+	"geraniumwall/transport"
 )
 
 // Prefix is the path under which a gateway mounts the handler.
@@ -56,7 +57,7 @@
 func New(control *client.Client, schedulers []Scheduler, httpClient *http.Client) http.Handler {
 	s := &Server{control: control}
 	for _, one := range schedulers {
-		s.schedulers = append(s.schedulers, scheduler{one, schedulerpb.NewSchedulerProtobufClient("http://"+one.Address, httpClient)})
+		s.schedulers = append(s.schedulers, scheduler{one, schedulerpb.NewSchedulerProtobufClient(transport.URL(one.Address), httpClient)})
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Prefix+"config", s.getConfig)
--- a/schedulerd/commands.go
+++ b/schedulerd/commands.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -39,9 +40,8 @@
 }
 
 func newCommander(ctx context.Context, m *metrics) *commander {
-	transport := &http.Transport{MaxIdleConns: 4096, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
 	return &commander{
-		ctx: ctx, http: &http.Client{Transport: transport}, metrics: m,
+		ctx: ctx, http: transport.NewCommandClient(transport.ClientOptions{}), metrics: m,
 		starts: make(chan struct{}, startsAtOnce), stops: make(chan struct{}, stopsAtOnce),
 		attaches: make(chan struct{}, attachesAtOnce), others: make(chan struct{}, othersAtOnce),
 	}
@@ -97,7 +97,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, commandTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address+path, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, transport.URL(t.Address)+path, bytes.NewReader(encoded))
 	if err != nil {
 		return fmt.Errorf("request to worker %s: %w", t.Worker, err)
 	}
--- a/schedulerd/control_fake_test.go
+++ b/schedulerd/control_fake_test.go
@@ -9,6 +9,7 @@
 
 	"geraniumwall/lease"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/transport"
 )
 
 // fakeControl is a control replica for one domain without a log.
@@ -26,7 +27,10 @@
 
 func startFakeControl(config []byte) (*fakeControl, *httptest.Server) {
 	f := &fakeControl{start: time.Now(), tasks: map[string]*controlpb.Task{}, config: config}
-	return f, httptest.NewServer(controlpb.NewControlServer(f))
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = transport.NewServer(controlpb.NewControlServer(f))
+	server.Start()
+	return f, server
 }
 
 func (f *fakeControl) lock() func() {
--- a/schedulerd/peer.go
+++ b/schedulerd/peer.go
@@ -10,6 +10,7 @@
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 )
 
 const peerTimeout = time.Second
@@ -67,7 +68,7 @@
 	if err != nil || !ask || address == "" {
 		return
 	}
-	stub := schedulerpb.NewSchedulerProtobufClient("http://"+address, p.http)
+	stub := schedulerpb.NewSchedulerProtobufClient(transport.URL(address), p.http)
 	answer, err := stub.RenewSchedulerLease(ctx, &schedulerpb.RenewSchedulerLeaseRequest{
 		Domain: p.settings.Domain, Active: p.settings.Name, Epoch: epoch,
 		LeaseMs: lease.SchedulerLease.Milliseconds(),
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -17,6 +17,7 @@
 	"geraniumwall/policy"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 )
 
 const (
@@ -76,7 +77,7 @@
 	s.commander = newCommander(s.ctx, m)
 	s.loop = newLoop(&owner{core: core, clock: clk, perform: s.perform})
 	s.commander.loop = s.loop
-	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	httpClient := transport.NewClient(transport.ClientOptions{})
 	replicas := client.New(s.settings.Control, httpClient)
 	s.follower = client.NewFollower(replicas, client.Identity{
 		Process: s.settings.Name, Kind: "scheduler", Domain: s.settings.Domain,
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,89 @@
+// Package transport builds the HTTP clients and servers of all traffic between the
+// system's own processes, of the workers' heartbeats and of the schedulers'
+// commands to workers. The requests that a gateway forwards to workers are not part
+// of it: package gateway counts their connections.
+package transport
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// sendPing and pingTimeout bound the time for which a connection that was cut
+	// silently holds up the calls to a peer. Their sum is below the scheduler lease of
+	// 1.5 s, so that a renewal on a new connection still comes in time. sendPing is
+	// above the interval of heartbeats and long enough that busy connections, which
+	// receive frames all the time, send no pings.
+	sendPing    = 600 * time.Millisecond
+	pingTimeout = 500 * time.Millisecond
+	// maxStreams bounds the calls under way on one connection. It is well above the
+	// long polls of one process, and a client whose connection is full opens another.
+	maxStreams = 1000
+
+	dialTimeout       = time.Second
+	idleTimeout       = time.Minute
+	readHeaderTimeout = 10 * time.Second
+	// Connections of HTTP/1.1 that stay open without a call under way.
+	idleConnections         = 4096
+	idleConnectionsPerPeer  = 4
+	connectionBufferedBytes = 8 << 10
+)
+
+// URL returns the base URL of the peer at address, host:port.
+func URL(address string) string { return "http://" + address }
+
+// ClientOptions are the options of a client. The zero value is usable.
+type ClientOptions struct {
+	// Timeout bounds a whole call; 0 leaves the bound to the context of the call.
+	Timeout time.Duration
+	// Wrap is called with each new connection, for example to count its bytes.
+	Wrap func(net.Conn) net.Conn
+}
+
+// NewClient returns a client of the system's own processes. It speaks HTTP/2 with
+// prior knowledge, so all calls to a peer share a connection and its header
+// compression.
+func NewClient(o ClientOptions) *http.Client {
+	t := newTransport(o)
+	t.Protocols.SetUnencryptedHTTP2(true)
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: sendPing, PingTimeout: pingTimeout}
+	return &http.Client{Transport: t, Timeout: o.Timeout}
+}
+
+// NewCommandClient returns a client of the commands to workers. It speaks HTTP/1.1,
+// which is all that a worker has to serve.
+func NewCommandClient(o ClientOptions) *http.Client {
+	t := newTransport(o)
+	t.Protocols.SetHTTP1(true)
+	return &http.Client{Transport: t, Timeout: o.Timeout}
+}
+
+func newTransport(o ClientOptions) *http.Transport {
+	return &http.Transport{
+		Protocols:           new(http.Protocols),
+		DialContext:         dialer(o.Wrap),
+		MaxIdleConns:        idleConnections,
+		MaxIdleConnsPerHost: idleConnectionsPerPeer,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      connectionBufferedBytes,
+		WriteBufferSize:     connectionBufferedBytes,
+		// The bodies are short, and compression costs more processor than it saves bytes.
+		DisableCompression: true,
+	}
+}
+
+// NewServer returns a server of HTTP/1.1 and of HTTP/2 with prior knowledge, so
+// callers, load balancers and the system's own processes can use one port.
+func NewServer(handler http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           handler,
+		Protocols:         new(http.Protocols),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	return s
+}
