Test the formats of the released version against today's code

Cause: nothing tested that a new version reads what its predecessor wrote, so a renumbered field or a changed record would first show in an upgrade.

--- a/cmd/geranium-gateway/main_test.go
+++ b/cmd/geranium-gateway/main_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"geraniumwall/formats"
 	"geraniumwall/settings"
 )
 
@@ -37,6 +39,16 @@
 		Expect(settings.Parse("file", []byte(validSettings), defaultSettings())).To(Succeed())
 	})
 
+	// Guards against a new version that refuses the settings of a released one.
+	ginkgo.It("accepts the settings of the released versions", func() {
+		files, err := filepath.Glob("../../formats/testdata/v*/" + formats.GatewaySettingsFile)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).NotTo(BeEmpty())
+		for _, file := range files {
+			Expect(settings.Load(file, defaultSettings())).To(Succeed())
+		}
+	})
+
 	ginkgo.It("stops without control and schedulers", func() {
 		s := defaultSettings()
 		Expect(settings.Parse("file", []byte(validSettings), s)).To(Succeed())
