Give every format a version and upgrade a running fleet in a test

Cause: only the identity file and the configuration document had a version, and a newer identity was reported as corruption with the remedy to replace the replica, which would have thrown away a good disk after a downgrade.

The rule is in design.md 5.1: neighbouring versions run side by side, a version reads a new format and the next one writes it, and a newer format than known is refused with its remedy before any effect.

The bytes that are written did not change: an absent version is 1.

TestUpgrade starts the binaries of the released commit, restarts all 15 processes one by one with this version under traffic, takes a replica back in between and requires done or not_run for every call.

Ruled out: a fleet-wide version agreed through the log, since every process would need it before it can talk to the log.

Before, a data directory with identity version 2 gave "corrupt ... remove this replica"; now "start the newer version that wrote it".

The test is skipped with a message in a clone that lacks the released commit.

--- a/Makefile
+++ b/Makefile
@@ -27,10 +27,12 @@
 	go run $(GOLANGCI) run ./...
 
 # The end-to-end tests run after the others, so that they have the machine to
-# themselves: they check times that callers see.
+# themselves: they check times that callers see. The test of an upgrade is skipped in
+# a clone that lacks the released commit.
 unit: build
 	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -race -count=1 -timeout 900s $$(go list ./... | grep -v /e2e)
-	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -count=1 -timeout 900s -parallel 3 ./e2e
+	released=$$(scripts/released.sh $(BIN)/released && echo $(CURDIR)/$(BIN)/released); \
+	GERANIUM_RELEASED_BIN=$$released GERANIUM_BIN=$(CURDIR)/$(BIN) go test -count=1 -timeout 900s -parallel 3 ./e2e
 
 bench: build
 	GERANIUM_BIN=$(CURDIR)/$(BIN) scripts/bench.sh
--- a/config/document.go
+++ b/config/document.go
@@ -45,6 +45,9 @@
 	decoder := json.NewDecoder(bytes.NewReader(document))
 	decoder.DisallowUnknownFields()
 	var c Config
+	if err := checkFormat(document); err != nil {
+		return Config{}, err
+	}
 	if err := decoder.Decode(&c); err != nil {
 		return Config{}, &CheckError{Problems: []Problem{{
 			Place: "document", Text: err.Error(),
@@ -64,6 +67,21 @@
 	return c, nil
 }
 
+// checkFormat comes before the strict reading, which would report the new fields
+// of a later format instead of the format.
+func checkFormat(document []byte) error {
+	var head struct {
+		Format int `json:"format"`
+	}
+	if json.Unmarshal(document, &head) != nil || head.Format <= Format {
+		return nil //nolint:nilerr // the strict reading reports it
+	}
+	return &CheckError{Problems: []Problem{{
+		Place: "format", Text: fmt.Sprintf("format %d is newer than format %d, the newest that this version reads", head.Format, Format),
+		Remedy: "finish the upgrade of every process and of geranium, or print the document with the library of this version",
+	}}}
+}
+
 func sortByName(c *Config) {
 	c.Domains = slices.Sorted(slices.Values(c.Domains))
 	c.Teams = sortedBy(c.Teams, func(t Team) string { return t.Name })
--- a/control/client/client.go
+++ b/control/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/twitchtv/twirp"
 
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/workerapi"
 )
 
@@ -79,7 +80,7 @@
 	if known, ok := c.stubs.Load(address); ok {
 		return known.(controlpb.Control)
 	}
-	made, _ := c.stubs.LoadOrStore(address, controlpb.NewControlProtobufClient("http://"+address, c.http))
+	made, _ := c.stubs.LoadOrStore(address, controlpb.NewControlProtobufClient("http://"+address, c.http, protocol.Client()))
 	return made.(controlpb.Control)
 }
 
--- a/control/forming.go
+++ b/control/forming.go
@@ -12,6 +12,7 @@
 
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/workerapi"
 )
 
@@ -127,11 +128,11 @@
 
 // askStatus asks a replica, or the leader that it names.
 func askStatus(ctx context.Context, c *http.Client, address string) (*controlpb.StatusResponse, error) {
-	status, err := controlpb.NewControlProtobufClient("http://"+address, c).Status(ctx, &controlpb.StatusRequest{})
+	status, err := controlpb.NewControlProtobufClient("http://"+address, c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
 	var te twirp.Error
 	if errors.As(err, &te) && te.Meta(client.MetaLeader) != "" {
 		leader := "http://" + te.Meta(client.MetaLeader)
-		return controlpb.NewControlProtobufClient(leader, c).Status(ctx, &controlpb.StatusRequest{})
+		return controlpb.NewControlProtobufClient(leader, c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
 	}
 	return status, err
 }
--- a/control/run.go
+++ b/control/run.go
@@ -15,6 +15,7 @@
 	"geraniumwall/daemon"
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 )
 
 const (
@@ -99,5 +100,5 @@
 func formingHandler(s Settings) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(controlpb.ControlPathPrefix, controlpb.NewControlServer(forming{replica: s.ReplicaID}))
-	return mux
+	return protocol.Handler(mux)
 }
--- a/control/server.go
+++ b/control/server.go
@@ -23,6 +23,7 @@
 
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/state"
 )
 
@@ -214,7 +215,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(controlpb.ControlPathPrefix, controlpb.NewControlServer(s))
 	mux.Handle(controlpb.ReplicaPathPrefix, controlpb.NewReplicaServer(s))
-	return mux
+	return protocol.Handler(mux)
 }
 
 // Transfer hands leadership over, if this replica has it, and returns when
--- a/control/transport.go
+++ b/control/transport.go
@@ -8,6 +8,7 @@
 
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 )
 
 const (
@@ -108,7 +109,7 @@
 
 func (t *httpTransport) run(ctx context.Context, p *peer) {
 	defer t.group.Done()
-	stub := controlpb.NewReplicaProtobufClient("http://"+p.address, t.client)
+	stub := controlpb.NewReplicaProtobufClient("http://"+p.address, t.client, protocol.Client())
 	for {
 		select {
 		case <-ctx.Done():
--- a/e2e/driver_test.go
+++ b/e2e/driver_test.go
@@ -30,9 +30,11 @@
 	gateways []string
 	http     *http.Client
 	next     atomic.Uint64
-	mu       sync.Mutex
-	calls    []callResult
-	tasks    map[string]string // key to task id
+	// out is a gateway that the load balancer has taken out.
+	out   atomic.Value
+	mu    sync.Mutex
+	calls []callResult
+	tasks map[string]string // key to task id
 }
 
 func newDriver(gateways []string) *driver {
@@ -40,7 +42,14 @@
 	return &driver{gateways: gateways, http: &http.Client{Transport: transport, Timeout: 40 * time.Second}, tasks: map[string]string{}}
 }
 
-func (d *driver) gateway() string { return d.gateways[int(d.next.Add(1))%len(d.gateways)] }
+func (d *driver) gateway() string {
+	for {
+		next := d.gateways[int(d.next.Add(1))%len(d.gateways)]
+		if next != d.out.Load() {
+			return next
+		}
+	}
+}
 
 // call sends one request and records what came back. A lost connection is the
 // outcome unknown.
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -38,6 +38,9 @@
 	services         []string
 	// cuttable puts a relay on every connection between domains.
 	cuttable bool
+	// binaries is the directory of the version that the fleet starts with; empty for
+	// this one.
+	binaries string
 }
 
 var fleets atomic.Int32
@@ -310,6 +313,7 @@
 // start starts every process and waits until each gateway is ready.
 func (f *fleet) start(ctx context.Context) error {
 	for _, p := range f.all() {
+		p.binaries = f.binaries
 		if err := p.start(); err != nil {
 			return err
 		}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -22,6 +22,8 @@
 	binary   string
 	settings string
 	logFile  string
+	// binaries is the directory of another version's binaries; empty for this one's.
+	binaries string
 	command  *exec.Cmd
 	exit     *exit
 }
@@ -60,7 +62,11 @@
 		return err
 	}
 	defer log.Close()
-	p.command = exec.Command(binaryPath(p.binary), "-settings", p.settings)
+	path := binaryPath(p.binary)
+	if p.binaries != "" {
+		path = filepath.Join(p.binaries, p.binary)
+	}
+	p.command = exec.Command(path, "-settings", p.settings)
 	p.command.Stdout, p.command.Stderr = log, log
 	if err := p.command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w; run make build first", p.name, err)
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -12,6 +12,7 @@
 
 	"geraniumwall/daemon"
 	"geraniumwall/fakeworker/machine"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/workerapi"
 	"geraniumwall/workerapi/delta"
 )
@@ -87,7 +88,7 @@
 	mux.HandleFunc("POST "+workerapi.PathThrottle, handle(w, w.machine.Throttle))
 	mux.HandleFunc("POST "+workerapi.PathCheckpoint, handle(w, w.machine.Checkpoint))
 	mux.HandleFunc("POST "+workerapi.PathServe+"{service}", w.serve)
-	return mux
+	return protocol.Handler(mux)
 }
 
 // Run works until ctx is over and then leaves gracefully: running requests
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+
+	"geraniumwall/rpc/protocol"
 )
 
 // Handler returns the HTTP handler of the gateway.
@@ -36,7 +38,11 @@
 	w.Write([]byte("ready\n"))
 }
 
-func serveUnknownPath(w http.ResponseWriter, _ *http.Request) {
+func serveUnknownPath(w http.ResponseWriter, r *http.Request) {
+	if err := protocol.Check(r); err != nil {
+		notRun(http.StatusNotFound, typeNotFound, "The version of the interface is not served", err.Error()).write(w)
+		return
+	}
 	notRun(http.StatusNotFound, typeNotFound, "The path or method is not served",
 		"use POST /v1/call/{service}, POST /v1/tasks or GET /v1/tasks/{id}").write(w)
 }
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumwall/routing"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
 )
 
@@ -36,7 +37,7 @@
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
 		gateway: g, scheduler: s,
-		client:    schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c),
+		client:    schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c, protocol.Client()),
 		triggered: make(chan struct{}, 1),
 	}
 }
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -18,6 +18,7 @@
 	"geraniumwall/config"
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
 )
 
@@ -56,7 +57,7 @@
 func New(control *client.Client, schedulers []Scheduler, httpClient *http.Client) http.Handler {
 	s := &Server{control: control}
 	for _, one := range schedulers {
-		s.schedulers = append(s.schedulers, scheduler{one, schedulerpb.NewSchedulerProtobufClient("http://"+one.Address, httpClient)})
+		s.schedulers = append(s.schedulers, scheduler{one, schedulerpb.NewSchedulerProtobufClient("http://"+one.Address, httpClient, protocol.Client())})
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Prefix+"config", s.getConfig)
--- a/schedulerd/peer.go
+++ b/schedulerd/peer.go
@@ -8,6 +8,7 @@
 
 	"geraniumwall/lease"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
 )
@@ -67,7 +68,7 @@
 	if err != nil || !ask || address == "" {
 		return
 	}
-	stub := schedulerpb.NewSchedulerProtobufClient("http://"+address, p.http)
+	stub := schedulerpb.NewSchedulerProtobufClient("http://"+address, p.http, protocol.Client())
 	answer, err := stub.RenewSchedulerLease(ctx, &schedulerpb.RenewSchedulerLeaseRequest{
 		Domain: p.settings.Domain, Active: p.settings.Name, Epoch: epoch,
 		LeaseMs: lease.SchedulerLease.Milliseconds(),
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -15,6 +15,7 @@
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
 	"geraniumwall/policy"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
 )
@@ -54,7 +55,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{settings: settings, log: log, ctx: ctx, cancel: cancel}
 	mux := http.NewServeMux()
-	s.http, err = daemon.Listen(ctx, settings.Listen, mux)
+	s.http, err = daemon.Listen(ctx, settings.Listen, protocol.Handler(mux))
 	if err != nil {
 		cancel()
 		return nil, err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,7 +81,13 @@
 }
 
 // Parse is Load for a document that was already read.
+//
+// The optional field "format" is the version of the settings format.
 func Parse(file string, document []byte, out Checked) error {
+	document, err := withoutFormat(document)
+	if err != nil {
+		return &Error{File: file, Problems: []string{err.Error()}}
+	}
 	decoder := json.NewDecoder(bytes.NewReader(document))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(out); err != nil {
@@ -93,6 +99,26 @@
 	return Validate(file, out)
 }
 
+// Format is the newest settings format that this code reads.
+const Format = 1
+
+// withoutFormat checks the format of a settings document and returns the rest. A
+// document that is no JSON object is returned as it is, for the strict decoder.
+func withoutFormat(document []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(document, &fields) != nil || fields["format"] == nil {
+		return document, nil //nolint:nilerr // the strict decoder reports it
+	}
+	var format int
+	if err := json.Unmarshal(fields["format"], &format); err != nil || format < 1 || format > Format {
+		return nil, fmt.Errorf("format: %s is not supported, this program reads format %d; "+
+			"start the version that the settings were written for, or write them again from the output of -print-defaults",
+			fields["format"], Format)
+	}
+	delete(fields, "format")
+	return json.Marshal(fields)
+}
+
 // Validate checks settings that are already decoded.
 func Validate(file string, s Checked) error {
 	var c Checker
--- a/state/machine.go
+++ b/state/machine.go
@@ -77,12 +77,28 @@
 	return data, nil
 }
 
-// Decode is the inverse of Encode. It fails on a command of an unknown kind.
+// Format is the newest format of commands and snapshots that this code reads.
+const Format = 1
+
+// checkFormat refuses data whose meaning this code doesn't know.
+func checkFormat(format uint32) error {
+	if format > Format {
+		return fmt.Errorf("format %d is newer than %d; upgrade this replica to the version that wrote it, "+
+			"and do not replace its data directory", format, Format)
+	}
+	return nil
+}
+
+// Decode is the inverse of Encode. It fails on a command of an unknown kind or
+// format.
 func Decode(data []byte) (*statepb.Command, error) {
 	c := &statepb.Command{}
 	if err := proto.Unmarshal(data, c); err != nil {
 		return nil, fmt.Errorf("decode command: %w; the log is damaged, replace this replica", err)
 	}
+	if err := checkFormat(c.GetFormat()); err != nil {
+		return nil, fmt.Errorf("decode command: %w", err)
+	}
 	if c.GetKind() == nil {
 		return nil, fmt.Errorf("decode command: unknown kind; upgrade this replica to the version of the leader")
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -57,12 +57,15 @@
 }
 
 // Restore returns the state of a snapshot. It fails if the snapshot contradicts
-// itself.
+// itself or has an unknown format.
 func Restore(data []byte) (*Machine, error) {
 	s := &statepb.Snapshot{}
 	if err := proto.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w; replace this replica", err)
 	}
+	if err := checkFormat(s.GetFormat()); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
 	if err := checkSnapshot(s); err != nil {
 		return nil, fmt.Errorf("snapshot at index %d: %w; replace this replica", s.GetIndex(), err)
 	}
--- a/wal/errors.go
+++ b/wal/errors.go
@@ -38,6 +38,15 @@
 	return fmt.Sprintf("wal: the directory belongs to replica %d, not to %d; correct the replica id or the data directory in the settings", e.Stored, e.Wanted)
 }
 
+// VersionError says that a directory has a format this code doesn't know.
+type VersionError struct{ Stored uint32 }
+
+// Error names both formats and the remedy.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("wal: the directory has format %d and this program reads format %d; "+
+		"start the newer version that wrote it, and do not empty the directory or replace the replica", e.Stored, identityVersion)
+}
+
 // CorruptionError says that data that was durable once is damaged or missing.
 type CorruptionError struct {
 	File string
--- a/wal/identity.go
+++ b/wal/identity.go
@@ -9,7 +9,7 @@
 
 // The identity file is magic, format version, replica id and a checksum. It is
 // written under a temporary name when a creation starts and renamed when it is
-// complete.
+// complete. The version is that of all files of the directory.
 const (
 	identityName    = "identity"
 	lockName        = "lock"
@@ -25,7 +25,8 @@
 	return binary.LittleEndian.AppendUint32(out, crc32.Checksum(out, castagnoli))
 }
 
-// decodeIdentity returns the replica id. Its error is a CorruptionError.
+// decodeIdentity returns the replica id. Its errors are CorruptionError and
+// VersionError.
 func decodeIdentity(data []byte) (uint64, error) {
 	if len(data) != identitySize || binary.LittleEndian.Uint32(data) != identityMagic {
 		return 0, &CorruptionError{File: identityName, Reason: "it is no identity file"}
@@ -34,7 +35,7 @@
 		return 0, &CorruptionError{File: identityName, Reason: "the checksum doesn't match"}
 	}
 	if version := binary.LittleEndian.Uint32(data[4:]); version != identityVersion {
-		return 0, &CorruptionError{File: identityName, Offset: 4, Reason: "the format version is unknown"}
+		return 0, &VersionError{Stored: version}
 	}
 	return binary.LittleEndian.Uint64(data[8:]), nil
 }
--- a/wal/open.go
+++ b/wal/open.go
@@ -11,8 +11,8 @@
 )
 
 // Open opens the directory of a replica and returns its stored state. Its
-// errors are ErrNoIdentity, ErrLocked, IdentityError, CorruptionError and those
-// of the file system. A torn tail is cut off.
+// errors are ErrNoIdentity, ErrLocked, IdentityError, VersionError,
+// CorruptionError and those of the file system. A torn tail is cut off.
 func Open(options Options) (*Store, raft.Stored, error) {
 	options = options.withDefaults()
 	names, err := options.FS.List(options.Dir)
