--- a/control/client/client.go
+++ b/control/client/client.go
@@ -18,6 +18,7 @@
 	"github.com/twitchtv/twirp"
 
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
@@ -83,7 +84,7 @@
 	if known, ok := c.stubs.Load(address); ok {
 		return known.(controlpb.Control)
 	}
-	made, _ := c.stubs.LoadOrStore(address, controlpb.NewControlProtobufClient(transport.URL(address), c.http))
+	made, _ := c.stubs.LoadOrStore(address, controlpb.NewControlProtobufClient(transport.URL(address), c.http, protocol.Client()))
 	return made.(controlpb.Control)
 }
 
