Send heartbeats once a second

Now one a second. A worker gets no new work after 2.5 s of silence, so two may be lost; gateways sync four times a second and drop its grants at the next sync, 2.75 s after the last heartbeat. A grant of a worker that has missed a heartbeat lasts no longer than 3 s after the last one, for gateways that lose the scheduler then. A worker that ends an attempt still reports it within 0.1 s.

What depended on the interval: workers gave the session to the standby after 1 s of silence of its holder, which would now happen between two heartbeats; it is 1.5 s, and the standby asks after the same silence of the active scheduler. Grants of the new holder arrive about 2.1 s after a failure, before the old ones expire. A start loses up to 1 s of its 10 s lease. A worker that restarts under its name is refused for 2.5 s instead of 1 s.

Ruled out: grants that always end 3 s after the last heartbeat. They would last 2 s at worst when the active scheduler fails, and the standby's come after 2.1 s.

--- a/fakeworker/heartbeat.go
+++ b/fakeworker/heartbeat.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	heartbeatEvery   = 500 * time.Millisecond
+	heartbeatEvery   = time.Second
 	heartbeatTimeout = time.Second
 	// heartbeatGap bounds the rate of heartbeats sent early because a task ended.
 	heartbeatGap   = 100 * time.Millisecond
--- a/fakeworker/machine/machine.go
+++ b/fakeworker/machine/machine.go
@@ -9,8 +9,9 @@
 )
 
 // holderSilence is the silence of the holder after which another scheduler may
-// take the session for services only.
-const holderSilence = time.Second
+// take the session for services only. It is above the interval of heartbeats, so
+// that a holder that answers them keeps its session.
+const holderSilence = 1500 * time.Millisecond
 
 // EventKind names what an Event records.
 type EventKind string
--- a/scheduler/authority.go
+++ b/scheduler/authority.go
@@ -64,7 +64,7 @@
 
 // peerSilent reports whether the active scheduler has not been heard for long
 // enough to take over its slot grants.
-func (a *authority) peerSilent(now time.Duration) bool { return now-a.peerHeard >= silentAfter }
+func (a *authority) peerSilent(now time.Duration) bool { return now-a.peerHeard >= peerSilentAfter }
 
 // LeaseRequest is what the scheduler asks control for.
 type LeaseRequest struct {
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -57,6 +57,7 @@
 	Slots       int
 	Connections int
 	Services    []string
+	Duration    time.Duration
 }
 
 // GrantAnswer is the complete set of grants that the gateway holds from now on.
@@ -176,6 +177,7 @@
 			answer.Grants = append(answer.Grants, Grant{
 				Worker: id, Address: w.address, Session: w.session.number, Slots: slots,
 				Connections: slots * (w.connections / w.slots), Services: w.services,
+				Duration: w.grantDuration(now),
 			})
 		}
 	}
@@ -208,10 +210,20 @@
 		g = &grant{}
 		w.grants[key] = g
 	}
-	g.offer(slots, now+lease.GrantorWait(GrantDuration))
+	g.offer(slots, now+lease.GrantorWait(w.grantDuration(now)))
 	return slots
 }
 
+// grantDuration ends a grant 3 s after the last heartbeat of a worker that has
+// missed one, so that a gateway that loses the scheduler does not go on sending.
+func (w *worker) grantDuration(now time.Duration) time.Duration {
+	age := now - w.heard
+	if age <= punctual {
+		return GrantDuration
+	}
+	return (GrantDuration - age).Truncate(time.Millisecond)
+}
+
 func (c *Core) checkSlots(now time.Duration, w *worker) {
 	assert(w.busySlots(now) <= w.slots, "worker %s: %d slots granted and %d in use under older sessions, of %d",
 		w.id, w.granted(now), w.session.older, w.slots)
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -9,8 +9,16 @@
 const TickInterval = 50 * time.Millisecond
 
 const (
-	// silentAfter is the silence after which a worker gets no new work.
-	silentAfter = time.Second
+	// silentAfter is the silence after which a worker gets no new work: two
+	// heartbeats may be lost or late. Gateways drop its grants at their next sync,
+	// 0.25 s later, which keeps the promise of 3 s.
+	silentAfter = 2500 * time.Millisecond
+	// punctual is the age of the last heartbeat up to which a worker has missed none.
+	punctual = 1250 * time.Millisecond
+	// peerSilentAfter is the silence of the active scheduler, which renews its lease
+	// every 0.3 s, after which the standby takes over slot grants. Workers accept that
+	// after the same silence, and grants last 3 s.
+	peerSilentAfter = 1500 * time.Millisecond
 	// minTaskLease is the shortest lease worth a start.
 	minTaskLease = 500 * time.Millisecond
 	// commandRetry separates two sends of an unanswered stop or attach.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -92,7 +92,7 @@
 			Kind: RefusedDuplicate, Worker: hb.Worker,
 			Text: fmt.Sprintf("is alive at %s as incarnation %q and was announced at %s as %q",
 				known.address, known.incarnation, hb.Address, hb.Incarnation),
-			Remedy: "give each worker its own name, or wait until the first has been silent for a second",
+			Remedy: "give each worker its own name, or wait until the first has been silent for 2.5 seconds",
 		}
 	}
 	if known == nil || known.incarnation != hb.Incarnation {
@@ -325,7 +325,7 @@
 		w := c.workers[id]
 		if !w.silent && now-w.heard >= silentAfter {
 			w.silent = true
-			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: "no heartbeat for one second"})
+			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: "no heartbeat for 2.5 seconds"})
 		}
 		c.tellEngine(now, w)
 		c.moveAway(now, w)
--- a/schedulerd/convert.go
+++ b/schedulerd/convert.go
@@ -100,7 +100,7 @@
 	return &schedulerpb.Grant{
 		Worker: g.Worker, Address: g.Address, Domain: domain, Session: g.Session,
 		Slots: int32(g.Slots), Connections: int32(g.Connections), //nolint:gosec // bounded by the slots of a worker
-		Services: g.Services, DurationMs: scheduler.GrantDuration.Milliseconds(),
+		Services: g.Services, DurationMs: g.Duration.Milliseconds(),
 	}
 }
 
