--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -24,6 +24,7 @@
 	loop     *loop
 	follower *client.Follower
 	metrics  *metrics
+	answers  *answers
 }
 
 func (s *service) step(ctx context.Context, run func(now time.Duration, core *scheduler.Core)) error {
@@ -39,10 +40,14 @@
 	if r.GetGateway() == "" || r.GetIncarnation() == "" {
 		return nil, twirp.RequiredArgumentError("gateway and incarnation")
 	}
+	whole, held := s.answers.restore(r)
+	if !held {
+		return &schedulerpb.SyncGrantsResponse{SendWhole: true, ConfigVersion: s.follower.Current().Version}, nil
+	}
 	var answer scheduler.GrantAnswer
 	var refused error
 	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
-		answer, refused = core.SyncGrants(now, grantSync(r))
+		answer, refused = core.SyncGrants(now, grantSync(whole))
 	})
 	if err != nil {
 		return nil, err
@@ -58,7 +63,7 @@
 		response.Grants = append(response.Grants, grantMessage(s.settings.Domain, g))
 	}
 	s.metrics.sync(ctx, len(response.Grants))
-	return response, nil
+	return s.answers.shorten(s.loop.clock.now(), whole, response), nil
 }
 
 // learnConfig takes the configuration of a gateway that has a newer one, which it
