Return the waiting tasks of a domain without workers

Cause: a fleet test stopped all workers of one domain while another domain had room. A task that was bound to the domain stayed bound for the 130 s until the test gave up: the engine calls a task impossible only by the workers that it knows, and it knew none.

A domain whose workers have all been silent, leaving or drained for 5 s now returns its waiting tasks, and control binds them elsewhere. A worker that has announced itself but waits for the end of its former incarnation counts as present: an earlier form of the rule that counted only accepting workers returned the task of a restarted worker ("that restarts gets no task ..." failed).

Found on the way: giveBack did not look at older attempts. A task that waits while a worker still runs an unexpected older attempt could have been returned as too large and started in another domain. It is kept until that attempt is confirmed as stopped.

Ruled out: the binder; it binds nothing new to a domain without workers. Both tests of idle_test.go fail without their part of the change.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -54,7 +54,9 @@
 	nextPlan   time.Duration
 	nextMove   time.Duration
 	nextExpiry time.Duration
-	starting   int
+	// lastPresent is when a worker was last seen that takes new work or soon will.
+	lastPresent time.Duration
+	starting    int
 }
 
 // New returns a core without a role. It must not be appointed before one
@@ -128,6 +130,7 @@
 		c.releaseHeld(now)
 		c.react(now)
 		c.place(now)
+		c.leaveIdleDomain(now)
 		c.sendStops(now)
 	}
 	c.flushReports(now)
--- /dev/null
+++ b/scheduler/idle_test.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/policy"
+	"geraniumwall/workerapi"
+)
+
+var _ = ginkgo.Describe("A domain without workers", func() {
+	// until advances the core, and returns the outcomes that it reports.
+	until := func(c *Core, from, to time.Duration, beats ...*workerapi.Heartbeat) []Report {
+		var events []Report
+		for now := from; now <= to; now += TickInterval {
+			renewLeases(c, now)
+			for _, hb := range beats {
+				_, err := c.Heartbeat(now, beatAgain(hb))
+				Expect(err).NotTo(HaveOccurred())
+			}
+			c.Tick(now)
+			for _, a := range actionsOf[SendReports](c) {
+				events = append(events, a.Events...)
+			}
+		}
+		return events
+	}
+
+	ginkgo.It("returns its waiting tasks, so that they do not wait for ever", func() {
+		c := activeCore(0)
+		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
+		Expect(until(c, 2000*ms, 6900*ms)).To(BeEmpty(), "the workers may still be unknown")
+		Expect(until(c, 6950*ms, 7500*ms)).To(ContainElement(And(
+			HaveField("Task", "t"), HaveField("Kind", ReportReturned), HaveField("Reason", ContainSubstring("no worker")))))
+	})
+
+	ginkgo.It("keeps a task while an older attempt may be alive", func() {
+		c := activeCore(1)
+		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
+		hb := beat("w0000", 2)
+		hb.Session, hb.Holder = 1, "s1#1"
+		hb.Tasks = []workerapi.TaskReport{{
+			ID: "t", Attempt: workerapi.Attempt{Number: 7}, Phase: workerapi.PhaseRunning,
+			Resources: workerapi.Resources{CPUMillis: 100, MemoryMB: 10},
+		}}
+		_, err := c.Heartbeat(2000*ms, hb)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.occupied).To(HaveKey("t"))
+		Expect(c.Drain(2000*ms, "w0000", false, "ann")).To(BeTrue())
+		Expect(until(c, 2000*ms, 9000*ms, hb)).To(BeEmpty())
+		c.giveBack(9000*ms, policy.Impossible{Task: "t", Reason: "too large"})
+		Expect(c.tasks["t"].phase).To(Equal(phaseWaiting))
+	})
+})
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -74,16 +74,36 @@
 	return false
 }
 
-// giveBack returns a task that no worker of the domain can ever hold.
+// giveBack returns a task that no worker of the domain can ever hold. Another
+// domain may start it at once, so no older attempt may be alive here.
 func (c *Core) giveBack(now time.Duration, i policy.Impossible) {
 	t := c.tasks[i.Task]
-	if t == nil || t.phase != phaseWaiting || now < c.authority.takeoverAt+possibleAfter || now < t.enqueued+possibleAfter {
+	if t == nil || t.phase != phaseWaiting || c.occupied[t.ID] > 0 ||
+		now < c.authority.takeoverAt+possibleAfter || now < t.enqueued+possibleAfter {
 		return
 	}
 	c.engine.Dequeue(now, t.ID)
 	c.endTask(now, t, Report{Kind: ReportReturned, Reason: i.Reason})
 }
 
+// leaveIdleDomain returns the waiting tasks of a domain whose workers have all been
+// silent, leaving or drained for a while. The control replicas bind them to a domain that has one.
+func (c *Core) leaveIdleDomain(now time.Duration) {
+	if !c.mayPlace(now) || now < c.lastPresent+possibleAfter {
+		return
+	}
+	returned := 0
+	for _, id := range sortedKeys(c.tasks) {
+		if c.tasks[id].phase != phaseWaiting {
+			continue
+		}
+		c.giveBack(now, policy.Impossible{Task: id, Reason: "no worker of the domain takes new work"})
+		if returned++; returned == maxReportBatch {
+			return
+		}
+	}
+}
+
 // react carries out the engine's reactions to interference.
 func (c *Core) react(now time.Duration) {
 	if now < c.nextMove || !c.authority.mayAct(now) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -334,6 +334,9 @@
 			c.forgetIfIdle(now, w)
 			continue
 		}
+		if !w.leaving && !w.drained {
+			c.lastPresent = now
+		}
 		c.seekSession(now, w)
 	}
 }
