Let the processes find each other by membership

Cause: package membership was built and tested, but no process used it.

The daemons take an optional "membership" object and join. Gateways sync with the schedulers found, try the address found after two failed calls in a row, and keep an address of the settings that answers. Clients of the control replicas ask the replicas found when none of their own answers. geranium status lists the members. Datagrams are sealed with a shared key where one is set.

Ruled out: to rest a listed scheduler that membership calls dead; a lost UDP path would then cost capacity.

Before, full exchanges every 10 s grew with the fleet; they now carry a digest and nothing more when the views are equal.

--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -16,6 +16,8 @@
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
 	"geraniumwall/gateway"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/operatorapi"
 )
 
@@ -45,7 +47,14 @@
 	if err != nil {
 		return err
 	}
-	g, err := gateway.New(s.options(log))
+	members, err := gossip.Join(ctx, s.Membership, membership.Member{
+		Name: s.Name, Kind: membership.KindGateway, Domain: s.Domain, Address: s.Listen,
+	}, log)
+	if err != nil {
+		return err
+	}
+	defer members.Stop()
+	g, err := gateway.New(s.options(members, log))
 	if err != nil {
 		return err
 	}
@@ -80,19 +89,52 @@
 	return nil
 }
 
-func (s *settingsFile) options(log zerolog.Logger) gateway.Options {
-	schedulers := make([]gateway.Scheduler, 0, len(s.Schedulers))
-	listed := make([]operatorapi.Scheduler, 0, len(s.Schedulers))
-	for _, peer := range s.Schedulers {
-		schedulers = append(schedulers, gateway.Scheduler(peer))
-		listed = append(listed, operatorapi.Scheduler(peer))
-	}
+func (s *settingsFile) options(members *gossip.Gossip, log zerolog.Logger) gateway.Options {
 	httpClient := &http.Client{}
+	replicas := client.New(s.Control, httpClient)
+	replicas.Discover(members.AddressesOf(membership.KindControl))
 	return gateway.Options{
 		Name: s.Name, Domain: s.Domain, Incarnation: uuid.NewString(),
-		Control: s.Control, Schedulers: schedulers,
-		Clock: gateway.NewClock(), Log: log, Meter: otel.Meter(gateway.MeterName),
-		Operator: operatorapi.New(client.New(s.Control, httpClient), listed, httpClient),
+		Control: s.Control, Schedulers: s.listed(),
+		Directory: func() []gateway.Scheduler { return schedulersOf(members) },
+		Replicas:  members.AddressesOf(membership.KindControl),
+		Clock:     gateway.NewClock(), Log: log, Meter: otel.Meter(gateway.MeterName),
+		Operator: operatorapi.New(replicas, s.directory(members), httpClient),
 		Seed:     rand.Uint64(), //nolint:gosec // load spreading needs no secrecy
 	}
 }
+
+func (s *settingsFile) listed() []gateway.Scheduler {
+	list := make([]gateway.Scheduler, 0, len(s.Schedulers))
+	for _, one := range s.Schedulers {
+		list = append(list, gateway.Scheduler(one))
+	}
+	return list
+}
+
+func schedulersOf(members *gossip.Gossip) []gateway.Scheduler {
+	var list []gateway.Scheduler
+	for _, m := range members.OfKind(membership.KindScheduler) {
+		list = append(list, gateway.Scheduler{Name: m.Name, Domain: m.Domain, Address: m.Address})
+	}
+	return list
+}
+
+// directory returns what the operators' interface knows of the fleet: the members,
+// and the schedulers of the settings that are not members.
+func (s *settingsFile) directory(members *gossip.Gossip) operatorapi.Directory {
+	return operatorapi.Directory{
+		Schedulers: func() []operatorapi.Scheduler {
+			var list []operatorapi.Scheduler
+			known := map[string]bool{}
+			for _, one := range append(schedulersOf(members), s.listed()...) {
+				if !known[one.Name] {
+					list = append(list, operatorapi.Scheduler(one))
+				}
+				known[one.Name] = true
+			}
+			return list
+		},
+		Members: members.Members,
+	}
+}
--- a/cmd/geranium-gateway/settings.go
+++ b/cmd/geranium-gateway/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/settings"
 )
 
@@ -31,6 +32,8 @@
 	// DrainMS is the time in milliseconds between the first readyz answer 503 and
 	// the end of accepting connections. Requests in progress always finish.
 	DrainMS int64 `json:"drain_ms"`
+	// Membership may be omitted; the gateway then knows the schedulers listed here only.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 func defaultSettings() *settingsFile {
@@ -50,6 +53,7 @@
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
 	c.Addresses("control", s.Control)
+	s.Membership.Check(c)
 	if len(s.Schedulers) == 0 {
 		c.Add("schedulers", "is empty", "list the schedulers of the own domain and of the others")
 	}
--- a/control/client/client.go
+++ b/control/client/client.go
@@ -64,6 +64,7 @@
 	stubs     sync.Map     // address to controlpb.Control
 	leader    atomic.Value // string: address of the last known leader
 	next      atomic.Uint64
+	discover  func() []string
 }
 
 // New returns a client of the replicas at the addresses, each host:port.
@@ -73,6 +74,23 @@
 	return c
 }
 
+// Discover makes the client ask the addresses that f returns when none of its own
+// answers. It is called before the first call.
+func (c *Client) Discover(f func() []string) { c.discover = f }
+
+// discovered returns one address that is not among the listed ones, a different
+// one at each call, or nothing.
+func (c *Client) discovered() string {
+	if c.discover == nil {
+		return ""
+	}
+	unlisted := slices.DeleteFunc(slices.Clone(c.discover()), func(a string) bool { return slices.Contains(c.addresses, a) })
+	if len(unlisted) == 0 {
+		return ""
+	}
+	return unlisted[int(c.next.Add(1))%len(unlisted)]
+}
+
 // stub returns the stub of a replica. The address may be one that another replica
 // named as leader: a replica that was added later is in no settings.
 func (c *Client) stub(address string) controlpb.Control {
@@ -112,6 +130,7 @@
 		}
 		unlisted = cmp.Or(named, unlisted)
 		if attempt%len(c.addresses) == len(c.addresses)-1 {
+			unlisted = cmp.Or(unlisted, c.discovered())
 			c.follow(&unlisted)
 			pause(ctx, retryPause)
 		}
@@ -129,8 +148,13 @@
 ) (R, error) {
 	var none R
 	var last error
-	for range c.addresses {
+	for attempt := range len(c.addresses) + 1 {
 		address := c.addresses[int(c.next.Add(1))%len(c.addresses)]
+		if attempt == len(c.addresses) {
+			if address = c.discovered(); address == "" {
+				break
+			}
+		}
 		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
 		answer, err := f(c.stub(address), bounded, request)
 		cancel()
--- a/control/run.go
+++ b/control/run.go
@@ -13,6 +13,8 @@
 	"go.opentelemetry.io/otel"
 
 	"geraniumwall/daemon"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
 )
@@ -70,6 +72,14 @@
 		return err
 	}
 	handler.set(replica.Handler())
+	members, err := gossip.Join(ctx, s.Membership, membership.Member{
+		Name: s.Name, Kind: membership.KindControl, Domain: s.Domain, Address: server.Address(),
+	}, log)
+	if err != nil {
+		replica.Stop()
+		return err
+	}
+	defer members.Stop()
 	log.Info().Uint64("term", stored.HardState.Term).Int("entries", len(stored.Entries)).Msg("control replica is running")
 	select {
 	case <-ctx.Done():
--- a/control/settings.go
+++ b/control/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/raft"
 	"geraniumwall/settings"
 )
@@ -35,6 +36,9 @@
 	Replicas  []ReplicaAddress `json:"replicas"`
 	// SingleDomainOK permits a layout that the loss of one domain stops.
 	SingleDomainOK bool `json:"single_domain_ok"`
+	// Membership may be omitted; the other processes then need this replica in
+	// their settings.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 // Check reports every problem of the settings.
@@ -47,6 +51,7 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.Membership.Check(c)
 	if s.ReplicaID == 0 {
 		c.Add("replica_id", "is 0", "give each replica its own positive id")
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -98,7 +98,7 @@
 // refused syncs grants at once, since the refusal shows that a session is stale.
 func (g *Gateway) refused(ticket routing.Ticket) {
 	g.balancer.release(ticket, routing.ResultRefused)
-	for _, l := range g.links {
+	for _, l := range g.links.all() {
 		l.trigger()
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,9 +44,15 @@
 	Incarnation string
 	Control     []string
 	Schedulers  []Scheduler
-	Clock       Clock
-	Log         zerolog.Logger
-	Meter       metric.Meter
+	// Directory lists the schedulers that are members of the fleet now, those in
+	// Schedulers included; nil if there is none.
+	Directory func() []Scheduler
+	// Replicas lists the addresses of the control replicas that are members now;
+	// nil if there is no directory.
+	Replicas func() []string
+	Clock    Clock
+	Log      zerolog.Logger
+	Meter    metric.Meter
 	// Seed seeds the random choices of routing.
 	Seed uint64
 	// Operator serves /v1/operator/; nil leaves the path unserved.
@@ -62,7 +68,7 @@
 	follower  *client.Follower
 	balancer  *balancer
 	owner     *owner
-	links     []*link
+	links     *linkSet
 	workers   *workerTransport
 	submitter *submitter
 	metrics   *metrics
@@ -88,6 +94,7 @@
 	g := &Gateway{options: o, log: o.Log, clock: o.Clock, metrics: m, drained: make(chan struct{})}
 	internal := newInternalClient()
 	g.control = client.New(o.Control, internal)
+	g.control.Discover(o.Replicas)
 	g.follower = client.NewFollower(g.control, client.Identity{Process: o.Name, Kind: "gateway", Domain: o.Domain})
 	g.balancer = newBalancer(o.Domain, rand.NewPCG(o.Seed, uint64(len(o.Name))), o.Clock, g.askOtherDomains)
 	g.buffers = semaphore.NewWeighted(bufferedMost)
@@ -95,9 +102,7 @@
 	g.submitter = newSubmitter(g.control, func() uint64 { return g.settings.Load().version })
 	g.settings.Store(newServiceTable(nil, m))
 	g.owner = newOwner(g)
-	for _, s := range o.Schedulers {
-		g.links = append(g.links, newLink(g, s, internal))
-	}
+	g.links = newLinkSet(g, internal)
 	if err := m.observe(g); err != nil {
 		return nil, fmt.Errorf("register metrics: %w", err)
 	}
@@ -112,9 +117,7 @@
 	g.spawn(func() { g.follower.Run(ctx) })
 	g.spawn(func() { g.owner.runTicks(ctx) })
 	g.submitter.start(g.spawn)
-	for _, l := range g.links {
-		g.spawn(func() { l.run(ctx) })
-	}
+	g.links.start(ctx)
 }
 
 func (g *Gateway) spawn(f func()) {
@@ -154,7 +157,7 @@
 
 // askOtherDomains wakes the links to schedulers that are not being asked.
 func (g *Gateway) askOtherDomains() {
-	for _, l := range g.links {
+	for _, l := range g.links.all() {
 		l.activate()
 	}
 }
@@ -175,7 +178,7 @@
 // returnGrants tells every scheduler that no slot is in use any more.
 func (g *Gateway) returnGrants(ctx context.Context) {
 	var all sync.WaitGroup
-	for _, l := range g.links {
+	for _, l := range g.links.all() {
 		all.Go(func() { l.returnGrants(ctx) })
 	}
 	all.Wait()
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"geraniumwall/routing"
 	"geraniumwall/rpc/schedulerpb"
 )
@@ -17,6 +20,8 @@
 	syncTimeout = time.Second
 	// triggerPause separates syncs that are triggered by refused requests.
 	triggerPause = 20 * time.Millisecond
+	// wrongPeerLogPeriod bounds a warning that would repeat with every sync.
+	wrongPeerLogPeriod = 10 * time.Second
 )
 
 // link syncs grants with one scheduler. Schedulers of other domains are asked only
@@ -25,8 +30,11 @@
 type link struct {
 	gateway   *Gateway
 	scheduler Scheduler
-	client    schedulerpb.Scheduler
+	route     *route
+	wrongPeer zerolog.Logger
 	triggered chan struct{}
+	// absent is set while neither the settings nor the directory name the scheduler.
+	absent atomic.Bool
 	// active is set while the scheduler is asked regularly.
 	active atomic.Bool
 	// sequence counts the syncs from 1.
@@ -35,8 +43,8 @@
 
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
-		gateway: g, scheduler: s,
-		client:    schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c),
+		gateway: g, scheduler: s, route: newRoute(s.Address, c),
+		wrongPeer: g.log.Sample(&zerolog.BurstSampler{Burst: 1, Period: wrongPeerLogPeriod}),
 		triggered: make(chan struct{}, 1),
 	}
 }
@@ -68,6 +76,9 @@
 }
 
 func (l *link) needed() bool {
+	if l.absent.Load() {
+		return false
+	}
 	if l.scheduler.Domain == l.gateway.options.Domain {
 		return true
 	}
@@ -100,7 +111,13 @@
 	sent := g.clock()
 	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	answer, err := l.client.SyncGrants(bounded, request)
+	answer, err := l.route.client().SyncGrants(bounded, request)
+	if err == nil && answer.GetScheduler() != l.scheduler.Name {
+		err = fmt.Errorf("scheduler %q answered", answer.GetScheduler())
+		l.wrongPeer.Warn().Str("scheduler", l.scheduler.Name).Err(err).
+			Msg("another scheduler has the address; correct schedulers in the settings of this gateway")
+	}
+	l.route.used(err)
 	if err != nil {
 		g.metrics.syncFailed(ctx, l.scheduler.Name)
 		return
--- a/membership/gossip/codec.go
+++ b/membership/gossip/codec.go
@@ -12,7 +12,7 @@
 func encode(p membership.Packet) ([]byte, error) {
 	message := &membershippb.Packet{
 		Kind: membershippb.PacketKind(p.Kind), Sequence: p.Sequence, From: encodeMember(p.From),
-		Target: p.Target, TargetGossip: p.TargetGossip, MeantFor: p.MeantFor,
+		Target: p.Target, TargetGossip: p.TargetGossip, MeantFor: p.MeantFor, Digest: p.Digest,
 	}
 	for _, m := range p.Updates {
 		message.Updates = append(message.Updates, encodeMember(m))
@@ -27,7 +27,7 @@
 	}
 	p := membership.Packet{
 		Kind: membership.PacketKind(message.GetKind()), Sequence: message.GetSequence(), From: decodeMember(message.GetFrom()),
-		Target: message.GetTarget(), TargetGossip: message.GetTargetGossip(), MeantFor: message.GetMeantFor(),
+		Target: message.GetTarget(), TargetGossip: message.GetTargetGossip(), MeantFor: message.GetMeantFor(), Digest: message.GetDigest(),
 	}
 	for _, m := range message.GetUpdates() {
 		p.Updates = append(p.Updates, decodeMember(m))
--- a/membership/gossip/gossip.go
+++ b/membership/gossip/gossip.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	tickInterval = 50 * time.Millisecond
+	// tickInterval is below membership.ProbeTimeout, as Core.Tick requires.
+	tickInterval = 100 * time.Millisecond
 	maxDatagram  = 16 << 10
 )
 
@@ -27,6 +28,8 @@
 	// is replaced by the wall clock in milliseconds.
 	Self  membership.Member
 	Seeds []string
+	// Key seals the datagrams; empty for none.
+	Key []byte
 }
 
 // Gossip is the running protocol of one process.
@@ -34,6 +37,7 @@
 	system  *actor.ActorSystem
 	pid     *actor.PID
 	conn    net.PacketConn
+	key     []byte
 	members atomic.Pointer[[]membership.Member]
 	stopped chan struct{}
 }
@@ -60,7 +64,7 @@
 	if s.Self.Incarnation == 0 {
 		s.Self.Incarnation = uint64(max(1, time.Now().UnixMilli()))
 	}
-	g := &Gossip{system: actor.NewActorSystem(), conn: conn, stopped: make(chan struct{})}
+	g := &Gossip{system: actor.NewActorSystem(), conn: conn, key: s.Key, stopped: make(chan struct{})}
 	g.members.Store(&[]membership.Member{s.Self})
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	o := &owner{gossip: g, core: membership.New(s.Self, s.Seeds, random), began: time.Now(), log: log}
@@ -71,14 +75,46 @@
 }
 
 // Members returns the members that are alive or suspected, in order of name. The
-// slice must not be changed.
-func (g *Gossip) Members() []membership.Member { return *g.members.Load() }
+// slice must not be changed. A nil Gossip has no members.
+func (g *Gossip) Members() []membership.Member {
+	if g == nil {
+		return nil
+	}
+	return *g.members.Load()
+}
+
+// OfKind returns the members of one kind.
+func (g *Gossip) OfKind(kind string) []membership.Member {
+	var found []membership.Member
+	for _, m := range g.Members() {
+		if m.Kind == kind {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// AddressesOf returns a function that lists the service addresses of the members
+// of one kind.
+func (g *Gossip) AddressesOf(kind string) func() []string {
+	return func() []string {
+		var list []string
+		for _, m := range g.OfKind(kind) {
+			list = append(list, m.Address)
+		}
+		return list
+	}
+}
 
 // Address returns the bound gossip address.
 func (g *Gossip) Address() string { return g.conn.LocalAddr().String() }
 
-// Stop announces that the process leaves and ends the protocol.
+// Stop announces that the process leaves and ends the protocol. It may be called
+// on a nil Gossip.
 func (g *Gossip) Stop() {
+	if g == nil {
+		return
+	}
 	g.system.Root.Send(g.pid, leave{})
 	_ = g.system.Root.PoisonFuture(g.pid).Wait()
 	close(g.stopped)
@@ -98,12 +134,20 @@
 		if err != nil {
 			continue
 		}
-		if packet, err := decode(buffer[:n]); err == nil {
+		if packet, err := g.read(buffer[:n]); err == nil {
 			g.system.Root.Send(g.pid, packet)
 		}
 	}
 }
 
+func (g *Gossip) read(datagram []byte) (membership.Packet, error) {
+	opened, err := open(g.key, datagram)
+	if err != nil {
+		return membership.Packet{}, err
+	}
+	return decode(opened)
+}
+
 func (g *Gossip) tick() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -143,7 +187,7 @@
 		}
 		datagram, err := encode(one.Packet)
 		if err == nil {
-			_, err = o.gossip.conn.WriteTo(datagram, address)
+			_, err = o.gossip.conn.WriteTo(seal(o.gossip.key, datagram), address)
 		}
 		if err != nil {
 			o.log.Debug().Err(err).Str("address", one.To).Msg("membership packet was not sent")
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -40,6 +40,13 @@
 	resendFactor = 3
 )
 
+// Kinds of the system's own processes.
+const (
+	KindControl   = "control"
+	KindScheduler = "scheduler"
+	KindGateway   = "gateway"
+)
+
 // State of a member.
 type State int
 
@@ -104,6 +111,8 @@
 	TargetGossip string
 	MeantFor     string
 	Updates      []Member
+	// Digest of the sender's view, in a Sync.
+	Digest uint64
 }
 
 // Outgoing is a packet with the gossip address it goes to.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -102,7 +102,7 @@
 	var out []Outgoing
 	for _, to := range targets {
 		if to != c.self.Gossip {
-			out = append(out, c.packet(to, Packet{Kind: Sync, Sequence: c.number()}))
+			out = append(out, c.packet(to, Packet{Kind: Sync, Sequence: c.number(), Digest: c.digest()}))
 		}
 	}
 	return out
@@ -151,7 +151,9 @@
 	case PingRequest:
 		return c.relayPing(now, p)
 	case Sync:
-		return c.transfer(p.From.Gossip)
+		if p.Digest != c.digest() {
+			return c.transfer(p.From.Gossip)
+		}
 	case StateTransfer:
 	}
 	return nil
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -91,12 +91,27 @@
 		rows = append(rows, row(one.Domain, one.Scheduler, orText(one.Role, "-"), one.Epoch, len(one.Workers),
 			one.Waiting, one.Running, one.ConfigVersion, orText(one.Error, "ok")))
 	}
-	if err := table(w, "DOMAIN\tSCHEDULER\tROLE\tEPOCH\tWORKERS\tWAITING\tRUNNING\tCONFIG\tSTATE", rows); err != nil || !withWorkers {
+	if err := table(w, "DOMAIN\tSCHEDULER\tROLE\tEPOCH\tWORKERS\tWAITING\tRUNNING\tCONFIG\tSTATE", rows); err != nil {
+		return err
+	}
+	if err := writeMembers(w, s.Members); err != nil || !withWorkers {
 		return err
 	}
 	return writeWorkers(w, s)
 }
 
+// writeMembers writes the processes that gossip with each other, if any do.
+func writeMembers(w io.Writer, members []operatorapi.MemberStatus) error {
+	if len(members) == 0 {
+		return nil
+	}
+	rows := make([]string, 0, len(members))
+	for _, m := range members {
+		rows = append(rows, row(m.Domain, m.Name, m.Kind, m.Address, m.State))
+	}
+	return table(w, "DOMAIN\tMEMBER\tKIND\tADDRESS\tSTATE", rows)
+}
+
 func writeControl(w io.Writer, s operatorapi.Status) error {
 	c := s.Control
 	_, err := fmt.Fprintf(w, "configuration %d, log term %d, leader %d, committed %d\n",
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -28,17 +28,23 @@
 	if err == nil {
 		result.Control = control
 	}
-	result.Schedulers = make([]SchedulerStatus, len(s.schedulers))
-	s.each(ctx, func(ctx context.Context, i int, one scheduler) {
+	schedulers := s.schedulers()
+	result.Schedulers = make([]SchedulerStatus, len(schedulers))
+	each(ctx, schedulers, func(ctx context.Context, i int, one scheduler) {
 		result.Schedulers[i] = one.status(ctx)
 	})
+	for _, m := range s.directory.Members() {
+		result.Members = append(result.Members, MemberStatus{
+			Name: m.Name, Kind: m.Kind, Domain: m.Domain, Address: m.Address, State: m.State.String(),
+		})
+	}
 	writeJSON(w, http.StatusOK, result)
 }
 
 // each calls f for every scheduler at once and waits for all.
-func (s *Server) each(ctx context.Context, f func(context.Context, int, scheduler)) {
+func each(ctx context.Context, schedulers []scheduler, f func(context.Context, int, scheduler)) {
 	var all sync.WaitGroup
-	for i, one := range s.schedulers {
+	for i, one := range schedulers {
 		all.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, schedulerTimeout)
 			defer cancel()
@@ -72,7 +78,7 @@
 	subject := r.PathValue("subject")
 	var mu sync.Mutex
 	decisions := []Decision{}
-	s.each(r.Context(), func(ctx context.Context, _ int, one scheduler) {
+	each(r.Context(), s.schedulers(), func(ctx context.Context, _ int, one scheduler) {
 		answer, err := one.stub.Explain(ctx, &schedulerpb.ExplainRequest{Subject: subject, Limit: explainLimit})
 		if err != nil {
 			return
@@ -98,8 +104,9 @@
 	}
 	worker := r.PathValue("worker")
 	request := &schedulerpb.DrainRequest{Worker: worker, Undo: r.URL.Query().Get("undo") == "true", Actor: operator}
-	found := make([]bool, len(s.schedulers))
-	s.each(r.Context(), func(ctx context.Context, i int, one scheduler) {
+	schedulers := s.schedulers()
+	found := make([]bool, len(schedulers))
+	each(r.Context(), schedulers, func(ctx context.Context, i int, one scheduler) {
 		answer, err := one.stub.Drain(ctx, request)
 		found[i] = err == nil && answer.GetFound()
 	})
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -17,6 +17,7 @@
 
 	"geraniumwall/config"
 	"geraniumwall/control/client"
+	"geraniumwall/membership"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/schedulerpb"
 )
@@ -41,10 +42,17 @@
 	Address string
 }
 
+// Directory tells who is in the fleet now. Members may return nothing.
+type Directory struct {
+	Schedulers func() []Scheduler
+	Members    func() []membership.Member
+}
+
 // Server answers operators.
 type Server struct {
-	control    *client.Client
-	schedulers []scheduler
+	control   *client.Client
+	directory Directory
+	http      *http.Client
 }
 
 type scheduler struct {
@@ -53,11 +61,8 @@
 }
 
 // New returns the handler, to be mounted at Prefix.
-func New(control *client.Client, schedulers []Scheduler, httpClient *http.Client) http.Handler {
-	s := &Server{control: control}
-	for _, one := range schedulers {
-		s.schedulers = append(s.schedulers, scheduler{one, schedulerpb.NewSchedulerProtobufClient("http://"+one.Address, httpClient)})
-	}
+func New(control *client.Client, directory Directory, httpClient *http.Client) http.Handler {
+	s := &Server{control: control, directory: directory, http: httpClient}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Prefix+"config", s.getConfig)
 	mux.HandleFunc("PUT "+Prefix+"config", s.applyConfig)
@@ -70,6 +75,15 @@
 	return mux
 }
 
+// schedulers returns the schedulers that are known now.
+func (s *Server) schedulers() []scheduler {
+	var list []scheduler
+	for _, one := range s.directory.Schedulers() {
+		list = append(list, scheduler{one, schedulerpb.NewSchedulerProtobufClient("http://"+one.Address, s.http)})
+	}
+	return list
+}
+
 func (s *Server) getConfig(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
--- a/operatorapi/types.go
+++ b/operatorapi/types.go
@@ -47,6 +47,19 @@
 type Status struct {
 	Control    *controlpb.StatusResponse `json:"control"`
 	Schedulers []SchedulerStatus         `json:"schedulers"`
+	// Members are the processes that the gateway's membership view holds, alive or
+	// suspected; empty where membership is not set up.
+	Members []MemberStatus `json:"members,omitempty"`
+}
+
+// MemberStatus is one process of the fleet.
+type MemberStatus struct {
+	Name    string `json:"name"`
+	Kind    string `json:"kind"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
+	// State is alive or suspect.
+	State string `json:"state"`
 }
 
 // SchedulerStatus is the state of one scheduler; Error is set if it did not answer.
--- a/schedulerd/peer.go
+++ b/schedulerd/peer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"geraniumwall/lease"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
@@ -15,12 +17,14 @@
 const peerTimeout = time.Second
 
 // peerLink asks the standby for scheduler leases. The address of the standby
-// comes from the settings, or from control where the settings name no peer.
+// comes from the membership, so that a domain that is cut off finds a standby that
+// has moved, else from control, else from the settings.
 type peerLink struct {
 	settings *Settings
 	loop     *loop
 	http     *http.Client
 	learned  atomic.Pointer[Peer]
+	members  atomic.Pointer[gossip.Gossip]
 }
 
 func (p *peerLink) learn(r *controlpb.RenewLeaseResponse) {
@@ -30,6 +34,11 @@
 }
 
 func (p *peerLink) address(standby string) string {
+	for _, m := range p.members.Load().OfKind(membership.KindScheduler) {
+		if m.Name == standby {
+			return m.Address
+		}
+	}
 	if learned := p.learned.Load(); learned != nil && learned.Name == standby {
 		return learned.Address
 	}
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -14,6 +14,8 @@
 
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/policy"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
@@ -131,6 +133,15 @@
 	renewals, endRenewals := context.WithCancel(s.ctx)
 	defer endRenewals()
 	s.http.Serve()
+	members, err := gossip.Join(ctx, s.settings.Membership, membership.Member{
+		Name: s.settings.Name, Kind: membership.KindScheduler, Domain: s.settings.Domain, Address: s.Address(),
+	}, s.log)
+	if err != nil {
+		return err
+	}
+	defer members.Stop()
+	s.peer.members.Store(members)
+	s.control.client.Discover(members.AddressesOf(membership.KindControl))
 	go s.tick()
 	go s.follower.Run(s.ctx)
 	go s.control.renewEvery(renewals)
--- a/schedulerd/settings.go
+++ b/schedulerd/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/settings"
 )
 
@@ -25,6 +26,8 @@
 	Control []string `json:"control"`
 	// Peer may be omitted where a domain has one scheduler.
 	Peer *Peer `json:"peer,omitempty"`
+	// Membership may be omitted; gateways then need this scheduler in their settings.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 // Defaults returns the settings before the file is read.
@@ -42,6 +45,7 @@
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
 	c.Addresses("control", s.Control)
+	s.Membership.Check(c)
 	if s.Peer == nil {
 		return
 	}
