--- a/gateway/link.go
+++ b/gateway/link.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"geraniumwall/routing"
 	"geraniumwall/rpc/grantdelta"
-	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
-	"geraniumwall/transport"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// configPatience is how long a scheduler may stay behind before the gateway
 	// sends it the configuration. Usually it gets it from a control replica sooner.
 	configPatience = time.Second
+	// wrongPeerLogPeriod bounds a warning that would repeat with every sync.
+	wrongPeerLogPeriod = 10 * time.Second
 )
 
 // link syncs grants with one scheduler. Schedulers of other domains are asked only
@@ -31,8 +34,11 @@
 type link struct {
 	gateway   *Gateway
 	scheduler Scheduler
-	client    schedulerpb.Scheduler
+	route     *route
+	wrongPeer zerolog.Logger
 	triggered chan struct{}
+	// absent is set while neither the settings nor the directory name the scheduler.
+	absent atomic.Bool
 	// active is set while the scheduler is asked regularly.
 	active atomic.Bool
 	// sequence counts the syncs from 1.
@@ -45,8 +51,8 @@
 
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
-		gateway: g, scheduler: s,
-		client:    schedulerpb.NewSchedulerProtobufClient(transport.URL(s.Address), c, protocol.Client()),
+		gateway: g, scheduler: s, route: newRoute(s.Address, c),
+		wrongPeer: g.log.Sample(&zerolog.BurstSampler{Burst: 1, Period: wrongPeerLogPeriod}),
 		triggered: make(chan struct{}, 1),
 	}
 }
@@ -78,6 +84,9 @@
 }
 
 func (l *link) needed() bool {
+	if l.absent.Load() {
+		return false
+	}
 	if l.scheduler.Domain == l.gateway.options.Domain {
 		return true
 	}
@@ -119,7 +128,13 @@
 	sent := g.clock()
 	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	answer, err := l.client.SyncGrants(bounded, l.holder.Shorten(request))
+	answer, err := l.route.client().SyncGrants(bounded, l.holder.Shorten(request))
+	if err == nil && answer.GetScheduler() != l.scheduler.Name {
+		err = fmt.Errorf("scheduler %q answered", answer.GetScheduler())
+		l.wrongPeer.Warn().Str("scheduler", l.scheduler.Name).Err(err).
+			Msg("another scheduler has the address; correct schedulers in the settings of this gateway")
+	}
+	l.route.used(err)
 	if err != nil {
 		g.metrics.syncFailed(ctx, l.scheduler.Name)
 		return true
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -42,7 +42,9 @@
 	}
 	whole, held := s.answers.restore(r)
 	if !held {
-		return &schedulerpb.SyncGrantsResponse{SendWhole: true, ConfigVersion: s.follower.Current().Version}, nil
+		return &schedulerpb.SyncGrantsResponse{
+			Scheduler: s.settings.Name, SendWhole: true, ConfigVersion: s.follower.Current().Version,
+		}, nil
 	}
 	var answer scheduler.GrantAnswer
 	var refused error
