Export ages, reasons, lags and budgets, and push the metrics at exit

Cause: the metrics lacked the reason of an eviction, the ages of task leases and grants, the queue age by class and by service, the lag of each replica, the version of each process in one place, and the eviction budget. Metrics pushed by OTLP were lost from the last push to the end of the process.

New: scheduler.evictions by reason, scheduler.lease.remaining, scheduler.task_lease.age, scheduler.eviction.budget, control.replica.lag, control.process.config.version, geranium.gateway.grant.age and queue.age. scheduler.queue.age now has the attribute class. Configuration version of each process, age of the domain's leases and the retry budget existed.

The last push follows the end of the owner, and a gauge callback that fails drops the whole push, so the callbacks leave their gauges out instead. Ruled out: a push before the shutdown, which would lose the counters of the drain.

--- a/cmd/geranium-control/main_test.go
+++ b/cmd/geranium-control/main_test.go
@@ -1,15 +1,20 @@
 package main
 
 import (
+	"bufio"
 	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +25,39 @@
 	"geraniumwall/rpc/controlpb"
 )
 
+// Guards against the loss of the last metrics of a process that ends between two
+// pushes: the stand-in receiver must get one after SIGTERM.
+func TestMetricsArePushedAtExit(t *testing.T) {
+	g := NewWithT(t)
+	pushes := make(chan string, 10)
+	receiver := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		pushes <- string(body)
+	}))
+	defer receiver.Close()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "settings.json")
+	document, err := json.Marshal(control.Settings{
+		Name: "c", Domain: "d", Listen: "127.0.0.1:0", DataDir: filepath.Join(dir, "data"), ReplicaID: 1, SingleDomainOK: true,
+		Replicas: []control.ReplicaAddress{{ID: 1, Address: "127.0.0.1:1", Domain: "d"}}, OTLPEndpoint: receiver.URL + "/v1/metrics",
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.WriteFile(path, document, 0o600)).To(Succeed())
+	replica := exec.Command(filepath.Join(cmp.Or(os.Getenv("GERANIUM_BIN"), filepath.Join("..", "..", "bin")), "geranium-control"), "-settings", path)
+	log, err := replica.StderrPipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(replica.Start()).To(Succeed())
+	for lines := bufio.NewScanner(log); lines.Scan(); {
+		if strings.Contains(lines.Text(), "control replica is running") {
+			break
+		}
+	}
+	g.Expect(replica.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	go io.Copy(io.Discard, log)
+	g.Expect(replica.Wait()).To(Succeed())
+	g.Expect(pushes).To(Receive(ContainSubstring("control.term")))
+}
+
 // TestKilledReplicas guards against accepted work that is lost, or a service that
 // stays away, when any one replica is killed and restarted.
 func TestKilledReplicas(t *testing.T) {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -74,12 +74,17 @@
 	tasks, err2 := meter.Int64ObservableGauge("control.tasks", metric.WithDescription("Tasks in the replicated state, by state"))
 	lease, err3 := meter.Float64ObservableGauge("control.lease.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the last renewal of a domain's leases, by domain; on the leader only"))
-	_, err4 := meter.RegisterCallback(func(ctx context.Context, o metric.Observer) error {
+	lag, err4 := meter.Int64ObservableGauge("control.replica.lag",
+		metric.WithDescription("Entries of the log that a replica is not known to have, by replica; on the leader only"))
+	inForce, err5 := meter.Int64ObservableGauge("control.process.config.version",
+		metric.WithDescription("Configuration version in force, by process and kind; on the leader only"))
+	_, err6 := meter.RegisterCallback(func(ctx context.Context, o metric.Observer) error {
 		bounded, cancel := context.WithTimeout(ctx, gaugeTimeout)
 		defer cancel()
 		status, err := s.LocalStatus(bounded)
 		if err != nil {
-			return err
+			// An error would drop the last push, which comes after the replica's end.
+			return nil //nolint:nilerr // the gauges are left out
 		}
 		o.ObserveInt64(version, int64(status.GetConfigVersion()))
 		for state, n := range status.GetTaskCounts() {
@@ -87,10 +92,12 @@
 		}
 		if status.GetLeader() == status.GetReplica() {
 			observeLeases(o, lease, status.GetDomains())
+			observeLag(o, lag, status)
+			observeProcesses(o, inForce, status.GetProcesses())
 		}
 		return nil
-	}, version, tasks, lease)
-	if err := errors.Join(err1, err2, err3, err4); err != nil {
+	}, version, tasks, lease, lag, inForce)
+	if err := errors.Join(err1, err2, err3, err4, err5, err6); err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
 	return nil
@@ -103,6 +110,24 @@
 	}
 }
 
+func observeLag(o metric.Observer, lag metric.Int64Observable, status *controlpb.StatusResponse) {
+	var last uint64
+	for _, r := range status.GetReplicas() {
+		last = max(last, r.GetMatchIndex())
+	}
+	for _, r := range status.GetReplicas() {
+		replica := metric.WithAttributes(attribute.Int64("replica", int64(r.GetId())))
+		o.ObserveInt64(lag, int64(last-r.GetMatchIndex()), replica)
+	}
+}
+
+func observeProcesses(o metric.Observer, inForce metric.Int64Observable, processes []*controlpb.ProcessStatus) {
+	for _, p := range processes {
+		o.ObserveInt64(inForce, int64(p.GetConfigVersion()), metric.WithAttributes(
+			attribute.String("process", p.GetProcess()), attribute.String("kind", p.GetKind())))
+	}
+}
+
 func boolGauge(b bool) int64 {
 	if b {
 		return 1
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,7 +42,11 @@
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("process", name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, log); err != nil {
+	err := run(ctx, log)
+	if lost := FlushMetrics(context.Background()); lost != nil {
+		log.Warn().Err(lost).Msg("the last metrics were not pushed")
+	}
+	if err != nil {
 		log.Error().Err(err).Msg("daemon failed")
 		os.Exit(ExitFailure)
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,6 +24,10 @@
 // pushInterval is the time between two pushes to an OTLP endpoint.
 const pushInterval = 10 * time.Second
 
+// flushWithin bounds the last push, so that an endpoint that does not answer delays
+// the end of the process only a little.
+const flushWithin = 3 * time.Second
+
 // MetricsOption changes how metrics leave the process.
 type MetricsOption func(context.Context) ([]metric.Option, error)
 
@@ -44,6 +48,18 @@
 	}
 }
 
+// FlushMetrics pushes the metrics a last time. The instruments record nothing after
+// it.
+func FlushMetrics(ctx context.Context) error {
+	provider, ok := otel.GetMeterProvider().(*metric.MeterProvider)
+	if !ok {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, flushWithin)
+	defer cancel()
+	return provider.Shutdown(bounded)
+}
+
 // CheckOTLP reports a problem of the setting otlp_endpoint to c.
 func CheckOTLP(c *settings.Checker, endpoint string) {
 	if endpoint == "" {
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -118,7 +118,7 @@
 	var b strings.Builder
 	b.WriteString("# Metrics\n\nThis page is generated: `go test ./daemon -update`. Each process serves its metrics on " +
 		"`metrics_listen` under `/metrics` in the Prometheus text format, where a dot in a name becomes an underscore and " +
-		"units and `_total` are appended, and pushes them to `otlp_endpoint` every 10 s if it is set.\n")
+		"units and `_total` are appended, and pushes them to `otlp_endpoint` every 10 s and at its end if it is set.\n")
 	for _, process := range []struct {
 		name string
 		make func(metric.Meter)
--- a/e2e/metrics_test.go
+++ b/e2e/metrics_test.go
@@ -43,5 +43,16 @@
 			return err.Error()
 		}
 		return scrape(leader.name)
-	}).WithTimeout(readyTimeout).Should(ContainSubstring("control_lease_age_seconds{"))
+	}).WithTimeout(readyTimeout).Should(And(ContainSubstring("control_lease_age_seconds{"),
+		MatchRegexp(`control_replica_lag\{.*replica="2"`), MatchRegexp(`control_process_config_version\{.*kind="gateway"`)))
+	tour.Eventually(func() string {
+		active, err := tour.f.activeScheduler(t.Context(), tour.f.domains[0])
+		if err != nil {
+			return err.Error()
+		}
+		return scrape(active.name)
+	}).WithTimeout(readyTimeout).Should(And(MatchRegexp(`scheduler_lease_remaining_seconds\{lease="domain",.*\} [1-9]`),
+		MatchRegexp(`scheduler_queue_age_seconds\{class="urgent"`), MatchRegexp(`scheduler_eviction_budget\{.*\} 30`)))
+	tour.Expect(scrape(gatewayName(tour.f.domains[0], 0))).To(And(ContainSubstring("geranium_gateway_grant_age_seconds"),
+		MatchRegexp(`geranium_gateway_queue_age_seconds\{.*service="quote-check"`)))
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -87,7 +87,7 @@
 
 // observe registers the gauges that are read from the state of the gateway.
 func (m *metrics) observe(g *Gateway) error {
-	var errs [6]error
+	var errs [8]error
 	var outstanding, queued, budget, upstreams, slots, version metric.Int64ObservableGauge
 	outstanding, errs[0] = m.meter.Int64ObservableGauge("geranium.gateway.outstanding",
 		metric.WithDescription("Requests on upstreams"))
@@ -101,23 +101,31 @@
 		metric.WithDescription("Slots with a grant in force"))
 	version, errs[5] = m.meter.Int64ObservableGauge("geranium.gateway.config.version",
 		metric.WithDescription("Configuration version in force"))
+	queueAge, err := m.meter.Float64ObservableGauge("geranium.gateway.queue.age", metric.WithUnit("s"),
+		metric.WithDescription("Time for which the oldest queued request has waited, by service"))
+	errs[6] = err
+	grantAge, err := m.meter.Float64ObservableGauge("geranium.gateway.grant.age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the oldest grant in force was asked for; a grant ends after 3 s"))
+	errs[7] = err
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
-	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.balancer.read(func(t *routing.Table, now time.Duration) {
-			for _, s := range t.Statistics() {
+			for _, s := range t.Statistics(now) {
 				service := metric.WithAttributes(attribute.String("service", s.Service))
 				o.ObserveInt64(outstanding, int64(s.Outstanding), service)
 				o.ObserveInt64(queued, int64(s.Queued), service)
+				o.ObserveFloat64(queueAge, s.Oldest.Seconds(), service)
 			}
 			usable, granted := t.Usable(now)
 			o.ObserveInt64(upstreams, int64(usable))
 			o.ObserveInt64(slots, int64(granted))
+			o.ObserveFloat64(grantAge, t.GrantAge(now).Seconds())
 			o.ObserveInt64(budget, int64(t.RetriesLeft(now)))
 		})
 		o.ObserveInt64(version, int64(g.settings.Load().version))
 		return nil
-	}, outstanding, queued, budget, upstreams, slots, version)
+	}, outstanding, queued, budget, upstreams, slots, version, queueAge, grantAge)
 	return err
 }
--- a/lease/authority.go
+++ b/lease/authority.go
@@ -111,6 +111,12 @@
 	return min(TaskLease, a.domain.Rest(now))
 }
 
+// Rest returns how long the scheduler lease and the domain lease still hold, 0 for
+// one that is not held.
+func (a *Authority) Rest(now time.Duration) (scheduler, domain time.Duration) {
+	return max(a.fromControl.Rest(now), a.fromStandby.Rest(now)), a.domain.Rest(now)
+}
+
 // Role returns the role in the newest answer.
 func (a *Authority) Role() Role { return a.role }
 
--- a/policy/engine/budget.go
+++ b/policy/engine/budget.go
@@ -28,6 +28,12 @@
 	b.at = now
 }
 
+// EvictionsLeft returns the number of evictions that the budget permits now.
+func (e *Engine) EvictionsLeft(now time.Duration) float64 {
+	e.tokens.refill(now)
+	return e.tokens.left
+}
+
 // take uses one token unless that would leave less than keep.
 func (b *tokens) take(now time.Duration, keep float64) bool {
 	b.refill(now)
--- a/routing/model_test.go
+++ b/routing/model_test.go
@@ -162,7 +162,7 @@
 
 func (m *model) check(*rapid.T) {
 	queued := 0
-	for i, s := range m.table.Statistics() {
+	for i, s := range m.table.Statistics(m.now) {
 		queued += s.Queued
 		if s.Queued > modelServices[i].MaxQueue {
 			m.t.Fatalf("queue of %s holds %d", s.Service, s.Queued)
--- a/routing/report.go
+++ b/routing/report.go
@@ -122,13 +122,19 @@
 	Service     string
 	Outstanding int
 	Queued      int
+	// Oldest is the time for which the oldest queued request has waited.
+	Oldest time.Duration
 }
 
 // Statistics returns the figures of every service.
-func (t *Table) Statistics() []Statistics {
+func (t *Table) Statistics(now time.Duration) []Statistics {
 	list := make([]Statistics, 0, len(t.order))
 	for _, s := range t.order {
-		list = append(list, Statistics{Service: s.name, Outstanding: s.outstanding, Queued: s.waiting})
+		one := Statistics{Service: s.name, Outstanding: s.outstanding, Queued: s.waiting}
+		if head := s.head(); head != nil {
+			one.Oldest = now - head.queued
+		}
+		list = append(list, one)
 	}
 	return list
 }
@@ -144,6 +150,18 @@
 	return upstreams, slots
 }
 
+// GrantAge returns the time since the oldest grant in force was asked for, 0 if
+// there is none.
+func (t *Table) GrantAge(now time.Duration) time.Duration {
+	var oldest time.Duration
+	for _, u := range t.upstreams {
+		if u.current.open(now) {
+			oldest = max(oldest, now-u.current.sent)
+		}
+	}
+	return oldest
+}
+
 // Outstanding returns the number of requests on upstreams.
 func (t *Table) Outstanding() int {
 	total := 0
--- a/routing/service.go
+++ b/routing/service.go
@@ -24,6 +24,7 @@
 
 	service *service
 	request Request
+	queued  time.Duration
 	// latest is the time after which the request could not end in time.
 	latest time.Duration
 	done   bool
@@ -58,7 +59,7 @@
 
 func (s *service) enqueue(r Request, now time.Duration) *Waiter {
 	left := r.Deadline - now
-	w := &Waiter{Tag: r.Tag, service: s, request: r, latest: r.Deadline - max(s.expected(left), left/answerShare)}
+	w := &Waiter{Tag: r.Tag, service: s, request: r, queued: now, latest: r.Deadline - max(s.expected(left), left/answerShare)}
 	s.queue = append(s.queue, w)
 	s.waiting++
 	return w
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -18,6 +18,7 @@
 	slots       int
 	connections int
 	outstanding int
+	sent        time.Duration
 	expires     time.Duration
 	withdrawn   bool
 	// refusedAt is the time of the last not_run; the session is used again after
@@ -133,7 +134,7 @@
 	s := u.current
 	s.slots = g.limit()
 	s.connections = g.Connections
-	s.expires = g.Expires
+	s.sent, s.expires = g.Sent, g.Expires
 	s.withdrawn = false
 	if s.refused && g.Sent > s.refusedAt {
 		s.refused = false
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -94,4 +94,19 @@
 	Checkpoint []byte
 	Result     []byte
 	Reason     string
+	// Cause is set on evictions.
+	Cause EvictionCause
 }
+
+// EvictionCause classifies evictions.
+type EvictionCause string
+
+// Causes of evictions.
+const (
+	CauseInterference EvictionCause = "interference"
+	CauseDrain        EvictionCause = "drain"
+	CauseWorkerLost   EvictionCause = "worker_lost"
+	CauseUnknownStart EvictionCause = "unknown_start"
+	// CauseWorker: the worker stopped the attempt itself.
+	CauseWorker EvictionCause = "worker"
+)
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -21,6 +21,7 @@
 	// The worker counts the lease from when it sent the heartbeat, which was before
 	// the heartbeat arrived.
 	t.until = w.heard + lease.GrantorWait(duration)
+	t.renewed = w.heard
 	c.bindAttempt(t, w)
 	c.engine.Started(now, c.policyTask(t, t.reserved), w.id)
 	c.act(SendStart{Target: w.target(), Body: workerapi.Start{
@@ -223,7 +224,7 @@
 	if !t.cancel && !t.left {
 		c.reports.add(Report{
 			Task: t.ID, Kind: ReportEvicted, Attempt: t.attempt, Worker: w.id,
-			Checkpoint: t.Checkpoint, Reason: "the worker was lost",
+			Checkpoint: t.Checkpoint, Reason: "the worker was lost", Cause: CauseWorkerLost,
 		})
 		t.Evictions++
 	}
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -155,6 +155,33 @@
 		Expect(actionsOf[SendStart](c)).To(HaveLen(1))
 	})
 
+	// Guards against evictions that the metrics count under another reason, and against
+	// ages that do not grow.
+	ginkgo.It("that drains evicts its tasks with that cause", func() {
+		c := activeCore(1)
+		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t1")}, false)
+		c.Tick(2100 * ms)
+		start := actionsOf[SendStart](c)[0].Body
+		report := workerapi.TaskReport{ID: "t1", Attempt: start.Attempt, Phase: workerapi.PhaseRunning, Resources: start.Resources}
+		hb := beat("w0000", 2)
+		hb.Session, hb.Holder, hb.Epoch, hb.Tasks = 1, "s1#1", 1, []workerapi.TaskReport{report}
+		_, err := c.Heartbeat(2200*ms, hb)
+		Expect(err).NotTo(HaveOccurred())
+		status := c.Status(2500 * ms)
+		Expect(status.TaskLeaseAge).To(Equal(300 * ms))
+		Expect(status.DomainLease).To(Equal(lease.DomainLease - 500*ms))
+		c.Drain(2500*ms, "w0000", false, "test")
+		c.Tick(2600 * ms)
+		stop := actionsOf[SendStop](c)[0]
+		report.Phase = workerapi.PhaseStopped
+		c.StopAnswered(2700*ms, StopResult{
+			Target: stop.Target, Ref: workerapi.TaskRef{ID: "t1", Attempt: stop.Body.Attempt},
+			Answer: workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: report},
+		})
+		c.Tick(2800 * ms)
+		Expect(actionsOf[SendReports](c)[0].Events[0].Cause).To(Equal(CauseDrain))
+	})
+
 	ginkgo.It("that restarts gets no task before the leases of its former tasks are over", func() {
 		c := activeCore(1)
 		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -57,6 +57,7 @@
 	t.attempt = r.Attempt
 	c.setPhase(t, phaseRunning)
 	t.until = c.authority.takeoverAt + lease.GrantorWait(lease.TaskLease)
+	t.renewed = now
 	c.bindAttempt(t, w)
 	c.engine.Started(now, c.policyTask(t, t.reserved), w.id)
 	c.noteProgress(now, w, t, r)
@@ -177,12 +178,24 @@
 		report.Reason = string(t.why)
 	}
 	t.Evictions++
-	report.Kind, report.Checkpoint = ReportEvicted, t.Checkpoint
+	report.Kind, report.Checkpoint, report.Cause = ReportEvicted, t.Checkpoint, t.evictionCause()
 	c.reports.add(report)
 	c.note(now, Decision{Subject: t.ID, Kind: "evicted", Reason: report.Reason, Worker: report.Worker})
 	c.holdTask(now, t, notBefore)
 }
 
+// evictionCause says why the attempt that has ended was evicted. One that no command
+// stopped was stopped by its worker, which withdraws or whose lease ran out.
+func (t *task) evictionCause() EvictionCause {
+	causes := map[stopReason]EvictionCause{
+		stopEvicted: CauseInterference, stopMoved: CauseDrain, stopUnknownStart: CauseUnknownStart,
+	}
+	if cause, commanded := causes[t.why]; commanded && t.phase == phaseStopping {
+		return cause
+	}
+	return CauseWorker
+}
+
 // renew extends the leases of the attempts that are to go on. The worker counts
 // from when it sent the heartbeat, which was before now.
 func (c *Core) renew(now time.Duration, w *worker, reports []workerapi.TaskReport, answer *workerapi.HeartbeatAnswer) {
@@ -198,6 +211,7 @@
 			continue
 		}
 		t.until = max(t.until, now+lease.GrantorWait(duration))
+		t.renewed = now
 		answer.Renew = append(answer.Renew, t.ref())
 	}
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumwall/config"
 	"geraniumwall/workerapi"
 )
 
@@ -27,8 +28,21 @@
 	Waiting int
 	Running int
 	Version uint64
-	// OldestWaiting is the longest time that a task has waited in the domain.
-	OldestWaiting time.Duration
+	// OldestWaiting is the longest time that a task of each class has waited in the
+	// domain.
+	OldestWaiting map[config.Priority]time.Duration
+	// SchedulerLease and DomainLease are what is left of the leases held, 0 for none.
+	SchedulerLease time.Duration
+	DomainLease    time.Duration
+	// TaskLeaseAge is the longest time since the lease of a running task was renewed.
+	TaskLeaseAge time.Duration
+	// EvictionsLeft is the rest of the eviction budget, -1 if the engine has none.
+	EvictionsLeft float64
+}
+
+// budgeted is an engine with a budget of evictions.
+type budgeted interface {
+	EvictionsLeft(now time.Duration) float64
 }
 
 // Status returns the state of the scheduler.
@@ -36,6 +50,12 @@
 	s := Status{Role: c.authority.role(), Epoch: c.authority.leases.Epoch(), Version: c.version}
 	s.Waiting, s.Running = c.countTasks()
 	s.OldestWaiting = c.oldestWaiting(now)
+	s.SchedulerLease, s.DomainLease = c.authority.leases.Rest(now)
+	s.TaskLeaseAge = c.taskLeaseAge(now)
+	s.EvictionsLeft = -1
+	if b, ok := c.engine.(budgeted); ok {
+		s.EvictionsLeft = b.EvictionsLeft(now)
+	}
 	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		s.Workers = append(s.Workers, WorkerStatus{
@@ -46,12 +66,22 @@
 	return s
 }
 
-// oldestWaiting is the longest time that a task has waited in the domain.
-func (c *Core) oldestWaiting(now time.Duration) time.Duration {
-	var oldest time.Duration
+// oldestWaiting is the longest time that a task of each class has waited.
+func (c *Core) oldestWaiting(now time.Duration) map[config.Priority]time.Duration {
+	oldest := map[config.Priority]time.Duration{config.Urgent: 0, config.Normal: 0, config.Batch: 0}
 	for _, t := range c.tasks {
 		if !t.isLive() && t.phase != phaseEnded {
-			oldest = max(oldest, now-t.enqueued)
+			oldest[t.Priority] = max(oldest[t.Priority], now-t.enqueued)
+		}
+	}
+	return oldest
+}
+
+func (c *Core) taskLeaseAge(now time.Duration) time.Duration {
+	var oldest time.Duration
+	for _, t := range c.tasks {
+		if t.phase == phaseRunning {
+			oldest = max(oldest, now-t.renewed)
 		}
 	}
 	return oldest
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -71,6 +71,8 @@
 	reserved workerapi.Resources
 	on       *worker
 	until    time.Duration
+	// renewed is when the lease of the live attempt was given last.
+	renewed time.Duration
 	// settled is the newest attempt whose end was taken in.
 	settled    workerapi.Attempt
 	why        stopReason
--- a/schedulerd/control.go
+++ b/schedulerd/control.go
@@ -143,6 +143,9 @@
 			l.log.Warn().Int("events", n).Msg("control refused events as stale")
 		}
 		l.metrics.reports(ctx, events, err == nil)
+		if err == nil {
+			l.metrics.evicted(ctx, a.Events)
+		}
 		l.loop.send(func(now time.Duration, core *scheduler.Core) { core.ReportsAnswered(now, a.Epoch, a.Batch, err == nil) })
 	}()
 }
--- a/schedulerd/gauges.go
+++ b/schedulerd/gauges.go
@@ -37,7 +37,8 @@
 		{name: "scheduler.config.version", description: "Configuration version in force", value: func(s scheduler.Status) float64 { return float64(s.Version) }},
 		{name: "scheduler.tasks.waiting", description: "Tasks of the domain that wait for a worker", value: func(s scheduler.Status) float64 { return float64(s.Waiting) }},
 		{name: "scheduler.tasks.running", description: "Tasks of the domain that run, start or stop", value: func(s scheduler.Status) float64 { return float64(s.Running) }},
-		{name: "scheduler.queue.age", unit: "s", description: "Longest time that a task of the domain has waited", value: func(s scheduler.Status) float64 { return s.OldestWaiting.Seconds() }},
+		{name: "scheduler.task_lease.age", unit: "s", description: "Longest time since the lease of a running task was renewed", value: func(s scheduler.Status) float64 { return s.TaskLeaseAge.Seconds() }},
+		{name: "scheduler.eviction.budget", description: "Evictions that the budget permits now", value: func(s scheduler.Status) float64 { return s.EvictionsLeft }},
 		{name: "scheduler.slots.granted", description: "Slots granted to gateways", value: slotsGranted},
 	}
 }
@@ -50,11 +51,55 @@
 	return float64(total)
 }
 
+// groups are the gauges with one value for each value of an attribute.
+func groups() []*group {
+	return []*group{
+		{
+			name: "scheduler.workers", attribute: "state", description: "Workers of the domain, by state",
+			values: workersByState,
+		},
+		{
+			name: "scheduler.queue.age", attribute: "class", unit: "s",
+			description: "Longest time that a task of the domain has waited, by class",
+			values: func(s scheduler.Status) map[string]float64 {
+				ages := map[string]float64{}
+				for class, age := range s.OldestWaiting {
+					ages[string(class)] = age.Seconds()
+				}
+				return ages
+			},
+		},
+		{
+			name: "scheduler.lease.remaining", attribute: "lease", unit: "s",
+			description: "What is left of the scheduler lease and the domain lease; 0 for one that is not held",
+			values: func(s scheduler.Status) map[string]float64 {
+				return map[string]float64{"scheduler": s.SchedulerLease.Seconds(), "domain": s.DomainLease.Seconds()}
+			},
+		},
+	}
+}
+
+// group is a gauge with one value for each value of an attribute.
+type group struct {
+	name        string
+	unit        string
+	attribute   string
+	description string
+	values      func(scheduler.Status) map[string]float64
+	instrument  metric.Float64ObservableGauge
+}
+
+func (g *group) observe(o metric.Observer, s scheduler.Status) {
+	for value, figure := range g.values(s) {
+		o.ObserveFloat64(g.instrument, figure, metric.WithAttributes(attribute.String(g.attribute, value)))
+	}
+}
+
 // observe registers the gauges that are read from the status of the core.
 func observe(l *loop) error {
 	meter := otel.Meter(meterName)
-	list := gauges()
-	instruments := make([]metric.Observable, 0, len(list)+1)
+	list, grouped := gauges(), groups()
+	instruments := make([]metric.Observable, 0, len(list)+len(grouped))
 	var errs []error
 	for _, g := range list {
 		var err error
@@ -62,19 +107,23 @@
 		errs = append(errs, err)
 		instruments = append(instruments, g.instrument)
 	}
-	workers, err := meter.Int64ObservableGauge("scheduler.workers", metric.WithDescription("Workers of the domain, by state"))
-	errs = append(errs, err)
-	instruments = append(instruments, workers)
-	_, err = meter.RegisterCallback(func(ctx context.Context, o metric.Observer) error {
+	for _, g := range grouped {
+		var err error
+		g.instrument, err = meter.Float64ObservableGauge(g.name, metric.WithUnit(g.unit), metric.WithDescription(g.description))
+		errs = append(errs, err)
+		instruments = append(instruments, g.instrument)
+	}
+	_, err := meter.RegisterCallback(func(ctx context.Context, o metric.Observer) error {
 		status, err := l.status(ctx)
 		if err != nil {
-			return err
+			// An error would drop the last push, which comes after the owner's end.
+			return nil //nolint:nilerr // the gauges are left out
 		}
 		for _, g := range list {
 			o.ObserveFloat64(g.instrument, g.value(status))
 		}
-		for state, n := range workersByState(status) {
-			o.ObserveInt64(workers, n, metric.WithAttributes(attribute.String("state", state)))
+		for _, g := range grouped {
+			g.observe(o, status)
 		}
 		return nil
 	}, instruments...)
@@ -99,8 +148,8 @@
 	}
 }
 
-func workersByState(s scheduler.Status) map[string]int64 {
-	states := map[string]int64{}
+func workersByState(s scheduler.Status) map[string]float64 {
+	states := map[string]float64{}
 	for _, w := range s.Workers {
 		states[w.State]++
 	}
--- a/schedulerd/metrics.go
+++ b/schedulerd/metrics.go
@@ -25,6 +25,7 @@
 	grants     metric.Int64Histogram
 	renewals   metric.Int64Counter
 	events     metric.Int64Counter
+	evictions  metric.Int64Counter
 	decisions  metric.Int64Counter
 }
 
@@ -41,7 +42,9 @@
 	m.starts = counter("scheduler.starts", "Starts sent to workers, by outcome")
 	m.syncs = counter("scheduler.grant_syncs", "Grant syncs answered")
 	m.renewals = counter("scheduler.lease_renewals", "Lease requests to the control replicas, by result")
-	m.events = counter("scheduler.task_events", "Task events sent to the control replicas, by kind and result; kind evicted counts evictions")
+	m.events = counter("scheduler.task_events", "Task events sent to the control replicas, by kind and result")
+	m.evictions = counter("scheduler.evictions", "Evictions recorded by the control replicas, by reason: "+
+		"interference, drain, worker_lost, unknown_start, or worker if it stopped the task itself")
 	m.decisions = counter("scheduler.decisions", "Decisions recorded in the audit trail, by kind")
 	grants, err := meter.Int64Histogram("scheduler.grants_per_sync", metric.WithDescription("Grants in one answer to a gateway"))
 	m.grants = grants
@@ -81,6 +84,15 @@
 	}
 }
 
+// evicted counts the evictions among recorded events.
+func (m *metrics) evicted(ctx context.Context, events []scheduler.Report) {
+	for _, e := range events {
+		if e.Kind == scheduler.ReportEvicted {
+			m.evictions.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", string(e.Cause))))
+		}
+	}
+}
+
 func (m *metrics) decision(ctx context.Context, kind string) {
 	m.decisions.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
