--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -175,7 +175,7 @@
 		status := c.Status(2500 * ms)
 		Expect(status.TaskLeaseAge).To(Equal(300 * ms))
 		Expect(status.DomainLease).To(Equal(lease.DomainLease - 500*ms))
-		c.Drain(2500*ms, "w0000", false, "test")
+		c.SetDrained(2500*ms, 1, []string{"w0000"})
 		c.Tick(2600 * ms)
 		stop := actionsOf[SendStop](c)[0]
 		report.Phase = workerapi.PhaseStopped
--- a/state/machine.go
+++ b/state/machine.go
@@ -26,6 +26,7 @@
 	configs  configHistory
 	audit    auditTrail
 	joined   map[uint64]bool
+	drains   drainTable
 }
 
 // New returns the state before the first command.
@@ -35,6 +36,7 @@
 		requests: newRequestTable(),
 		domains:  map[string]*statepb.DomainRecord{},
 		joined:   map[uint64]bool{},
+		drains:   drainTable{workers: map[string]bool{}},
 	}
 }
 
@@ -59,6 +61,7 @@
 	KindOtherHolder    Kind = "other_holder"
 	KindKeyConflict    Kind = "key_conflict"
 	KindAlreadyEnded   Kind = "already_ended"
+	KindTooManyDrains  Kind = "too_many_drains"
 )
 
 // Error returns the text of the refusal, which names the remedy.
@@ -77,8 +80,14 @@
 	return data, nil
 }
 
-// Format is the newest format of commands and snapshots that this code reads.
-const Format = 1
+// Formats of commands and snapshots. What does not need a later format is written
+// without one, so that replicas of the former version can read it.
+const (
+	// FormatDrains has drains of workers.
+	FormatDrains = 2
+	// Format is the newest format that this code reads.
+	Format = FormatDrains
+)
 
 // checkFormat refuses data whose meaning this code doesn't know.
 func checkFormat(format uint32) error {
@@ -136,6 +145,8 @@
 		return m.applyConfig(c.GetUnixMs(), k.ApplyConfig), nil
 	case *statepb.Command_Audit:
 		return m.recordAudit(c.GetUnixMs(), k.Audit), nil
+	case *statepb.Command_DrainWorker:
+		return m.drainWorker(c.GetUnixMs(), k.DrainWorker)
 	case *statepb.Command_Prune:
 		return m.prune(k.Prune), nil
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -19,7 +19,13 @@
 
 // Capture returns a view of the present state.
 func (m *Machine) Capture() Capture {
+	drained, drains := m.Drained()
+	format := uint32(0)
+	if drains > 0 {
+		format = FormatDrains
+	}
 	return Capture{&statepb.Snapshot{
+		Format:        format,
 		Index:         m.index,
 		NextTask:      m.tasks.next,
 		Tasks:         slices.Collect(maps.Values(m.tasks.byID)),
@@ -30,6 +36,8 @@
 		AuditSequence: m.audit.sequence,
 		AuditHash:     m.audit.hash,
 		Joined:        slices.Sorted(maps.Keys(m.joined)),
+		Drained:       drained,
+		Drains:        drains,
 	}}
 }
 
@@ -84,6 +92,10 @@
 	for _, id := range s.GetJoined() {
 		m.joined[id] = true
 	}
+	for _, name := range s.GetDrained() {
+		m.drains.workers[name] = true
+	}
+	m.drains.changed = s.GetDrains()
 	for _, v := range s.GetConfigs() {
 		m.configs.load(v)
 	}
