Keep declaring the drain call of the released version

Cause: formats TestReleasedFieldsStay refuses a released method that is gone. A gateway of the released version may still call it; it is told to be upgraded instead of getting an error about an unknown route.

--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -141,3 +141,8 @@
 	}
 	return response, nil
 }
+
+// Drain refuses a call that gateways of version 1 make.
+func (s *service) Drain(context.Context, *schedulerpb.DrainRequest) (*schedulerpb.DrainResponse, error) {
+	return nil, twirp.FailedPrecondition.Error("drains are kept by the control replicas; upgrade the gateway that the call came through")
+}
