Relax a throttle as soon as the service stays within its limit

Cause of most evictions: a throttle was relaxed only after 10 s below 70% of the limit. Until then the tasks kept their reduced shares, and a task that stays throttled for 15 s is moved by eviction. The gap between the limit and the 90% that a relaxed throttle must not pass, and the 2 s between two reactions, are left against oscillation. The rule and its switch are taken out.

--- a/experiments/rules.go
+++ b/experiments/rules.go
@@ -30,7 +30,6 @@
 		{"reaction", engine.Rules{NoReaction: true}, []string{"cancellations", "wrong-sizes"}, service},
 		{"throttle-first", engine.Rules{NoThrottle: true}, []string{"cancellations", "wrong-sizes"}, append(loss, measureP99)},
 		{"move-throttled", engine.Rules{NoMove: true}, []string{"cancellations", "wrong-sizes"}, service},
-		{"hysteresis", engine.Rules{NoHysteresis: true}, []string{"cancellations", "load-shift"}, service},
 		{"eviction-budget-and-minimum-run", engine.Rules{NoBudget: true}, []string{"cancellations", "urgent-burst"}, loss},
 		{"least-lost-work", engine.Rules{NoLeastLoss: true}, []string{"cancellations", "wrong-sizes", "noisy-wave"}, append(loss, measureP99)},
 		{"slack-below-target", engine.Rules{NoSlack: true}, []string{"cancellations", "wrong-sizes"}, service},
--- a/policy/engine/engine.go
+++ b/policy/engine/engine.go
@@ -29,8 +29,6 @@
 	NoThrottle bool
 	// NoMove leaves a throttled task where it is as long as its service recovers.
 	NoMove bool
-	// NoHysteresis ends a throttle as soon as the prediction allows it.
-	NoHysteresis bool
 	// NoBudget evicts without limits on number and minimum run.
 	NoBudget bool
 	// NoLeastLoss chooses the neighbour to evict without regard to lost work.
@@ -81,7 +79,6 @@
 	reacted time.Duration
 	// breachedSince is the time since which a service is over its limit, or -1.
 	breachedSince time.Duration
-	calmSince     time.Duration
 	// quiet is set while nothing calls for a reaction; any change ends it.
 	quiet bool
 	// throttled is the number of its throttled tasks.
--- a/policy/engine/react.go
+++ b/policy/engine/react.go
@@ -17,13 +17,11 @@
 	// neighbours throttled before one of them is evicted. Reports are late, so a
 	// shorter time judges the state before the throttling.
 	persistFor = 15 * time.Second
-	// calmFor is the time below the limit after which a throttle is relaxed.
-	calmFor = 10 * time.Second
 	// settleReaction is the time between two reactions on one worker.
 	settleReaction = 2 * time.Second
-	// calmBelow is the part of the limit below which a throttle may be relaxed,
-	// throttleTo the part that throttling aims at.
-	calmBelow  = 0.7
+	// throttleTo is the part of the limit that throttling aims at and that relaxing
+	// a throttle must not pass. Waiting for a lower part before relaxing doubled the
+	// evictions, since tasks that stay throttled are moved.
 	throttleTo = 0.9
 	// evictAbove is the part of the limit above which throttled tasks are evicted.
 	evictAbove = 1.2
@@ -118,18 +116,10 @@
 }
 
 func (e *Engine) reactTo(now time.Duration, h *host, worst *pressure, pressed bool, out []policy.Reaction) []policy.Reaction {
-	switch {
-	case pressed && worst.part() > 1:
-		h.calmSince = now
+	if pressed && worst.part() > 1 {
 		return e.reduce(now, h, worst, out)
-	case pressed && worst.part() > calmBelow && !e.rules.NoHysteresis:
-		h.calmSince = now
-		out, _ = e.moveOne(now, h, worst, e.neighbours(now, h, worst.Service, worst.Load), out)
-		return out
-	case e.rules.NoHysteresis || now-h.calmSince >= calmFor:
-		return e.relax(now, h, worst, pressed, out)
 	}
-	return out
+	return e.relax(now, h, worst, pressed, out)
 }
 
 // neighbour is a task that slows the service.
