Let an overdue task start ahead of urgent work once in 10 s

Tasks that waited for 30 minutes got the rank of urgent work but were ordered by the share of their team within it. A steady stream of urgent work of a team with a smaller share held one back for ever, and a long list of overdue tasks of a team with a small share went before all urgent work. Two tests show both; they fail on the code before. Ruled out: a rank above urgent work without ration, which delays urgent work by the whole list.

--- a/policy/fairness/queue.go
+++ b/policy/fairness/queue.go
@@ -61,16 +61,19 @@
 	places  map[string]*list.Element
 	total   workerapi.Resources
 	round   uint64
+	// overtook is the time at which an overdue task last went before urgent work.
+	overtook time.Duration
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(rules Rules, sizer Sizer) *Queue {
 	return &Queue{
-		rules:   rules,
-		sizer:   sizer,
-		teams:   map[string]*Team{},
-		byShape: map[shape]*lane{},
-		places:  map[string]*list.Element{},
+		rules:    rules,
+		sizer:    sizer,
+		teams:    map[string]*Team{},
+		byShape:  map[shape]*lane{},
+		places:   map[string]*list.Element{},
+		overtook: -overtakeEvery,
 	}
 }
 
--- a/policy/fairness/queue_test.go
+++ b/policy/fairness/queue_test.go
@@ -79,6 +79,35 @@
 		Fail("the batch task never started")
 	})
 
+	// Guards against a task that waits for ever behind a steady stream of urgent work
+	// of a team with a smaller share, while long tasks keep the share of its own up.
+	It("lets an overdue task of a team with a large share start", func() {
+		q := queue(team("a", 1, 0, false), team("b", 1, 0, false))
+		q.Charge("b", config.Batch, size(50))
+		push(q, 1, "b", config.Batch, 1, 0)
+		for minute := 1; minute <= 40; minute++ {
+			now := time.Duration(minute) * time.Minute
+			push(q, 10, "a", config.Urgent, 1, now)
+			taken := take(q, now, 10)
+			if taken["b"] > 0 {
+				Expect(minute).To(BeNumerically(">=", 30), "urgent work goes first before that")
+				return
+			}
+			q.Release("a", config.Urgent, size(int64(taken["a"])))
+		}
+		Fail("the batch task never started")
+	})
+
+	// Guards against urgent work that waits behind a long list of overdue tasks.
+	It("lets few overdue tasks go before urgent work", func() {
+		q := queue(team("a", 1, 0, false), team("b", 1, 0, false))
+		push(q, 100, "b", config.Batch, 1, 0)
+		push(q, 5, "a", config.Urgent, 1, time.Hour)
+		Expect(take(q, time.Hour, 6)).To(Equal(map[string]int{"a": 5, "b": 1}))
+		push(q, 5, "a", config.Urgent, 1, time.Hour)
+		Expect(take(q, time.Hour+time.Second, 5)).To(Equal(map[string]int{"a": 5}))
+	})
+
 	// Guards against use beyond the quota of a team that may not borrow.
 	It("holds a team to its quota", func() {
 		q := queue(team("a", 1, 10, false), team("b", 1, 90, false))
--- a/policy/fairness/round.go
+++ b/policy/fairness/round.go
@@ -11,9 +11,12 @@
 const (
 	// agedAfter is the wait after which a task goes before normal work.
 	agedAfter = 5 * time.Minute
-	// overdueAfter is the wait after which a task competes with urgent work, so
+	// overdueAfter is the wait after which a task may go before urgent work, so
 	// that a steady stream of urgent work cannot hold it back for ever.
 	overdueAfter = 30 * time.Minute
+	// overtakeEvery rations the overdue tasks that go before urgent work: a long
+	// list of them would delay it.
+	overtakeEvery = 10 * time.Second
 	// lendingStopsAfter is the wait of a task within its quota after which no
 	// team may borrow.
 	lendingStopsAfter = 2 * time.Second
@@ -21,7 +24,8 @@
 
 // Ranks of waiting tasks, lowest first.
 const (
-	rankUrgent = iota
+	rankOverdue = iota - 1
+	rankUrgent
 	rankAged
 	rankNormal
 	rankBatch
@@ -125,8 +129,8 @@
 	switch {
 	case item.Class == config.Urgent:
 		return rankUrgent
-	case !r.queue.rules.NoAging && waited > overdueAfter:
-		return rankUrgent
+	case !r.queue.rules.NoAging && waited > overdueAfter && r.now-r.queue.overtook >= overtakeEvery:
+		return rankOverdue
 	case !r.queue.rules.NoAging && waited > agedAfter:
 		return rankAged
 	case item.Class == config.Normal:
@@ -136,8 +140,8 @@
 	}
 }
 
-// before orders by rank, tasks within quota first, then by share; aged tasks are
-// ordered by their wait alone.
+// before orders by rank, tasks within quota first, then by share; overdue and aged
+// tasks are ordered by their wait alone: their team may keep a large share.
 func (r *Round) before(a, b *Candidate) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
@@ -145,7 +149,7 @@
 	if a.Borrowed != b.Borrowed {
 		return b.Borrowed
 	}
-	if a.Rank != rankAged && a.Share != b.Share {
+	if a.Rank != rankOverdue && a.Rank != rankAged && a.Share != b.Share {
 		return a.Share < b.Share
 	}
 	if a.Enqueued != b.Enqueued {
@@ -158,6 +162,9 @@
 func (r *Round) Take(c Candidate) {
 	l := r.queue.byShape[shapeOf(&c.Item)]
 	l.waitingForRoom = -1
+	if c.Rank == rankOverdue {
+		r.queue.overtook = r.now
+	}
 	r.queue.Charge(c.Team, c.Class, c.Need)
 	if l.team.limited {
 		r.idle = r.idle.Minus(c.Need)
