Show silent replicas, set-aside workers and leases in the status at once

Cause: a stopped control replica showed only when the log went on, the status gave no reason for a worker without work and did not know quarantine, and it had no leases. geranium explain kept 8,192 decisions without a stated time, and their texts, which may come from workers, had no bound.

The status has the state of each replica as the leader hears it, a table of the workers that are set aside with the reason, and what is left of the scheduler lease and the domain lease.

Ruled out: dropping a MATCH that stands still, since it stands still on an idle log too.

--- a/cmd/geranium/app.go
+++ b/cmd/geranium/app.go
@@ -41,8 +41,10 @@
 	name      string
 	synopsis  string
 	arguments string
-	flags     func(*flag.FlagSet)
-	run       func(context.Context, *flag.FlagSet) error
+	// details follow the synopsis in the help of the command.
+	details string
+	flags   func(*flag.FlagSet)
+	run     func(context.Context, *flag.FlagSet) error
 }
 
 var _ subcommands.Command = (*command)(nil)
@@ -55,7 +57,11 @@
 
 // Usage returns the full help.
 func (c *command) Usage() string {
-	return fmt.Sprintf("geranium %s %s\n\n%s.\n\nFlags:\n", c.name, c.arguments, c.synopsis)
+	details := c.details
+	if details != "" {
+		details += "\n\n"
+	}
+	return fmt.Sprintf("geranium %s %s\n\n%s.\n\n%sFlags:\n", c.name, c.arguments, c.synopsis, details)
 }
 
 // SetFlags declares the flags of the subcommand.
--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -171,7 +171,8 @@
 			run:   func(ctx context.Context, _ *flag.FlagSet) error { return a.status(ctx, workers) },
 		},
 		&command{app: a, name: "top", synopsis: "show the status and refresh it every second", run: a.top},
-		&command{app: a, name: "explain", arguments: "SUBJECT", synopsis: "show the decisions about a task, worker or service", run: a.explain},
+		&command{app: a, name: "explain", arguments: "SUBJECT", synopsis: "show the decisions about a task, worker or service",
+			details: operator.ExplainKept, run: a.explain},
 		&command{
 			app: a, name: "drain", arguments: "WORKER", synopsis: "stop new work on a worker and move its tasks",
 			flags: func(f *flag.FlagSet) { f.BoolVar(&undo, "undo", false, "let the worker take work again") },
@@ -228,7 +229,13 @@
 	if err != nil {
 		return err
 	}
-	return a.print(decisions, func(w io.Writer) error { return operator.WriteDecisions(w, decisions) })
+	return a.print(decisions, func(w io.Writer) error {
+		if len(decisions) == 0 {
+			_, err := fmt.Fprintf(w, "no decision about %s is kept. %s See geranium audit for older evictions.\n", subject, operator.ExplainKept)
+			return err
+		}
+		return operator.WriteDecisions(w, decisions)
+	})
 }
 
 func (a *app) drain(ctx context.Context, f *flag.FlagSet, undo bool) error {
--- a/control/serve_status.go
+++ b/control/serve_status.go
@@ -48,19 +48,31 @@
 
 func (r *replica) replicaStatus(n raft.Status) []*controlpb.ReplicaStatus {
 	match := map[uint64]uint64{n.ID: n.Last}
+	states := map[uint64]string{}
+	if n.Role == raft.RoleLeader {
+		states[n.ID] = "leader"
+	}
 	for _, p := range n.Peers {
 		match[p.ID] = p.Match
+		states[p.ID] = peerState(p)
 	}
 	var list []*controlpb.ReplicaStatus
 	for _, m := range n.Membership.Members {
 		list = append(list, &controlpb.ReplicaStatus{
 			Id: m.ID, Address: m.Address, Domain: m.Domain, Voter: !m.Learner,
-			MatchIndex: match[m.ID], Joined: r.machine.Joined(m.ID) || m.ID != n.ID && match[m.ID] > 0,
+			State: states[m.ID], MatchIndex: match[m.ID], Joined: r.machine.Joined(m.ID) || m.ID != n.ID && match[m.ID] > 0,
 		})
 	}
 	return list
 }
 
+func peerState(p raft.PeerStatus) string {
+	if p.Active {
+		return "answers"
+	}
+	return "silent"
+}
+
 func (r *replica) domainStatus() []*controlpb.DomainStatus {
 	now := r.now()
 	var list []*controlpb.DomainStatus
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -86,6 +87,7 @@
 	tour.configuration()
 	tour.work()
 	tour.fleetCommands()
+	tour.stoppedReplica()
 	tour.exitCodes()
 }
 
@@ -118,6 +120,7 @@
 	t.Expect(t.both("submit", "-key", "plan-1", "-")).To(Equal(id + "\n"))
 	t.Expect(t.both("wait", id)).To(ContainSubstring(`"done"`))
 	t.Expect(t.both("explain", id)).To(ContainSubstring("placed"))
+	t.Expect(t.both("explain", "no-such-task")).To(ContainSubstring("up to one hour"))
 	long, err := t.f.geranium([]byte(`{"team":"planning","job":"cutting-plan","payload":{"run_ms":60000}}`), "submit", "-key", "plan-2", "-")
 	t.Expect(err).NotTo(HaveOccurred())
 	t.run(exitFailure, "wait", "-timeout", "100ms", strings.TrimSpace(long))
@@ -127,15 +130,36 @@
 }
 
 func (t *tour) fleetCommands() {
-	t.Expect(t.both("status")).To(ContainSubstring("active"))
+	t.Eventually(func() string { return t.both("status") }).WithTimeout(readyTimeout).
+		Should(MatchRegexp(` active +[0-9]+ .* 1?[0-9]{3} +[1-6][0-9]{4} +ok`), "the leases of the active scheduler")
 	worker := workerName(t.f.domains[0], 0)
 	t.Expect(t.both("status", "-workers")).To(ContainSubstring(worker))
 	t.Expect(t.both("drain", worker)).To(ContainSubstring("draining"))
+	t.Eventually(func() string { return t.run(exitSuccess, "status") }).WithTimeout(takeoverTime).
+		Should(MatchRegexp(worker + ` +draining +drained by an operator`))
 	t.Expect(t.both("drain", "-undo", worker)).To(ContainSubstring("accepting work"))
 	t.Eventually(func() string { return t.both("audit") }).WithTimeout(takeoverTime).
 		Should(And(ContainSubstring("first configuration"), ContainSubstring(worker)))
 }
 
+// stoppedReplica checks that a stopped follower shows while the log stands still.
+func (t *tour) stoppedReplica() {
+	leader, err := t.f.leader(context.Background())
+	t.Expect(err).NotTo(HaveOccurred())
+	for i, p := range t.f.controls {
+		if p == leader {
+			continue
+		}
+		row := fmt.Sprintf(`(?m)^%d .* true +[0-9]+ +`, i+1)
+		t.Expect(t.run(exitSuccess, "status")).To(MatchRegexp(row + "answers"))
+		p.freeze()
+		t.Eventually(func() string { return t.run(exitSuccess, "status") }).WithTimeout(takeoverTime).
+			Should(MatchRegexp(row + "silent"))
+		p.thaw()
+		return
+	}
+}
+
 func (t *tour) exitCodes() {
 	t.run(exitUsage, "apply")
 	t.run(exitUsage, "no-such-command")
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -68,6 +68,10 @@
 	return table(w, "SEQUENCE\tTIME\tACTOR\tACTION\tSUBJECT\tRESULT\tDETAIL", rows)
 }
 
+// ExplainKept says how long decisions can be explained.
+const ExplainKept = "Each scheduler keeps its newest 16,384 decisions for up to one hour, in memory: " +
+	"they end with its process."
+
 // WriteDecisions writes explained decisions as a table.
 func WriteDecisions(w io.Writer, decisions []operatorapi.Decision) error {
 	rows := make([]string, 0, len(decisions))
@@ -89,14 +93,38 @@
 	rows := make([]string, 0, len(s.Schedulers))
 	for _, one := range s.Schedulers {
 		rows = append(rows, row(one.Domain, one.Scheduler, orText(one.Role, "-"), one.Epoch, len(one.Workers),
-			one.Waiting, one.Running, one.ConfigVersion, orText(one.Error, "ok")))
+			one.Waiting, one.Running, one.ConfigVersion, one.SchedulerLeaseMS, one.DomainLeaseMS, orText(one.Error, "ok")))
+	}
+	header := "DOMAIN\tSCHEDULER\tROLE\tEPOCH\tWORKERS\tWAITING\tRUNNING\tCONFIG\tLEASE_MS\tDOMAIN_LEASE_MS\tSTATE"
+	if err := table(w, header, rows); err != nil {
+		return err
 	}
-	if err := table(w, "DOMAIN\tSCHEDULER\tROLE\tEPOCH\tWORKERS\tWAITING\tRUNNING\tCONFIG\tSTATE", rows); err != nil || !withWorkers {
+	if err := writeSetAside(w, s); err != nil || !withWorkers {
 		return err
 	}
 	return writeWorkers(w, s)
 }
 
+// writeSetAside writes the workers that get no work, or less of it, and why. A worker
+// that nobody has set aside takes no line, and without any there is no table.
+func writeSetAside(w io.Writer, s operatorapi.Status) error {
+	var rows []string
+	for _, one := range s.Schedulers {
+		if one.Role != roleActive {
+			continue
+		}
+		for _, k := range one.Workers {
+			if k.Reason != "" {
+				rows = append(rows, row(one.Domain, k.Worker, k.State, k.Reason))
+			}
+		}
+	}
+	if len(rows) == 0 {
+		return nil
+	}
+	return table(w, "DOMAIN\tSET_ASIDE\tSTATE\tREASON", rows)
+}
+
 func writeControl(w io.Writer, s operatorapi.Status) error {
 	c := s.Control
 	_, err := fmt.Fprintf(w, "configuration %d, log term %d, leader %d, committed %d\n",
@@ -106,9 +134,9 @@
 	}
 	rows := make([]string, 0, len(c.GetReplicas()))
 	for _, r := range c.GetReplicas() {
-		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex()))
+		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex(), orText(r.GetState(), "-")))
 	}
-	if err := table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH", rows); err != nil {
+	if err := table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH\tSTATE", rows); err != nil {
 		return err
 	}
 	return writeGateways(w, c.GetProcesses())
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -58,11 +58,13 @@
 	result.Role, result.Epoch = answer.GetRole(), answer.GetEpoch()
 	result.Waiting, result.Running = answer.GetWaiting(), answer.GetRunning()
 	result.ConfigVersion = answer.GetConfigVersion()
+	result.SchedulerLeaseMS, result.DomainLeaseMS = answer.GetSchedulerLeaseMs(), answer.GetDomainLeaseMs()
 	for _, w := range answer.GetWorkers() {
 		result.Workers = append(result.Workers, WorkerStatus{
 			Worker: w.GetWorker(), Rack: w.GetRack(), State: w.GetState(),
 			FreeCPUMillis: w.GetFreeCpuMillis(), FreeMemoryMB: w.GetFreeMemoryMb(), FreeAccelerators: w.GetFreeAccelerators(),
 			Tasks: w.GetTasks(), Slots: w.GetSlots(), SlotsGranted: w.GetSlotsGranted(), HeartbeatAgeMS: w.GetHeartbeatAgeMs(),
+			Reason: w.GetReason(),
 		})
 	}
 	return result
--- a/operatorapi/types.go
+++ b/operatorapi/types.go
@@ -51,15 +51,18 @@
 
 // SchedulerStatus is the state of one scheduler; Error is set if it did not answer.
 type SchedulerStatus struct {
-	Scheduler     string         `json:"scheduler"`
-	Domain        string         `json:"domain"`
-	Role          string         `json:"role,omitempty"`
-	Epoch         uint64         `json:"epoch,omitempty"`
-	Waiting       int32          `json:"waiting"`
-	Running       int32          `json:"running"`
-	ConfigVersion uint64         `json:"config_version"`
-	Workers       []WorkerStatus `json:"workers,omitempty"`
-	Error         string         `json:"error,omitempty"`
+	Scheduler     string `json:"scheduler"`
+	Domain        string `json:"domain"`
+	Role          string `json:"role,omitempty"`
+	Epoch         uint64 `json:"epoch,omitempty"`
+	Waiting       int32  `json:"waiting"`
+	Running       int32  `json:"running"`
+	ConfigVersion uint64 `json:"config_version"`
+	// SchedulerLeaseMS and DomainLeaseMS are what is left of the leases held.
+	SchedulerLeaseMS int64          `json:"scheduler_lease_ms"`
+	DomainLeaseMS    int64          `json:"domain_lease_ms"`
+	Workers          []WorkerStatus `json:"workers,omitempty"`
+	Error            string         `json:"error,omitempty"`
 }
 
 // WorkerStatus is the state of one worker. Sizes are millicores and megabytes.
@@ -74,6 +77,8 @@
 	Slots            int32  `json:"slots"`
 	SlotsGranted     int32  `json:"slots_granted"`
 	HeartbeatAgeMS   int64  `json:"heartbeat_age_ms"`
+	// Reason says why the worker is not ready.
+	Reason string `json:"reason,omitempty"`
 }
 
 // Decision is one explained decision of a scheduler.
--- a/policy/engine/lifecycle.go
+++ b/policy/engine/lifecycle.go
@@ -204,6 +204,18 @@
 	health.Readmitted:  "tasks ended well, the limit of running tasks is raised",
 }
 
+// Confined returns the number of tasks that a worker may run at once, negative for no
+// limit, and why.
+func (e *Engine) Confined(worker string) (limit int, reason string) {
+	switch limit = e.health.Limit(worker); {
+	case limit == 0:
+		return limit, healthReasons[health.Quarantined]
+	case limit > 0:
+		return limit, "quarantine is over, and more tasks are started as they end well"
+	}
+	return limit, ""
+}
+
 // standing is the kind of decision for a change of health.
 func standing(kind string) string {
 	if kind == health.Quarantined {
--- a/scheduler/decisions.go
+++ b/scheduler/decisions.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"time"
 
 	"geraniumwall/policy"
@@ -12,8 +13,15 @@
 // Figure is one number behind a decision.
 type Figure = policy.Figure
 
-// maxDecisions bounds the store; the oldest decisions are dropped first.
-const maxDecisions = 8192
+const (
+	// DecisionsKept is the time for which decisions are kept.
+	DecisionsKept = time.Hour
+	// maxDecisions bounds the memory of the store before that time is over; the oldest
+	// decisions are dropped first.
+	maxDecisions = 16384
+	// maxReasonBytes bounds the reason of a decision, which may be a worker's text.
+	maxReasonBytes = 512
+)
 
 // decisionStore is a ring of the newest decisions.
 type decisionStore struct {
@@ -24,6 +32,9 @@
 func newDecisionStore() decisionStore { return decisionStore{} }
 
 func (s *decisionStore) add(d Decision) {
+	if len(d.Reason) > maxReasonBytes {
+		d.Reason = strings.ToValidUTF8(d.Reason[:maxReasonBytes], "") + "..."
+	}
 	if len(s.ring) < maxDecisions {
 		s.ring = append(s.ring, d)
 		return
@@ -32,11 +43,15 @@
 	s.next = (s.next + 1) % maxDecisions
 }
 
-// about returns up to limit decisions on a task, worker or service, newest first.
-func (s *decisionStore) about(subject string, limit int) []Decision {
+// about returns up to limit decisions on a task, worker or service since a time,
+// newest first.
+func (s *decisionStore) about(since time.Duration, subject string, limit int) []Decision {
 	var found []Decision
 	for i := len(s.ring) - 1; i >= 0 && len(found) < limit; i-- {
 		d := s.ring[(s.next+i)%len(s.ring)]
+		if d.At < since {
+			continue
+		}
 		if subject == "" || d.Subject == subject || d.Worker == subject {
 			found = append(found, d)
 		}
@@ -58,8 +73,8 @@
 	}
 }
 
-// Explain returns up to limit decisions on a subject, newest first; an empty
-// subject stands for all.
-func (c *Core) Explain(subject string, limit int) []Decision {
-	return c.decisions.about(subject, limit)
+// Explain returns up to limit decisions of the last DecisionsKept on a subject,
+// newest first; an empty subject stands for all.
+func (c *Core) Explain(now time.Duration, subject string, limit int) []Decision {
+	return c.decisions.about(now-DecisionsKept, subject, limit)
 }
--- a/scheduler/faults_test.go
+++ b/scheduler/faults_test.go
@@ -63,7 +63,7 @@
 func (w *world) explain(id string) (text string) {
 	for _, s := range w.schedulers {
 		if t := s.core.tasks[id]; t != nil {
-			text += fmt.Sprintf("%s has it in phase %d, %+v ", s.name, t.phase, s.core.Explain(id, 2))
+			text += fmt.Sprintf("%s has it in phase %d, %+v ", s.name, t.phase, s.core.Explain(s.now(), id, 2))
 		}
 	}
 	return text
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"geraniumwall/config"
@@ -18,6 +19,8 @@
 	SlotsGranted int
 	HeartbeatAge time.Duration
 	Session      uint64
+	// Reason says why the worker is not ready; empty for a ready one.
+	Reason string
 }
 
 // Status is the state of a scheduler, for people.
@@ -58,8 +61,9 @@
 	}
 	for _, id := range c.workerIDs() {
 		w := c.workers[id]
+		state, reason := c.standing(w)
 		s.Workers = append(s.Workers, WorkerStatus{
-			Worker: id, Rack: w.rack, State: w.state(), Free: w.ledger.free(), Tasks: len(w.live) + len(w.strays),
+			Worker: id, Rack: w.rack, State: state, Reason: reason, Free: w.ledger.free(), Tasks: len(w.live) + len(w.strays),
 			Slots: w.slots, SlotsGranted: w.granted(now), HeartbeatAge: now - w.heard, Session: w.session.number,
 		})
 	}
@@ -99,22 +103,37 @@
 	return waiting, running
 }
 
-func (w *worker) state() string {
+// confining is an engine that limits the tasks of workers that fail them.
+type confining interface {
+	// Confined returns the limit of a worker, negative for none, and the reason.
+	Confined(worker string) (limit int, reason string)
+}
+
+// standing returns the state of a worker and why it is not ready.
+func (c *Core) standing(w *worker) (state, reason string) {
 	switch {
 	case w.retired():
-		return "replaced"
+		return "replaced", "a newer process has its name, and its tasks may still run"
 	case w.silent:
-		return "silent"
+		return "silent", "no heartbeat for one second"
 	case w.drained:
-		return "draining"
+		return "draining", "drained by an operator; geranium drain -undo ends it"
 	case w.leaving:
-		return "leaving"
+		return "leaving", "the worker withdraws"
 	case !w.session.held:
-		return "unattached"
+		return "unattached", "another scheduler holds its session, or it has not answered yet"
 	case w.session.servicesOnly:
-		return "services only"
+		return "services only", "no active scheduler holds its session"
+	}
+	if engine, ok := c.engine.(confining); ok {
+		switch limit, why := engine.Confined(w.name); {
+		case limit == 0:
+			return "quarantined", why
+		case limit > 0:
+			return "on probation", fmt.Sprintf("%s; at most %d tasks", why, limit)
+		}
 	}
-	return "ready"
+	return "ready", ""
 }
 
 // Load summarizes the domain for the binding of tasks.
--- a/schedulerd/convert.go
+++ b/schedulerd/convert.go
@@ -121,6 +121,6 @@
 		Worker: w.Worker, Rack: w.Rack, State: w.State,
 		FreeCpuMillis: w.Free.CPUMillis, FreeMemoryMb: w.Free.MemoryMB, FreeAccelerators: w.Free.Accelerators,
 		Tasks: int32(w.Tasks), Slots: int32(w.Slots), SlotsGranted: int32(w.SlotsGranted),
-		HeartbeatAgeMs: w.HeartbeatAge.Milliseconds(), Session: w.Session,
+		HeartbeatAgeMs: w.HeartbeatAge.Milliseconds(), Session: w.Session, Reason: w.Reason,
 	}
 }
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -82,8 +82,8 @@
 		limit = defaultExplainLimit
 	}
 	var decisions []scheduler.Decision
-	err := s.step(ctx, func(_ time.Duration, core *scheduler.Core) {
-		decisions = core.Explain(r.GetSubject(), min(limit, maxExplainLimit))
+	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
+		decisions = core.Explain(now, r.GetSubject(), min(limit, maxExplainLimit))
 	})
 	if err != nil {
 		return nil, err
@@ -105,7 +105,8 @@
 	response := &schedulerpb.StatusResponse{
 		Scheduler: s.settings.Name, Domain: s.settings.Domain, Role: string(status.Role), Epoch: status.Epoch,
 		Waiting: int32(status.Waiting), Running: int32(status.Running), //nolint:gosec // counts
-		ConfigVersion: status.Version,
+		ConfigVersion: status.Version, SchedulerLeaseMs: status.SchedulerLease.Milliseconds(),
+		DomainLeaseMs: status.DomainLease.Milliseconds(),
 	}
 	for _, w := range status.Workers {
 		response.Workers = append(response.Workers, workerStatusMessage(w))
