--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -33,6 +35,7 @@
 	*WithT
 	f    *fleet
 	path string // a file with the example configuration
+	ran  map[string]bool
 }
 
 func newTour(t *testing.T) *tour {
@@ -48,11 +51,55 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	path := filepath.Join(f.dir, "lichtdach.json")
 	g.Expect(os.WriteFile(path, document, 0o600)).To(Succeed())
-	return &tour{WithT: g, f: f, path: path}
+	return &tour{WithT: g, f: f, path: path, ran: map[string]bool{}}
+}
+
+// documented returns the commands of a page as "command -flag -flag", with the flags
+// in order.
+func documented(t *tour, page string) []string {
+	text, err := os.ReadFile(page)
+	t.Expect(err).NotTo(HaveOccurred())
+	var found []string
+	for _, match := range regexp.MustCompile("(?m)(?:`|^ {4}(?:.*\\| )?)geranium ([^`\n]+)").FindAllStringSubmatch(string(text), -1) {
+		found = append(found, signature(strings.Fields(match[1])))
+	}
+	return found
+}
+
+// hasRun reports whether one call had the command and all of its flags.
+func (t *tour) hasRun(command string) bool {
+	wanted := strings.Fields(command)
+	for one := range t.ran {
+		has := strings.Fields(one)
+		if len(has) > 0 && has[0] == wanted[0] && !slices.ContainsFunc(wanted, func(word string) bool { return !slices.Contains(has, word) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// signature reduces a call to the command and its flags.
+func signature(arguments []string) string {
+	var flags []string
+	command := ""
+	for _, argument := range arguments {
+		switch {
+		case argument == ">" || argument == "-json":
+		case strings.HasPrefix(argument, "-") && argument != "-":
+			flags = append(flags, argument)
+		case command == "":
+			command = argument
+		case command == "replica" && slices.Contains([]string{"add", "promote", "remove"}, argument):
+			flags = append(flags, argument)
+		}
+	}
+	slices.Sort(flags)
+	return strings.Join(append([]string{command}, flags...), " ")
 }
 
 // run runs one command, requires its exit code and returns its output.
 func (t *tour) run(code int, arguments ...string) string {
+	t.ran[signature(arguments)] = true
 	out, err := t.f.geranium([]byte(`{"team":"planning","job":"cutting-plan","payload":{"run_ms":200}}`), arguments...)
 	t.Expect(codeOf(err)).To(Equal(code), "geranium %v: %v", arguments, err)
 	return out
@@ -86,7 +133,23 @@
 	tour.configuration()
 	tour.work()
 	tour.fleetCommands()
+	tour.stoppedReplica()
 	tour.exitCodes()
+	tour.documentation()
+}
+
+// documentation checks that the tour or the replacement of a replica ran every
+// command of the pages for newcomers and operators.
+func (t *tour) documentation() {
+	for _, page := range []string{"../README.md", "../docs/operations.md"} {
+		commands := documented(t, page)
+		t.Expect(len(commands)).To(BeNumerically(">", 9), page)
+		for _, command := range commands {
+			if !strings.HasPrefix(command, "replica ") {
+				t.Expect(t.hasRun(command)).To(BeTrue(), "no test runs %q of %s", command, page)
+			}
+		}
+	}
 }
 
 func (t *tour) configuration() {
@@ -118,6 +181,7 @@
 	t.Expect(t.both("submit", "-key", "plan-1", "-")).To(Equal(id + "\n"))
 	t.Expect(t.both("wait", id)).To(ContainSubstring(`"done"`))
 	t.Expect(t.both("explain", id)).To(ContainSubstring("placed"))
+	t.Expect(t.both("explain", "no-such-task")).To(ContainSubstring("up to one hour"))
 	long, err := t.f.geranium([]byte(`{"team":"planning","job":"cutting-plan","payload":{"run_ms":60000}}`), "submit", "-key", "plan-2", "-")
 	t.Expect(err).NotTo(HaveOccurred())
 	t.run(exitFailure, "wait", "-timeout", "100ms", strings.TrimSpace(long))
@@ -127,14 +191,38 @@
 }
 
 func (t *tour) fleetCommands() {
-	t.Expect(t.both("status")).To(ContainSubstring("active"))
+	t.Eventually(func() string { return t.both("status") }).WithTimeout(readyTimeout).
+		Should(MatchRegexp(` active +[0-9]+ .* 1?[0-9]{3} +[1-6][0-9]{4} +ok`), "the leases of the active scheduler")
 	worker := workerName(t.f.domains[0], 0)
 	t.Expect(t.both("status", "-workers")).To(ContainSubstring(worker))
 	t.Expect(t.both("drain", worker)).To(ContainSubstring("draining"))
+	t.Eventually(func() string { return t.run(exitSuccess, "status") }).WithTimeout(takeoverTime).
+		Should(MatchRegexp(worker + ` +draining +drained by an operator`))
 	t.drainSurvivesRestarts(worker)
 	t.Expect(t.both("drain", "-undo", worker)).To(ContainSubstring("accepting work"))
 	t.Eventually(func() string { return t.both("audit") }).WithTimeout(takeoverTime).
 		Should(And(ContainSubstring("first configuration"), ContainSubstring(worker)))
+	t.Expect(t.both("audit", "-actor", "e2e", "-action", "config.apply")).To(ContainSubstring("first configuration"))
+	t.Expect(t.both("audit", "-verify")).To(ContainSubstring("no gap and no edit"))
+	t.Expect(t.run(exitSuccess, "audit", "-export")).To(ContainSubstring("first configuration"))
+}
+
+// stoppedReplica checks that a stopped follower shows while the log stands still.
+func (t *tour) stoppedReplica() {
+	leader, err := t.f.leader(context.Background())
+	t.Expect(err).NotTo(HaveOccurred())
+	for i, p := range t.f.controls {
+		if p == leader {
+			continue
+		}
+		row := fmt.Sprintf(`(?m)^%d .* true +[0-9]+ +`, i+1)
+		t.Expect(t.run(exitSuccess, "status")).To(MatchRegexp(row + "answers"))
+		p.freeze()
+		t.Eventually(func() string { return t.run(exitSuccess, "status") }).WithTimeout(takeoverTime).
+			Should(MatchRegexp(row + "silent"))
+		p.thaw()
+		return
+	}
 }
 
 // drainSurvivesRestarts guards against a drain that only the schedulers remember,
