--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -115,7 +115,7 @@
 	case w.retired():
 		return "replaced", "a newer process has its name, and its tasks may still run"
 	case w.silent:
-		return "silent", "no heartbeat for one second"
+		return "silent", silentReason
 	case w.drained:
 		return "draining", "drained by an operator; geranium drain -undo ends it"
 	case w.leaving:
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -291,6 +291,8 @@
 	return !w.silent && !w.leaving && !w.drained && !inherits && w.session.held && !w.session.servicesOnly
 }
 
+var silentReason = fmt.Sprintf("no heartbeat for %v", silentAfter)
+
 func (w *worker) isSilent(now time.Duration) bool { return w.silent || now-w.heard >= silentAfter }
 
 // retired reports whether a newer incarnation has taken the name of the worker.
@@ -325,7 +327,7 @@
 		w := c.workers[id]
 		if !w.silent && now-w.heard >= silentAfter {
 			w.silent = true
-			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: "no heartbeat for 2.5 seconds"})
+			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: silentReason})
 		}
 		c.tellEngine(now, w)
 		c.moveAway(now, w)
