--- a/gateway/link.go
+++ b/gateway/link.go
@@ -9,6 +9,7 @@
 	"geraniumwall/routing"
 	"geraniumwall/rpc/grantdelta"
 	"geraniumwall/rpc/schedulerpb"
+	"geraniumwall/transport"
 )
 
 const (
@@ -18,6 +19,9 @@
 	syncTimeout = time.Second
 	// triggerPause separates syncs that are triggered by refused requests.
 	triggerPause = 20 * time.Millisecond
+	// configPatience is how long a scheduler may stay behind before the gateway
+	// sends it the configuration. Usually it gets it from a control replica sooner.
+	configPatience = time.Second
 )
 
 // link syncs grants with one scheduler. Schedulers of other domains are asked only
@@ -33,12 +37,15 @@
 	// sequence counts the syncs from 1.
 	sequence uint64
 	holder   grantdelta.Holder
+	// behindSince is when the scheduler was first seen behind this gateway; 0 if it
+	// was not at the last answer.
+	behindSince time.Duration
 }
 
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
 		gateway: g, scheduler: s,
-		client:    schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c),
+		client:    schedulerpb.NewSchedulerProtobufClient(transport.URL(s.Address), c),
 		triggered: make(chan struct{}, 1),
 	}
 }
@@ -121,11 +128,32 @@
 	if !restored {
 		return false
 	}
+	l.compare(answer.GetConfigVersion())
 	// The next sync reports what is held, so it must follow the use of this answer.
 	g.owner.receiveGrants(ctx, grantSet(l.scheduler.Name, sent, answer))
 	return true
 }
 
+// compare notes since when the scheduler has been behind.
+func (l *link) compare(version uint64) {
+	switch {
+	case version >= l.gateway.follower.Current().Version:
+		l.behindSince = 0
+	case l.behindSince == 0:
+		l.behindSince = l.gateway.clock()
+	}
+}
+
+// offer adds the configuration for a scheduler of the own domain that stays behind.
+func (l *link) offer(request *schedulerpb.SyncGrantsRequest) {
+	g := l.gateway
+	if l.behindSince == 0 || l.scheduler.Domain != g.options.Domain || g.clock()-l.behindSince < configPatience {
+		return
+	}
+	current := g.follower.Current()
+	request.ConfigVersion, request.Config = current.Version, current.Content
+}
+
 func (l *link) request(draining bool) *schedulerpb.SyncGrantsRequest {
 	g := l.gateway
 	var report routing.Report
@@ -140,6 +168,7 @@
 	for _, h := range report.Holdings {
 		request.Holdings = append(request.Holdings, holdingMessage(h, draining))
 	}
+	l.offer(request)
 	return request
 }
 
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -17,6 +17,7 @@
 	"geraniumwall/policy"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 )
 
 const (
@@ -76,11 +77,11 @@
 	s.commander = newCommander(s.ctx, m)
 	s.loop = newLoop(&owner{core: core, clock: clk, perform: s.perform})
 	s.commander.loop = s.loop
-	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	httpClient := transport.NewClient(transport.ClientOptions{})
 	replicas := client.New(s.settings.Control, httpClient)
 	s.follower = client.NewFollower(replicas, client.Identity{
 		Process: s.settings.Name, Kind: "scheduler", Domain: s.settings.Domain,
-	})
+	}, s.domainSources(httpClient)...)
 	s.follower.OnChange(func(c *client.Snapshot) {
 		s.loop.send(func(now time.Duration, core *scheduler.Core) { core.SetConfig(now, c.Version, c.Config) })
 	})
@@ -98,6 +99,15 @@
 	mux.Handle(handler.PathPrefix(), handler)
 }
 
+// domainSources is the other scheduler of the domain. Gateways offer theirs with a
+// sync.
+func (s *Server) domainSources(httpClient *http.Client) []client.Source {
+	if s.settings.Peer == nil {
+		return nil
+	}
+	return []client.Source{client.SchedulerSource(s.settings.Peer.Address, httpClient)}
+}
+
 // Address is the bound address.
 func (s *Server) Address() string { return s.http.Address() }
 
