Send the standby a heartbeat every 2 s, without tasks

A scheduler now names the interval in its answer, 2 s while it has no session and is not active, and a worker leaves its tasks out towards a scheduler other than the holder of its newest full session. It says so in the heartbeat, since a heartbeat of before an attach can come after it: taken for an empty list it would drop an unexpected attempt that still runs. After an accepted attach the worker sends a heartbeat at once, so a takeover does not wait for the next one. A scheduler without a session takes a worker for silent after 5 s; a worker that restarts under its name is refused there for 5 s.

The ended attempt of a worker is reported at once to the holder only. Connections of heartbeats are checked after 1.2 s of silence instead of 0.6 s, which is above their interval; otherwise each heartbeat would bring a ping.

Ruled out: an interval that the worker chooses by its session. It does not know which scheduler is about to be appointed.

Tests: a heartbeat without tasks is no proof of an end (fails if the flag is ignored); a standby asks for 2 s and attaches until 5 s of silence; the random runs of the scheduler use both intervals.

--- a/fakeworker/heartbeat.go
+++ b/fakeworker/heartbeat.go
@@ -15,25 +15,31 @@
 )
 
 const (
-	heartbeatEvery   = time.Second
 	heartbeatTimeout = time.Second
 	// heartbeatGap bounds the rate of heartbeats sent early because a task ended.
-	heartbeatGap   = 100 * time.Millisecond
+	heartbeatGap = 100 * time.Millisecond
+	// heartbeatPing is above the interval of heartbeats to the active scheduler, so
+	// that a working connection to it needs no pings.
+	heartbeatPing  = 1200 * time.Millisecond
 	maxAnswerBytes = 4 << 20
 )
 
-// beat sends heartbeats to every scheduler.
-func (w *Worker) beat(ctx context.Context) {
+// beat sends heartbeats to one scheduler.
+func (w *Worker) beat(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
-		hb := w.heartbeat(time.Now())
-		for _, address := range w.settings.Schedulers {
-			go w.exchange(ctx, address, hb, w.shorten(address, hb))
-		}
+		hb, body := w.heartbeat(time.Now(), l)
+		go w.exchange(ctx, l, hb, body)
 		w.pause(ctx, heartbeatGap, nil)
-		w.pause(ctx, heartbeatEvery-heartbeatGap, w.wake)
+		w.pause(ctx, w.interval(l)-heartbeatGap, l.wake)
 	}
 }
 
+func (w *Worker) interval(l *link) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return l.interval
+}
+
 func (w *Worker) pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -44,46 +50,41 @@
 	}
 }
 
-// heartbeat builds the next heartbeat.
-func (w *Worker) heartbeat(now time.Time) *workerapi.Heartbeat {
+// heartbeat builds and encodes the next heartbeat to a scheduler. Tasks and
+// measurements go to the scheduler that holds the tasks.
+func (w *Worker) heartbeat(now time.Time, l *link) (*workerapi.Heartbeat, []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.settings
 	hb := &workerapi.Heartbeat{
 		Domain: s.Domain, Rack: s.Rack, Address: w.Address(), Connections: s.Connections,
-		Services: s.Services, Reports: w.serviceReports(now), BootUnixMS: w.boot.UnixMilli(),
+		Services: s.Services, BootUnixMS: w.boot.UnixMilli(),
 	}
 	w.machine.Heartbeat(now.Sub(w.boot), hb)
-	return hb
-}
-
-// shorten encodes the heartbeat for one scheduler.
-func (w *Worker) shorten(address string, hb *workerapi.Heartbeat) []byte {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.senders[address] == nil {
-		w.senders[address] = delta.NewSender()
+	if l.standsBy(w.machine.TaskHolder()) {
+		hb.Tasks, hb.Used, hb.WithoutTasks = nil, workerapi.Resources{}, true
+	} else {
+		hb.Reports = w.serviceReports(now)
 	}
-	body, err := json.Marshal(w.senders[address].Shorten(hb))
+	body, err := json.Marshal(l.sender.Shorten(hb))
 	if err != nil {
 		panic(fmt.Sprintf("encode heartbeat: %v", err))
 	}
-	return body
+	return hb, body
 }
 
-func (w *Worker) exchange(ctx context.Context, address string, hb *workerapi.Heartbeat, body []byte) {
+func (w *Worker) exchange(ctx context.Context, l *link, hb *workerapi.Heartbeat, body []byte) {
 	var answer workerapi.HeartbeatAnswer
-	err := w.post(ctx, address, workerapi.PathHeartbeat, body, &answer)
+	err := w.post(ctx, l.address, workerapi.PathHeartbeat, body, &answer)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
-		w.senders[address].Failed(hb.Sequence)
-		w.log.Debug().Err(err).Str("scheduler", address).Msg("heartbeat failed")
+		l.failed(hb.Sequence)
+		w.log.Debug().Err(err).Str("scheduler", l.address).Msg("heartbeat failed")
 		return
 	}
-	w.senders[address].Answered(hb.Sequence, &answer)
+	l.answered(hb.Sequence, &answer)
 	if answer.SendWhole {
-		w.nudge()
 		return
 	}
 	delta.Expand(hb, &answer)
--- a/fakeworker/machine/machine.go
+++ b/fakeworker/machine/machine.go
@@ -79,6 +79,9 @@
 // Peak returns the highest use of capacity by tasks and of slots so far.
 func (m *Machine) Peak() (workerapi.Resources, int) { return m.peak, m.slotPeak }
 
+// TaskHolder is the scheduler of the newest full session, or empty.
+func (m *Machine) TaskHolder() string { return m.session.taskHolder }
+
 // Session is the number of the session in force.
 func (m *Machine) Session() uint64 { return m.session.number }
 
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -14,7 +14,6 @@
 	"geraniumwall/fakeworker/machine"
 	"geraniumwall/transport"
 	"geraniumwall/workerapi"
-	"geraniumwall/workerapi/delta"
 )
 
 const (
@@ -35,14 +34,12 @@
 	record      *recorder
 	server      *daemon.Server
 	http        *http.Client
-	wake        chan struct{}
+	links       []*link
 
 	mu       sync.Mutex
 	machine  *machine.Machine
 	draining time.Time
 	meters   map[string]*meter
-	// senders shorten the heartbeats to each scheduler, by address.
-	senders map[string]*delta.Sender
 }
 
 // New binds the address and opens the record file. Run starts to work.
@@ -53,9 +50,11 @@
 	}
 	w := &Worker{
 		settings: s, incarnation: uuid.NewString(), boot: time.Now(), log: log, record: record,
-		http:   transport.NewClient(transport.ClientOptions{}),
-		wake:   make(chan struct{}, 1),
-		meters: map[string]*meter{}, senders: map[string]*delta.Sender{},
+		http:   transport.NewClient(transport.ClientOptions{SendPing: heartbeatPing}),
+		meters: map[string]*meter{},
+	}
+	for _, address := range s.Schedulers {
+		w.links = append(w.links, newLink(address))
 	}
 	w.machine = machine.New(machine.Settings{
 		Name: s.Name, Incarnation: w.incarnation, Capacity: s.Capacity, Slots: s.Slots,
@@ -82,7 +81,7 @@
 
 func (w *Worker) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+workerapi.PathAttach, handle(w, w.machine.Attach))
+	mux.HandleFunc("POST "+workerapi.PathAttach, handle(w, w.attach))
 	mux.HandleFunc("POST "+workerapi.PathStart, handle(w, w.machine.Start))
 	mux.HandleFunc("POST "+workerapi.PathStop, handle(w, w.machine.Stop))
 	mux.HandleFunc("POST "+workerapi.PathThrottle, handle(w, w.machine.Throttle))
@@ -98,7 +97,9 @@
 	defer stop()
 	defer func() { _ = w.record.close() }()
 	w.server.Serve()
-	go w.beat(working)
+	for _, l := range w.links {
+		go w.beat(working, l)
+	}
 	go w.work(working)
 	select {
 	case <-ctx.Done():
@@ -119,7 +120,7 @@
 	w.machine.Drain()
 	w.mu.Unlock()
 	w.withdraw(ctx, false)
-	w.nudge()
+	w.nudgeAll()
 	ticker := time.NewTicker(quantum)
 	defer ticker.Stop()
 	for limit := time.Now().Add(withdrawLimit); time.Now().Before(limit) && !w.idle(); {
@@ -154,12 +155,28 @@
 	}
 }
 
-// nudge sends the next heartbeat soon.
+// nudge sends the next heartbeat to the scheduler that holds the tasks soon.
 func (w *Worker) nudge() {
-	select {
-	case w.wake <- struct{}{}:
-	default:
+	for _, l := range w.links {
+		if !l.standsBy(w.machine.TaskHolder()) {
+			l.nudge()
+		}
+	}
+}
+
+func (w *Worker) nudgeAll() {
+	for _, l := range w.links {
+		l.nudge()
+	}
+}
+
+// attach lets a scheduler with a new session hear of the worker at once.
+func (w *Worker) attach(now time.Duration, c *workerapi.Attach) workerapi.AttachAnswer {
+	answer := w.machine.Attach(now, c)
+	if answer.Accepted {
+		w.nudgeAll()
 	}
+	return answer
 }
 
 // now is the monotonic time since the start of the worker.
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -13,6 +13,12 @@
 	// heartbeats may be lost or late. Gateways drop its grants at their next sync,
 	// 0.25 s later, which keeps the promise of 3 s.
 	silentAfter = 2500 * time.Millisecond
+	// standbyInterval separates heartbeats to a scheduler without a session, which
+	// needs to know the worker only to attach to it.
+	standbyInterval = 2 * time.Second
+	// unattachedSilentAfter is the silence after which a scheduler without a session
+	// attaches no more; as with silentAfter two heartbeats may be lost.
+	unattachedSilentAfter = 5 * time.Second
 	// punctual is the age of the last heartbeat up to which a worker has missed none.
 	punctual = 1250 * time.Millisecond
 	// peerSilentAfter is the silence of the active scheduler, which renews its lease
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -66,8 +66,14 @@
 	}
 	c.refresh(now, w, hb)
 	c.checkSession(now, w, hb)
+	if !w.session.held && !c.authority.active() {
+		answer.IntervalMS = standbyInterval.Milliseconds()
+	}
 	if w.session.held && !w.session.servicesOnly && c.authority.active() {
-		c.observeTasks(now, w, hb.Tasks, &answer)
+		// A heartbeat from before the attach may come after it.
+		if !hb.WithoutTasks {
+			c.observeTasks(now, w, hb.Tasks, &answer)
+		}
 		c.observeServices(now, w, hb)
 	}
 	return answer, nil
@@ -92,7 +98,7 @@
 			Kind: RefusedDuplicate, Worker: hb.Worker,
 			Text: fmt.Sprintf("is alive at %s as incarnation %q and was announced at %s as %q",
 				known.address, known.incarnation, hb.Address, hb.Incarnation),
-			Remedy: "give each worker its own name, or wait until the first has been silent for 2.5 seconds",
+			Remedy: "give each worker its own name, or wait until the first has been silent for 5 seconds",
 		}
 	}
 	if known == nil || known.incarnation != hb.Incarnation {
@@ -291,7 +297,14 @@
 	return !w.silent && !w.leaving && !w.drained && !inherits && w.session.held && !w.session.servicesOnly
 }
 
-func (w *worker) isSilent(now time.Duration) bool { return w.silent || now-w.heard >= silentAfter }
+func (w *worker) isSilent(now time.Duration) bool { return w.silent || now-w.heard >= w.silenceLimit() }
+
+func (w *worker) silenceLimit() time.Duration {
+	if w.session.held {
+		return silentAfter
+	}
+	return unattachedSilentAfter
+}
 
 // retired reports whether a newer incarnation has taken the name of the worker.
 func (w *worker) retired() bool { return w.id != w.name }
@@ -323,9 +336,9 @@
 func (c *Core) checkWorkers(now time.Duration) {
 	for _, id := range c.workerIDs() {
 		w := c.workers[id]
-		if !w.silent && now-w.heard >= silentAfter {
+		if !w.silent && now-w.heard >= w.silenceLimit() {
 			w.silent = true
-			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: "no heartbeat for 2.5 seconds"})
+			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: fmt.Sprintf("no heartbeat for %v", w.silenceLimit())})
 		}
 		c.tellEngine(now, w)
 		c.moveAway(now, w)
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -234,7 +234,7 @@
 	switch a := a.(type) {
 	case SendAttach:
 		r := AttachResult{Target: a.Target, Body: a.Body}
-		command(s, "attach", a.Target, func(h *workerProc) workerapi.AttachAnswer { return h.machine.Attach(h.now(), &a.Body) },
+		command(s, "attach", a.Target, func(h *workerProc) workerapi.AttachAnswer { return h.attach(&a.Body) },
 			func(answer workerapi.AttachAnswer, failed bool) {
 				r.Answer, r.Failed = answer, failed
 				s.step(func(now time.Duration) { s.core.AttachAnswered(now, r) })
@@ -344,6 +344,9 @@
 	machine  *machine.Machine
 	slots    int
 	draining bool
+	// identities and due are of each scheduler, from its last answer.
+	identities map[string]string
+	due        map[string]time.Duration
 }
 
 func (h *workerProc) now() time.Duration { return h.clock(h.world.now) }
@@ -355,6 +358,7 @@
 		Name: h.name, Incarnation: fmt.Sprint(h.life), Slots: h.slots,
 		Capacity: workerapi.Resources{CPUMillis: 5000, MemoryMB: 1000},
 	}, h.record)
+	h.identities, h.due = map[string]string{}, map[string]time.Duration{}
 	h.world.every(&h.proc, time.Second, h.beat)
 	h.world.every(&h.proc, 20*time.Millisecond, func() { h.machine.Advance(h.now(), 20*time.Millisecond) })
 }
@@ -398,13 +402,30 @@
 	return true
 }
 
+func (h *workerProc) attach(c *workerapi.Attach) workerapi.AttachAnswer {
+	answer := h.machine.Attach(h.now(), c)
+	if answer.Accepted {
+		clear(h.due)
+		life := h.life
+		h.world.after(0, func() { h.world.on(&h.proc, life, h.beat) })
+	}
+	return answer
+}
+
 func (h *workerProc) beat() {
 	for _, s := range h.world.schedulers {
+		if h.world.now < h.due[s.name] {
+			continue
+		}
 		hb := &workerapi.Heartbeat{
 			Domain: worldDomain, Rack: "r1", Address: h.address(), Connections: 8 * h.slots, Services: []string{"proof"},
 		}
 		h.machine.Heartbeat(h.now(), hb)
 		hb.Draining = h.draining
+		if holder, last := h.machine.TaskHolder(), h.identities[s.name]; holder != "" && last != "" && last != holder {
+			hb.Tasks, hb.WithoutTasks = nil, true
+		}
+		sent := h.world.now
 		call(h.world, "heartbeat", &h.proc, &s.proc, func() *workerapi.HeartbeatAnswer {
 			var answer *workerapi.HeartbeatAnswer
 			s.step(func(now time.Duration) {
@@ -415,6 +436,8 @@
 			return answer
 		}, func(a *workerapi.HeartbeatAnswer) {
 			if a != nil {
+				h.identities[s.name] = a.Scheduler
+				h.due[s.name] = sent + time.Duration(a.IntervalMS)*time.Millisecond
 				h.machine.Answered(h.now(), hb, a)
 			}
 		}, func() {})
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -5,6 +5,7 @@
 package transport
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
@@ -13,9 +14,8 @@
 const (
 	// sendPing and pingTimeout bound the time for which a connection that was cut
 	// silently holds up the calls to a peer. Their sum is below the scheduler lease of
-	// 1.5 s, so that a renewal on a new connection still comes in time. sendPing is
-	// above the interval of heartbeats and long enough that busy connections, which
-	// receive frames all the time, send no pings.
+	// 1.5 s, so that a renewal on a new connection still comes in time. sendPing is long
+	// enough that busy connections, which receive frames all the time, send no pings.
 	sendPing    = 600 * time.Millisecond
 	pingTimeout = 500 * time.Millisecond
 	// maxStreams bounds the calls under way on one connection. It is well above the
@@ -38,6 +38,8 @@
 type ClientOptions struct {
 	// Timeout bounds a whole call; 0 leaves the bound to the context of the call.
 	Timeout time.Duration
+	// SendPing is the silence of a connection after which it is checked, 0 is 600 ms.
+	SendPing time.Duration
 	// Wrap is called with each new connection, for example to count its bytes.
 	Wrap func(net.Conn) net.Conn
 }
@@ -48,7 +50,7 @@
 func NewClient(o ClientOptions) *http.Client {
 	t := newTransport(o)
 	t.Protocols.SetUnencryptedHTTP2(true)
-	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: sendPing, PingTimeout: pingTimeout}
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: cmp.Or(o.SendPing, sendPing), PingTimeout: pingTimeout}
 	return &http.Client{Transport: t, Timeout: o.Timeout}
 }
 
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -3,6 +3,8 @@
 // processors are millicores.
 package workerapi
 
+import "time"
+
 // Paths served by a scheduler.
 const (
 	PathHeartbeat = "/v1/worker/heartbeat"
@@ -31,6 +33,10 @@
 	HeaderIdempotent = "Idempotency-Key"
 )
 
+// HeartbeatInterval separates two heartbeats to a scheduler that names no other
+// interval.
+const HeartbeatInterval = time.Second
+
 // Outcome is the typed result of a request.
 type Outcome string
 
@@ -131,10 +137,13 @@
 	Holder  string `json:"holder"`
 	Epoch   uint64 `json:"epoch"`
 	// SlotsInUse counts running requests by session.
-	SlotsInUse map[uint64]int  `json:"slots_in_use,omitempty"`
-	Tasks      []TaskReport    `json:"tasks,omitempty"`
-	Reports    []ServiceReport `json:"reports,omitempty"`
-	Used       Resources       `json:"used,omitzero"`
+	SlotsInUse map[uint64]int `json:"slots_in_use,omitempty"`
+	Tasks      []TaskReport   `json:"tasks,omitempty"`
+	// WithoutTasks says that Tasks is left out, as it may be towards a scheduler
+	// without the newest full session. It must not be taken for no tasks.
+	WithoutTasks bool            `json:"without_tasks,omitempty"`
+	Reports      []ServiceReport `json:"reports,omitempty"`
+	Used         Resources       `json:"used,omitzero"`
 	// BootUnixMS is the wall clock at start, for people only.
 	BootUnixMS int64 `json:"boot_unix_ms,omitempty"`
 }
@@ -161,6 +170,9 @@
 	Acknowledge []TaskRef `json:"acknowledge,omitempty"`
 	// Version is the configuration version of the scheduler.
 	Version uint64 `json:"version"`
+	// IntervalMS is the time to the next heartbeat, with 0 HeartbeatInterval. After
+	// an accepted attach the next heartbeat is sent at once.
+	IntervalMS int64 `json:"interval_ms,omitempty"`
 }
 
 // Withdraw announces that a worker leaves; Done is set when nothing runs.
