Shorten what a heartbeat says of unchanged attempts

The use, progress and unsaved run time of each attempt were sent again after ten heartbeats, as a whole report of about 230 bytes: 64 bytes/s for each running task at either scheduler. They are now sent in a short form, when the use has changed by a tenth, with a new checkpoint and at the latest after 10 s. The rest of a heartbeat leaves out the domain and, while they are as in the base, session, holder and epoch; the answer leaves out the scheduler if it is the holder that the heartbeat names. The sum of the use of all tasks, which nothing read, is gone.

Ruled out: counting heartbeats instead of time, since their interval now depends on the scheduler and on events.

Tests: TestRestored checks how far use and progress may lag, with changes of use and checkpoints; TestRenewAll the scheduler of the answer.

--- a/fakeworker/heartbeat.go
+++ b/fakeworker/heartbeat.go
@@ -62,11 +62,11 @@
 	}
 	w.machine.Heartbeat(now.Sub(w.boot), hb)
 	if l.standsBy(w.machine.TaskHolder()) {
-		hb.Tasks, hb.Used, hb.WithoutTasks = nil, workerapi.Resources{}, true
+		hb.Tasks, hb.WithoutTasks = nil, true
 	} else {
 		hb.Reports = w.serviceReports(now)
 	}
-	body, err := json.Marshal(l.sender.Shorten(hb))
+	body, err := json.Marshal(l.sender.Shorten(now.Sub(w.boot), hb))
 	if err != nil {
 		panic(fmt.Sprintf("encode heartbeat: %v", err))
 	}
@@ -83,11 +83,11 @@
 		w.log.Debug().Err(err).Str("scheduler", l.address).Msg("heartbeat failed")
 		return
 	}
+	delta.Expand(hb, &answer)
 	l.answered(hb.Sequence, &answer)
 	if answer.SendWhole {
 		return
 	}
-	delta.Expand(hb, &answer)
 	w.machine.Answered(w.now(), hb, &answer)
 }
 
--- a/workerapi/delta/delta.go
+++ b/workerapi/delta/delta.go
@@ -6,18 +6,24 @@
 // Invariant: Receiver.Restore returns a heartbeat only if it holds exactly the
 // state that the sender took as base; otherwise it asks for a whole one. Only the
 // volatile values of a running attempt (progress, use, time since its checkpoint)
-// may be older than the heartbeat, by at most RefreshBeats heartbeats.
+// may be older than the heartbeat, by at most RefreshAfter. Use is older only while
+// it has changed by less than a tenth.
 package delta
 
 import (
 	"bytes"
+	"math"
+	"time"
 
 	"geraniumwall/workerapi"
 )
 
-// RefreshBeats is the number of heartbeats after which the volatile values of a
-// running attempt are sent again.
-const RefreshBeats = 10
+// RefreshAfter is the time after which the volatile values of a running attempt are
+// sent again.
+const RefreshAfter = 10 * time.Second
+
+// usageStep is the part of a used amount by which it must change to be sent at once.
+const usageStep = 0.1
 
 // Sender shortens the heartbeats of one worker to one scheduler. It is not safe
 // for concurrent use.
@@ -30,41 +36,44 @@
 // state is what the scheduler holds after it has restored a heartbeat.
 type state struct {
 	sequence uint64
+	session  uint64
+	holder   string
+	epoch    uint64
 	tasks    map[string]held
 }
 
 type held struct {
 	report workerapi.TaskReport
-	// included is the sequence of the heartbeat that carried the report.
-	included uint64
+	// included is when the heartbeat that carried the volatile values was made.
+	included time.Duration
 }
 
 // NewSender returns a sender whose first heartbeat is whole.
 func NewSender() *Sender { return &Sender{sent: map[uint64]*state{}} }
 
-// Shorten returns the heartbeat to send in place of the whole one.
-func (s *Sender) Shorten(whole *workerapi.Heartbeat) *workerapi.Heartbeat {
-	next := &state{sequence: whole.Sequence, tasks: make(map[string]held, len(whole.Tasks))}
+// Shorten returns the heartbeat to send in place of the whole one, made at now.
+func (s *Sender) Shorten(now time.Duration, whole *workerapi.Heartbeat) *workerapi.Heartbeat {
+	next := &state{
+		sequence: whole.Sequence, session: whole.Session, holder: whole.Holder, epoch: whole.Epoch,
+		tasks: make(map[string]held, len(whole.Tasks)),
+	}
 	s.sent[whole.Sequence] = next
-	if s.base == nil {
+	if s.base == nil || s.base.session != 0 && whole.Session == 0 {
 		for _, r := range whole.Tasks {
-			next.tasks[r.ID] = held{report: r, included: whole.Sequence}
+			next.tasks[r.ID] = held{report: r, included: now}
 		}
 		return whole
 	}
 	short := *whole
 	short.Base = s.base.sequence
 	short.Capacity, short.Services, short.Rack, short.Address = workerapi.Resources{}, nil, "", ""
-	short.Slots, short.Connections, short.BootUnixMS = 0, 0, 0
+	short.Slots, short.Connections, short.BootUnixMS, short.Domain = 0, 0, 0, ""
+	if s.base.session == whole.Session && s.base.holder == whole.Holder && s.base.epoch == whole.Epoch {
+		short.Session, short.Holder, short.Epoch = 0, "", 0
+	}
 	short.Tasks = nil
-	for _, r := range whole.Tasks {
-		before, known := s.base.tasks[r.ID]
-		if known && unchanged(before, r, whole.Sequence) {
-			next.tasks[r.ID] = before
-			continue
-		}
-		next.tasks[r.ID] = held{report: r, included: whole.Sequence}
-		short.Tasks = append(short.Tasks, r)
+	for i := range whole.Tasks {
+		s.shortenTask(now, &whole.Tasks[i], next, &short)
 	}
 	for id := range s.base.tasks {
 		if _, still := next.tasks[id]; !still {
@@ -74,15 +83,51 @@
 	return &short
 }
 
-func unchanged(before held, now workerapi.TaskReport, sequence uint64) bool {
-	was := before.report
-	if now.Phase == workerapi.PhaseRunning && sequence-before.included >= RefreshBeats {
-		return false
+func (s *Sender) shortenTask(now time.Duration, r *workerapi.TaskReport, next *state, short *workerapi.Heartbeat) {
+	before, known := s.base.tasks[r.ID]
+	if !known || !sameAttempt(&before.report, r) {
+		next.tasks[r.ID] = held{report: *r, included: now}
+		short.Tasks = append(short.Tasks, *r)
+		return
+	}
+	newCheckpoint := len(r.Checkpoint) > 0 && !bytes.Equal(before.report.Checkpoint, r.Checkpoint)
+	due := r.Phase == workerapi.PhaseRunning &&
+		(now-before.included >= RefreshAfter || usageChanged(before.report.Used, r.Used))
+	if !newCheckpoint && !due {
+		next.tasks[r.ID] = before
+		return
 	}
+	u := workerapi.UsageReport{
+		ID: r.ID, CPUMillis: r.Used.CPUMillis, MemoryMB: r.Used.MemoryMB, Accels: r.Used.Accelerators,
+		Progress: math.Round(r.Progress*1e4) / 1e4, SinceMS: r.SinceCheckpointMS,
+	}
+	if newCheckpoint {
+		u.Checkpoint = r.Checkpoint
+	}
+	next.tasks[r.ID] = held{report: refreshed(before.report, &u), included: now}
+	short.Usage = append(short.Usage, u)
+}
+
+// sameAttempt reports whether only values that a UsageReport has may differ.
+func sameAttempt(was, now *workerapi.TaskReport) bool {
 	return was.Attempt == now.Attempt && was.Phase == now.Phase && was.Job == now.Job &&
 		was.Resources == now.Resources && was.Throttle == now.Throttle && was.Error == now.Error &&
-		bytes.Equal(was.Result, now.Result) &&
-		(len(now.Checkpoint) == 0 || bytes.Equal(was.Checkpoint, now.Checkpoint))
+		bytes.Equal(was.Result, now.Result)
+}
+
+func usageChanged(was, now workerapi.Resources) bool {
+	changed := func(a, b int64) bool { return math.Abs(float64(b-a)) >= max(1, usageStep*float64(a)) }
+	return changed(was.CPUMillis, now.CPUMillis) || changed(was.MemoryMB, now.MemoryMB) ||
+		changed(was.Accelerators, now.Accelerators)
+}
+
+func refreshed(r workerapi.TaskReport, u *workerapi.UsageReport) workerapi.TaskReport {
+	r.Used = workerapi.Resources{CPUMillis: u.CPUMillis, MemoryMB: u.MemoryMB, Accelerators: u.Accels}
+	r.Progress, r.SinceCheckpointMS = u.Progress, u.SinceMS
+	if len(u.Checkpoint) > 0 {
+		r.Checkpoint = u.Checkpoint
+	}
+	return r
 }
 
 // Answered takes in the answer to the heartbeat with the sequence.
@@ -107,8 +152,11 @@
 	s.base = nil
 }
 
-// Expand writes the attempts that an answer renews as a whole into its list.
+// Expand restores what Collapse left out of an answer.
 func Expand(whole *workerapi.Heartbeat, answer *workerapi.HeartbeatAnswer) {
+	if answer.Scheduler == "" {
+		answer.Scheduler = whole.Holder
+	}
 	if !answer.RenewAll {
 		return
 	}
@@ -121,8 +169,11 @@
 }
 
 // Collapse replaces the list of renewed attempts by RenewAll if it has every
-// running attempt of the heartbeat.
+// running attempt of the heartbeat, and leaves out a scheduler that is the holder.
 func Collapse(whole *workerapi.Heartbeat, answer *workerapi.HeartbeatAnswer) {
+	if answer.Scheduler == whole.Holder {
+		answer.Scheduler = ""
+	}
 	running := 0
 	for i := range whole.Tasks {
 		if whole.Tasks[i].Phase == workerapi.PhaseRunning {
@@ -149,7 +200,10 @@
 		return nil, false
 	}
 	whole := *hb
-	whole.Base, whole.Gone = 0, nil
+	whole.Base, whole.Gone, whole.Usage, whole.Domain = 0, nil, nil, last.Domain
+	if hb.Session == 0 {
+		whole.Session, whole.Holder, whole.Epoch = last.Session, last.Holder, last.Epoch
+	}
 	whole.Capacity, whole.Services, whole.Rack, whole.Address = last.Capacity, last.Services, last.Rack, last.Address
 	whole.Slots, whole.Connections, whole.BootUnixMS = last.Slots, last.Connections, last.BootUnixMS
 	whole.Tasks = merge(last.Tasks, hb)
@@ -165,11 +219,19 @@
 	for i := range hb.Tasks {
 		replaced[hb.Tasks[i].ID] = true
 	}
+	usage := make(map[string]*workerapi.UsageReport, len(hb.Usage))
+	for i := range hb.Usage {
+		usage[hb.Usage[i].ID] = &hb.Usage[i]
+	}
 	merged := make([]workerapi.TaskReport, 0, len(before)+len(hb.Tasks))
 	for _, r := range before {
-		if !replaced[r.ID] {
-			merged = append(merged, r)
+		if replaced[r.ID] {
+			continue
+		}
+		if u := usage[r.ID]; u != nil {
+			r = refreshed(r, u)
 		}
+		merged = append(merged, r)
 	}
 	return append(merged, hb.Tasks...)
 }
--- a/workerapi/delta/delta_test.go
+++ b/workerapi/delta/delta_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -17,6 +18,7 @@
 // worker makes whole heartbeats of a changing set of attempts.
 type worker struct {
 	sequence uint64
+	now      time.Duration
 	tasks    map[string]workerapi.TaskReport
 }
 
@@ -28,7 +30,12 @@
 		Services: []string{"quote-check"}, Session: w.sequence % 3,
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
-		hb.Tasks = append(hb.Tasks, w.tasks[id])
+		r := w.tasks[id]
+		// The progress tells when a report was made.
+		if r.Progress = w.now.Seconds() / 1000; r.Phase != workerapi.PhaseRunning {
+			r.Progress = 0
+		}
+		hb.Tasks = append(hb.Tasks, r)
 	}
 	return hb
 }
@@ -53,8 +60,9 @@
 		var late []uint64
 		for i := range rapid.IntRange(1, 60).Draw(r, "beats") {
 			w.change(r, i)
+			w.now += time.Duration(rapid.IntRange(0, 3000).Draw(r, "ms")) * time.Millisecond
 			whole := w.whole()
-			short := sender.Shorten(whole)
+			short := sender.Shorten(w.now, whole)
 			switch rapid.IntRange(0, 9).Draw(r, "fault") {
 			case 0: // the heartbeat is lost
 				sender.Failed(whole.Sequence)
@@ -87,7 +95,7 @@
 func (w *worker) change(r *rapid.T, i int) {
 	id := fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(r, "task"))
 	report, known := w.tasks[id]
-	switch rapid.IntRange(0, 4).Draw(r, "change") {
+	switch rapid.IntRange(0, 5).Draw(r, "change") {
 	case 0:
 		w.tasks[id] = workerapi.TaskReport{ID: id, Attempt: workerapi.Attempt{Epoch: 1, Number: uint64(i)}, Phase: workerapi.PhaseRunning}
 	case 1:
@@ -102,6 +110,12 @@
 			report.Checkpoint, report.Throttle = []byte{byte(i)}, 0.5
 			w.tasks[id] = report
 		}
+	case 4:
+		if known {
+			report.Checkpoint = []byte{byte(i), 1}
+			report.Used = workerapi.Resources{CPUMillis: rapid.Int64Range(0, 40).Draw(r, "cpu"), Accelerators: int64(i % 2)}
+			w.tasks[id] = report
+		}
 	}
 }
 
@@ -123,6 +137,25 @@
 	copied := *restored
 	copied.Tasks = whole.Tasks
 	g.Expect(&copied).To(Equal(whole))
+	volatile(g, whole, restored)
+}
+
+// volatile checks how far values may lag that are not sent with each heartbeat.
+func volatile(g *WithT, whole, restored *workerapi.Heartbeat) {
+	now := map[string]workerapi.TaskReport{}
+	for _, r := range whole.Tasks {
+		now[r.ID] = r
+	}
+	for _, r := range restored.Tasks {
+		n := now[r.ID]
+		if n.Phase != workerapi.PhaseRunning {
+			continue
+		}
+		cpu := float64(r.Used.CPUMillis)
+		g.Expect(float64(n.Used.CPUMillis)).To(BeNumerically("~", cpu, max(0.5, cpu/10)))
+		g.Expect(r.Used.Accelerators).To(Equal(n.Used.Accelerators))
+		g.Expect(n.Progress - r.Progress).To(BeNumerically("<", (delta.RefreshAfter.Seconds()+0.1)/1000))
+	}
 }
 
 // TestRenewAll guards against a lease that is renewed for an attempt that was not
@@ -139,6 +172,14 @@
 	delta.Expand(hb, &answer)
 	g.Expect(answer.Renew).To(Equal(both))
 
+	hb.Holder = "s#1"
+	for _, scheduler := range []string{"s#1", "s#2"} {
+		named := workerapi.HeartbeatAnswer{Scheduler: scheduler}
+		delta.Collapse(hb, &named)
+		delta.Expand(hb, &named)
+		g.Expect(named.Scheduler).To(Equal(scheduler))
+	}
+
 	some := workerapi.HeartbeatAnswer{Renew: both[:1]}
 	delta.Collapse(hb, &some)
 	g.Expect(some.RenewAll).To(BeFalse())
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -101,6 +101,20 @@
 	SinceCheckpointMS int64 `json:"since_checkpoint_ms"`
 }
 
+// UsageReport is the part of a TaskReport that changes while an attempt runs. The
+// keys are short because it is most of what a worker sends.
+type UsageReport struct {
+	ID        string  `json:"t"`
+	CPUMillis int64   `json:"c"`
+	MemoryMB  int64   `json:"m"`
+	Accels    int64   `json:"a,omitempty"`
+	Progress  float64 `json:"p"`
+	// SinceMS is SinceCheckpointMS.
+	SinceMS int64 `json:"s"`
+	// Checkpoint is left out if the one of the base is still the newest.
+	Checkpoint []byte `json:"k,omitempty"`
+}
+
 // ServiceReport is a lagged measurement of one service on a worker.
 type ServiceReport struct {
 	Service string `json:"service"`
@@ -124,7 +138,7 @@
 	Base uint64 `json:"base,omitempty"`
 	// Gone lists the tasks of the base that are no longer reported.
 	Gone        []string  `json:"gone,omitempty"`
-	Domain      string    `json:"domain"`
+	Domain      string    `json:"domain,omitempty"`
 	Rack        string    `json:"rack,omitempty"`
 	Address     string    `json:"address,omitempty"`
 	Capacity    Resources `json:"capacity,omitzero"`
@@ -132,18 +146,19 @@
 	Connections int       `json:"connections,omitempty"`
 	Services    []string  `json:"services,omitempty"`
 	Draining    bool      `json:"draining,omitempty"`
-	// Session and Holder are of the newest accepted attach.
-	Session uint64 `json:"session"`
-	Holder  string `json:"holder"`
-	Epoch   uint64 `json:"epoch"`
+	// Session, Holder and Epoch are of the newest accepted attach.
+	Session uint64 `json:"session,omitempty"`
+	Holder  string `json:"holder,omitempty"`
+	Epoch   uint64 `json:"epoch,omitempty"`
 	// SlotsInUse counts running requests by session.
 	SlotsInUse map[uint64]int `json:"slots_in_use,omitempty"`
 	Tasks      []TaskReport   `json:"tasks,omitempty"`
+	// Usage has the changed values of attempts that are otherwise as in the base.
+	Usage []UsageReport `json:"usage,omitempty"`
 	// WithoutTasks says that Tasks is left out, as it may be towards a scheduler
 	// without the newest full session. It must not be taken for no tasks.
 	WithoutTasks bool            `json:"without_tasks,omitempty"`
 	Reports      []ServiceReport `json:"reports,omitempty"`
-	Used         Resources       `json:"used,omitzero"`
 	// BootUnixMS is the wall clock at start, for people only.
 	BootUnixMS int64 `json:"boot_unix_ms,omitempty"`
 }
@@ -157,7 +172,8 @@
 // HeartbeatAnswer renews task leases. The worker counts a lease from the moment
 // it sent the heartbeat.
 type HeartbeatAnswer struct {
-	Scheduler string `json:"scheduler"`
+	// It is left out if it is the holder that the heartbeat names.
+	Scheduler string `json:"scheduler,omitempty"`
 	// Renew lists the attempts whose lease is renewed for TaskLeaseMS.
 	Renew []TaskRef `json:"renew,omitempty"`
 	// RenewAll stands for a Renew with every running attempt of the heartbeat.
