--- a/gateway/link.go
+++ b/gateway/link.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"geraniumwall/routing"
 	"geraniumwall/rpc/grantdelta"
 	"geraniumwall/rpc/schedulerpb"
-	"geraniumwall/transport"
 )
 
 const (
@@ -22,6 +24,8 @@
 	// configPatience is how long a scheduler may stay behind before the gateway
 	// sends it the configuration. Usually it gets it from a control replica sooner.
 	configPatience = time.Second
+	// wrongPeerLogPeriod bounds a warning that would repeat with every sync.
+	wrongPeerLogPeriod = 10 * time.Second
 )
 
 // link syncs grants with one scheduler. Schedulers of other domains are asked only
@@ -30,22 +34,25 @@
 type link struct {
 	gateway   *Gateway
 	scheduler Scheduler
-	client    schedulerpb.Scheduler
+	route     *route
+	wrongPeer zerolog.Logger
 	triggered chan struct{}
+	// absent is set while neither the settings nor the directory name the scheduler.
+	absent atomic.Bool
 	// active is set while the scheduler is asked regularly.
 	active atomic.Bool
 	// sequence counts the syncs from 1.
 	sequence uint64
-	holder   grantdelta.Holder
 	// behindSince is when the scheduler was first seen behind this gateway; 0 if it
 	// was not at the last answer.
 	behindSince time.Duration
+	holder      grantdelta.Holder
 }
 
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
-		gateway: g, scheduler: s,
-		client:    schedulerpb.NewSchedulerProtobufClient(transport.URL(s.Address), c),
+		gateway: g, scheduler: s, route: newRoute(s.Address, c),
+		wrongPeer: g.log.Sample(&zerolog.BurstSampler{Burst: 1, Period: wrongPeerLogPeriod}),
 		triggered: make(chan struct{}, 1),
 	}
 }
@@ -77,6 +84,9 @@
 }
 
 func (l *link) needed() bool {
+	if l.absent.Load() {
+		return false
+	}
 	if l.scheduler.Domain == l.gateway.options.Domain {
 		return true
 	}
@@ -118,17 +128,23 @@
 	sent := g.clock()
 	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	answer, err := l.client.SyncGrants(bounded, l.holder.Shorten(request))
+	answer, err := l.route.client().SyncGrants(bounded, l.holder.Shorten(request))
+	if err == nil && answer.GetScheduler() != l.scheduler.Name {
+		err = fmt.Errorf("scheduler %q answered", answer.GetScheduler())
+		l.wrongPeer.Warn().Str("scheduler", l.scheduler.Name).Err(err).
+			Msg("another scheduler has the address; correct schedulers in the settings of this gateway")
+	}
+	l.route.used(err)
 	if err != nil {
 		g.metrics.syncFailed(ctx, l.scheduler.Name)
 		return true
 	}
 	g.follower.Notice(answer.GetConfigVersion())
+	l.compare(answer.GetConfigVersion())
 	answer, restored := l.holder.Restore(request, answer)
 	if !restored {
 		return false
 	}
-	l.compare(answer.GetConfigVersion())
 	// The next sync reports what is held, so it must follow the use of this answer.
 	g.owner.receiveGrants(ctx, grantSet(l.scheduler.Name, sent, answer))
 	return true
--- a/schedulerd/peer.go
+++ b/schedulerd/peer.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"geraniumwall/lease"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
 	"geraniumwall/transport"
@@ -16,12 +19,14 @@
 const peerTimeout = time.Second
 
 // peerLink asks the standby for scheduler leases. The address of the standby
-// comes from the settings, or from control where the settings name no peer.
+// comes from the membership, so that a domain that is cut off finds a standby that
+// has moved, else from control, else from the settings.
 type peerLink struct {
 	settings *Settings
 	loop     *loop
 	http     *http.Client
 	learned  atomic.Pointer[Peer]
+	members  atomic.Pointer[gossip.Gossip]
 }
 
 func (p *peerLink) learn(r *controlpb.RenewLeaseResponse) {
@@ -31,6 +36,11 @@
 }
 
 func (p *peerLink) address(standby string) string {
+	for _, m := range p.members.Load().OfKind(membership.KindScheduler) {
+		if m.Name == standby {
+			return m.Address
+		}
+	}
 	if learned := p.learned.Load(); learned != nil && learned.Name == standby {
 		return learned.Address
 	}
@@ -68,7 +78,7 @@
 	if err != nil || !ask || address == "" {
 		return
 	}
-	stub := schedulerpb.NewSchedulerProtobufClient(transport.URL(address), p.http)
+	stub := schedulerpb.NewSchedulerProtobufClient(transport.URL(address), p.http, protocol.Client())
 	answer, err := stub.RenewSchedulerLease(ctx, &schedulerpb.RenewSchedulerLeaseRequest{
 		Domain: p.settings.Domain, Active: p.settings.Name, Epoch: epoch,
 		LeaseMs: lease.SchedulerLease.Milliseconds(),
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -42,7 +42,9 @@
 	}
 	whole, held := s.answers.restore(r)
 	if !held {
-		return &schedulerpb.SyncGrantsResponse{SendWhole: true, ConfigVersion: s.follower.Current().Version}, nil
+		return &schedulerpb.SyncGrantsResponse{
+			Scheduler: s.settings.Name, SendWhole: true, ConfigVersion: s.follower.Current().Version,
+		}, nil
 	}
 	var answer scheduler.GrantAnswer
 	var refused error
@@ -139,15 +141,3 @@
 	}
 	return response, nil
 }
-
-// Drain stops new work on a worker, or ends that.
-func (s *service) Drain(ctx context.Context, r *schedulerpb.DrainRequest) (*schedulerpb.DrainResponse, error) {
-	found := false
-	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
-		found = core.Drain(now, r.GetWorker(), r.GetUndo(), r.GetActor())
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &schedulerpb.DrainResponse{Found: found}, nil
-}
--- a/state/machine.go
+++ b/state/machine.go
@@ -26,6 +26,7 @@
 	configs  configHistory
 	audit    auditTrail
 	joined   map[uint64]bool
+	drains   drainTable
 }
 
 // New returns the state before the first command.
@@ -35,6 +36,7 @@
 		requests: newRequestTable(),
 		domains:  map[string]*statepb.DomainRecord{},
 		joined:   map[uint64]bool{},
+		drains:   drainTable{workers: map[string]bool{}},
 	}
 }
 
@@ -59,6 +61,7 @@
 	KindOtherHolder    Kind = "other_holder"
 	KindKeyConflict    Kind = "key_conflict"
 	KindAlreadyEnded   Kind = "already_ended"
+	KindTooManyDrains  Kind = "too_many_drains"
 )
 
 // Error returns the text of the refusal, which names the remedy.
@@ -77,12 +80,34 @@
 	return data, nil
 }
 
-// Decode is the inverse of Encode. It fails on a command of an unknown kind.
+// Formats of commands and snapshots. What does not need a later format is written
+// without one, so that replicas of the former version can read it.
+const (
+	// FormatDrains has drains of workers.
+	FormatDrains = 2
+	// Format is the newest format that this code reads.
+	Format = FormatDrains
+)
+
+// checkFormat refuses data whose meaning this code doesn't know.
+func checkFormat(format uint32) error {
+	if format > Format {
+		return fmt.Errorf("format %d is newer than %d; upgrade this replica to the version that wrote it, "+
+			"and do not replace its data directory", format, Format)
+	}
+	return nil
+}
+
+// Decode is the inverse of Encode. It fails on a command of an unknown kind or
+// format.
 func Decode(data []byte) (*statepb.Command, error) {
 	c := &statepb.Command{}
 	if err := proto.Unmarshal(data, c); err != nil {
 		return nil, fmt.Errorf("decode command: %w; the log is damaged, replace this replica", err)
 	}
+	if err := checkFormat(c.GetFormat()); err != nil {
+		return nil, fmt.Errorf("decode command: %w", err)
+	}
 	if c.GetKind() == nil {
 		return nil, fmt.Errorf("decode command: unknown kind; upgrade this replica to the version of the leader")
 	}
@@ -120,6 +145,8 @@
 		return m.applyConfig(c.GetUnixMs(), k.ApplyConfig), nil
 	case *statepb.Command_Audit:
 		return m.recordAudit(c.GetUnixMs(), k.Audit), nil
+	case *statepb.Command_DrainWorker:
+		return m.drainWorker(c.GetUnixMs(), k.DrainWorker)
 	case *statepb.Command_Prune:
 		return m.prune(k.Prune), nil
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -19,7 +19,13 @@
 
 // Capture returns a view of the present state.
 func (m *Machine) Capture() Capture {
+	drained, drains := m.Drained()
+	format := uint32(0)
+	if drains > 0 {
+		format = FormatDrains
+	}
 	return Capture{&statepb.Snapshot{
+		Format:        format,
 		Index:         m.index,
 		NextTask:      m.tasks.next,
 		Tasks:         slices.Collect(maps.Values(m.tasks.byID)),
@@ -30,6 +36,8 @@
 		AuditSequence: m.audit.sequence,
 		AuditHash:     m.audit.hash,
 		Joined:        slices.Sorted(maps.Keys(m.joined)),
+		Drained:       drained,
+		Drains:        drains,
 	}}
 }
 
@@ -57,12 +65,15 @@
 }
 
 // Restore returns the state of a snapshot. It fails if the snapshot contradicts
-// itself.
+// itself or has an unknown format.
 func Restore(data []byte) (*Machine, error) {
 	s := &statepb.Snapshot{}
 	if err := proto.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w; replace this replica", err)
 	}
+	if err := checkFormat(s.GetFormat()); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
 	if err := checkSnapshot(s); err != nil {
 		return nil, fmt.Errorf("snapshot at index %d: %w; replace this replica", s.GetIndex(), err)
 	}
@@ -81,6 +92,10 @@
 	for _, id := range s.GetJoined() {
 		m.joined[id] = true
 	}
+	for _, name := range s.GetDrained() {
+		m.drains.workers[name] = true
+	}
+	m.drains.changed = s.GetDrains()
 	for _, v := range s.GetConfigs() {
 		m.configs.load(v)
 	}
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -33,9 +33,19 @@
 	HeaderIdempotent = "Idempotency-Key"
 )
 
-// HeartbeatInterval separates two heartbeats to a scheduler that names no other
-// interval.
-const HeartbeatInterval = time.Second
+// FormatCompact is the newest format of heartbeats: the short forms of usage, of the
+// session and of the answer, and heartbeats without tasks. A side uses it once the
+// other has said that it reads it; without a word the format is 1.
+const FormatCompact = 2
+
+const (
+	// HeartbeatInterval separates two heartbeats to a scheduler of FormatCompact
+	// that names no other interval.
+	HeartbeatInterval = time.Second
+	// FirstInterval is that to a scheduler of format 1, which takes a worker for
+	// silent after 1 s.
+	FirstInterval = 500 * time.Millisecond
+)
 
 // Outcome is the typed result of a request.
 type Outcome string
@@ -133,6 +143,8 @@
 	// Incarnation changes when the worker restarts.
 	Incarnation string `json:"incarnation"`
 	Sequence    uint64 `json:"sequence"`
+	// Format is the newest format that the worker reads, in a whole heartbeat.
+	Format int `json:"format,omitempty"`
 	// Base is the sequence of an answered heartbeat; fields and tasks that are left
 	// out are as they were in it. 0 is a whole heartbeat. See package delta.
 	Base uint64 `json:"base,omitempty"`
@@ -157,8 +169,10 @@
 	Usage []UsageReport `json:"usage,omitempty"`
 	// WithoutTasks says that Tasks is left out, as it may be towards a scheduler
 	// without the newest full session. It must not be taken for no tasks.
-	WithoutTasks bool            `json:"without_tasks,omitempty"`
-	Reports      []ServiceReport `json:"reports,omitempty"`
+	WithoutTasks bool `json:"without_tasks,omitempty"`
+	// Used is the sum of the tasks. It is left out in FormatCompact.
+	Used    Resources       `json:"used,omitzero"`
+	Reports []ServiceReport `json:"reports,omitempty"`
 	// BootUnixMS is the wall clock at start, for people only.
 	BootUnixMS int64 `json:"boot_unix_ms,omitempty"`
 }
@@ -172,7 +186,7 @@
 // HeartbeatAnswer renews task leases. The worker counts a lease from the moment
 // it sent the heartbeat.
 type HeartbeatAnswer struct {
-	// It is left out if it is the holder that the heartbeat names.
+	// In FormatCompact it is left out if it is the holder that the heartbeat names.
 	Scheduler string `json:"scheduler,omitempty"`
 	// Renew lists the attempts whose lease is renewed for TaskLeaseMS.
 	Renew []TaskRef `json:"renew,omitempty"`
@@ -186,7 +200,10 @@
 	Acknowledge []TaskRef `json:"acknowledge,omitempty"`
 	// Version is the configuration version of the scheduler.
 	Version uint64 `json:"version"`
-	// IntervalMS is the time to the next heartbeat, with 0 HeartbeatInterval. After
+	// Format is the newest format that the scheduler reads, in the answer to a whole
+	// heartbeat.
+	Format int `json:"format,omitempty"`
+	// IntervalMS is the time to the next heartbeat, with 0 the default of the format. After
 	// an accepted attach the next heartbeat is sent at once.
 	IntervalMS int64 `json:"interval_ms,omitempty"`
 }
