Print the figures of make bench as JSON lines throughout

Cause: controlbench printed sentences, so a program could compare only the gateway's half of make bench with an earlier run.

load.Measurement is the line of both halves; failover and restart are compared with the aims of design.md section 7, the outcomes with the target rate. What is no figure goes to standard error, and a failed measurement fails the target, which the grep before had hidden.

Ruled out: parsing the sentences in the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,13 @@
 	released=$$(scripts/released.sh $(BIN)/released && echo $(CURDIR)/$(BIN)/released); \
 	GERANIUM_RELEASED_BIN=$$released GERANIUM_BIN=$(CURDIR)/$(BIN) go test -count=1 -timeout 900s -parallel 3 ./e2e
 
+# Figures go to standard output, everything else to standard error.
+bench: SHELL := /bin/bash
+bench: .SHELLFLAGS := -o pipefail -c
 bench: build
 	GERANIUM_BIN=$(CURDIR)/$(BIN) scripts/bench.sh
-	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags bench -count=1 -timeout 600s -v ./controlbench | grep -v -e "^===" -e "^---" -e "^PASS"
+	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags bench -count=1 -timeout 600s -v ./controlbench \
+	  | awk '/^\{/ {print; next} {print > "/dev/stderr"}'
 
 experiments:
 	go run ./cmd/geranium-experiments
--- a/cmd/geranium-bench/measure.go
+++ b/cmd/geranium-bench/measure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
@@ -29,17 +28,6 @@
 	requestBody        = `{"echo":"0123456789abcdef"}`
 )
 
-// Measurement is one line of the output. Baseline is the same figure for direct
-// calls or the aim, and Ratio is Value over Baseline; both are 0 if there is none.
-type Measurement struct {
-	Name     string  `json:"name"`
-	Value    float64 `json:"value"`
-	Unit     string  `json:"unit"`
-	Baseline float64 `json:"baseline"`
-	Ratio    float64 `json:"ratio"`
-	N        int64   `json:"n"`
-}
-
 // measureCommand is "geranium-bench measure".
 type measureCommand struct {
 	gateway  string
@@ -84,19 +72,16 @@
 	if err := c.waitReady(ctx); err != nil {
 		return err
 	}
-	steps := []func(context.Context) ([]Measurement, error){
+	steps := []func(context.Context) ([]load.Measurement, error){
 		c.idleMemory, c.allocations, c.latency, c.throughput,
 	}
-	out := json.NewEncoder(os.Stdout)
 	for _, step := range steps {
 		lines, err := step(ctx)
 		if err != nil {
 			return err
 		}
-		for _, m := range lines {
-			if err := out.Encode(m); err != nil {
-				return err
-			}
+		if err := load.WriteMeasurements(os.Stdout, lines...); err != nil {
+			return err
 		}
 	}
 	return ctx.Err()
@@ -130,7 +115,7 @@
 
 // latency alternates direct and gateway runs and compares the medians of the
 // rounds.
-func (c *measureCommand) latency(ctx context.Context) ([]Measurement, error) {
+func (c *measureCommand) latency(ctx context.Context) ([]load.Measurement, error) {
 	var direct, through samples
 	for round := range measureRounds {
 		if err := c.latencyRun(ctx, c.directly(measureInFlight), uint64(round), &direct); err != nil {
@@ -142,7 +127,7 @@
 	}
 	d50, d99 := median(direct.p50), median(direct.p99)
 	g50, g99 := median(through.p50), median(through.p99)
-	return []Measurement{
+	return []load.Measurement{
 		{Name: "gateway_added_latency_p50", Value: g50 - d50, Unit: "ms", Baseline: d50, Ratio: g50 / d50, N: through.count},
 		{Name: "gateway_added_latency_p99", Value: g99 - d99, Unit: "ms", Baseline: d99, Ratio: g99 / d99, N: through.count},
 		{Name: "gateway_latency_errors", Value: float64(through.failed), Unit: "requests", N: through.count},
@@ -181,7 +166,7 @@
 }
 
 // throughput measures requests per second of senders that wait for each answer.
-func (c *measureCommand) throughput(ctx context.Context) ([]Measurement, error) {
+func (c *measureCommand) throughput(ctx context.Context) ([]load.Measurement, error) {
 	direct, _ := closedLoop(ctx, c.directly(throughputSenders))
 	before, err := c.metric(ctx, processorMetric)
 	if err != nil {
@@ -192,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []Measurement{
+	return []load.Measurement{
 		{Name: "gateway_throughput", Value: through, Unit: "requests/s", Baseline: direct, Ratio: through / direct, N: n},
 		{Name: "gateway_processor_time_per_request", Value: (after - before) / float64(n) * microsPerSecond, Unit: "us", N: n},
 	}, ctx.Err()
--- a/cmd/geranium-bench/process.go
+++ b/cmd/geranium-bench/process.go
@@ -28,7 +28,7 @@
 )
 
 // idleMemory reads the resident memory of the processes while nothing is sent.
-func (c *measureCommand) idleMemory(ctx context.Context) ([]Measurement, error) {
+func (c *measureCommand) idleMemory(ctx context.Context) ([]load.Measurement, error) {
 	if c.pids == "" {
 		return nil, nil
 	}
@@ -37,7 +37,7 @@
 		return nil, ctx.Err()
 	case <-time.After(idleSettle):
 	}
-	var lines []Measurement
+	var lines []load.Measurement
 	for item := range strings.SplitSeq(c.pids, ",") {
 		name, pid, _ := strings.Cut(item, "=")
 		kilobytes, err := residentKB(pid)
@@ -45,7 +45,7 @@
 			return nil, fmt.Errorf("memory of process %q: %w", item, err)
 		}
 		mb := float64(kilobytes) / kilobytesPerMB
-		lines = append(lines, Measurement{
+		lines = append(lines, load.Measurement{
 			Name: "idle_memory_" + name, Value: mb, Unit: "MB", Baseline: idleAimMB, Ratio: mb / idleAimMB, N: 1,
 		})
 	}
@@ -71,7 +71,7 @@
 
 // allocations counts the heap allocations of the gateway for one request, without
 // those of a pause of the same length in which nothing is sent.
-func (c *measureCommand) allocations(ctx context.Context) ([]Measurement, error) {
+func (c *measureCommand) allocations(ctx context.Context) ([]load.Measurement, error) {
 	sender := c.throughGateway(1)
 	before, err := c.metric(ctx, mallocsMetric)
 	if err != nil {
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	each := ((busy - before) - (idle - busy)) / allocationRequests
-	return []Measurement{{Name: "gateway_allocations_per_request", Value: each, Unit: "allocations", N: allocationRequests}}, nil
+	return []load.Measurement{{Name: "gateway_allocations_per_request", Value: each, Unit: "allocations", N: allocationRequests}}, nil
 }
 
 // metric reads one figure of the gateway's metrics.
--- a/controlbench/cluster.go
+++ b/controlbench/cluster.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 
 	"geraniumwall/control"
 	"geraniumwall/control/client"
+	"geraniumwall/load"
 	"geraniumwall/rpc/controlpb"
 )
 
@@ -29,6 +31,7 @@
 // cluster is three replica processes.
 type cluster struct {
 	processes Processes
+	out       io.Writer
 	running   [replicas]bool
 	settings  []string
 	address   []string
@@ -38,8 +41,8 @@
 }
 
 // startCluster starts the replicas on free ports and waits for a leader.
-func startCluster(p Processes, dir string) (*cluster, error) {
-	c := &cluster{processes: p}
+func startCluster(p Processes, dir string, out io.Writer) (*cluster, error) {
+	c := &cluster{processes: p, out: out}
 	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * rateClients}}
 	var members []control.ReplicaAddress
 	for i := range replicas {
@@ -167,12 +170,21 @@
 	return 0, lines.Err()
 }
 
-// printUsage prints what a replica used per second between two measurements.
-func printUsage(name string, before, after usage, took time.Duration) {
-	fmt.Printf("%s: processor time", name)
+// usages are what the replicas used between two measurements.
+func usages(name string, before, after usage, took time.Duration) []load.Measurement {
+	var list []load.Measurement
 	for i := range replicas {
-		fmt.Printf(" %.2f%%", 100*(after.processor[i]-before.processor[i]).Seconds()/took.Seconds())
+		share := 100 * (after.processor[i] - before.processor[i]).Seconds() / took.Seconds()
+		replica := fmt.Sprintf("control_%s_replica_%d_", name, i+1)
+		list = append(list,
+			load.Measurement{Name: replica + "processor", Value: share, Unit: "% of a core", N: 1},
+			load.Measurement{Name: replica + "memory", Value: float64(after.memoryMB[i]), Unit: "MB", N: 1})
 	}
-	fmt.Printf(" of a core, memory %v MB, sent per replica %.1f KB/s\n",
-		after.memoryMB, (after.bytes-before.bytes)/replicas/1000/took.Seconds())
+	sent := (after.bytes - before.bytes) / replicas / 1000 / took.Seconds()
+	return append(list, load.Measurement{Name: "control_" + name + "_sent_per_replica", Value: sent, Unit: "KB/s", N: replicas})
+}
+
+// print writes figures as JSON lines.
+func (c *cluster) print(list ...load.Measurement) error {
+	return load.WriteMeasurements(c.out, list...)
 }
--- a/controlbench/controlbench.go
+++ b/controlbench/controlbench.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -29,10 +30,10 @@
 	PID(i int) int
 }
 
-// Run starts three replicas with data and settings under dir and prints each
-// figure.
-func Run(dir string, p Processes) error {
-	c, err := startCluster(p, dir)
+// Run starts three replicas with data and settings under dir and writes each figure
+// to out as a JSON line, see load.Measurement.
+func Run(dir string, p Processes, out io.Writer) error {
+	c, err := startCluster(p, dir, out)
 	if err != nil {
 		return err
 	}
--- a/controlbench/controlbench_test.go
+++ b/controlbench/controlbench_test.go
@@ -35,7 +35,7 @@
 // TestControlBench prints the figures of three control replicas.
 func TestControlBench(t *testing.T) {
 	binary := filepath.Join(os.Getenv("GERANIUM_BIN"), "geranium-control")
-	if err := controlbench.Run(t.TempDir(), &processes{binary: binary, running: map[int]*exec.Cmd{}}); err != nil {
+	if err := controlbench.Run(t.TempDir(), &processes{binary: binary, running: map[int]*exec.Cmd{}}, os.Stdout); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/controlbench/measure.go
+++ b/controlbench/measure.go
@@ -1,8 +1,10 @@
 package controlbench
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,12 +13,16 @@
 
 	"geraniumwall/config"
 	"geraniumwall/control/client"
+	"geraniumwall/load"
 	"geraniumwall/rpc/controlpb"
 )
 
 const (
 	longestCall = 60 * time.Second
 	domain      = "d0"
+	// Aims of docs/design.md, section 7.
+	aimFailoverMS = 2000
+	aimRestartMS  = 1000
 )
 
 func measureRest(_ context.Context, c *cluster) error {
@@ -29,8 +35,7 @@
 	if err != nil {
 		return err
 	}
-	printUsage("at rest", before, after, restTime)
-	return nil
+	return c.print(usages("rest", before, after, restTime)...)
 }
 
 func record(ctx context.Context, c *cluster, n int) error {
@@ -44,9 +49,16 @@
 	return hdrhistogram.New(1, longestCall.Microseconds(), 3)
 }
 
-func printLatency(name string, h *hdrhistogram.Histogram) {
-	fmt.Printf("%s: p50 %.2f ms, p99 %.2f ms, max %.2f ms, %d calls\n", name,
-		float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.Max())/1000, h.TotalCount())
+// latencies are p50, p99 and the longest of a histogram in microseconds.
+func latencies(name string, h *hdrhistogram.Histogram) []load.Measurement {
+	var list []load.Measurement
+	for suffix, us := range map[string]int64{"p50": h.ValueAtQuantile(50), "p99": h.ValueAtQuantile(99), "max": h.Max()} {
+		list = append(list, load.Measurement{
+			Name: name + "_" + suffix, Value: float64(us) / float64(time.Millisecond/time.Microsecond), Unit: "ms", N: h.TotalCount(),
+		})
+	}
+	slices.SortFunc(list, func(a, b load.Measurement) int { return cmp.Compare(a.Value, b.Value) })
+	return list
 }
 
 func measureLatency(ctx context.Context, c *cluster) error {
@@ -60,8 +72,7 @@
 			return err
 		}
 	}
-	printLatency("commit, one client", h)
-	return nil
+	return c.print(latencies("control_commit_1_client", h)...)
 }
 
 func measureRate(ctx context.Context, c *cluster) error {
@@ -80,9 +91,11 @@
 		}
 		return nil
 	})
-	fmt.Printf("commits: %.0f per second\n", float64(h.TotalCount())/rateTime.Seconds())
-	printLatency(fmt.Sprintf("commit, %d clients", rateClients), h)
-	return err
+	if err != nil {
+		return err
+	}
+	rate := load.Measurement{Name: "control_commits", Value: float64(h.TotalCount()) / rateTime.Seconds(), Unit: "commits/s", N: h.TotalCount()}
+	return c.print(append(latencies(fmt.Sprintf("control_commit_%d_clients", rateClients), h), rate)...)
 }
 
 // parallel runs f in every client and returns the first error.
@@ -135,10 +148,10 @@
 	if err != nil {
 		return err
 	}
-	printLatency("submit at the target rate", h)
-	fmt.Printf("outcomes: %.0f per second\n", float64(s.ended)/took.Seconds())
-	printUsage("at the target rate", before, after, took)
-	return nil
+	ended := int64(s.ended)
+	rate := load.Measurement{Name: "control_outcomes", Value: float64(ended) / took.Seconds(), Unit: "outcomes/s", N: ended}
+	list := append(latencies("control_submit_target_rate", h), rate.Against(outcomeRate))
+	return c.print(append(list, usages("target_rate", before, after, took)...)...)
 }
 
 // submit sends tasks one by one, as gateways do, but at once.
@@ -196,8 +209,11 @@
 		}
 		time.Sleep(2 * time.Second)
 	}
-	printLatency("failover, kill to next commit", h)
-	return nil
+	list := latencies("control_failover", h)
+	for i := range list {
+		list[i] = list[i].Against(aimFailoverMS)
+	}
+	return c.print(list...)
 }
 
 // measureChanges applies many configurations and restarts a replica.
@@ -217,7 +233,7 @@
 			return err
 		}
 	}
-	return c.restart(fmt.Sprintf("restart after %d configuration changes", manyChanges))
+	return c.restart(fmt.Sprintf("control_restart_%d_changes", manyChanges), manyChanges)
 }
 
 func measureRestart(ctx context.Context, c *cluster) error {
@@ -232,12 +248,12 @@
 	if err != nil {
 		return err
 	}
-	return c.restart(fmt.Sprintf("restart after %d records", manyRecords))
+	return c.restart(fmt.Sprintf("control_restart_%d_records", manyRecords), manyRecords)
 }
 
 // restart kills a follower and prints the time until it has applied what the
 // leader had committed.
-func (c *cluster) restart(name string) error {
+func (c *cluster) restart(name string, n int64) error {
 	leader, err := c.waitLeader()
 	if err != nil {
 		return err
@@ -256,8 +272,8 @@
 	}
 	for time.Since(begin) < startWait {
 		if applied, err := c.applied(follower); err == nil && applied >= s.GetCommitIndex() {
-			fmt.Printf("%s: %v\n", name, time.Since(begin).Round(time.Millisecond))
-			return nil
+			took := load.Measurement{Name: name, Value: float64(time.Since(begin).Milliseconds()), Unit: "ms", N: n}
+			return c.print(took.Against(aimRestartMS))
 		}
 		time.Sleep(poll)
 	}
