Say in every usage error of geranium what to do next

Cause: a missing file, a wrong change of a replica, a gateway without a port and a wrong number of arguments gave messages without a remedy, or an answer of the network in place of the mistake; top ignored -json.

Usage errors name the help page, files the path or -, unknown fields the schema, gateway addresses the form host:port (exit code 2, before it was 1), and replica checks its change and the flags of add before it calls. TestTour checks code and remedy of eleven wrong calls.

Ruled out: a check of all flags by the subcommands library; it knows no arguments.

--- a/cmd/geranium/app.go
+++ b/cmd/geranium/app.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/google/subcommands"
@@ -81,6 +82,10 @@
 	if err == nil {
 		return subcommands.ExitSuccess
 	}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		err = fmt.Errorf("%w; see geranium help %s", err, c.name)
+	}
 	_, _ = fmt.Fprintf(c.app.err, "geranium %s: %v\n", c.name, err)
 	return exitCode(err)
 }
@@ -118,7 +123,7 @@
 	switch {
 	case errors.As(err, &unknown):
 		return exitUnknown
-	case errors.As(err, &usage), errors.Is(err, operator.ErrNoGateway):
+	case errors.As(err, &usage), errors.Is(err, operator.ErrNoGateway), errors.Is(err, operator.ErrGatewayAddress):
 		return subcommands.ExitUsageError
 	case errors.As(err, &conflict):
 		return exitConflict
@@ -145,6 +150,18 @@
 	return err
 }
 
+// readInput reads a file, or standard input for "-".
+func readInput(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	data, err := os.ReadFile(path) //nolint:gosec // the path is the operator's own argument
+	if err != nil {
+		return nil, fmt.Errorf("%w; correct the path, or give - for standard input", err)
+	}
+	return data, nil
+}
+
 // one returns the only argument of a command.
 func one(f *flag.FlagSet, what string) (string, error) {
 	if f.NArg() != 1 {
--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -112,12 +111,7 @@
 	if err != nil {
 		return err
 	}
-	var document []byte
-	if path == "-" {
-		document, err = io.ReadAll(os.Stdin)
-	} else {
-		document, err = os.ReadFile(path) //nolint:gosec // the path is the operator's own argument
-	}
+	document, err := readInput(path)
 	if err != nil {
 		return fmt.Errorf("read the task: %w", err)
 	}
@@ -206,10 +200,13 @@
 		if err != nil {
 			return err
 		}
-		if err := a.printf(clearScreen); err != nil {
-			return err
-		}
-		if err := operator.WriteStatus(a.out, status, true); err != nil {
+		err = a.print(status, func(w io.Writer) error {
+			if _, err := io.WriteString(w, clearScreen); err != nil {
+				return err
+			}
+			return operator.WriteStatus(w, status, true)
+		})
+		if err != nil {
 			return err
 		}
 		select {
--- a/cmd/geranium/config.go
+++ b/cmd/geranium/config.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -25,13 +24,7 @@
 
 // readDocument reads and checks a configuration file; "-" is standard input.
 func readDocument(path string) ([]byte, config.Config, error) {
-	var document []byte
-	var err error
-	if path == "-" {
-		document, err = io.ReadAll(os.Stdin)
-	} else {
-		document, err = os.ReadFile(path) //nolint:gosec // the path is the operator's own argument
-	}
+	document, err := readInput(path)
 	if err != nil {
 		return nil, config.Config{}, fmt.Errorf("read the configuration: %w", err)
 	}
--- a/cmd/geranium/replica.go
+++ b/cmd/geranium/replica.go
@@ -30,6 +30,12 @@
 		return &usageError{"give add, promote or remove, and the id of the replica"}
 	}
 	change := operatorapi.ReplicaChange(f.Arg(0))
+	switch {
+	case change != operatorapi.AddReplica && change != operatorapi.PromoteReplica && change != operatorapi.RemoveReplica:
+		return &usageError{fmt.Sprintf("%q is no change; use add, promote or remove", f.Arg(0))}
+	case change == operatorapi.AddReplica && (o.address == "" || o.domain == ""):
+		return &usageError{"add needs -address and -domain of the new replica, before the word add"}
+	}
 	id, err := strconv.ParseUint(f.Arg(1), 10, 64)
 	if err != nil || id == 0 {
 		return &usageError{fmt.Sprintf("%q is no id of a replica; geranium status lists them", f.Arg(1))}
--- a/config/document.go
+++ b/config/document.go
@@ -51,7 +51,7 @@
 	if err := decoder.Decode(&c); err != nil {
 		return Config{}, &CheckError{Problems: []Problem{{
 			Place: "document", Text: err.Error(),
-			Remedy: "print the document with the configuration library instead of editing it by hand",
+			Remedy: "geranium schema prints the fields; print the document with the configuration library instead of editing it by hand",
 		}}}
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -230,6 +230,7 @@
 	t.run(exitUsage, "status", "extra")
 	t.run(exitUsage, "show", "first")
 	t.run(exitUsage, "-gateways", "", "status")
+	t.messages()
 	t.run(exitFailure, "check", t.path+".missing")
 	t.run(exitFailure, "-gateways", t.f.ip+":1", "status")
 	t.run(exitFailure, "-gateways", t.f.ip+":1", "apply", "-base", "3", t.path)
@@ -247,6 +248,31 @@
 	t.run(exitUnknown, "-gateways", lost+","+t.f.ip+":1", "submit", "-key", "plan-3", "-")
 }
 
+// messages checks the exit code and the remedy of wrong calls.
+func (t *tour) messages() {
+	for _, wrong := range []struct {
+		code      int
+		remedy    string
+		arguments []string
+	}{
+		{exitUsage, "see geranium help wait", []string{"wait"}},
+		{exitUsage, "use the form host:port", []string{"-gateways", "entry", "status"}},
+		{exitUsage, "use add, promote or remove", []string{"replica", "grow", "3"}},
+		{exitUsage, "needs -address and -domain", []string{"replica", "add", "9"}},
+		{exitUsage, "geranium history", []string{"rollback", "first"}},
+		{exitFailure, "correct the path", []string{"apply", "-base", "3", t.path + ".missing"}},
+		{exitFailure, "correct the path", []string{"submit", t.path + ".missing"}},
+		{exitFailure, "check that a gateway listens there", []string{"-gateways", t.f.ip + ":1", "history"}},
+		{exitConflict, "geranium diff", []string{"apply", "-base", "0", t.path}},
+		{exitRefused, "geranium schema prints the fields", []string{"check", "-"}},
+		{exitRefused, "geranium status for the names", []string{"drain", "no-such-worker"}},
+	} {
+		_, err := t.f.geranium([]byte(`{"format":1,"zones":[]}`), wrong.arguments...)
+		t.Expect(codeOf(err)).To(Equal(wrong.code), "geranium %v: %v", wrong.arguments, err)
+		t.Expect(err.Error()).To(ContainSubstring(wrong.remedy))
+	}
+}
+
 // withoutJob writes the example configuration without a job.
 func (t *tour) withoutJob(job string) string {
 	document, err := os.ReadFile(t.path)
--- a/operator/client.go
+++ b/operator/client.go
@@ -39,6 +39,9 @@
 // ErrNoGateway is returned when no gateway address is known.
 var ErrNoGateway = errors.New("no gateway address; set -gateways or GERANIUM_GATEWAYS to host:port[,host:port]")
 
+// ErrGatewayAddress is returned for a gateway address in another form.
+var ErrGatewayAddress = errors.New("no gateway address; use the form host:port, as in the setting listen of a gateway")
+
 // request is one call of the interface.
 type request struct {
 	method  string
@@ -57,6 +60,9 @@
 	}
 	var last, unresolved error
 	for _, gateway := range c.Gateways {
+		if _, _, err := net.SplitHostPort(gateway); err != nil {
+			return fmt.Errorf("%q: %w", gateway, ErrGatewayAddress)
+		}
 		last = c.send(ctx, gateway, r, out)
 		if last == nil || !worthAnother(last) {
 			return last
@@ -113,7 +119,7 @@
 	}
 	answer, err := c.HTTP.Do(httpRequest)
 	if err != nil {
-		return fmt.Errorf("gateway %s: %w; try another gateway with -gateways", gateway, err)
+		return fmt.Errorf("gateway %s: %w; check that a gateway listens there, or try another one with -gateways", gateway, err)
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
