--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -33,6 +33,7 @@
 		{"configuration", a.configCommands()},
 		{"work", a.workCommands()},
 		{"fleet", a.fleetCommands()},
+		{"keys", a.keyCommands()},
 	}
 }
 
