Let every daemon use mutual TLS

With the setting tls a daemon demands certificates on its internal listeners and presents its own; each endpoint admits the roles that need it, so a worker cannot call Step or ApplyConfig. A gateway keeps one port for callers and operators: the certificate is requested there and demanded on the operators' paths only. A second port was ruled out, since the load balancer and the firewall would need it on every entry host. plain_listen serves callers that cannot use TLS. The operator's name in the audit trail comes from the certificate, and a header with another name gets 403.

The first run of TestSecuredFleet found a deadlock: the gateway closed idle connections of workers under the lock that their end takes, so it answered 503 from the first reload on. They are closed outside of it now.

TestSecuredFleet (busy machine, about 100 requests/s while all certificates and the CA are replaced) loses no request. TestPlannedStopFinishesRequests and the tests of the touched packages pass.

--- a/cmd/geranium-gateway/settings.go
+++ b/cmd/geranium-gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"geraniumwall/daemon"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // defaultDrainMS is the time that a load balancer gets to notice readyz.
@@ -31,6 +32,11 @@
 	// DrainMS is the time in milliseconds between the first readyz answer 503 and
 	// the end of accepting connections. Requests in progress always finish.
 	DrainMS int64 `json:"drain_ms"`
+	// TLS secures all traffic of the process; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
+	// PlainListen is a second address, without TLS, for callers that cannot use it;
+	// empty for none. Operators are not served there.
+	PlainListen string `json:"plain_listen,omitempty"`
 }
 
 func defaultSettings() *settingsFile {
@@ -49,6 +55,13 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.TLS.Check(c, "tls")
+	if s.PlainListen != "" {
+		c.Address("plain_listen", s.PlainListen)
+	}
+	if s.PlainListen != "" && s.TLS == nil {
+		c.Add("plain_listen", "is set without tls", "remove it; without tls the address listen is plain")
+	}
 	c.Addresses("control", s.Control)
 	if len(s.Schedulers) == 0 {
 		c.Add("schedulers", "is empty", "list the schedulers of the own domain and of the others")
--- a/control/conn.go
+++ b/control/conn.go
@@ -9,8 +9,9 @@
 )
 
 // newHTTPClient returns a client that counts its traffic.
-func newHTTPClient(m *metrics) *http.Client {
+func newHTTPClient(m *metrics, keys *transport.Keys) *http.Client {
 	return transport.NewClient(transport.ClientOptions{
+		Keys: keys, Peers: []transport.Role{transport.RoleControl},
 		Wrap: func(c net.Conn) net.Conn { return &countingConn{Conn: c, metrics: m} },
 	})
 }
--- a/control/forming.go
+++ b/control/forming.go
@@ -51,12 +51,17 @@
 	findingJoined
 )
 
+func newStatusClient(keys *transport.Keys) *http.Client {
+	return transport.NewClient(transport.ClientOptions{
+		Timeout: formTimeout, Keys: keys, Peers: []transport.Role{transport.RoleControl},
+	})
+}
+
 // permitFirstStart waits until it is certain that no quorum of the replicas
 // remembers this one: the leader says so, or so many others have an empty log
 // that every quorum includes one of them.
-func permitFirstStart(ctx context.Context, s Settings, log zerolog.Logger) error {
+func permitFirstStart(ctx context.Context, s Settings, httpClient *http.Client, log zerolog.Logger) error {
 	needed := len(s.Replicas) - (len(s.Replicas)/2 + 1) + 1
-	httpClient := transport.NewClient(transport.ClientOptions{Timeout: formTimeout})
 	var logged time.Time
 	for {
 		empty := 0
--- a/control/run.go
+++ b/control/run.go
@@ -15,6 +15,7 @@
 	"geraniumwall/daemon"
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/transport"
 )
 
 const (
@@ -39,29 +40,33 @@
 	if _, err := daemon.ServeMetrics(ctx, s.MetricsListen, daemon.WithOTLP(s.OTLPEndpoint)); err != nil {
 		return err
 	}
+	keys, err := daemon.Keys(s.TLS, log)
+	if err != nil {
+		return err
+	}
 	handler := &switchHandler{}
 	handler.set(formingHandler(s))
-	server, err := daemon.Listen(ctx, s.Listen, handler)
+	server, err := daemon.ListenSecure(ctx, s.Listen, keys.Admit(admitted, handler), keys, transport.ClientsRequired)
 	if err != nil {
 		return err
 	}
 	server.Serve()
 	log = log.With().Str("name", s.Name).Uint64("replica", s.ReplicaID).Logger()
 	log.Info().Str("address", server.Address()).Msg("control replica is listening")
-	store, stored, err := OpenStorage(s, func() error { return permitFirstStart(ctx, s, log) })
+	store, stored, err := OpenStorage(s, func() error { return permitFirstStart(ctx, s, newStatusClient(keys), log) })
 	if err != nil {
 		return err
 	}
-	return errors.Join(runStored(ctx, s, log, store, stored, handler, server), store.Close())
+	return errors.Join(runStored(ctx, s, log, keys, store, stored, handler, server), store.Close())
 }
 
 func runStored(
-	ctx context.Context, s Settings, log zerolog.Logger,
+	ctx context.Context, s Settings, log zerolog.Logger, keys *transport.Keys,
 	store Storage, stored raft.Stored, handler *switchHandler, server *daemon.Server,
 ) error {
 	failed := make(chan error, 1)
 	replica, err := New(Options{
-		Settings: s, Storage: store, Stored: stored, Log: log,
+		Settings: s, Storage: store, Stored: stored, Log: log, Keys: keys,
 		Seed:  rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
 		Meter: otel.Meter(meterName),
 		Fatal: func(err error) { failed <- err },
--- a/control/server.go
+++ b/control/server.go
@@ -24,6 +24,7 @@
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/state"
+	"geraniumwall/transport"
 )
 
 const (
@@ -54,6 +55,8 @@
 	Storage  Storage
 	Stored   raft.Stored
 	Log      zerolog.Logger
+	// Keys secure the connections to other replicas; nil for no encryption.
+	Keys *transport.Keys
 	// Transport sends to other replicas; nil stands for HTTP.
 	Transport Transport
 	// Fatal is called with a failure after which the process must end; nil stands
@@ -123,7 +126,7 @@
 	}
 	s.metrics = m
 	if s.options.Transport == nil {
-		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m), s.reports)
+		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m, options.Keys), s.reports)
 	}
 	r, err := s.newReplica()
 	if err != nil {
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -249,7 +249,7 @@
 		defer cancel()
 		return permitFirstStart(ctx, Settings{ReplicaID: 1, Replicas: []ReplicaAddress{
 			{1, "127.0.0.1:1", "a"}, {2, answering(two), "b"}, {3, answering(three), "c"},
-		}}, zerolog.Nop())
+		}}, newStatusClient(nil), zerolog.Nop())
 	}
 	empty := func(id uint64) *controlpb.StatusResponse { return &controlpb.StatusResponse{Replica: id} }
 	member := func(id, match uint64, joined bool) *controlpb.ReplicaStatus {
--- a/control/settings.go
+++ b/control/settings.go
@@ -6,6 +6,7 @@
 	"geraniumwall/daemon"
 	"geraniumwall/raft"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // ReplicaAddress names one of the first replicas.
@@ -35,6 +36,8 @@
 	Replicas  []ReplicaAddress `json:"replicas"`
 	// SingleDomainOK permits a layout that the loss of one domain stops.
 	SingleDomainOK bool `json:"single_domain_ok"`
+	// TLS secures all traffic of the process; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
 }
 
 // Check reports every problem of the settings.
@@ -47,6 +50,7 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.TLS.Check(c, "tls")
 	if s.ReplicaID == 0 {
 		c.Add("replica_id", "is 0", "give each replica its own positive id")
 	}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"geraniumwall/fakeworker"
 	"geraniumwall/operator"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -38,6 +39,8 @@
 	services         []string
 	// cuttable puts a relay on every connection between domains.
 	cuttable bool
+	// secured gives every process keys; callers then use TLS too.
+	secured bool
 }
 
 var fleets atomic.Int32
@@ -56,6 +59,7 @@
 	links      map[string]*link // by the two domains in order of name
 	relays     []*relay
 	client     *operator.Client
+	keys       *fleetKeys
 }
 
 type address struct {
@@ -78,6 +82,8 @@
 	Metrics   string    `json:"metrics_listen"`
 	ReplicaID uint64    `json:"replica_id"`
 	Replicas  []replica `json:"replicas"`
+
+	TLS *transport.Settings `json:"tls,omitempty"`
 }
 
 type schedulerSettings struct {
@@ -87,6 +93,8 @@
 	Metrics string   `json:"metrics_listen"`
 	Control []string `json:"control"`
 	Peer    address  `json:"peer"`
+
+	TLS *transport.Settings `json:"tls,omitempty"`
 }
 
 type gatewaySettings struct {
@@ -96,6 +104,8 @@
 	Metrics    string    `json:"metrics_listen"`
 	Control    []string  `json:"control"`
 	Schedulers []address `json:"schedulers"`
+
+	TLS *transport.Settings `json:"tls,omitempty"`
 }
 
 // newFleet writes the settings of every process of a layout. Each fleet has a
@@ -108,6 +118,9 @@
 		schedulers: map[string][]*process{}, gateways: map[string][]*process{}, workers: map[string][]*process{},
 		addresses: map[string]string{}, links: map[string]*link{},
 	}
+	if err := f.makeKeys(); err != nil {
+		return nil, err
+	}
 	f.reserveAddresses()
 	if err := f.writeControls(); err != nil {
 		return nil, err
@@ -118,7 +131,7 @@
 		}
 	}
 	f.client = &operator.Client{Gateways: f.gatewayAddresses(), Operator: "e2e", HTTP: &http.Client{}}
-	return f, nil
+	return f, f.secureOperator()
 }
 
 func (f *fleet) reserve(name string) {
@@ -236,6 +249,7 @@
 		p, err := newProcess(f.dir, "geranium-control", name, controlSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
 			DataDir: filepath.Join(f.dir, name), ReplicaID: uint64(i + 1), Replicas: replicas,
+			TLS: f.keys.of(transport.RoleControl, name),
 		})
 		if err != nil {
 			return err
@@ -259,6 +273,7 @@
 		if err := f.add(f.schedulers, domain, "geranium-scheduler", name, schedulerSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name), Control: control,
 			Peer: address{Name: peer, Address: f.addresses[peer]},
+			TLS:  f.keys.of(transport.RoleScheduler, name),
 		}); err != nil {
 			return err
 		}
@@ -267,7 +282,7 @@
 		name := gatewayName(domain, i)
 		if err := f.add(f.gateways, domain, "geranium-gateway", name, gatewaySettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
-			Control: control, Schedulers: schedulers,
+			Control: control, Schedulers: schedulers, TLS: f.keys.of(transport.RoleGateway, name),
 		}); err != nil {
 			return err
 		}
@@ -281,6 +296,7 @@
 			Capacity:   workerapi.Resources{CPUMillis: 32_000, MemoryMB: 125_000},
 			Slots:      workerSlots, Connections: workerConns, Services: f.services,
 			RecordFile: filepath.Join(f.dir, name+".record"), ReportLagMS: workerReportLagMS,
+			TLS: f.keys.of(transport.RoleWorker, name),
 		}); err != nil {
 			return err
 		}
@@ -315,21 +331,21 @@
 		}
 	}
 	for _, gateway := range f.gatewayAddresses() {
-		if err := waitHealthy(ctx, gateway); err != nil {
+		if err := f.waitHealthy(ctx, gateway); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func waitHealthy(ctx context.Context, gateway string) error {
+func (f *fleet) waitHealthy(ctx context.Context, gateway string) error {
 	deadline := time.Now().Add(readyTimeout)
 	for {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+"/healthz", nil)
 		if err != nil {
 			return err
 		}
-		answer, err := http.DefaultClient.Do(request)
+		answer, err := f.keys.caller().Do(request)
 		if err == nil {
 			answer.Body.Close()
 			if answer.StatusCode == http.StatusOK {
@@ -358,8 +374,8 @@
 
 // geranium runs the operator command against all gateways of the fleet.
 func (f *fleet) geranium(stdin []byte, arguments ...string) (string, error) {
-	command := exec.Command(binaryPath("geranium"),
-		append([]string{"-gateways", strings.Join(f.gatewayAddresses(), ","), "-operator", "e2e"}, arguments...)...)
+	global := append([]string{"-gateways", strings.Join(f.gatewayAddresses(), ","), "-operator", "e2e"}, f.operatorFlags()...)
+	command := exec.Command(binaryPath("geranium"), append(global, arguments...)...)
 	command.Stdin = bytes.NewReader(stdin)
 	var out, problems bytes.Buffer
 	command.Stdout, command.Stderr = &out, &problems
--- a/fakeworker/settings.go
+++ b/fakeworker/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -36,6 +37,8 @@
 	Slowdown   *Slowdown `json:"slowdown,omitempty"`
 	// ReportLagMS delays the measurements of services.
 	ReportLagMS int64 `json:"report_lag_ms"`
+	// TLS secures all traffic of the worker; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
 }
 
 const (
@@ -59,6 +62,7 @@
 	c.Required("domain", s.Domain)
 	c.Address("listen", s.Listen)
 	c.Addresses("schedulers", s.Schedulers)
+	s.TLS.Check(c, "tls")
 	c.Positive("capacity.cpu_millis", s.Capacity.CPUMillis)
 	c.Positive("capacity.memory_mb", s.Capacity.MemoryMB)
 	if s.Slots < 0 || s.Slots > s.Connections {
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -45,22 +45,37 @@
 	senders map[string]*delta.Sender
 }
 
+// admitted says which roles may call which path.
+var admitted = transport.Rules{
+	workerapi.PathAttach:     {transport.RoleScheduler},
+	workerapi.PathStart:      {transport.RoleScheduler},
+	workerapi.PathStop:       {transport.RoleScheduler},
+	workerapi.PathThrottle:   {transport.RoleScheduler},
+	workerapi.PathCheckpoint: {transport.RoleScheduler},
+	workerapi.PathServe:      {transport.RoleGateway},
+}
+
 // New binds the address and opens the record file. Run starts to work.
 func New(s *Settings, log zerolog.Logger) (*Worker, error) {
 	record, err := openRecorder(s.RecordFile)
 	if err != nil {
 		return nil, err
 	}
+	keys, err := daemon.Keys(s.TLS, log)
+	if err != nil {
+		return nil, err
+	}
 	w := &Worker{
 		settings: s, incarnation: uuid.NewString(), boot: time.Now(), log: log, record: record,
-		http:   transport.NewClient(transport.ClientOptions{}),
+		http:   transport.NewClient(transport.ClientOptions{Keys: keys, Peers: []transport.Role{transport.RoleScheduler}}),
 		wake:   make(chan struct{}, 1),
 		meters: map[string]*meter{}, senders: map[string]*delta.Sender{},
 	}
 	w.machine = machine.New(machine.Settings{
 		Name: s.Name, Incarnation: w.incarnation, Capacity: s.Capacity, Slots: s.Slots,
 	}, w.recordTask)
-	w.server, err = daemon.Listen(context.Background(), s.Listen, w.routes())
+	w.server, err = daemon.ListenSecure(
+		context.Background(), s.Listen, keys.Admit(admitted, w.routes()), keys, transport.ClientsRequired)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -87,7 +87,7 @@
 		book := routing.NewBook()
 		book.Receive(set)
 		usable := book.Usable(time.Second)
-		newWorkerTransport().limit(usable)
+		newWorkerTransport(nil).limit(usable)
 		b.apply(usable)
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,8 @@
 	Meter       metric.Meter
 	// Seed seeds the random choices of routing.
 	Seed uint64
+	// Keys secure the connections to the other processes; nil for no encryption.
+	Keys *transport.Keys
 	// Operator serves /v1/operator/; nil leaves the path unserved.
 	Operator http.Handler
 }
@@ -87,12 +89,14 @@
 		return nil, err
 	}
 	g := &Gateway{options: o, log: o.Log, clock: o.Clock, metrics: m, drained: make(chan struct{})}
-	internal := transport.NewClient(transport.ClientOptions{})
+	internal := transport.NewClient(transport.ClientOptions{
+		Keys: o.Keys, Peers: []transport.Role{transport.RoleControl, transport.RoleScheduler},
+	})
 	g.control = client.New(o.Control, internal)
 	g.follower = client.NewFollower(g.control, client.Identity{Process: o.Name, Kind: "gateway", Domain: o.Domain})
 	g.balancer = newBalancer(o.Domain, rand.NewPCG(o.Seed, uint64(len(o.Name))), o.Clock, g.askOtherDomains)
 	g.buffers = semaphore.NewWeighted(bufferedMost)
-	g.workers = newWorkerTransport()
+	g.workers = newWorkerTransport(o.Keys)
 	g.submitter = newSubmitter(g.control, func() uint64 { return g.settings.Load().version })
 	g.settings.Store(newServiceTable(nil, m))
 	g.owner = newOwner(g)
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumwall/routing"
+	"geraniumwall/transport"
 )
 
 const (
@@ -22,6 +23,7 @@
 // worker than its grant permits.
 type workerTransport struct {
 	dialer net.Dialer
+	keys   *transport.Keys
 
 	mu      sync.Mutex
 	workers map[string]*workerConnections
@@ -36,11 +38,34 @@
 	changed chan struct{}
 }
 
-func newWorkerTransport() *workerTransport {
-	return &workerTransport{
+func newWorkerTransport(keys *transport.Keys) *workerTransport {
+	t := &workerTransport{
 		dialer:  net.Dialer{Timeout: dialTimeout},
+		keys:    keys,
 		workers: map[string]*workerConnections{},
 	}
+	keys.OnChange(t.renew)
+	return t
+}
+
+// renew makes new connections present the new certificate. Requests in progress
+// finish on the connections of the former transports, which close after them.
+func (t *workerTransport) renew() {
+	for _, former := range t.exchange() {
+		former.CloseIdleConnections()
+	}
+}
+
+// exchange returns the former transports. The caller closes their connections,
+// since the end of a connection takes the lock.
+func (t *workerTransport) exchange() (former []*http.Transport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.workers {
+		former = append(former, c.http)
+		c.http = t.newTransport()
+	}
+	return former
 }
 
 // newTransport returns the HTTP transport of one worker. All connections may stay
@@ -60,17 +85,17 @@
 // roundTrip sends a request to the worker at its URL.
 func (t *workerTransport) roundTrip(r *http.Request) (*http.Response, error) {
 	t.mu.Lock()
-	transport := t.worker(r.URL.Host).http
+	via := t.worker(r.URL.Host).http
 	t.mu.Unlock()
-	return transport.RoundTrip(r)
+	return via.RoundTrip(r)
 }
 
 // limit puts the granted numbers of connections in force. A worker with more open
 // than granted loses its idle connections; those in use are closed by a later call,
 // once they are idle.
 func (t *workerTransport) limit(grants []routing.Grant) {
-	for _, transport := range t.setLimits(grants) {
-		transport.CloseIdleConnections()
+	for _, exceeded := range t.setLimits(grants) {
+		exceeded.CloseIdleConnections()
 	}
 }
 
@@ -126,7 +151,7 @@
 	if err := t.reserve(ctx, address); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 	}
-	conn, err := t.dialer.DialContext(ctx, network, address)
+	conn, err := t.connect(ctx, network, address)
 	if err != nil {
 		t.unreserve(address)
 		return nil, err
@@ -134,6 +159,14 @@
 	return &countedConn{Conn: conn, closed: func() { t.unreserve(address) }}, nil
 }
 
+func (t *workerTransport) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := t.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return t.keys.Handshake(ctx, conn, transport.ProtocolHTTP1, []transport.Role{transport.RoleWorker})
+}
+
 func (t *workerTransport) reserve(ctx context.Context, address string) error {
 	// The dial of a request that took another connection goes on without it, so the
 	// wait needs a bound of its own.
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -91,9 +91,9 @@
 }
 
 func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
-	operator := r.Header.Get(HeaderOperator)
-	if operator == "" {
-		writeProblem(w, badInput(HeaderOperator, "name the operator in the header "+HeaderOperator))
+	operator, err := operatorOf(r)
+	if err != nil {
+		writeProblem(w, err)
 		return
 	}
 	worker := r.PathValue("worker")
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -68,7 +68,7 @@
 	mux.HandleFunc("GET "+Prefix+"explain/{subject}", s.explain)
 	mux.HandleFunc("POST "+Prefix+"drain/{worker}", s.drain)
 	mux.HandleFunc("POST "+Prefix+"replica/{change}", s.changeReplica)
-	return mux
+	return refuseOtherNames(mux)
 }
 
 func (s *Server) getConfig(w http.ResponseWriter, r *http.Request) {
@@ -136,9 +136,9 @@
 	if id == "" {
 		return nil, badInput("change", "send an id of your own and repeat it when you resend the change")
 	}
-	author := r.Header.Get(HeaderOperator)
-	if author == "" {
-		return nil, badInput(HeaderOperator, "name the operator in the header "+HeaderOperator)
+	author, err := operatorOf(r)
+	if err != nil {
+		return nil, err
 	}
 	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
 	if err != nil {
--- /dev/null
+++ b/schedulerd/admit.go
@@ -0,0 +1,17 @@
+package schedulerd
+
+import (
+	"geraniumwall/rpc/schedulerpb"
+	"geraniumwall/transport"
+	"geraniumwall/workerapi"
+)
+
+// admitted says which roles may call which path. Operators call the gateways.
+var admitted = transport.Rules{
+	workerapi.PathHeartbeat: {transport.RoleWorker},
+	workerapi.PathWithdraw:  {transport.RoleWorker},
+
+	schedulerpb.SchedulerPathPrefix: {transport.RoleGateway},
+
+	schedulerpb.SchedulerPathPrefix + "RenewSchedulerLease": {transport.RoleScheduler},
+}
--- a/schedulerd/commands.go
+++ b/schedulerd/commands.go
@@ -39,9 +39,10 @@
 	others   chan struct{}
 }
 
-func newCommander(ctx context.Context, m *metrics) *commander {
+func newCommander(ctx context.Context, m *metrics, keys *transport.Keys) *commander {
+	workers := transport.ClientOptions{Keys: keys, Peers: []transport.Role{transport.RoleWorker}}
 	return &commander{
-		ctx: ctx, http: transport.NewCommandClient(transport.ClientOptions{}), metrics: m,
+		ctx: ctx, http: transport.NewCommandClient(workers), metrics: m,
 		starts: make(chan struct{}, startsAtOnce), stops: make(chan struct{}, stopsAtOnce),
 		attaches: make(chan struct{}, attachesAtOnce), others: make(chan struct{}, othersAtOnce),
 	}
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -52,15 +52,19 @@
 	if err != nil {
 		return nil, err
 	}
+	keys, err := daemon.Keys(settings.TLS, log)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{settings: settings, log: log, ctx: ctx, cancel: cancel}
 	mux := http.NewServeMux()
-	s.http, err = daemon.Listen(ctx, settings.Listen, mux)
+	s.http, err = daemon.ListenSecure(ctx, settings.Listen, keys.Admit(admitted, mux), keys, transport.ClientsRequired)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	s.assemble(mux, m, engine)
+	s.assemble(mux, m, engine, keys)
 	if err := observe(s.loop); err != nil {
 		cancel()
 		return nil, err
@@ -68,16 +72,18 @@
 	return s, nil
 }
 
-func (s *Server) assemble(mux *http.ServeMux, m *metrics, engine policy.Engine) {
+func (s *Server) assemble(mux *http.ServeMux, m *metrics, engine policy.Engine, keys *transport.Keys) {
 	clk := clock{start: time.Now()}
 	identity := s.settings.Name + "#" + uuid.NewString()[:8]
 	core := scheduler.New(clk.now(), scheduler.Settings{
 		Name: s.settings.Name, Identity: identity, Domain: s.settings.Domain,
 	}, engine)
-	s.commander = newCommander(s.ctx, m)
+	s.commander = newCommander(s.ctx, m, keys)
 	s.loop = newLoop(&owner{core: core, clock: clk, perform: s.perform})
 	s.commander.loop = s.loop
-	httpClient := transport.NewClient(transport.ClientOptions{})
+	httpClient := transport.NewClient(transport.ClientOptions{
+		Keys: keys, Peers: []transport.Role{transport.RoleControl, transport.RoleScheduler},
+	})
 	replicas := client.New(s.settings.Control, httpClient)
 	s.follower = client.NewFollower(replicas, client.Identity{
 		Process: s.settings.Name, Kind: "scheduler", Domain: s.settings.Domain,
--- a/schedulerd/settings.go
+++ b/schedulerd/settings.go
@@ -3,6 +3,7 @@
 import (
 	"geraniumwall/daemon"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // Peer is the other scheduler of the domain.
@@ -25,6 +26,8 @@
 	Control []string `json:"control"`
 	// Peer may be omitted where a domain has one scheduler.
 	Peer *Peer `json:"peer,omitempty"`
+	// TLS secures all traffic of the process; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
 }
 
 // Defaults returns the settings before the file is read.
@@ -41,6 +44,7 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.TLS.Check(c, "tls")
 	c.Addresses("control", s.Control)
 	if s.Peer == nil {
 		return
