--- a/cmd/geranium-gateway/settings.go
+++ b/cmd/geranium-gateway/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/settings"
 	"geraniumwall/transport"
 )
@@ -37,6 +38,8 @@
 	// PlainListen is a second address, without TLS, for callers that cannot use it;
 	// empty for none. Operators are not served there.
 	PlainListen string `json:"plain_listen,omitempty"`
+	// Membership may be omitted; the gateway then knows the schedulers listed here only.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 func defaultSettings() *settingsFile {
@@ -63,6 +66,7 @@
 		c.Add("plain_listen", "is set without tls", "remove it; without tls the address listen is plain")
 	}
 	c.Addresses("control", s.Control)
+	s.Membership.Check(c)
 	if len(s.Schedulers) == 0 {
 		c.Add("schedulers", "is empty", "list the schedulers of the own domain and of the others")
 	}
--- a/control/run.go
+++ b/control/run.go
@@ -13,8 +13,11 @@
 	"go.opentelemetry.io/otel"
 
 	"geraniumwall/daemon"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/transport"
 )
 
@@ -75,6 +78,14 @@
 		return err
 	}
 	handler.set(replica.Handler())
+	members, err := gossip.Join(ctx, s.Membership, membership.Member{
+		Name: s.Name, Kind: membership.KindControl, Domain: s.Domain, Address: server.Address(),
+	}, log)
+	if err != nil {
+		replica.Stop()
+		return err
+	}
+	defer members.Stop()
 	log.Info().Uint64("term", stored.HardState.Term).Int("entries", len(stored.Entries)).Msg("control replica is running")
 	select {
 	case <-ctx.Done():
@@ -104,5 +115,5 @@
 func formingHandler(s Settings) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(controlpb.ControlPathPrefix, controlpb.NewControlServer(forming{replica: s.ReplicaID}))
-	return mux
+	return protocol.Handler(mux)
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/raft"
 	"geraniumwall/settings"
 	"geraniumwall/transport"
@@ -38,6 +39,9 @@
 	SingleDomainOK bool `json:"single_domain_ok"`
 	// TLS secures all traffic of the process; nil for none.
 	TLS *transport.Settings `json:"tls,omitempty"`
+	// Membership may be omitted; the other processes then need this replica in
+	// their settings.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 // Check reports every problem of the settings.
@@ -51,6 +55,7 @@
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
 	s.TLS.Check(c, "tls")
+	s.Membership.Check(c)
 	if s.ReplicaID == 0 {
 		c.Add("replica_id", "is 0", "give each replica its own positive id")
 	}
--- a/control/transport.go
+++ b/control/transport.go
@@ -8,6 +8,7 @@
 
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/transport"
 )
 
@@ -109,7 +110,7 @@
 
 func (t *httpTransport) run(ctx context.Context, p *peer) {
 	defer t.group.Done()
-	stub := controlpb.NewReplicaProtobufClient(transport.URL(p.address), t.client)
+	stub := controlpb.NewReplicaProtobufClient(transport.URL(p.address), t.client, protocol.Client())
 	for {
 		select {
 		case <-ctx.Done():
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"geraniumwall/fakeworker"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/operator"
 	"geraniumwall/transport"
 	"geraniumwall/workerapi"
@@ -21,6 +22,8 @@
 const (
 	firstPort     = 21000
 	metricsSuffix = "/metrics"
+	gossipSuffix  = "/gossip"
+	keyFile       = "gossip.key"
 	readyTimeout  = 20 * time.Second
 	readyInterval = 50 * time.Millisecond
 	workerSlots   = 8
@@ -41,6 +44,12 @@
 	cuttable bool
 	// secured gives every process keys; callers then use TLS too.
 	secured bool
+	// binaries is the directory of the version that the fleet starts with; empty for
+	// this one.
+	binaries string
+	// membership makes the processes find each other: the settings of a gateway list
+	// one control replica and one scheduler only.
+	membership bool
 }
 
 var fleets atomic.Int32
@@ -83,7 +92,8 @@
 	ReplicaID uint64    `json:"replica_id"`
 	Replicas  []replica `json:"replicas"`
 
-	TLS *transport.Settings `json:"tls,omitempty"`
+	TLS        *transport.Settings  `json:"tls,omitempty"`
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 type schedulerSettings struct {
@@ -94,7 +104,8 @@
 	Control []string `json:"control"`
 	Peer    address  `json:"peer"`
 
-	TLS *transport.Settings `json:"tls,omitempty"`
+	TLS        *transport.Settings  `json:"tls,omitempty"`
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 type gatewaySettings struct {
@@ -105,7 +116,8 @@
 	Control    []string  `json:"control"`
 	Schedulers []address `json:"schedulers"`
 
-	TLS *transport.Settings `json:"tls,omitempty"`
+	TLS        *transport.Settings  `json:"tls,omitempty"`
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 // newFleet writes the settings of every process of a layout. Each fleet has a
@@ -122,6 +134,9 @@
 		return nil, err
 	}
 	f.reserveAddresses()
+	if err := os.WriteFile(filepath.Join(dir, keyFile), []byte(strings.Repeat("secret of a test ", 2)), 0o600); err != nil {
+		return nil, err
+	}
 	if err := f.writeControls(); err != nil {
 		return nil, err
 	}
@@ -139,6 +154,19 @@
 	f.addresses[name] = fmt.Sprintf("%s:%d", f.ip, f.port)
 	f.port++
 	f.addresses[name+metricsSuffix] = fmt.Sprintf("%s:%d", f.ip, f.port)
+	f.port++
+	f.addresses[name+gossipSuffix] = fmt.Sprintf("%s:%d", f.ip, f.port)
+}
+
+// join returns the membership settings of a process; nil where there are none.
+func (f *fleet) join(name string) *gossip.JoinSettings {
+	if !f.membership {
+		return nil
+	}
+	return &gossip.JoinSettings{
+		Listen: f.addresses[name+gossipSuffix], KeyFile: filepath.Join(f.dir, keyFile),
+		Seeds: []string{f.addresses[controlName(0)+gossipSuffix], f.addresses[controlName(1)+gossipSuffix]},
+	}
 }
 
 // metrics is the address of the metrics of a process.
@@ -249,7 +277,7 @@
 		p, err := newProcess(f.dir, "geranium-control", name, controlSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
 			DataDir: filepath.Join(f.dir, name), ReplicaID: uint64(i + 1), Replicas: replicas,
-			TLS: f.keys.of(transport.RoleControl, name),
+			TLS: f.keys.of(transport.RoleControl, name), Membership: f.join(name),
 		})
 		if err != nil {
 			return err
@@ -273,16 +301,20 @@
 		if err := f.add(f.schedulers, domain, "geranium-scheduler", name, schedulerSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name), Control: control,
 			Peer: address{Name: peer, Address: f.addresses[peer]},
-			TLS:  f.keys.of(transport.RoleScheduler, name),
+			TLS:  f.keys.of(transport.RoleScheduler, name), Membership: f.join(name),
 		}); err != nil {
 			return err
 		}
 	}
+	if f.membership {
+		control = control[:1]
+		schedulers = []address{{Name: schedulerName(domain, 0), Domain: domain, Address: f.addresses[schedulerName(domain, 0)]}}
+	}
 	for i := range f.gatewaysPer {
 		name := gatewayName(domain, i)
 		if err := f.add(f.gateways, domain, "geranium-gateway", name, gatewaySettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
-			Control: control, Schedulers: schedulers, TLS: f.keys.of(transport.RoleGateway, name),
+			Control: control, Schedulers: schedulers, TLS: f.keys.of(transport.RoleGateway, name), Membership: f.join(name),
 		}); err != nil {
 			return err
 		}
@@ -326,6 +358,7 @@
 // start starts every process and waits until each gateway is ready.
 func (f *fleet) start(ctx context.Context) error {
 	for _, p := range f.all() {
+		p.binaries = f.binaries
 		if err := p.start(); err != nil {
 			return err
 		}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -36,6 +36,8 @@
 	faultLoseCall
 	// faultLoseAnswer takes effect and answers an internal error.
 	faultLoseAnswer
+	// faultNoLeader answers as a replica without a leader.
+	faultNoLeader
 )
 
 // fakeControl is a linearizable control service in memory.
@@ -72,6 +74,8 @@
 		return nil
 	case faultRefuse:
 		return twirp.NewError(twirp.FailedPrecondition, "refused").WithMeta("outcome", "not_run")
+	case faultNoLeader:
+		return twirp.NewError(twirp.Unavailable, "no leader").WithMeta("outcome", "not_run")
 	default:
 		return twirp.NewError(twirp.Unavailable, "lost")
 	}
@@ -160,6 +164,7 @@
 // fakeScheduler answers every sync with the grants that are set.
 type fakeScheduler struct {
 	schedulerpb.Scheduler
+	name     string
 	mu       sync.Mutex
 	grants   []*schedulerpb.Grant
 	leaving  []string
@@ -174,7 +179,11 @@
 	if s.onSync != nil {
 		s.onSync(s)
 	}
-	return &schedulerpb.SyncGrantsResponse{Scheduler: "s", Grants: s.grants, Leaving: s.leaving}, nil
+	return &schedulerpb.SyncGrantsResponse{Scheduler: s.name, Grants: s.grants, Leaving: s.leaving}, nil
+}
+
+func (s *fakeScheduler) GetConfig(context.Context, *schedulerpb.GetConfigRequest) (*schedulerpb.GetConfigResponse, error) {
+	return &schedulerpb.GetConfigResponse{}, nil
 }
 
 func (s *fakeScheduler) set(leaving []string, grants ...*schedulerpb.Grant) {
@@ -300,7 +309,7 @@
 
 func newRigWith(control *fakeControl, name string, grants ...*schedulerpb.Grant) *rig {
 	r := &rig{
-		control: control, scheduler: &fakeScheduler{grants: grants}, remote: &fakeScheduler{},
+		control: control, scheduler: &fakeScheduler{name: "s1", grants: grants}, remote: &fakeScheduler{name: "s2"},
 		clock: &fakeClock{start: time.Now()},
 	}
 	g, err := New(Options{
--- a/schedulerd/admit.go
+++ b/schedulerd/admit.go
@@ -14,4 +14,5 @@
 	schedulerpb.SchedulerPathPrefix: {transport.RoleGateway},
 
 	schedulerpb.SchedulerPathPrefix + "RenewSchedulerLease": {transport.RoleScheduler},
+	schedulerpb.SchedulerPathPrefix + "GetConfig":           {transport.RoleGateway, transport.RoleScheduler},
 }
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -14,7 +14,10 @@
 
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/policy"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
 	"geraniumwall/transport"
@@ -59,7 +62,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{settings: settings, log: log, ctx: ctx, cancel: cancel}
 	mux := http.NewServeMux()
-	s.http, err = daemon.ListenSecure(ctx, settings.Listen, keys.Admit(admitted, mux), keys, transport.ClientsRequired)
+	handler := keys.Admit(admitted, protocol.Handler(mux))
+	s.http, err = daemon.ListenSecure(ctx, settings.Listen, handler, keys, transport.ClientsRequired)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -87,7 +91,7 @@
 	replicas := client.New(s.settings.Control, httpClient)
 	s.follower = client.NewFollower(replicas, client.Identity{
 		Process: s.settings.Name, Kind: "scheduler", Domain: s.settings.Domain,
-	})
+	}, s.domainSources(httpClient)...)
 	s.follower.OnChange(func(c *client.Snapshot) {
 		s.loop.send(func(now time.Duration, core *scheduler.Core) { core.SetConfig(now, c.Version, c.Config) })
 	})
@@ -100,11 +104,20 @@
 	refusals := s.log.Sample(&zerolog.BurstSampler{Burst: refusalsLogged, Period: time.Second})
 	(&workerHandler{loop: s.loop, metrics: m, log: refusals, receivers: newReceivers()}).register(mux)
 	handler := schedulerpb.NewSchedulerServer(&service{
-		settings: s.settings, loop: s.loop, follower: s.follower, metrics: m,
+		settings: s.settings, loop: s.loop, follower: s.follower, metrics: m, answers: newAnswers(identity),
 	})
 	mux.Handle(handler.PathPrefix(), handler)
 }
 
+// domainSources is the other scheduler of the domain. Gateways offer theirs with a
+// sync.
+func (s *Server) domainSources(httpClient *http.Client) []client.Source {
+	if s.settings.Peer == nil {
+		return nil
+	}
+	return []client.Source{client.SchedulerSource(s.settings.Peer.Address, httpClient)}
+}
+
 // Address is the bound address.
 func (s *Server) Address() string { return s.http.Address() }
 
@@ -138,6 +151,15 @@
 	renewals, endRenewals := context.WithCancel(s.ctx)
 	defer endRenewals()
 	s.http.Serve()
+	members, err := gossip.Join(ctx, s.settings.Membership, membership.Member{
+		Name: s.settings.Name, Kind: membership.KindScheduler, Domain: s.settings.Domain, Address: s.Address(),
+	}, s.log)
+	if err != nil {
+		return err
+	}
+	defer members.Stop()
+	s.peer.members.Store(members)
+	s.control.client.Discover(members.AddressesOf(membership.KindControl))
 	go s.tick()
 	go s.follower.Run(s.ctx)
 	go s.control.renewEvery(renewals)
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	"geraniumwall/control/client"
+	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
 )
@@ -23,6 +24,7 @@
 	loop     *loop
 	follower *client.Follower
 	metrics  *metrics
+	answers  *answers
 }
 
 func (s *service) step(ctx context.Context, run func(now time.Duration, core *scheduler.Core)) error {
@@ -34,14 +36,20 @@
 
 // SyncGrants returns the grants of a gateway.
 func (s *service) SyncGrants(ctx context.Context, r *schedulerpb.SyncGrantsRequest) (*schedulerpb.SyncGrantsResponse, error) {
-	s.follower.Notice(r.GetConfigVersion())
+	s.learnConfig(r)
 	if r.GetGateway() == "" || r.GetIncarnation() == "" {
 		return nil, twirp.RequiredArgumentError("gateway and incarnation")
 	}
+	whole, held := s.answers.restore(r)
+	if !held {
+		return &schedulerpb.SyncGrantsResponse{
+			Scheduler: s.settings.Name, SendWhole: true, ConfigVersion: s.follower.Current().Version,
+		}, nil
+	}
 	var answer scheduler.GrantAnswer
 	var refused error
 	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
-		answer, refused = core.SyncGrants(now, grantSync(r))
+		answer, refused = core.SyncGrants(now, grantSync(whole))
 	})
 	if err != nil {
 		return nil, err
@@ -57,7 +65,28 @@
 		response.Grants = append(response.Grants, grantMessage(s.settings.Domain, g))
 	}
 	s.metrics.sync(ctx, len(response.Grants))
-	return response, nil
+	return s.answers.shorten(s.loop.clock.now(), whole, response), nil
+}
+
+// learnConfig takes the configuration of a gateway that has a newer one, which it
+// sends if this scheduler has not got it from a control replica in time.
+func (s *service) learnConfig(r *schedulerpb.SyncGrantsRequest) {
+	if len(r.GetConfig()) > 0 {
+		err := s.follower.Adopt(&controlpb.ConfigVersion{Version: r.GetConfigVersion(), Content: r.GetConfig()})
+		if err == nil {
+			return
+		}
+	}
+	s.follower.Notice(r.GetConfigVersion())
+}
+
+// GetConfig returns the configuration in force here if it is newer.
+func (s *service) GetConfig(_ context.Context, r *schedulerpb.GetConfigRequest) (*schedulerpb.GetConfigResponse, error) {
+	current := s.follower.Current()
+	if current.Version <= r.GetKnownVersion() {
+		return &schedulerpb.GetConfigResponse{}, nil
+	}
+	return &schedulerpb.GetConfigResponse{Version: current.Version, Content: current.Content}, nil
 }
 
 // RenewSchedulerLease grants the active scheduler a lease.
--- a/schedulerd/settings.go
+++ b/schedulerd/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/settings"
 	"geraniumwall/transport"
 )
@@ -28,6 +29,8 @@
 	Peer *Peer `json:"peer,omitempty"`
 	// TLS secures all traffic of the process; nil for none.
 	TLS *transport.Settings `json:"tls,omitempty"`
+	// Membership may be omitted; gateways then need this scheduler in their settings.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 // Defaults returns the settings before the file is read.
@@ -46,6 +49,7 @@
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
 	s.TLS.Check(c, "tls")
 	c.Addresses("control", s.Control)
+	s.Membership.Check(c)
 	if s.Peer == nil {
 		return
 	}
