Speak HTTP/1.1 to peers of the released version

The released version 1 accepts HTTP/1.1 only, and a client with prior knowledge cannot find that out, so a fleet could not be upgraded one process at a time. A client now begins with HTTP/1.1, asks in a header, and uses HTTP/2 after the first answer; a failed call makes it ask again, since the peer may have been taken back to the released version. Reading the protocol error of the failed HTTP/2 connection was ruled out: net/http does not give it a type. With keys ALPN decides and nothing is asked.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -47,32 +47,36 @@
 	Wrap func(net.Conn) net.Conn
 }
 
-// NewClient returns a client of the system's own processes. It speaks HTTP/2 with
-// prior knowledge, so all calls to a peer share a connection and its header
-// compression.
+// NewClient returns a client of the system's own processes. It speaks HTTP/2, so
+// all calls to a peer share a connection and its header compression. Without keys
+// it begins with HTTP/1.1, for peers of the released version 1.
 func NewClient(o ClientOptions) *http.Client {
-	return newClient(o, func() *http.Transport {
+	second := newExchangeable(o.Keys, func() *http.Transport {
 		t := newTransport(o, ProtocolHTTP2)
 		t.Protocols.SetUnencryptedHTTP2(true)
 		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: sendPing, PingTimeout: pingTimeout}
 		return t
 	})
+	if o.Keys != nil {
+		return &http.Client{Transport: second, Timeout: o.Timeout}
+	}
+	return &http.Client{Transport: &learning{first: newTransport1(o), second: second}, Timeout: o.Timeout}
 }
 
 // NewCommandClient returns a client of the commands to workers. It speaks HTTP/1.1,
 // which is all that a worker has to serve.
 func NewCommandClient(o ClientOptions) *http.Client {
-	return newClient(o, func() *http.Transport {
+	return &http.Client{Transport: newTransport1(o), Timeout: o.Timeout}
+}
+
+func newTransport1(o ClientOptions) http.RoundTripper {
+	return newExchangeable(o.Keys, func() *http.Transport {
 		t := newTransport(o, ProtocolHTTP1)
 		t.Protocols.SetHTTP1(true)
 		return t
 	})
 }
 
-func newClient(o ClientOptions, f func() *http.Transport) *http.Client {
-	return &http.Client{Transport: newExchangeable(o.Keys, f), Timeout: o.Timeout}
-}
-
 func newTransport(o ClientOptions, protocol string) *http.Transport {
 	return &http.Transport{
 		Protocols:           new(http.Protocols),
@@ -91,7 +95,7 @@
 // callers, load balancers and the system's own processes can use one port.
 func NewServer(handler http.Handler) *http.Server {
 	s := &http.Server{
-		Handler:           handler,
+		Handler:           announce(handler),
 		Protocols:         new(http.Protocols),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ReadHeaderTimeout: readHeaderTimeout,
