--- a/control/admit.go
+++ b/control/admit.go
@@ -15,6 +15,7 @@
 	"ApplyConfig":   {transport.RoleGateway},
 	"ListConfigs":   {transport.RoleGateway},
 	"ListAudit":     {transport.RoleGateway},
+	"DrainWorker":   {transport.RoleGateway},
 	"ChangeMembers": {transport.RoleGateway},
 	"GetConfig":     {transport.RoleGateway, transport.RoleScheduler},
 	"RenewLease":    {transport.RoleScheduler},
--- a/control/server.go
+++ b/control/server.go
@@ -127,7 +127,8 @@
 	}
 	s.metrics = m
 	if s.options.Transport == nil {
-		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m, options.Keys), s.reports)
+		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m, options.Keys), s.reports,
+			func() { s.send(&removal{}) })
 	}
 	r, err := s.newReplica()
 	if err != nil {
--- a/formats/newer_test.go
+++ b/formats/newer_test.go
@@ -41,12 +41,12 @@
 func TestNewerStateIsRefused(t *testing.T) {
 	Expect := NewWithT(t).Expect
 	command, err := state.Encode(&statepb.Command{
-		Format: 2, Kind: &statepb.Command_ReplicaJoined{ReplicaJoined: &statepb.ReplicaJoined{Id: 1}},
+		Format: state.Format + 1, Kind: &statepb.Command_ReplicaJoined{ReplicaJoined: &statepb.ReplicaJoined{Id: 1}},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	_, err = state.Decode(command)
 	Expect(err).To(MatchError(ContainSubstring("upgrade this replica")))
-	snapshot, err := state.EncodeSnapshot(&statepb.Snapshot{Format: 2})
+	snapshot, err := state.EncodeSnapshot(&statepb.Snapshot{Format: state.Format + 1})
 	Expect(err).NotTo(HaveOccurred())
 	_, err = state.Restore(snapshot)
 	Expect(err).To(MatchError(ContainSubstring("upgrade this replica")))
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumwall/control/client"
@@ -64,11 +65,13 @@
 	result.Role, result.Epoch = answer.GetRole(), answer.GetEpoch()
 	result.Waiting, result.Running = answer.GetWaiting(), answer.GetRunning()
 	result.ConfigVersion = answer.GetConfigVersion()
+	result.SchedulerLeaseMS, result.DomainLeaseMS = answer.GetSchedulerLeaseMs(), answer.GetDomainLeaseMs()
 	for _, w := range answer.GetWorkers() {
 		result.Workers = append(result.Workers, WorkerStatus{
 			Worker: w.GetWorker(), Rack: w.GetRack(), State: w.GetState(),
 			FreeCPUMillis: w.GetFreeCpuMillis(), FreeMemoryMB: w.GetFreeMemoryMb(), FreeAccelerators: w.GetFreeAccelerators(),
 			Tasks: w.GetTasks(), Slots: w.GetSlots(), SlotsGranted: w.GetSlotsGranted(), HeartbeatAgeMS: w.GetHeartbeatAgeMs(),
+			Reason: w.GetReason(),
 		})
 	}
 	return result
@@ -102,20 +105,37 @@
 		writeProblem(w, err)
 		return
 	}
-	worker := r.PathValue("worker")
-	request := &schedulerpb.DrainRequest{Worker: worker, Undo: r.URL.Query().Get("undo") == "true", Actor: operator}
-	schedulers := s.schedulers()
-	found := make([]bool, len(schedulers))
-	each(r.Context(), schedulers, func(ctx context.Context, i int, one scheduler) {
-		answer, err := one.stub.Drain(ctx, request)
-		found[i] = err == nil && answer.GetFound()
-	})
-	for _, one := range found {
-		if one {
-			writeJSON(w, http.StatusOK, request)
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	request := &controlpb.DrainWorkerRequest{
+		Worker: r.PathValue("worker"), Undo: r.URL.Query().Get("undo") == "true", Actor: operator,
+	}
+	// The drain of a worker that is gone can be undone.
+	if !request.GetUndo() && !s.knows(ctx, request.GetWorker()) {
+		writeProblem(w, &Problem{Status: http.StatusNotFound, Title: "no such worker",
+			Detail: "no scheduler knows worker " + request.GetWorker() + "; see geranium status for the names", Outcome: "not_run"})
+		return
+	}
+	if _, err := client.Call(ctx, s.control, "DrainWorker", 0, controlpb.Control.DrainWorker, request); err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, request)
+}
+
+// knows reports whether a scheduler knows a worker.
+func (s *Server) knows(ctx context.Context, worker string) bool {
+	var found atomic.Bool
+	each(ctx, s.schedulers(), func(ctx context.Context, _ int, one scheduler) {
+		answer, err := one.stub.Status(ctx, &schedulerpb.StatusRequest{})
+		if err != nil {
 			return
 		}
-	}
-	writeProblem(w, &Problem{Status: http.StatusNotFound, Title: "no such worker",
-		Detail: "no scheduler knows worker " + worker + "; see geranium status for the names", Outcome: "not_run"})
+		for _, w := range answer.GetWorkers() {
+			if w.GetWorker() == worker {
+				found.Store(true)
+			}
+		}
+	})
+	return found.Load()
 }
--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -48,7 +48,7 @@
 		_, err := c.Heartbeat(2000*ms, hb)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.occupied).To(HaveKey("t"))
-		Expect(c.Drain(2000*ms, "w0000", false, "ann")).To(BeTrue())
+		c.SetDrained(2000*ms, 1, []string{"w0000"})
 		Expect(until(c, 2000*ms, 9000*ms, hb)).To(BeEmpty())
 		c.giveBack(9000*ms, policy.Impossible{Task: "t", Reason: "too large"})
 		Expect(c.tasks["t"].phase).To(Equal(phaseWaiting))
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -111,8 +111,8 @@
 		limit = defaultExplainLimit
 	}
 	var decisions []scheduler.Decision
-	err := s.step(ctx, func(_ time.Duration, core *scheduler.Core) {
-		decisions = core.Explain(r.GetSubject(), min(limit, maxExplainLimit))
+	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
+		decisions = core.Explain(now, r.GetSubject(), min(limit, maxExplainLimit))
 	})
 	if err != nil {
 		return nil, err
@@ -134,7 +134,8 @@
 	response := &schedulerpb.StatusResponse{
 		Scheduler: s.settings.Name, Domain: s.settings.Domain, Role: string(status.Role), Epoch: status.Epoch,
 		Waiting: int32(status.Waiting), Running: int32(status.Running), //nolint:gosec // counts
-		ConfigVersion: status.Version,
+		ConfigVersion: status.Version, SchedulerLeaseMs: status.SchedulerLease.Milliseconds(),
+		DomainLeaseMs: status.DomainLease.Milliseconds(),
 	}
 	for _, w := range status.Workers {
 		response.Workers = append(response.Workers, workerStatusMessage(w))
@@ -142,14 +143,7 @@
 	return response, nil
 }
 
-// Drain stops new work on a worker, or ends that.
-func (s *service) Drain(ctx context.Context, r *schedulerpb.DrainRequest) (*schedulerpb.DrainResponse, error) {
-	found := false
-	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
-		found = core.Drain(now, r.GetWorker(), r.GetUndo(), r.GetActor())
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &schedulerpb.DrainResponse{Found: found}, nil
+// Drain refuses a call that gateways of version 1 make.
+func (s *service) Drain(context.Context, *schedulerpb.DrainRequest) (*schedulerpb.DrainResponse, error) {
+	return nil, twirp.FailedPrecondition.Error("drains are kept by the control replicas; upgrade the gateway that the call came through")
 }
