--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -32,6 +32,7 @@
 		{"configuration", a.configCommands()},
 		{"work", a.workCommands()},
 		{"fleet", a.fleetCommands()},
+		{"keys", a.keyCommands()},
 	}
 }
 
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -15,6 +15,7 @@
 	"geraniumwall/fakeworker"
 	"geraniumwall/membership/gossip"
 	"geraniumwall/operator"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -41,6 +42,8 @@
 	services         []string
 	// cuttable puts a relay on every connection between domains.
 	cuttable bool
+	// secured gives every process keys; callers then use TLS too.
+	secured bool
 	// binaries is the directory of the version that the fleet starts with; empty for
 	// this one.
 	binaries string
@@ -65,6 +68,7 @@
 	links      map[string]*link // by the two domains in order of name
 	relays     []*relay
 	client     *operator.Client
+	keys       *fleetKeys
 }
 
 type address struct {
@@ -88,6 +92,7 @@
 	ReplicaID uint64    `json:"replica_id"`
 	Replicas  []replica `json:"replicas"`
 
+	TLS        *transport.Settings  `json:"tls,omitempty"`
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
@@ -99,6 +104,7 @@
 	Control []string `json:"control"`
 	Peer    address  `json:"peer"`
 
+	TLS        *transport.Settings  `json:"tls,omitempty"`
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
@@ -110,6 +116,7 @@
 	Control    []string  `json:"control"`
 	Schedulers []address `json:"schedulers"`
 
+	TLS        *transport.Settings  `json:"tls,omitempty"`
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
@@ -123,6 +130,9 @@
 		schedulers: map[string][]*process{}, gateways: map[string][]*process{}, workers: map[string][]*process{},
 		addresses: map[string]string{}, links: map[string]*link{},
 	}
+	if err := f.makeKeys(); err != nil {
+		return nil, err
+	}
 	f.reserveAddresses()
 	if err := os.WriteFile(filepath.Join(dir, keyFile), []byte(strings.Repeat("secret of a test ", 2)), 0o600); err != nil {
 		return nil, err
@@ -136,7 +146,7 @@
 		}
 	}
 	f.client = &operator.Client{Gateways: f.gatewayAddresses(), Operator: "e2e", HTTP: &http.Client{}}
-	return f, nil
+	return f, f.secureOperator()
 }
 
 func (f *fleet) reserve(name string) {
@@ -266,7 +276,8 @@
 		name := controlName(i)
 		p, err := newProcess(f.dir, "geranium-control", name, controlSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
-			DataDir: filepath.Join(f.dir, name), ReplicaID: uint64(i + 1), Replicas: replicas, Membership: f.join(name),
+			DataDir: filepath.Join(f.dir, name), ReplicaID: uint64(i + 1), Replicas: replicas,
+			TLS: f.keys.of(transport.RoleControl, name), Membership: f.join(name),
 		})
 		if err != nil {
 			return err
@@ -289,7 +300,8 @@
 		name, peer := schedulerName(domain, i), schedulerName(domain, 1-i)
 		if err := f.add(f.schedulers, domain, "geranium-scheduler", name, schedulerSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name), Control: control,
-			Peer: address{Name: peer, Address: f.addresses[peer]}, Membership: f.join(name),
+			Peer: address{Name: peer, Address: f.addresses[peer]},
+			TLS:  f.keys.of(transport.RoleScheduler, name), Membership: f.join(name),
 		}); err != nil {
 			return err
 		}
@@ -302,7 +314,7 @@
 		name := gatewayName(domain, i)
 		if err := f.add(f.gateways, domain, "geranium-gateway", name, gatewaySettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
-			Control: control, Schedulers: schedulers, Membership: f.join(name),
+			Control: control, Schedulers: schedulers, TLS: f.keys.of(transport.RoleGateway, name), Membership: f.join(name),
 		}); err != nil {
 			return err
 		}
@@ -316,6 +328,7 @@
 			Capacity:   workerapi.Resources{CPUMillis: 32_000, MemoryMB: 125_000},
 			Slots:      workerSlots, Connections: workerConns, Services: f.services,
 			RecordFile: filepath.Join(f.dir, name+".record"), ReportLagMS: workerReportLagMS,
+			TLS: f.keys.of(transport.RoleWorker, name),
 		}); err != nil {
 			return err
 		}
@@ -351,21 +364,21 @@
 		}
 	}
 	for _, gateway := range f.gatewayAddresses() {
-		if err := waitHealthy(ctx, gateway); err != nil {
+		if err := f.waitHealthy(ctx, gateway); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func waitHealthy(ctx context.Context, gateway string) error {
+func (f *fleet) waitHealthy(ctx context.Context, gateway string) error {
 	deadline := time.Now().Add(readyTimeout)
 	for {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+"/healthz", nil)
 		if err != nil {
 			return err
 		}
-		answer, err := http.DefaultClient.Do(request)
+		answer, err := f.keys.caller().Do(request)
 		if err == nil {
 			answer.Body.Close()
 			if answer.StatusCode == http.StatusOK {
@@ -394,8 +407,8 @@
 
 // geranium runs the operator command against all gateways of the fleet.
 func (f *fleet) geranium(stdin []byte, arguments ...string) (string, error) {
-	command := exec.Command(binaryPath("geranium"),
-		append([]string{"-gateways", strings.Join(f.gatewayAddresses(), ","), "-operator", "e2e"}, arguments...)...)
+	global := append([]string{"-gateways", strings.Join(f.gatewayAddresses(), ","), "-operator", "e2e"}, f.operatorFlags()...)
+	command := exec.Command(binaryPath("geranium"), append(global, arguments...)...)
 	command.Stdin = bytes.NewReader(stdin)
 	var out, problems bytes.Buffer
 	command.Stdout, command.Stderr = &out, &problems
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -31,7 +31,8 @@
 	connectionBufferedBytes = 8 << 10
 )
 
-// URL returns the base URL of the peer at address, host:port.
+// URL returns the base URL of the peer at address, host:port. The scheme is the
+// same with keys: the dialer of a client secures the connection.
 func URL(address string) string { return "http://" + address }
 
 // ClientOptions are the options of a client. The zero value is usable.
@@ -40,32 +41,48 @@
 	Timeout time.Duration
 	// SendPing is the silence of a connection after which it is checked, 0 is 600 ms.
 	SendPing time.Duration
+	// Keys secure the connections; nil stands for no encryption.
+	Keys *Keys
+	// Peers are the roles of which a peer must have one.
+	Peers []Role
 	// Wrap is called with each new connection, for example to count its bytes.
 	Wrap func(net.Conn) net.Conn
 }
 
-// NewClient returns a client of the system's own processes. It speaks HTTP/2 with
-// prior knowledge, so all calls to a peer share a connection and its header
-// compression.
+// NewClient returns a client of the system's own processes. It speaks HTTP/2, so
+// all calls to a peer share a connection and its header compression. Without keys
+// it begins with HTTP/1.1, for peers of the released version 1.
 func NewClient(o ClientOptions) *http.Client {
-	t := newTransport(o)
-	t.Protocols.SetUnencryptedHTTP2(true)
-	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: cmp.Or(o.SendPing, sendPing), PingTimeout: pingTimeout}
-	return &http.Client{Transport: t, Timeout: o.Timeout}
+	second := newExchangeable(o.Keys, func() *http.Transport {
+		t := newTransport(o, ProtocolHTTP2)
+		t.Protocols.SetUnencryptedHTTP2(true)
+		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: cmp.Or(o.SendPing, sendPing), PingTimeout: pingTimeout}
+		return t
+	})
+	if o.Keys != nil {
+		return &http.Client{Transport: second, Timeout: o.Timeout}
+	}
+	return &http.Client{Transport: &learning{first: newTransport1(o), second: second}, Timeout: o.Timeout}
 }
 
 // NewCommandClient returns a client of the commands to workers. It speaks HTTP/1.1,
 // which is all that a worker has to serve.
 func NewCommandClient(o ClientOptions) *http.Client {
-	t := newTransport(o)
-	t.Protocols.SetHTTP1(true)
-	return &http.Client{Transport: t, Timeout: o.Timeout}
+	return &http.Client{Transport: newTransport1(o), Timeout: o.Timeout}
+}
+
+func newTransport1(o ClientOptions) http.RoundTripper {
+	return newExchangeable(o.Keys, func() *http.Transport {
+		t := newTransport(o, ProtocolHTTP1)
+		t.Protocols.SetHTTP1(true)
+		return t
+	})
 }
 
-func newTransport(o ClientOptions) *http.Transport {
+func newTransport(o ClientOptions, protocol string) *http.Transport {
 	return &http.Transport{
 		Protocols:           new(http.Protocols),
-		DialContext:         dialer(o.Wrap),
+		DialContext:         dialer(o, protocol),
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: idleConnectionsPerPeer,
 		IdleConnTimeout:     idleTimeout,
@@ -80,7 +97,7 @@
 // callers, load balancers and the system's own processes can use one port.
 func NewServer(handler http.Handler) *http.Server {
 	s := &http.Server{
-		Handler:           handler,
+		Handler:           announce(handler),
 		Protocols:         new(http.Protocols),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ReadHeaderTimeout: readHeaderTimeout,
