--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	go vet ./... && go vet -tags "bench capacity" ./e2e ./controlbench
 
 lint:
-	go run $(GOLANGCI) run ./...
+	go run $(GOLANGCI) run --allow-parallel-runners ./...
 
 # The end-to-end tests run after the others, so that they have the machine to
 # themselves: they check times that callers see. The test of an upgrade is skipped in
--- a/control/client/client.go
+++ b/control/client/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -18,6 +19,7 @@
 
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/protocol"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -36,6 +38,8 @@
 	attemptTimeout = time.Second
 	// retryPause separates rounds over all replicas while there is no leader.
 	retryPause = 50 * time.Millisecond
+	// noPatience leaves only the context to end a call.
+	noPatience = time.Duration(math.MaxInt64)
 )
 
 // Error is a failed call. Outcome is not_run if no replica can have recorded
@@ -65,6 +69,7 @@
 	stubs     sync.Map     // address to controlpb.Control
 	leader    atomic.Value // string: address of the last known leader
 	next      atomic.Uint64
+	discover  func() []string
 }
 
 // New returns a client of the replicas at the addresses, each host:port.
@@ -74,13 +79,30 @@
 	return c
 }
 
+// Discover makes the client ask the addresses that f returns when none of its own
+// answers. It is called before the first call.
+func (c *Client) Discover(f func() []string) { c.discover = f }
+
+// discovered returns one address that is not among the listed ones, a different
+// one at each call, or nothing.
+func (c *Client) discovered() string {
+	if c.discover == nil {
+		return ""
+	}
+	unlisted := slices.DeleteFunc(slices.Clone(c.discover()), func(a string) bool { return slices.Contains(c.addresses, a) })
+	if len(unlisted) == 0 {
+		return ""
+	}
+	return unlisted[int(c.next.Add(1))%len(unlisted)]
+}
+
 // stub returns the stub of a replica. The address may be one that another replica
 // named as leader: a replica that was added later is in no settings.
 func (c *Client) stub(address string) controlpb.Control {
 	if known, ok := c.stubs.Load(address); ok {
 		return known.(controlpb.Control)
 	}
-	made, _ := c.stubs.LoadOrStore(address, controlpb.NewControlProtobufClient("http://"+address, c.http, protocol.Client()))
+	made, _ := c.stubs.LoadOrStore(address, controlpb.NewControlProtobufClient(transport.URL(address), c.http, protocol.Client()))
 	return made.(controlpb.Control)
 }
 
@@ -91,20 +113,39 @@
 func Call[Q, R any](
 	ctx context.Context, c *Client, method string, extra time.Duration,
 	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
+) (R, error) {
+	return call(ctx, c, method, extra, noPatience, f, request)
+}
+
+// CallWithin is Call that ends after patience as long as no replica can have
+// recorded anything. Once one may have, it goes on until ctx is over, since only
+// another answer can resolve the outcome. Every replica is asked at least once.
+func CallWithin[Q, R any](
+	ctx context.Context, c *Client, method string, patience time.Duration,
+	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
+) (R, error) {
+	return call(ctx, c, method, 0, patience, f, request)
+}
+
+func call[Q, R any](
+	ctx context.Context, c *Client, method string, extra, patience time.Duration,
+	f func(controlpb.Control, context.Context, Q) (R, error), request Q,
 ) (R, error) {
 	var none R
 	outcome := workerapi.OutcomeNotRun
 	unlisted := ""
+	began := time.Now()
 	for attempt := 0; ; attempt++ {
 		address := c.target()
 		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
-		answer, err := f(c.stub(address), bounded, request)
+		traced, t := trace(bounded)
+		answer, err := f(c.stub(address), traced, request)
 		cancel()
 		if err == nil {
 			c.leader.Store(address)
 			return answer, nil
 		}
-		if mayHaveRun(err) {
+		if mayHaveRun(err) && !t.neverSent() {
 			outcome = workerapi.OutcomeUnknown
 		}
 		named, again := c.learn(address, err)
@@ -113,7 +154,11 @@
 		}
 		unlisted = cmp.Or(named, unlisted)
 		if attempt%len(c.addresses) == len(c.addresses)-1 {
+			unlisted = cmp.Or(unlisted, c.discovered())
 			c.follow(&unlisted)
+			if outcome == workerapi.OutcomeNotRun && time.Since(began) >= patience {
+				return none, &Error{Method: method, Outcome: outcome, Err: err}
+			}
 			pause(ctx, retryPause)
 		}
 		if ctx.Err() != nil {
@@ -130,8 +175,13 @@
 ) (R, error) {
 	var none R
 	var last error
-	for range c.addresses {
+	for attempt := range len(c.addresses) + 1 {
 		address := c.addresses[int(c.next.Add(1))%len(c.addresses)]
+		if attempt == len(c.addresses) {
+			if address = c.discovered(); address == "" {
+				break
+			}
+		}
 		bounded, cancel := context.WithTimeout(ctx, attemptTimeout+extra)
 		answer, err := f(c.stub(address), bounded, request)
 		cancel()
--- a/control/forming.go
+++ b/control/forming.go
@@ -13,6 +13,7 @@
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/protocol"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -56,7 +57,7 @@
 // that every quorum includes one of them.
 func permitFirstStart(ctx context.Context, s Settings, log zerolog.Logger) error {
 	needed := len(s.Replicas) - (len(s.Replicas)/2 + 1) + 1
-	httpClient := &http.Client{Timeout: formTimeout}
+	httpClient := transport.NewClient(transport.ClientOptions{Timeout: formTimeout})
 	var logged time.Time
 	for {
 		empty := 0
@@ -116,8 +117,12 @@
 	return findingEmpty
 }
 
-// findingOfLeader trusts a leader that has applied an entry of its term.
+// findingOfLeader trusts a leader that has applied an entry of its term and that a
+// quorum has confirmed: one that is cut off may not know that this replica joined.
 func findingOfLeader(status *controlpb.StatusResponse) finding {
+	if !status.GetConfirmed() {
+		return findingNone
+	}
 	for _, r := range status.GetReplicas() {
 		if r.GetId() == status.GetReplica() && r.GetJoined() {
 			return findingNew
@@ -128,7 +133,7 @@
 
 // askStatus asks a replica, or the leader that it names.
 func askStatus(ctx context.Context, c *http.Client, address string) (*controlpb.StatusResponse, error) {
-	status, err := controlpb.NewControlProtobufClient("http://"+address, c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
+	status, err := controlpb.NewControlProtobufClient(transport.URL(address), c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
 	var te twirp.Error
 	if errors.As(err, &te) && te.Meta(client.MetaLeader) != "" {
 		leader := "http://" + te.Meta(client.MetaLeader)
--- a/controlbench/cluster.go
+++ b/controlbench/cluster.go
@@ -18,6 +18,7 @@
 	"geraniumwall/control/client"
 	"geraniumwall/load"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/transport"
 )
 
 const (
@@ -43,7 +44,7 @@
 // startCluster starts the replicas on free ports and waits for a leader.
 func startCluster(p Processes, dir string, out io.Writer) (*cluster, error) {
 	c := &cluster{processes: p, out: out}
-	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * rateClients}}
+	c.http = transport.NewClient(transport.ClientOptions{})
 	var members []control.ReplicaAddress
 	for i := range replicas {
 		address, err := freeAddress()
@@ -109,7 +110,7 @@
 func (c *cluster) status(i int) (*controlpb.StatusResponse, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	stub := controlpb.NewControlProtobufClient("http://"+c.address[i], c.http)
+	stub := controlpb.NewControlProtobufClient(transport.URL(c.address[i]), c.http)
 	return stub.Status(ctx, &controlpb.StatusRequest{})
 }
 
--- a/formats/documents.go
+++ b/formats/documents.go
@@ -1,6 +1,8 @@
 package formats
 
 import (
+	"time"
+
 	"geraniumwall/config"
 	"geraniumwall/control"
 	"geraniumwall/fakeworker"
@@ -83,13 +85,13 @@
 	second := sampleHeartbeat(2, "t2", "t3")
 	second.SlotsInUse = map[uint64]int{4: 3}
 	sender := delta.NewSender()
-	sender.Shorten(first)
+	sender.Shorten(0, first)
 	answer := workerapi.HeartbeatAnswer{
 		Scheduler: "scheduler-1", RenewAll: true, TaskLeaseMS: 10_000, Version: 7,
 		Acknowledge: []workerapi.TaskRef{{ID: "t1", Attempt: workerapi.Attempt{Epoch: 2, Number: 5}}},
 	}
 	sender.Answered(first.Sequence, &answer)
-	return writeJSON(dir, HeartbeatsFile, Heartbeats{Whole: first, Short: sender.Shorten(second), Restored: second, Answer: answer})
+	return writeJSON(dir, HeartbeatsFile, Heartbeats{Whole: first, Short: sender.Shorten(time.Second, second), Restored: second, Answer: answer})
 }
 
 func sampleHeartbeat(sequence uint64, tasks ...string) *workerapi.Heartbeat {
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"geraniumwall/routing"
-	"geraniumwall/rpc/protocol"
+	"geraniumwall/rpc/grantdelta"
 	"geraniumwall/rpc/schedulerpb"
 )
 
@@ -18,6 +21,11 @@
 	syncTimeout = time.Second
 	// triggerPause separates syncs that are triggered by refused requests.
 	triggerPause = 20 * time.Millisecond
+	// configPatience is how long a scheduler may stay behind before the gateway
+	// sends it the configuration. Usually it gets it from a control replica sooner.
+	configPatience = time.Second
+	// wrongPeerLogPeriod bounds a warning that would repeat with every sync.
+	wrongPeerLogPeriod = 10 * time.Second
 )
 
 // link syncs grants with one scheduler. Schedulers of other domains are asked only
@@ -26,18 +34,25 @@
 type link struct {
 	gateway   *Gateway
 	scheduler Scheduler
-	client    schedulerpb.Scheduler
+	route     *route
+	wrongPeer zerolog.Logger
 	triggered chan struct{}
+	// absent is set while neither the settings nor the directory name the scheduler.
+	absent atomic.Bool
 	// active is set while the scheduler is asked regularly.
 	active atomic.Bool
 	// sequence counts the syncs from 1.
 	sequence uint64
+	// behindSince is when the scheduler was first seen behind this gateway; 0 if it
+	// was not at the last answer.
+	behindSince time.Duration
+	holder      grantdelta.Holder
 }
 
 func newLink(g *Gateway, s Scheduler, c *http.Client) *link {
 	return &link{
-		gateway: g, scheduler: s,
-		client:    schedulerpb.NewSchedulerProtobufClient("http://"+s.Address, c, protocol.Client()),
+		gateway: g, scheduler: s, route: newRoute(s.Address, c),
+		wrongPeer: g.log.Sample(&zerolog.BurstSampler{Burst: 1, Period: wrongPeerLogPeriod}),
 		triggered: make(chan struct{}, 1),
 	}
 }
@@ -69,6 +84,9 @@
 }
 
 func (l *link) needed() bool {
+	if l.absent.Load() {
+		return false
+	}
 	if l.scheduler.Domain == l.gateway.options.Domain {
 		return true
 	}
@@ -94,21 +112,62 @@
 	}
 }
 
+// sync sends what has changed since the last answer, and everything if the
+// scheduler does not hold that answer.
 func (l *link) sync(ctx context.Context, draining bool) {
+	if !l.exchange(ctx, draining) {
+		l.exchange(ctx, draining)
+	}
+}
+
+// exchange sends one sync. It returns false if a whole one must follow.
+func (l *link) exchange(ctx context.Context, draining bool) bool {
 	g := l.gateway
 	l.sequence++
 	request := l.request(draining)
 	sent := g.clock()
 	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	answer, err := l.client.SyncGrants(bounded, request)
+	answer, err := l.route.client().SyncGrants(bounded, l.holder.Shorten(request))
+	if err == nil && answer.GetScheduler() != l.scheduler.Name {
+		err = fmt.Errorf("scheduler %q answered", answer.GetScheduler())
+		l.wrongPeer.Warn().Str("scheduler", l.scheduler.Name).Err(err).
+			Msg("another scheduler has the address; correct schedulers in the settings of this gateway")
+	}
+	l.route.used(err)
 	if err != nil {
 		g.metrics.syncFailed(ctx, l.scheduler.Name)
-		return
+		return true
 	}
 	g.follower.Notice(answer.GetConfigVersion())
+	l.compare(answer.GetConfigVersion())
+	answer, restored := l.holder.Restore(request, answer)
+	if !restored {
+		return false
+	}
 	// The next sync reports what is held, so it must follow the use of this answer.
 	g.owner.receiveGrants(ctx, grantSet(l.scheduler.Name, sent, answer))
+	return true
+}
+
+// compare notes since when the scheduler has been behind.
+func (l *link) compare(version uint64) {
+	switch {
+	case version >= l.gateway.follower.Current().Version:
+		l.behindSince = 0
+	case l.behindSince == 0:
+		l.behindSince = l.gateway.clock()
+	}
+}
+
+// offer adds the configuration for a scheduler of the own domain that stays behind.
+func (l *link) offer(request *schedulerpb.SyncGrantsRequest) {
+	g := l.gateway
+	if l.behindSince == 0 || l.scheduler.Domain != g.options.Domain || g.clock()-l.behindSince < configPatience {
+		return
+	}
+	current := g.follower.Current()
+	request.ConfigVersion, request.Config = current.Version, current.Content
 }
 
 func (l *link) request(draining bool) *schedulerpb.SyncGrantsRequest {
@@ -123,13 +182,23 @@
 		request.Demands = append(request.Demands, demandMessage(d))
 	}
 	for _, h := range report.Holdings {
-		request.Holdings = append(request.Holdings, &schedulerpb.Holding{
-			Worker: h.Worker, Session: h.Session, Slots: int32(h.Slots), SlotsInUse: int32(h.SlotsInUse),
-		})
+		request.Holdings = append(request.Holdings, holdingMessage(h, draining))
 	}
+	l.offer(request)
 	return request
 }
 
+// holdingMessage leaves out the slots in use while the grant covers them: only the
+// larger of the two counts, and the use changes with each request. A gateway that
+// stops reports all, for whoever looks what it still does.
+func holdingMessage(h routing.Holding, draining bool) *schedulerpb.Holding {
+	m := &schedulerpb.Holding{Worker: h.Worker, Session: h.Session, Slots: int32(h.Slots)}
+	if draining || h.SlotsInUse > h.Slots {
+		m.SlotsInUse = int32(h.SlotsInUse)
+	}
+	return m
+}
+
 func demandMessage(d routing.Demand) *schedulerpb.ServiceDemand {
 	m := &schedulerpb.ServiceDemand{
 		Service: d.Service, Outstanding: int32(d.Outstanding), Queued: int32(d.Queued),
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -99,12 +99,27 @@
 	if err := table(w, header, rows); err != nil {
 		return err
 	}
+	if err := writeMembers(w, s.Members); err != nil {
+		return err
+	}
 	if err := writeSetAside(w, s); err != nil || !withWorkers {
 		return err
 	}
 	return writeWorkers(w, s)
 }
 
+// writeMembers writes the processes that gossip with each other, if any do.
+func writeMembers(w io.Writer, members []operatorapi.MemberStatus) error {
+	if len(members) == 0 {
+		return nil
+	}
+	rows := make([]string, 0, len(members))
+	for _, m := range members {
+		rows = append(rows, row(m.Domain, m.Name, m.Kind, m.Address, m.State))
+	}
+	return table(w, "DOMAIN\tMEMBER\tKIND\tADDRESS\tSTATE", rows)
+}
+
 // writeSetAside writes the workers that get no work, or less of it, and why. A worker
 // that nobody has set aside takes no line, and without any there is no table.
 func writeSetAside(w io.Writer, s operatorapi.Status) error {
@@ -132,6 +147,11 @@
 	if err != nil {
 		return err
 	}
+	if !c.GetConfirmed() {
+		if _, err := fmt.Fprintln(w, "not confirmed by a quorum: this is what one replica knows and may be old"); err != nil {
+			return err
+		}
+	}
 	rows := make([]string, 0, len(c.GetReplicas()))
 	for _, r := range c.GetReplicas() {
 		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex(), orText(r.GetState(), "-")))
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumwall/control/client"
@@ -28,17 +29,23 @@
 	if err == nil {
 		result.Control = control
 	}
-	result.Schedulers = make([]SchedulerStatus, len(s.schedulers))
-	s.each(ctx, func(ctx context.Context, i int, one scheduler) {
+	schedulers := s.schedulers()
+	result.Schedulers = make([]SchedulerStatus, len(schedulers))
+	each(ctx, schedulers, func(ctx context.Context, i int, one scheduler) {
 		result.Schedulers[i] = one.status(ctx)
 	})
+	for _, m := range s.directory.Members() {
+		result.Members = append(result.Members, MemberStatus{
+			Name: m.Name, Kind: m.Kind, Domain: m.Domain, Address: m.Address, State: m.State.String(),
+		})
+	}
 	writeJSON(w, http.StatusOK, result)
 }
 
 // each calls f for every scheduler at once and waits for all.
-func (s *Server) each(ctx context.Context, f func(context.Context, int, scheduler)) {
+func each(ctx context.Context, schedulers []scheduler, f func(context.Context, int, scheduler)) {
 	var all sync.WaitGroup
-	for i, one := range s.schedulers {
+	for i, one := range schedulers {
 		all.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, schedulerTimeout)
 			defer cancel()
@@ -74,7 +81,7 @@
 	subject := r.PathValue("subject")
 	var mu sync.Mutex
 	decisions := []Decision{}
-	s.each(r.Context(), func(ctx context.Context, _ int, one scheduler) {
+	each(r.Context(), s.schedulers(), func(ctx context.Context, _ int, one scheduler) {
 		answer, err := one.stub.Explain(ctx, &schedulerpb.ExplainRequest{Subject: subject, Limit: explainLimit})
 		if err != nil {
 			return
@@ -98,19 +105,37 @@
 		writeProblem(w, badInput(HeaderOperator, "name the operator in the header "+HeaderOperator))
 		return
 	}
-	worker := r.PathValue("worker")
-	request := &schedulerpb.DrainRequest{Worker: worker, Undo: r.URL.Query().Get("undo") == "true", Actor: operator}
-	found := make([]bool, len(s.schedulers))
-	s.each(r.Context(), func(ctx context.Context, i int, one scheduler) {
-		answer, err := one.stub.Drain(ctx, request)
-		found[i] = err == nil && answer.GetFound()
-	})
-	for _, one := range found {
-		if one {
-			writeJSON(w, http.StatusOK, request)
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	request := &controlpb.DrainWorkerRequest{
+		Worker: r.PathValue("worker"), Undo: r.URL.Query().Get("undo") == "true", Actor: operator,
+	}
+	// The drain of a worker that is gone can be undone.
+	if !request.GetUndo() && !s.knows(ctx, request.GetWorker()) {
+		writeProblem(w, &Problem{Status: http.StatusNotFound, Title: "no such worker",
+			Detail: "no scheduler knows worker " + request.GetWorker() + "; see geranium status for the names", Outcome: "not_run"})
+		return
+	}
+	if _, err := client.Call(ctx, s.control, "DrainWorker", 0, controlpb.Control.DrainWorker, request); err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, request)
+}
+
+// knows reports whether a scheduler knows a worker.
+func (s *Server) knows(ctx context.Context, worker string) bool {
+	var found atomic.Bool
+	each(ctx, s.schedulers(), func(ctx context.Context, _ int, one scheduler) {
+		answer, err := one.stub.Status(ctx, &schedulerpb.StatusRequest{})
+		if err != nil {
 			return
 		}
-	}
-	writeProblem(w, &Problem{Status: http.StatusNotFound, Title: "no such worker",
-		Detail: "no scheduler knows worker " + worker + "; see geranium status for the names", Outcome: "not_run"})
+		for _, w := range answer.GetWorkers() {
+			if w.GetWorker() == worker {
+				found.Store(true)
+			}
+		}
+	})
+	return found.Load()
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -66,8 +66,14 @@
 	}
 	c.refresh(now, w, hb)
 	c.checkSession(now, w, hb)
+	if !w.session.held && !c.authority.active() {
+		answer.IntervalMS = standbyInterval.Milliseconds()
+	}
 	if w.session.held && !w.session.servicesOnly && c.authority.active() {
-		c.observeTasks(now, w, hb.Tasks, &answer)
+		// A heartbeat from before the attach may come after it.
+		if !hb.WithoutTasks {
+			c.observeTasks(now, w, hb.Tasks, &answer)
+		}
 		c.observeServices(now, w, hb)
 	}
 	return answer, nil
@@ -92,7 +98,7 @@
 			Kind: RefusedDuplicate, Worker: hb.Worker,
 			Text: fmt.Sprintf("is alive at %s as incarnation %q and was announced at %s as %q",
 				known.address, known.incarnation, hb.Address, hb.Incarnation),
-			Remedy: "give each worker its own name, or wait until the first has been silent for a second",
+			Remedy: "give each worker its own name, or wait until the first has been silent for 5 seconds",
 		}
 	}
 	if known == nil || known.incarnation != hb.Incarnation {
@@ -213,10 +219,10 @@
 		live:        map[string]*task{},
 		strays:      map[string]*stray{},
 		grants:      map[gatewayKey]*grant{},
+		drained:     c.drained[hb.Worker],
 	}
 	if before != nil {
 		c.retire(now, before)
-		w.drained = before.drained
 		w.predecessor = before
 	}
 	c.putWorker(w)
@@ -291,7 +297,16 @@
 	return !w.silent && !w.leaving && !w.drained && !inherits && w.session.held && !w.session.servicesOnly
 }
 
-func (w *worker) isSilent(now time.Duration) bool { return w.silent || now-w.heard >= silentAfter }
+func (w *worker) isSilent(now time.Duration) bool { return w.silent || now-w.heard >= w.silenceLimit() }
+
+func (w *worker) silentReason() string { return fmt.Sprintf("no heartbeat for %v", w.silenceLimit()) }
+
+func (w *worker) silenceLimit() time.Duration {
+	if w.session.held {
+		return silentAfter
+	}
+	return unattachedSilentAfter
+}
 
 // retired reports whether a newer incarnation has taken the name of the worker.
 func (w *worker) retired() bool { return w.id != w.name }
@@ -323,9 +338,9 @@
 func (c *Core) checkWorkers(now time.Duration) {
 	for _, id := range c.workerIDs() {
 		w := c.workers[id]
-		if !w.silent && now-w.heard >= silentAfter {
+		if !w.silent && now-w.heard >= w.silenceLimit() {
 			w.silent = true
-			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: "no heartbeat for one second"})
+			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: w.silentReason()})
 		}
 		c.tellEngine(now, w)
 		c.moveAway(now, w)
@@ -334,6 +349,9 @@
 			c.forgetIfIdle(now, w)
 			continue
 		}
+		if !w.leaving && !w.drained {
+			c.lastPresent = now
+		}
 		c.seekSession(now, w)
 	}
 }
@@ -350,19 +368,29 @@
 	c.note(now, Decision{Subject: w.id, Kind: "forgotten", Reason: "silent, and nothing of it can be alive"})
 }
 
-// Drain stops new work on a worker and moves its tasks, or ends that. It reports
-// whether the worker is known.
-func (c *Core) Drain(now time.Duration, id string, undo bool, actor string) bool {
-	w := c.workers[id]
-	if w == nil {
-		return false
-	}
-	w.drained = !undo
-	c.tellEngine(now, w)
-	action := map[bool]string{false: "drain", true: "undrain"}[undo]
-	c.act(RecordAudit{Action: action, Subject: id, Detail: "requested by " + actor, At: now})
-	c.note(now, Decision{Subject: id, Kind: action, Reason: "requested by " + actor})
-	return true
+// Drains is the log index of the drains in force.
+func (c *Core) Drains() uint64 { return c.drains }
+
+// SetDrained puts the drained workers as of a log index in force: they get no new
+// work and their tasks are moved. Older sets are ignored.
+func (c *Core) SetDrained(now time.Duration, index uint64, names []string) {
+	if index <= c.drains {
+		return
+	}
+	c.drains = index
+	clear(c.drained)
+	for _, name := range names {
+		c.drained[name] = true
+	}
+	for _, id := range c.workerIDs() {
+		w := c.workers[id]
+		if drained := c.drained[w.name]; drained != w.drained {
+			w.drained = drained
+			c.tellEngine(now, w)
+			kind := map[bool]string{true: "drain", false: "undrain"}[drained]
+			c.note(now, Decision{Subject: id, Kind: kind, Reason: "requested by an operator"})
+		}
+	}
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
