--- a/formats/documents.go
+++ b/formats/documents.go
@@ -13,10 +13,13 @@
 
 // Names of the settings files; the gateway's is read by the test of its command.
 const (
-	ControlSettingsFile   = "settings-control.json"
+	ControlSettingsFile   = "settings-control-replicas.json"
 	SchedulerSettingsFile = "settings-scheduler.json"
 	GatewaySettingsFile   = "settings-gateway.json"
 	WorkerSettingsFile    = "settings-worker.json"
+	// SingleReplicaSettingsFile has one replica without the setting state_may_be_lost,
+	// which v1 accepted and later versions refuse.
+	SingleReplicaSettingsFile = "settings-control.json"
 )
 
 func sampleConfiguration() []byte {
@@ -46,7 +49,10 @@
 		ControlSettingsFile: control.Settings{
 			Name: "control-1", Domain: "bern-a", Listen: controls[0], MetricsListen: "192.0.2.1:7101",
 			OTLPEndpoint: "http://192.0.2.9:4318/v1/metrics", DataDir: "data", ReplicaID: 1, SingleDomainOK: true,
-			Replicas: []control.ReplicaAddress{{ID: 1, Address: controls[0], Domain: "bern-a"}},
+			Replicas: []control.ReplicaAddress{
+				{ID: 1, Address: controls[0], Domain: "bern-a"}, {ID: 2, Address: "192.0.2.2:7100", Domain: "thun-b"},
+				{ID: 3, Address: "192.0.2.3:7100", Domain: "biel-c"},
+			},
 		},
 		SchedulerSettingsFile: schedulerd.Settings{
 			Name: "scheduler-1", Domain: "bern-a", Listen: "192.0.2.1:7200", MetricsListen: "192.0.2.1:7201",
--- a/formats/formats_test.go
+++ b/formats/formats_test.go
@@ -106,6 +106,13 @@
 	})
 }
 
+// Guards against a replica of a test system that starts after an upgrade without the
+// decision that its state may be lost, and against a refusal that doesn't name it.
+func TestSingleReplicaOfV1IsRefused(t *testing.T) {
+	err := settings.Load(filepath.Join("testdata", "v1", formats.SingleReplicaSettingsFile), &control.Settings{})
+	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("set state_may_be_lost for a test system")))
+}
+
 // Guards against a released field whose number, type or name is changed, or whose
 // number is used again.
 func TestReleasedFieldsStay(t *testing.T) {
