--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -306,6 +306,8 @@
 	return unattachedSilentAfter
 }
 
+func (w *worker) silentReason() string { return fmt.Sprintf("no heartbeat for %v", w.silenceLimit()) }
+
 // retired reports whether a newer incarnation has taken the name of the worker.
 func (w *worker) retired() bool { return w.id != w.name }
 
@@ -338,7 +340,7 @@
 		w := c.workers[id]
 		if !w.silent && now-w.heard >= w.silenceLimit() {
 			w.silent = true
-			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: fmt.Sprintf("no heartbeat for %v", w.silenceLimit())})
+			c.note(now, Decision{Subject: w.id, Kind: "silent", Reason: w.silentReason()})
 		}
 		c.tellEngine(now, w)
 		c.moveAway(now, w)
