Use short heartbeats only with a side that reads them

A scheduler of the former version does not read the short forms of heartbeats: it refuses one without the domain and misses checkpoints in the short form. It takes a worker for silent after 1 s, which is now the interval. A worker of the former version gets no lease from an answer that leaves out the scheduler.

A worker names its format in a whole heartbeat and a scheduler in the answer to it; without that both use the former form, and the worker the interval of 0.5 s. After each failure and each request for a whole heartbeat the worker assumes the former version until the next answer to a whole heartbeat.

Ruled out: a format that, once known, stays known. TestRestored found a whole heartbeat (after the loss of the session) that a scheduler of the former version answers while the worker still takes it for the new one.

Tests: TestRestored draws the format of the scheduler, anew at each restart; TestRenewAll checks the answer to a worker of format 1.

--- a/fakeworker/heartbeat.go
+++ b/fakeworker/heartbeat.go
@@ -62,7 +62,7 @@
 	}
 	w.machine.Heartbeat(now.Sub(w.boot), hb)
 	if l.standsBy(w.machine.TaskHolder()) {
-		hb.Tasks, hb.WithoutTasks = nil, true
+		hb.Tasks, hb.Used, hb.WithoutTasks = nil, workerapi.Resources{}, true
 	} else {
 		hb.Reports = w.serviceReports(now)
 	}
--- a/fakeworker/link.go
+++ b/fakeworker/link.go
@@ -24,18 +24,18 @@
 func newLink(address string) *link {
 	return &link{
 		address: address, wake: make(chan struct{}, 1),
-		sender: delta.NewSender(), interval: workerapi.HeartbeatInterval,
+		sender: delta.NewSender(), interval: workerapi.FirstInterval,
 	}
 }
 
 // standsBy reports whether another scheduler than that of the link holds the tasks.
 func (l *link) standsBy(taskHolder string) bool {
-	return l.identity != "" && taskHolder != "" && l.identity != taskHolder
+	return l.sender.Compact() && taskHolder != "" && l.identity != taskHolder
 }
 
 func (l *link) failed(sequence uint64) {
 	l.sender.Failed(sequence)
-	l.interval = workerapi.HeartbeatInterval
+	l.interval = workerapi.FirstInterval
 }
 
 func (l *link) answered(sequence uint64, answer *workerapi.HeartbeatAnswer) {
@@ -44,7 +44,10 @@
 		l.nudge()
 		return
 	}
-	l.identity, l.interval = answer.Scheduler, workerapi.HeartbeatInterval
+	l.identity, l.interval = answer.Scheduler, workerapi.FirstInterval
+	if l.sender.Compact() {
+		l.interval = workerapi.HeartbeatInterval
+	}
 	if answer.IntervalMS > 0 {
 		asked := time.Duration(answer.IntervalMS) * time.Millisecond
 		l.interval = min(max(asked, heartbeatGap), maxHeartbeatInterval)
--- a/fakeworker/machine/heartbeat.go
+++ b/fakeworker/machine/heartbeat.go
@@ -21,6 +21,9 @@
 	hb.Capacity, hb.Slots, hb.Draining = m.settings.Capacity, m.settings.Slots, m.draining
 	hb.Session, hb.Holder, hb.Epoch = m.session.number, m.session.holder, m.session.epoch
 	hb.SlotsInUse, hb.Tasks = m.slotsInUse(), m.reports(false)
+	for i := range hb.Tasks {
+		hb.Used = hb.Used.Plus(hb.Tasks[i].Used)
+	}
 }
 
 // Answered takes in the answer to a heartbeat. Only the holder of the newest full
--- a/schedulerd/workers.go
+++ b/schedulerd/workers.go
@@ -46,6 +46,7 @@
 		writeProblem(w, http.StatusBadRequest, "invalid_heartbeat", err)
 		return
 	}
+	whole := hb.Base == 0
 	hb, held := h.receivers.restore(hb)
 	if !held {
 		writeResult(w, workerapi.HeartbeatAnswer{SendWhole: true}, nil)
@@ -65,6 +66,9 @@
 		h.log.Warn().Err(refusal).Msg("heartbeat refused")
 	}
 	delta.Collapse(hb, &answer)
+	if whole {
+		answer.Format = workerapi.FormatCompact
+	}
 	writeResult(w, answer, refusal)
 }
 
--- a/workerapi/delta/delta.go
+++ b/workerapi/delta/delta.go
@@ -30,12 +30,15 @@
 type Sender struct {
 	// base is what the scheduler holds after the newest answered heartbeat.
 	base *state
-	sent map[uint64]*state
+	// compact is set while the scheduler is known to read workerapi.FormatCompact.
+	compact bool
+	sent    map[uint64]*state
 }
 
 // state is what the scheduler holds after it has restored a heartbeat.
 type state struct {
 	sequence uint64
+	whole    bool
 	session  uint64
 	holder   string
 	epoch    uint64
@@ -59,6 +62,7 @@
 	}
 	s.sent[whole.Sequence] = next
 	if s.base == nil || s.base.session != 0 && whole.Session == 0 {
+		whole.Format, next.whole = workerapi.FormatCompact, true
 		for _, r := range whole.Tasks {
 			next.tasks[r.ID] = held{report: r, included: now}
 		}
@@ -67,8 +71,11 @@
 	short := *whole
 	short.Base = s.base.sequence
 	short.Capacity, short.Services, short.Rack, short.Address = workerapi.Resources{}, nil, "", ""
-	short.Slots, short.Connections, short.BootUnixMS, short.Domain = 0, 0, 0, ""
-	if s.base.session == whole.Session && s.base.holder == whole.Holder && s.base.epoch == whole.Epoch {
+	short.Slots, short.Connections, short.BootUnixMS = 0, 0, 0
+	if s.compact {
+		short.Domain, short.Used = "", workerapi.Resources{}
+	}
+	if s.compact && s.base.session == whole.Session && s.base.holder == whole.Holder && s.base.epoch == whole.Epoch {
 		short.Session, short.Holder, short.Epoch = 0, "", 0
 	}
 	short.Tasks = nil
@@ -85,9 +92,12 @@
 
 func (s *Sender) shortenTask(now time.Duration, r *workerapi.TaskReport, next *state, short *workerapi.Heartbeat) {
 	before, known := s.base.tasks[r.ID]
-	if !known || !sameAttempt(&before.report, r) {
+	include := func() {
 		next.tasks[r.ID] = held{report: *r, included: now}
 		short.Tasks = append(short.Tasks, *r)
+	}
+	if !known || !sameAttempt(&before.report, r) {
+		include()
 		return
 	}
 	newCheckpoint := len(r.Checkpoint) > 0 && !bytes.Equal(before.report.Checkpoint, r.Checkpoint)
@@ -97,6 +107,10 @@
 		next.tasks[r.ID] = before
 		return
 	}
+	if !s.compact {
+		include()
+		return
+	}
 	u := workerapi.UsageReport{
 		ID: r.ID, CPUMillis: r.Used.CPUMillis, MemoryMB: r.Used.MemoryMB, Accels: r.Used.Accelerators,
 		Progress: math.Round(r.Progress*1e4) / 1e4, SinceMS: r.SinceCheckpointMS,
@@ -133,8 +147,11 @@
 // Answered takes in the answer to the heartbeat with the sequence.
 func (s *Sender) Answered(sequence uint64, answer *workerapi.HeartbeatAnswer) {
 	taken := s.sent[sequence]
+	if taken != nil && taken.whole {
+		s.compact = answer.Format >= workerapi.FormatCompact
+	}
 	if answer.SendWhole {
-		s.base = nil
+		s.base, s.compact = nil, false
 	} else if taken != nil && (s.base == nil || taken.sequence > s.base.sequence) {
 		s.base = taken
 	}
@@ -149,9 +166,13 @@
 // the next heartbeat is whole.
 func (s *Sender) Failed(sequence uint64) {
 	delete(s.sent, sequence)
-	s.base = nil
+	s.base, s.compact = nil, false
 }
 
+// Compact reports whether the scheduler reads workerapi.FormatCompact, as far as
+// known. Another version may have taken its place after each failure.
+func (s *Sender) Compact() bool { return s.compact }
+
 // Expand restores what Collapse left out of an answer.
 func Expand(whole *workerapi.Heartbeat, answer *workerapi.HeartbeatAnswer) {
 	if answer.Scheduler == "" {
@@ -171,7 +192,7 @@
 // Collapse replaces the list of renewed attempts by RenewAll if it has every
 // running attempt of the heartbeat, and leaves out a scheduler that is the holder.
 func Collapse(whole *workerapi.Heartbeat, answer *workerapi.HeartbeatAnswer) {
-	if answer.Scheduler == whole.Holder {
+	if whole.Format >= workerapi.FormatCompact && answer.Scheduler == whole.Holder {
 		answer.Scheduler = ""
 	}
 	running := 0
@@ -200,7 +221,7 @@
 		return nil, false
 	}
 	whole := *hb
-	whole.Base, whole.Gone, whole.Usage, whole.Domain = 0, nil, nil, last.Domain
+	whole.Base, whole.Gone, whole.Usage, whole.Domain, whole.Format = 0, nil, nil, last.Domain, last.Format
 	if hb.Session == 0 {
 		whole.Session, whole.Holder, whole.Epoch = last.Session, last.Holder, last.Epoch
 	}
--- a/workerapi/delta/delta_test.go
+++ b/workerapi/delta/delta_test.go
@@ -58,6 +58,7 @@
 		w := &worker{tasks: map[string]workerapi.TaskReport{}}
 		sender, receiver := delta.NewSender(), &delta.Receiver{}
 		var late []uint64
+		format := rapid.IntRange(1, workerapi.FormatCompact).Draw(r, "format")
 		for i := range rapid.IntRange(1, 60).Draw(r, "beats") {
 			w.change(r, i)
 			w.now += time.Duration(rapid.IntRange(0, 3000).Draw(r, "ms")) * time.Millisecond
@@ -73,6 +74,7 @@
 				continue
 			case 2: // the scheduler has restarted
 				receiver = &delta.Receiver{}
+				format = rapid.IntRange(1, workerapi.FormatCompact).Draw(r, "format")
 			case 3: // the answer comes after the next heartbeat was sent
 				if _, whole := receiver.Restore(overWire(r, short)); whole {
 					late = append(late, short.Sequence)
@@ -80,8 +82,13 @@
 				continue
 			}
 			restored, held := receiver.Restore(overWire(r, short))
-			sender.Answered(whole.Sequence, &workerapi.HeartbeatAnswer{SendWhole: !held})
+			answer := &workerapi.HeartbeatAnswer{SendWhole: !held}
+			if held && short.Base == 0 {
+				answer.Format = format
+			}
+			sender.Answered(whole.Sequence, answer)
 			if held {
+				readable(r, format, whole, short)
 				compare(r, whole, restored)
 			}
 			for _, sequence := range late {
@@ -92,6 +99,13 @@
 	})
 }
 
+// readable checks that a scheduler of format 1 misses nothing that it is sent.
+func readable(r *rapid.T, format int, whole, short *workerapi.Heartbeat) {
+	if format < workerapi.FormatCompact && (len(short.Usage) > 0 || short.Domain == "" || short.Session != whole.Session) {
+		r.Fatalf("a scheduler of format 1 cannot read %+v", short)
+	}
+}
+
 func (w *worker) change(r *rapid.T, i int) {
 	id := fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(r, "task"))
 	report, known := w.tasks[id]
@@ -135,7 +149,7 @@
 	g := NewWithT(r)
 	g.Expect(stable(restored)).To(Equal(stable(whole)))
 	copied := *restored
-	copied.Tasks = whole.Tasks
+	copied.Tasks, copied.Format = whole.Tasks, whole.Format
 	g.Expect(&copied).To(Equal(whole))
 	volatile(g, whole, restored)
 }
@@ -172,13 +186,17 @@
 	delta.Expand(hb, &answer)
 	g.Expect(answer.Renew).To(Equal(both))
 
-	hb.Holder = "s#1"
+	hb.Holder, hb.Format = "s#1", workerapi.FormatCompact
 	for _, scheduler := range []string{"s#1", "s#2"} {
 		named := workerapi.HeartbeatAnswer{Scheduler: scheduler}
 		delta.Collapse(hb, &named)
 		delta.Expand(hb, &named)
 		g.Expect(named.Scheduler).To(Equal(scheduler))
 	}
+	hb.Format = 0
+	first := workerapi.HeartbeatAnswer{Scheduler: "s#1"}
+	delta.Collapse(hb, &first)
+	g.Expect(first.Scheduler).To(Equal("s#1"), "a worker of format 1 takes leases from a named scheduler only")
 
 	some := workerapi.HeartbeatAnswer{Renew: both[:1]}
 	delta.Collapse(hb, &some)
