--- a/transport/transport.go
+++ b/transport/transport.go
@@ -5,6 +5,7 @@
 package transport
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
@@ -13,9 +14,8 @@
 const (
 	// sendPing and pingTimeout bound the time for which a connection that was cut
 	// silently holds up the calls to a peer. Their sum is below the scheduler lease of
-	// 1.5 s, so that a renewal on a new connection still comes in time. sendPing is
-	// above the interval of heartbeats and long enough that busy connections, which
-	// receive frames all the time, send no pings.
+	// 1.5 s, so that a renewal on a new connection still comes in time. sendPing is long
+	// enough that busy connections, which receive frames all the time, send no pings.
 	sendPing    = 600 * time.Millisecond
 	pingTimeout = 500 * time.Millisecond
 	// maxStreams bounds the calls under way on one connection. It is well above the
@@ -43,6 +43,8 @@
 	Keys *Keys
 	// Peers are the roles of which a peer must have one.
 	Peers []Role
+	// SendPing is the silence of a connection after which it is checked, 0 is 600 ms.
+	SendPing time.Duration
 	// Wrap is called with each new connection, for example to count its bytes.
 	Wrap func(net.Conn) net.Conn
 }
@@ -54,7 +56,7 @@
 	second := newExchangeable(o.Keys, func() *http.Transport {
 		t := newTransport(o, ProtocolHTTP2)
 		t.Protocols.SetUnencryptedHTTP2(true)
-		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: sendPing, PingTimeout: pingTimeout}
+		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: cmp.Or(o.SendPing, sendPing), PingTimeout: pingTimeout}
 		return t
 	})
 	if o.Keys != nil {
