--- a/Makefile
+++ b/Makefile
@@ -24,17 +24,23 @@
 	go vet ./... && go vet -tags "bench capacity" ./e2e ./controlbench
 
 lint:
-	go run $(GOLANGCI) run ./...
+	go run $(GOLANGCI) run --allow-parallel-runners ./...
 
 # The end-to-end tests run after the others, so that they have the machine to
-# themselves: they check times that callers see.
+# themselves: they check times that callers see. The test of an upgrade is skipped in
+# a clone that lacks the released commit.
 unit: build
 	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -race -count=1 -timeout 900s $$(go list ./... | grep -v /e2e)
-	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -count=1 -timeout 900s -parallel 3 ./e2e
+	released=$$(scripts/released.sh $(BIN)/released && echo $(CURDIR)/$(BIN)/released); \
+	GERANIUM_RELEASED_BIN=$$released GERANIUM_BIN=$(CURDIR)/$(BIN) go test -count=1 -timeout 900s -parallel 3 ./e2e
 
+# Figures go to standard output, everything else to standard error.
+bench: SHELL := /bin/bash
+bench: .SHELLFLAGS := -o pipefail -c
 bench: build
 	GERANIUM_BIN=$(CURDIR)/$(BIN) scripts/bench.sh
-	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags bench -count=1 -timeout 600s -v ./controlbench | grep -v -e "^===" -e "^---" -e "^PASS"
+	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags bench -count=1 -timeout 600s -v ./controlbench \
+	  | awk '/^\{/ {print; next} {print > "/dev/stderr"}'
 
 experiments:
 	go run ./cmd/geranium-experiments
--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -3,9 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -16,7 +16,10 @@
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
 	"geraniumwall/gateway"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/operatorapi"
+	"geraniumwall/transport"
 )
 
 const (
@@ -45,33 +48,52 @@
 	if err != nil {
 		return err
 	}
-	g, err := gateway.New(s.options(log))
+	keys, err := daemon.Keys(s.TLS, log)
 	if err != nil {
 		return err
 	}
-	server, err := daemon.Listen(ctx, s.Listen, g.Handler())
+	members, err := gossip.Join(ctx, s.Membership, membership.Member{
+		Name: s.Name, Kind: membership.KindGateway, Domain: s.Domain, Address: s.Listen,
+	}, log)
+	if err != nil {
+		return err
+	}
+	defer members.Stop()
+	g, err := gateway.New(s.options(members, log, keys))
+	if err != nil {
+		return err
+	}
+	// Callers need no certificate, so it is demanded for the operators' paths only.
+	server, err := daemon.ListenSecure(ctx, s.Listen, g.Handler(), keys, transport.ClientsOptional)
+	if err != nil {
+		return err
+	}
+	plain, err := s.listenPlain(ctx, g)
 	if err != nil {
 		return err
 	}
 	g.Start()
 	server.Serve()
+	plain.Serve()
 	log.Info().Str("address", server.Address()).Str("metrics", s.MetricsListen).Msg("gateway is serving")
 	select {
 	case <-ctx.Done():
 	case err := <-server.Failed():
 		return fmt.Errorf("serve callers: %w", err)
+	case err := <-plain.Failed():
+		return fmt.Errorf("serve callers without tls: %w", err)
 	}
-	return shutDown(g, server, time.Duration(s.DrainMS)*time.Millisecond)
+	return shutDown(g, server, plain, time.Duration(s.DrainMS)*time.Millisecond)
 }
 
 // shutDown lets the load balancer notice first, then waits for the requests in
 // progress and returns the grants.
-func shutDown(g *gateway.Gateway, server *daemon.Server, notice time.Duration) error {
+func shutDown(g *gateway.Gateway, server, plain *daemon.Server, notice time.Duration) error {
 	g.Drain()
 	time.Sleep(notice)
 	ctx, cancel := context.WithTimeout(context.Background(), longestDrain)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := errors.Join(server.Shutdown(ctx), plain.Shutdown(ctx)); err != nil {
 		return fmt.Errorf("wait for requests in progress: %w", err)
 	}
 	bounded, release := context.WithTimeout(ctx, recordWait)
@@ -80,19 +102,65 @@
 	return nil
 }
 
-func (s *settingsFile) options(log zerolog.Logger) gateway.Options {
-	schedulers := make([]gateway.Scheduler, 0, len(s.Schedulers))
-	listed := make([]operatorapi.Scheduler, 0, len(s.Schedulers))
-	for _, peer := range s.Schedulers {
-		schedulers = append(schedulers, gateway.Scheduler(peer))
-		listed = append(listed, operatorapi.Scheduler(peer))
+// listenPlain binds the address for callers without TLS; it returns nil if none is
+// set. Operators are refused there, since they cannot show a certificate.
+func (s *settingsFile) listenPlain(ctx context.Context, g *gateway.Gateway) (*daemon.Server, error) {
+	if s.PlainListen == "" {
+		return nil, nil
 	}
-	httpClient := &http.Client{}
+	return daemon.Listen(ctx, s.PlainListen, g.Handler())
+}
+
+func (s *settingsFile) options(members *gossip.Gossip, log zerolog.Logger, keys *transport.Keys) gateway.Options {
+	httpClient := transport.NewClient(transport.ClientOptions{
+		Keys: keys, Peers: []transport.Role{transport.RoleControl, transport.RoleScheduler},
+	})
+	operators := transport.Rules{operatorapi.Prefix: {transport.RoleOperator}}
+	replicas := client.New(s.Control, httpClient)
+	replicas.Discover(members.AddressesOf(membership.KindControl))
 	return gateway.Options{
 		Name: s.Name, Domain: s.Domain, Incarnation: uuid.NewString(),
-		Control: s.Control, Schedulers: schedulers,
-		Clock: gateway.NewClock(), Log: log, Meter: otel.Meter(gateway.MeterName),
-		Operator: operatorapi.New(client.New(s.Control, httpClient), listed, httpClient),
+		Control: s.Control, Schedulers: s.listed(),
+		Directory: func() []gateway.Scheduler { return schedulersOf(members) },
+		Replicas:  members.AddressesOf(membership.KindControl),
+		Clock:     gateway.NewClock(), Log: log, Meter: otel.Meter(gateway.MeterName),
+		Operator: keys.Admit(operators, operatorapi.New(replicas, s.directory(members), httpClient)),
+		Keys:     keys,
 		Seed:     rand.Uint64(), //nolint:gosec // load spreading needs no secrecy
 	}
 }
+
+func (s *settingsFile) listed() []gateway.Scheduler {
+	list := make([]gateway.Scheduler, 0, len(s.Schedulers))
+	for _, one := range s.Schedulers {
+		list = append(list, gateway.Scheduler(one))
+	}
+	return list
+}
+
+func schedulersOf(members *gossip.Gossip) []gateway.Scheduler {
+	var list []gateway.Scheduler
+	for _, m := range members.OfKind(membership.KindScheduler) {
+		list = append(list, gateway.Scheduler{Name: m.Name, Domain: m.Domain, Address: m.Address})
+	}
+	return list
+}
+
+// directory returns what the operators' interface knows of the fleet: the members,
+// and the schedulers of the settings that are not members.
+func (s *settingsFile) directory(members *gossip.Gossip) operatorapi.Directory {
+	return operatorapi.Directory{
+		Schedulers: func() []operatorapi.Scheduler {
+			var list []operatorapi.Scheduler
+			known := map[string]bool{}
+			for _, one := range append(schedulersOf(members), s.listed()...) {
+				if !known[one.Name] {
+					list = append(list, operatorapi.Scheduler(one))
+				}
+				known[one.Name] = true
+			}
+			return list
+		},
+		Members: members.Members,
+	}
+}
--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -33,6 +32,7 @@
 		{"configuration", a.configCommands()},
 		{"work", a.workCommands()},
 		{"fleet", a.fleetCommands()},
+		{"keys", a.keyCommands()},
 	}
 }
 
@@ -112,12 +112,7 @@
 	if err != nil {
 		return err
 	}
-	var document []byte
-	if path == "-" {
-		document, err = io.ReadAll(os.Stdin)
-	} else {
-		document, err = os.ReadFile(path) //nolint:gosec // the path is the operator's own argument
-	}
+	document, err := readInput(path)
 	if err != nil {
 		return fmt.Errorf("read the task: %w", err)
 	}
@@ -171,7 +166,8 @@
 			run:   func(ctx context.Context, _ *flag.FlagSet) error { return a.status(ctx, workers) },
 		},
 		&command{app: a, name: "top", synopsis: "show the status and refresh it every second", run: a.top},
-		&command{app: a, name: "explain", arguments: "SUBJECT", synopsis: "show the decisions about a task, worker or service", run: a.explain},
+		&command{app: a, name: "explain", arguments: "SUBJECT", synopsis: "show the decisions about a task, worker or service",
+			details: operator.ExplainKept, run: a.explain},
 		&command{
 			app: a, name: "drain", arguments: "WORKER", synopsis: "stop new work on a worker and move its tasks",
 			flags: func(f *flag.FlagSet) { f.BoolVar(&undo, "undo", false, "let the worker take work again") },
@@ -205,10 +201,13 @@
 		if err != nil {
 			return err
 		}
-		if err := a.printf(clearScreen); err != nil {
-			return err
-		}
-		if err := operator.WriteStatus(a.out, status, true); err != nil {
+		err = a.print(status, func(w io.Writer) error {
+			if _, err := io.WriteString(w, clearScreen); err != nil {
+				return err
+			}
+			return operator.WriteStatus(w, status, true)
+		})
+		if err != nil {
 			return err
 		}
 		select {
@@ -228,7 +227,13 @@
 	if err != nil {
 		return err
 	}
-	return a.print(decisions, func(w io.Writer) error { return operator.WriteDecisions(w, decisions) })
+	return a.print(decisions, func(w io.Writer) error {
+		if len(decisions) == 0 {
+			_, err := fmt.Fprintf(w, "no decision about %s is kept. %s See geranium audit for older evictions.\n", subject, operator.ExplainKept)
+			return err
+		}
+		return operator.WriteDecisions(w, decisions)
+	})
 }
 
 func (a *app) drain(ctx context.Context, f *flag.FlagSet, undo bool) error {
--- a/control/forming.go
+++ b/control/forming.go
@@ -12,6 +12,8 @@
 
 	"geraniumwall/control/client"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -50,12 +52,17 @@
 	findingJoined
 )
 
+func newStatusClient(keys *transport.Keys) *http.Client {
+	return transport.NewClient(transport.ClientOptions{
+		Timeout: formTimeout, Keys: keys, Peers: []transport.Role{transport.RoleControl},
+	})
+}
+
 // permitFirstStart waits until it is certain that no quorum of the replicas
 // remembers this one: the leader says so, or so many others have an empty log
 // that every quorum includes one of them.
-func permitFirstStart(ctx context.Context, s Settings, log zerolog.Logger) error {
+func permitFirstStart(ctx context.Context, s Settings, httpClient *http.Client, log zerolog.Logger) error {
 	needed := len(s.Replicas) - (len(s.Replicas)/2 + 1) + 1
-	httpClient := &http.Client{Timeout: formTimeout}
 	var logged time.Time
 	for {
 		empty := 0
@@ -131,11 +138,11 @@
 
 // askStatus asks a replica, or the leader that it names.
 func askStatus(ctx context.Context, c *http.Client, address string) (*controlpb.StatusResponse, error) {
-	status, err := controlpb.NewControlProtobufClient("http://"+address, c).Status(ctx, &controlpb.StatusRequest{})
+	status, err := controlpb.NewControlProtobufClient(transport.URL(address), c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
 	var te twirp.Error
 	if errors.As(err, &te) && te.Meta(client.MetaLeader) != "" {
-		leader := "http://" + te.Meta(client.MetaLeader)
-		return controlpb.NewControlProtobufClient(leader, c).Status(ctx, &controlpb.StatusRequest{})
+		leader := transport.URL(te.Meta(client.MetaLeader))
+		return controlpb.NewControlProtobufClient(leader, c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
 	}
 	return status, err
 }
--- a/control/serve_domains.go
+++ b/control/serve_domains.go
@@ -95,7 +95,9 @@
 	if q.GetWorker() == "" || q.GetActor() == "" {
 		return nil, invalid("worker or actor is missing; send both")
 	}
-	got, err := s.propose(ctx, &statepb.Command{Kind: &statepb.Command_DrainWorker{DrainWorker: q}})
+	got, err := s.propose(ctx, &statepb.Command{
+		Format: state.FormatDrains, Kind: &statepb.Command_DrainWorker{DrainWorker: q},
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -23,7 +23,9 @@
 
 	"geraniumwall/raft"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/state"
+	"geraniumwall/transport"
 )
 
 const (
@@ -54,6 +56,8 @@
 	Storage  Storage
 	Stored   raft.Stored
 	Log      zerolog.Logger
+	// Keys secure the connections to other replicas; nil for no encryption.
+	Keys *transport.Keys
 	// Transport sends to other replicas; nil stands for HTTP.
 	Transport Transport
 	// Fatal is called with a failure after which the process must end; nil stands
@@ -124,7 +128,7 @@
 	}
 	s.metrics = m
 	if s.options.Transport == nil {
-		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m), s.reports,
+		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m, options.Keys), s.reports,
 			func() { s.send(&removal{}) })
 	}
 	r, err := s.newReplica()
@@ -216,7 +220,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(controlpb.ControlPathPrefix, controlpb.NewControlServer(s))
 	mux.Handle(controlpb.ReplicaPathPrefix, controlpb.NewReplicaServer(s))
-	return mux
+	return protocol.Handler(mux)
 }
 
 // Transfer hands leadership over, if this replica has it, and returns when
--- a/control/settings.go
+++ b/control/settings.go
@@ -4,8 +4,10 @@
 	"fmt"
 
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/raft"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // ReplicaAddress names one of the first replicas.
@@ -35,6 +37,11 @@
 	Replicas  []ReplicaAddress `json:"replicas"`
 	// SingleDomainOK permits a layout that the loss of one domain stops.
 	SingleDomainOK bool `json:"single_domain_ok"`
+	// TLS secures all traffic of the process; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
+	// Membership may be omitted; the other processes then need this replica in
+	// their settings.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 	// StateMayBeLost permits a single replica. Nothing else remembers its log, so it
 	// starts empty after the loss of its disk instead of refusing to start.
 	StateMayBeLost bool `json:"state_may_be_lost"`
@@ -50,6 +57,8 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.TLS.Check(c, "tls")
+	s.Membership.Check(c)
 	if s.ReplicaID == 0 {
 		c.Add("replica_id", "is 0", "give each replica its own positive id")
 	}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -13,13 +13,17 @@
 	"time"
 
 	"geraniumwall/fakeworker"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/operator"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
 const (
 	firstPort     = 21000
 	metricsSuffix = "/metrics"
+	gossipSuffix  = "/gossip"
+	keyFile       = "gossip.key"
 	readyTimeout  = 20 * time.Second
 	readyInterval = 50 * time.Millisecond
 	workerSlots   = 8
@@ -38,6 +42,14 @@
 	services         []string
 	// cuttable puts a relay on every connection between domains.
 	cuttable bool
+	// secured gives every process keys; callers then use TLS too.
+	secured bool
+	// binaries is the directory of the version that the fleet starts with; empty for
+	// this one.
+	binaries string
+	// membership makes the processes find each other: the settings of a gateway list
+	// one control replica and one scheduler only.
+	membership bool
 }
 
 var fleets atomic.Int32
@@ -56,6 +68,7 @@
 	links      map[[2]string]*direction // by the two domains in order of name
 	relays     []*relay
 	client     *operator.Client
+	keys       *fleetKeys
 }
 
 type address struct {
@@ -78,6 +91,9 @@
 	Metrics   string    `json:"metrics_listen"`
 	ReplicaID uint64    `json:"replica_id"`
 	Replicas  []replica `json:"replicas"`
+
+	TLS        *transport.Settings  `json:"tls,omitempty"`
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 type schedulerSettings struct {
@@ -87,6 +103,9 @@
 	Metrics string   `json:"metrics_listen"`
 	Control []string `json:"control"`
 	Peer    address  `json:"peer"`
+
+	TLS        *transport.Settings  `json:"tls,omitempty"`
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 type gatewaySettings struct {
@@ -96,6 +115,9 @@
 	Metrics    string    `json:"metrics_listen"`
 	Control    []string  `json:"control"`
 	Schedulers []address `json:"schedulers"`
+
+	TLS        *transport.Settings  `json:"tls,omitempty"`
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 // newFleet writes the settings of every process of a layout. Each fleet has a
@@ -108,7 +130,13 @@
 		schedulers: map[string][]*process{}, gateways: map[string][]*process{}, workers: map[string][]*process{},
 		addresses: map[string]string{}, links: map[[2]string]*direction{},
 	}
+	if err := f.makeKeys(); err != nil {
+		return nil, err
+	}
 	f.reserveAddresses()
+	if err := os.WriteFile(filepath.Join(dir, keyFile), []byte(strings.Repeat("secret of a test ", 2)), 0o600); err != nil {
+		return nil, err
+	}
 	if err := f.writeControls(); err != nil {
 		return nil, err
 	}
@@ -118,7 +146,7 @@
 		}
 	}
 	f.client = &operator.Client{Gateways: f.gatewayAddresses(), Operator: "e2e", HTTP: &http.Client{}}
-	return f, nil
+	return f, f.secureOperator()
 }
 
 func (f *fleet) reserve(name string) {
@@ -126,6 +154,19 @@
 	f.addresses[name] = fmt.Sprintf("%s:%d", f.ip, f.port)
 	f.port++
 	f.addresses[name+metricsSuffix] = fmt.Sprintf("%s:%d", f.ip, f.port)
+	f.port++
+	f.addresses[name+gossipSuffix] = fmt.Sprintf("%s:%d", f.ip, f.port)
+}
+
+// join returns the membership settings of a process; nil where there are none.
+func (f *fleet) join(name string) *gossip.JoinSettings {
+	if !f.membership {
+		return nil
+	}
+	return &gossip.JoinSettings{
+		Listen: f.addresses[name+gossipSuffix], KeyFile: filepath.Join(f.dir, keyFile),
+		Seeds: []string{f.addresses[controlName(0)+gossipSuffix], f.addresses[controlName(1)+gossipSuffix]},
+	}
 }
 
 // metrics is the address of the metrics of a process.
@@ -259,6 +300,7 @@
 		p, err := newProcess(f.dir, "geranium-control", name, controlSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
 			DataDir: filepath.Join(f.dir, name), ReplicaID: uint64(i + 1), Replicas: replicas,
+			TLS: f.keys.of(transport.RoleControl, name), Membership: f.join(name),
 		})
 		if err != nil {
 			return err
@@ -282,15 +324,20 @@
 		if err := f.add(f.schedulers, domain, "geranium-scheduler", name, schedulerSettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name), Control: control,
 			Peer: address{Name: peer, Address: f.addresses[peer]},
+			TLS:  f.keys.of(transport.RoleScheduler, name), Membership: f.join(name),
 		}); err != nil {
 			return err
 		}
 	}
+	if f.membership {
+		control = control[:1]
+		schedulers = []address{{Name: schedulerName(domain, 0), Domain: domain, Address: f.addresses[schedulerName(domain, 0)]}}
+	}
 	for i := range f.gatewaysPer {
 		name := gatewayName(domain, i)
 		if err := f.add(f.gateways, domain, "geranium-gateway", name, gatewaySettings{
 			Name: name, Domain: domain, Listen: f.addresses[name], Metrics: f.metrics(name),
-			Control: control, Schedulers: schedulers,
+			Control: control, Schedulers: schedulers, TLS: f.keys.of(transport.RoleGateway, name), Membership: f.join(name),
 		}); err != nil {
 			return err
 		}
@@ -304,6 +351,7 @@
 			Capacity:   workerapi.Resources{CPUMillis: 32_000, MemoryMB: 125_000},
 			Slots:      workerSlots, Connections: workerConns, Services: f.services,
 			RecordFile: filepath.Join(f.dir, name+".record"), ReportLagMS: workerReportLagMS,
+			TLS: f.keys.of(transport.RoleWorker, name),
 		}); err != nil {
 			return err
 		}
@@ -333,26 +381,27 @@
 // start starts every process and waits until each gateway is ready.
 func (f *fleet) start(ctx context.Context) error {
 	for _, p := range f.all() {
+		p.binaries = f.binaries
 		if err := p.start(); err != nil {
 			return err
 		}
 	}
 	for _, gateway := range f.gatewayAddresses() {
-		if err := waitHealthy(ctx, gateway); err != nil {
+		if err := f.waitHealthy(ctx, gateway); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func waitHealthy(ctx context.Context, gateway string) error {
+func (f *fleet) waitHealthy(ctx context.Context, gateway string) error {
 	deadline := time.Now().Add(readyTimeout)
 	for {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+"/healthz", nil)
 		if err != nil {
 			return err
 		}
-		answer, err := http.DefaultClient.Do(request)
+		answer, err := f.keys.caller().Do(request)
 		if err == nil {
 			answer.Body.Close()
 			if answer.StatusCode == http.StatusOK {
@@ -381,8 +430,8 @@
 
 // geranium runs the operator command against all gateways of the fleet.
 func (f *fleet) geranium(stdin []byte, arguments ...string) (string, error) {
-	command := exec.Command(binaryPath("geranium"),
-		append([]string{"-gateways", strings.Join(f.gatewayAddresses(), ","), "-operator", "e2e"}, arguments...)...)
+	global := append([]string{"-gateways", strings.Join(f.gatewayAddresses(), ","), "-operator", "e2e"}, f.operatorFlags()...)
+	command := exec.Command(binaryPath("geranium"), append(global, arguments...)...)
 	command.Stdin = bytes.NewReader(stdin)
 	var out, problems bytes.Buffer
 	command.Stdout, command.Stderr = &out, &problems
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -12,8 +12,9 @@
 
 	"geraniumwall/daemon"
 	"geraniumwall/fakeworker/machine"
+	"geraniumwall/rpc/protocol"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
-	"geraniumwall/workerapi/delta"
 )
 
 const (
@@ -34,14 +35,22 @@
 	record      *recorder
 	server      *daemon.Server
 	http        *http.Client
-	wake        chan struct{}
+	links       []*link
 
 	mu       sync.Mutex
 	machine  *machine.Machine
 	draining time.Time
 	meters   map[string]*meter
-	// senders shorten the heartbeats to each scheduler, by address.
-	senders map[string]*delta.Sender
+}
+
+// admitted says which roles may call which path.
+var admitted = transport.Rules{
+	workerapi.PathAttach:     {transport.RoleScheduler},
+	workerapi.PathStart:      {transport.RoleScheduler},
+	workerapi.PathStop:       {transport.RoleScheduler},
+	workerapi.PathThrottle:   {transport.RoleScheduler},
+	workerapi.PathCheckpoint: {transport.RoleScheduler},
+	workerapi.PathServe:      {transport.RoleGateway},
 }
 
 // New binds the address and opens the record file. Run starts to work.
@@ -50,16 +59,25 @@
 	if err != nil {
 		return nil, err
 	}
+	keys, err := daemon.Keys(s.TLS, log)
+	if err != nil {
+		return nil, err
+	}
 	w := &Worker{
 		settings: s, incarnation: uuid.NewString(), boot: time.Now(), log: log, record: record,
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
-		wake:   make(chan struct{}, 1),
-		meters: map[string]*meter{}, senders: map[string]*delta.Sender{},
+		http: transport.NewClient(transport.ClientOptions{
+			Keys: keys, Peers: []transport.Role{transport.RoleScheduler}, SendPing: heartbeatPing,
+		}),
+		meters: map[string]*meter{},
+	}
+	for _, address := range s.Schedulers {
+		w.links = append(w.links, newLink(address))
 	}
 	w.machine = machine.New(machine.Settings{
 		Name: s.Name, Incarnation: w.incarnation, Capacity: s.Capacity, Slots: s.Slots,
 	}, w.recordTask)
-	w.server, err = daemon.Listen(context.Background(), s.Listen, w.routes())
+	w.server, err = daemon.ListenSecure(
+		context.Background(), s.Listen, keys.Admit(admitted, w.routes()), keys, transport.ClientsRequired)
 	if err != nil {
 		return nil, err
 	}
@@ -81,13 +99,13 @@
 
 func (w *Worker) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+workerapi.PathAttach, handle(w, w.machine.Attach))
+	mux.HandleFunc("POST "+workerapi.PathAttach, handle(w, w.attach))
 	mux.HandleFunc("POST "+workerapi.PathStart, handle(w, w.machine.Start))
 	mux.HandleFunc("POST "+workerapi.PathStop, handle(w, w.machine.Stop))
 	mux.HandleFunc("POST "+workerapi.PathThrottle, handle(w, w.machine.Throttle))
 	mux.HandleFunc("POST "+workerapi.PathCheckpoint, handle(w, w.machine.Checkpoint))
 	mux.HandleFunc("POST "+workerapi.PathServe+"{service}", w.serve)
-	return mux
+	return protocol.Handler(mux)
 }
 
 // Run works until ctx is over and then leaves gracefully: running requests
@@ -97,7 +115,9 @@
 	defer stop()
 	defer func() { _ = w.record.close() }()
 	w.server.Serve()
-	go w.beat(working)
+	for _, l := range w.links {
+		go w.beat(working, l)
+	}
 	go w.work(working)
 	select {
 	case <-ctx.Done():
@@ -118,7 +138,7 @@
 	w.machine.Drain()
 	w.mu.Unlock()
 	w.withdraw(ctx, false)
-	w.nudge()
+	w.nudgeAll()
 	ticker := time.NewTicker(quantum)
 	defer ticker.Stop()
 	for limit := time.Now().Add(withdrawLimit); time.Now().Before(limit) && !w.idle(); {
@@ -153,12 +173,28 @@
 	}
 }
 
-// nudge sends the next heartbeat soon.
+// nudge sends the next heartbeat to the scheduler that holds the tasks soon.
 func (w *Worker) nudge() {
-	select {
-	case w.wake <- struct{}{}:
-	default:
+	for _, l := range w.links {
+		if !l.standsBy(w.machine.TaskHolder()) {
+			l.nudge()
+		}
+	}
+}
+
+func (w *Worker) nudgeAll() {
+	for _, l := range w.links {
+		l.nudge()
+	}
+}
+
+// attach lets a scheduler with a new session hear of the worker at once.
+func (w *Worker) attach(now time.Duration, c *workerapi.Attach) workerapi.AttachAnswer {
+	answer := w.machine.Attach(now, c)
+	if answer.Accepted {
+		w.nudgeAll()
 	}
+	return answer
 }
 
 // now is the monotonic time since the start of the worker.
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -29,17 +29,23 @@
 	if err == nil {
 		result.Control = control
 	}
-	result.Schedulers = make([]SchedulerStatus, len(s.schedulers))
-	s.each(ctx, func(ctx context.Context, i int, one scheduler) {
+	schedulers := s.schedulers()
+	result.Schedulers = make([]SchedulerStatus, len(schedulers))
+	each(ctx, schedulers, func(ctx context.Context, i int, one scheduler) {
 		result.Schedulers[i] = one.status(ctx)
 	})
+	for _, m := range s.directory.Members() {
+		result.Members = append(result.Members, MemberStatus{
+			Name: m.Name, Kind: m.Kind, Domain: m.Domain, Address: m.Address, State: m.State.String(),
+		})
+	}
 	writeJSON(w, http.StatusOK, result)
 }
 
 // each calls f for every scheduler at once and waits for all.
-func (s *Server) each(ctx context.Context, f func(context.Context, int, scheduler)) {
+func each(ctx context.Context, schedulers []scheduler, f func(context.Context, int, scheduler)) {
 	var all sync.WaitGroup
-	for i, one := range s.schedulers {
+	for i, one := range schedulers {
 		all.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, schedulerTimeout)
 			defer cancel()
@@ -59,11 +65,13 @@
 	result.Role, result.Epoch = answer.GetRole(), answer.GetEpoch()
 	result.Waiting, result.Running = answer.GetWaiting(), answer.GetRunning()
 	result.ConfigVersion = answer.GetConfigVersion()
+	result.SchedulerLeaseMS, result.DomainLeaseMS = answer.GetSchedulerLeaseMs(), answer.GetDomainLeaseMs()
 	for _, w := range answer.GetWorkers() {
 		result.Workers = append(result.Workers, WorkerStatus{
 			Worker: w.GetWorker(), Rack: w.GetRack(), State: w.GetState(),
 			FreeCPUMillis: w.GetFreeCpuMillis(), FreeMemoryMB: w.GetFreeMemoryMb(), FreeAccelerators: w.GetFreeAccelerators(),
 			Tasks: w.GetTasks(), Slots: w.GetSlots(), SlotsGranted: w.GetSlotsGranted(), HeartbeatAgeMS: w.GetHeartbeatAgeMs(),
+			Reason: w.GetReason(),
 		})
 	}
 	return result
@@ -73,7 +81,7 @@
 	subject := r.PathValue("subject")
 	var mu sync.Mutex
 	decisions := []Decision{}
-	s.each(r.Context(), func(ctx context.Context, _ int, one scheduler) {
+	each(r.Context(), s.schedulers(), func(ctx context.Context, _ int, one scheduler) {
 		answer, err := one.stub.Explain(ctx, &schedulerpb.ExplainRequest{Subject: subject, Limit: explainLimit})
 		if err != nil {
 			return
@@ -92,9 +100,9 @@
 }
 
 func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
-	operator := r.Header.Get(HeaderOperator)
-	if operator == "" {
-		writeProblem(w, badInput(HeaderOperator, "name the operator in the header "+HeaderOperator))
+	operator, err := operatorOf(r)
+	if err != nil {
+		writeProblem(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
@@ -118,7 +126,7 @@
 // knows reports whether a scheduler knows a worker.
 func (s *Server) knows(ctx context.Context, worker string) bool {
 	var found atomic.Bool
-	s.each(ctx, func(ctx context.Context, _ int, one scheduler) {
+	each(ctx, s.schedulers(), func(ctx context.Context, _ int, one scheduler) {
 		answer, err := one.stub.Status(ctx, &schedulerpb.StatusRequest{})
 		if err != nil {
 			return
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -17,8 +17,11 @@
 
 	"geraniumwall/config"
 	"geraniumwall/control/client"
+	"geraniumwall/membership"
 	"geraniumwall/rpc/controlpb"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
+	"geraniumwall/transport"
 )
 
 // Prefix is the path under which a gateway mounts the handler.
@@ -41,10 +44,17 @@
 	Address string
 }
 
+// Directory tells who is in the fleet now. Members may return nothing.
+type Directory struct {
+	Schedulers func() []Scheduler
+	Members    func() []membership.Member
+}
+
 // Server answers operators.
 type Server struct {
-	control    *client.Client
-	schedulers []scheduler
+	control   *client.Client
+	directory Directory
+	http      *http.Client
 }
 
 type scheduler struct {
@@ -53,11 +63,8 @@
 }
 
 // New returns the handler, to be mounted at Prefix.
-func New(control *client.Client, schedulers []Scheduler, httpClient *http.Client) http.Handler {
-	s := &Server{control: control}
-	for _, one := range schedulers {
-		s.schedulers = append(s.schedulers, scheduler{one, schedulerpb.NewSchedulerProtobufClient("http://"+one.Address, httpClient)})
-	}
+func New(control *client.Client, directory Directory, httpClient *http.Client) http.Handler {
+	s := &Server{control: control, directory: directory, http: httpClient}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Prefix+"config", s.getConfig)
 	mux.HandleFunc("PUT "+Prefix+"config", s.applyConfig)
@@ -67,7 +74,16 @@
 	mux.HandleFunc("GET "+Prefix+"explain/{subject}", s.explain)
 	mux.HandleFunc("POST "+Prefix+"drain/{worker}", s.drain)
 	mux.HandleFunc("POST "+Prefix+"replica/{change}", s.changeReplica)
-	return mux
+	return refuseOtherNames(mux)
+}
+
+// schedulers returns the schedulers that are known now.
+func (s *Server) schedulers() []scheduler {
+	var list []scheduler
+	for _, one := range s.directory.Schedulers() {
+		list = append(list, scheduler{one, schedulerpb.NewSchedulerProtobufClient(transport.URL(one.Address), s.http, protocol.Client())})
+	}
+	return list
 }
 
 func (s *Server) getConfig(w http.ResponseWriter, r *http.Request) {
@@ -135,9 +151,9 @@
 	if id == "" {
 		return nil, badInput("change", "send an id of your own and repeat it when you resend the change")
 	}
-	author := r.Header.Get(HeaderOperator)
-	if author == "" {
-		return nil, badInput(HeaderOperator, "name the operator in the header "+HeaderOperator)
+	author, err := operatorOf(r)
+	if err != nil {
+		return nil, err
 	}
 	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
 	if err != nil {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -115,17 +115,22 @@
 })
 
 var _ = ginkgo.Describe("A worker", func() {
-	ginkgo.It("that is silent for one second gets no start and no grant", func() {
+	ginkgo.It("that is silent for 2.5 seconds gets no start and no grant", func() {
 		c := activeCore(1)
 		sync := GrantSync{Gateway: "g", Domain: worldDomain, Incarnation: "1", Sequence: 1}
 		answer, err := c.SyncGrants(2100*ms, sync)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(answer.Grants).To(HaveLen(1))
-		c.SyncTasks(3000*ms, 1, []BoundTask{newTask("t")}, false)
-		c.Tick(3000 * ms)
-		Expect(actionsOf[SendStart](c)).To(BeEmpty())
+		Expect(answer.Grants).To(ConsistOf(HaveField("Duration", 3*time.Second)))
 		sync.Sequence = 2
-		answer, err = c.SyncGrants(3000*ms, sync)
+		answer, err = c.SyncGrants(3300*ms, sync)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Grants).To(ConsistOf(HaveField("Duration", 1700*ms)))
+		renewLeases(c, 4400*ms)
+		c.SyncTasks(4500*ms, 1, []BoundTask{newTask("t")}, false)
+		c.Tick(4500 * ms)
+		Expect(actionsOf[SendStart](c)).To(BeEmpty())
+		sync.Sequence = 3
+		answer, err = c.SyncGrants(4500*ms, sync)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Grants).To(BeEmpty())
 	})
@@ -155,6 +160,33 @@
 		Expect(actionsOf[SendStart](c)).To(HaveLen(1))
 	})
 
+	// Guards against evictions that the metrics count under another reason, and against
+	// ages that do not grow.
+	ginkgo.It("that drains evicts its tasks with that cause", func() {
+		c := activeCore(1)
+		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t1")}, false)
+		c.Tick(2100 * ms)
+		start := actionsOf[SendStart](c)[0].Body
+		report := workerapi.TaskReport{ID: "t1", Attempt: start.Attempt, Phase: workerapi.PhaseRunning, Resources: start.Resources}
+		hb := beat("w0000", 2)
+		hb.Session, hb.Holder, hb.Epoch, hb.Tasks = 1, "s1#1", 1, []workerapi.TaskReport{report}
+		_, err := c.Heartbeat(2200*ms, hb)
+		Expect(err).NotTo(HaveOccurred())
+		status := c.Status(2500 * ms)
+		Expect(status.TaskLeaseAge).To(Equal(300 * ms))
+		Expect(status.DomainLease).To(Equal(lease.DomainLease - 500*ms))
+		c.SetDrained(2500*ms, 1, []string{"w0000"})
+		c.Tick(2600 * ms)
+		stop := actionsOf[SendStop](c)[0]
+		report.Phase = workerapi.PhaseStopped
+		c.StopAnswered(2700*ms, StopResult{
+			Target: stop.Target, Ref: workerapi.TaskRef{ID: "t1", Attempt: stop.Body.Attempt},
+			Answer: workerapi.CommandAnswer{Outcome: workerapi.OutcomeDone, Task: report},
+		})
+		c.Tick(2800 * ms)
+		Expect(actionsOf[SendReports](c)[0].Events[0].Cause).To(Equal(CauseDrain))
+	})
+
 	ginkgo.It("that restarts gets no task before the leases of its former tasks are over", func() {
 		c := activeCore(1)
 		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
@@ -162,12 +194,12 @@
 		Expect(actionsOf[SendStart](c)).To(HaveLen(1))
 		restarted := beat("w0000", 1)
 		restarted.Incarnation, restarted.Address = "2", "w0000:2"
-		_, err := c.Heartbeat(3100*ms, restarted)
+		_, err := c.Heartbeat(4600*ms, restarted)
 		Expect(err).NotTo(HaveOccurred())
-		attach(c, 3100*ms, "w0000")
-		c.SyncTasks(3100*ms, 1, []BoundTask{newTask("other")}, false)
+		attach(c, 4600*ms, "w0000")
+		c.SyncTasks(4600*ms, 1, []BoundTask{newTask("other")}, false)
 		restarted.Session, restarted.Holder = 1, "s1#1"
-		for now := 3100 * ms; now < 12*time.Second; now += 500 * ms {
+		for now := 4600 * ms; now < 12*time.Second; now += 500 * ms {
 			renewLeases(c, now)
 			_, err = c.Heartbeat(now, beatAgain(restarted))
 			Expect(err).NotTo(HaveOccurred())
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
+	"geraniumwall/config"
 	"geraniumwall/workerapi"
 )
 
@@ -17,6 +19,8 @@
 	SlotsGranted int
 	HeartbeatAge time.Duration
 	Session      uint64
+	// Reason says why the worker is not ready; empty for a ready one.
+	Reason string
 }
 
 // Status is the state of a scheduler, for people.
@@ -27,8 +31,21 @@
 	Waiting int
 	Running int
 	Version uint64
-	// OldestWaiting is the longest time that a task has waited in the domain.
-	OldestWaiting time.Duration
+	// OldestWaiting is the longest time that a task of each class has waited in the
+	// domain.
+	OldestWaiting map[config.Priority]time.Duration
+	// SchedulerLease and DomainLease are what is left of the leases held, 0 for none.
+	SchedulerLease time.Duration
+	DomainLease    time.Duration
+	// TaskLeaseAge is the longest time since the lease of a running task was renewed.
+	TaskLeaseAge time.Duration
+	// EvictionsLeft is the rest of the eviction budget, -1 if the engine has none.
+	EvictionsLeft float64
+}
+
+// budgeted is an engine with a budget of evictions.
+type budgeted interface {
+	EvictionsLeft(now time.Duration) float64
 }
 
 // Status returns the state of the scheduler.
@@ -36,22 +53,39 @@
 	s := Status{Role: c.authority.role(), Epoch: c.authority.leases.Epoch(), Version: c.version}
 	s.Waiting, s.Running = c.countTasks()
 	s.OldestWaiting = c.oldestWaiting(now)
+	s.SchedulerLease, s.DomainLease = c.authority.leases.Rest(now)
+	s.TaskLeaseAge = c.taskLeaseAge(now)
+	s.EvictionsLeft = -1
+	if b, ok := c.engine.(budgeted); ok {
+		s.EvictionsLeft = b.EvictionsLeft(now)
+	}
 	for _, id := range c.workerIDs() {
 		w := c.workers[id]
+		state, reason := c.standing(w)
 		s.Workers = append(s.Workers, WorkerStatus{
-			Worker: id, Rack: w.rack, State: w.state(), Free: w.ledger.free(), Tasks: len(w.live) + len(w.strays),
+			Worker: id, Rack: w.rack, State: state, Reason: reason, Free: w.ledger.free(), Tasks: len(w.live) + len(w.strays),
 			Slots: w.slots, SlotsGranted: w.granted(now), HeartbeatAge: now - w.heard, Session: w.session.number,
 		})
 	}
 	return s
 }
 
-// oldestWaiting is the longest time that a task has waited in the domain.
-func (c *Core) oldestWaiting(now time.Duration) time.Duration {
-	var oldest time.Duration
+// oldestWaiting is the longest time that a task of each class has waited.
+func (c *Core) oldestWaiting(now time.Duration) map[config.Priority]time.Duration {
+	oldest := map[config.Priority]time.Duration{config.Urgent: 0, config.Normal: 0, config.Batch: 0}
 	for _, t := range c.tasks {
 		if !t.isLive() && t.phase != phaseEnded {
-			oldest = max(oldest, now-t.enqueued)
+			oldest[t.Priority] = max(oldest[t.Priority], now-t.enqueued)
+		}
+	}
+	return oldest
+}
+
+func (c *Core) taskLeaseAge(now time.Duration) time.Duration {
+	var oldest time.Duration
+	for _, t := range c.tasks {
+		if t.phase == phaseRunning {
+			oldest = max(oldest, now-t.renewed)
 		}
 	}
 	return oldest
@@ -69,22 +103,37 @@
 	return waiting, running
 }
 
-func (w *worker) state() string {
+// confining is an engine that limits the tasks of workers that fail them.
+type confining interface {
+	// Confined returns the limit of a worker, negative for none, and the reason.
+	Confined(worker string) (limit int, reason string)
+}
+
+// standing returns the state of a worker and why it is not ready.
+func (c *Core) standing(w *worker) (state, reason string) {
 	switch {
 	case w.retired():
-		return "replaced"
+		return "replaced", "a newer process has its name, and its tasks may still run"
 	case w.silent:
-		return "silent"
+		return "silent", w.silentReason()
 	case w.drained:
-		return "draining"
+		return "draining", "drained by an operator; geranium drain -undo ends it"
 	case w.leaving:
-		return "leaving"
+		return "leaving", "the worker withdraws"
 	case !w.session.held:
-		return "unattached"
+		return "unattached", "another scheduler holds its session, or it has not answered yet"
 	case w.session.servicesOnly:
-		return "services only"
+		return "services only", "no active scheduler holds its session"
+	}
+	if engine, ok := c.engine.(confining); ok {
+		switch limit, why := engine.Confined(w.name); {
+		case limit == 0:
+			return "quarantined", why
+		case limit > 0:
+			return "on probation", fmt.Sprintf("%s; at most %d tasks", why, limit)
+		}
 	}
-	return "ready"
+	return "ready", ""
 }
 
 // Load summarizes the domain for the binding of tasks.
--- a/schedulerd/commands.go
+++ b/schedulerd/commands.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 )
 
@@ -38,10 +39,10 @@
 	others   chan struct{}
 }
 
-func newCommander(ctx context.Context, m *metrics) *commander {
-	transport := &http.Transport{MaxIdleConns: 4096, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+func newCommander(ctx context.Context, m *metrics, keys *transport.Keys) *commander {
+	workers := transport.ClientOptions{Keys: keys, Peers: []transport.Role{transport.RoleWorker}}
 	return &commander{
-		ctx: ctx, http: &http.Client{Transport: transport}, metrics: m,
+		ctx: ctx, http: transport.NewCommandClient(workers), metrics: m,
 		starts: make(chan struct{}, startsAtOnce), stops: make(chan struct{}, stopsAtOnce),
 		attaches: make(chan struct{}, attachesAtOnce), others: make(chan struct{}, othersAtOnce),
 	}
@@ -97,7 +98,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, commandTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address+path, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, transport.URL(t.Address)+path, bytes.NewReader(encoded))
 	if err != nil {
 		return fmt.Errorf("request to worker %s: %w", t.Worker, err)
 	}
--- a/schedulerd/convert.go
+++ b/schedulerd/convert.go
@@ -100,7 +100,7 @@
 	return &schedulerpb.Grant{
 		Worker: g.Worker, Address: g.Address, Domain: domain, Session: g.Session,
 		Slots: int32(g.Slots), Connections: int32(g.Connections), //nolint:gosec // bounded by the slots of a worker
-		Services: g.Services, DurationMs: scheduler.GrantDuration.Milliseconds(),
+		Services: g.Services, DurationMs: g.Duration.Milliseconds(),
 	}
 }
 
@@ -121,6 +121,6 @@
 		Worker: w.Worker, Rack: w.Rack, State: w.State,
 		FreeCpuMillis: w.Free.CPUMillis, FreeMemoryMb: w.Free.MemoryMB, FreeAccelerators: w.Free.Accelerators,
 		Tasks: int32(w.Tasks), Slots: int32(w.Slots), SlotsGranted: int32(w.SlotsGranted),
-		HeartbeatAgeMs: w.HeartbeatAge.Milliseconds(), Session: w.Session,
+		HeartbeatAgeMs: w.HeartbeatAge.Milliseconds(), Session: w.Session, Reason: w.Reason,
 	}
 }
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -14,9 +14,13 @@
 
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
+	"geraniumwall/membership"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/policy"
+	"geraniumwall/rpc/protocol"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 )
 
 const (
@@ -51,15 +55,20 @@
 	if err != nil {
 		return nil, err
 	}
+	keys, err := daemon.Keys(settings.TLS, log)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{settings: settings, log: log, ctx: ctx, cancel: cancel}
 	mux := http.NewServeMux()
-	s.http, err = daemon.Listen(ctx, settings.Listen, mux)
+	handler := keys.Admit(admitted, protocol.Handler(mux))
+	s.http, err = daemon.ListenSecure(ctx, settings.Listen, handler, keys, transport.ClientsRequired)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	s.assemble(mux, m, engine)
+	s.assemble(mux, m, engine, keys)
 	if err := observe(s.loop); err != nil {
 		cancel()
 		return nil, err
@@ -67,16 +76,18 @@
 	return s, nil
 }
 
-func (s *Server) assemble(mux *http.ServeMux, m *metrics, engine policy.Engine) {
+func (s *Server) assemble(mux *http.ServeMux, m *metrics, engine policy.Engine, keys *transport.Keys) {
 	clk := clock{start: time.Now()}
 	identity := s.settings.Name + "#" + uuid.NewString()[:8]
 	core := scheduler.New(clk.now(), scheduler.Settings{
 		Name: s.settings.Name, Identity: identity, Domain: s.settings.Domain,
 	}, engine)
-	s.commander = newCommander(s.ctx, m)
+	s.commander = newCommander(s.ctx, m, keys)
 	s.loop = newLoop(&owner{core: core, clock: clk, perform: s.perform})
 	s.commander.loop = s.loop
-	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	httpClient := transport.NewClient(transport.ClientOptions{
+		Keys: keys, Peers: []transport.Role{transport.RoleControl, transport.RoleScheduler},
+	})
 	replicas := client.New(s.settings.Control, httpClient)
 	s.follower = client.NewFollower(replicas, client.Identity{
 		Process: s.settings.Name, Kind: "scheduler", Domain: s.settings.Domain,
@@ -93,7 +104,7 @@
 	refusals := s.log.Sample(&zerolog.BurstSampler{Burst: refusalsLogged, Period: time.Second})
 	(&workerHandler{loop: s.loop, metrics: m, log: refusals, receivers: newReceivers()}).register(mux)
 	handler := schedulerpb.NewSchedulerServer(&service{
-		settings: s.settings, loop: s.loop, follower: s.follower, metrics: m,
+		settings: s.settings, loop: s.loop, follower: s.follower, metrics: m, answers: newAnswers(identity),
 	})
 	mux.Handle(handler.PathPrefix(), handler)
 }
@@ -140,6 +151,15 @@
 	renewals, endRenewals := context.WithCancel(s.ctx)
 	defer endRenewals()
 	s.http.Serve()
+	members, err := gossip.Join(ctx, s.settings.Membership, membership.Member{
+		Name: s.settings.Name, Kind: membership.KindScheduler, Domain: s.settings.Domain, Address: s.Address(),
+	}, s.log)
+	if err != nil {
+		return err
+	}
+	defer members.Stop()
+	s.peer.members.Store(members)
+	s.control.client.Discover(members.AddressesOf(membership.KindControl))
 	go s.tick()
 	go s.follower.Run(s.ctx)
 	go s.control.renewEvery(renewals)
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -24,6 +24,7 @@
 	loop     *loop
 	follower *client.Follower
 	metrics  *metrics
+	answers  *answers
 }
 
 func (s *service) step(ctx context.Context, run func(now time.Duration, core *scheduler.Core)) error {
@@ -39,10 +40,16 @@
 	if r.GetGateway() == "" || r.GetIncarnation() == "" {
 		return nil, twirp.RequiredArgumentError("gateway and incarnation")
 	}
+	whole, held := s.answers.restore(r)
+	if !held {
+		return &schedulerpb.SyncGrantsResponse{
+			Scheduler: s.settings.Name, SendWhole: true, ConfigVersion: s.follower.Current().Version,
+		}, nil
+	}
 	var answer scheduler.GrantAnswer
 	var refused error
 	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
-		answer, refused = core.SyncGrants(now, grantSync(r))
+		answer, refused = core.SyncGrants(now, grantSync(whole))
 	})
 	if err != nil {
 		return nil, err
@@ -58,7 +65,7 @@
 		response.Grants = append(response.Grants, grantMessage(s.settings.Domain, g))
 	}
 	s.metrics.sync(ctx, len(response.Grants))
-	return response, nil
+	return s.answers.shorten(s.loop.clock.now(), whole, response), nil
 }
 
 // learnConfig takes the configuration of a gateway that has a newer one, which it
@@ -104,8 +111,8 @@
 		limit = defaultExplainLimit
 	}
 	var decisions []scheduler.Decision
-	err := s.step(ctx, func(_ time.Duration, core *scheduler.Core) {
-		decisions = core.Explain(r.GetSubject(), min(limit, maxExplainLimit))
+	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
+		decisions = core.Explain(now, r.GetSubject(), min(limit, maxExplainLimit))
 	})
 	if err != nil {
 		return nil, err
@@ -127,10 +134,16 @@
 	response := &schedulerpb.StatusResponse{
 		Scheduler: s.settings.Name, Domain: s.settings.Domain, Role: string(status.Role), Epoch: status.Epoch,
 		Waiting: int32(status.Waiting), Running: int32(status.Running), //nolint:gosec // counts
-		ConfigVersion: status.Version,
+		ConfigVersion: status.Version, SchedulerLeaseMs: status.SchedulerLease.Milliseconds(),
+		DomainLeaseMs: status.DomainLease.Milliseconds(),
 	}
 	for _, w := range status.Workers {
 		response.Workers = append(response.Workers, workerStatusMessage(w))
 	}
 	return response, nil
 }
+
+// Drain refuses a call that gateways of version 1 make.
+func (s *service) Drain(context.Context, *schedulerpb.DrainRequest) (*schedulerpb.DrainResponse, error) {
+	return nil, twirp.FailedPrecondition.Error("drains are kept by the control replicas; upgrade the gateway that the call came through")
+}
--- a/schedulerd/settings.go
+++ b/schedulerd/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"geraniumwall/daemon"
+	"geraniumwall/membership/gossip"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // Peer is the other scheduler of the domain.
@@ -25,6 +27,10 @@
 	Control []string `json:"control"`
 	// Peer may be omitted where a domain has one scheduler.
 	Peer *Peer `json:"peer,omitempty"`
+	// TLS secures all traffic of the process; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
+	// Membership may be omitted; gateways then need this scheduler in their settings.
+	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
 
 // Defaults returns the settings before the file is read.
@@ -41,7 +47,9 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.TLS.Check(c, "tls")
 	c.Addresses("control", s.Control)
+	s.Membership.Check(c)
 	if s.Peer == nil {
 		return
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -20,7 +20,12 @@
 // Capture returns a view of the present state.
 func (m *Machine) Capture() Capture {
 	drained, drains := m.Drained()
+	format := uint32(0)
+	if drains > 0 {
+		format = FormatDrains
+	}
 	return Capture{&statepb.Snapshot{
+		Format:        format,
 		Index:         m.index,
 		NextTask:      m.tasks.next,
 		Tasks:         slices.Collect(maps.Values(m.tasks.byID)),
@@ -60,12 +65,15 @@
 }
 
 // Restore returns the state of a snapshot. It fails if the snapshot contradicts
-// itself.
+// itself or has an unknown format.
 func Restore(data []byte) (*Machine, error) {
 	s := &statepb.Snapshot{}
 	if err := proto.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w; replace this replica", err)
 	}
+	if err := checkFormat(s.GetFormat()); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
 	if err := checkSnapshot(s); err != nil {
 		return nil, fmt.Errorf("snapshot at index %d: %w; replace this replica", s.GetIndex(), err)
 	}
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -3,6 +3,8 @@
 // processors are millicores.
 package workerapi
 
+import "time"
+
 // Paths served by a scheduler.
 const (
 	PathHeartbeat = "/v1/worker/heartbeat"
@@ -31,6 +33,20 @@
 	HeaderIdempotent = "Idempotency-Key"
 )
 
+// FormatCompact is the newest format of heartbeats: the short forms of usage, of the
+// session and of the answer, and heartbeats without tasks. A side uses it once the
+// other has said that it reads it; without a word the format is 1.
+const FormatCompact = 2
+
+const (
+	// HeartbeatInterval separates two heartbeats to a scheduler of FormatCompact
+	// that names no other interval.
+	HeartbeatInterval = time.Second
+	// FirstInterval is that to a scheduler of format 1, which takes a worker for
+	// silent after 1 s.
+	FirstInterval = 500 * time.Millisecond
+)
+
 // Outcome is the typed result of a request.
 type Outcome string
 
@@ -95,6 +111,20 @@
 	SinceCheckpointMS int64 `json:"since_checkpoint_ms"`
 }
 
+// UsageReport is the part of a TaskReport that changes while an attempt runs. The
+// keys are short because it is most of what a worker sends.
+type UsageReport struct {
+	ID        string  `json:"t"`
+	CPUMillis int64   `json:"c"`
+	MemoryMB  int64   `json:"m"`
+	Accels    int64   `json:"a,omitempty"`
+	Progress  float64 `json:"p"`
+	// SinceMS is SinceCheckpointMS.
+	SinceMS int64 `json:"s"`
+	// Checkpoint is left out if the one of the base is still the newest.
+	Checkpoint []byte `json:"k,omitempty"`
+}
+
 // ServiceReport is a lagged measurement of one service on a worker.
 type ServiceReport struct {
 	Service string `json:"service"`
@@ -113,12 +143,14 @@
 	// Incarnation changes when the worker restarts.
 	Incarnation string `json:"incarnation"`
 	Sequence    uint64 `json:"sequence"`
+	// Format is the newest format that the worker reads, in a whole heartbeat.
+	Format int `json:"format,omitempty"`
 	// Base is the sequence of an answered heartbeat; fields and tasks that are left
 	// out are as they were in it. 0 is a whole heartbeat. See package delta.
 	Base uint64 `json:"base,omitempty"`
 	// Gone lists the tasks of the base that are no longer reported.
 	Gone        []string  `json:"gone,omitempty"`
-	Domain      string    `json:"domain"`
+	Domain      string    `json:"domain,omitempty"`
 	Rack        string    `json:"rack,omitempty"`
 	Address     string    `json:"address,omitempty"`
 	Capacity    Resources `json:"capacity,omitzero"`
@@ -126,15 +158,21 @@
 	Connections int       `json:"connections,omitempty"`
 	Services    []string  `json:"services,omitempty"`
 	Draining    bool      `json:"draining,omitempty"`
-	// Session and Holder are of the newest accepted attach.
-	Session uint64 `json:"session"`
-	Holder  string `json:"holder"`
-	Epoch   uint64 `json:"epoch"`
+	// Session, Holder and Epoch are of the newest accepted attach.
+	Session uint64 `json:"session,omitempty"`
+	Holder  string `json:"holder,omitempty"`
+	Epoch   uint64 `json:"epoch,omitempty"`
 	// SlotsInUse counts running requests by session.
-	SlotsInUse map[uint64]int  `json:"slots_in_use,omitempty"`
-	Tasks      []TaskReport    `json:"tasks,omitempty"`
-	Reports    []ServiceReport `json:"reports,omitempty"`
-	Used       Resources       `json:"used,omitzero"`
+	SlotsInUse map[uint64]int `json:"slots_in_use,omitempty"`
+	Tasks      []TaskReport   `json:"tasks,omitempty"`
+	// Usage has the changed values of attempts that are otherwise as in the base.
+	Usage []UsageReport `json:"usage,omitempty"`
+	// WithoutTasks says that Tasks is left out, as it may be towards a scheduler
+	// without the newest full session. It must not be taken for no tasks.
+	WithoutTasks bool `json:"without_tasks,omitempty"`
+	// Used is the sum of the tasks. It is left out in FormatCompact.
+	Used    Resources       `json:"used,omitzero"`
+	Reports []ServiceReport `json:"reports,omitempty"`
 	// BootUnixMS is the wall clock at start, for people only.
 	BootUnixMS int64 `json:"boot_unix_ms,omitempty"`
 }
@@ -148,7 +186,8 @@
 // HeartbeatAnswer renews task leases. The worker counts a lease from the moment
 // it sent the heartbeat.
 type HeartbeatAnswer struct {
-	Scheduler string `json:"scheduler"`
+	// In FormatCompact it is left out if it is the holder that the heartbeat names.
+	Scheduler string `json:"scheduler,omitempty"`
 	// Renew lists the attempts whose lease is renewed for TaskLeaseMS.
 	Renew []TaskRef `json:"renew,omitempty"`
 	// RenewAll stands for a Renew with every running attempt of the heartbeat.
@@ -161,6 +200,12 @@
 	Acknowledge []TaskRef `json:"acknowledge,omitempty"`
 	// Version is the configuration version of the scheduler.
 	Version uint64 `json:"version"`
+	// Format is the newest format that the scheduler reads, in the answer to a whole
+	// heartbeat.
+	Format int `json:"format,omitempty"`
+	// IntervalMS is the time to the next heartbeat, with 0 the default of the format. After
+	// an accepted attach the next heartbeat is sent at once.
+	IntervalMS int64 `json:"interval_ms,omitempty"`
 }
 
 // Withdraw announces that a worker leaves; Done is set when nothing runs.
