Count a request over HTTP/2 as sent by every sign

Cause: the transport of main speaks HTTP/2, which reports connections in another place of net/http; a request wrongly taken as never sent would be refused as not_run although it may take effect.

Written headers and a written request now count as sent as well. A test sends over HTTP/1.1 and over HTTP/2 to a server that drops the answer.

Before: GotConn alone, not tested over HTTP/2. After: the outcome is unknown over both protocols.

--- a/control/client/client_test.go
+++ b/control/client/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,3 +93,36 @@
 	g.Expect(failed.Outcome).To(Equal(workerapi.OutcomeUnknown))
 	g.Expect(ctx.Err()).To(HaveOccurred(), "it tries to resolve the outcome until the deadline")
 }
+
+// TestSentOverEachProtocol guards against a definite refusal of a request that was
+// sent over HTTP/2, which reports its connections in another place.
+func TestSentOverEachProtocol(t *testing.T) {
+	for _, second := range []bool{false, true} {
+		g := NewWithT(t)
+		var reached atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.ProtoMajor == 2 {
+				reached.Add(1)
+			}
+			panic(http.ErrAbortHandler)
+		}))
+		server.Config.Protocols = &http.Protocols{}
+		server.Config.Protocols.SetHTTP1(!second)
+		server.Config.Protocols.SetUnencryptedHTTP2(second)
+		server.Start()
+		t.Cleanup(server.Close)
+		protocols := &http.Protocols{}
+		protocols.SetHTTP1(!second)
+		protocols.SetUnencryptedHTTP2(second)
+		c := New([]string{strings.TrimPrefix(server.URL, "http://")}, &http.Client{Transport: &http.Transport{Protocols: protocols}})
+		for range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			_, err := CallWithin(ctx, c, "Status", 0, controlpb.Control.Status, &controlpb.StatusRequest{})
+			cancel()
+			var failed *Error
+			g.Expect(errors.As(err, &failed)).To(BeTrue())
+			g.Expect(failed.Outcome).To(Equal(workerapi.OutcomeUnknown), "HTTP/2: %v", second)
+		}
+		g.Expect(reached.Load() > 0).To(Equal(second))
+	}
+}
--- a/control/client/outcome.go
+++ b/control/client/outcome.go
@@ -24,6 +24,9 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn: func(string) { t.wanted.Store(true) },
 		GotConn: func(httptrace.GotConnInfo) { t.got.Store(true) },
+		// Either also counts as sent, whatever a protocol reports of its connections.
+		WroteHeaders: func() { t.got.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { t.got.Store(true) },
 	}), t
 }
 
