--- a/cmd/geranium-gateway/settings.go
+++ b/cmd/geranium-gateway/settings.go
@@ -6,6 +6,7 @@
 	"geraniumwall/daemon"
 	"geraniumwall/membership/gossip"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // defaultDrainMS is the time that a load balancer gets to notice readyz.
@@ -32,6 +33,11 @@
 	// DrainMS is the time in milliseconds between the first readyz answer 503 and
 	// the end of accepting connections. Requests in progress always finish.
 	DrainMS int64 `json:"drain_ms"`
+	// TLS secures all traffic of the process; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
+	// PlainListen is a second address, without TLS, for callers that cannot use it;
+	// empty for none. Operators are not served there.
+	PlainListen string `json:"plain_listen,omitempty"`
 	// Membership may be omitted; the gateway then knows the schedulers listed here only.
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 }
@@ -52,6 +58,13 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.TLS.Check(c, "tls")
+	if s.PlainListen != "" {
+		c.Address("plain_listen", s.PlainListen)
+	}
+	if s.PlainListen != "" && s.TLS == nil {
+		c.Add("plain_listen", "is set without tls", "remove it; without tls the address listen is plain")
+	}
 	c.Addresses("control", s.Control)
 	s.Membership.Check(c)
 	if len(s.Schedulers) == 0 {
--- a/control/forming.go
+++ b/control/forming.go
@@ -52,12 +52,17 @@
 	findingJoined
 )
 
+func newStatusClient(keys *transport.Keys) *http.Client {
+	return transport.NewClient(transport.ClientOptions{
+		Timeout: formTimeout, Keys: keys, Peers: []transport.Role{transport.RoleControl},
+	})
+}
+
 // permitFirstStart waits until it is certain that no quorum of the replicas
 // remembers this one: the leader says so, or so many others have an empty log
 // that every quorum includes one of them.
-func permitFirstStart(ctx context.Context, s Settings, log zerolog.Logger) error {
+func permitFirstStart(ctx context.Context, s Settings, httpClient *http.Client, log zerolog.Logger) error {
 	needed := len(s.Replicas) - (len(s.Replicas)/2 + 1) + 1
-	httpClient := transport.NewClient(transport.ClientOptions{Timeout: formTimeout})
 	var logged time.Time
 	for {
 		empty := 0
@@ -136,7 +141,7 @@
 	status, err := controlpb.NewControlProtobufClient(transport.URL(address), c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
 	var te twirp.Error
 	if errors.As(err, &te) && te.Meta(client.MetaLeader) != "" {
-		leader := "http://" + te.Meta(client.MetaLeader)
+		leader := transport.URL(te.Meta(client.MetaLeader))
 		return controlpb.NewControlProtobufClient(leader, c, protocol.Client()).Status(ctx, &controlpb.StatusRequest{})
 	}
 	return status, err
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -299,6 +299,8 @@
 
 func (w *worker) isSilent(now time.Duration) bool { return w.silent || now-w.heard >= w.silenceLimit() }
 
+func (w *worker) silentReason() string { return fmt.Sprintf("no heartbeat for %v", w.silenceLimit()) }
+
 func (w *worker) silenceLimit() time.Duration {
 	if w.session.held {
 		return silentAfter
@@ -306,8 +308,6 @@
 	return unattachedSilentAfter
 }
 
-func (w *worker) silentReason() string { return fmt.Sprintf("no heartbeat for %v", w.silenceLimit()) }
-
 // retired reports whether a newer incarnation has taken the name of the worker.
 func (w *worker) retired() bool { return w.id != w.name }
 
