--- a/control/settings.go
+++ b/control/settings.go
@@ -7,6 +7,7 @@
 	"geraniumwall/membership/gossip"
 	"geraniumwall/raft"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // ReplicaAddress names one of the first replicas.
@@ -36,6 +37,8 @@
 	Replicas  []ReplicaAddress `json:"replicas"`
 	// SingleDomainOK permits a layout that the loss of one domain stops.
 	SingleDomainOK bool `json:"single_domain_ok"`
+	// TLS secures all traffic of the process; nil for none.
+	TLS *transport.Settings `json:"tls,omitempty"`
 	// Membership may be omitted; the other processes then need this replica in
 	// their settings.
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
@@ -54,6 +57,7 @@
 		c.Address("metrics_listen", s.MetricsListen)
 	}
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
+	s.TLS.Check(c, "tls")
 	s.Membership.Check(c)
 	if s.ReplicaID == 0 {
 		c.Add("replica_id", "is 0", "give each replica its own positive id")
