--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -65,7 +65,7 @@
 	}
 	w := &Worker{
 		settings: s, incarnation: uuid.NewString(), boot: time.Now(), log: log, record: record,
-		http:   transport.NewClient(transport.ClientOptions{
+		http: transport.NewClient(transport.ClientOptions{
 			Keys: keys, Peers: []transport.Role{transport.RoleScheduler}, SendPing: heartbeatPing,
 		}),
 		meters: map[string]*meter{},
