--- a/transport/transport.go
+++ b/transport/transport.go
@@ -39,12 +39,12 @@
 type ClientOptions struct {
 	// Timeout bounds a whole call; 0 leaves the bound to the context of the call.
 	Timeout time.Duration
+	// SendPing is the silence of a connection after which it is checked, 0 is 600 ms.
+	SendPing time.Duration
 	// Keys secure the connections; nil stands for no encryption.
 	Keys *Keys
 	// Peers are the roles of which a peer must have one.
 	Peers []Role
-	// SendPing is the silence of a connection after which it is checked, 0 is 600 ms.
-	SendPing time.Duration
 	// Wrap is called with each new connection, for example to count its bytes.
 	Wrap func(net.Conn) net.Conn
 }
