Open a log whose first stored entries were replaced

A replica refused its directory as corrupt although its disk was sound. Without a reset record the replay takes the index before the first stored entry as the start of the log.

Ruled out: a wrong write of package raft (Save checks each write against the log) and a torn or lost frame (the directed test has no crash of the disk). The directed test failed before the change and passes after it.

--- a/wal/replay.go
+++ b/wal/replay.go
@@ -10,9 +10,12 @@
 type replay struct {
 	hard    raft.HardState
 	entries []raft.Entry
-	// base is the index before the first entry, known after a reset.
-	base      uint64
-	baseKnown bool
+	// base is the index before the first entry, known after a reset. Without one
+	// it is inferred from the first stored entry, as the segments before it were
+	// removed.
+	base         uint64
+	baseKnown    bool
+	baseInferred bool
 }
 
 // applyFrame takes over the records of one frame.
@@ -62,19 +65,23 @@
 	r.entries = nil
 	r.base = meta.Index
 	r.baseKnown = true
+	r.baseInferred = false
 	return nil
 }
 
 // applyEntry appends an entry; one with an index that is stored already
-// replaces it and all that follow.
+// replaces it and all that follow. Below an inferred base it replaces one in a
+// removed segment; fit refuses a log that then starts above the snapshot.
 func (r *replay) applyEntry(data []byte) error {
 	entry, err := raft.DecodeEntry(data)
 	if err != nil {
 		return err
 	}
-	if !r.baseKnown {
+	if !r.baseKnown || r.baseInferred && entry.Index <= r.base {
+		r.entries = nil
 		r.base = entry.Index - 1
 		r.baseKnown = true
+		r.baseInferred = true
 	}
 	if entry.Index <= r.base || entry.Index > r.last()+1 {
 		return fmt.Errorf("entry %d doesn't continue a log from %d to %d", entry.Index, r.base+1, r.last())
--- a/wal/store_test.go
+++ b/wal/store_test.go
@@ -72,6 +72,23 @@
 		}
 	})
 
+	// It guards against a replica that refuses its disk after a new leader has
+	// replaced entries of an earlier segment, which a snapshot then removes.
+	It("opens a log whose first stored entries were replaced from further back", func() {
+		fs := newMemFS()
+		fs.segmentBytes = 1
+		Expect(wal.Create(options(fs), raft.Bootstrap(nil))).To(Succeed())
+		store, _, err := wal.Open(options(fs))
+		Expect(err).NotTo(HaveOccurred())
+		for _, list := range [][]raft.Entry{entries(1, 1, 2), entries(1, 3, 4), entries(2, 2, 3)} {
+			Expect(store.Save(&raft.Write{HardState: raft.HardState{Term: 2}, Entries: list})).To(Succeed())
+		}
+		Expect(store.SaveSnapshot(snapshot(2, 2))).To(Succeed())
+		_, stored, err := wal.Open(options(fs.restart(crashMode{})))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored.Entries).To(Equal(entries(2, 3)))
+	})
+
 	It("refuses an empty directory, another replica's and one in use", func() {
 		fs := newMemFS()
 		_, _, err := wal.Open(options(fs))
