Test the replicated log over real storage with three replicas

Package raft was tested on simulated storage and package wal with one node only. Three replicas now run in virtual time on the faulty file system of the tests of wal, by a seeded schedule: messages lost, late and doubled, one member cut off, slow disks, and crashes at every kind of storage step, with torn tails and crashes within a recovery. At each step at least two disks hold each committed entry, a term has one leader, a member has one vote in a term and the applied sequences are prefixes of each other; a restart opens what the model of the disk allows, and all members agree once the faults end.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	GERANIUM_BIN=$(CURDIR)/$(BIN) go test -tags capacity -count=1 -timeout 1200s -run TestCapacity -v ./e2e
 
 soak:
-	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./state ./scheduler/... ./routing ./control
+	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./wal ./state ./scheduler/... ./routing ./control
 
 generate:
 	scripts/generate.sh
--- a/wal/memfs_test.go
+++ b/wal/memfs_test.go
@@ -29,7 +29,9 @@
 	steps   int
 	failAt  int
 	failure error
-	locked  bool
+	// failedKind is the kind of the step failAt, once it was reached.
+	failedKind string
+	locked     bool
 	// segmentBytes is the segment size of stores on this disk.
 	segmentBytes int64
 }
@@ -38,8 +40,11 @@
 	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, failAt: -1, segmentBytes: 256}
 }
 
-func (m *memFS) step() error {
+func (m *memFS) step(kind string) error {
 	m.steps++
+	if m.steps-1 == m.failAt {
+		m.failedKind = kind
+	}
 	if m.steps-1 == m.failAt || m.failAt >= 0 && m.steps > m.failAt && errors.Is(m.failure, errCrash) {
 		return m.failure
 	}
@@ -143,7 +148,7 @@
 }
 
 func (m *memFS) Create(path string) (wal.File, error) {
-	if err := m.step(); err != nil {
+	if err := m.step("create"); err != nil {
 		return nil, err
 	}
 	m.files[path] = &memFile{}
@@ -159,7 +164,7 @@
 }
 
 func (m *memFS) Rename(from, to string) error {
-	if err := m.step(); err != nil {
+	if err := m.step("rename"); err != nil {
 		return err
 	}
 	m.files[to] = m.files[from]
@@ -168,7 +173,7 @@
 }
 
 func (m *memFS) Remove(path string) error {
-	if err := m.step(); err != nil {
+	if err := m.step("remove"); err != nil {
 		return err
 	}
 	delete(m.files, path)
@@ -176,7 +181,7 @@
 }
 
 func (m *memFS) SyncDir(string) error {
-	if err := m.step(); err != nil {
+	if err := m.step("directory sync"); err != nil {
 		return err
 	}
 	m.durable = maps.Clone(m.files)
@@ -205,7 +210,7 @@
 
 // Write keeps the bytes even at the crashing step; restart tears them.
 func (h *memHandle) Write(data []byte) (int, error) {
-	if err := h.fs.step(); err != nil {
+	if err := h.fs.step("write"); err != nil {
 		if h.fs.steps-1 == h.fs.failAt {
 			h.file.data = append(h.file.data, data...)
 		}
@@ -216,7 +221,7 @@
 }
 
 func (h *memHandle) Sync() error {
-	if err := h.fs.step(); err != nil {
+	if err := h.fs.step("sync"); err != nil {
 		return err
 	}
 	h.file.synced = slices.Clone(h.file.data)
@@ -224,7 +229,7 @@
 }
 
 func (h *memHandle) Truncate(size int64) error {
-	if err := h.fs.step(); err != nil {
+	if err := h.fs.step("truncate"); err != nil {
 		return err
 	}
 	h.file.data = h.file.data[:size]
