Benchmark a heartbeat and a tick at the target scale

The processor time of control at rest had no benchmark: heartbeats were measured in the core only, and ticks with 8 tasks on each worker. BenchmarkHeartbeat of schedulerd covers decode, restore, core step and answer over the handler with 100 workers of 31 tasks, BenchmarkTargetTick a tick of such a domain at rest.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -16,15 +16,26 @@
 // runningTasks is the number of tasks on each worker in the benchmarks.
 const runningTasks = 8
 
+// targetWorkers and targetTasks are the workers of a domain and the tasks of each at
+// the target scale, docs/design.md 1.6.
+const (
+	targetWorkers = 100
+	targetTasks   = 31
+)
+
 // benchFleet returns an active core in which every worker runs tasks, with the
 // heartbeat of each worker.
 func benchFleet(b *testing.B, workers int) (*Core, []*workerapi.Heartbeat) {
+	return benchLoaded(b, workers, runningTasks, 800)
+}
+
+func benchLoaded(b *testing.B, workers, perWorker int, cpu int64) (*Core, []*workerapi.Heartbeat) {
 	RegisterTestingT(b)
 	c := activeCore(workers)
 	var tasks []BoundTask
-	for i := range workers * runningTasks {
+	for i := range workers * perWorker {
 		t := newTask(fmt.Sprintf("t%06d", i))
-		t.Size = workerapi.Resources{CPUMillis: 800, MemoryMB: 100}
+		t.Size = workerapi.Resources{CPUMillis: cpu, MemoryMB: 100}
 		tasks = append(tasks, t)
 	}
 	c.SyncTasks(2000*ms, 1, tasks, false)
@@ -137,3 +148,25 @@
 		}
 	})
 }
+
+// BenchmarkTargetTick is one tick of a domain at the target scale while nothing
+// changes but the time, with the heartbeats of a second outside of the measurement.
+func BenchmarkTargetTick(b *testing.B) {
+	c, beats := benchLoaded(b, targetWorkers, targetTasks, 200)
+	now, heard := 2100*ms, 2100*ms
+	for b.Loop() {
+		now += TickInterval
+		if now-heard >= time.Second {
+			b.StopTimer()
+			heard = now
+			for _, hb := range beats {
+				hb.Sequence++
+				_, _ = c.Heartbeat(now, hb)
+			}
+			b.StartTimer()
+		}
+		renewLeases(c, now)
+		c.Tick(now)
+		c.TakeActions()
+	}
+}
--- /dev/null
+++ b/schedulerd/bench_test.go
@@ -0,0 +1,112 @@
+package schedulerd
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumwall/lease"
+	"geraniumwall/policy/firstfit"
+	"geraniumwall/scheduler"
+	"geraniumwall/workerapi"
+)
+
+// Workers of a domain and tasks of each at the target scale, docs/design.md 1.6.
+const (
+	targetWorkers = 100
+	targetTasks   = 31
+)
+
+// benchWorker is the whole heartbeat of one worker that runs tasks.
+func benchWorker(i int) *workerapi.Heartbeat {
+	hb := &workerapi.Heartbeat{
+		Worker: fmt.Sprintf("w%03d", i), Incarnation: "1", Domain: testDomain, Address: fmt.Sprintf("w%03d:1", i),
+		Capacity: workerapi.Resources{CPUMillis: 32000, MemoryMB: 125000}, Slots: 8, Connections: 64,
+		Services: []string{"quote"}, Format: workerapi.FormatCompact,
+	}
+	for n := range targetTasks {
+		size := workerapi.Resources{CPUMillis: 100, MemoryMB: 100}
+		hb.Tasks = append(hb.Tasks, workerapi.TaskReport{
+			ID: fmt.Sprintf("t%03d-%02d", i, n), Attempt: workerapi.Attempt{Epoch: 1, Number: 1},
+			Phase: workerapi.PhaseRunning, Job: "plan", Resources: size, Used: size,
+		})
+	}
+	return hb
+}
+
+// benchHandler serves heartbeats with an active core that adopts the workers' tasks.
+func benchHandler(b *testing.B, workers []*workerapi.Heartbeat) *http.ServeMux {
+	core := scheduler.New(0, scheduler.Settings{Name: "s1", Identity: "s1#1", Domain: testDomain}, firstfit.New())
+	answer := lease.Answer{
+		Role: lease.RoleActive, Epoch: 1, Revision: 1, Active: "s1",
+		SchedulerLease: time.Hour, DomainLease: time.Hour,
+	}
+	core.ControlRenewed(0, 0, lease.Answer{})
+	core.ControlRenewed(2*time.Second, 2*time.Second, answer)
+	var tasks []scheduler.BoundTask
+	for _, w := range workers {
+		for _, r := range w.Tasks {
+			tasks = append(tasks, scheduler.BoundTask{ID: r.ID, Job: r.Job, Size: r.Resources, Domain: testDomain, Bound: true})
+		}
+	}
+	core.SyncTasks(2*time.Second, 1, tasks, true)
+	perform := func(a scheduler.Action) {
+		if send, isAttach := a.(scheduler.SendAttach); isAttach {
+			core.AttachAnswered(2*time.Second, scheduler.AttachResult{Target: send.Target, Body: send.Body, Answer: workerapi.AttachAnswer{
+				Accepted: true, Session: 1, Holder: "s1#1", Epoch: 1, Incarnation: "1",
+			}})
+		}
+	}
+	l := newLoop(&owner{core: core, clock: clock{start: time.Now().Add(-2 * time.Second)}, perform: perform})
+	b.Cleanup(l.stop)
+	m, err := newMetrics()
+	if err != nil {
+		b.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	(&workerHandler{loop: l, metrics: m, log: zerolog.Nop(), receivers: newReceivers()}).register(mux)
+	for _, w := range workers {
+		beat(b, mux, w)
+		<-l.send(func(now time.Duration, core *scheduler.Core) { core.Tick(now) })
+		w.Session, w.Holder, w.Epoch = 1, "s1#1", 1
+		beat(b, mux, w)
+	}
+	return mux
+}
+
+func beat(b *testing.B, mux *http.ServeMux, hb *workerapi.Heartbeat) []byte {
+	hb.Sequence++
+	body, _ := json.Marshal(hb)
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, workerapi.PathHeartbeat, bytes.NewReader(body)))
+	if recorder.Code != http.StatusOK {
+		b.Fatalf("status %d: %s", recorder.Code, recorder.Body)
+	}
+	return recorder.Body.Bytes()
+}
+
+// BenchmarkHeartbeat is one shortened heartbeat of a worker at rest over the handler:
+// decode, restore, core step, answer. The encoding of the request, about 140 bytes,
+// is part of the measurement.
+func BenchmarkHeartbeat(b *testing.B) {
+	workers := make([]*workerapi.Heartbeat, targetWorkers)
+	for i := range workers {
+		workers[i] = benchWorker(i)
+	}
+	mux := benchHandler(b, workers)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		w := workers[i%targetWorkers]
+		rest := &workerapi.Heartbeat{Worker: w.Worker, Incarnation: w.Incarnation, Base: w.Sequence, Sequence: w.Sequence}
+		if answer := beat(b, mux, rest); !bytes.Contains(answer, []byte("renew_all")) {
+			b.Fatalf("the leases of the tasks were not renewed: %s", answer)
+		}
+		w.Sequence++
+	}
+}
