Scan the attempts only when a task lease can be over

Each tick looked at every live attempt, 3,150 of them 20 times a second, though a lease lasts 10 s and is renewed each second. The core now keeps a time before which no lease ends: a start lowers it, a scan sets it anew, a renewal only makes it early. A heap of due times was ruled out: it would have to be reordered at each renewal, 3,150 times a second, to save one scan in about 9 s.

The tests of the package pass.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -39,6 +39,7 @@
 func (c *Core) bindAttempt(t *task, w *worker) {
 	t.on = w
 	w.live[t.ID] = t
+	c.nextLost = min(c.nextLost, t.until)
 	w.ledger.add(t.ID, t.reserved)
 	c.occupied[t.ID]++
 	assert(c.occupied[t.ID] == 1, "two live attempts of task %s", t.ID)
@@ -198,15 +199,22 @@
 	return false
 }
 
-// expireAttempts settles the attempts whose lease is certainly over.
+// expireAttempts settles the attempts whose lease is certainly over. Renewals only
+// move the end of a lease on, so nothing is over before nextLost.
 func (c *Core) expireAttempts(now time.Duration) {
+	if now < c.nextLost {
+		return
+	}
+	c.nextLost = never
 	for _, id := range c.workerIDs() {
 		w := c.workers[id]
 		var over []string
 		for tid, t := range w.live {
 			if now >= t.until {
 				over = append(over, tid)
+				continue
 			}
+			c.nextLost = min(c.nextLost, t.until)
 		}
 		slices.Sort(over)
 		for _, tid := range over {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -57,6 +57,8 @@
 	nextPlan   time.Duration
 	nextMove   time.Duration
 	nextExpiry time.Duration
+	// nextLost is not after the end of the lease of any live attempt.
+	nextLost time.Duration
 	// lastPresent is when a worker was last seen that takes new work or soon will.
 	lastPresent time.Duration
 	starting    int
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // GrantDuration is the duration of a slot grant, see docs/design.md 3.
 const GrantDuration = 3 * time.Second
@@ -8,6 +11,9 @@
 // TickInterval is the longest time between two calls of Tick.
 const TickInterval = 50 * time.Millisecond
 
+// never is the due time of what is not awaited.
+const never = time.Duration(math.MaxInt64)
+
 const (
 	// silentAfter is the silence after which a worker gets no new work: two
 	// heartbeats may be lost or late. Gateways drop its grants at their next sync,
