Tick a scheduler every 250 ms while nothing is due

A tick every 50 ms costs an idle scheduler four or five thread switches each, which is more than its core step. The core now says whether it is at rest: no task waits, is held, starts or stops, no report is queued, no event noted since the last tick, no lease is about to end, and a standby is not about to miss the active scheduler. The owner asks after each step, and an event that ends the rest is followed by a tick at once, but not sooner than 50 ms after the last one, so no start waits longer than before.

A due time for each kind of event was ruled out: every writer of one would have to arm it, and a forgotten one would delay without limit; here a forgotten event waits 250 ms at most. A renewal of the scheduler lease every 0.5 s was ruled out too: a cut connection is noticed after 1.1 s, and the next renewal must start before 1.5 s.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -62,6 +62,8 @@
 	// lastPresent is when a worker was last seen that takes new work or soon will.
 	lastPresent time.Duration
 	starting    int
+	// stirred is set by an event that a tick must follow soon.
+	stirred bool
 }
 
 // New returns a core without a role. It must not be appointed before one
@@ -126,8 +128,9 @@
 }
 
 // Tick advances everything that depends on the time alone. It is called at
-// least every TickInterval.
+// least every TickInterval, or every RestInterval while AtRest.
 func (c *Core) Tick(now time.Duration) {
+	c.stirred = false
 	c.advanceRole(now)
 	c.checkWorkers(now)
 	c.expireGrants(now)
--- a/scheduler/decisions.go
+++ b/scheduler/decisions.go
@@ -62,6 +62,7 @@
 func (c *Core) note(now time.Duration, d Decision) {
 	d.At = now
 	c.decisions.add(d)
+	c.stirred = true
 }
 
 func (c *Core) collectDecisions(now time.Duration) {
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -8,7 +8,7 @@
 // GrantDuration is the duration of a slot grant, see docs/design.md 3.
 const GrantDuration = 3 * time.Second
 
-// TickInterval is the longest time between two calls of Tick.
+// TickInterval is the longest time between two calls of Tick, unless the core is at rest.
 const TickInterval = 50 * time.Millisecond
 
 // never is the due time of what is not awaited.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -253,6 +253,7 @@
 		w.services = hb.Services
 		w.perSlot = c.perSlot(w.services)
 	}
+	c.stirred = c.stirred || w.leaving != hb.Draining
 	w.leaving = hb.Draining
 	w.silent = false
 	c.adoptReserve(now, w)
@@ -324,7 +325,7 @@
 			Remedy: "nothing needs to be done, the worker has no work",
 		}
 	}
-	w.leaving = true
+	w.leaving, c.stirred = true, true
 	c.tellEngine(now, w)
 	if m.Done {
 		w.silent = true
--- a/schedulerd/control.go
+++ b/schedulerd/control.go
@@ -175,6 +175,9 @@
 }
 
 func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/schedulerd/owner.go
+++ b/schedulerd/owner.go
@@ -26,6 +26,10 @@
 	core    *scheduler.Core
 	clock   clock
 	perform func(scheduler.Action)
+	// resting is set while the next tick is RestInterval away; roused receives once
+	// an event asks for an earlier one.
+	resting bool
+	roused  chan struct{}
 }
 
 // Receive steps the core.
@@ -38,9 +42,54 @@
 	for _, a := range o.core.TakeActions() {
 		o.perform(a)
 	}
+	if o.resting && !o.core.AtRest(o.clock.now()) {
+		o.resting = false
+		select {
+		case o.roused <- struct{}{}:
+		default:
+		}
+	}
 	close(s.done)
 }
 
+// tick steps the time and sets how long the next tick may wait.
+func (o *owner) tick(now time.Duration, core *scheduler.Core) {
+	core.Tick(now)
+	o.resting = core.AtRest(now)
+}
+
+// tickEvery ticks while ctx lasts, every RestInterval at rest. An event that ends the
+// rest is followed by a tick at once, but TickInterval after the last one.
+func (o *owner) tickEvery(ctx context.Context, l *loop) {
+	resting := false
+	for {
+		last := time.Now()
+		if resting {
+			o.rest(ctx)
+		}
+		wait(ctx, scheduler.TickInterval-time.Since(last))
+		if ctx.Err() != nil {
+			return
+		}
+		// Waiting for the step keeps ticks from queuing up behind a slow one.
+		<-l.send(func(now time.Duration, core *scheduler.Core) {
+			o.tick(now, core)
+			resting = o.resting
+		})
+	}
+}
+
+// rest waits for the end of the rest.
+func (o *owner) rest(ctx context.Context) {
+	timer := time.NewTimer(scheduler.RestInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-o.roused:
+	case <-timer.C:
+	}
+}
+
 // clock is the monotonic time since the start of the process.
 type clock struct{ start time.Time }
 
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -39,6 +39,7 @@
 type Server struct {
 	settings  *Settings
 	log       zerolog.Logger
+	owner     *owner
 	loop      *loop
 	http      *daemon.Server
 	control   *controlLink
@@ -83,7 +84,8 @@
 		Name: s.settings.Name, Identity: identity, Domain: s.settings.Domain,
 	}, engine)
 	s.commander = newCommander(s.ctx, m, keys)
-	s.loop = newLoop(&owner{core: core, clock: clk, perform: s.perform})
+	s.owner = &owner{core: core, clock: clk, perform: s.perform, roused: make(chan struct{}, 1)}
+	s.loop = newLoop(s.owner)
 	s.commander.loop = s.loop
 	httpClient := transport.NewClient(transport.ClientOptions{
 		Keys: keys, Peers: []transport.Role{transport.RoleControl, transport.RoleScheduler},
@@ -160,7 +162,7 @@
 	defer members.Stop()
 	s.peer.members.Store(members)
 	s.control.client.Discover(members.AddressesOf(membership.KindControl))
-	go s.tick()
+	go s.owner.tickEvery(s.ctx, s.loop)
 	go s.follower.Run(s.ctx)
 	go s.control.renewEvery(renewals)
 	go s.peer.renewEvery(renewals)
@@ -175,20 +177,6 @@
 	return s.handOver()
 }
 
-func (s *Server) tick() {
-	ticker := time.NewTicker(scheduler.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		// Waiting for the step keeps ticks from queuing up behind a slow one.
-		<-s.loop.send(func(now time.Duration, core *scheduler.Core) { core.Tick(now) })
-	}
-}
-
 // handOver stops starting, waits until nothing is under way, gives up the role
 // and goes on granting slots until the workers have another scheduler.
 func (s *Server) handOver() error {
