Make the directory of issued certificates

Cause: TestTour requires that every documented command is run, and ran none of geranium ca and geranium issue. Run as the page shows them, geranium issue failed: its output directory did not exist. It is made now, as geranium ca already did.

TestTour runs both commands, checks the files, and that a second authority in one directory and an unknown role are refused.

--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -135,6 +135,7 @@
 	tour.fleetCommands()
 	tour.stoppedReplica()
 	tour.exitCodes()
+	tour.keys()
 	tour.documentation()
 }
 
@@ -255,6 +256,20 @@
 	t.Expect(records).To(HaveLen(1))
 }
 
+// keys makes an authority and certificates.
+func (t *tour) keys() {
+	authority, out := filepath.Join(t.f.dir, "ca"), filepath.Join(t.f.dir, "keys")
+	t.run(exitSuccess, "ca", "-out", authority)
+	t.run(exitFailure, "ca", "-out", authority)
+	t.run(exitSuccess, "issue", "-authority", authority, "-role", "operator", "-name", "anna", "-out", out)
+	t.run(exitSuccess, "issue", "-authority", authority, "-role", "gateway", "-name", "gateway-1",
+		"-addresses", "192.0.2.10,geranium.example", "-out", out)
+	for _, name := range []string{"anna.pem", "anna.key", "gateway-1.pem", "gateway-1.key"} {
+		t.Expect(filepath.Join(out, name)).To(BeARegularFile())
+	}
+	t.run(exitUsage, "issue", "-authority", authority, "-role", "caller", "-name", "anna", "-out", out)
+}
+
 func (t *tour) exitCodes() {
 	t.run(exitUsage, "apply")
 	t.run(exitUsage, "no-such-command")
--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -1,5 +1,5 @@
 // Package issuer makes a certificate authority and issues the certificates of
-// processes and operators. Deployments with an authority of their own need it not.
+// processes and operators. Deployments with an authority of their own do not need it.
 package issuer
 
 import (
@@ -63,9 +63,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.MkdirAll(dir, directories); err != nil {
-		return nil, fmt.Errorf("write the authority: %w; choose a writable directory", err)
-	}
 	if err := replace(filepath.Join(dir, CAFile), public, publicMode); err != nil {
 		return nil, err
 	}
@@ -160,8 +157,12 @@
 	return public, pem.EncodeToMemory(&pem.Block{Type: blockKey, Bytes: encoded}), nil
 }
 
-// replace writes a file in one step, so that nobody reads half of it.
+// replace writes a file in one step, so that nobody reads half of it. It makes the
+// directory if there is none.
 func replace(path string, content []byte, mode os.FileMode) error {
+	if err := os.MkdirAll(filepath.Dir(path), directories); err != nil {
+		return fmt.Errorf("%w; choose a writable directory", err)
+	}
 	next := path + ".new"
 	if err := os.WriteFile(next, content, mode); err != nil {
 		return fmt.Errorf("%w; choose a writable directory", err)
