Bind the name that a process gives to its certificate

Cause: the role of a certificate was checked, but any worker could send the heartbeats of another one, and any gateway the grant syncs of another: it could give back slots that the other still uses, which would let a host be given more than it holds.

Heartbeats, withdrawals, grant syncs, lease renewals and polls of the configuration are refused where the certificate has another name than the message. Without keys nothing changes.

Ruled out: addresses in certificates, since hosts are replaced daily.

--- a/control/serve_config.go
+++ b/control/serve_config.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"geraniumwall/config"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/state/statepb"
+	"geraniumwall/transport"
 )
 
 const (
@@ -47,6 +50,9 @@
 		// A removed replica gets no entries any more.
 		return nil, notLeader("")
 	}
+	if err := transport.CheckName(ctx, q.GetProcess()); q.GetProcess() != "" && err != nil {
+		return nil, twirp.PermissionDenied.Error(err.Error())
+	}
 	s.processes.record(s.options.Now(), q.GetProcess(), q.GetKind(), q.GetDomain(), q.GetKnownVersion())
 	v := s.config.load()
 	if v.version.GetVersion() <= q.GetKnownVersion() && q.GetWaitMs() > 0 {
--- a/control/serve_domains.go
+++ b/control/serve_domains.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/state"
 	"geraniumwall/state/statepb"
+	"geraniumwall/transport"
 )
 
 // RenewLease renews the leases of the active scheduler and answers every other
@@ -18,6 +21,9 @@
 	if q.GetDomain() == "" || q.GetScheduler() == "" {
 		return nil, invalid("domain or scheduler is missing; send both")
 	}
+	if err := transport.CheckName(ctx, q.GetScheduler()); err != nil {
+		return nil, twirp.PermissionDenied.Error(err.Error())
+	}
 	return ask(ctx, s, func(run func(*replica, error)) any { return &renewal{run} },
 		func(r *replica) (*controlpb.RenewLeaseResponse, error) {
 			if r.lead == nil {
--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -11,6 +11,7 @@
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/schedulerpb"
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 )
 
 const (
@@ -40,6 +41,9 @@
 	if r.GetGateway() == "" || r.GetIncarnation() == "" {
 		return nil, twirp.RequiredArgumentError("gateway and incarnation")
 	}
+	if err := transport.CheckName(ctx, r.GetGateway()); err != nil {
+		return nil, twirp.PermissionDenied.Error(err.Error())
+	}
 	whole, held := s.answers.restore(r)
 	if !held {
 		return &schedulerpb.SyncGrantsResponse{
@@ -94,6 +98,9 @@
 	if r.GetDomain() != s.settings.Domain {
 		return nil, twirp.InvalidArgumentError("domain", "this scheduler serves "+s.settings.Domain)
 	}
+	if err := transport.CheckName(ctx, r.GetActive()); err != nil {
+		return nil, twirp.PermissionDenied.Error(err.Error())
+	}
 	var grant scheduler.PeerGrant
 	err := s.step(ctx, func(now time.Duration, core *scheduler.Core) {
 		grant = core.GrantPeer(now, r.GetActive(), r.GetEpoch(), millis(r.GetLeaseMs()))
--- a/schedulerd/workers.go
+++ b/schedulerd/workers.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumwall/scheduler"
+	"geraniumwall/transport"
 	"geraniumwall/workerapi"
 	"geraniumwall/workerapi/delta"
 )
@@ -47,6 +48,10 @@
 		return
 	}
 	whole := hb.Base == 0
+	if err := transport.CheckName(r.Context(), hb.Worker); err != nil {
+		writeProblem(w, http.StatusForbidden, "forbidden", err)
+		return
+	}
 	hb, held := h.receivers.restore(hb)
 	if !held {
 		writeResult(w, workerapi.HeartbeatAnswer{SendWhole: true}, nil)
@@ -78,6 +83,10 @@
 		writeProblem(w, http.StatusBadRequest, "invalid_withdraw", err)
 		return
 	}
+	if err := transport.CheckName(r.Context(), m.Worker); err != nil {
+		writeProblem(w, http.StatusForbidden, "forbidden", err)
+		return
+	}
 	var refusal error
 	err = h.loop.do(r.Context(), func(now time.Duration, core *scheduler.Core) {
 		refusal = core.Withdraw(now, m)
--- a/transport/identity.go
+++ b/transport/identity.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"crypto/x509"
 	"fmt"
 	"slices"
@@ -83,3 +84,24 @@
 	}
 	return strings.Join(names, " or ")
 }
+
+// NameError is a peer whose certificate has another name than it claims.
+type NameError struct {
+	Peer    Identity
+	Claimed string
+}
+
+// Error names the remedy.
+func (e *NameError) Error() string {
+	return fmt.Sprintf("the certificate of %s does not permit to act as %q; correct the name in its settings, "+
+		"or issue a certificate for that name", e.Peer, e.Claimed)
+}
+
+// CheckName returns a *NameError if the request of ctx came with a certificate of
+// another name. A process without keys knows no names, so it permits each.
+func CheckName(ctx context.Context, claimed string) error {
+	if who, ok := ctx.Value(identityKey{}).(Identity); ok && who.Name != claimed {
+		return &NameError{Peer: who, Claimed: claimed}
+	}
+	return nil
+}
--- a/transport/keys_test.go
+++ b/transport/keys_test.go
@@ -58,6 +58,10 @@
 		func(w http.ResponseWriter, r *http.Request) {
 			who, _ := transport.Peer(r)
 			time.Sleep(time.Millisecond)
+			if err := transport.CheckName(r.Context(), r.URL.Query().Get("as")); r.URL.Query().Has("as") && err != nil {
+				http.Error(w, err.Error(), http.StatusForbidden)
+				return
+			}
 			io.WriteString(w, r.Proto+" "+who.String())
 		}))
 	s := httptest.NewUnstartedServer(nil)
@@ -81,6 +85,10 @@
 	g.Expect(get(clientOf(good, transport.RoleControl), address+"/step/x")).To(Equal("HTTP/2.0 scheduler p1"))
 	g.Expect(get(transport.NewCommandClient(transport.ClientOptions{Keys: good}), address+"/step/x")).To(HavePrefix("HTTP/1.1"))
 
+	g.Expect(get(clientOf(good), address+"/step/x?as=p1")).To(HavePrefix("HTTP/2.0"))
+	g.Expect(get(clientOf(good), address+"/step/x?as=p2")).To(ContainSubstring(`does not permit to act as "p2"`))
+	g.Expect(transport.CheckName(t.Context(), "any")).To(Succeed(), "without keys")
+
 	_, err := get(clientOf(good, transport.RoleGateway), address+"/step/x")
 	g.Expect(err).To(MatchError(ContainSubstring("the role must be gateway")))
 	answer, err := http.DefaultClient.Get("http://" + address + "/step/x")
