--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -138,7 +138,7 @@
 }
 
 func checkTaskReports(hb *workerapi.Heartbeat, invalid func(text, remedy string) error) error {
-	seen := map[string]bool{}
+	seen := make(map[string]bool, len(hb.Tasks))
 	sum := workerapi.Resources{}
 	for i := range hb.Tasks {
 		r := &hb.Tasks[i]
@@ -253,6 +253,7 @@
 		w.services = hb.Services
 		w.perSlot = c.perSlot(w.services)
 	}
+	c.stirred = c.stirred || w.leaving != hb.Draining
 	w.leaving = hb.Draining
 	w.silent = false
 	c.adoptReserve(now, w)
@@ -324,7 +325,7 @@
 			Remedy: "nothing needs to be done, the worker has no work",
 		}
 	}
-	w.leaving = true
+	w.leaving, c.stirred = true, true
 	c.tellEngine(now, w)
 	if m.Done {
 		w.silent = true
@@ -393,4 +394,11 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+// sortedKeys is called on each tick for maps that are mostly empty, so it allocates
+// nothing for those.
+func sortedKeys[V any](m map[string]V) []string {
+	if len(m) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(m))
+}
