--- a/e2e/urgent_test.go
+++ b/e2e/urgent_test.go
@@ -143,6 +143,6 @@
 	wait := r.cancelHalf()
 	burst := r.submitUrgent("during the cancellation")
 	wait()
-	r.checkEnds()
 	r.Expect(max(full[urgentEach-1], burst[urgentEach-1])).To(BeNumerically("<=", urgentLimit))
+	r.checkEnds()
 }
