Take up a task that was bound anew before it was seen to leave

A scheduler that returns a task keeps it as ended until it sees that the task left the domain. The feed sends only the newest change of a task, so if the task is bound to the domain again before the next poll, the scheduler sees no departure, and with the epoch unchanged it took the new binding for the one it had ended. The window is small in a fleet (control waits 30 s before it binds a task to the same domain again), but a scheduler that cannot reach control for that long loses the task.

A binding raises the attempt number, so a higher one now starts the task anew. Ruled out: to forget the task when it is returned; an older change that comes late would then add it again and run it twice.

The model of control in the tests ignored returned tasks and did not raise the attempt; it now does both and binds at once, which is the hardest case. A directed test covers it, with an older change that comes twice.

--- a/scheduler/idle_test.go
+++ b/scheduler/idle_test.go
@@ -36,6 +36,19 @@
 			HaveField("Task", "t"), HaveField("Kind", ReportReturned), HaveField("Reason", ContainSubstring("no worker")))))
 	})
 
+	ginkgo.It("takes a task up again that was bound anew before it was seen to leave", func() {
+		c := activeCore(0)
+		task := newTask("t")
+		c.SyncTasks(2000*ms, 1, []BoundTask{task}, false)
+		until(c, 2000*ms, 7500*ms)
+		Expect(c.tasks["t"].phase).To(Equal(phaseEnded))
+		c.SyncTasks(7500*ms, 1, []BoundTask{task}, false)
+		Expect(c.tasks["t"].phase).To(Equal(phaseEnded), "an older change, doubled")
+		task.Attempt = workerapi.Attempt{Epoch: 1, Number: 1}
+		c.SyncTasks(7500*ms, 1, []BoundTask{task}, false)
+		Expect(c.tasks["t"].phase).To(Equal(phaseWaiting))
+	})
+
 	ginkgo.It("keeps a task while an older attempt may be alive", func() {
 		c := activeCore(1)
 		c.SyncTasks(2000*ms, 1, []BoundTask{newTask("t")}, false)
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -50,6 +50,7 @@
 		if t := m.tasks[id]; t.state == "pending" {
 			m.index++
 			t.state, t.Bound, t.Epoch, t.changed = "bound", true, m.record.Epoch, m.index
+			t.Attempt = workerapi.Attempt{Epoch: m.record.Epoch, Number: t.Attempt.Number + 1}
 		}
 	}
 }
@@ -162,8 +163,12 @@
 			if len(r.Checkpoint) > 0 {
 				t.Checkpoint = r.Checkpoint
 			}
+		case ReportReturned:
+			// Bound again before the scheduler has seen that the task left.
+			t.state, t.Bound = "pending", false
 		}
 	}
+	m.bindPending()
 	return true
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -141,7 +141,9 @@
 	case t == nil:
 	case !here:
 		c.taskLeft(now, t)
-	case t.phase == phaseEnded && b.Epoch > t.Epoch:
+	case t.phase == phaseEnded && (b.Epoch > t.Epoch || t.attempt.Less(b.Attempt)):
+		// Bound anew. A binding raises the attempt, and the change that took the task
+		// away may never have been seen, since only the newest change is sent.
 		delete(c.tasks, t.ID)
 		c.addTask(now, b)
 	default:
