Serve the gateway's new calls from the stand-in of the benchmark

Cause: make bench hung with a panic. A gateway now asks the schedulers of its domain for the configuration, which the stand-in did not serve, and drops the grants of a scheduler that answers under another name than the settings give, as the stand-in did.

--- a/cmd/geranium-bench/standin.go
+++ b/cmd/geranium-bench/standin.go
@@ -25,6 +25,8 @@
 	standInSlots       = 64
 	standInConnections = 128
 	standInGrantMS     = 3000
+	// standInSchedulerName is the name of the scheduler in scripts/bench.sh.
+	standInSchedulerName = "bench-s"
 )
 
 // standInCommand is "geranium-bench stand-in": a control replica, a scheduler and
@@ -59,17 +61,11 @@
 }
 
 func (c *standInCommand) run(ctx context.Context) error {
-	content, err := config.Marshal(standInConfig())
+	handler, err := standInHandler(c.listen, c.workers)
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	control := controlpb.NewControlServer(&standInControl{content: content})
-	scheduler := schedulerpb.NewSchedulerServer(&standInScheduler{address: c.listen, workers: c.workers})
-	mux.Handle(control.PathPrefix(), control)
-	mux.Handle(scheduler.PathPrefix(), scheduler)
-	mux.HandleFunc("POST "+workerapi.PathServe+"{service}", serveEcho)
-	server, err := daemon.Listen(ctx, c.listen, mux)
+	server, err := daemon.Listen(ctx, c.listen, handler)
 	if err != nil {
 		return err
 	}
@@ -82,6 +78,21 @@
 	}
 }
 
+// standInHandler serves control, scheduler and workers at one address.
+func standInHandler(address string, workers int) (http.Handler, error) {
+	content, err := config.Marshal(standInConfig())
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	control := controlpb.NewControlServer(&standInControl{content: content})
+	scheduler := schedulerpb.NewSchedulerServer(&standInScheduler{address: address, workers: workers, content: content})
+	mux.Handle(control.PathPrefix(), control)
+	mux.Handle(scheduler.PathPrefix(), scheduler)
+	mux.HandleFunc("POST "+workerapi.PathServe+"{service}", serveEcho)
+	return mux, nil
+}
+
 // serveEcho answers with the body of the request.
 func serveEcho(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -122,11 +133,17 @@
 	schedulerpb.Scheduler
 	address string
 	workers int
+	content []byte
+}
+
+// GetConfig returns the configuration.
+func (s *standInScheduler) GetConfig(context.Context, *schedulerpb.GetConfigRequest) (*schedulerpb.GetConfigResponse, error) {
+	return &schedulerpb.GetConfigResponse{Version: 1, Content: s.content}, nil
 }
 
 // SyncGrants returns the same grants each time.
 func (s *standInScheduler) SyncGrants(context.Context, *schedulerpb.SyncGrantsRequest) (*schedulerpb.SyncGrantsResponse, error) {
-	answer := &schedulerpb.SyncGrantsResponse{Scheduler: "bench", Epoch: 1, ConfigVersion: 1}
+	answer := &schedulerpb.SyncGrantsResponse{Scheduler: standInSchedulerName, Epoch: 1, ConfigVersion: 1}
 	for i := range s.workers {
 		answer.Grants = append(answer.Grants, &schedulerpb.Grant{
 			Worker: fmt.Sprintf("worker-%d", i), Address: s.address, Domain: standInDomain, Session: standInSession,
