Refuse a grant sync before its configuration is taken

Cause: a read of the whole change found that a scheduler took in the configuration of a sync before it checked the name in the certificate and the fields that must be set, so a refused sync still had an effect. The checks come first now. go test ./schedulerd passes.

--- a/schedulerd/service.go
+++ b/schedulerd/service.go
@@ -37,13 +37,13 @@
 
 // SyncGrants returns the grants of a gateway.
 func (s *service) SyncGrants(ctx context.Context, r *schedulerpb.SyncGrantsRequest) (*schedulerpb.SyncGrantsResponse, error) {
-	s.learnConfig(r)
 	if r.GetGateway() == "" || r.GetIncarnation() == "" {
 		return nil, twirp.RequiredArgumentError("gateway and incarnation")
 	}
 	if err := transport.CheckName(ctx, r.GetGateway()); err != nil {
 		return nil, twirp.PermissionDenied.Error(err.Error())
 	}
+	s.learnConfig(r)
 	whole, held := s.answers.restore(r)
 	if !held {
 		return &schedulerpb.SyncGrantsResponse{
