Run jobs of several steps on the platform through an adapter

Cause: the operations team's platform speaks its own protocol, and the product has no jobs of several steps. jobs holds them as a pure state machine, jobs/dispatch binds their tasks to workers, replicate drives raft and wal for any state machine, jobd and entry are the two processes, and platform holds the wire formats.

--- a/control/disk.go
+++ b/control/disk.go
@@ -17,38 +17,6 @@
 	recordsPerEntry = 4
 )
 
-// diskQueue carries out the writes of the log outside of the actor.
-type diskQueue struct {
-	writes chan *raft.Write
-	done   chan struct{}
-}
-
-// newDiskQueue starts the writer. fatal is called with the first error, after
-// which nothing is written any more.
-func newDiskQueue(storage Storage, self func(any), fatal func(error)) *diskQueue {
-	// The log has one write outstanding at a time.
-	q := &diskQueue{writes: make(chan *raft.Write, 1), done: make(chan struct{})}
-	go func() {
-		defer close(q.done)
-		for w := range q.writes {
-			if err := storage.Save(w); err != nil {
-				fatal(fmt.Errorf("save the log: %w", err))
-				return
-			}
-			self(&written{w})
-		}
-	}()
-	return q
-}
-
-func (q *diskQueue) save(w *raft.Write) { q.writes <- w }
-
-// close waits for the write in progress.
-func (q *diskQueue) close() {
-	close(q.writes)
-	<-q.done
-}
-
 // snapshotting decides when a snapshot is due.
 type snapshotting struct {
 	entries int
--- a/control/replica.go
+++ b/control/replica.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"geraniumwall/raft"
+	"geraniumwall/replicate"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/state"
 	"geraniumwall/state/statepb"
@@ -23,8 +24,8 @@
 
 	// self sends a message to the actor.
 	self func(message any)
-	disk *diskQueue
-	net  Transport
+	disk *replicate.DiskQueue
+	net  replicate.Transport
 
 	proposals map[uint64][]proposal
 	reads     map[uint64]func(*replica, error)
@@ -135,7 +136,7 @@
 	for r.node.HasReady() {
 		ready := r.node.Ready()
 		if ready.Write != nil {
-			r.disk.save(ready.Write)
+			r.disk.Save(ready.Write)
 		}
 		r.net.Send(ready.Messages)
 		if ready.Restore != nil {
--- a/control/run.go
+++ b/control/run.go
@@ -16,6 +16,7 @@
 	"geraniumwall/membership"
 	"geraniumwall/membership/gossip"
 	"geraniumwall/raft"
+	"geraniumwall/replicate"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/protocol"
 	"geraniumwall/transport"
@@ -75,7 +76,7 @@
 
 func runStored(
 	ctx context.Context, s Settings, log zerolog.Logger, keys *transport.Keys,
-	store Storage, stored raft.Stored, handler *switchHandler, server *daemon.Server,
+	store replicate.Storage, stored raft.Stored, handler *switchHandler, server *daemon.Server,
 ) error {
 	failed := make(chan error, 1)
 	replica, err := New(Options{
--- a/control/server.go
+++ b/control/server.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"geraniumwall/raft"
+	"geraniumwall/replicate"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/protocol"
 	"geraniumwall/state"
@@ -53,13 +54,13 @@
 // Options are what a replica is made of.
 type Options struct {
 	Settings Settings
-	Storage  Storage
+	Storage  replicate.Storage
 	Stored   raft.Stored
 	Log      zerolog.Logger
 	// Keys secure the connections to other replicas; nil for no encryption.
 	Keys *transport.Keys
 	// Transport sends to other replicas; nil stands for HTTP.
-	Transport Transport
+	Transport replicate.Transport
 	// Fatal is called with a failure after which the process must end; nil stands
 	// for a panic that ends it.
 	Fatal     func(error)
@@ -100,7 +101,7 @@
 	options   Options
 	system    *actor.ActorSystem
 	pid       *actor.PID
-	disk      *diskQueue
+	disk      *replicate.DiskQueue
 	view      atomic.Pointer[view]
 	config    *configCell
 	processes *processTable
@@ -128,7 +129,7 @@
 	}
 	s.metrics = m
 	if s.options.Transport == nil {
-		s.options.Transport = newHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m, options.Keys), s.reports,
+		s.options.Transport = replicate.NewHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m, options.Keys), s.reports,
 			func() { s.send(&removal{}) })
 	}
 	r, err := s.newReplica()
@@ -170,7 +171,7 @@
 	s.system = actor.NewActorSystem(actor.WithLoggerFactory(quiet))
 	// The first messages of the disk writer follow those of the actor, which
 	// exists by then.
-	s.disk = newDiskQueue(s.options.Storage, s.send, s.fail)
+	s.disk = replicate.NewDiskQueue(s.options.Storage, func(w *raft.Write) { s.send(&written{w}) }, s.fail)
 	r.disk = s.disk
 	r.options.Fatal = s.fail
 	s.pid = s.system.Root.Spawn(actor.PropsFromFunc(func(c actor.Context) { s.receive(r, c.Message()) }))
@@ -256,7 +257,7 @@
 	s.ticker.Wait()
 	_ = s.system.Root.StopFuture(s.pid).Wait()
 	s.dead.Store(true)
-	s.disk.close()
+	s.disk.Close()
 	s.options.Transport.Close()
 	s.system.Shutdown()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -29,7 +30,23 @@
 // runs the daemon until SIGTERM or SIGINT. run must finish the work in progress
 // before it returns. Main does not return.
 func Main(name string, s settings.Checked, run func(context.Context, zerolog.Logger) error) {
-	file := flag.String("settings", "", "path of the JSON settings file")
+	MainWith(Options{Name: name, Logs: os.Stderr}, s, func(ctx context.Context, log zerolog.Logger, _ string) error {
+		return run(ctx, log)
+	})
+}
+
+// Options are how a daemon starts.
+type Options struct {
+	Name string
+	// File is the path of the settings file if the flag names none.
+	File string
+	// Logs receives the log lines.
+	Logs io.Writer
+}
+
+// MainWith is Main with options. run also receives the path of the settings file.
+func MainWith(o Options, s settings.Checked, run func(context.Context, zerolog.Logger, string) error) {
+	file := flag.String("settings", o.File, "path of the JSON settings file")
 	defaults := flag.Bool("print-defaults", false, "print the default settings and exit")
 	flag.Parse()
 	if *defaults {
@@ -37,10 +54,10 @@
 		os.Exit(0)
 	}
 	exitOn(settings.Load(*file, s), ExitUsage)
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("process", name).Logger()
+	log := zerolog.New(o.Logs).With().Timestamp().Str("process", o.Name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err := run(ctx, log)
+	err := run(ctx, log, *file)
 	if lost := FlushMetrics(context.Background()); lost != nil {
 		log.Warn().Err(lost).Msg("the last metrics were not pushed")
 	}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+type metrics struct {
+	requests metric.Int64Counter
+	duration metric.Float64Histogram
+}
+
+func newMetrics() (*metrics, error) {
+	meter := otel.Meter("geraniumwall/entry")
+	requests, err := meter.Int64Counter("geranium.entry.requests", metric.WithUnit("{request}"),
+		metric.WithDescription("Requests of callers by method and status."))
+	if err != nil {
+		return nil, fmt.Errorf("make the counter of requests: %w", err)
+	}
+	duration, err := meter.Float64Histogram("geranium.entry.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from the arrival of a request to its answer."))
+	if err != nil {
+		return nil, fmt.Errorf("make the histogram of durations: %w", err)
+	}
+	return &metrics{requests, duration}, nil
+}
+
+func (m *metrics) served(method string, status int, took time.Duration) {
+	attributes := metric.WithAttributes(attribute.String("method", method), attribute.Int("status", status))
+	m.requests.Add(context.Background(), 1, attributes)
+	m.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("method", method)))
+}
--- /dev/null
+++ b/jobd/metrics.go
@@ -0,0 +1,61 @@
+package jobd
+
+import (
+	"context"
+	"fmt"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"geraniumwall/jobs"
+	"geraniumwall/jobs/dispatch"
+)
+
+type metrics struct {
+	orders metric.Int64Counter
+	ended  metric.Int64Counter
+	took   metric.Float64Histogram
+}
+
+func newMetrics() (*metrics, error) {
+	meter := otel.Meter("geraniumwall/jobd")
+	orders, err := meter.Int64Counter("geranium.jobs.orders", metric.WithUnit("{order}"),
+		metric.WithDescription("Orders to workers by kind."))
+	if err != nil {
+		return nil, fmt.Errorf("make the counter of orders: %w", err)
+	}
+	ended, err := meter.Int64Counter("geranium.jobs.ended", metric.WithUnit("{job}"),
+		metric.WithDescription("Jobs that have ended, by queue and state."))
+	if err != nil {
+		return nil, fmt.Errorf("make the counter of jobs: %w", err)
+	}
+	took, err := meter.Float64Histogram("geranium.jobs.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from the acceptance of a job to its end."))
+	if err != nil {
+		return nil, fmt.Errorf("make the histogram of jobs: %w", err)
+	}
+	return &metrics{orders, ended, took}, nil
+}
+
+func orderKind(o *dispatch.Order) string {
+	switch {
+	case o.Start != nil:
+		return "start"
+	case o.Stop != nil:
+		return "stop"
+	case o.Pace != nil:
+		return "pace"
+	}
+	return "hold"
+}
+
+func (m *metrics) order(o *dispatch.Order) {
+	m.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", orderKind(o))))
+}
+
+func (m *metrics) jobEnded(j *jobs.Job) {
+	labels := metric.WithAttributes(attribute.String("queue", j.Queue), attribute.String("state", string(j.State)))
+	m.ended.Add(context.Background(), 1, labels)
+	m.took.Record(context.Background(), float64(j.EndedAt-j.AcceptedAt)/1000, labels)
+}
--- /dev/null
+++ b/jobd/server.go
@@ -0,0 +1,193 @@
+package jobd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rs/zerolog"
+
+	"geraniumwall/jobs"
+	"geraniumwall/raft"
+	"geraniumwall/replicate"
+	"geraniumwall/rpc/controlpb"
+	"geraniumwall/transport"
+)
+
+const (
+	// peerTimeout bounds a call between replicas.
+	peerTimeout = time.Second
+	// transferWithin bounds the handover of leadership on a planned stop.
+	transferWithin = 1500 * time.Millisecond
+	transferPoll   = 20 * time.Millisecond
+)
+
+// Server is a running job replica. It implements the services of callers, workers
+// and operators.
+type Server struct {
+	settings *Settings
+	log      zerolog.Logger
+	system   *actor.ActorSystem
+	pid      *actor.PID
+	manager  *manager
+	id       uint64
+	ticking  sync.WaitGroup
+	stopping chan struct{}
+	fatal    func(error)
+	removed  func()
+}
+
+var (
+	_ CallerService   = (*Server)(nil)
+	_ WorkerService   = (*Server)(nil)
+	_ OperatorService = (*Server)(nil)
+)
+
+// Options are what a Server is made of.
+type Options struct {
+	Settings *Settings
+	Identity Identity
+	Storage  replicate.Storage
+	Stored   raft.Stored
+	Workers  Workers
+	Log      zerolog.Logger
+	// Fatal is called with a failure after which the process must end.
+	Fatal func(error)
+	// Removed is called when the others have removed this replica.
+	Removed func()
+}
+
+// New restores the stored state and starts the replica.
+func New(o Options) (*Server, error) {
+	s := &Server{
+		settings: o.Settings, log: o.Log, id: o.Identity.ReplicaID, stopping: make(chan struct{}),
+		fatal: o.Fatal, removed: o.Removed,
+	}
+	metrics, err := newMetrics()
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	m := &manager{
+		settings: o.Settings, log: o.Log, store: jobs.NewStore(), workers: o.Workers, post: s.post, metrics: metrics,
+		now: func() time.Duration { return time.Since(start) }, joins: map[string]uint64{},
+	}
+	s.manager = m
+	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+	s.system = actor.NewActorSystem(actor.WithLoggerFactory(quiet))
+	s.pid = s.system.Root.Spawn(actor.PropsFromFunc(s.receive))
+	client := transport.NewClient(transport.ClientOptions{Timeout: peerTimeout})
+	m.replica, err = replicate.New(replicate.Options{
+		ID: o.Identity.ReplicaID, Stored: o.Stored, Storage: o.Storage, Machine: m, Log: o.Log,
+		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, client, nil, o.Removed),
+		Seed:      rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
+		Post:      s.post, Fatal: o.Fatal, Now: m.now, Boot: bootClock, Peers: o.Identity.Peers,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.ticking.Add(1)
+	go s.tick()
+	return s, nil
+}
+
+// receive runs what is posted on the control thread. After a violated invariant it
+// ends the process.
+func (s *Server) receive(c actor.Context) {
+	f, ok := c.Message().(func())
+	if !ok {
+		return
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			s.fatal(fmt.Errorf("%v\n%s", p, debug.Stack()))
+		}
+	}()
+	f()
+}
+
+// post runs f on the control thread.
+func (s *Server) post(f func()) { s.system.Root.Send(s.pid, f) }
+
+func (s *Server) tick() {
+	defer s.ticking.Done()
+	t := time.NewTicker(replicate.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.stopping:
+			return
+		case <-t.C:
+			s.post(s.manager.tick)
+		}
+	}
+}
+
+// Step implements the messages between replicas.
+func (s *Server) Step(_ context.Context, q *controlpb.StepRequest) (*controlpb.StepResponse, error) {
+	messages := make([]raft.Message, 0, len(q.GetMessages()))
+	for _, data := range q.GetMessages() {
+		m, err := raft.DecodeMessage(data)
+		if err != nil {
+			s.log.Warn().Err(err).Uint64("from", q.GetFrom()).Msg("message of a replica is dropped")
+			continue
+		}
+		messages = append(messages, m)
+	}
+	removed, err := call(context.Background(), s, func(m *manager, done func(bool, error)) {
+		if m.isRemoved(q.GetFrom()) {
+			done(true, nil)
+			return
+		}
+		done(false, nil)
+		m.replica.Step(messages)
+		m.step()
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &controlpb.StepResponse{Removed: removed}, nil
+}
+
+// isRemoved reports whether a replica was a member and is none as of the last
+// committed entry.
+func (m *manager) isRemoved(id uint64) bool {
+	committed := m.replica.Status().Committed
+	_, member := committed.Find(id)
+	return !member && id != 0 && id <= committed.HighestID
+}
+
+// Transfer hands leadership over, if this replica has it, and returns when another
+// one leads, or after a bounded time.
+func (s *Server) Transfer(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, transferWithin)
+	defer cancel()
+	s.post(func() { s.manager.replica.Transfer() })
+	for bounded.Err() == nil {
+		leads, err := call(bounded, s, func(m *manager, done func(bool, error)) {
+			status := m.replica.Status()
+			done(status.Role == raft.RoleLeader || status.Leader == 0, nil)
+		})
+		if err == nil && !leads {
+			return
+		}
+		time.Sleep(transferPoll)
+	}
+}
+
+// Stop ends the replica. It does not close the storage.
+func (s *Server) Stop() {
+	close(s.stopping)
+	s.ticking.Wait()
+	if err := s.system.Root.StopFuture(s.pid).Wait(); err != nil {
+		s.log.Warn().Err(err).Msg("control thread did not stop in time")
+	}
+	s.manager.replica.Close()
+	s.system.Shutdown()
+}
--- /dev/null
+++ b/jobd/settings.go
@@ -0,0 +1,81 @@
+package jobd
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"geraniumwall/settings"
+)
+
+// Settings are the settings of a job replica.
+type Settings struct {
+	// Name is the name of the process, for logs.
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	// Listen serves workers and operators.
+	Listen string `json:"listen"`
+	// PeerListen serves the system's own processes.
+	PeerListen string `json:"peer_listen"`
+	// MetricsListen serves metrics; empty for none.
+	MetricsListen string `json:"metrics_listen"`
+	// Seeds are the addresses of some replicas. Their port is replaced by that of
+	// PeerListen, which is the same on all hosts.
+	Seeds []string `json:"seeds"`
+	// FirstStart is true when the whole system starts for the first time. The seeds
+	// then found the log.
+	FirstStart bool   `json:"first_start"`
+	DataDir    string `json:"data_dir"`
+	// HeartbeatMS is the interval of the workers' heartbeats in milliseconds.
+	HeartbeatMS int64 `json:"heartbeat_ms"`
+	// LeaseMS is the lease of a worker in milliseconds: how long its tasks go on
+	// without contact, and how long they wait when it is lost.
+	LeaseMS int64 `json:"lease_ms"`
+	// StopWithinMS bounds a planned stop in milliseconds.
+	StopWithinMS int64 `json:"stop_within_ms"`
+}
+
+// Check implements settings.Checked.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Required("name", s.Name)
+	c.Required("data_dir", s.DataDir)
+	c.Address("listen", s.Listen)
+	c.Address("peer_listen", s.PeerListen)
+	c.Addresses("seeds", s.Seeds)
+	c.Positive("heartbeat_ms", s.HeartbeatMS)
+	c.Positive("lease_ms", s.LeaseMS)
+	c.Positive("stop_within_ms", s.StopWithinMS)
+	if s.MetricsListen != "" {
+		c.Address("metrics_listen", s.MetricsListen)
+	}
+}
+
+func (s *Settings) lease() time.Duration     { return time.Duration(s.LeaseMS) * time.Millisecond }
+func (s *Settings) heartbeat() time.Duration { return time.Duration(s.HeartbeatMS) * time.Millisecond }
+func (s *Settings) stopWithin() time.Duration {
+	return time.Duration(s.StopWithinMS) * time.Millisecond
+}
+func (s *Settings) logDir() string       { return filepath.Join(s.DataDir, "log") }
+func (s *Settings) identityFile() string { return filepath.Join(s.DataDir, "identity.json") }
+
+// PeerAddresses returns the addresses of the seeds for the system's own processes.
+func PeerAddresses(seeds []string, peerListen string) ([]string, error) {
+	_, port, err := net.SplitHostPort(peerListen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen %q: %w; use the form 192.0.2.1:7000", peerListen, err)
+	}
+	if _, err := strconv.Atoi(port); err != nil {
+		return nil, fmt.Errorf("peer_listen %q: the port is no number; use the form 192.0.2.1:7000", peerListen)
+	}
+	var addresses []string
+	for _, seed := range seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			return nil, fmt.Errorf("seed %q: %w; use the form 192.0.2.1:7000", seed, err)
+		}
+		addresses = append(addresses, net.JoinHostPort(host, port))
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/jobs/dispatch/dispatcher.go
@@ -0,0 +1,383 @@
+// Package dispatch is the part of a job leader that binds tasks to workers, holds
+// their leases and follows their ends. It is a pure core: events and the time go
+// in, commands for the log and orders to workers come out.
+//
+// A task is bound in the log before its start is ordered, and its end is in the
+// log before the worker may forget it. An attempt is given up only when it
+// certainly runs no more and never will: the worker lists its end, lists it no
+// longer under this leader's fence, has answered a stop, has been replaced by
+// another life, or its lease is over by the slowest clock that it may have.
+package dispatch
+
+import (
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+const (
+	// slowestClockRate bounds the drift of a worker's clock against this one's.
+	slowestClockRate = 0.97
+	leaseMargin      = 150 * time.Millisecond
+	// holdWait is how long a worker may wait for an end before it answers.
+	holdWait = time.Second
+	// holdWaitShared is the wait where fillers run beside serving tasks, whose
+	// latency must be read more often.
+	holdWaitShared = 400 * time.Millisecond
+	// holdPause between two holds lets ends gather.
+	holdPause = 15 * time.Millisecond
+	// holdRetry is the pause after a hold that was not answered.
+	holdRetry  = 150 * time.Millisecond
+	stopRetry  = 400 * time.Millisecond
+	strayGrace = 5 * time.Second
+	// missedBeats is the number of heartbeat intervals without a heartbeat after
+	// which a worker gets no new tasks.
+	missedBeats = 4
+	// drainReserve is the time before a draining worker's end that its tasks need
+	// to be done.
+	drainReserve = 700 * time.Millisecond
+	fullList     = 500
+)
+
+// Options are the settings of a Dispatcher.
+type Options struct {
+	// Lease is the lease of a worker; it bounds how long a lost worker's tasks wait.
+	Lease time.Duration
+	// Beat is the interval of heartbeats.
+	Beat time.Duration
+	// Authority is how long an earlier leader may have acted after this one began.
+	Authority time.Duration
+}
+
+// Dispatcher is the dispatch state of one leader. It is not safe for concurrent use.
+type Dispatcher struct {
+	options Options
+	store   *jobs.Store
+	fence   int64
+	began   time.Duration
+	now     time.Duration
+	unix    int64
+
+	workers map[string]*worker
+	// orphans are inherited attempts on workers that this leader does not know.
+	orphans map[jobs.TaskKey]*attempt
+	// proposed are the bindings that are being written to the log.
+	proposed map[jobs.TaskKey]*attempt
+	planner  planner
+
+	commands []Proposal
+	orders   []Order
+	notes    []Note
+}
+
+// Proposal is a command for the log. Settled must be called with its result once
+// it is applied, or with ok false if it may not have been.
+type Proposal struct {
+	Command jobs.Command
+	Settled func(result jobs.Result, ok bool)
+}
+
+// Note is a decision for the log of the process.
+type Note struct {
+	Event   string
+	Worker  string
+	Task    jobs.TaskKey
+	Attempt int
+	Detail  string
+}
+
+// New starts the dispatch of a leader whose fence is higher than that of every
+// earlier one.
+func New(options Options, store *jobs.Store, fence int64, now time.Duration) *Dispatcher {
+	d := &Dispatcher{
+		options: options, store: store, fence: fence, began: now, now: now,
+		workers: map[string]*worker{}, orphans: map[jobs.TaskKey]*attempt{},
+		proposed: map[jobs.TaskKey]*attempt{},
+	}
+	d.planner.init(store)
+	store.BoundWorkers(func(_ jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
+		for _, t := range tasks {
+			d.orphans[t.Key] = d.inherited(t)
+		}
+	})
+	return d
+}
+
+func (d *Dispatcher) inherited(t *jobs.Task) *attempt {
+	step := d.store.Job(t.Key.Job).Step(t.Key)
+	return &attempt{
+		task: t.Key, number: t.Attempt, charge: step.Charge(), step: step, phase: phaseInherited,
+		boundAt: d.now, settledAt: d.now, checkpoint: t.Checkpoint, progressAt: d.now, startedAt: d.now, pace: fullPace,
+	}
+}
+
+// Advance sets the time: a monotonic one, and the Unix time in milliseconds for
+// schedules and records.
+func (d *Dispatcher) Advance(now time.Duration, unix int64) { d.now, d.unix = now, unix }
+
+// Take returns the commands, orders and notes that have come up.
+func (d *Dispatcher) Take() ([]Proposal, []Order, []Note) {
+	c, o, n := d.commands, d.orders, d.notes
+	d.commands, d.orders, d.notes = nil, nil, nil
+	return c, o, n
+}
+
+func (d *Dispatcher) order(w *worker, o Order) {
+	o.To, o.Fence, o.on = w.address(), d.fence, w
+	d.orders = append(d.orders, o)
+}
+
+func (d *Dispatcher) note(event string, w *worker, a *attempt, detail string) {
+	n := Note{Event: event, Detail: detail}
+	if w != nil {
+		n.Worker = w.Worker
+	}
+	if a != nil {
+		n.Task, n.Attempt = a.task, a.number
+	}
+	d.notes = append(d.notes, n)
+}
+
+// Heartbeat takes in a worker's report. Late reports of the same life are dropped.
+func (d *Dispatcher) Heartbeat(h Heartbeat) {
+	w := d.workers[h.Worker]
+	switch {
+	case w == nil || h.Born > w.Born:
+		w = d.newLife(w, h)
+	case h.Born < w.Born || h.Sequence < w.Sequence:
+		return
+	default:
+		if h.Draining && !w.Draining {
+			d.note("worker drains", w, nil, h.Remaining.String())
+		}
+		w.Heartbeat, w.seenAt = h, d.now
+		w.sample(h.Clock, d.now)
+	}
+	w.leaving = false
+	d.join(w)
+	d.planner.dirty = true
+}
+
+// newLife takes in a life of a worker that is new to this leader. What was bound
+// to an earlier life under the same id has ended with it, except that starts
+// which were not answered may still arrive at the new life.
+func (d *Dispatcher) newLife(old *worker, h Heartbeat) *worker {
+	w := newWorker(h, d.now)
+	d.workers[h.Worker] = w
+	d.note("worker registered", w, nil, h.HostPort)
+	if old != nil {
+		old.gone = true
+		for _, a := range old.attempts {
+			d.moveToNewLife(a, w)
+		}
+	}
+	for key, a := range d.orphans {
+		if t := d.task(a); t != nil && t.Bound.Worker == h.Worker {
+			delete(d.orphans, key)
+			a.on = w
+			w.attempts[key] = a
+		}
+	}
+	return w
+}
+
+// moveToNewLife keeps an attempt of a life that has ended until the new life
+// lists what runs there.
+func (d *Dispatcher) moveToNewLife(a *attempt, w *worker) {
+	a.on = w
+	w.attempts[a.task] = a
+	switch a.phase {
+	case phaseOrdered, phaseUncertain, phaseVoid:
+		a.enter(phaseUncertain, d.now)
+		a.stopAt = 0
+	case phaseStarted, phaseInherited:
+		a.enter(phaseInherited, d.now)
+	case phaseProposed:
+	}
+}
+
+// join asks a worker that has not answered this leader yet what runs there.
+func (d *Dispatcher) join(w *worker) {
+	if !w.joined && !w.holding && d.now >= w.nextHold {
+		d.hold(w)
+	}
+}
+
+// Leave takes in that a worker has deregistered. It gets no new tasks; that its
+// tasks have ended shows by their leases or by what answers at its address.
+func (d *Dispatcher) Leave(id string) {
+	if w := d.workers[id]; w != nil {
+		w.leaving = true
+		d.note("worker left", w, nil, "")
+	}
+}
+
+func (d *Dispatcher) hold(w *worker) {
+	h := &Hold{LastSeen: w.lastSeen, Wait: d.holdWait(w)}
+	if w.joined && !w.suspect {
+		h.Deadline = w.deadline(d.now, d.options.Lease)
+		w.leaseEnd = max(w.leaseEnd, h.Deadline)
+	}
+	w.holding = true
+	d.order(w, Order{Hold: h})
+}
+
+func (d *Dispatcher) holdWait(w *worker) time.Duration {
+	if !w.joined || w.suspect {
+		return 0
+	}
+	serving, filling := false, false
+	for _, a := range w.attempts {
+		serving = serving || a.step.TailTarget > 0
+		filling = filling || a.step.Filler
+	}
+	if serving && filling {
+		return holdWaitShared
+	}
+	return holdWait
+}
+
+// Tick does what has become due.
+func (d *Dispatcher) Tick() {
+	for id, w := range d.workers {
+		d.tickWorker(w)
+		if w.gone && len(w.attempts) == 0 {
+			delete(d.workers, id)
+		}
+	}
+	d.expireOrphans()
+	d.Plan()
+}
+
+func (d *Dispatcher) tickWorker(w *worker) {
+	if w.gone {
+		return
+	}
+	if w.leaseOver(d.now) && d.now-w.seenAt > d.options.Lease && w.suspect {
+		d.expire(w)
+	}
+	if !w.holding && d.now >= w.nextHold && (len(w.attempts) > 0 || len(w.strays) > 0 || !w.joined) {
+		d.hold(w)
+	}
+	d.stopUnwanted(w)
+	d.stopStrays(w)
+}
+
+// stopUnwanted orders the stop of attempts whose job has ended, whose start is
+// uncertain, or which cannot be done before a draining worker ends.
+func (d *Dispatcher) stopUnwanted(w *worker) {
+	for _, a := range w.attempts {
+		if a.ending || a.phase == phaseProposed || a.phase == phaseVoid || d.now < a.stopAt {
+			continue
+		}
+		if !a.stopping && !d.unwanted(w, a) {
+			continue
+		}
+		a.stopping = true
+		a.stopAt = d.now + stopRetry
+		d.order(w, Order{Stop: &Stop{a.task, a.number}})
+	}
+}
+
+func (d *Dispatcher) unwanted(w *worker, a *attempt) bool {
+	if j := d.store.Job(a.task.Job); j == nil || j.State.Ended() {
+		return a.phase != phaseOrdered
+	}
+	if a.phase == phaseUncertain {
+		return true
+	}
+	if !w.Draining || a.phase != phaseStarted {
+		return false
+	}
+	left := w.Remaining - (d.now - w.seenAt) - drainReserve
+	return a.step.LongRunning || a.remaining(d.now) > left
+}
+
+func (d *Dispatcher) stopStrays(w *worker) {
+	for key, s := range w.strays {
+		if d.now >= s.stopAt && w.joined {
+			s.stopAt = d.now + stopRetry
+			d.order(w, Order{Stop: &Stop{key.task, key.attempt}})
+		}
+	}
+}
+
+// expire gives up the attempts of a silent worker whose lease is over.
+func (d *Dispatcher) expire(w *worker) {
+	if len(w.attempts) > 0 {
+		d.note("lease over", w, nil, "")
+	}
+	for _, a := range w.attempts {
+		if a.phase != phaseProposed {
+			d.end(a, jobs.OutcomeLapsed, "")
+		}
+	}
+	if len(w.attempts) == 0 {
+		w.gone = true
+	}
+}
+
+// expireOrphans gives up what earlier leaders bound to workers that have not
+// reported to this one, when the last lease that one of them may have granted is
+// over by the slowest clock.
+func (d *Dispatcher) expireOrphans() {
+	wait := time.Duration(float64(d.options.Authority+d.options.Lease)/slowestClockRate) + leaseMargin
+	if len(d.orphans) == 0 || d.now-d.began < wait {
+		return
+	}
+	for key, a := range d.orphans {
+		if d.task(a) == nil {
+			delete(d.orphans, key)
+			continue
+		}
+		d.end(a, jobs.OutcomeLapsed, "")
+	}
+}
+
+// task returns the state of an attempt's task while the attempt is current.
+func (d *Dispatcher) task(a *attempt) *jobs.Task {
+	j := d.store.Job(a.task.Job)
+	if j == nil {
+		return nil
+	}
+	t := j.Task(a.task)
+	if t == nil || t.Bound == nil || t.Attempt != a.number {
+		return nil
+	}
+	return t
+}
+
+// end writes the end of an attempt to the log.
+func (d *Dispatcher) end(a *attempt, outcome jobs.Outcome, checkpoint string) {
+	d.endThen(a, outcome, checkpoint, func() {})
+}
+
+func (d *Dispatcher) endThen(a *attempt, outcome jobs.Outcome, checkpoint string, recorded func()) {
+	if a.ending {
+		return
+	}
+	a.ending = true
+	if checkpoint == "" && outcome != jobs.OutcomeDone {
+		checkpoint = a.checkpoint
+	}
+	command := jobs.End{Task: a.task, Attempt: a.number, Outcome: outcome, Checkpoint: checkpoint, At: d.unix}
+	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
+		a.ending = false
+		if !ok {
+			return
+		}
+		d.forget(a)
+		recorded()
+	}})
+}
+
+// forget drops an attempt whose end is in the log.
+func (d *Dispatcher) forget(a *attempt) {
+	if a.on != nil && a.on.attempts[a.task] == a {
+		delete(a.on.attempts, a.task)
+	}
+	if d.orphans[a.task] == a {
+		delete(d.orphans, a.task)
+	}
+	d.planner.dirty = true
+}
--- /dev/null
+++ b/jobs/dispatch/plan.go
@@ -0,0 +1,420 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+const (
+	// lateFactor times the objective of a job is the time after which its end is
+	// worth nothing more to its caller.
+	lateFactor = 3
+	// avoidFor keeps a task from a worker on which it has failed.
+	avoidFor = 10 * time.Second
+	// startsPerWorker bounds the starts that are on their way to one worker.
+	startsPerWorker = 16
+)
+
+// planner decides which waiting task goes to which worker.
+type planner struct {
+	// dirty is set when a task may have become startable.
+	dirty bool
+	// waiting are the jobs that may have waiting tasks.
+	waiting map[string]*waitingJob
+	avoided map[jobs.TaskKey]avoidance
+	// nextDue is the Unix time of the next scheduled start, 0 for none.
+	nextDue int64
+}
+
+type avoidance struct {
+	worker string
+	until  time.Duration
+}
+
+// waitingJob is a job with its rank.
+type waitingJob struct {
+	job      *jobs.Job
+	priority int
+	service  string
+	// objective and worthless are Unix times in milliseconds.
+	objective int64
+	worthless int64
+}
+
+func (p *planner) init(store *jobs.Store) {
+	p.dirty = true
+	p.waiting = map[string]*waitingJob{}
+	p.avoided = map[jobs.TaskKey]avoidance{}
+	for _, j := range store.Jobs() {
+		p.waiting[j.ID] = nil
+	}
+	store.TakeChanged()
+}
+
+func (p *planner) avoid(key jobs.TaskKey, worker string) {
+	p.avoided[key] = avoidance{worker: worker}
+}
+
+// refresh takes in the changes of the state.
+func (d *Dispatcher) refresh() {
+	p := &d.planner
+	for id := range d.store.TakeChanged() {
+		p.waiting[id] = nil
+		p.dirty = true
+	}
+	if p.nextDue != 0 && d.unix >= p.nextDue {
+		p.dirty = true
+	}
+}
+
+// Plan binds waiting tasks to workers with room, in the order of rank.
+func (d *Dispatcher) Plan() {
+	d.refresh()
+	if !d.planner.dirty || d.store.Config() == nil {
+		return
+	}
+	d.planner.dirty = false
+	d.planner.nextDue = 0
+	rooms := d.rooms()
+	if len(rooms) == 0 {
+		return
+	}
+	full := fullness{}
+	for _, wj := range d.ranked() {
+		d.planJob(wj, rooms, &full)
+	}
+}
+
+// ranked returns the jobs that may have waiting tasks: by priority, then by the
+// end of their objective; those that are worth nothing more come last.
+func (d *Dispatcher) ranked() []*waitingJob {
+	var list []*waitingJob
+	for id, wj := range d.planner.waiting {
+		j := d.store.Job(id)
+		if j == nil || j.State.Ended() {
+			delete(d.planner.waiting, id)
+			continue
+		}
+		if wj == nil {
+			wj = d.rank(j)
+			d.planner.waiting[id] = wj
+		}
+		if wj.service != "" {
+			list = append(list, wj)
+		}
+	}
+	slices.SortFunc(list, func(a, b *waitingJob) int {
+		return cmp.Or(
+			cmp.Compare(bit(d.unix > a.worthless), bit(d.unix > b.worthless)),
+			cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.objective, b.objective),
+			cmp.Compare(a.job.ID, b.job.ID),
+		)
+	})
+	return list
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (d *Dispatcher) rank(j *jobs.Job) *waitingJob {
+	q := d.store.Config().Queue(j.Queue)
+	if q == nil {
+		return &waitingJob{job: j}
+	}
+	from := j.AcceptedAt
+	if due := j.Spec.Due(0); due > from {
+		from = due
+	}
+	objective := int64(q.Stretch*float64(longestChain(&j.Spec))) + q.LatencyObjective
+	worthless := from + lateFactor*objective
+	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].LongRunning || j.Spec.Occurrences > 0 {
+		worthless = 1 << 62
+	}
+	return &waitingJob{job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: worthless}
+}
+
+// longestChain is the declared time of the longest chain of steps, in
+// milliseconds.
+func longestChain(s *jobs.Spec) int64 {
+	ends := make([]int64, len(s.Steps))
+	longest := int64(0)
+	for i := range s.Steps {
+		for _, earlier := range s.Steps[i].DependsOn {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// room is a worker with its free capacity during one plan.
+type room struct {
+	w       *worker
+	free    jobs.Resources
+	starts  int
+	serving int
+	fillers int
+}
+
+func (d *Dispatcher) rooms() []*room {
+	beatTimeout := missedBeats * d.options.Beat
+	var rooms []*room
+	for _, w := range d.workers {
+		if !w.usable(d.now, beatTimeout) {
+			continue
+		}
+		r := &room{w: w, free: w.free()}
+		for _, a := range w.attempts {
+			r.serving += bit(a.step.TailTarget > 0)
+			r.fillers += bit(a.step.Filler)
+			r.starts += bit(a.phase == phaseProposed || a.phase == phaseOrdered)
+		}
+		rooms = append(rooms, r)
+	}
+	slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(a.w.Worker, b.w.Worker) })
+	return rooms
+}
+
+// fullness remembers requests that no worker had room for, so that larger ones
+// are not tried again in the same plan.
+type fullness struct{ refused []refusal }
+
+type refusal struct {
+	service string
+	request jobs.Resources
+}
+
+func (f *fullness) covers(service string, request jobs.Resources) bool {
+	return slices.ContainsFunc(f.refused, func(r refusal) bool {
+		return r.service == service && r.request.Fits(request)
+	})
+}
+
+// planJob binds the waiting tasks of a job that may start.
+func (d *Dispatcher) planJob(wj *waitingJob, rooms []*room, full *fullness) {
+	j := wj.job
+	waiting := false
+	for o := range j.Runs {
+		if due := j.Spec.Due(o); due > d.unix {
+			waiting = true
+			if d.planner.nextDue == 0 || due < d.planner.nextDue {
+				d.planner.nextDue = due
+			}
+			continue
+		}
+		for s := range j.Spec.Steps {
+			if j.Ready(o, s) {
+				waiting = d.planStep(wj, o, s, rooms, full) || waiting
+			} else {
+				waiting = true
+			}
+		}
+	}
+	if !waiting {
+		// Nothing waits until the job changes again.
+		delete(d.planner.waiting, j.ID)
+	}
+}
+
+// planStep binds the waiting tasks of a step. It returns whether some still wait.
+func (d *Dispatcher) planStep(wj *waitingJob, occurrence, s int, rooms []*room, full *fullness) bool {
+	step := &wj.job.Spec.Steps[s]
+	tasks := wj.job.StepTasks(occurrence, s)
+	var waiting []*jobs.Task
+	for i := range tasks {
+		t := &tasks[i]
+		if !t.Done && t.Bound == nil && !d.planned(t) {
+			waiting = append(waiting, t)
+		}
+	}
+	if len(waiting) == 0 {
+		return false
+	}
+	if step.Gang {
+		return d.planGang(wj, step, waiting, len(tasks), rooms)
+	}
+	for _, t := range waiting {
+		if full.covers(wj.service, step.Charge()) {
+			return true
+		}
+		r := d.choose(wj, step, t, rooms, nil)
+		if r == nil {
+			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !d.avoids(t.Key) {
+				full.refused = append(full.refused, refusal{wj.service, step.Charge()})
+			}
+			return true
+		}
+		d.bind(t, step, r, t.Attempt+1)
+	}
+	return false
+}
+
+// planGang binds all tasks of a gang or none.
+func (d *Dispatcher) planGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, size int, rooms []*room) bool {
+	if len(waiting) < size {
+		return true
+	}
+	number := 0
+	for _, t := range waiting {
+		number = max(number, t.Attempt+1)
+		if t.Attempt != waiting[0].Attempt {
+			return true
+		}
+	}
+	taken := map[*room]int{}
+	var chosen []*room
+	for _, t := range waiting {
+		r := d.choose(wj, step, t, rooms, taken)
+		if r == nil {
+			for r, n := range taken {
+				for range n {
+					r.free = r.free.Add(step.Charge())
+				}
+			}
+			return true
+		}
+		r.free = r.free.Sub(step.Charge())
+		taken[r]++
+		chosen = append(chosen, r)
+	}
+	for i, t := range waiting {
+		chosen[i].free = chosen[i].free.Add(step.Charge())
+		d.bind(t, step, chosen[i], number)
+	}
+	return false
+}
+
+func (d *Dispatcher) planned(t *jobs.Task) bool {
+	_, planned := d.proposed[t.Key]
+	return planned
+}
+
+func (d *Dispatcher) avoids(key jobs.TaskKey) bool {
+	_, ok := d.planner.avoided[key]
+	return ok
+}
+
+// choose returns the best worker for a task, or nil if none has room.
+func (d *Dispatcher) choose(wj *waitingJob, step *jobs.Step, t *jobs.Task, rooms []*room, gang map[*room]int) *room {
+	var best *room
+	var bestScore float64
+	for _, r := range rooms {
+		if r.w.Service != wj.service || r.starts >= startsPerWorker || !r.w.hasLabel(step.RequiredLabel) ||
+			!step.Charge().Fits(r.free) || !d.apart(t, step, r, gang) {
+			continue
+		}
+		score := d.score(step, t, r)
+		if best == nil || score > bestScore {
+			best, bestScore = r, score
+		}
+	}
+	return best
+}
+
+// apart reports whether the bound on tasks of a step on one worker permits one
+// more.
+func (d *Dispatcher) apart(t *jobs.Task, step *jobs.Step, r *room, gang map[*room]int) bool {
+	if step.MaxPerWorker == 0 {
+		return true
+	}
+	count := gang[r]
+	for key := range r.w.attempts {
+		if key.Job == t.Key.Job && key.Occurrence == t.Key.Occurrence && key.Step == t.Key.Step {
+			count++
+		}
+	}
+	for key := range r.w.strays {
+		if key.task.Job == t.Key.Job && key.task.Occurrence == t.Key.Occurrence && key.task.Step == t.Key.Step {
+			count++
+		}
+	}
+	return count < step.MaxPerWorker
+}
+
+// Weights of the score of a worker for a task, in shares of a worker's capacity.
+const (
+	dataRackWeight = 4.0
+	// avoidWeight keeps a task from the worker on which it has failed, unless no
+	// other has room.
+	avoidWeight = 8.0
+	// mixedWeight keeps fillers and serving tasks on different workers.
+	mixedWeight = 1.5
+)
+
+func (d *Dispatcher) score(step *jobs.Step, t *jobs.Task, r *room) float64 {
+	score := float64(r.free.MilliCPU) / float64(max(1, r.w.Capacity.MilliCPU))
+	if step.DataRack != "" && r.w.rack() == step.DataRack {
+		score += dataRackWeight
+	}
+	if avoided, ok := d.planner.avoided[t.Key]; ok && avoided.worker == r.w.Worker {
+		score -= avoidWeight
+	}
+	if step.Filler {
+		score -= mixedWeight * float64(bit(r.serving > 0))
+		score -= float64(r.fillers) * float64(step.Request.MilliCPU) / float64(max(1, r.w.Capacity.MilliCPU))
+	}
+	if step.TailTarget > 0 {
+		score -= mixedWeight * float64(bit(r.fillers > 0))
+	}
+	return score
+}
+
+// bind writes the assignment of a task to the log and orders the start once it is
+// there.
+func (d *Dispatcher) bind(t *jobs.Task, step *jobs.Step, r *room, number int) {
+	w := r.w
+	r.free = r.free.Sub(step.Charge())
+	r.starts++
+	r.serving += bit(step.TailTarget > 0)
+	r.fillers += bit(step.Filler)
+	a := &attempt{
+		task: t.Key, number: number, on: w, charge: step.Charge(), step: step, phase: phaseProposed,
+		boundAt: d.now, settledAt: d.now, progressAt: d.now, checkpoint: t.Checkpoint, pace: fullPace,
+	}
+	w.attempts[t.Key] = a
+	d.proposed[t.Key] = a
+	command := jobs.Bind{Task: t.Key, Attempt: number, On: w.incarnation(), At: d.unix}
+	d.commands = append(d.commands, Proposal{jobs.Command{Bind: &command}, func(result jobs.Result, ok bool) {
+		d.bound(a, result.Applied && ok, ok)
+	}})
+}
+
+// bound orders the start of an attempt whose binding is in the log.
+func (d *Dispatcher) bound(a *attempt, applied, known bool) {
+	delete(d.proposed, a.task)
+	if !known {
+		return
+	}
+	if !applied {
+		d.forget(a)
+		d.planner.waiting[a.task.Job] = nil
+		return
+	}
+	w := a.on
+	if w.gone || w.suspect || !w.joined {
+		d.note("start is not ordered", w, a, "the worker became unusable")
+		a.enter(phaseVoid, d.now)
+		d.end(a, jobs.OutcomeLost, "")
+		return
+	}
+	if j := d.store.Job(a.task.Job); j == nil || j.State.Ended() {
+		a.enter(phaseVoid, d.now)
+		d.end(a, jobs.OutcomeLost, "")
+		return
+	}
+	a.enter(phaseOrdered, d.now)
+	a.startedAt = d.now
+	deadline := w.deadline(d.now, d.options.Lease)
+	w.leaseEnd = max(w.leaseEnd, deadline)
+	d.note("task is started", w, a, "")
+	d.order(w, Order{Start: &Start{a.task, a.number, d.store.Job(a.task.Job).Spec.Payload, deadline, a.checkpoint}})
+}
--- /dev/null
+++ b/jobs/dispatch/worker.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+// worker is one life of a worker process as this leader knows it.
+type worker struct {
+	Heartbeat
+	seenAt time.Duration
+	// clock is the worker's clock in milliseconds as of clockAt.
+	clock   int64
+	clockAt time.Duration
+	// leaseEnd is the highest deadline that was sent to the worker.
+	leaseEnd int64
+	// joined is set once the worker has answered under this leader's fence, from
+	// when on orders of earlier leaders are void there.
+	joined bool
+	// suspect is set while the last order was not answered.
+	suspect bool
+	// gone is set when this life has certainly ended.
+	gone     bool
+	leaving  bool
+	lastSeen int64
+	// acknowledging is the highest end that is being written to the log.
+	acknowledging int64
+	holding       bool
+	nextHold      time.Duration
+	attempts      map[jobs.TaskKey]*attempt
+	// strays are attempts that run there without being bound there.
+	strays map[strayKey]*stray
+	health health
+	pacing pacing
+}
+
+type strayKey struct {
+	task    jobs.TaskKey
+	attempt int
+}
+
+type stray struct {
+	charge jobs.Resources
+	stopAt time.Duration
+	seenAt time.Duration
+}
+
+func newWorker(h Heartbeat, now time.Duration) *worker {
+	w := &worker{
+		Heartbeat: h, seenAt: now,
+		attempts: map[jobs.TaskKey]*attempt{}, strays: map[strayKey]*stray{}, pacing: pacing{percent: fullPace},
+	}
+	w.sample(h.Clock, now)
+	return w
+}
+
+func (w *worker) incarnation() jobs.Incarnation {
+	return jobs.Incarnation{Worker: w.Worker, Born: w.Born}
+}
+
+func (w *worker) address() Address { return Address{w.Worker, w.HostPort} }
+
+// rack is the label that names the worker's rack; the first one is its kind.
+func (w *worker) rack() string {
+	if len(w.Labels) < 2 {
+		return ""
+	}
+	return w.Labels[1]
+}
+
+// sample takes in a reading of the worker's clock. The worker read it before now,
+// so the estimate never runs ahead of the clock.
+func (w *worker) sample(clock int64, now time.Duration) {
+	if clock > 0 && clock >= w.minClock(now) {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+// minClock is the least that the worker's clock may show.
+func (w *worker) minClock(now time.Duration) int64 {
+	if w.clock == 0 {
+		return 0
+	}
+	elapsed := time.Duration(float64(now-w.clockAt) * slowestClockRate)
+	return w.clock + elapsed.Milliseconds()
+}
+
+// leaseOver reports whether everything that this leader ordered to run there has
+// certainly been ended by the lease.
+func (w *worker) leaseOver(now time.Duration) bool {
+	return w.minClock(now) > w.leaseEnd+leaseMargin.Milliseconds()
+}
+
+// deadline is the lease end for an order that is sent now.
+func (w *worker) deadline(now time.Duration, lease time.Duration) int64 {
+	return w.minClock(now) + lease.Milliseconds()
+}
+
+// free is the capacity that nothing bound or running there takes.
+func (w *worker) free() jobs.Resources {
+	room := w.Capacity
+	for _, a := range w.attempts {
+		room = room.Sub(a.charge)
+	}
+	for _, s := range w.strays {
+		room = room.Sub(s.charge)
+	}
+	return room
+}
+
+// usable reports whether the worker may get new tasks.
+func (w *worker) usable(now, beatTimeout time.Duration) bool {
+	return w.joined && !w.gone && !w.leaving && !w.suspect && !w.Draining &&
+		now-w.seenAt < beatTimeout && !w.health.quarantined(now)
+}
+
+func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
--- a/control/transport.go
+++ b/replicate/transport.go
@@ -1,4 +1,4 @@
-package control
+package replicate
 
 import (
 	"context"
@@ -34,9 +34,9 @@
 	Close()
 }
 
-// httpTransport has one goroutine for each peer, so that a silent peer delays no
+// HTTPTransport has one goroutine for each peer, so that a silent peer delays no
 // other.
-type httpTransport struct {
+type HTTPTransport struct {
 	self      uint64
 	client    *http.Client
 	processes func() []*controlpb.ProcessStatus
@@ -57,17 +57,19 @@
 	reported time.Time
 }
 
-func newHTTPTransport(
+// NewHTTPTransport returns a transport of the replica self. The processes are
+// reported to the peers once a second; nil reports none.
+func NewHTTPTransport(
 	self uint64, client *http.Client, processes func() []*controlpb.ProcessStatus, removed func(),
-) *httpTransport {
+) *HTTPTransport {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &httpTransport{
+	return &HTTPTransport{
 		self: self, client: client, processes: processes, removed: removed, ctx: ctx, cancel: cancel, peers: map[uint64]*peer{},
 	}
 }
 
 // Send queues the messages and drops those to a peer whose queue is full.
-func (t *httpTransport) Send(messages []raft.Message) {
+func (t *HTTPTransport) Send(messages []raft.Message) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range messages {
@@ -83,7 +85,7 @@
 }
 
 // SetPeers starts and stops the goroutines of the peers.
-func (t *httpTransport) SetPeers(addresses map[uint64]string) {
+func (t *HTTPTransport) SetPeers(addresses map[uint64]string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, p := range t.peers {
@@ -105,12 +107,12 @@
 }
 
 // Close stops sending and waits for the calls in progress.
-func (t *httpTransport) Close() {
+func (t *HTTPTransport) Close() {
 	t.cancel()
 	t.group.Wait()
 }
 
-func (t *httpTransport) run(ctx context.Context, p *peer) {
+func (t *HTTPTransport) run(ctx context.Context, p *peer) {
 	defer t.group.Done()
 	stub := controlpb.NewReplicaProtobufClient(transport.URL(p.address), t.client, protocol.Client())
 	for {
@@ -125,7 +127,7 @@
 
 // step sends one message with those that wait behind it. Errors are dropped: the
 // log sends again what is not acknowledged.
-func (t *httpTransport) step(ctx context.Context, stub controlpb.Replica, p *peer, first raft.Message) {
+func (t *HTTPTransport) step(ctx context.Context, stub controlpb.Replica, p *peer, first raft.Message) {
 	request := &controlpb.StepRequest{From: t.self, Messages: [][]byte{raft.EncodeMessage(first)}}
 	for len(request.Messages) < stepBatch {
 		select {
@@ -136,7 +138,7 @@
 		}
 		break
 	}
-	if time.Since(p.reported) >= reportEvery {
+	if t.processes != nil && time.Since(p.reported) >= reportEvery {
 		p.reported = time.Now()
 		request.Processes = t.processes()
 	}
