Pace and move only the fillers that disturb a serving task

An offline fit of the reported tails showed that each serving image is slowed down by few filler images.

Now package policy/interference learns the pairs; placement keeps fillers from serving tasks that they would slow down, serving tasks share few workers, and only fillers with a known effect are paused.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -46,8 +46,12 @@
 	stopAt     time.Duration
 	// ending is set while the end is being written to the log.
 	ending bool
-	pace   int
-	pacing bool
+	// pace is the last one that the worker has accepted, wantPace the one that it is
+	// to have since pausedAt or earlier. pacing is set while an order is on its way.
+	pace     int
+	wantPace int
+	pausedAt time.Duration
+	pacing   bool
 }
 
 func (a *attempt) enter(p phase, now time.Duration) { a.phase, a.settledAt = p, now }
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"geraniumwall/jobs"
+	"geraniumwall/policy/interference"
 )
 
 const (
@@ -37,6 +38,8 @@
 	// to be done.
 	drainReserve = 700 * time.Millisecond
 	fullList     = 500
+	// effectsKept bounds the age of what the model is taken to say.
+	effectsKept = 100 * time.Millisecond
 )
 
 // Options are the settings of a Dispatcher.
@@ -64,6 +67,11 @@
 	// proposed are the bindings that are being written to the log.
 	proposed map[jobs.TaskKey]*attempt
 	planner  planner
+	// model learns which filler images slow which serving images down. effects keeps
+	// its newest answers until effectsUntil.
+	model        *interference.Model
+	effects      map[imagePair]float64
+	effectsUntil time.Duration
 
 	commands []Proposal
 	orders   []Order
@@ -92,7 +100,8 @@
 	d := &Dispatcher{
 		options: options, store: store, fence: fence, began: now, now: now,
 		workers: map[string]*worker{}, orphans: map[jobs.TaskKey]*attempt{},
-		proposed: map[jobs.TaskKey]*attempt{},
+		proposed: map[jobs.TaskKey]*attempt{}, model: interference.NewModel(interference.Rules{}),
+		effects: map[imagePair]float64{},
 	}
 	d.planner.init(store)
 	store.BoundWorkers(func(_ jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
@@ -107,13 +116,19 @@
 	step := d.store.Job(t.Key.Job).Step(t.Key)
 	return &attempt{
 		task: t.Key, number: t.Attempt, charge: step.Charge(), step: step, phase: phaseInherited,
-		boundAt: d.now, settledAt: d.now, checkpoint: t.Checkpoint, progressAt: d.now, startedAt: d.now, pace: fullPace,
+		boundAt: d.now, settledAt: d.now, checkpoint: t.Checkpoint, progressAt: d.now, startedAt: d.now, pace: fullPace, wantPace: fullPace,
 	}
 }
 
 // Advance sets the time: a monotonic one, and the Unix time in milliseconds for
 // schedules and records.
-func (d *Dispatcher) Advance(now time.Duration, unix int64) { d.now, d.unix = now, unix }
+func (d *Dispatcher) Advance(now time.Duration, unix int64) {
+	d.now, d.unix = now, unix
+	if now >= d.effectsUntil {
+		clear(d.effects)
+		d.effectsUntil = now + effectsKept
+	}
+}
 
 // Take returns the commands, orders and notes that have come up.
 func (d *Dispatcher) Take() ([]Proposal, []Order, []Note) {
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -1,67 +1,241 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"geraniumwall/policy/interference"
+)
 
 const (
 	fullPace = 100
-	// tailHigh and tailLow are shares of the latency objective of a serving task
-	// between which the pace of the fillers beside it is left as it is.
+	// tailHigh is the share of the latency objective of a serving task above which
+	// fillers beside it are paced down.
 	tailHigh = 0.85
-	tailLow  = 0.55
+	// tailAim is the share that placement and pacing aim for.
+	tailAim = 0.7
+	// tailPersists is how long the tail may stay high before all fillers of a worker
+	// stand still, whatever the model says of them.
+	tailPersists = 1300 * time.Millisecond
 	// paceInterval exceeds the window of the reported tail, so that each decision
 	// sees the effect of the one before.
-	paceInterval = 800 * time.Millisecond
-	paceStep     = 15
-	// lowestPace is the pace below which fillers stand still.
-	lowestPace = 10
+	paceInterval = 700 * time.Millisecond
+	// pausedTooLong is how long a filler may stand still before it is moved.
+	pausedTooLong = 1500 * time.Millisecond
+	// knownEffect is the logarithm of the slowdown by one core of a filler from which
+	// on it counts as disturbing a serving task.
+	knownEffect = 0.04
+	// modelLoad stands for the load of serving tasks, which workers do not report.
+	modelLoad = 0.5
+	// tailSamples is the weight of one reported tail for the model.
+	tailSamples = 20
+	milliCores  = 1000
 )
 
-// pacing is the pace of all filler tasks of one worker. It falls by half and
-// rises in steps, so that it stays near the highest pace that serving tasks bear.
-type pacing struct {
-	percent   int
+// sharing is what a worker's tasks do to each other.
+type sharing struct {
 	decidedAt time.Duration
+	// highSince is since when a serving task is above tailHigh, 0 for none.
+	highSince time.Duration
+	// observed are the filler images whose use the model was told.
+	observed map[string]float64
 }
 
-// update follows the highest ratio of tail latency to objective on the worker.
-func (p *pacing) update(now time.Duration, ratio float64) {
-	if now-p.decidedAt < paceInterval {
+// learn tells the model the tails of the serving tasks on a worker and what the
+// fillers beside them use.
+func (d *Dispatcher) learn(w *worker) {
+	use := map[string]float64{}
+	var serving []string
+	for _, a := range w.attempts {
+		switch {
+		case a.phase != phaseStarted:
+		case a.step.Filler:
+			use[a.step.Image] += a.usage / milliCores
+		case a.serves():
+			serving = append(serving, a.step.Image)
+		}
+	}
+	if len(serving) == 0 {
 		return
 	}
-	switch {
-	case ratio > tailHigh:
-		p.percent /= 2
-		if p.percent < lowestPace {
-			p.percent = 0
+	d.model.SetWorker(d.now, w.Worker, serving)
+	for image := range w.sharing.observed {
+		if _, still := use[image]; !still {
+			use[image] = 0
+		}
+	}
+	for image, cores := range use {
+		d.model.Change(d.now, w.Worker, image, cores-w.sharing.observed[image])
+	}
+	w.sharing.observed = use
+	for _, a := range w.attempts {
+		if a.serves() && a.usage > 0 {
+			d.model.Observe(d.now, w.Worker, interference.Sample{
+				Service: a.step.Image, At: d.now, Load: modelLoad, Count: tailSamples,
+				P99: time.Duration(a.usage * float64(time.Millisecond)),
+			})
 		}
-	case ratio < tailLow:
-		p.percent = min(fullPace, p.percent+paceStep)
-	default:
-		return
 	}
-	p.decidedAt = now
 }
 
-// updatePace follows the serving tasks of a worker and orders the pace of its
-// fillers.
-func (d *Dispatcher) updatePace(now time.Duration, w *worker) {
-	serving, ratio := false, 0.0
-	for _, a := range w.attempts {
-		if a.step.TailTarget > 0 && a.phase == phaseStarted {
-			serving = true
-			ratio = max(ratio, a.usage/float64(a.step.TailTarget))
+// serves reports whether the attempt is a serving task at work.
+func (a *attempt) serves() bool {
+	return a.step.TailTarget > 0 && a.phase == phaseStarted && a.percent >= fullPace
+}
+
+// effect is the logarithm of the slowdown of a serving image by one core of a
+// filler image.
+func (d *Dispatcher) effect(serving, filler string) float64 {
+	key := imagePair{serving, filler}
+	if e, known := d.effects[key]; known {
+		return e
+	}
+	e := d.model.Effect(serving, filler, modelLoad)
+	d.effects[key] = e
+	return e
+}
+
+type imagePair struct{ serving, filler string }
+
+// headroom is the logarithm of the slowdown that a serving task bears until it
+// reaches tailAim, if all fillers beside it work at full pace.
+func (d *Dispatcher) headroom(w *worker, a *attempt) float64 {
+	room := math.Log(tailAim * float64(a.step.TailTarget) / max(1, a.usage))
+	for _, f := range w.attempts {
+		if !f.step.Filler {
+			continue
 		}
+		used := 0.0
+		if f.phase == phaseStarted {
+			used = f.usage
+		}
+		room -= d.effect(a.step.Image, f.step.Image) * max(0, float64(f.step.Request.MilliCPU)-used) / milliCores
 	}
-	if !serving {
-		w.pacing.percent = fullPace
+	return room
+}
+
+// updatePace follows the serving tasks of a worker, paces the fillers that disturb
+// them and moves those that would stand still for long.
+func (d *Dispatcher) updatePace(w *worker) {
+	d.learn(w)
+	worst := d.worstTail(w)
+	if worst > tailHigh {
+		if w.sharing.highSince == 0 {
+			w.sharing.highSince = d.now
+		}
 	} else {
-		w.pacing.update(now, ratio)
+		w.sharing.highSince = 0
+	}
+	if d.now-w.sharing.decidedAt < paceInterval && w.sharing.decidedAt != 0 {
+		return
 	}
+	switch {
+	case worst > tailHigh:
+		w.sharing.decidedAt = d.now
+		d.slowDown(w)
+	case worst < tailAim:
+		d.speedUp(w)
+	}
+}
+
+// worstTail is the highest ratio of tail latency to objective on a worker.
+func (d *Dispatcher) worstTail(w *worker) float64 {
+	worst := 0.0
 	for _, a := range w.attempts {
-		if !a.step.Filler || a.phase != phaseStarted || a.pacing || a.stopping || a.pace == w.pacing.percent {
+		if a.serves() {
+			worst = max(worst, a.usage/float64(a.step.TailTarget))
+		}
+	}
+	return worst
+}
+
+// slowDown pauses the fillers with the largest effect on the serving tasks that
+// are too slow, until the rest should leave them below tailAim.
+func (d *Dispatcher) slowDown(w *worker) {
+	all := d.now-w.sharing.highSince > tailPersists
+	for _, s := range w.attempts {
+		if !s.serves() || s.usage/float64(s.step.TailTarget) <= tailHigh {
 			continue
 		}
-		a.pacing = true
-		d.order(w, Order{Pace: &Pace{a.task, a.number, w.pacing.percent}})
+		excess := math.Log(s.usage / (tailAim * float64(s.step.TailTarget)))
+		for _, f := range d.disturbing(w, s) {
+			if !all && (excess <= 0 || d.effect(s.step.Image, f.step.Image) < knownEffect) {
+				break
+			}
+			excess -= d.effect(s.step.Image, f.step.Image) * f.usage / milliCores
+			d.setPace(w, f, 0)
+		}
+	}
+}
+
+// disturbing lists the fillers at work on a worker by their effect on a serving
+// task, the largest first.
+func (d *Dispatcher) disturbing(w *worker, s *attempt) []*attempt {
+	var fillers []*attempt
+	for _, f := range w.attempts {
+		if f.step.Filler && f.phase == phaseStarted && !f.stopping && f.wantPace > 0 {
+			fillers = append(fillers, f)
+		}
+	}
+	slices.SortFunc(fillers, func(x, y *attempt) int {
+		return cmp.Or(
+			cmp.Compare(d.effect(s.step.Image, y.step.Image)*y.usage, d.effect(s.step.Image, x.step.Image)*x.usage),
+			cmp.Compare(x.task.String(), y.task.String()),
+		)
+	})
+	return fillers
+}
+
+// speedUp lets a paused filler work again where the serving tasks bear it, and
+// moves one that has stood still for too long.
+func (d *Dispatcher) speedUp(w *worker) {
+	for _, f := range w.attempts {
+		if !f.step.Filler || f.phase != phaseStarted || f.stopping || f.wantPace > 0 {
+			continue
+		}
+		if d.bears(w, f) {
+			w.sharing.decidedAt = d.now
+			d.setPace(w, f, fullPace)
+			return
+		}
+		if d.now-f.pausedAt > pausedTooLong {
+			d.note("paused task is moved", w, f, f.step.Image)
+			d.planner.avoid(f.task, w.Worker)
+			f.stopping = true
+		}
+	}
+}
+
+// bears reports whether all serving tasks of a worker would stay below tailAim
+// with a paused filler at work.
+func (d *Dispatcher) bears(w *worker, f *attempt) bool {
+	for _, s := range w.attempts {
+		if !s.serves() {
+			continue
+		}
+		added := d.effect(s.step.Image, f.step.Image) * float64(f.step.Request.MilliCPU) / milliCores
+		if s.usage*math.Exp(added) > tailAim*float64(s.step.TailTarget) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) setPace(w *worker, f *attempt, percent int) {
+	if percent == 0 && f.wantPace > 0 {
+		f.pausedAt = d.now
+	}
+	f.wantPace = percent
+	d.orderPace(w, f)
+}
+
+// orderPace orders the pace of a filler unless an order is on its way.
+func (d *Dispatcher) orderPace(w *worker, f *attempt) {
+	if f.pacing || f.pace == f.wantPace || f.stopping || f.phase != phaseStarted {
+		return
 	}
+	f.pacing = true
+	d.order(w, Order{Pace: &Pace{f.task, f.number, f.wantPace}})
 }
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -158,11 +158,15 @@
 
 // room is a worker with its free capacity during one plan.
 type room struct {
-	w       *worker
-	free    jobs.Resources
-	starts  int
-	serving int
-	fillers int
+	w      *worker
+	free   jobs.Resources
+	starts int
+	// serving counts the serving tasks there, and headroom holds for each of their
+	// images the logarithm of the slowdown that it bears.
+	serving  int
+	headroom map[string]float64
+	// idle is the processor time that fillers may use, in thousandths of a core.
+	idle float64
 }
 
 func (d *Dispatcher) rooms() []*room {
@@ -172,13 +176,7 @@
 		if !w.usable(d.now, beatTimeout) {
 			continue
 		}
-		r := &room{w: w, free: w.free()}
-		for _, a := range w.attempts {
-			r.serving += bit(a.step.TailTarget > 0)
-			r.fillers += bit(a.step.Filler)
-			r.starts += bit(a.phase == phaseProposed || a.phase == phaseOrdered)
-		}
-		rooms = append(rooms, r)
+		rooms = append(rooms, d.room(w))
 	}
 	slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(a.w.Worker, b.w.Worker) })
 	return rooms
@@ -340,45 +338,16 @@
 	return count < step.MaxPerWorker
 }
 
-// Weights of the score of a worker for a task, in shares of a worker's capacity.
-const (
-	dataRackWeight = 4.0
-	// avoidWeight keeps a task from the worker on which it has failed, unless no
-	// other has room.
-	avoidWeight = 8.0
-	// mixedWeight keeps fillers and serving tasks on different workers.
-	mixedWeight = 1.5
-)
-
-func (d *Dispatcher) score(step *jobs.Step, t *jobs.Task, r *room) float64 {
-	score := float64(r.free.MilliCPU) / float64(max(1, r.w.Capacity.MilliCPU))
-	if step.DataRack != "" && r.w.rack() == step.DataRack {
-		score += dataRackWeight
-	}
-	if avoided, ok := d.planner.avoided[t.Key]; ok && avoided.worker == r.w.Worker {
-		score -= avoidWeight
-	}
-	if step.Filler {
-		score -= mixedWeight * float64(bit(r.serving > 0))
-		score -= float64(r.fillers) * float64(step.Request.MilliCPU) / float64(max(1, r.w.Capacity.MilliCPU))
-	}
-	if step.TailTarget > 0 {
-		score -= mixedWeight * float64(bit(r.fillers > 0))
-	}
-	return score
-}
-
 // bind writes the assignment of a task to the log and orders the start once it is
 // there.
 func (d *Dispatcher) bind(t *jobs.Task, step *jobs.Step, r *room, number int) {
 	w := r.w
 	r.free = r.free.Sub(step.Charge())
 	r.starts++
-	r.serving += bit(step.TailTarget > 0)
-	r.fillers += bit(step.Filler)
+	d.charge(r, step)
 	a := &attempt{
 		task: t.Key, number: number, on: w, charge: step.Charge(), step: step, phase: phaseProposed,
-		boundAt: d.now, settledAt: d.now, progressAt: d.now, checkpoint: t.Checkpoint, pace: fullPace,
+		boundAt: d.now, settledAt: d.now, progressAt: d.now, checkpoint: t.Checkpoint, pace: fullPace, wantPace: fullPace,
 	}
 	w.attempts[t.Key] = a
 	d.proposed[t.Key] = a
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -71,7 +71,7 @@
 	}
 	w.joined, w.suspect = true, false
 	d.reconcile(w, r)
-	d.updatePace(d.now, w)
+	d.updatePace(w)
 }
 
 // otherLife takes in that a process which was started at another time answers
@@ -215,10 +215,6 @@
 	case Accepted:
 		a.enter(phaseStarted, d.now)
 		a.startedAt, a.progressAt = d.now, d.now
-		if a.step.Filler && w.pacing.percent < fullPace {
-			a.pacing = true
-			d.order(w, Order{Pace: &Pace{a.task, a.number, w.pacing.percent}})
-		}
 		if !w.holding {
 			w.nextHold = min(w.nextHold, d.now)
 		}
@@ -254,4 +250,5 @@
 	if r.Verdict == Accepted {
 		a.pace = r.Order.Pace.Percent
 	}
+	d.orderPace(w, a)
 }
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -31,9 +31,9 @@
 	nextHold      time.Duration
 	attempts      map[jobs.TaskKey]*attempt
 	// strays are attempts that run there without being bound there.
-	strays map[strayKey]*stray
-	health health
-	pacing pacing
+	strays  map[strayKey]*stray
+	health  health
+	sharing sharing
 }
 
 type strayKey struct {
@@ -50,7 +50,7 @@
 func newWorker(h Heartbeat, now time.Duration) *worker {
 	w := &worker{
 		Heartbeat: h, seenAt: now,
-		attempts: map[jobs.TaskKey]*attempt{}, strays: map[strayKey]*stray{}, pacing: pacing{percent: fullPace},
+		attempts: map[jobs.TaskKey]*attempt{}, strays: map[strayKey]*stray{},
 	}
 	w.sample(h.Clock, now)
 	return w
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -5,6 +5,7 @@
 package jobs
 
 import (
+	"fmt"
 	"slices"
 )
 
@@ -16,6 +17,11 @@
 	Index      int    `json:"i,omitempty"`
 }
 
+// String returns the key in the form that logs show.
+func (k TaskKey) String() string {
+	return fmt.Sprintf("%s/%d/%d/%d", k.Job, k.Occurrence, k.Step, k.Index)
+}
+
 // Resources are amounts of a worker's capacity.
 type Resources struct {
 	// MilliCPU is in thousandths of a core.
