Gather serving tasks that the same fillers disturb and pause less

A fit of the tails (5,400 to 13,700 samples a serving image) ruled out that serving tasks slow each other down.

Fillers that are known to be harmless resume first and are not moved, unknown ones pause later, and serving tasks with a common disturbing filler share workers, so that the other fillers find workers where they disturb nobody.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -72,6 +72,8 @@
 	model        *interference.Model
 	effects      map[imagePair]float64
 	effectsUntil time.Duration
+	// fillers are the filler images that have run.
+	fillers map[string]bool
 
 	commands []Proposal
 	orders   []Order
@@ -101,7 +103,7 @@
 		options: options, store: store, fence: fence, began: now, now: now,
 		workers: map[string]*worker{}, orphans: map[jobs.TaskKey]*attempt{},
 		proposed: map[jobs.TaskKey]*attempt{}, model: interference.NewModel(interference.Rules{}),
-		effects: map[imagePair]float64{},
+		effects: map[imagePair]float64{}, fillers: map[string]bool{},
 	}
 	d.planner.init(store)
 	store.BoundWorkers(func(_ jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -16,9 +16,10 @@
 	tailHigh = 0.85
 	// tailAim is the share that placement and pacing aim for.
 	tailAim = 0.7
-	// tailPersists is how long the tail may stay high before all fillers of a worker
-	// stand still, whatever the model says of them.
-	tailPersists = 1300 * time.Millisecond
+	// tailPersists is how long the tail may stay high before fillers of which little
+	// is known stand still too, and tailUnexplained before all of a worker do.
+	tailPersists    = 1300 * time.Millisecond
+	tailUnexplained = 2400 * time.Millisecond
 	// paceInterval exceeds the window of the reported tail, so that each decision
 	// sees the effect of the one before.
 	paceInterval = 700 * time.Millisecond
@@ -27,6 +28,8 @@
 	// knownEffect is the logarithm of the slowdown by one core of a filler from which
 	// on it counts as disturbing a serving task.
 	knownEffect = 0.04
+	// possibleEffect is the effect up to which a filler counts as harmless.
+	possibleEffect = 0.02
 	// modelLoad stands for the load of serving tasks, which workers do not report.
 	modelLoad = 0.5
 	// tailSamples is the weight of one reported tail for the model.
@@ -53,6 +56,7 @@
 		case a.phase != phaseStarted:
 		case a.step.Filler:
 			use[a.step.Image] += a.usage / milliCores
+			d.fillers[a.step.Image] = true
 		case a.serves():
 			serving = append(serving, a.step.Image)
 		}
@@ -99,6 +103,19 @@
 
 type imagePair struct{ serving, filler string }
 
+// alike reports whether a filler image is known that disturbs both serving images.
+func (d *Dispatcher) alike(one, other string) bool {
+	if one == other {
+		return true
+	}
+	for filler := range d.fillers {
+		if d.effect(one, filler) > knownEffect && d.effect(other, filler) > knownEffect {
+			return true
+		}
+	}
+	return false
+}
+
 // headroom is the logarithm of the slowdown that a serving task bears until it
 // reaches tailAim, if all fillers beside it work at full pace.
 func (d *Dispatcher) headroom(w *worker, a *attempt) float64 {
@@ -128,14 +145,13 @@
 	} else {
 		w.sharing.highSince = 0
 	}
-	if d.now-w.sharing.decidedAt < paceInterval && w.sharing.decidedAt != 0 {
-		return
-	}
+	decided := w.sharing.decidedAt
 	switch {
-	case worst > tailHigh:
+	case worst > tailHigh && (decided == 0 || d.now-decided >= paceInterval):
 		w.sharing.decidedAt = d.now
 		d.slowDown(w)
-	case worst < tailAim:
+	case worst > tailHigh:
+	default:
 		d.speedUp(w)
 	}
 }
@@ -154,17 +170,24 @@
 // slowDown pauses the fillers with the largest effect on the serving tasks that
 // are too slow, until the rest should leave them below tailAim.
 func (d *Dispatcher) slowDown(w *worker) {
-	all := d.now-w.sharing.highSince > tailPersists
+	least := knownEffect
+	switch high := d.now - w.sharing.highSince; {
+	case high > tailUnexplained:
+		least = 0
+	case high > tailPersists:
+		least = possibleEffect
+	}
 	for _, s := range w.attempts {
 		if !s.serves() || s.usage/float64(s.step.TailTarget) <= tailHigh {
 			continue
 		}
 		excess := math.Log(s.usage / (tailAim * float64(s.step.TailTarget)))
 		for _, f := range d.disturbing(w, s) {
-			if !all && (excess <= 0 || d.effect(s.step.Image, f.step.Image) < knownEffect) {
+			effect := d.effect(s.step.Image, f.step.Image)
+			if least > 0 && (excess <= 0 || effect < least) {
 				break
 			}
-			excess -= d.effect(s.step.Image, f.step.Image) * f.usage / milliCores
+			excess -= max(effect, leastEffect) * f.usage / milliCores
 			d.setPace(w, f, 0)
 		}
 	}
@@ -188,19 +211,21 @@
 	return fillers
 }
 
-// speedUp lets a paused filler work again where the serving tasks bear it, and
-// moves one that has stood still for too long.
+// speedUp lets paused fillers work again where the serving tasks bear it, those
+// that disturb one at a time, and moves one that has stood still for too long.
 func (d *Dispatcher) speedUp(w *worker) {
 	for _, f := range w.attempts {
 		if !f.step.Filler || f.phase != phaseStarted || f.stopping || f.wantPace > 0 {
 			continue
 		}
-		if d.bears(w, f) {
+		effect := d.worstEffect(w, f)
+		switch {
+		case effect < possibleEffect:
+			d.setPace(w, f, fullPace)
+		case d.now >= w.sharing.decidedAt+paceInterval && d.bears(w, f):
 			w.sharing.decidedAt = d.now
 			d.setPace(w, f, fullPace)
-			return
-		}
-		if d.now-f.pausedAt > pausedTooLong {
+		case d.now-f.pausedAt > pausedTooLong && effect >= knownEffect:
 			d.note("paused task is moved", w, f, f.step.Image)
 			d.planner.avoid(f.task, w.Worker)
 			f.stopping = true
@@ -208,6 +233,17 @@
 	}
 }
 
+// worstEffect is the largest effect of a filler on a serving task of the worker.
+func (d *Dispatcher) worstEffect(w *worker, f *attempt) float64 {
+	worst := 0.0
+	for _, s := range w.attempts {
+		if s.step.TailTarget > 0 {
+			worst = max(worst, d.effect(s.step.Image, f.step.Image))
+		}
+	}
+	return worst
+}
+
 // bears reports whether all serving tasks of a worker would stay below tailAim
 // with a paused filler at work.
 func (d *Dispatcher) bears(w *worker, f *attempt) bool {
@@ -215,8 +251,11 @@
 		if !s.serves() {
 			continue
 		}
-		added := d.effect(s.step.Image, f.step.Image) * float64(f.step.Request.MilliCPU) / milliCores
-		if s.usage*math.Exp(added) > tailAim*float64(s.step.TailTarget) {
+		effect := d.effect(s.step.Image, f.step.Image)
+		if effect >= possibleEffect {
+			effect = max(effect, leastEffect)
+		}
+		if s.usage*math.Exp(effect*float64(f.step.Request.MilliCPU)/milliCores) > tailAim*float64(s.step.TailTarget) {
 			return false
 		}
 	}
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -14,6 +14,9 @@
 	lateFactor = 3
 	// avoidFor keeps a task from a worker on which it has failed.
 	avoidFor = 10 * time.Second
+	// patience is how long after its objective a filler still waits for a worker on
+	// which it disturbs no serving task.
+	patience = 4 * time.Second
 	// startsPerWorker bounds the starts that are on their way to one worker.
 	startsPerWorker = 16
 )
@@ -246,7 +249,7 @@
 		}
 		r := d.choose(wj, step, t, rooms, nil)
 		if r == nil {
-			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !d.avoids(t.Key) {
+			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !step.Filler && !d.avoids(t.Key) {
 				full.refused = append(full.refused, refusal{wj.service, step.Charge()})
 			}
 			return true
@@ -310,6 +313,9 @@
 			!step.Charge().Fits(r.free) || !d.apart(t, step, r, gang) {
 			continue
 		}
+		if step.Filler && d.unix < wj.objective+patience.Milliseconds() && d.disturbs(step, r) {
+			continue
+		}
 		score := d.score(step, t, r)
 		if best == nil || score > bestScore {
 			best, bestScore = r, score
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -12,13 +12,22 @@
 	// avoidWeight keeps a task from the worker on which it has failed, unless no
 	// other has room.
 	avoidWeight = 8.0
-	// disturbWeight keeps fillers from serving tasks that would become too slow.
-	disturbWeight = 6.0
 	// servingUse is the share of its request that a serving task uses on average.
 	servingUse = 0.5
 	// emptyWeight keeps harmless fillers from workers without serving tasks, which
 	// are the only ones for fillers that disturb.
-	emptyWeight = 0.3
+	emptyWeight = 0.8
+	// crowdedWeight counts processor time that fillers would have to share.
+	crowdedWeight = 2.0
+	// sameImageWeight and otherImageWeight gather serving tasks of one image, which
+	// the same fillers disturb.
+	sameImageWeight  = 1.0
+	otherImageWeight = 0.4
+	// packWeight gathers serving tasks on few workers.
+	packWeight = 0.5
+	// leastEffect is taken for a pair that is known to disturb: its effect is
+	// underestimated as long as its fillers are paced.
+	leastEffect = 0.25
 )
 
 // room describes a worker for a plan.
@@ -74,26 +83,48 @@
 	}
 	switch {
 	case step.TailTarget > 0:
-		// Serving tasks share few workers, so that others stay free for fillers that
-		// disturb them.
-		return score - float64(r.free.MilliCPU)/capacity
+		return score + d.servingScore(step, r, capacity)
 	case step.Filler:
-		return score + d.fillerScore(step, r, capacity)
+		return score + fillerScore(step, r, capacity)
 	default:
 		return score + r.idle/capacity
 	}
 }
 
-func (d *Dispatcher) fillerScore(step *jobs.Step, r *room, capacity float64) float64 {
-	cores := float64(step.Request.MilliCPU) / milliCores
-	score := min(0, r.idle-float64(step.Request.MilliCPU))/capacity*2 + r.idle/capacity
+// servingScore gathers serving tasks on few workers and by image, so that most
+// fillers find workers on which they disturb nobody.
+func (d *Dispatcher) servingScore(step *jobs.Step, r *room, capacity float64) float64 {
+	score := -packWeight * float64(r.free.MilliCPU) / capacity
+	for image := range r.headroom {
+		if d.alike(image, step.Image) {
+			score += sameImageWeight
+		} else {
+			score -= otherImageWeight
+		}
+	}
+	return score
+}
+
+func fillerScore(step *jobs.Step, r *room, capacity float64) float64 {
+	score := r.idle / capacity
+	if crowded := float64(step.Request.MilliCPU) - r.idle; crowded > 0 {
+		score -= crowdedWeight * crowded / capacity
+	}
 	if r.serving == 0 {
-		return score - emptyWeight
+		score -= emptyWeight
 	}
+	return score
+}
+
+// disturbs reports whether a filler would take a serving task on the worker above
+// its objective.
+func (d *Dispatcher) disturbs(step *jobs.Step, r *room) bool {
+	cores := float64(step.Request.MilliCPU) / milliCores
 	for image, room := range r.headroom {
-		if over := d.effect(image, step.Image)*cores - room; over > 0 && d.effect(image, step.Image) > knownEffect/2 {
-			score -= disturbWeight * (1 + over)
+		effect := d.effect(image, step.Image)
+		if effect > knownEffect && max(effect, leastEffect)*cores > room {
+			return true
 		}
 	}
-	return score
+	return false
 }
