Rank jobs by what they can still be worth and stop moving hopeless fillers

Jobs that could no longer be in time also went first.

Jobs that can still meet their objective come first, a late filler waits 20 s before it starts anywhere and is not moved then, and the pace of inherited attempts counts as unknown after a change of the leader.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -118,7 +118,7 @@
 	step := d.store.Job(t.Key.Job).Step(t.Key)
 	return &attempt{
 		task: t.Key, number: t.Attempt, charge: step.Charge(), step: step, phase: phaseInherited,
-		boundAt: d.now, settledAt: d.now, checkpoint: t.Checkpoint, progressAt: d.now, startedAt: d.now, pace: fullPace, wantPace: fullPace,
+		boundAt: d.now, settledAt: d.now, checkpoint: t.Checkpoint, progressAt: d.now, startedAt: d.now, pace: unknownPace, wantPace: fullPace,
 	}
 }
 
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -11,6 +11,8 @@
 
 const (
 	fullPace = 100
+	// unknownPace is the pace of an attempt that an earlier leader has started.
+	unknownPace = -1
 	// tailHigh is the share of the latency objective of a serving task above which
 	// fillers beside it are paced down.
 	tailHigh = 0.85
@@ -145,6 +147,11 @@
 	} else {
 		w.sharing.highSince = 0
 	}
+	for _, f := range w.attempts {
+		if f.step.Filler {
+			d.orderPace(w, f)
+		}
+	}
 	decided := w.sharing.decidedAt
 	switch {
 	case worst > tailHigh && (decided == 0 || d.now-decided >= paceInterval):
@@ -225,7 +232,7 @@
 		case d.now >= w.sharing.decidedAt+paceInterval && d.bears(w, f):
 			w.sharing.decidedAt = d.now
 			d.setPace(w, f, fullPace)
-		case d.now-f.pausedAt > pausedTooLong && effect >= knownEffect:
+		case d.now-f.pausedAt > pausedTooLong && effect >= knownEffect && d.movable(f):
 			d.note("paused task is moved", w, f, f.step.Image)
 			d.planner.avoid(f.task, w.Worker)
 			f.stopping = true
@@ -233,6 +240,16 @@
 	}
 }
 
+// movable reports whether a paused filler may start elsewhere only where it
+// disturbs nobody, so that moving it helps.
+func (d *Dispatcher) movable(f *attempt) bool {
+	j := d.store.Job(f.task.Job)
+	if j == nil || j.State.Ended() {
+		return false
+	}
+	return d.unix < d.rank(j).objective+patience.Milliseconds()
+}
+
 // worstEffect is the largest effect of a filler on a serving task of the worker.
 func (d *Dispatcher) worstEffect(w *worker, f *attempt) float64 {
 	worst := 0.0
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -15,8 +15,12 @@
 	// avoidFor keeps a task from a worker on which it has failed.
 	avoidFor = 10 * time.Second
 	// patience is how long after its objective a filler still waits for a worker on
-	// which it disturbs no serving task.
-	patience = 4 * time.Second
+	// which it disturbs no serving task. It then starts anywhere and works when the
+	// tasks beside it bear that.
+	patience = 20 * time.Second
+	// estimateTrust is the part of the declared time of a chain of steps that a job
+	// takes at least. Declared times are rough.
+	estimateTrust = 0.6
 	// startsPerWorker bounds the starts that are on their way to one worker.
 	startsPerWorker = 16
 )
@@ -45,8 +49,33 @@
 	// objective and worthless are Unix times in milliseconds.
 	objective int64
 	worthless int64
+	// left is the least time that the job still takes, in milliseconds.
+	left int64
+	tier tier
 }
 
+// tier is what a job can still be worth.
+type tier int
+
+const (
+	tierInTime tier = iota
+	tierLate
+	tierWorthless
+)
+
+func (wj *waitingJob) tierAt(unix int64) tier {
+	switch {
+	case unix > wj.worthless:
+		return tierWorthless
+	case unix+wj.left > wj.objective && wj.worthless < never:
+		return tierLate
+	}
+	return tierInTime
+}
+
+// never is a Unix time in milliseconds after all others.
+const never = 1 << 62
+
 func (p *planner) init(store *jobs.Store) {
 	p.dirty = true
 	p.waiting = map[string]*waitingJob{}
@@ -91,8 +120,10 @@
 	}
 }
 
-// ranked returns the jobs that may have waiting tasks: by priority, then by the
-// end of their objective; those that are worth nothing more come last.
+// ranked returns the jobs that may have waiting tasks. Those that can still meet
+// their objective come first, since under overload the order of objectives alone
+// would make each job late in turn; those that are worth nothing more come last.
+// Within these, priority and then the end of the objective decide.
 func (d *Dispatcher) ranked() []*waitingJob {
 	var list []*waitingJob
 	for id, wj := range d.planner.waiting {
@@ -106,12 +137,13 @@
 			d.planner.waiting[id] = wj
 		}
 		if wj.service != "" {
+			wj.tier = wj.tierAt(d.unix)
 			list = append(list, wj)
 		}
 	}
 	slices.SortFunc(list, func(a, b *waitingJob) int {
 		return cmp.Or(
-			cmp.Compare(bit(d.unix > a.worthless), bit(d.unix > b.worthless)),
+			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
 			cmp.Compare(a.objective, b.objective),
 			cmp.Compare(a.job.ID, b.job.ID),
@@ -139,21 +171,42 @@
 	objective := int64(q.Stretch*float64(longestChain(&j.Spec))) + q.LatencyObjective
 	worthless := from + lateFactor*objective
 	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].LongRunning || j.Spec.Occurrences > 0 {
-		worthless = 1 << 62
+		worthless = never
 	}
-	return &waitingJob{job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: worthless}
+	left := int64(estimateTrust * float64(chainLeft(j)))
+	return &waitingJob{job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: worthless, left: left}
 }
 
 // longestChain is the declared time of the longest chain of steps, in
 // milliseconds.
 func longestChain(s *jobs.Spec) int64 {
+	return chain(s, func(step int) int64 { return s.Steps[step].Estimate })
+}
+
+// chainLeft is the declared time of the longest chain of steps of which no task
+// has started, in milliseconds.
+func chainLeft(j *jobs.Job) int64 {
+	return chain(&j.Spec, func(step int) int64 {
+		for o := range j.Runs {
+			for _, t := range j.StepTasks(o, step) {
+				if t.Attempt > 0 {
+					return 0
+				}
+			}
+		}
+		return j.Spec.Steps[step].Estimate
+	})
+}
+
+// chain is the longest sum of the times of steps that follow each other.
+func chain(s *jobs.Spec, time func(step int) int64) int64 {
 	ends := make([]int64, len(s.Steps))
 	longest := int64(0)
 	for i := range s.Steps {
 		for _, earlier := range s.Steps[i].DependsOn {
 			ends[i] = max(ends[i], ends[earlier])
 		}
-		ends[i] += s.Steps[i].Estimate
+		ends[i] += time(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
