Pack serving tasks that arrive together and sample tails once a window

Logs of the plan showed that it depends on how many workers without serving tasks and with one kind of them are left: tasks of jobs that came within 100 ms were placed one by one, and overlapping samples made the model of disturbances too sure of itself.

Jobs with serving tasks wait 250 ms for each other and are packed by image and size, images count as alike by the share of their common effects, and a worker's tail is sampled once in the 500 ms of its window.

--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -32,6 +32,12 @@
 	knownEffect = 0.04
 	// possibleEffect is the effect up to which a filler counts as harmless.
 	possibleEffect = 0.02
+	// alikeShare is the common part of their effects from which on two serving images
+	// count as disturbed by the same fillers.
+	alikeShare = 0.45
+	// sampleInterval is the window of the reported figures. More samples would count
+	// the same window again.
+	sampleInterval = 500 * time.Millisecond
 	// modelLoad stands for the load of serving tasks, which workers do not report.
 	modelLoad = 0.5
 	// tailSamples is the weight of one reported tail for the model.
@@ -44,6 +50,8 @@
 	decidedAt time.Duration
 	// highSince is since when a serving task is above tailHigh, 0 for none.
 	highSince time.Duration
+	// sampledAt is when the model was told of the worker last.
+	sampledAt time.Duration
 	// observed are the filler images whose use the model was told.
 	observed map[string]float64
 }
@@ -51,6 +59,10 @@
 // learn tells the model the tails of the serving tasks on a worker and what the
 // fillers beside them use.
 func (d *Dispatcher) learn(w *worker) {
+	if d.now-w.sharing.sampledAt < sampleInterval {
+		return
+	}
+	w.sharing.sampledAt = d.now
 	use := map[string]float64{}
 	var serving []string
 	for _, a := range w.attempts {
@@ -105,17 +117,18 @@
 
 type imagePair struct{ serving, filler string }
 
-// alike reports whether a filler image is known that disturbs both serving images.
+// alike reports whether much the same fillers disturb both serving images.
 func (d *Dispatcher) alike(one, other string) bool {
 	if one == other {
 		return true
 	}
+	common, either := 0.0, 0.0
 	for filler := range d.fillers {
-		if d.effect(one, filler) > knownEffect && d.effect(other, filler) > knownEffect {
-			return true
-		}
+		x, y := d.effect(one, filler), d.effect(other, filler)
+		common += min(x, y)
+		either += max(x, y)
 	}
-	return false
+	return either > knownEffect && common > alikeShare*either
 }
 
 // headroom is the logarithm of the slowdown that a serving task bears until it
@@ -232,7 +245,7 @@
 		case d.now >= w.sharing.decidedAt+paceInterval && d.bears(w, f):
 			w.sharing.decidedAt = d.now
 			d.setPace(w, f, fullPace)
-		case d.now-f.pausedAt > pausedTooLong && effect >= knownEffect && d.movable(f):
+		case d.now-f.pausedAt > pausedTooLong && d.movable(f):
 			d.note("paused task is moved", w, f, f.step.Image)
 			d.planner.avoid(f.task, w.Worker)
 			f.stopping = true
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -18,6 +18,9 @@
 	// which it disturbs no serving task. It then starts anywhere and works when the
 	// tasks beside it bear that.
 	patience = 20 * time.Second
+	// gatherTime is how long jobs with serving tasks wait for others, with which they
+	// are packed together.
+	gatherTime = 250 * time.Millisecond
 	// estimateTrust is the part of the declared time of a chain of steps that a job
 	// takes at least. Declared times are rough.
 	estimateTrust = 0.6
@@ -34,6 +37,9 @@
 	avoided map[jobs.TaskKey]avoidance
 	// nextDue is the Unix time of the next scheduled start, 0 for none.
 	nextDue int64
+	// empty counts the workers without serving tasks among all usable workers.
+	empty   int
+	workers int
 }
 
 type avoidance struct {
@@ -52,6 +58,10 @@
 	// left is the least time that the job still takes, in milliseconds.
 	left int64
 	tier tier
+	// image and size order jobs with serving tasks, so that those that come at the
+	// same time are packed well: the image, and the processor time of a task.
+	image string
+	size  int64
 }
 
 // tier is what a job can still be worth.
@@ -145,6 +155,9 @@
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
+			cmp.Compare(bit(a.image != ""), bit(b.image != "")),
+			cmp.Compare(a.image, b.image),
+			cmp.Compare(b.size, a.size),
 			cmp.Compare(a.objective, b.objective),
 			cmp.Compare(a.job.ID, b.job.ID),
 		)
@@ -174,7 +187,11 @@
 		worthless = never
 	}
 	left := int64(estimateTrust * float64(chainLeft(j)))
-	return &waitingJob{job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: worthless, left: left}
+	wj := &waitingJob{job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: worthless, left: left}
+	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].TailTarget > 0 {
+		wj.image, wj.size = j.Spec.Steps[0].Image, j.Spec.Steps[0].Request.MilliCPU
+	}
+	return wj
 }
 
 // longestChain is the declared time of the longest chain of steps, in
@@ -234,6 +251,10 @@
 		}
 		rooms = append(rooms, d.room(w))
 	}
+	d.planner.empty, d.planner.workers = 0, len(rooms)
+	for _, r := range rooms {
+		d.planner.empty += bit(r.serving == 0)
+	}
 	slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(a.w.Worker, b.w.Worker) })
 	return rooms
 }
@@ -258,7 +279,11 @@
 	j := wj.job
 	waiting := false
 	for o := range j.Runs {
-		if due := j.Spec.Due(o); due > d.unix {
+		due := j.Spec.Due(o)
+		if wj.image != "" {
+			due = max(due, j.AcceptedAt+gatherTime.Milliseconds())
+		}
+		if due > d.unix {
 			waiting = true
 			if d.planner.nextDue == 0 || due < d.planner.nextDue {
 				d.planner.nextDue = due
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -19,10 +19,17 @@
 	emptyWeight = 0.8
 	// crowdedWeight counts processor time that fillers would have to share.
 	crowdedWeight = 2.0
-	// sameImageWeight and otherImageWeight gather serving tasks of one image, which
-	// the same fillers disturb.
-	sameImageWeight  = 1.0
-	otherImageWeight = 0.4
+	// gatherWeight gathers serving tasks that the same fillers disturb, mixWeight
+	// keeps others from their workers, and mixedWeight counts a further one on a
+	// worker that has several kinds already.
+	gatherWeight = 1.0
+	mixWeight    = 1.0
+	mixedWeight  = 0.2
+	// openWeight keeps serving tasks from a worker without any, and reserveWeight
+	// does while fewer than reserveShare of the workers are left without.
+	openWeight    = 0.2
+	reserveWeight = 1.5
+	reserveShare  = 0.2
 	// packWeight gathers serving tasks on few workers.
 	packWeight = 0.5
 	// leastEffect is taken for a pair that is known to disturb: its effect is
@@ -62,6 +69,14 @@
 
 // charge takes a planned task into the room.
 func (d *Dispatcher) charge(r *room, step *jobs.Step) {
+	if step.TailTarget > 0 {
+		if r.serving == 0 {
+			d.planner.empty--
+		}
+		if _, known := r.headroom[step.Image]; !known {
+			r.headroom[step.Image] = math.Log(tailAim * float64(step.TailTarget))
+		}
+	}
 	r.use(step)
 	if !step.Filler {
 		return
@@ -87,22 +102,34 @@
 	case step.Filler:
 		return score + fillerScore(step, r, capacity)
 	default:
-		return score + r.idle/capacity
+		return score + r.idle/capacity - emptyWeight*float64(bit(r.serving == 0))
 	}
 }
 
-// servingScore gathers serving tasks on few workers and by image, so that most
-// fillers find workers on which they disturb nobody.
+// servingScore gathers serving tasks on few workers and by what disturbs them, so
+// that most fillers find workers on which they disturb nobody.
 func (d *Dispatcher) servingScore(step *jobs.Step, r *room, capacity float64) float64 {
 	score := -packWeight * float64(r.free.MilliCPU) / capacity
+	if r.serving == 0 {
+		if float64(d.planner.empty) < reserveShare*float64(d.planner.workers) {
+			return score - reserveWeight
+		}
+		return score - openWeight
+	}
+	unlike, mixed := false, false
 	for image := range r.headroom {
-		if d.alike(image, step.Image) {
-			score += sameImageWeight
-		} else {
-			score -= otherImageWeight
+		unlike = unlike || !d.alike(image, step.Image)
+		for other := range r.headroom {
+			mixed = mixed || !d.alike(image, other)
 		}
 	}
-	return score
+	switch {
+	case !unlike:
+		return score + gatherWeight
+	case mixed:
+		return score - mixedWeight
+	}
+	return score - mixWeight
 }
 
 func fillerScore(step *jobs.Step, r *room, capacity float64) float64 {
