Keep learned effects over a change of the leader and refuse what was not sent

The leader records the effects in the log. A relay asks a leader that it has not heard of for 700 ms before it sends, so that the answer is an honest 503.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -199,7 +199,7 @@
 	answer, err := p.relay.Send(ctx, q)
 	status := 0
 	if err != nil {
-		status = p.refuse(w, err)
+		status = p.refuse(w, r.Method, err)
 	} else {
 		status = answer.Status
 		answer.Write(w)
@@ -212,9 +212,9 @@
 }
 
 // refuse answers a request that no leader has answered.
-func (p *process) refuse(w http.ResponseWriter, err error) int {
+func (p *process) refuse(w http.ResponseWriter, method string, err error) int {
 	status := http.StatusGatewayTimeout
-	if !errors.Is(err, relay.ErrUnresolved) {
+	if !errors.Is(err, relay.ErrUnresolved) || method == http.MethodGet {
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", retryAfter)
 	}
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -13,6 +13,7 @@
 	Bind      *Bind      `json:"bind,omitempty"`
 	End       *End       `json:"end,omitempty"`
 	Prune     *Prune     `json:"prune,omitempty"`
+	Learn     *Learn     `json:"learn,omitempty"`
 }
 
 // Configure puts a configuration in force if its version is the highest.
@@ -53,6 +54,20 @@
 	At         int64   `json:"at"`
 }
 
+// Effect is how much one core of a filler image slows a serving image down: the
+// logarithm of the factor.
+type Effect struct {
+	Serving string  `json:"s"`
+	Filler  string  `json:"f"`
+	Value   float64 `json:"v"`
+}
+
+// Learn replaces the effects that a leader has learned, so that the next leader
+// does not begin without any.
+type Learn struct {
+	Effects []Effect `json:"e"`
+}
+
 // Prune forgets ended jobs.
 type Prune struct {
 	IDs []string `json:"ids"`
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -74,6 +74,9 @@
 	effectsUntil time.Duration
 	// fillers are the filler images that have run.
 	fillers map[string]bool
+	// recorded are the effects in the log, recordedAt is when they were proposed.
+	recorded   map[imagePair]float64
+	recordedAt time.Duration
 
 	commands []Proposal
 	orders   []Order
@@ -106,6 +109,7 @@
 		effects: map[imagePair]float64{}, fillers: map[string]bool{},
 	}
 	d.planner.init(store)
+	d.suppose(store.Effects())
 	store.BoundWorkers(func(_ jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
 		for _, t := range tasks {
 			d.orphans[t.Key] = d.inherited(t)
@@ -263,6 +267,7 @@
 		}
 	}
 	d.expireOrphans()
+	d.recordEffects()
 	d.Plan()
 }
 
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -13,7 +13,8 @@
 	// order lists the jobs by acceptance, for deterministic scans.
 	order []*Job
 	// bound lists the tasks with a current attempt by worker.
-	bound map[Incarnation]map[TaskKey]*Task
+	bound   map[Incarnation]map[TaskKey]*Task
+	effects []Effect
 	// changed are the jobs whose waiting tasks may have changed since TakeChanged.
 	changed map[string]bool
 }
@@ -44,6 +45,9 @@
 		return s.bind(c.Bind)
 	case c.End != nil:
 		return s.end(c.End)
+	case c.Learn != nil:
+		s.effects = c.Learn.Effects
+		return Result{Applied: true}
 	case c.Prune != nil:
 		return s.prune(c.Prune)
 	}
@@ -221,6 +225,10 @@
 // Config returns the configuration in force, or nil before the first.
 func (s *Store) Config() *Config { return s.config }
 
+// Effects returns what the newest leader has recorded as learned. It must not be
+// modified.
+func (s *Store) Effects() []Effect { return s.effects }
+
 // Job returns a job, or nil.
 func (s *Store) Job(id string) *Job { return s.jobs[id] }
 
@@ -257,13 +265,14 @@
 
 // image is the binary form of the whole state.
 type image struct {
-	Config *Config `json:"config"`
-	Jobs   []*Job  `json:"jobs"`
+	Config  *Config  `json:"config"`
+	Jobs    []*Job   `json:"jobs"`
+	Effects []Effect `json:"effects,omitempty"`
 }
 
 // Snapshot returns the binary form of the whole state.
 func (s *Store) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(image{s.config, s.order})
+	data, err := json.Marshal(image{s.config, s.order, s.effects})
 	if err != nil {
 		return nil, fmt.Errorf("encode the state of jobs: %w", err)
 	}
@@ -277,7 +286,7 @@
 		return nil, fmt.Errorf("decode the state of jobs: %w; start the version that wrote the snapshot", err)
 	}
 	s := NewStore()
-	s.config = i.Config
+	s.config, s.effects = i.Config, i.Effects
 	for _, j := range i.Jobs {
 		s.insert(j)
 		j.countLeft()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,11 @@
 	// attemptTimeout bounds one attempt, so that a silent replica leaves time for
 	// another one.
 	attemptTimeout = 1200 * time.Millisecond
+	// staleAfter is the age of the last answer of a leader from which on it is asked
+	// before a request is sent: a request that was not sent has certainly not run.
+	staleAfter = 700 * time.Millisecond
+	// probeTimeout bounds that question.
+	probeTimeout = 250 * time.Millisecond
 	// retryPause is the pause between attempts while no replica leads.
 	retryPause = 40 * time.Millisecond
 	// askTimeout bounds a question for the leader.
@@ -120,16 +125,16 @@
 	return candidates[r.next%len(candidates)]
 }
 
-// Suggest takes in that a replica leads, empty for unknown. former is the target
+// suggest takes in that a replica leads, empty for unknown. former is the target
 // that said so or failed.
 func (r *Relay) suggest(former, leader string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leader == former || r.leader == "" {
+	switch {
+	case leader == former:
+		r.leader = ""
+	case r.leader == former || r.leader == "":
 		r.leader = leader
-		if leader == former {
-			r.leader = ""
-		}
 	}
 }
 
@@ -146,6 +151,12 @@
 	var last error
 	for {
 		address := r.target()
+		if !r.confirm(ctx, address) {
+			if !pause(ctx, retryPause) {
+				return nil, errors.Join(failure, last)
+			}
+			continue
+		}
 		answer, err := r.attempt(ctx, address, q)
 		switch {
 		case err == nil && !isNotLeader(answer):
@@ -166,6 +177,42 @@
 	}
 }
 
+// confirm reports whether the target leads, by a recent answer or by asking.
+func (r *Relay) confirm(ctx context.Context, address string) bool {
+	if address == "" {
+		return false
+	}
+	r.mu.Lock()
+	fresh := r.leader == address && time.Since(r.contact) < staleAfter
+	r.mu.Unlock()
+	if fresh {
+		return true
+	}
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	view, err := r.Ask(bounded, address)
+	if err != nil {
+		r.suggest(address, "")
+		return false
+	}
+	r.takeIn(address, view)
+	return view.Leads
+}
+
+// takeIn takes in what a replica knows.
+func (r *Relay) takeIn(address string, view View) {
+	if view.Leads {
+		r.reached(address)
+	} else {
+		r.suggest(address, view.Leader)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(view.Members) > 0 {
+		r.members = view.Members
+	}
+}
+
 func isNotLeader(a *Answer) bool {
 	_, marked := a.Header[HeaderNotLeader]
 	return marked
@@ -238,16 +285,7 @@
 		r.suggest(address, "")
 		return
 	}
-	if view.Leads {
-		r.reached(address)
-	} else {
-		r.suggest(address, view.Leader)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(view.Members) > 0 {
-		r.members = view.Members
-	}
+	r.takeIn(address, view)
 }
 
 // Write passes an answer on.
