Clear workers of serving tasks when fillers wait for one

Pacing such fillers to what serving tasks bear was ruled out by the figures: about 65 cores on the 43 serving workers, against 37 for each worker that is cleared.

At most once a second the serving tasks of one worker move to others that have declared room and are disturbed by the same fillers.

--- /dev/null
+++ b/jobs/dispatch/consolidate.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+const (
+	// consolidateInterval is the time between two workers that are cleared.
+	consolidateInterval = time.Second
+	// blockedCores is the processor time that fillers must lack, in thousandths of a
+	// core, before a worker is cleared for them: less is not worth the disruption.
+	blockedCores = 8000
+	// clearCandidates bounds the workers that are tried at a time.
+	clearCandidates = 8
+)
+
+// consolidate moves the serving tasks of one worker to others, so that fillers
+// which would disturb serving tasks everywhere else have a worker of their own. A
+// move costs a serving task about a second and frees a worker for the rest of a
+// burst. It answers loads whose fillers wait while processor time is idle.
+func (d *Dispatcher) consolidate() {
+	if d.planner.blocked < blockedCores || d.now-d.planner.clearedAt < consolidateInterval || d.movesServing() {
+		return
+	}
+	d.planner.clearedAt = d.now
+	rooms := d.rooms()
+	var candidates []*room
+	for _, r := range rooms {
+		if r.serving > 0 && d.clearable(r.w) {
+			candidates = append(candidates, r)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *room) int {
+		return cmp.Or(cmp.Compare(a.serving, b.serving), cmp.Compare(a.w.Worker, b.w.Worker))
+	})
+	for _, r := range candidates[:min(len(candidates), clearCandidates)] {
+		if d.fitsElsewhere(r, rooms) {
+			d.clear(r.w)
+			return
+		}
+	}
+}
+
+// movesServing reports whether a serving task is being moved.
+func (d *Dispatcher) movesServing() bool {
+	for _, w := range d.workers {
+		for _, a := range w.attempts {
+			if a.step.TailTarget > 0 && a.stopping {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// clearable reports whether all serving tasks of a worker are at work and may be
+// interrupted.
+func (d *Dispatcher) clearable(w *worker) bool {
+	for _, a := range w.attempts {
+		if a.step.TailTarget > 0 && (!a.serves() || a.step.MaxUnavailable > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// fitsElsewhere reports whether the serving tasks of a worker have room on other
+// workers that serve, without mixing tasks that different fillers disturb.
+func (d *Dispatcher) fitsElsewhere(r *room, rooms []*room) bool {
+	var moving []*attempt
+	for _, a := range r.w.attempts {
+		if a.step.TailTarget > 0 {
+			moving = append(moving, a)
+		}
+	}
+	slices.SortFunc(moving, func(x, y *attempt) int {
+		return cmp.Or(cmp.Compare(y.charge.MilliCPU, x.charge.MilliCPU), cmp.Compare(x.task.String(), y.task.String()))
+	})
+	taken := map[*room]jobs.Resources{}
+	steps := map[*room]map[jobs.TaskKey]int{}
+	for _, a := range moving {
+		to := d.destination(r, rooms, a, taken, steps)
+		if to == nil {
+			return false
+		}
+		taken[to] = taken[to].Add(a.charge)
+		if steps[to] == nil {
+			steps[to] = map[jobs.TaskKey]int{}
+		}
+		steps[to][stepOf(a.task)]++
+	}
+	return len(moving) > 0
+}
+
+// stepOf is the key of a task without its index.
+func stepOf(k jobs.TaskKey) jobs.TaskKey {
+	k.Index = 0
+	return k
+}
+
+// destination returns the fullest worker to which a serving task may move.
+func (d *Dispatcher) destination(
+	from *room, rooms []*room, a *attempt, taken map[*room]jobs.Resources, steps map[*room]map[jobs.TaskKey]int,
+) *room {
+	var best *room
+	for _, r := range rooms {
+		if r == from || r.serving == 0 || r.w.Service != from.w.Service || !r.w.hasLabel(a.step.RequiredLabel) {
+			continue
+		}
+		if !a.charge.Fits(r.free.Sub(taken[r])) || !d.joinsAlike(r, a.step.Image) {
+			continue
+		}
+		if a.step.MaxPerWorker > 0 && countStep(r.w, a.task)+steps[r][stepOf(a.task)] >= a.step.MaxPerWorker {
+			continue
+		}
+		if best == nil || r.free.MilliCPU < best.free.MilliCPU {
+			best = r
+		}
+	}
+	return best
+}
+
+// joinsAlike reports whether a serving image does not add a further kind to a
+// worker with one kind.
+func (d *Dispatcher) joinsAlike(r *room, image string) bool {
+	unlike, mixed := d.kinds(r, image)
+	return !unlike || mixed
+}
+
+// clear stops the serving tasks of a worker; the planner starts them elsewhere.
+func (d *Dispatcher) clear(w *worker) {
+	for _, a := range w.attempts {
+		if a.step.TailTarget > 0 {
+			d.note("serving task is moved", w, a, "fillers wait for a worker without serving tasks")
+			d.planner.avoid(a.task, w.Worker)
+			a.stopping = true
+		}
+	}
+}
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -269,6 +269,7 @@
 	d.expireOrphans()
 	d.recordEffects()
 	d.Plan()
+	d.consolidate()
 }
 
 func (d *Dispatcher) tickWorker(w *worker) {
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -40,6 +40,11 @@
 	// empty counts the workers without serving tasks among all usable workers.
 	empty   int
 	workers int
+	// blocked is the processor time of the fillers that found no worker in the last
+	// plan, in thousandths of a core.
+	blocked int64
+	// clearedAt is when a worker was last cleared of serving tasks.
+	clearedAt time.Duration
 }
 
 type avoidance struct {
@@ -120,6 +125,7 @@
 	}
 	d.planner.dirty = false
 	d.planner.nextDue = 0
+	d.planner.blocked = 0
 	rooms := d.rooms()
 	if len(rooms) == 0 {
 		return
@@ -321,11 +327,14 @@
 	if step.Gang {
 		return d.planGang(wj, step, waiting, len(tasks), rooms)
 	}
-	for _, t := range waiting {
+	for i, t := range waiting {
 		if full.covers(wj.service, step.Charge()) {
 			return true
 		}
 		r := d.choose(wj, step, t, rooms, nil)
+		if r == nil && step.Filler {
+			d.planner.blocked += step.Request.MilliCPU * int64(len(waiting)-i)
+		}
 		if r == nil {
 			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !step.Filler && !d.avoids(t.Key) {
 				full.refused = append(full.refused, refusal{wj.service, step.Charge()})
@@ -408,18 +417,19 @@
 	if step.MaxPerWorker == 0 {
 		return true
 	}
-	count := gang[r]
-	for key := range r.w.attempts {
-		if key.Job == t.Key.Job && key.Occurrence == t.Key.Occurrence && key.Step == t.Key.Step {
-			count++
-		}
+	return gang[r]+countStep(r.w, t.Key) < step.MaxPerWorker
+}
+
+// countStep counts the tasks of a task's step on a worker.
+func countStep(w *worker, key jobs.TaskKey) int {
+	count := 0
+	for other := range w.attempts {
+		count += bit(stepOf(other) == stepOf(key))
 	}
-	for key := range r.w.strays {
-		if key.task.Job == t.Key.Job && key.task.Occurrence == t.Key.Occurrence && key.task.Step == t.Key.Step {
-			count++
-		}
+	for other := range w.strays {
+		count += bit(stepOf(other.task) == stepOf(key))
 	}
-	return count < step.MaxPerWorker
+	return count
 }
 
 // bind writes the assignment of a task to the log and orders the start once it is
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -116,13 +116,7 @@
 		}
 		return score - openWeight
 	}
-	unlike, mixed := false, false
-	for image := range r.headroom {
-		unlike = unlike || !d.alike(image, step.Image)
-		for other := range r.headroom {
-			mixed = mixed || !d.alike(image, other)
-		}
-	}
+	unlike, mixed := d.kinds(r, step.Image)
 	switch {
 	case !unlike:
 		return score + gatherWeight
@@ -132,6 +126,18 @@
 	return score - mixWeight
 }
 
+// kinds reports whether a worker has serving tasks that other fillers disturb than
+// those of the image, and whether it has several kinds already.
+func (d *Dispatcher) kinds(r *room, image string) (unlike, mixed bool) {
+	for one := range r.headroom {
+		unlike = unlike || !d.alike(one, image)
+		for other := range r.headroom {
+			mixed = mixed || !d.alike(one, other)
+		}
+	}
+	return unlike, mixed
+}
+
 func fillerScore(step *jobs.Step, r *room, capacity float64) float64 {
 	score := r.idle / capacity
 	if crowded := float64(step.Request.MilliCPU) - r.idle; crowded > 0 {
