Keep the voters odd and refuse at once while no leader is there

Of four replicas three vote, so one half goes on; a learner takes the place of a silent voter only if it was admitted after that fell silent. A request waits 1.2 s from the last answer of a leader, and 150 ms once that is over.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,9 +21,11 @@
 )
 
 const (
-	// holdWithin bounds how long a request waits for a leader. A change of the
-	// leader usually takes less.
+	// holdWithin bounds how long a request waits for a leader, counted from the last
+	// answer of one. A change of the leader usually takes less. holdLeast is for
+	// finding out whether there is a leader again.
 	holdWithin = 1200 * time.Millisecond
+	holdLeast  = 150 * time.Millisecond
 	// answerReserve is left of the caller's time for the way of the answer.
 	answerReserve = 100 * time.Millisecond
 	// defaultDeadline holds for callers who name none.
@@ -189,7 +191,7 @@
 		http.Error(w, "the request cannot be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	within := min(holdWithin, p.deadline(r, defaultDeadline)-answerReserve)
+	within := min(p.patience(), p.deadline(r, defaultDeadline)-answerReserve)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), within)
 	defer cancel()
 	q := relay.Request{Method: r.Method, Path: jobd.PathCallers + r.URL.RequestURI(), Host: r.Host, Header: http.Header{}, Body: body}
@@ -211,6 +213,12 @@
 	}
 }
 
+// patience is how long a request waits for a leader: once none has answered for
+// long, it is refused at once.
+func (p *process) patience() time.Duration {
+	return max(holdLeast, holdWithin-max(0, time.Since(p.relay.Contact())-refreshInterval))
+}
+
 // refuse answers a request that no leader has answered.
 func (p *process) refuse(w http.ResponseWriter, method string, err error) int {
 	status := http.StatusGatewayTimeout
--- a/replicate/members.go
+++ b/replicate/members.go
@@ -28,6 +28,7 @@
 	if err := r.change(raft.MemberChange{Kind: raft.AddLearner, Member: member}); err != nil {
 		return 0, err
 	}
+	r.admitted[member.ID] = r.options.Now()
 	return member.ID, nil
 }
 
@@ -41,9 +42,19 @@
 	return nil
 }
 
-// Maintain promotes learners that have caught up. A voter that is silent while a
-// new one is promoted is replaced by it and removed: nothing else removes a silent
-// voter, since it may come back with what the others need.
+// maxVoters bounds the voters; further replicas stay learners.
+const maxVoters = 7
+
+// targetVoters is the number of voters among the members. It is odd, since an even
+// one bears no more losses, and a split into halves would leave no majority.
+func targetVoters(members int) int {
+	return min(maxVoters, members-(members+1)%2)
+}
+
+// Maintain promotes learners that have caught up, up to the target. A learner that
+// was admitted while a voter was silent takes its place, and the voter is removed:
+// nothing else removes a silent voter, since it may come back with what the others
+// need.
 func (r *Replica) Maintain() {
 	if !r.leading {
 		return
@@ -51,7 +62,7 @@
 	s := r.node.Status()
 	r.followSilence(s)
 	for _, m := range s.Membership.Members {
-		if m.Learner && r.promote(s, m) {
+		if m.Learner && r.wanted(s, m) && r.promote(s, m) {
 			return
 		}
 	}
@@ -78,20 +89,36 @@
 	}
 }
 
-// promote makes a learner a voter in place of the voter that is silent longest.
-func (r *Replica) promote(s raft.Status, learner raft.Member) bool {
-	if err := r.change(raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}); err != nil {
-		return false
-	}
+// wanted reports whether a learner is to vote.
+func (r *Replica) wanted(s raft.Status, learner raft.Member) bool {
+	return len(s.Membership.Voters()) < targetVoters(len(s.Membership.Members)) || r.silentVoter(s, learner) != 0
+}
+
+// silentVoter returns the voter that is silent longest and was so when the learner
+// was admitted, or 0.
+func (r *Replica) silentVoter(s raft.Status, learner raft.Member) uint64 {
 	now := r.options.Now()
-	longest, oldest := removalIdle, uint64(0)
+	admitted, known := r.admitted[learner.ID]
+	if !known {
+		return 0
+	}
+	longest, found := removalIdle, uint64(0)
 	for _, p := range s.Peers {
-		if silent := now - r.heard[p.ID]; s.Membership.IsVoter(p.ID) && !r.replaced[p.ID] && silent > longest {
-			longest, oldest = silent, p.ID
+		silent := now - r.heard[p.ID]
+		if s.Membership.IsVoter(p.ID) && !r.replaced[p.ID] && silent > longest && r.heard[p.ID] < admitted {
+			longest, found = silent, p.ID
 		}
 	}
-	if oldest != 0 {
-		r.replaced[oldest] = true
+	return found
+}
+
+// promote makes a learner a voter, in place of a silent one if there is any.
+func (r *Replica) promote(s raft.Status, learner raft.Member) bool {
+	if err := r.change(raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}); err != nil {
+		return false
+	}
+	if silent := r.silentVoter(s, learner); silent != 0 {
+		r.replaced[silent] = true
 	}
 	return true
 }
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -103,6 +103,8 @@
 	snapping bool
 	// heard is when this leader last heard of each peer.
 	heard map[uint64]time.Duration
+	// admitted is when this leader admitted each learner.
+	admitted map[uint64]time.Duration
 	// replaced are silent voters in whose place new ones were promoted.
 	replaced map[uint64]bool
 }
@@ -116,7 +118,7 @@
 	}
 	r := &Replica{
 		options: o, node: node, proposals: map[uint64][]proposal{}, reads: map[uint64]func(error){},
-		heard: map[uint64]time.Duration{}, replaced: map[uint64]bool{},
+		heard: map[uint64]time.Duration{}, admitted: map[uint64]time.Duration{}, replaced: map[uint64]bool{},
 	}
 	if o.Stored.Snapshot.Index > 0 {
 		if err := o.Machine.Restore(o.Stored.Snapshot.Data); err != nil {
@@ -313,6 +315,7 @@
 	if r.leading && (!leads || r.term != s.Term) {
 		r.leading, r.leaseEnd = false, 0
 		clear(r.heard)
+		clear(r.admitted)
 		clear(r.replaced)
 		r.options.Log.Info().Uint64("term", r.term).Msg("leadership ended")
 		r.failProposals()
--- a/replicate/replicate_test.go
+++ b/replicate/replicate_test.go
@@ -252,6 +252,18 @@
 		Expect(member).To(BeFalse())
 	})
 
+	// Guards against a split into halves that leaves no majority: of four replicas
+	// three vote.
+	It("keeps the number of voters odd", func() {
+		w, nodes := found(3)
+		l := leader(nodes...)
+		w.start(join(l, "a8"), raft.Stored{})
+		Eventually(addresses(l), "3s").Should(ConsistOf("a1", "a2", "a3", "a8?"))
+		Consistently(addresses(l), "1s", "100ms").Should(ConsistOf("a1", "a2", "a3", "a8?"))
+		w.start(join(l, "a9"), raft.Stored{})
+		Eventually(addresses(l), "5s").Should(ConsistOf("a1", "a2", "a3", "a8", "a9"))
+	})
+
 	// Guards against a lost replica that counts for ever once another has taken its
 	// place, and against the removal of one that is only cut off.
 	It("removes a silent voter only when a new one takes its place", func() {
