Plan and look at workers less often in large fleets

Events plan only, ticks of 20 ms look at all workers, plans and entries keep a pause that grows with the fleet, and a filler image that found no worker is not tried again in the same plan.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -15,6 +15,9 @@
 	// proposalsInFlight bounds the entries that wait for the log; what comes up
 	// meanwhile shares the next one.
 	proposalsInFlight = 2
+	// proposalPause is the time between two entries for each replica that they are
+	// sent to. It bounds the messages of a leader under load.
+	proposalPause = 1500 * time.Microsecond
 	// batchCommands bounds the commands in one entry.
 	batchCommands = 512
 	// retention is how long ended jobs are kept.
@@ -40,6 +43,8 @@
 
 	queued     []dispatch.Proposal
 	inFlight   int
+	proposeAt  time.Duration
+	flushing   bool
 	maintainAt time.Duration
 	pruneAt    time.Duration
 	joins      map[string]uint64
@@ -113,6 +118,19 @@
 	m.carryOut()
 }
 
+// react does the work that an event has brought up. What is due by time waits for
+// the next tick, since it takes a look at every worker.
+func (m *manager) react() {
+	m.followLeadership()
+	if m.dispatcher == nil {
+		return
+	}
+	if m.replica.Leads() {
+		m.dispatcher.Plan()
+	}
+	m.carryOut()
+}
+
 // followLeadership starts and ends the dispatch.
 func (m *manager) followLeadership() {
 	term, leading := m.replica.Leading()
@@ -185,7 +203,7 @@
 			}
 			d.Advance(m.now(), time.Now().UnixMilli())
 			d.Answered(reply)
-			m.step()
+			m.react()
 		})
 	}()
 }
@@ -199,7 +217,15 @@
 // flush proposes what is queued as one entry, unless enough entries are on their
 // way: group commit keeps the disk's syncs few.
 func (m *manager) flush() {
-	for len(m.queued) > 0 && m.inFlight < proposalsInFlight {
+	if len(m.queued) == 0 {
+		return
+	}
+	if wait := m.proposeAt - m.now(); wait > 0 {
+		m.flushLater(wait)
+		return
+	}
+	for len(m.queued) > 0 && m.inFlight < proposalsInFlight && m.now() >= m.proposeAt {
+		m.proposeAt = m.now() + proposalPause*time.Duration(len(m.replica.Status().Membership.Members))
 		n := min(len(m.queued), batchCommands)
 		batch := m.queued[:n:n]
 		m.queued = m.queued[n:]
@@ -207,6 +233,19 @@
 	}
 }
 
+func (m *manager) flushLater(wait time.Duration) {
+	if m.flushing {
+		return
+	}
+	m.flushing = true
+	time.AfterFunc(wait, func() {
+		m.post(func() {
+			m.flushing = false
+			m.flush()
+		})
+	})
+}
+
 func (m *manager) proposeBatch(batch []dispatch.Proposal) {
 	commands := make([]jobs.Command, len(batch))
 	for i := range batch {
@@ -243,7 +282,7 @@
 		}
 	}
 	if m.dispatcher == d && d != nil {
-		m.post(m.step)
+		m.post(m.react)
 	}
 }
 
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// tickInterval is the time between two looks at what is due.
+	tickInterval = 20 * time.Millisecond
 	// peerTimeout bounds a call between replicas.
 	peerTimeout = time.Second
 	// transferWithin bounds the handover of leadership on a planned stop.
@@ -117,7 +119,7 @@
 
 func (s *Server) tick() {
 	defer s.ticking.Done()
-	t := time.NewTicker(replicate.TickInterval)
+	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -147,7 +149,7 @@
 		}
 		done(false, nil)
 		m.replica.Step(messages)
-		m.step()
+		m.react()
 	})
 	if err != nil {
 		return nil, err
--- a/jobd/service.go
+++ b/jobd/service.go
@@ -233,7 +233,7 @@
 		m.dispatcher.Advance(m.now(), time.Now().UnixMilli())
 		m.dispatcher.Heartbeat(h)
 		done(m.settings.Listen, nil)
-		m.step()
+		m.react()
 	})
 }
 
@@ -247,7 +247,7 @@
 		m.dispatcher.Advance(m.now(), time.Now().UnixMilli())
 		m.dispatcher.Leave(id)
 		done(struct{}{}, nil)
-		m.step()
+		m.react()
 	})
 	return err
 }
--- /dev/null
+++ b/jobs/dispatch/bench_test.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+// BenchmarkPlan plans on the grown deployments' scale with fillers that wait for
+// a worker on which they disturb nobody.
+func BenchmarkPlan(b *testing.B) {
+	const workers, serving, waiting = 350, 5, 40
+	w := newWorld(1)
+	for i := range 330 {
+		w.submit(fmt.Sprintf("serve-%d", i), jobs.Spec{Steps: []jobs.Step{{
+			Count: serving, LongRunning: true, TailTarget: 18, Image: fmt.Sprint("s", i%5), Request: jobs.Resources{MilliCPU: 6000, MemoryMB: 13000},
+		}}})
+	}
+	d := New(Options{Lease: testLease, Beat: testBeat, Authority: testAuthority}, w.store, 1, 0)
+	apply := func() {
+		for {
+			commands, _, _ := d.Take()
+			if len(commands) == 0 {
+				return
+			}
+			for _, c := range commands {
+				c.Settled(w.store.Apply(c.Command), true)
+			}
+		}
+	}
+	for i := range workers {
+		d.Heartbeat(Heartbeat{Worker: fmt.Sprint("w", i), Service: "s", Capacity: jobs.Resources{MilliCPU: 32000, MemoryMB: 128000}, Clock: 1, Born: 1, Sequence: 1})
+		d.workers[fmt.Sprint("w", i)].joined = true
+	}
+	d.Advance(time.Second, w.unix()+1000)
+	d.Tick()
+	apply()
+	for s := range 5 {
+		d.model.Suppose(fmt.Sprint("s", s), "f", 0.5)
+	}
+	for i := range waiting {
+		w.submit(fmt.Sprintf("fill-%d", i), jobs.Spec{Steps: []jobs.Step{{
+			Count: 20, Filler: true, Image: "f", Estimate: 1700, Request: jobs.Resources{MilliCPU: 3500, MemoryMB: 6000},
+		}}})
+	}
+	b.ResetTimer()
+	for range b.N {
+		d.planner.dirty, d.planner.nextPlan = true, 0
+		d.Plan()
+	}
+	b.StopTimer()
+	if commands, _, _ := d.Take(); len(commands) > 0 {
+		b.Logf("%d tasks are bound", len(commands))
+	}
+}
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -27,8 +27,10 @@
 	// holdWaitShared is the wait where fillers run beside serving tasks, whose
 	// latency must be read more often.
 	holdWaitShared = 400 * time.Millisecond
-	// holdPause between two holds lets ends gather.
-	holdPause = 15 * time.Millisecond
+	// holdPause between two holds lets ends gather, and holdPausePerWorker lengthens
+	// it in large fleets.
+	holdPause          = 15 * time.Millisecond
+	holdPausePerWorker = 200 * time.Microsecond
 	// holdRetry is the pause after a hold that was not answered.
 	holdRetry  = 150 * time.Millisecond
 	stopRetry  = 400 * time.Millisecond
@@ -40,6 +42,9 @@
 	// to be done.
 	drainReserve = 700 * time.Millisecond
 	fullList     = 500
+	// replanInterval is the time between two plans without an event: workers become
+	// usable again by time alone.
+	replanInterval = 200 * time.Millisecond
 	// effectsKept bounds the age of what the model is taken to say.
 	effectsKept = 100 * time.Millisecond
 )
@@ -194,7 +199,6 @@
 	}
 	w.leaving = false
 	d.join(w)
-	d.planner.dirty = true
 }
 
 // newLife takes in a life of a worker that is new to this leader. What was bound
@@ -282,6 +286,10 @@
 	}
 	d.expireOrphans()
 	d.recordEffects()
+	if d.now >= d.planner.replanAt {
+		d.planner.dirty = true
+		d.planner.replanAt = d.now + replanInterval
+	}
 	d.Plan()
 	d.consolidate()
 }
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -24,6 +24,9 @@
 	// estimateTrust is the part of the declared time of a chain of steps that a job
 	// takes at least. Declared times are rough.
 	estimateTrust = 0.6
+	// planPause is the time between two plans for each worker, since a plan looks at
+	// all of them.
+	planPause = 100 * time.Microsecond
 	// startsPerWorker bounds the starts that are on their way to one worker.
 	startsPerWorker = 16
 )
@@ -32,6 +35,10 @@
 type planner struct {
 	// dirty is set when a task may have become startable.
 	dirty bool
+	// nextPlan is the earliest time of the next plan.
+	nextPlan time.Duration
+	// replanAt is the time of the next plan without an event.
+	replanAt time.Duration
 	// waiting are the jobs that may have waiting tasks.
 	waiting map[string]*waitingJob
 	avoided map[jobs.TaskKey]avoidance
@@ -120,9 +127,10 @@
 // Plan binds waiting tasks to workers with room, in the order of rank.
 func (d *Dispatcher) Plan() {
 	d.refresh()
-	if !d.planner.dirty || d.store.Config() == nil {
+	if !d.planner.dirty || d.now < d.planner.nextPlan || d.store.Config() == nil {
 		return
 	}
+	d.planner.nextPlan = d.now + planPause*time.Duration(len(d.workers))
 	d.planner.dirty = false
 	d.planner.nextDue = 0
 	d.planner.blocked = 0
@@ -271,12 +279,22 @@
 
 type refusal struct {
 	service string
+	// image is that of a filler, whose place depends on what it disturbs.
+	image   string
 	request jobs.Resources
 }
 
-func (f *fullness) covers(service string, request jobs.Resources) bool {
+func newRefusal(service string, step *jobs.Step) refusal {
+	if step.Filler {
+		return refusal{service, step.Image, step.Request}
+	}
+	return refusal{service: service, request: step.Request}
+}
+
+func (f *fullness) covers(service string, step *jobs.Step) bool {
+	asked := newRefusal(service, step)
 	return slices.ContainsFunc(f.refused, func(r refusal) bool {
-		return r.service == service && r.request.Fits(request)
+		return r.service == asked.service && r.image == asked.image && r.request.Fits(asked.request)
 	})
 }
 
@@ -328,16 +346,15 @@
 		return d.planGang(wj, step, waiting, len(tasks), rooms)
 	}
 	for i, t := range waiting {
-		if full.covers(wj.service, step.Charge()) {
+		if full.covers(wj.service, step) {
+			d.block(step, len(waiting)-i)
 			return true
 		}
 		r := d.choose(wj, step, t, rooms, nil)
-		if r == nil && step.Filler {
-			d.planner.blocked += step.Request.MilliCPU * int64(len(waiting)-i)
-		}
 		if r == nil {
-			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !step.Filler && !d.avoids(t.Key) {
-				full.refused = append(full.refused, refusal{wj.service, step.Charge()})
+			d.block(step, len(waiting)-i)
+			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !d.avoids(t.Key) && wj.tier != tierWorthless {
+				full.refused = append(full.refused, newRefusal(wj.service, step))
 			}
 			return true
 		}
@@ -346,6 +363,13 @@
 	return false
 }
 
+// block counts the processor time of fillers that find no worker.
+func (d *Dispatcher) block(step *jobs.Step, tasks int) {
+	if step.Filler {
+		d.planner.blocked += step.Request.MilliCPU * int64(tasks)
+	}
+}
+
 // planGang binds all tasks of a gang or none.
 func (d *Dispatcher) planGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, size int, rooms []*room) bool {
 	if len(waiting) < size {
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -44,7 +44,7 @@
 
 func (d *Dispatcher) holdAnswered(w *worker, r Reply) {
 	w.holding = false
-	w.nextHold = d.now + holdPause
+	w.nextHold = d.now + holdPause + holdPausePerWorker*time.Duration(len(d.workers))
 	if w.gone {
 		return
 	}
