--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -20,7 +20,9 @@
 
 	"geraniumwall/control"
 	"geraniumwall/daemon"
+	"geraniumwall/entry"
 	"geraniumwall/gateway"
+	"geraniumwall/jobd"
 	"geraniumwall/policy/engine"
 	"geraniumwall/schedulerd"
 )
@@ -114,6 +116,16 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
+func jobInstruments(m metric.Meter) {
+	_, err := jobd.NewMetrics(m)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func entryInstruments(m metric.Meter) {
+	_, err := entry.NewMetrics(m)
+	Expect(err).NotTo(HaveOccurred())
+}
+
 func page() string {
 	var b strings.Builder
 	b.WriteString("# Metrics\n\nThis page is generated: `go test ./daemon -update`. Each process serves its metrics on " +
@@ -126,6 +138,8 @@
 		{"geranium-control", controlInstruments},
 		{"geranium-scheduler", schedulerInstruments},
 		{"geranium-gateway", gatewayInstruments},
+		{"geranium-jobs", jobInstruments},
+		{"geranium-entry", entryInstruments},
 	} {
 		fmt.Fprintf(&b, "\n## %s\n\n| name | kind | unit | meaning |\n|---|---|---|---|\n%s\n",
 			process.name, strings.Join(instruments(process.make), "\n"))
--- a/e2e/replica_test.go
+++ b/e2e/replica_test.go
@@ -39,9 +39,9 @@
 	tour.run(exitRefused, "replica", "promote", fmt.Sprint(replacement))
 	tour.voteNeeded(p, old)
 	tour.run(exitRefused, "replica", "remove", fmt.Sprint(lost))
-	for _, command := range documented(tour, "../docs/operations.md") {
+	for _, command := range documented(tour, "../docs/OPERATIONS.md") {
 		if strings.HasPrefix(command, "replica ") {
-			tour.Expect(tour.hasRun(command)).To(BeTrue(), "no test runs %q of docs/operations.md", command)
+			tour.Expect(tour.hasRun(command)).To(BeTrue(), "no test runs %q of docs/OPERATIONS.md", command)
 		}
 	}
 }
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -20,7 +20,7 @@
 	"geraniumwall/config"
 )
 
-// Exit codes of geranium, as docs/operations.md lists them.
+// Exit codes of geranium, as docs/OPERATIONS.md lists them.
 const (
 	exitSuccess  = 0
 	exitFailure  = 1
@@ -142,7 +142,7 @@
 // documentation checks that the tour or the replacement of a replica ran every
 // command of the pages for newcomers and operators.
 func (t *tour) documentation() {
-	for _, page := range []string{"../README.md", "../docs/operations.md"} {
+	for _, page := range []string{"../README.md", "../docs/OPERATIONS.md"} {
 		commands := documented(t, page)
 		t.Expect(len(commands)).To(BeNumerically(">", 9), page)
 		for _, command := range commands {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
 
 	"geraniumwall/daemon"
 	"geraniumwall/jobd"
@@ -39,6 +40,7 @@
 	// maxBody bounds a request, in bytes; the leader knows the configured bound.
 	maxBody    = 4 << 20
 	retryAfter = "1"
+	meterName  = "geraniumwall/entry"
 )
 
 // Settings are the settings of an entry process.
@@ -81,7 +83,7 @@
 	deadline Deadline
 	stopping atomic.Bool
 	ready    atomic.Bool
-	metrics  *metrics
+	metrics  *Metrics
 }
 
 // Run serves callers until ctx is over and then drains. reload delivers changed
@@ -90,7 +92,7 @@
 	if _, err := daemon.ServeMetrics(ctx, s.MetricsListen); err != nil {
 		return err
 	}
-	m, err := newMetrics()
+	m, err := NewMetrics(otel.Meter(meterName))
 	if err != nil {
 		return err
 	}
@@ -199,17 +201,11 @@
 		q.Header.Set("Content-Type", kind)
 	}
 	answer, err := p.relay.Send(ctx, q)
-	status := 0
-	if err != nil {
-		status = p.refuse(w, r.Method, err)
-	} else {
-		status = answer.Status
-		answer.Write(w)
-	}
+	status := p.answer(w, r.Method, answer, err)
 	p.metrics.served(r.Method, status, time.Since(began))
 	if status >= http.StatusInternalServerError || status == http.StatusTooManyRequests || r.Method != http.MethodGet {
 		p.log.Info().Str("method", r.Method).Str("path", r.URL.Path).Int("status", status).
-			Dur("took", time.Since(began)).Err(err).Msg("request answered")
+			Dur("took", time.Since(began)).Dur("leader_age", began.Sub(p.relay.Contact())).Err(err).Msg("request answered")
 	}
 }
 
@@ -219,6 +215,15 @@
 	return max(holdLeast, holdWithin-max(0, time.Since(p.relay.Contact())-refreshInterval))
 }
 
+// answer passes the leader's answer on and returns its status.
+func (p *process) answer(w http.ResponseWriter, method string, answer *relay.Answer, err error) int {
+	if err != nil {
+		return p.refuse(w, method, err)
+	}
+	answer.Write(w)
+	return answer.Status
+}
+
 // refuse answers a request that no leader has answered.
 func (p *process) refuse(w http.ResponseWriter, method string, err error) int {
 	status := http.StatusGatewayTimeout
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,18 +5,18 @@
 	"fmt"
 	"time"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
 
-type metrics struct {
+// Metrics are the instruments of an entry process.
+type Metrics struct {
 	requests metric.Int64Counter
 	duration metric.Float64Histogram
 }
 
-func newMetrics() (*metrics, error) {
-	meter := otel.Meter("geraniumwall/entry")
+// NewMetrics makes the instruments.
+func NewMetrics(meter metric.Meter) (*Metrics, error) {
 	requests, err := meter.Int64Counter("geranium.entry.requests", metric.WithUnit("{request}"),
 		metric.WithDescription("Requests of callers by method and status."))
 	if err != nil {
@@ -27,10 +27,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("make the histogram of durations: %w", err)
 	}
-	return &metrics{requests, duration}, nil
+	return &Metrics{requests, duration}, nil
 }
 
-func (m *metrics) served(method string, status int, took time.Duration) {
+func (m *Metrics) served(method string, status int, took time.Duration) {
 	attributes := metric.WithAttributes(attribute.String("method", method), attribute.Int("status", status))
 	m.requests.Add(context.Background(), 1, attributes)
 	m.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("method", method)))
--- a/formats/formats.go
+++ b/formats/formats.go
@@ -3,7 +3,7 @@
 // that a later version is tested against what its predecessor really wrote.
 //
 // To release a version, run "go run ./formats/write formats/testdata/vN" with its
-// code and commit the result. See "Upgrading a fleet" in docs/operations.md.
+// code and commit the result. See "Upgrading a fleet" in docs/OPERATIONS.md.
 package formats
 
 import (
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -39,7 +39,7 @@
 	workers    Workers
 	post       func(func())
 	now        func() time.Duration
-	metrics    *metrics
+	metrics    *Metrics
 
 	queued     []dispatch.Proposal
 	inFlight   int
@@ -177,7 +177,7 @@
 func (m *manager) logNote(n *dispatch.Note) {
 	e := m.log.Info()
 	if n.Worker != "" {
-		e = e.Str("worker", n.Worker)
+		e = e.Str("worker", n.Worker).Int64("report_age_ms", n.ReportAge.Milliseconds())
 	}
 	if n.Task.Job != "" {
 		e = e.Str("job", n.Task.Job).Int("occurrence", n.Task.Occurrence).Int("step", n.Task.Step).
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
@@ -12,14 +11,15 @@
 	"geraniumwall/jobs/dispatch"
 )
 
-type metrics struct {
+// Metrics are the instruments of a job replica.
+type Metrics struct {
 	orders metric.Int64Counter
 	ended  metric.Int64Counter
 	took   metric.Float64Histogram
 }
 
-func newMetrics() (*metrics, error) {
-	meter := otel.Meter("geraniumwall/jobd")
+// NewMetrics makes the instruments.
+func NewMetrics(meter metric.Meter) (*Metrics, error) {
 	orders, err := meter.Int64Counter("geranium.jobs.orders", metric.WithUnit("{order}"),
 		metric.WithDescription("Orders to workers by kind."))
 	if err != nil {
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make the histogram of jobs: %w", err)
 	}
-	return &metrics{orders, ended, took}, nil
+	return &Metrics{orders, ended, took}, nil
 }
 
 func orderKind(o *dispatch.Order) string {
@@ -50,11 +50,11 @@
 	return "hold"
 }
 
-func (m *metrics) order(o *dispatch.Order) {
+func (m *Metrics) order(o *dispatch.Order) {
 	m.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", orderKind(o))))
 }
 
-func (m *metrics) jobEnded(j *jobs.Job) {
+func (m *Metrics) jobEnded(j *jobs.Job) {
 	labels := metric.WithAttributes(attribute.String("queue", j.Queue), attribute.String("state", string(j.State)))
 	m.ended.Add(context.Background(), 1, labels)
 	m.took.Record(context.Background(), float64(j.EndedAt-j.AcceptedAt)/1000, labels)
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
 
 	"geraniumwall/jobs"
 	"geraniumwall/raft"
@@ -21,6 +22,7 @@
 )
 
 const (
+	meterName = "geraniumwall/jobd"
 	// tickInterval is the time between two looks at what is due.
 	tickInterval = 20 * time.Millisecond
 	// peerTimeout bounds a call between replicas.
@@ -71,7 +73,7 @@
 		settings: o.Settings, log: o.Log, id: o.Identity.ReplicaID, stopping: make(chan struct{}),
 		fatal: o.Fatal, removed: o.Removed,
 	}
-	metrics, err := newMetrics()
+	metrics, err := NewMetrics(otel.Meter(meterName))
 	if err != nil {
 		return nil, err
 	}
--- a/jobd/service.go
+++ b/jobd/service.go
@@ -123,7 +123,8 @@
 				done0(errUnresolved)
 				return
 			}
-			m.log.Info().Str("job", id).Str("queue", command.Queue).Bool("new", r.Applied).Msg("job accepted")
+			m.log.Info().Str("job", id).Str("queue", command.Queue).Int64("config_version", m.store.Config().Version).
+				Uint64("term", m.term).Bool("new", r.Applied).Msg("job accepted")
 			done0(nil)
 		})
 	})
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -106,6 +106,8 @@
 	Task    jobs.TaskKey
 	Attempt int
 	Detail  string
+	// ReportAge is the age of the worker's newest heartbeat.
+	ReportAge time.Duration
 }
 
 // livesPerTerm bounds the lives of a worker id in the term of a leader.
@@ -174,7 +176,7 @@
 func (d *Dispatcher) note(event string, w *worker, a *attempt, detail string) {
 	n := Note{Event: event, Detail: detail}
 	if w != nil {
-		n.Worker = w.Worker
+		n.Worker, n.ReportAge = w.Worker, d.now-w.seenAt
 	}
 	if a != nil {
 		n.Task, n.Attempt = a.task, a.number
@@ -289,6 +291,7 @@
 	if d.now >= d.planner.replanAt {
 		d.planner.dirty = true
 		d.planner.replanAt = d.now + replanInterval
+		d.forgetAvoided()
 	}
 	d.Plan()
 	d.consolidate()
@@ -354,7 +357,7 @@
 	}
 	for _, a := range w.attempts {
 		if a.phase != phaseProposed {
-			d.end(a, jobs.OutcomeLapsed, "")
+			d.end(a, jobs.OutcomeLapsed)
 		}
 	}
 	if len(w.attempts) == 0 {
@@ -375,7 +378,7 @@
 			delete(d.orphans, key)
 			continue
 		}
-		d.end(a, jobs.OutcomeLapsed, "")
+		d.end(a, jobs.OutcomeLapsed)
 	}
 }
 
@@ -393,8 +396,8 @@
 }
 
 // end writes the end of an attempt to the log.
-func (d *Dispatcher) end(a *attempt, outcome jobs.Outcome, checkpoint string) {
-	d.endThen(a, outcome, checkpoint, func() {})
+func (d *Dispatcher) end(a *attempt, outcome jobs.Outcome) {
+	d.endThen(a, outcome, "", func() {})
 }
 
 func (d *Dispatcher) endThen(a *attempt, outcome jobs.Outcome, checkpoint string, recorded func()) {
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -247,7 +247,7 @@
 			d.setPace(w, f, fullPace)
 		case d.now-f.pausedAt > pausedTooLong && d.movable(f):
 			d.note("paused task is moved", w, f, f.step.Image)
-			d.planner.avoid(f.task, w.Worker)
+			d.avoid(f.task, w.Worker)
 			f.stopping = true
 		}
 	}
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -12,7 +12,8 @@
 	// lateFactor times the objective of a job is the time after which its end is
 	// worth nothing more to its caller.
 	lateFactor = 3
-	// avoidFor keeps a task from a worker on which it has failed.
+	// avoidFor is how long a task is kept from a worker on which it failed or stood
+	// still.
 	avoidFor = 10 * time.Second
 	// patience is how long after its objective a filler still waits for a worker on
 	// which it disturbs no serving task. It then starts anywhere and works when the
@@ -108,8 +109,17 @@
 	store.TakeChanged()
 }
 
-func (p *planner) avoid(key jobs.TaskKey, worker string) {
-	p.avoided[key] = avoidance{worker: worker}
+// avoid keeps a task from a worker for a while.
+func (d *Dispatcher) avoid(key jobs.TaskKey, worker string) {
+	d.planner.avoided[key] = avoidance{worker: worker, until: d.now + avoidFor}
+}
+
+func (d *Dispatcher) forgetAvoided() {
+	for key, a := range d.planner.avoided {
+		if d.now >= a.until {
+			delete(d.planner.avoided, key)
+		}
+	}
 }
 
 // refresh takes in the changes of the state.
@@ -490,12 +500,12 @@
 	if w.gone || w.suspect || !w.joined {
 		d.note("start is not ordered", w, a, "the worker became unusable")
 		a.enter(phaseVoid, d.now)
-		d.end(a, jobs.OutcomeLost, "")
+		d.end(a, jobs.OutcomeLost)
 		return
 	}
 	if j := d.store.Job(a.task.Job); j == nil || j.State.Ended() {
 		a.enter(phaseVoid, d.now)
-		d.end(a, jobs.OutcomeLost, "")
+		d.end(a, jobs.OutcomeLost)
 		return
 	}
 	a.enter(phaseOrdered, d.now)
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -37,7 +37,7 @@
 	d.note("worker replaced", w, nil, "")
 	for _, a := range w.attempts {
 		if a.phase != phaseProposed {
-			d.end(a, jobs.OutcomeLost, "")
+			d.end(a, jobs.OutcomeLost)
 		}
 	}
 }
@@ -140,7 +140,7 @@
 			s.charge = j.Step(r.Task).Charge()
 		}
 		w.strays[key] = s
-		d.notes = append(d.notes, Note{"unexpected task runs", w.Worker, r.Task, r.Attempt, "it is stopped"})
+		d.notes = append(d.notes, Note{Event: "unexpected task runs", Worker: w.Worker, Task: r.Task, Attempt: r.Attempt, Detail: "it is stopped"})
 	}
 	s.seenAt = d.now
 }
@@ -184,7 +184,7 @@
 	case jobs.OutcomeDone:
 		w.health.succeeded()
 	case jobs.OutcomeFailed:
-		d.planner.avoid(a.task, w.Worker)
+		d.avoid(a.task, w.Worker)
 		if w.health.failed(a.task.Job, d.now) {
 			d.note("worker quarantined", w, nil, w.health.length.String())
 		}
@@ -201,7 +201,7 @@
 	switch a.phase {
 	case phaseInherited, phaseStarted, phaseVoid:
 		d.note("task is not listed", a.on, a, "")
-		d.end(a, jobs.OutcomeLost, "")
+		d.end(a, jobs.OutcomeLost)
 	case phaseProposed, phaseOrdered, phaseUncertain:
 	}
 }
@@ -224,7 +224,7 @@
 			w.health.quarantine(d.now)
 		}
 		w.suspect = w.suspect || r.Verdict == Unreachable
-		d.end(a, jobs.OutcomeLost, "")
+		d.end(a, jobs.OutcomeLost)
 	case Unknown:
 		d.note("start not answered", w, a, r.Reason)
 		a.enter(phaseUncertain, d.now)
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -25,14 +25,13 @@
 	// suspect is set while the last order was not answered.
 	suspect bool
 	// gone is set when this life has certainly ended.
-	gone     bool
-	leaving  bool
+	gone    bool
+	leaving bool
+	// lastSeen is the highest end that the worker may forget.
 	lastSeen int64
-	// acknowledging is the highest end that is being written to the log.
-	acknowledging int64
-	holding       bool
-	nextHold      time.Duration
-	attempts      map[jobs.TaskKey]*attempt
+	holding  bool
+	nextHold time.Duration
+	attempts map[jobs.TaskKey]*attempt
 	// strays are attempts that run there without being bound there.
 	strays  map[strayKey]*stray
 	health  health
