Move tasks from workers that hang or turn slow

Cause: workers that stand still or work 7 times slower report to be healthy, and their tasks waited for the end of the disruption. A task that has shown no progress for 1.5 s on a worker where nothing moves is stopped and starts elsewhere, as does one that takes twice as long as its finished siblings and would be done sooner.

The random runs of the dispatch now have workers that hang; their stand-in shows progress.

--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -72,6 +72,7 @@
 	w.joined, w.suspect = true, false
 	d.reconcile(w, r)
 	d.updatePace(w)
+	d.rescue(w)
 }
 
 // otherLife takes in that a process which was started at another time answers
--- a/jobs/dispatch/world_test.go
+++ b/jobs/dispatch/world_test.go
@@ -207,11 +207,26 @@
 	// acknowledged no longer matters.
 	lapsed int64
 	fails  bool
+	hung   bool
 }
 
 type testRun struct {
 	attempt int
 	charge  jobs.Resources
+	begun   time.Duration
+	length  time.Duration
+	percent int
+}
+
+// progress is how far a run is. It stands still while the worker hangs.
+func (t *testWorker) progress(r *testRun) int {
+	if r.length == 0 {
+		return 100
+	}
+	if !t.hung {
+		r.percent = min(99, int(100*(t.w.now-r.begun)/r.length))
+	}
+	return r.percent
 }
 
 func (w *world) addWorker(capacity jobs.Resources, keepsID bool) *testWorker {
@@ -308,7 +323,7 @@
 	}
 	r.Finished = append(r.Finished, t.finished...)
 	for key, run := range t.running {
-		r.Running = append(r.Running, RunningTask{Task: key, Attempt: run.attempt, Percent: 50})
+		r.Running = append(r.Running, RunningTask{Task: key, Attempt: run.attempt, Percent: t.progress(run)})
 	}
 }
 
@@ -325,19 +340,26 @@
 	t.renew(s.Deadline)
 	step := t.w.store.Job(s.Task.Job).Step(s.Task)
 	t.w.checkStart(t, s, step)
-	t.running[s.Task] = &testRun{s.Attempt, step.Charge()}
-	if step.LongRunning {
-		return Accepted, ""
+	run := &testRun{attempt: s.Attempt, charge: step.Charge(), begun: t.w.now}
+	t.running[s.Task] = run
+	if !step.LongRunning {
+		run.length = time.Duration(step.Estimate) * time.Millisecond
+		t.w.after(run.length, func() { t.complete(s.Task, run) })
 	}
-	born := t.born
-	t.w.after(time.Duration(step.Estimate)*time.Millisecond, func() {
-		if run := t.running[s.Task]; t.up && t.born == born && run != nil && run.attempt == s.Attempt {
-			t.end(s.Task, t.outcome())
-		}
-	})
 	return Accepted, ""
 }
 
+// complete ends a run at the end of its work, or once the worker hangs no more.
+func (t *testWorker) complete(key jobs.TaskKey, run *testRun) {
+	switch {
+	case !t.up || t.running[key] != run:
+	case t.hung:
+		t.w.after(100*time.Millisecond, func() { t.complete(key, run) })
+	default:
+		t.end(key, t.outcome())
+	}
+}
+
 func (t *testWorker) outcome() jobs.Outcome {
 	if t.fails {
 		return jobs.OutcomeFailed
