--- a/jobs/dispatch/consolidate.go
+++ b/jobs/dispatch/consolidate.go
@@ -14,6 +14,8 @@
 	// blockedCores is the processor time that fillers must lack, in thousandths of a
 	// core, before a worker is cleared for them: less is not worth the disruption.
 	blockedCores = 8000
+	// blockedLong is the wait from which on a worker is cleared for less.
+	blockedLong = 2 * time.Second
 	// clearCandidates bounds the workers that are tried at a time.
 	clearCandidates = 8
 )
@@ -23,7 +25,7 @@
 // move costs a serving task about a second and frees a worker for the rest of a
 // burst. It answers loads whose fillers wait while processor time is idle.
 func (d *Dispatcher) consolidate() {
-	if d.planner.blocked < blockedCores || d.now-d.planner.clearedAt < consolidateInterval || d.movesServing() {
+	if !d.blockedFillers() || d.now-d.planner.clearedAt < consolidateInterval || d.movesServing() {
 		return
 	}
 	d.planner.clearedAt = d.now
@@ -45,6 +47,14 @@
 	}
 }
 
+// blockedFillers reports whether enough fillers wait for a worker, or any for long.
+func (d *Dispatcher) blockedFillers() bool {
+	if d.planner.blocked == 0 {
+		return false
+	}
+	return d.planner.blocked >= blockedCores || d.now-d.planner.blockedSince > blockedLong
+}
+
 // movesServing reports whether a serving task is being moved.
 func (d *Dispatcher) movesServing() bool {
 	for _, w := range d.workers {
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -245,7 +245,7 @@
 		case d.now >= w.sharing.decidedAt+paceInterval && d.bears(w, f):
 			w.sharing.decidedAt = d.now
 			d.setPace(w, f, fullPace)
-		case d.now-f.pausedAt > pausedTooLong && d.movable(f):
+		case d.now-f.pausedAt > pausedTooLong:
 			d.note("paused task is moved", w, f, f.step.Image)
 			d.avoid(f.task, w.Worker)
 			f.stopping = true
@@ -253,16 +253,6 @@
 	}
 }
 
-// movable reports whether a paused filler may start elsewhere only where it
-// disturbs nobody, so that moving it helps.
-func (d *Dispatcher) movable(f *attempt) bool {
-	j := d.store.Job(f.task.Job)
-	if j == nil || j.State.Ended() {
-		return false
-	}
-	return d.unix < d.rank(j).objective+patience.Milliseconds()
-}
-
 // worstEffect is the largest effect of a filler on a serving task of the worker.
 func (d *Dispatcher) worstEffect(w *worker, f *attempt) float64 {
 	worst := 0.0
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -15,10 +15,6 @@
 	// avoidFor is how long a task is kept from a worker on which it failed or stood
 	// still.
 	avoidFor = 10 * time.Second
-	// patience is how long after its objective a filler still waits for a worker on
-	// which it disturbs no serving task. It then starts anywhere and works when the
-	// tasks beside it bear that.
-	patience = 20 * time.Second
 	// gatherTime is how long jobs with serving tasks wait for others, with which they
 	// are packed together.
 	gatherTime = 250 * time.Millisecond
@@ -51,6 +47,8 @@
 	// blocked is the processor time of the fillers that found no worker in the last
 	// plan, in thousandths of a core.
 	blocked int64
+	// blockedSince is since when some fillers have found no worker, 0 for none.
+	blockedSince time.Duration
 	// clearedAt is when a worker was last cleared of serving tasks.
 	clearedAt time.Duration
 }
@@ -152,6 +150,12 @@
 	for _, wj := range d.ranked() {
 		d.planJob(wj, rooms, &full)
 	}
+	switch {
+	case d.planner.blocked == 0:
+		d.planner.blockedSince = 0
+	case d.planner.blockedSince == 0:
+		d.planner.blockedSince = d.now
+	}
 }
 
 // ranked returns the jobs that may have waiting tasks. Those that can still meet
@@ -363,7 +367,7 @@
 		r := d.choose(wj, step, t, rooms, nil)
 		if r == nil {
 			d.block(step, len(waiting)-i)
-			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !d.avoids(t.Key) && wj.tier != tierWorthless {
+			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !d.avoids(t.Key) {
 				full.refused = append(full.refused, newRefusal(wj.service, step))
 			}
 			return true
@@ -434,7 +438,7 @@
 			!step.Charge().Fits(r.free) || !d.apart(t, step, r, gang) {
 			continue
 		}
-		if step.Filler && d.unix < wj.objective+patience.Milliseconds() && d.disturbs(step, r) {
+		if step.Filler && d.disturbs(step, r) {
 			continue
 		}
 		score := d.score(step, t, r)
