--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -122,6 +122,7 @@
 		proposed: map[jobs.TaskKey]*attempt{}, model: interference.NewModel(interference.Rules{}),
 		effects: map[imagePair]float64{}, fillers: map[string]bool{},
 	}
+	d.model.SetPairDeviation(pairDeviation)
 	d.planner.init(store)
 	d.suppose(store.Effects())
 	store.BoundWorkers(func(_ jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -32,6 +32,9 @@
 	knownEffect = 0.04
 	// possibleEffect is the effect up to which a filler counts as harmless.
 	possibleEffect = 0.02
+	// pairDeviation is the deviation of the effects of pairs: few pairs disturb, and
+	// those that do disturb much.
+	pairDeviation = 0.3
 	// alikeShare is the common part of their effects from which on two serving images
 	// count as disturbed by the same fillers.
 	alikeShare = 0.45
