--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -210,6 +210,8 @@
 func (d *Dispatcher) newLife(old *worker, h Heartbeat) *worker {
 	d.lives[h.Worker]++
 	w := newWorker(h, d.fence+d.lives[h.Worker], d.now)
+	// An earlier leader may have granted a lease until its authority ended.
+	w.leaseEnd = w.clock + (d.options.Authority + d.options.Lease).Milliseconds()
 	d.workers[h.Worker] = w
 	d.note("worker registered", w, nil, h.HostPort)
 	if old != nil {
@@ -302,7 +304,7 @@
 	if w.gone {
 		return
 	}
-	if w.leaseOver(d.now) && d.now-w.seenAt > d.options.Lease && w.suspect {
+	if w.suspect && w.leaseOver(d.now) {
 		d.expire(w)
 	}
 	if !w.holding && d.now >= w.nextHold && (len(w.attempts) > 0 || len(w.strays) > 0 || !w.joined) {
@@ -361,7 +363,7 @@
 			d.end(a, jobs.OutcomeLapsed)
 		}
 	}
-	if len(w.attempts) == 0 {
+	if len(w.attempts) == 0 && d.now-w.seenAt > d.options.Lease {
 		w.gone = true
 	}
 }
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -438,7 +438,7 @@
 			!step.Charge().Fits(r.free) || !d.apart(t, step, r, gang) {
 			continue
 		}
-		if step.Filler && d.disturbs(step, r) {
+		if step.Filler && (r.w.sharing.highSince != 0 || d.disturbs(step, r)) {
 			continue
 		}
 		score := d.score(step, t, r)
--- a/jobs/dispatch/rescue_test.go
+++ b/jobs/dispatch/rescue_test.go
@@ -71,6 +71,42 @@
 		Expect(w.failures).To(BeEmpty())
 	})
 
+	// Guards against tasks that wait for a worker which still reports but does not
+	// answer: its lease ends all the same.
+	It("gives up the tasks of a worker that reports but hears nothing", func() {
+		w := newWorld(7)
+		w.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		w.lead()
+		w.run(2 * time.Second)
+		w.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, LongRunning: true}}})
+		w.run(3 * time.Second)
+		w.workers[0].deaf = true
+		w.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		w.run(3*time.Second + testLease + 2*time.Second)
+		Expect(w.workers[1].running).To(HaveLen(1))
+		Expect(w.failures).To(BeEmpty())
+	})
+
+	// Guards against fillers that follow each other beside a serving task which is
+	// too slow: every one of them alone is paused in time, but not all together.
+	It("starts no filler beside a serving task that is too slow", func() {
+		w := newWorld(7)
+		w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		w.lead()
+		w.run(2 * time.Second)
+		w.submit("s", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, LongRunning: true, TailTarget: 20, Image: "s"}}})
+		w.run(4 * time.Second)
+		Expect(w.workers[0].running).To(HaveLen(1))
+		w.workers[0].tail = 40
+		w.run(7 * time.Second)
+		w.submit("f", jobs.Spec{Steps: []jobs.Step{{Count: 2, Request: small, Estimate: 3000, Filler: true, Image: "f"}}})
+		w.run(9 * time.Second)
+		Expect(w.workers[0].running).To(HaveLen(1))
+		w.workers[0].tail = 5
+		w.run(16 * time.Second)
+		Expect(w.store.Job("f").State).To(Equal(jobs.Done))
+	})
+
 	// Guards against tasks on a worker that is leaving.
 	It("starts nothing on a draining worker and moves what cannot end in time", func() {
 		w := newWorld(7)
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -17,7 +17,7 @@
 	// clock is the worker's clock in milliseconds as of clockAt.
 	clock   int64
 	clockAt time.Duration
-	// leaseEnd is the highest deadline that was sent to the worker.
+	// leaseEnd is the highest deadline that the worker may have been sent.
 	leaseEnd int64
 	// joined is set once the worker has answered under this leader's fence, from
 	// when on orders of earlier leaders are void there.
--- a/jobs/dispatch/world_test.go
+++ b/jobs/dispatch/world_test.go
@@ -148,7 +148,7 @@
 			}
 		})
 		w.after(wait, func() { answer(Reply{Verdict: Unknown}) })
-	case fate < w.late+w.mute || t.cut || !t.up:
+	case fate < w.late+w.mute || t.cut || t.deaf || !t.up:
 		w.after(wait, func() { answer(Reply{Verdict: Unknown}) })
 	default:
 		w.after(time.Millisecond, func() {
@@ -208,6 +208,9 @@
 	lapsed int64
 	fails  bool
 	hung   bool
+	// deaf workers get no orders. tail is what serving tasks report.
+	deaf bool
+	tail float64
 }
 
 type testRun struct {
@@ -323,7 +326,7 @@
 	}
 	r.Finished = append(r.Finished, t.finished...)
 	for key, run := range t.running {
-		r.Running = append(r.Running, RunningTask{Task: key, Attempt: run.attempt, Percent: t.progress(run)})
+		r.Running = append(r.Running, RunningTask{Task: key, Attempt: run.attempt, Percent: t.progress(run), Usage: t.tail})
 	}
 }
 
