Restart lasting tasks first and keep ends that become known late

Lasting tasks come first now, and a worker is kept free for one that has waited 1.5 s.

Late ends are recorded: done stays done, the running attempt is stopped, and failures count once.

Ruled out: orders without a lease (they wait for it now), and an id that is given to two joining replicas (it is told only after it is committed). The random runs now check all acknowledged ends, also those after a lapsed lease; the new tests fail without the change.

--- a/jobd/identity.go
+++ b/jobd/identity.go
@@ -239,8 +239,13 @@
 	}
 	answer := joinAnswer{Members: members, Leader: m.replica.LeaderAddress()}
 	if id := m.joins[q.Nonce]; id != 0 {
-		if _, member := status.Membership.Find(id); member {
+		// Before the change is committed another leader may give the id to another
+		// replica.
+		if _, member := status.Committed.Find(id); member {
 			answer.ReplicaID = id
+			answer.Members[id] = q.Address
+		}
+		if _, member := status.Membership.Find(id); member {
 			return answer
 		}
 	}
@@ -253,7 +258,5 @@
 		return answer
 	}
 	m.joins[q.Nonce] = id
-	answer.ReplicaID = id
-	answer.Members[id] = q.Address
 	return answer
 }
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -48,6 +48,9 @@
 	maintainAt time.Duration
 	pruneAt    time.Duration
 	joins      map[string]uint64
+	// held are orders that wait for the leader's lease: without it another leader may
+	// act already.
+	held []dispatch.Order
 	// orders is cancelled when the leadership ends.
 	orders       context.Context
 	cancelOrders context.CancelFunc
@@ -137,6 +140,7 @@
 	if m.dispatcher != nil && (!leading || term != m.term) {
 		m.dispatcher = nil
 		m.inFlight = 0
+		m.held = nil
 		m.cancelOrders()
 		m.abandon()
 		m.log.Info().Uint64("term", m.term).Msg("dispatch ended")
@@ -165,11 +169,15 @@
 func (m *manager) carryOut() {
 	commands, orders, notes := m.dispatcher.Take()
 	m.queued = append(m.queued, commands...)
+	m.held = append(m.held, orders...)
 	for i := range notes {
 		m.logNote(&notes[i])
 	}
-	for _, o := range orders {
-		m.send(o)
+	if m.replica.Leads() {
+		for _, o := range m.held {
+			m.send(o)
+		}
+		m.held = nil
 	}
 	m.flush()
 }
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -331,7 +331,7 @@
 }
 
 func (d *Dispatcher) unwanted(w *worker, a *attempt) bool {
-	if j := d.store.Job(a.task.Job); j == nil || j.State.Ended() {
+	if j := d.store.Job(a.task.Job); j == nil || j.State.Ended() || j.Task(a.task).Done {
 		return a.phase != phaseOrdered
 	}
 	if a.phase == phaseUncertain {
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -15,6 +15,9 @@
 	// avoidFor is how long a task is kept from a worker on which it failed or stood
 	// still.
 	avoidFor = 10 * time.Second
+	// reserveAfter is how long a lasting task waits before a worker is kept free for
+	// it.
+	reserveAfter = 1500 * time.Millisecond
 	// gatherTime is how long jobs with serving tasks wait for others, with which they
 	// are packed together.
 	gatherTime = 250 * time.Millisecond
@@ -73,6 +76,9 @@
 	// same time are packed well: the image, and the processor time of a task.
 	image string
 	size  int64
+	// lasting jobs run until they are cancelled. Their tasks come first: short tasks
+	// would take every gap before one is large enough.
+	lasting bool
 }
 
 // tier is what a job can still be worth.
@@ -183,7 +189,7 @@
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
-			cmp.Compare(bit(a.image != ""), bit(b.image != "")),
+			cmp.Compare(bit(!a.lasting), bit(!b.lasting)),
 			cmp.Compare(a.image, b.image),
 			cmp.Compare(b.size, a.size),
 			cmp.Compare(a.objective, b.objective),
@@ -216,6 +222,7 @@
 	}
 	left := int64(estimateTrust * float64(chainLeft(j)))
 	wj := &waitingJob{job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: worthless, left: left}
+	wj.lasting = len(j.Spec.Steps) > 0 && j.Spec.Steps[0].LongRunning
 	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].TailTarget > 0 {
 		wj.image, wj.size = j.Spec.Steps[0].Image, j.Spec.Steps[0].Request.MilliCPU
 	}
@@ -262,6 +269,8 @@
 	w      *worker
 	free   jobs.Resources
 	starts int
+	// reserved rooms take no task in this plan.
+	reserved bool
 	// serving counts the serving tasks there, and headroom holds for each of their
 	// images the logarithm of the slowdown that it bears.
 	serving  int
@@ -367,6 +376,7 @@
 		r := d.choose(wj, step, t, rooms, nil)
 		if r == nil {
 			d.block(step, len(waiting)-i)
+			d.reserve(wj, step, t, rooms)
 			if step.RequiredLabel == "" && step.MaxPerWorker == 0 && !d.avoids(t.Key) {
 				full.refused = append(full.refused, newRefusal(wj.service, step))
 			}
@@ -384,6 +394,27 @@
 	}
 }
 
+// reserve keeps the worker with the most room free of other tasks for a lasting
+// task that has waited for long.
+func (d *Dispatcher) reserve(wj *waitingJob, step *jobs.Step, t *jobs.Task, rooms []*room) {
+	if since := max(wj.job.AcceptedAt, t.EndedAt); !step.LongRunning || d.unix-since < reserveAfter.Milliseconds() {
+		return
+	}
+	var best *room
+	for _, r := range rooms {
+		if r.w.Service != wj.service || r.reserved || !r.w.hasLabel(step.RequiredLabel) || !step.Charge().Fits(r.w.Capacity) ||
+			!d.apart(t, step, r, nil) {
+			continue
+		}
+		if best == nil || r.free.MilliCPU > best.free.MilliCPU {
+			best = r
+		}
+	}
+	if best != nil {
+		best.reserved = true
+	}
+}
+
 // planGang binds all tasks of a gang or none.
 func (d *Dispatcher) planGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, size int, rooms []*room) bool {
 	if len(waiting) < size {
@@ -434,7 +465,7 @@
 	var best *room
 	var bestScore float64
 	for _, r := range rooms {
-		if r.w.Service != wj.service || r.starts >= startsPerWorker || !r.w.hasLabel(step.RequiredLabel) ||
+		if r.w.Service != wj.service || r.reserved || r.starts >= startsPerWorker || !r.w.hasLabel(step.RequiredLabel) ||
 			!step.Charge().Fits(r.free) || !d.apart(t, step, r, gang) {
 			continue
 		}
--- /dev/null
+++ b/jobs/dispatch/plan_test.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/jobs"
+)
+
+var _ = Describe("Plan", func() {
+	// Guards against a lasting task that waits for as long as short tasks come, which
+	// take every gap before one is large enough for it.
+	It("starts a lasting task within 3 s under a flood of short ones", func() {
+		w := newWorld(7)
+		w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		w.lead()
+		for i := range 200 {
+			w.after(time.Duration(i)*50*time.Millisecond, func() {
+				w.submit(fmt.Sprintf("short-%d", i), jobs.Spec{Steps: []jobs.Step{{
+					Count: 2, Request: jobs.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: 300 + int64(i%7)*100,
+				}}})
+			})
+		}
+		w.run(5 * time.Second)
+		w.submit("lasts", jobs.Spec{Steps: []jobs.Step{{
+			Count: 1, Request: jobs.Resources{MilliCPU: 3500, MemoryMB: 10}, LongRunning: true, TailTarget: 20, Image: "s",
+		}}})
+		w.run(8 * time.Second)
+		Expect(w.failures).To(BeEmpty())
+		Expect(w.store.Job("lasts").State).To(Equal(jobs.Running))
+	})
+
+	// Guards against a step with a bound on tasks of one worker that waits although
+	// other workers have room.
+	It("spreads the tasks of a step with a bound", func() {
+		w := newWorld(7)
+		for range 3 {
+			w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		}
+		w.lead()
+		w.run(2 * time.Second)
+		w.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 3, MaxPerWorker: 1, Request: jobs.Resources{MilliCPU: 500}, Estimate: 500}}})
+		w.run(4 * time.Second)
+		Expect(w.failures).To(BeEmpty())
+		Expect(w.store.Job("j").State).To(Equal(jobs.Done))
+		Expect(w.starts).To(Equal(3))
+	})
+
+	// Guards against a disturbing filler beside serving tasks while another worker is
+	// free, and against a harmless one that takes the free worker.
+	It("keeps fillers from the serving tasks that they disturb", func() {
+		w := newWorld(7)
+		w.store.Apply(jobs.Command{Learn: &jobs.Learn{Effects: []jobs.Effect{{Serving: "s", Filler: "bad", Value: 0.5}, {Serving: "s", Filler: "good", Value: 0}}}})
+		w.addWorker(jobs.Resources{MilliCPU: 8000, MemoryMB: 1000}, true)
+		w.lead()
+		w.run(2 * time.Second)
+		w.submit("s", jobs.Spec{Steps: []jobs.Step{{
+			Count: 1, Request: jobs.Resources{MilliCPU: 4000}, LongRunning: true, TailTarget: 20, Image: "s",
+		}}})
+		w.run(4 * time.Second)
+		w.workers[0].tail = 10
+		w.addWorker(jobs.Resources{MilliCPU: 8000, MemoryMB: 1000}, true)
+		w.run(7 * time.Second)
+		filler := func(image string) jobs.Spec {
+			return jobs.Spec{Steps: []jobs.Step{{Count: 2, Request: jobs.Resources{MilliCPU: 3000}, Estimate: 3000, Filler: true, Image: image}}}
+		}
+		w.submit("bad", filler("bad"))
+		w.run(8 * time.Second)
+		Expect(w.workers[0].running).To(HaveLen(1))
+		Expect(w.workers[1].running).To(HaveLen(2))
+		w.submit("good", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 3000}, Estimate: 3000, Filler: true, Image: "good"}}})
+		w.run(9 * time.Second)
+		Expect(w.workers[0].running).To(HaveLen(2))
+	})
+})
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"geraniumwall/jobs"
@@ -164,6 +165,9 @@
 		last = max(last, f.Number)
 		a := w.attempts[f.Task]
 		if a == nil || a.number != f.Attempt {
+			if d.late(w, f, record) {
+				left++
+			}
 			continue
 		}
 		if a.ending {
@@ -178,6 +182,31 @@
 	}
 }
 
+// late writes the end of an attempt that was given up before to the log, if it may
+// change what is known of the task.
+func (d *Dispatcher) late(w *worker, f *FinishedTask, recorded func()) bool {
+	j := d.store.Job(f.Task.Job)
+	if j == nil || f.Outcome != jobs.OutcomeDone && f.Outcome != jobs.OutcomeFailed {
+		return false
+	}
+	t := j.Task(f.Task)
+	if t == nil || t.Done || j.Step(f.Task).LongRunning || slices.Contains(t.Late, f.Attempt) {
+		return false
+	}
+	if t.Bound == nil && f.Attempt == t.Attempt && f.Outcome != jobs.OutcomeDone {
+		// The end is recorded already and comes again.
+		return false
+	}
+	d.notes = append(d.notes, Note{Event: "late end", Worker: w.Worker, Task: f.Task, Attempt: f.Attempt, Detail: string(f.Outcome)})
+	command := jobs.End{Task: f.Task, Attempt: f.Attempt, Outcome: f.Outcome, At: d.unix}
+	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
+		if ok {
+			recorded()
+		}
+	}})
+	return true
+}
+
 // judge follows the health of the worker by the ends there.
 func (d *Dispatcher) judge(w *worker, a *attempt, outcome jobs.Outcome) {
 	d.note("task ended", w, a, string(outcome))
--- a/jobs/dispatch/world_test.go
+++ b/jobs/dispatch/world_test.go
@@ -203,11 +203,8 @@
 	barred   map[jobs.TaskKey]int
 	finished []FinishedTask
 	ends     int64
-	// lapsed is the last end before the lease was last over. Whether such an end is
-	// acknowledged no longer matters.
-	lapsed int64
-	fails  bool
-	hung   bool
+	fails    bool
+	hung     bool
 	// deaf workers get no orders. tail is what serving tasks report.
 	deaf bool
 	tail float64
@@ -247,7 +244,7 @@
 		t.id = fmt.Sprintf("%s@%d", t.address, t.born)
 	}
 	t.start, t.rate, t.up = t.w.now, 0.98+0.04*t.w.random.Float64(), true
-	t.fence, t.lease, t.ends, t.lapsed, t.sequence, t.draining = 0, 0, 0, 0, 0, false
+	t.fence, t.lease, t.ends, t.sequence, t.draining = 0, 0, 0, 0, false
 	t.running, t.barred, t.finished = map[jobs.TaskKey]*testRun{}, map[jobs.TaskKey]int{}, nil
 }
 
@@ -319,7 +316,7 @@
 func (t *testWorker) list(r *Reply, seen int64) {
 	for len(t.finished) > 0 && t.finished[0].Number <= seen {
 		f := t.finished[0]
-		if f.Outcome == jobs.OutcomeDone && f.Number > t.lapsed && !t.w.store.Job(f.Task.Job).Task(f.Task).Done {
+		if f.Outcome == jobs.OutcomeDone && !t.w.store.Job(f.Task.Job).Task(f.Task).Done {
 			t.w.failf("end of %v was acknowledged before it was in the log", f.Task)
 		}
 		t.finished = t.finished[1:]
@@ -386,7 +383,6 @@
 	for key := range t.running {
 		t.end(key, jobs.OutcomeLapsed)
 	}
-	t.lapsed = t.ends
 }
 
 // checkStart checks what must hold when a worker starts a task.
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -140,9 +140,12 @@
 		return Result{}
 	}
 	t := j.Task(c.Task)
-	if t == nil || t.Bound == nil || t.Attempt != c.Attempt {
+	if t == nil {
 		return Result{}
 	}
+	if t.Bound == nil || t.Attempt != c.Attempt {
+		return s.endLate(j, t, c)
+	}
 	on := *t.Bound
 	delete(s.bound[on], t.Key)
 	if len(s.bound[on]) == 0 {
@@ -157,6 +160,21 @@
 	return Result{Applied: true, Known: true}
 }
 
+// endLate takes in the end of an attempt that was given up before: its worker had
+// ended it unseen. A task that is done stays done, and failures count once.
+func (s *Store) endLate(j *Job, t *Task, c *End) Result {
+	if c.Attempt <= 0 || c.Attempt > t.Attempt || t.Done || slices.Contains(t.Late, c.Attempt) {
+		return Result{}
+	}
+	if c.Outcome != OutcomeDone && c.Outcome != OutcomeFailed {
+		return Result{}
+	}
+	t.Late = append(t.Late, c.Attempt)
+	s.changed[j.ID] = true
+	s.count(j, t, c)
+	return Result{Applied: true, Known: true}
+}
+
 // count takes the outcome of an attempt into the state of its task and job.
 func (s *Store) count(j *Job, t *Task, c *End) {
 	step := j.Step(t.Key)
--- a/jobs/store_test.go
+++ b/jobs/store_test.go
@@ -88,6 +88,26 @@
 		Expect(s.Apply(bound(second, 1)).Applied).To(BeFalse())
 	})
 
+	// Guards against a task that starts again after an end that became known late,
+	// and against a failure that counts twice.
+	It("takes in the end of an attempt that was given up", func() {
+		s.Apply(submitted("a", twoSteps()))
+		s.Apply(bound(first, 1))
+		s.Apply(ended(first, 1, jobs.OutcomeLapsed))
+		s.Apply(bound(first, 2))
+		Expect(s.Apply(ended(first, 1, jobs.OutcomeFailed)).Applied).To(BeTrue())
+		Expect(s.Apply(ended(first, 1, jobs.OutcomeFailed)).Applied).To(BeFalse())
+		Expect(s.Job("a").Task(first).Failures).To(Equal(1))
+		s.Apply(ended(first, 2, jobs.OutcomeLapsed))
+		s.Apply(bound(first, 3))
+		Expect(s.Apply(ended(first, 2, jobs.OutcomeDone)).Applied).To(BeTrue())
+		Expect(s.Job("a").Task(first).Done).To(BeTrue())
+		s.Apply(ended(first, 3, jobs.OutcomeStopped))
+		Expect(s.Apply(bound(first, 4)).Applied).To(BeFalse())
+		finish(second)
+		Expect(s.Apply(bound(last, 1)).Applied).To(BeTrue())
+	})
+
 	// Guards against long-running tasks that are not restarted.
 	It("restarts long-running tasks however they end", func() {
 		s.Apply(submitted("a", jobs.Spec{Steps: []jobs.Step{{Count: 1, LongRunning: true}}}))
