Leave memory and processor time beside fillers

Fillers leave 15% of the memory, start only where processor time is idle, and a kept worker takes lasting tasks.

--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -18,6 +18,8 @@
 	// reserveAfter is how long a lasting task waits before a worker is kept free for
 	// it.
 	reserveAfter = 1500 * time.Millisecond
+	// roomsPerReserved bounds the workers that are kept free.
+	roomsPerReserved = 50
 	// gatherTime is how long jobs with serving tasks wait for others, with which they
 	// are packed together.
 	gatherTime = 250 * time.Millisecond
@@ -269,7 +271,7 @@
 	w      *worker
 	free   jobs.Resources
 	starts int
-	// reserved rooms take no task in this plan.
+	// reserved rooms take only lasting tasks in this plan.
 	reserved bool
 	// serving counts the serving tasks there, and headroom holds for each of their
 	// images the logarithm of the slowdown that it bears.
@@ -401,20 +403,28 @@
 		return
 	}
 	var best *room
+	reserved := 0
 	for _, r := range rooms {
+		reserved += bit(r.reserved)
 		if r.w.Service != wj.service || r.reserved || !r.w.hasLabel(step.RequiredLabel) || !step.Charge().Fits(r.w.Capacity) ||
 			!d.apart(t, step, r, nil) {
 			continue
 		}
-		if best == nil || r.free.MilliCPU > best.free.MilliCPU {
+		if best == nil || r.share(step) > best.share(step) {
 			best = r
 		}
 	}
-	if best != nil {
+	if best != nil && reserved <= len(rooms)/roomsPerReserved {
 		best.reserved = true
 	}
 }
 
+// share is the part of a request for which there is room.
+func (r *room) share(step *jobs.Step) float64 {
+	request := step.Charge()
+	return min(float64(r.free.MilliCPU)/float64(max(1, request.MilliCPU)), float64(r.free.MemoryMB)/float64(max(1, request.MemoryMB)))
+}
+
 // planGang binds all tasks of a gang or none.
 func (d *Dispatcher) planGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, size int, rooms []*room) bool {
 	if len(waiting) < size {
@@ -465,11 +475,11 @@
 	var best *room
 	var bestScore float64
 	for _, r := range rooms {
-		if r.w.Service != wj.service || r.reserved || r.starts >= startsPerWorker || !r.w.hasLabel(step.RequiredLabel) ||
+		if r.w.Service != wj.service || r.reserved && !step.LongRunning || r.starts >= startsPerWorker || !r.w.hasLabel(step.RequiredLabel) ||
 			!step.Charge().Fits(r.free) || !d.apart(t, step, r, gang) {
 			continue
 		}
-		if step.Filler && (r.w.sharing.highSince != 0 || d.disturbs(step, r)) {
+		if step.Filler && (r.crowded(step) || r.w.sharing.highSince != 0 || d.disturbs(step, r)) {
 			continue
 		}
 		score := d.score(step, t, r)
--- a/jobs/dispatch/plan_test.go
+++ b/jobs/dispatch/plan_test.go
@@ -50,6 +50,26 @@
 		Expect(w.starts).To(Equal(3))
 	})
 
+	// Guards against fillers that take all memory, since they ask for no processor
+	// time, so that lasting tasks find no room although processors are idle.
+	It("leaves memory and processor time beside fillers", func() {
+		w := newWorld(7)
+		w.addWorker(jobs.Resources{MilliCPU: 8000, MemoryMB: 1000}, true)
+		w.lead()
+		w.run(2 * time.Second)
+		w.submit("f", jobs.Spec{Steps: []jobs.Step{{
+			Count: 40, Request: jobs.Resources{MilliCPU: 100, MemoryMB: 50}, Estimate: 9000, Filler: true, Image: "f",
+		}}})
+		w.run(4 * time.Second)
+		Expect(len(w.workers[0].running) * 50).To(BeNumerically("<=", 850))
+		w.submit("s", jobs.Spec{Steps: []jobs.Step{{
+			Count: 1, Request: jobs.Resources{MilliCPU: 4000, MemoryMB: 140}, LongRunning: true, TailTarget: 20, Image: "s",
+		}}})
+		w.run(6 * time.Second)
+		Expect(w.store.Job("s").State).To(Equal(jobs.Running))
+		Expect(w.failures).To(BeEmpty())
+	})
+
 	// Guards against a disturbing filler beside serving tasks while another worker is
 	// free, and against a harmless one that takes the free worker.
 	It("keeps fillers from the serving tasks that they disturb", func() {
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -17,6 +17,11 @@
 	// emptyWeight keeps harmless fillers from workers without serving tasks, which
 	// are the only ones for fillers that disturb.
 	emptyWeight = 0.8
+	// crowdedShare is the part of a worker's processor time by which fillers may be
+	// short of it, since serving tasks mostly use less than is assumed. memoryShare is
+	// the part of its memory that they leave free.
+	crowdedShare = 0.25
+	memoryShare  = 0.15
 	// crowdedWeight counts processor time that fillers would have to share.
 	crowdedWeight = 2.0
 	// gatherWeight gathers serving tasks that the same fillers disturb, mixWeight
@@ -149,6 +154,16 @@
 	return score
 }
 
+// crowded reports whether a filler would find too little processor time, or would
+// take the memory that lasting tasks need: fillers ask for no processor time, so
+// memory alone would bound them.
+func (r *room) crowded(step *jobs.Step) bool {
+	left := r.idle - float64(step.Request.MilliCPU)
+	memory := r.free.MemoryMB - step.Request.MemoryMB
+	return left < -crowdedShare*float64(r.w.Capacity.MilliCPU) ||
+		float64(memory) < memoryShare*float64(r.w.Capacity.MemoryMB)
+}
+
 // disturbs reports whether a filler would take a serving task on the worker above
 // its objective.
 func (d *Dispatcher) disturbs(step *jobs.Step, r *room) bool {
