--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 
 soak:
 	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./wal ./state ./scheduler/... ./routing ./control
+	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run TestDispatch ./jobs/dispatch
 
 generate:
 	scripts/generate.sh
--- /dev/null
+++ b/jobd/lines_test.go
@@ -0,0 +1,28 @@
+package jobd
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+)
+
+// Guards against logs whose volume grows with the load, and against lines that are
+// left out without a word.
+func TestLineLimit(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	var l lineLimit
+	written := 0
+	for range 2 * maxLines {
+		if l.allow(10*time.Second, &log) {
+			written++
+		}
+	}
+	g.Expect(written).To(Equal(maxLines))
+	g.Expect(l.allow(11*time.Second, &log)).To(BeTrue())
+	g.Expect(out.String()).To(ContainSubstring(`"lines":600`))
+}
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -40,6 +40,7 @@
 	post       func(func())
 	now        func() time.Duration
 	metrics    *Metrics
+	lines      lineLimit
 
 	queued     []dispatch.Proposal
 	inFlight   int
@@ -183,6 +184,9 @@
 }
 
 func (m *manager) logNote(n *dispatch.Note) {
+	if !m.lines.allow(m.now(), &m.log) {
+		return
+	}
 	e := m.log.Info()
 	if n.Worker != "" {
 		e = e.Str("worker", n.Worker).Int64("report_age_ms", n.ReportAge.Milliseconds())
