Count only the late ends of attempts that were given up

A failed end that the worker listed again, before its acknowledgement had arrived and after the task had started elsewhere, was taken for a late end and counted twice.

Attempts that are given up without an end are remembered, and only their late ends count, once. The test of the state fails without the change, as does the new check of the random runs.

--- a/jobs/dispatch/random_test.go
+++ b/jobs/dispatch/random_test.go
@@ -30,7 +30,7 @@
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 1)), store: jobs.NewStore(), deposed: map[*Dispatcher]bool{}} //nolint:gosec // a simulation
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), store: jobs.NewStore(), deposed: map[*Dispatcher]bool{}, failed: map[jobs.TaskKey]int{}} //nolint:gosec // a simulation
 	w.store.Apply(jobs.Command{Configure: &jobs.Configure{Config: jobs.Config{
 		Version: 1, Queues: []jobs.Queue{{Name: "q", Service: "s", MaxAttempts: 1000, Stretch: 2, LatencyObjective: 1000}},
 	}}})
@@ -110,6 +110,9 @@
 			Expect(w.failures).To(BeEmpty(), "seed %d", seed)
 			for _, j := range w.store.Jobs() {
 				Expect(j.State).To(Equal(jobs.Done), "seed %d: job %s", seed, j.ID)
+				j.Tasks(func(t *jobs.Task) {
+					Expect(t.Failures).To(BeNumerically("<=", w.failed[t.Key]), "seed %d: failures of %v", seed, t.Key)
+				})
 			}
 		}
 	})
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -190,11 +190,7 @@
 		return false
 	}
 	t := j.Task(f.Task)
-	if t == nil || t.Done || j.Step(f.Task).LongRunning || slices.Contains(t.Late, f.Attempt) {
-		return false
-	}
-	if t.Bound == nil && f.Attempt == t.Attempt && f.Outcome != jobs.OutcomeDone {
-		// The end is recorded already and comes again.
+	if t == nil || t.Done || j.Step(f.Task).LongRunning || !slices.Contains(t.GivenUp, f.Attempt) {
 		return false
 	}
 	d.notes = append(d.notes, Note{Event: "late end", Worker: w.Worker, Task: f.Task, Attempt: f.Attempt, Detail: string(f.Outcome)})
--- a/jobs/dispatch/world_test.go
+++ b/jobs/dispatch/world_test.go
@@ -24,6 +24,8 @@
 	// failures are broken invariants.
 	failures []string
 	starts   int
+	// failed counts the failed ends of each task on workers.
+	failed map[jobs.TaskKey]int
 }
 
 type event struct {
@@ -372,6 +374,7 @@
 	delete(t.running, key)
 	t.barred[key] = max(t.barred[key], run.attempt)
 	t.ends++
+	t.w.failed[key] += bit(how == jobs.OutcomeFailed)
 	t.finished = append(t.finished, FinishedTask{Number: t.ends, Task: key, Attempt: run.attempt, Outcome: how})
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -164,8 +164,9 @@
 	// BoundAt and EndedAt are times of the log leader in Unix milliseconds.
 	BoundAt int64 `json:"ba,omitempty"`
 	EndedAt int64 `json:"ea,omitempty"`
-	// Late are the attempts whose end became known after they were given up.
-	Late []int `json:"l,omitempty"`
+	// GivenUp are the attempts whose end the worker had not told when they were given
+	// up. It may still tell it.
+	GivenUp []int `json:"g,omitempty"`
 }
 
 // run is one occurrence of the steps of a job.
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -152,6 +152,9 @@
 		delete(s.bound, on)
 	}
 	t.Bound, t.EndedAt = nil, c.At
+	if !j.Step(t.Key).LongRunning && (c.Outcome == OutcomeLapsed || c.Outcome == OutcomeLost) {
+		t.GivenUp = append(t.GivenUp, c.Attempt)
+	}
 	if c.Checkpoint != "" {
 		t.Checkpoint = c.Checkpoint
 	}
@@ -163,13 +166,11 @@
 // endLate takes in the end of an attempt that was given up before: its worker had
 // ended it unseen. A task that is done stays done, and failures count once.
 func (s *Store) endLate(j *Job, t *Task, c *End) Result {
-	if c.Attempt <= 0 || c.Attempt > t.Attempt || t.Done || slices.Contains(t.Late, c.Attempt) {
-		return Result{}
-	}
-	if c.Outcome != OutcomeDone && c.Outcome != OutcomeFailed {
+	position := slices.Index(t.GivenUp, c.Attempt)
+	if position < 0 || t.Done || c.Outcome != OutcomeDone && c.Outcome != OutcomeFailed {
 		return Result{}
 	}
-	t.Late = append(t.Late, c.Attempt)
+	t.GivenUp = slices.Delete(t.GivenUp, position, position+1)
 	s.changed[j.ID] = true
 	s.count(j, t, c)
 	return Result{Applied: true, Known: true}
--- a/jobs/store_test.go
+++ b/jobs/store_test.go
@@ -108,6 +108,17 @@
 		Expect(s.Apply(bound(last, 1)).Applied).To(BeTrue())
 	})
 
+	// Guards against a failed end that counts again when the worker lists it again
+	// after the task has started elsewhere.
+	It("counts an end once that was not given up", func() {
+		s.Apply(submitted("a", twoSteps()))
+		s.Apply(bound(first, 1))
+		s.Apply(ended(first, 1, jobs.OutcomeFailed))
+		s.Apply(bound(first, 2))
+		Expect(s.Apply(ended(first, 1, jobs.OutcomeFailed)).Applied).To(BeFalse())
+		Expect(s.Job("a").State).To(Equal(jobs.Running))
+	})
+
 	// Guards against long-running tasks that are not restarted.
 	It("restarts long-running tasks however they end", func() {
 		s.Apply(submitted("a", jobs.Spec{Steps: []jobs.Step{{Count: 1, LongRunning: true}}}))
