Use one copy of what control and jobd share and drop unused fields

Found by reading the whole change: the exchangeable handler, the choice of the successor of a leader and the test for a removed member stood both in control and in jobd or replicate. They are daemon.SwitchHandler, raft.Status.Successor and raft.Membership.Removed now. Attempts are made in one place, the line about dropped log lines stands beside its writer, and fields, a header and a parameter that nothing read are gone.

Behaviour is meant to stay: no test is changed; the tests of raft, replicate, control, jobs, jobd, relay, platform and daemon and the linter pass.

--- a/control/replica.go
+++ b/control/replica.go
@@ -314,17 +314,11 @@
 
 // transferLeadership hands over to the active voter with the most entries.
 func (r *replica) transferLeadership() {
-	s := r.node.Status()
-	var best raft.PeerStatus
-	for _, p := range s.Peers {
-		if p.Active && s.Membership.IsVoter(p.ID) && p.Match >= best.Match && p.ID != s.ID {
-			best = p
-		}
-	}
-	if best.ID == 0 {
+	successor := r.node.Status().Successor()
+	if successor == 0 {
 		return
 	}
-	if err := r.node.Transfer(best.ID); err != nil {
+	if err := r.node.Transfer(successor); err != nil {
 		r.log.Warn().Err(err).Msg("leadership is not transferred")
 	}
 }
--- a/control/run.go
+++ b/control/run.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,16 +27,6 @@
 	meterName  = "geraniumwall/control"
 )
 
-// switchHandler serves by a handler that can be exchanged.
-type switchHandler struct{ current atomic.Pointer[http.Handler] }
-
-func (h *switchHandler) set(next http.Handler) { h.current.Store(&next) }
-
-// ServeHTTP implements http.Handler.
-func (h *switchHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	(*h.current.Load()).ServeHTTP(w, r)
-}
-
 // Run runs a replica until ctx is over; it then hands leadership over, ends the
 // requests in progress and stops.
 func Run(ctx context.Context, s Settings, log zerolog.Logger) error {
@@ -48,8 +37,8 @@
 	if err != nil {
 		return err
 	}
-	handler := &switchHandler{}
-	handler.set(formingHandler(s))
+	handler := &daemon.SwitchHandler{}
+	handler.Set(formingHandler(s))
 	server, err := daemon.ListenSecure(ctx, s.Listen, keys.Admit(admitted, handler), keys, transport.ClientsRequired)
 	if err != nil {
 		return err
@@ -76,7 +65,7 @@
 
 func runStored(
 	ctx context.Context, s Settings, log zerolog.Logger, keys *transport.Keys,
-	store replicate.Storage, stored raft.Stored, handler *switchHandler, server *daemon.Server,
+	store replicate.Storage, stored raft.Stored, handler *daemon.SwitchHandler, server *daemon.Server,
 ) error {
 	failed := make(chan error, 1)
 	replica, err := New(Options{
@@ -88,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	handler.set(replica.Handler())
+	handler.Set(replica.Handler())
 	members, err := gossip.Join(ctx, s.Membership, membership.Member{
 		Name: s.Name, Kind: membership.KindControl, Domain: s.Domain, Address: server.Address(),
 	}, log)
--- a/control/serve_status.go
+++ b/control/serve_status.go
@@ -20,20 +20,13 @@
 		messages = append(messages, m)
 	}
 	s.processes.merge(s.options.Now(), q.GetProcesses())
-	if s.view.Load().removed(q.GetFrom()) {
+	if s.view.Load().status.Committed.Removed(q.GetFrom()) {
 		return &controlpb.StepResponse{Removed: true}, nil
 	}
 	s.send(&received{messages})
 	return &controlpb.StepResponse{}, nil
 }
 
-// removed reports whether a replica was a member and is none as of the last
-// committed entry.
-func (v *view) removed(id uint64) bool {
-	_, member := v.status.Committed.Find(id)
-	return !member && id != 0 && id <= v.status.Committed.HighestID
-}
-
 // confirmWithin bounds the wait for the heartbeat round of Status, so that it
 // still answers its callers when the quorum is lost.
 const confirmWithin = 500 * time.Millisecond
--- a/daemon/logs.go
+++ b/daemon/logs.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"time"
@@ -22,3 +23,7 @@
 		_, _ = os.Stdout.WriteString(droppedLine(missed))
 	})
 }
+
+func droppedLine(missed int) string {
+	return fmt.Sprintf(`{"level":"warn","dropped":%d,"message":"log lines were dropped"}`+"\n", missed)
+}
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,10 +11,6 @@
 	"geraniumwall/settings"
 )
 
-func droppedLine(missed int) string {
-	return fmt.Sprintf(`{"level":"warn","dropped":%d,"message":"log lines were dropped"}`+"\n", missed)
-}
-
 // Reloads delivers the settings after each SIGHUP. A file with problems is logged
 // and the former settings stay in force.
 func Reloads[T any, S interface {
--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"geraniumwall/relay"
@@ -26,16 +25,6 @@
 	maxRelayed  = 16 << 20
 )
 
-// switchHandler serves by a handler that can be exchanged.
-type switchHandler struct{ current atomic.Pointer[http.Handler] }
-
-func (h *switchHandler) set(next http.Handler) { h.current.Store(&next) }
-
-// ServeHTTP implements http.Handler.
-func (h *switchHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	(*h.current.Load()).ServeHTTP(w, r)
-}
-
 // starting answers while the replica has no log yet.
 var starting = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(relay.HeaderNotLeader, "")
--- a/jobd/run.go
+++ b/jobd/run.go
@@ -26,9 +26,9 @@
 	if _, err := daemon.ServeMetrics(ctx, s.MetricsListen); err != nil {
 		return err
 	}
-	peerHandler, controlHandler := &switchHandler{}, &switchHandler{}
-	peerHandler.set(starting)
-	controlHandler.set(starting)
+	peerHandler, controlHandler := &daemon.SwitchHandler{}, &daemon.SwitchHandler{}
+	peerHandler.Set(starting)
+	controlHandler.Set(starting)
 	peers, err := daemon.Listen(ctx, s.PeerListen, peerHandler)
 	if err != nil {
 		return err
@@ -59,7 +59,7 @@
 
 func (p *process) run(
 	ctx context.Context, identity Identity, stored raft.Stored, workers Workers, adapter Adapter,
-	peerHandler, controlHandler *switchHandler,
+	peerHandler, controlHandler *daemon.SwitchHandler,
 ) error {
 	fail := func(err error) {
 		select {
@@ -75,8 +75,8 @@
 		return err
 	}
 	interfaces := adapter(server)
-	peerHandler.set(server.peerHandler(interfaces))
-	controlHandler.set(server.controlHandler(interfaces))
+	peerHandler.Set(server.peerHandler(interfaces))
+	controlHandler.Set(server.controlHandler(interfaces))
 	p.log.Info().Uint64("replica", identity.ReplicaID).Uint64("term", stored.HardState.Term).
 		Int("entries", len(stored.Entries)).Msg("job replica is running")
 	select {
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -40,11 +40,9 @@
 	system   *actor.ActorSystem
 	pid      *actor.PID
 	manager  *manager
-	id       uint64
 	ticking  sync.WaitGroup
 	stopping chan struct{}
 	fatal    func(error)
-	removed  func()
 }
 
 var (
@@ -70,8 +68,7 @@
 // New restores the stored state and starts the replica.
 func New(o Options) (*Server, error) {
 	s := &Server{
-		settings: o.Settings, log: o.Log, id: o.Identity.ReplicaID, stopping: make(chan struct{}),
-		fatal: o.Fatal, removed: o.Removed,
+		settings: o.Settings, log: o.Log, stopping: make(chan struct{}), fatal: o.Fatal,
 	}
 	metrics, err := NewMetrics(otel.Meter(meterName))
 	if err != nil {
@@ -145,7 +142,7 @@
 		messages = append(messages, m)
 	}
 	removed, err := call(context.Background(), s, func(m *manager, done func(bool, error)) {
-		if m.isRemoved(q.GetFrom()) {
+		if m.replica.Status().Committed.Removed(q.GetFrom()) {
 			done(true, nil)
 			return
 		}
@@ -159,14 +156,6 @@
 	return &controlpb.StepResponse{Removed: removed}, nil
 }
 
-// isRemoved reports whether a replica was a member and is none as of the last
-// committed entry.
-func (m *manager) isRemoved(id uint64) bool {
-	committed := m.replica.Status().Committed
-	_, member := committed.Find(id)
-	return !member && id != 0 && id <= committed.HighestID
-}
-
 // Transfer hands leadership over, if this replica has it, and returns when another
 // one leads, or after a bounded time.
 func (s *Server) Transfer(ctx context.Context) {
--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -26,13 +26,12 @@
 
 // attempt is a current attempt of a task.
 type attempt struct {
-	task    jobs.TaskKey
-	number  int
-	on      *worker
-	charge  jobs.Resources
-	step    *jobs.Step
-	phase   phase
-	boundAt time.Duration
+	task   jobs.TaskKey
+	number int
+	on     *worker
+	charge jobs.Resources
+	step   *jobs.Step
+	phase  phase
 	// settledAt is when the phase was reached; a list that was asked for later and
 	// lacks the attempt shows that it has ended.
 	settledAt  time.Duration
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -134,10 +134,15 @@
 }
 
 func (d *Dispatcher) inherited(t *jobs.Task) *attempt {
-	step := d.store.Job(t.Key.Job).Step(t.Key)
+	a := d.newAttempt(t, d.store.Job(t.Key.Job).Step(t.Key), t.Attempt, phaseInherited)
+	a.pace = unknownPace
+	return a
+}
+
+func (d *Dispatcher) newAttempt(t *jobs.Task, step *jobs.Step, number int, p phase) *attempt {
 	return &attempt{
-		task: t.Key, number: t.Attempt, charge: step.Charge(), step: step, phase: phaseInherited,
-		boundAt: d.now, settledAt: d.now, checkpoint: t.Checkpoint, progressAt: d.now, startedAt: d.now, pace: unknownPace, wantPace: fullPace,
+		task: t.Key, number: number, charge: step.Charge(), step: step, phase: p, checkpoint: t.Checkpoint,
+		settledAt: d.now, progressAt: d.now, startedAt: d.now, pace: fullPace, wantPace: fullPace,
 	}
 }
 
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -378,15 +378,13 @@
 	r.free = r.free.Sub(step.Charge())
 	r.starts++
 	d.charge(r, step)
-	a := &attempt{
-		task: t.Key, number: number, on: w, charge: step.Charge(), step: step, phase: phaseProposed,
-		boundAt: d.now, settledAt: d.now, progressAt: d.now, checkpoint: t.Checkpoint, pace: fullPace, wantPace: fullPace,
-	}
+	a := d.newAttempt(t, step, number, phaseProposed)
+	a.on = w
 	w.attempts[t.Key] = a
 	d.proposed[t.Key] = a
 	command := jobs.Bind{Task: t.Key, Attempt: number, On: w.incarnation(), At: d.unix}
 	d.commands = append(d.commands, Proposal{jobs.Command{Bind: &command}, func(result jobs.Result, ok bool) {
-		d.bound(a, result.Applied && ok, ok)
+		d.bound(a, result.Applied, ok)
 	}})
 }
 
--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -103,15 +103,19 @@
 		from = due
 	}
 	objective := int64(q.Stretch*float64(longestChain(&j.Spec))) + q.LatencyObjective
-	worthless := from + lateFactor*objective
-	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].LongRunning || j.Spec.Occurrences > 0 {
-		worthless = never
+	wj := &waitingJob{
+		job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: from + lateFactor*objective,
+		left: int64(estimateTrust * float64(chainLeft(j))),
 	}
-	left := int64(estimateTrust * float64(chainLeft(j)))
-	wj := &waitingJob{job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: worthless, left: left}
-	wj.lasting = len(j.Spec.Steps) > 0 && j.Spec.Steps[0].LongRunning
-	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].TailTarget > 0 {
-		wj.image, wj.size = j.Spec.Steps[0].Image, j.Spec.Steps[0].Request.MilliCPU
+	if len(j.Spec.Steps) > 0 {
+		first := &j.Spec.Steps[0]
+		wj.lasting = first.LongRunning
+		if first.TailTarget > 0 {
+			wj.image, wj.size = first.Image, first.Request.MilliCPU
+		}
+	}
+	if wj.lasting || j.Spec.Occurrences > 0 {
+		wj.worthless = never
 	}
 	return wj
 }
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -1,5 +1,17 @@
 package raft
 
+// Successor returns the active voter with the most entries besides the leader, to
+// which a leader hands over, or 0 if there is none.
+func (s Status) Successor() uint64 {
+	var best PeerStatus
+	for _, p := range s.Peers {
+		if p.Active && s.Membership.IsVoter(p.ID) && p.Match >= best.Match && p.ID != s.ID {
+			best = p
+		}
+	}
+	return best.ID
+}
+
 // Transfer starts to hand leadership to another voter, for a planned stop. It
 // is given up after an election timeout; Status shows whether it is under way.
 // Its errors are ErrNotLeader and ErrInvalidTransfer.
--- a/raft/types.go
+++ b/raft/types.go
@@ -62,6 +62,12 @@
 	return Member{}, false
 }
 
+// Removed reports whether the id was a member's and is none's now.
+func (m Membership) Removed(id uint64) bool {
+	_, member := m.Find(id)
+	return !member && id != 0 && id <= m.HighestID
+}
+
 // Voters returns the ids of the members that vote.
 func (m Membership) Voters() []uint64 {
 	var ids []uint64
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,8 +25,6 @@
 	// HeaderNotLeader marks an answer of a replica that does not lead and has done
 	// nothing. Its value is the address of the leader, empty if unknown.
 	HeaderNotLeader = "Geranium-Not-Leader"
-	// HeaderRelayed marks a request that was carried to another process.
-	HeaderRelayed = "Geranium-Relayed"
 )
 
 const (
@@ -245,7 +243,6 @@
 	for name, values := range q.Header {
 		request.Header[name] = values
 	}
-	request.Header.Set(HeaderRelayed, "1")
 	request.Host = q.Host
 	response, err := r.client.Do(request)
 	if err != nil {
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -381,17 +381,11 @@
 
 // Transfer hands leadership to the active voter with the most entries.
 func (r *Replica) Transfer() {
-	s := r.node.Status()
-	var best raft.PeerStatus
-	for _, p := range s.Peers {
-		if p.Active && s.Membership.IsVoter(p.ID) && p.Match >= best.Match && p.ID != s.ID {
-			best = p
-		}
-	}
-	if best.ID == 0 {
+	successor := r.node.Status().Successor()
+	if successor == 0 {
 		return
 	}
-	if err := r.node.Transfer(best.ID); err != nil {
+	if err := r.node.Transfer(successor); err != nil {
 		r.options.Log.Warn().Err(err).Msg("leadership is not transferred")
 	}
 	r.drive()
