Refuse an empty start of a promoted replica that no leader has recorded

A replica that was added later, promoted, elected and killed within one tick of its leadership is not recorded as joined; the next leader has no match index for it and told it that it never stored anything, so it started empty under an id that had voted. Ruled out: load alone (the process runs on for good instead of being slow) and a missed election (the new leader stood within 1 s). Change: a listed voter that is not one of the first replicas has stored the log, since only a learner that has caught up is promoted. The test prints the logs of the three replicas when it fails. TestLostVoter fails without the change.

--- a/control/forming.go
+++ b/control/forming.go
@@ -67,7 +67,7 @@
 	for {
 		empty := 0
 		for _, other := range s.Replicas {
-			switch ask := inquire(ctx, httpClient, s.ReplicaID, other); {
+			switch ask := inquire(ctx, httpClient, s, other); {
 			case other.ID == s.ReplicaID:
 			case ask == findingJoined:
 				return errDiskLost
@@ -93,7 +93,8 @@
 	}
 }
 
-func inquire(ctx context.Context, c *http.Client, self uint64, other ReplicaAddress) finding {
+func inquire(ctx context.Context, c *http.Client, s Settings, other ReplicaAddress) finding {
+	self := s.ReplicaID
 	if other.ID == self {
 		return findingNone
 	}
@@ -106,7 +107,9 @@
 		return findingNone
 	}
 	for _, r := range status.GetReplicas() {
-		if r.GetId() == self && r.GetJoined() {
+		// A replica that was added later is promoted only once it has stored the log,
+		// which the leader may not have recorded yet.
+		if r.GetId() == self && (r.GetJoined() || r.GetVoter() && !s.initial()) {
 			return findingJoined
 		}
 		if r.GetId() == status.GetReplica() && r.GetMatchIndex() > 0 && status.GetLeader() != status.GetReplica() {
--- a/control/forming_test.go
+++ b/control/forming_test.go
@@ -37,16 +37,35 @@
 // comes back to itself, and its own empty log must not count as theirs.
 func TestLostLeader(t *testing.T) {
 	g := NewWithT(t)
+	lostReplica := Settings{ReplicaID: 3, Replicas: []ReplicaAddress{{ID: 1}, {ID: 2}, {ID: 3}}}
 	itself := serveStatus(t, forming{replica: 3})
 	follower := serveStatus(t, statusStub{leader: itself})
-	g.Expect(inquire(t.Context(), http.DefaultClient, 3, ReplicaAddress{ID: 1, Address: follower})).To(Equal(findingNone))
+	g.Expect(inquire(t.Context(), http.DefaultClient, lostReplica, ReplicaAddress{ID: 1, Address: follower})).To(Equal(findingNone))
 
 	leader := serveStatus(t, statusStub{status: &controlpb.StatusResponse{Replica: 2, Leader: 2, Replicas: []*controlpb.ReplicaStatus{
 		{Id: 2, Joined: true, MatchIndex: 9}, {Id: 3, Joined: true, MatchIndex: 9},
 	}}})
 	named := serveStatus(t, statusStub{leader: leader})
-	g.Expect(inquire(t.Context(), http.DefaultClient, 3, ReplicaAddress{ID: 1, Address: named})).To(Equal(findingJoined))
+	g.Expect(inquire(t.Context(), http.DefaultClient, lostReplica, ReplicaAddress{ID: 1, Address: named})).To(Equal(findingJoined))
 
 	empty := serveStatus(t, forming{replica: 1})
-	g.Expect(inquire(t.Context(), http.DefaultClient, 3, ReplicaAddress{ID: 1, Address: empty})).To(Equal(findingEmpty))
+	g.Expect(inquire(t.Context(), http.DefaultClient, lostReplica, ReplicaAddress{ID: 1, Address: empty})).To(Equal(findingEmpty))
+}
+
+// TestLostVoter guards against an added replica that loses its disk right after its
+// promotion, while no leader has recorded that it stored part of the log: it must
+// not start empty under an id that may have voted.
+func TestLostVoter(t *testing.T) {
+	g := NewWithT(t)
+	added := Settings{ReplicaID: 4, Replicas: []ReplicaAddress{{ID: 1}, {ID: 2}, {ID: 3}}}
+	ask := func(voter bool) finding {
+		leader := serveStatus(t, statusStub{status: &controlpb.StatusResponse{
+			Replica: 1, Leader: 1, Confirmed: true, Replicas: []*controlpb.ReplicaStatus{
+				{Id: 1, Joined: true, MatchIndex: 9, Voter: true}, {Id: 4, Voter: voter},
+			},
+		}})
+		return inquire(t.Context(), http.DefaultClient, added, ReplicaAddress{ID: 1, Address: leader})
+	}
+	g.Expect(ask(true)).To(Equal(findingJoined))
+	g.Expect(ask(false)).To(Equal(findingNew))
 }
--- a/e2e/replica_test.go
+++ b/e2e/replica_test.go
@@ -76,7 +76,23 @@
 	p.kill()
 	t.Expect(os.RemoveAll(filepath.Join(t.f.dir, p.name))).To(Succeed())
 	t.Expect(p.start()).To(Succeed())
-	t.Eventually(p.exit.done).WithTimeout(takeoverTime*3).Should(BeClosed(), "it must refuse to run")
+	t.Eventually(p.exit.done).WithTimeout(takeoverTime*3).Should(BeClosed(), func() string {
+		return "it must refuse to run:\n" + t.logs(p, t.f.controls[0], other)
+	})
 	t.Expect(p.exit.err).To(HaveOccurred())
 	p.command = nil
 }
+
+// logTail is how much of each log a failed check prints, in bytes.
+const logTail = 4000
+
+// logs returns the ends of the logs of some processes.
+func (t *tour) logs(processes ...*process) string {
+	var text strings.Builder
+	for _, p := range processes {
+		content, err := os.ReadFile(p.logFile)
+		t.Expect(err).NotTo(HaveOccurred())
+		fmt.Fprintf(&text, "%s:\n%s\n", p.name, content[max(0, len(content)-logTail):])
+	}
+	return text.String()
+}
