Acknowledge a late end only when no start of its task is on its way

Change: the end of a given-up attempt waits while a start of a newer attempt is unanswered, a binding that is still being recorded is not ordered any more, and the task is not bound while the end is being recorded. An end is also no longer acknowledged while another outcome of its attempt is being recorded; that fault was found by reading.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -43,6 +43,8 @@
 	startedAt  time.Duration
 	stopping   bool
 	stopAt     time.Duration
+	// superseded is set once an earlier attempt that was given up turns out to be done.
+	superseded bool
 	// ending is set while the end is being written to the log.
 	ending bool
 	// pace is the last one that the worker has accepted, wantPace the one that it is
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -75,6 +75,9 @@
 	orphans map[jobs.TaskKey]*attempt
 	// proposed are the bindings that are being written to the log.
 	proposed map[jobs.TaskKey]*attempt
+	// lateEnds are the tasks with an end of a given-up attempt that is being written
+	// to the log.
+	lateEnds map[jobs.TaskKey]bool
 	planner  planner
 	// model learns which filler images slow which serving images down. effects keeps
 	// its newest answers until effectsUntil.
@@ -119,7 +122,7 @@
 	d := &Dispatcher{
 		options: options, store: store, fence: term * livesPerTerm, began: now, now: now,
 		workers: map[string]*worker{}, lives: map[string]int64{}, orphans: map[jobs.TaskKey]*attempt{},
-		proposed: map[jobs.TaskKey]*attempt{}, model: interference.NewModel(interference.Rules{}),
+		proposed: map[jobs.TaskKey]*attempt{}, lateEnds: map[jobs.TaskKey]bool{}, model: interference.NewModel(interference.Rules{}),
 		effects: map[imagePair]float64{}, fillers: map[string]bool{},
 	}
 	d.model.SetPairDeviation(pairDeviation)
--- /dev/null
+++ b/jobs/dispatch/ends.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"slices"
+
+	"geraniumwall/jobs"
+)
+
+// finished writes the ends that a worker lists to the log. The worker may forget
+// them once all are recorded. It stops at an end that has to wait, since the worker
+// forgets ends in their order; the next list has it again.
+func (d *Dispatcher) finished(w *worker, ends []FinishedTask) {
+	left, last := 0, w.lastSeen
+	record := func() {
+		left--
+		if left == 0 {
+			w.lastSeen = max(w.lastSeen, last)
+		}
+	}
+	for i := range ends {
+		f := &ends[i]
+		if f.Number <= w.lastSeen {
+			continue
+		}
+		a := w.attempts[f.Task]
+		current := a != nil && a.number == f.Attempt
+		if current && a.ending || !current && d.lateMustWait(f) {
+			return
+		}
+		last = max(last, f.Number)
+		switch {
+		case current:
+			left++
+			d.judge(w, a, f.Outcome)
+			d.endThen(a, f.Outcome, f.Checkpoint, record)
+		case d.changesTask(f):
+			left++
+			d.recordLate(w, f, record)
+		}
+	}
+	if left == 0 {
+		w.lastSeen = last
+	}
+}
+
+// changesTask reports whether the end of an attempt that was given up before may
+// change what is known of the task.
+func (d *Dispatcher) changesTask(f *FinishedTask) bool {
+	j := d.store.Job(f.Task.Job)
+	if j == nil || f.Outcome != jobs.OutcomeDone && f.Outcome != jobs.OutcomeFailed {
+		return false
+	}
+	t := j.Task(f.Task)
+	return t != nil && !t.Done && !j.Step(f.Task).LongRunning && slices.Contains(t.GivenUp, f.Attempt)
+}
+
+// lateMustWait reports whether the end of an attempt that was given up before can't
+// be recorded yet: a worker must not be told that the end is known before the start
+// of a newer attempt that is on its way, or the task would start after its end.
+func (d *Dispatcher) lateMustWait(f *FinishedTask) bool {
+	if !d.changesTask(f) {
+		return false
+	}
+	if d.lateEnds[f.Task] {
+		return true
+	}
+	a := d.currentAttempt(f.Task)
+	if a == nil {
+		return false
+	}
+	a.superseded = a.superseded || f.Outcome == jobs.OutcomeDone
+	switch a.phase {
+	case phaseProposed:
+		return !a.superseded
+	case phaseOrdered, phaseUncertain, phaseInherited:
+		return true
+	case phaseStarted, phaseVoid:
+	}
+	return false
+}
+
+// currentAttempt returns the attempt of a task that is bound or being bound.
+func (d *Dispatcher) currentAttempt(key jobs.TaskKey) *attempt {
+	if a := d.proposed[key]; a != nil {
+		return a
+	}
+	if a := d.orphans[key]; a != nil {
+		return a
+	}
+	t := d.store.Job(key.Job).Task(key)
+	if t.Bound == nil {
+		return nil
+	}
+	if w := d.workers[t.Bound.Worker]; w != nil {
+		return w.attempts[key]
+	}
+	return nil
+}
+
+// recordLate writes the end of an attempt that was given up before to the log. The
+// task is not bound meanwhile.
+func (d *Dispatcher) recordLate(w *worker, f *FinishedTask, recorded func()) {
+	d.notes = append(d.notes, Note{Event: "late end", Worker: w.Worker, Task: f.Task, Attempt: f.Attempt, Detail: string(f.Outcome)})
+	d.lateEnds[f.Task] = true
+	command := jobs.End{Task: f.Task, Attempt: f.Attempt, Outcome: f.Outcome, At: d.unix}
+	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
+		delete(d.lateEnds, f.Task)
+		d.planner.waiting[f.Task.Job] = nil
+		d.planner.dirty = true
+		if ok {
+			recorded()
+		}
+	}})
+}
--- /dev/null
+++ b/jobs/dispatch/ends_test.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/jobs"
+)
+
+var _ = Describe("ends that a worker lists", func() {
+	// Guards against an end that the worker may forget although the log holds another
+	// outcome of the attempt: the task would start again after it is done.
+	It("are not acknowledged while another end of the attempt is being recorded", func() {
+		w := newWorld(7)
+		t := w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		d := w.lead()
+		w.run(2 * time.Second)
+		small := jobs.Resources{MilliCPU: 1000, MemoryMB: 10}
+		w.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 2, Request: small, Estimate: 60_000}}})
+		w.run(3 * time.Second)
+		on := d.workers[t.id]
+		first, second := jobs.TaskKey{Job: "j"}, jobs.TaskKey{Job: "j", Index: 1}
+		Expect(on.attempts).To(HaveLen(2))
+
+		d.end(on.attempts[second], jobs.OutcomeLapsed)
+		d.finished(on, []FinishedTask{
+			{Number: 1, Task: first, Attempt: 1, Outcome: jobs.OutcomeDone},
+			{Number: 2, Task: second, Attempt: 1, Outcome: jobs.OutcomeDone},
+		})
+		commands, _, _ := d.Take()
+		for _, c := range commands {
+			if c.Command.End != nil && c.Command.End.Task == first {
+				c.Settled(w.store.Apply(c.Command), true)
+			}
+		}
+		Expect(on.lastSeen).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a task that starts after the worker of an earlier attempt was told
+	// that its end is known: the start may be on its way for longer than the hold.
+	It("of a given-up attempt wait for the start of the next one", func() {
+		w := newWorld(7)
+		former := w.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		d := w.lead()
+		w.run(2 * time.Second)
+		small := jobs.Resources{MilliCPU: 1000, MemoryMB: 10}
+		w.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, Estimate: 60_000}}})
+		w.run(3 * time.Second)
+		key := jobs.TaskKey{Job: "j"}
+		former.cut = true
+		w.run(3*time.Second + testLease + time.Second)
+		Expect(w.store.Job("j").Task(key).GivenUp).To(Equal([]int{1}))
+		w.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		w.run(w.now + 2*testBeat)
+		next := d.currentAttempt(key)
+		next.enter(phaseOrdered, d.now)
+		listed := []FinishedTask{{Number: 1, Task: key, Attempt: 1, Outcome: jobs.OutcomeDone}}
+		on := newWorker(Heartbeat{Worker: former.id}, d.fence+livesPerTerm-1, d.now)
+		d.finished(on, listed)
+		Expect(on.lastSeen).To(BeZero())
+		Expect(d.lateEnds).To(BeEmpty())
+
+		next.enter(phaseStarted, d.now)
+		d.finished(on, listed)
+		Expect(d.lateEnds).To(HaveKey(key))
+		d.finished(on, listed)
+		commands, _, _ := d.Take()
+		Expect(commands).To(HaveLen(1))
+		commands[0].Settled(w.store.Apply(commands[0].Command), true)
+		Expect(on.lastSeen).To(BeEquivalentTo(1))
+		Expect(w.store.Job("j").State).To(Equal(jobs.Done))
+	})
+
+	// Guards against the start of a task that is known to be done since its binding was
+	// proposed.
+	It("of a given-up attempt void a binding that is being recorded", func() {
+		w := newWorld(7)
+		former := w.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		d := w.lead()
+		w.run(2 * time.Second)
+		small := jobs.Resources{MilliCPU: 1000, MemoryMB: 10}
+		w.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, Estimate: 60_000}}})
+		w.run(3 * time.Second)
+		key := jobs.TaskKey{Job: "j"}
+		former.cut = true
+		w.run(3*time.Second + testLease + time.Second)
+		other := w.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		limit := w.now + 3*time.Second
+		for d.proposed[key] == nil && w.now < limit {
+			w.run(w.now + testTick/10)
+		}
+		Expect(d.proposed).To(HaveKey(key))
+		on := newWorker(Heartbeat{Worker: former.id}, d.fence+livesPerTerm-1, d.now)
+		d.finished(on, []FinishedTask{{Number: 1, Task: key, Attempt: 1, Outcome: jobs.OutcomeDone}})
+		w.run(w.now + testBeat)
+		Expect(other.running).To(BeEmpty())
+		Expect(w.store.Job("j").State).To(Equal(jobs.Done))
+		Expect(on.lastSeen).To(BeEquivalentTo(1))
+	})
+})
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -320,9 +320,9 @@
 	return false
 }
 
+// planned reports whether a task is being bound, or waits for the record of an end.
 func (d *Dispatcher) planned(t *jobs.Task) bool {
-	_, planned := d.proposed[t.Key]
-	return planned
+	return d.proposed[t.Key] != nil || d.lateEnds[t.Key]
 }
 
 func (d *Dispatcher) avoids(key jobs.TaskKey) bool {
@@ -400,13 +400,8 @@
 		return
 	}
 	w := a.on
-	if w.gone || w.suspect || !w.joined {
-		d.note("start is not ordered", w, a, "the worker became unusable")
-		a.enter(phaseVoid, d.now)
-		d.end(a, jobs.OutcomeLost)
-		return
-	}
-	if j := d.store.Job(a.task.Job); j == nil || j.State.Ended() {
+	if why := d.startObstacle(a); why != "" {
+		d.note("start is not ordered", w, a, why)
 		a.enter(phaseVoid, d.now)
 		d.end(a, jobs.OutcomeLost)
 		return
@@ -418,3 +413,17 @@
 	d.note("task is started", w, a, "")
 	d.order(w, Order{Start: &Start{a.task, a.number, d.store.Job(a.task.Job).Spec.Payload, deadline, a.checkpoint}})
 }
+
+// startObstacle names what has made the start of a bound attempt useless.
+func (d *Dispatcher) startObstacle(a *attempt) string {
+	j := d.store.Job(a.task.Job)
+	switch {
+	case a.on.gone || a.on.suspect || !a.on.joined:
+		return "the worker became unusable"
+	case a.superseded:
+		return "an earlier attempt is done"
+	case j == nil || j.State.Ended():
+		return "the job has ended"
+	}
+	return ""
+}
--- a/jobs/dispatch/random_test.go
+++ b/jobs/dispatch/random_test.go
@@ -61,7 +61,7 @@
 func (w *world) disturb() {
 	t := w.workers[w.random.IntN(len(w.workers))]
 	length := time.Second + time.Duration(w.random.Int64N(int64(7*time.Second)))
-	switch w.random.IntN(8) {
+	switch w.random.IntN(9) {
 	case 0:
 		t.crash(length)
 	case 1:
@@ -84,6 +84,9 @@
 	case 7:
 		t.hung = true
 		w.after(length, func() { t.hung = false })
+	case 8:
+		w.delay = 300 * time.Millisecond
+		w.after(length, func() { w.delay = 0 })
 	}
 }
 
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"geraniumwall/jobs"
@@ -147,62 +146,6 @@
 	s.seenAt = d.now
 }
 
-// finished writes the ends that a worker lists to the log. The worker may forget
-// them once all are recorded.
-func (d *Dispatcher) finished(w *worker, ends []FinishedTask) {
-	left, last := 0, w.lastSeen
-	record := func() {
-		left--
-		if left == 0 {
-			w.lastSeen = max(w.lastSeen, last)
-		}
-	}
-	for i := range ends {
-		f := &ends[i]
-		if f.Number <= w.lastSeen {
-			continue
-		}
-		last = max(last, f.Number)
-		a := w.attempts[f.Task]
-		if a == nil || a.number != f.Attempt {
-			if d.late(w, f, record) {
-				left++
-			}
-			continue
-		}
-		if a.ending {
-			return
-		}
-		left++
-		d.judge(w, a, f.Outcome)
-		d.endThen(a, f.Outcome, f.Checkpoint, record)
-	}
-	if left == 0 {
-		w.lastSeen = last
-	}
-}
-
-// late writes the end of an attempt that was given up before to the log, if it may
-// change what is known of the task.
-func (d *Dispatcher) late(w *worker, f *FinishedTask, recorded func()) bool {
-	j := d.store.Job(f.Task.Job)
-	if j == nil || f.Outcome != jobs.OutcomeDone && f.Outcome != jobs.OutcomeFailed {
-		return false
-	}
-	t := j.Task(f.Task)
-	if t == nil || t.Done || j.Step(f.Task).LongRunning || !slices.Contains(t.GivenUp, f.Attempt) {
-		return false
-	}
-	d.notes = append(d.notes, Note{Event: "late end", Worker: w.Worker, Task: f.Task, Attempt: f.Attempt, Detail: string(f.Outcome)})
-	command := jobs.End{Task: f.Task, Attempt: f.Attempt, Outcome: f.Outcome, At: d.unix}
-	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
-		if ok {
-			recorded()
-		}
-	}})
-	return true
-}
-
 // judge follows the health of the worker by the ends there.
 func (d *Dispatcher) judge(w *worker, a *attempt, outcome jobs.Outcome) {
 	d.note("task ended", w, a, string(outcome))
--- a/jobs/dispatch/world_test.go
+++ b/jobs/dispatch/world_test.go
@@ -21,6 +21,8 @@
 	workers []*testWorker
 	// faults are the shares of orders that fail in a way.
 	late, mute float64
+	// delay is the longest time that an order or an answer is on its way.
+	delay time.Duration
 	// failures are broken invariants.
 	failures []string
 	starts   int
@@ -153,7 +155,12 @@
 	case fate < w.late+w.mute || t.cut || t.deaf || !t.up:
 		w.after(wait, func() { answer(Reply{Verdict: Unknown}) })
 	default:
-		w.after(time.Millisecond, func() {
+		born := t.born
+		w.after(w.transit(), func() {
+			if t.born != born || !t.up || t.cut {
+				w.after(wait, func() { answer(Reply{Verdict: Unknown}) })
+				return
+			}
 			if o.Hold != nil && len(t.finished) == 0 && o.Hold.Wait > 0 {
 				w.after(100*time.Millisecond, func() { w.reply(t, o, answer) })
 				return
@@ -165,7 +172,15 @@
 
 func (w *world) reply(t *testWorker, o Order, answer func(Reply)) {
 	r := t.execute(o)
-	w.after(time.Millisecond, func() { answer(r) })
+	w.after(w.transit(), func() { answer(r) })
+}
+
+// transit is the time that one message is on its way.
+func (w *world) transit() time.Duration {
+	if w.delay == 0 {
+		return time.Millisecond
+	}
+	return time.Millisecond + time.Duration(w.random.Int64N(int64(w.delay)))
 }
 
 func (w *world) at(address string) *testWorker {
