Take a clock that begins anew for a restarted worker

Only lists say when a process was started; other answers carry just its clock. Change: a reading below the least that the clock may show starts a new life, so the next hold names no ends and carries a higher fence. The stand-in of the random runs gives the start with lists only, as the platform does. Test: 'of a new life are not forgotten' fails without the change.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// slowestClockRate bounds the drift of a worker's clock against this one's.
+	// slowestClockRate and fastestClockRate bound the drift of a worker's clock
+	// against this one's.
 	slowestClockRate = 0.97
+	fastestClockRate = 1.03
 	leaseMargin      = 150 * time.Millisecond
 	// holdWait is how long a worker may wait for an end before it answers.
 	holdWait = time.Second
--- a/jobs/dispatch/ends_test.go
+++ b/jobs/dispatch/ends_test.go
@@ -99,4 +99,22 @@
 		Expect(w.store.Job("j").State).To(Equal(jobs.Done))
 		Expect(on.lastSeen).To(BeEquivalentTo(1))
 	})
+
+	// Guards against a hold that makes a restarted worker forget ends of its new life:
+	// it had ended more tasks before, and takes starts before it has reported.
+	It("of a new life are not forgotten before the worker has reported", func() {
+		w := newWorld(7)
+		t := w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		d := w.lead()
+		w.run(2 * time.Second)
+		former := d.workers[t.id]
+		former.lastSeen = 15
+		t.boot()
+		small := jobs.Resources{MilliCPU: 1000, MemoryMB: 10}
+		w.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, Estimate: 60_000}}})
+		w.run(w.now + 100*time.Millisecond)
+		Expect(former.gone).To(BeTrue())
+		Expect(d.workers[t.id].lastSeen).To(BeZero())
+		Expect(d.workers[t.id].fence).To(BeNumerically(">", former.fence))
+	})
 })
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -12,7 +12,14 @@
 	if r.Verdict == Replaced {
 		d.replaced(w)
 	}
-	if r.Clock > 0 && (r.Born == 0 || r.Born == w.Born) {
+	switch {
+	case w.gone || r.Clock == 0 || r.Born != 0 && r.Born != w.Born:
+	case r.Clock < w.minClock(r.SentAt):
+		// Only lists say when the process was started, but its clock begins anew.
+		d.note("worker restarted under its id", w, nil, "")
+		d.otherLife(w, r)
+		w = d.workers[w.Worker]
+	default:
 		w.sample(r.Clock, r.ReceivedAt)
 	}
 	switch {
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -80,12 +80,17 @@
 	}
 }
 
-// minClock is the least that the worker's clock may show.
-func (w *worker) minClock(now time.Duration) int64 {
+// minClock is the least that the worker's clock may show, or may have shown before
+// its last reading.
+func (w *worker) minClock(at time.Duration) int64 {
 	if w.clock == 0 {
 		return 0
 	}
-	elapsed := time.Duration(float64(now-w.clockAt) * slowestClockRate)
+	rate := slowestClockRate
+	if at < w.clockAt {
+		rate = fastestClockRate
+	}
+	elapsed := time.Duration(float64(at-w.clockAt) * rate)
 	return w.clock + elapsed.Milliseconds()
 }
 
--- a/jobs/dispatch/world_test.go
+++ b/jobs/dispatch/world_test.go
@@ -161,15 +161,20 @@
 				w.after(wait, func() { answer(Reply{Verdict: Unknown}) })
 				return
 			}
-			if o.Hold != nil && len(t.finished) == 0 && o.Hold.Wait > 0 {
-				w.after(100*time.Millisecond, func() { w.reply(t, o, answer) })
-				return
-			}
-			w.reply(t, o, answer)
+			w.arrive(t, o, answer)
 		})
 	}
 }
 
+// arrive lets a worker answer an order, a hold without ends after a while.
+func (w *world) arrive(t *testWorker, o Order, answer func(Reply)) {
+	if o.Hold != nil && len(t.finished) == 0 && o.Hold.Wait > 0 {
+		w.after(100*time.Millisecond, func() { w.reply(t, o, answer) })
+		return
+	}
+	w.reply(t, o, answer)
+}
+
 func (w *world) reply(t *testWorker, o Order, answer func(Reply)) {
 	r := t.execute(o)
 	w.after(w.transit(), func() { answer(r) })
@@ -305,10 +310,10 @@
 	case o.To.Worker != t.id:
 		return Reply{Verdict: Replaced}
 	case o.Fence < t.fence:
-		return Reply{Verdict: Refused, Reason: "fence", Clock: t.clock(), Born: t.born}
+		return Reply{Verdict: Refused, Reason: "fence", Clock: t.clock()}
 	}
 	t.fence = o.Fence
-	r := Reply{Verdict: Accepted, Clock: t.clock(), Born: t.born}
+	r := Reply{Verdict: Accepted, Clock: t.clock()}
 	switch {
 	case o.Start != nil:
 		r.Verdict, r.Reason = t.startTask(o.Start)
@@ -320,6 +325,7 @@
 	case o.Hold != nil:
 		t.renew(o.Hold.Deadline)
 		t.list(&r, o.Hold.LastSeen)
+		r.Born = t.born
 	}
 	return r
 }
