--- a/transport/transport.go
+++ b/transport/transport.go
@@ -45,6 +45,11 @@
 	Keys *Keys
 	// Peers are the roles of which a peer must have one.
 	Peers []Role
+	// Connections bounds the connections to one peer; 0 is no bound. Calls beyond it
+	// wait for a connection.
+	Connections int
+	// BufferedBytes is the size of each buffer of a connection, 0 is 8 KiB.
+	BufferedBytes int
 	// Wrap is called with each new connection, for example to count its bytes.
 	Wrap func(net.Conn) net.Conn
 }
@@ -86,8 +91,9 @@
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: idleConnectionsPerPeer,
 		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      connectionBufferedBytes,
-		WriteBufferSize:     connectionBufferedBytes,
+		MaxConnsPerHost:     o.Connections,
+		ReadBufferSize:      cmp.Or(o.BufferedBytes, connectionBufferedBytes),
+		WriteBufferSize:     cmp.Or(o.BufferedBytes, connectionBufferedBytes),
 		// The bodies are short, and compression costs more processor than it saves bytes.
 		DisableCompression: true,
 	}
