Add a fault soak of the real programs

The soak runs three or five job replicas, two entries and four stand-in workers with a loopback relay before each replica and each worker. It kills, terminates and pauses processes, kills all replicas at once, takes one disk, cuts links one way and both ways, delays and resets them, and crashes workers that come back under their ids. While it runs, callers, an operator and the workers check: no two runs at a time, no start after an acknowledged end, none that nobody asked for or that was refused or cancelled, order of steps, capacity, states and configurations that never go back. At the end all accepted jobs are done. platform/standin replaces the smaller stand-in of the adapter's tests; its checks of that test are kept. The setting peer_bind lets a relay stand at the address by which the other replicas know one.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := bin
 SECONDS ?= 60
 
-.PHONY: all build demo test unit format vet lint bench experiments capacity soak generate clean
+.PHONY: all build demo test unit format vet lint bench experiments capacity soak soak-fleet generate clean
 
 all: build
 
@@ -52,6 +52,11 @@
 	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run Soak ./raft ./wal ./state ./scheduler/... ./routing ./control
 	GERANIUM_SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -run TestDispatch ./jobs/dispatch
 
+# A fault soak of the real programs with fresh seeds, or from SEED on.
+soak-fleet: build
+	GERANIUM_BIN=$(CURDIR)/$(BIN) GERANIUM_SOAK_SECONDS=$(SECONDS) GERANIUM_SOAK_SEED=$(SEED) \
+	  go test -count=1 -timeout 0 -run TestJobSoak -v ./e2e
+
 generate:
 	scripts/generate.sh
 
--- /dev/null
+++ b/e2e/jobfleet_test.go
@@ -0,0 +1,230 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"geraniumwall/entry"
+	"geraniumwall/jobd"
+	"geraniumwall/platform/standin"
+)
+
+const (
+	jobControlPort = "7200"
+	jobPeerPort    = "7100"
+	jobEntryPort   = "7300"
+	jobReadyPort   = "7301"
+	jobWorkerPort  = "7400"
+	jobBeat        = 300 * time.Millisecond
+	jobLease       = 3 * time.Second
+	jobWorkerCPU   = 4000
+)
+
+// supervised is a process that is started again after it has ended, as the platform
+// does.
+type supervised struct {
+	*process
+	// startAt is when the process is to be started, while it does not run.
+	startAt time.Time
+	dataDir string
+}
+
+// restartDue starts the process again if it has ended and its time has come.
+func (s *supervised) restartDue(now time.Time) error {
+	if s.running() {
+		select {
+		case <-s.exit.done:
+			s.command = nil
+			s.startAt = now.Add(restartPause)
+		default:
+		}
+	}
+	if s.running() || now.Before(s.startAt) {
+		return nil
+	}
+	return s.start()
+}
+
+// restartPause is the time between the end of a process and its next start.
+const restartPause = 200 * time.Millisecond
+
+// link is a relay in front of one process, with both of its directions.
+type link struct {
+	*relay
+	there, back *direction
+}
+
+func newLink(listen, target string) (*link, error) {
+	l := &link{there: &direction{}, back: &direction{}}
+	var err error
+	l.relay, err = newRelay(listen, target, l.there, l.back)
+	return l, err
+}
+
+// heal ends all faults of the link.
+func (l *link) heal() {
+	for _, d := range []*direction{l.there, l.back} {
+		d.cut.Store(false)
+		d.delay.Store(0)
+	}
+}
+
+// jobFleet is a deployment of job replicas, entries and stand-in workers. A relay
+// stands in front of each replica and of each worker.
+type jobFleet struct {
+	dir      string
+	replicas []*supervised
+	entries  []*supervised
+	control  []string
+	fronts   []string
+	workers  []*standin.Worker
+	// peers are the links to the replicas, orders those to the workers.
+	peers  []*link
+	orders []*link
+	record *standin.Record
+}
+
+// jobHost returns an address of the fleet: hosts below 100 are reached by others,
+// those from 100 on are behind a relay.
+func jobHost(network int32, host int, port string) string {
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, 1+network%250, host), port)
+}
+
+func newJobFleet(dir string, replicas, entries, workers int) (*jobFleet, error) {
+	network := fleets.Add(1)
+	f := &jobFleet{dir: dir, record: standin.NewRecord()}
+	var seeds []string
+	for i := range replicas {
+		f.control = append(f.control, jobHost(network, 10+i, jobControlPort))
+	}
+	seeds = f.control[:min(3, replicas)]
+	for i := range replicas {
+		if err := f.addReplica(network, i, seeds); err != nil {
+			return nil, err
+		}
+	}
+	for i := range entries {
+		if err := f.addEntry(network, i, seeds); err != nil {
+			return nil, err
+		}
+	}
+	for i := range workers {
+		if err := f.addWorker(network, i); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *jobFleet) addReplica(network int32, i int, seeds []string) error {
+	peer, bind := jobHost(network, 10+i, jobPeerPort), jobHost(network, 100+i, jobPeerPort)
+	l, err := newLink(peer, bind)
+	if err != nil {
+		return err
+	}
+	f.peers = append(f.peers, l)
+	name := fmt.Sprintf("jobs-%d", i+1)
+	dataDir := filepath.Join(f.dir, name)
+	p, err := newProcess(f.dir, "geranium-jobs", name, jobd.Settings{
+		Name: name, Domain: "a", Listen: f.control[i], PeerListen: peer, PeerBind: bind, Seeds: seeds, FirstStart: true,
+		DataDir: dataDir, HeartbeatMS: jobBeat.Milliseconds(), LeaseMS: jobLease.Milliseconds(), StopWithinMS: 3000,
+	})
+	if err != nil {
+		return err
+	}
+	f.replicas = append(f.replicas, &supervised{process: p, dataDir: dataDir})
+	return nil
+}
+
+func (f *jobFleet) addEntry(network int32, i int, seeds []string) error {
+	name, listen := fmt.Sprintf("entry-%d", i+1), jobHost(network, 50+i, jobEntryPort)
+	p, err := newProcess(f.dir, "geranium-entry", name, entry.Settings{
+		Name: name, Domain: "a", Listen: listen, ReadyListen: jobHost(network, 50+i, jobReadyPort),
+		PeerListen: jobHost(network, 50+i, jobPeerPort), Seeds: seeds, StopWithinMS: 2000,
+	})
+	if err != nil {
+		return err
+	}
+	f.fronts = append(f.fronts, listen)
+	f.entries = append(f.entries, &supervised{process: p})
+	return nil
+}
+
+func (f *jobFleet) addWorker(network int32, i int) error {
+	address, bind := jobHost(network, 70+i, jobWorkerPort), jobHost(network, 170+i, jobWorkerPort)
+	l, err := newLink(address, bind)
+	if err != nil {
+		return err
+	}
+	f.orders = append(f.orders, l)
+	w := standin.NewWorker(standin.Settings{
+		ID: fmt.Sprintf("i-%d", i), Listen: bind, Address: address, Control: f.control, Service: "s", MilliCPU: jobWorkerCPU,
+		Beat: jobBeat, Lease: jobLease, ClockRate: 0.98 + 0.02*float64(i%3),
+	}, f.record)
+	f.workers = append(f.workers, w)
+	return w.Start()
+}
+
+// forgetFirstStart changes the settings of the replicas as the platform does once
+// the system has started.
+func (f *jobFleet) forgetFirstStart() error {
+	for _, r := range f.replicas {
+		data, err := os.ReadFile(r.settings)
+		if err != nil {
+			return err
+		}
+		var s jobd.Settings
+		if err := json.Unmarshal(data, &s); err != nil {
+			return err
+		}
+		s.FirstStart = false
+		if data, err = json.Marshal(s); err != nil {
+			return err
+		}
+		if err := os.WriteFile(r.settings, data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *jobFleet) processes() []*supervised {
+	return append(append([]*supervised(nil), f.replicas...), f.entries...)
+}
+
+// keepLogs copies the logs to a directory that outlives the test, and returns it.
+func (f *jobFleet) keepLogs() (string, error) {
+	dir, err := os.MkdirTemp("", "geranium-soak-")
+	if err != nil {
+		return "", err
+	}
+	for _, p := range f.processes() {
+		data, err := os.ReadFile(p.logFile)
+		if err != nil {
+			return "", err
+		}
+		if err := os.WriteFile(filepath.Join(dir, filepath.Base(p.logFile)), data, 0o600); err != nil {
+			return "", err
+		}
+	}
+	return dir, nil
+}
+
+func (f *jobFleet) close() {
+	for _, p := range f.processes() {
+		if p.running() {
+			p.thaw()
+			p.kill()
+		}
+	}
+	for _, w := range f.workers {
+		w.Crash()
+	}
+	for _, l := range append(append([]*link(nil), f.peers...), f.orders...) {
+		l.close()
+	}
+}
--- a/e2e/relay_test.go
+++ b/e2e/relay_test.go
@@ -99,9 +99,15 @@
 
 func (r *relay) close() {
 	r.listener.Close()
+	r.reset()
+}
+
+// reset closes all connections.
+func (r *relay) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.conns {
 		c.Close()
 	}
+	r.conns = nil
 }
--- a/jobd/run.go
+++ b/jobd/run.go
@@ -1,6 +1,7 @@
 package jobd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,7 +30,7 @@
 	peerHandler, controlHandler := &daemon.SwitchHandler{}, &daemon.SwitchHandler{}
 	peerHandler.Set(starting)
 	controlHandler.Set(starting)
-	peers, err := daemon.Listen(ctx, s.PeerListen, peerHandler)
+	peers, err := daemon.Listen(ctx, cmp.Or(s.PeerBind, s.PeerListen), peerHandler)
 	if err != nil {
 		return err
 	}
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -19,6 +19,9 @@
 	Listen string `json:"listen"`
 	// PeerListen serves the system's own processes.
 	PeerListen string `json:"peer_listen"`
+	// PeerBind is the address to listen at in place of PeerListen where a forwarder
+	// stands at PeerListen; empty for none.
+	PeerBind string `json:"peer_bind"`
 	// MetricsListen serves metrics; empty for none.
 	MetricsListen string `json:"metrics_listen"`
 	// Seeds are the addresses of some replicas. Their port is replaced by that of
@@ -47,6 +50,9 @@
 	c.Positive("heartbeat_ms", s.HeartbeatMS)
 	c.Positive("lease_ms", s.LeaseMS)
 	c.Positive("stop_within_ms", s.StopWithinMS)
+	if s.PeerBind != "" {
+		c.Address("peer_bind", s.PeerBind)
+	}
 	if s.MetricsListen != "" {
 		c.Address("metrics_listen", s.MetricsListen)
 	}
