--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -44,7 +44,7 @@
 
 // room describes a worker for a plan.
 func (d *Dispatcher) room(w *worker) *room {
-	r := &room{w: w, free: w.free(), headroom: map[string]float64{}, idle: float64(w.Capacity.MilliCPU)}
+	r := &room{w: w, free: w.free(), idle: float64(w.Capacity.MilliCPU)}
 	for _, a := range w.attempts {
 		r.starts += bit(a.phase == phaseProposed || a.phase == phaseOrdered)
 		r.use(a.step)
@@ -56,12 +56,21 @@
 			room = d.headroom(w, a)
 		}
 		if former, known := r.headroom[a.step.Image]; !known || room < former {
-			r.headroom[a.step.Image] = room
+			r.setHeadroom(a.step.Image, room)
 		}
 	}
 	return r
 }
 
+// setHeadroom keeps the headroom of an image. Most workers of a plan are not changed
+// and many serve nothing, so the map is made when it is needed.
+func (r *room) setHeadroom(image string, room float64) {
+	if r.headroom == nil {
+		r.headroom = map[string]float64{}
+	}
+	r.headroom[image] = room
+}
+
 // use takes what a task uses from the idle processor time.
 func (r *room) use(step *jobs.Step) {
 	share := 1.0
@@ -79,7 +88,7 @@
 			d.planner.empty--
 		}
 		if _, known := r.headroom[step.Image]; !known {
-			r.headroom[step.Image] = math.Log(tailAim * float64(step.TailTarget))
+			r.setHeadroom(step.Image, math.Log(tailAim*float64(step.TailTarget)))
 		}
 	}
 	r.use(step)
