Serve short jobs before new lasting tasks

A core-second of a short job is worth about four times one of a lasting task, and short jobs leave the room again at once. Ruled out: the leader's processor (half of all jobs start within 130 ms), memory beside fillers (15% are left free). Change: within a priority come lasting tasks that have run before, then short jobs, then new lasting tasks. Lasting tasks that have waited for 1.5 s go first at a bounded rate, a fiftieth of the workers each second. Test: 4 workers, 160 lasting tasks for 16 rooms, 60 short jobs: none of them was in time before, nine of ten are now; the test of lasting tasks under a flood of short ones holds.

--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -50,6 +50,10 @@
 	blockedSince time.Duration
 	// clearedAt is when a worker was last cleared of serving tasks.
 	clearedAt time.Duration
+	// overdue is the number of overdue lasting tasks that may go before short ones,
+	// overdueAt is when it was last raised.
+	overdue   float64
+	overdueAt time.Duration
 }
 
 type avoidance struct {
@@ -106,8 +110,17 @@
 	if len(rooms) == 0 {
 		return
 	}
+	d.raiseOverdue(len(rooms))
 	full := fullness{}
+	var overdue []*waitingJob
 	for _, wj := range d.ranked() {
+		if wj.turn == turnOverdue && d.planner.overdue < 1 {
+			overdue = append(overdue, wj)
+			continue
+		}
+		d.planJob(wj, rooms, &full)
+	}
+	for _, wj := range overdue {
 		d.planJob(wj, rooms, &full)
 	}
 	switch {
@@ -118,6 +131,14 @@
 	}
 }
 
+// raiseOverdue lets overdue lasting tasks go before short ones, at a rate that keeps
+// most of the room that comes free for short ones.
+func (d *Dispatcher) raiseOverdue(rooms int) {
+	most := 1 + float64(rooms)/roomsPerReserved
+	d.planner.overdue = min(most, d.planner.overdue+most*(d.now-d.planner.overdueAt).Seconds())
+	d.planner.overdueAt = d.now
+}
+
 // room is a worker with its free capacity during one plan.
 type room struct {
 	w      *worker
@@ -245,6 +266,9 @@
 			}
 			return true
 		}
+		if wj.turn == turnOverdue {
+			d.planner.overdue = max(0, d.planner.overdue-1)
+		}
 		d.bind(t, step, r, t.Attempt+1)
 	}
 	return false
--- a/jobs/dispatch/plan_test.go
+++ b/jobs/dispatch/plan_test.go
@@ -34,6 +34,41 @@
 		Expect(w.store.Job("lasts").State).To(Equal(jobs.Running))
 	})
 
+	// Guards against short jobs that wait behind a queue of lasting ones, which take
+	// each room that comes free and keep it.
+	It("serves short jobs while more lasting tasks wait than fit", func() {
+		w := newWorld(7)
+		for range 4 {
+			w.addWorker(jobs.Resources{MilliCPU: 8000, MemoryMB: 10_000}, true)
+		}
+		w.lead()
+		lasting := jobs.Spec{Steps: []jobs.Step{{
+			Count: 4, Request: jobs.Resources{MilliCPU: 2000, MemoryMB: 10}, LongRunning: true, TailTarget: 20, Image: "s",
+		}}}
+		for i := range 40 {
+			id := fmt.Sprintf("lasting-%02d", i)
+			w.after(2*time.Second, func() { w.submit(id, lasting) })
+			w.after(time.Duration(i+8)*500*time.Millisecond, func() {
+				w.store.Apply(jobs.Command{Cancel: &jobs.Cancel{ID: id, At: w.unix()}})
+			})
+		}
+		for i := range 60 {
+			w.after(5*time.Second+time.Duration(i)*200*time.Millisecond, func() {
+				w.submit(fmt.Sprintf("short-%02d", i), jobs.Spec{Steps: []jobs.Step{{
+					Count: 1, Request: jobs.Resources{MilliCPU: 2000, MemoryMB: 10}, Estimate: 300,
+				}}})
+			})
+		}
+		w.run(19 * time.Second)
+		Expect(w.failures).To(BeEmpty())
+		done := 0
+		for _, j := range w.store.Jobs() {
+			// The objective is twice the duration and 1 s.
+			done += bit(j.Queue == "q" && j.State == jobs.Done && j.EndedAt-j.AcceptedAt <= 1600)
+		}
+		Expect(done).To(BeNumerically(">=", 54), "nine of ten short jobs in time")
+	})
+
 	// Guards against a step with a bound on tasks of one worker that waits although
 	// other workers have room.
 	It("spreads the tasks of a step with a bound", func() {
--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -31,11 +31,23 @@
 	// same time are packed well: the image, and the processor time of a task.
 	image string
 	size  int64
-	// lasting jobs run until they are cancelled. Their tasks come first: short tasks
-	// would take every gap before one is large enough.
-	lasting bool
+	turn  turn
 }
 
+// turn orders jobs of one tier and priority. A new lasting task takes its room for
+// long, and in that time the same room serves many short jobs whose objectives are
+// close; a lasting task that waits for long has room reserved instead.
+type turn int
+
+const (
+	// turnRestart: lasting tasks that have run before and are missed by their users.
+	turnRestart turn = iota
+	// turnOverdue: lasting tasks that have waited for reserveAfter.
+	turnOverdue
+	turnShort
+	turnLasting
+)
+
 // tier is what a job can still be worth.
 type tier int
 
@@ -76,6 +88,9 @@
 		}
 		if wj.service != "" {
 			wj.tier = wj.tierAt(d.unix)
+			if wj.turn == turnLasting && d.unix-wj.job.AcceptedAt >= reserveAfter.Milliseconds() {
+				wj.turn = turnOverdue
+			}
 			list = append(list, wj)
 		}
 	}
@@ -83,7 +98,7 @@
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
-			cmp.Compare(bit(!a.lasting), bit(!b.lasting)),
+			cmp.Compare(a.turn, b.turn),
 			cmp.Compare(a.image, b.image),
 			cmp.Compare(b.size, a.size),
 			cmp.Compare(a.objective, b.objective),
@@ -105,21 +120,33 @@
 	objective := int64(q.Stretch*float64(longestChain(&j.Spec))) + q.LatencyObjective
 	wj := &waitingJob{
 		job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: from + lateFactor*objective,
-		left: int64(estimateTrust * float64(chainLeft(j))),
+		left: int64(estimateTrust * float64(chainLeft(j))), turn: turnOf(j),
 	}
 	if len(j.Spec.Steps) > 0 {
-		first := &j.Spec.Steps[0]
-		wj.lasting = first.LongRunning
-		if first.TailTarget > 0 {
+		if first := &j.Spec.Steps[0]; first.TailTarget > 0 {
 			wj.image, wj.size = first.Image, first.Request.MilliCPU
 		}
 	}
-	if wj.lasting || j.Spec.Occurrences > 0 {
+	if wj.turn != turnShort || j.Spec.Occurrences > 0 {
 		wj.worthless = never
 	}
 	return wj
 }
 
+func turnOf(j *jobs.Job) turn {
+	if len(j.Spec.Steps) == 0 || !j.Spec.Steps[0].LongRunning {
+		return turnShort
+	}
+	for o := range j.Runs {
+		for i := range j.StepTasks(o, 0) {
+			if t := &j.StepTasks(o, 0)[i]; t.Attempt > 0 && t.Bound == nil {
+				return turnRestart
+			}
+		}
+	}
+	return turnLasting
+}
+
 // longestChain is the declared time of the longest chain of steps, in
 // milliseconds.
 func longestChain(s *jobs.Spec) int64 {
