Order overdue lasting tasks by their wait, not by image

New lasting jobs are ordered by image and size, so that those that come together are packed well, and a task that had lost its worker waited behind each new job whose image came first.

--- a/jobs/dispatch/plan_test.go
+++ b/jobs/dispatch/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -69,6 +70,43 @@
 		Expect(done).To(BeNumerically(">=", 54), "nine of ten short jobs in time")
 	})
 
+	// Guards against a lasting task that has lost its worker and waits behind new ones,
+	// which come first by their images as long as they come.
+	It("restarts a lasting task before new ones start", func() {
+		w := newWorld(7)
+		w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 10_000}, true)
+		w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 10_000}, true)
+		w.lead()
+		lasting := func(image string) jobs.Spec {
+			return jobs.Spec{Steps: []jobs.Step{{
+				Count: 1, Request: jobs.Resources{MilliCPU: 2000, MemoryMB: 10}, LongRunning: true, TailTarget: 20, Image: image,
+			}}}
+		}
+		w.run(2 * time.Second)
+		w.submit("first", lasting("z"))
+		w.submit("second", lasting("z"))
+		for i := range 120 {
+			id := fmt.Sprintf("new-%02d", i)
+			w.after(time.Second+time.Duration(i)*100*time.Millisecond, func() { w.submit(id, lasting("a")) })
+			w.after(time.Duration(i+30)*100*time.Millisecond, func() {
+				w.store.Apply(jobs.Command{Cancel: &jobs.Cancel{ID: id, At: w.unix()}})
+			})
+		}
+		w.run(4 * time.Second)
+		for _, t := range w.workers {
+			if t.running[jobs.TaskKey{Job: "first"}] != nil {
+				t.crash(20 * time.Second)
+			}
+		}
+		w.run(4*time.Second + testLease + 2*time.Second)
+		Expect(w.failures).To(BeEmpty())
+		for _, id := range []string{"first", "second"} {
+			key := jobs.TaskKey{Job: id}
+			runs := slices.ContainsFunc(w.workers, func(t *testWorker) bool { return t.running[key] != nil })
+			Expect(runs).To(BeTrue(), "%s runs again", id)
+		}
+	})
+
 	// Guards against a step with a bound on tasks of one worker that waits although
 	// other workers have room.
 	It("spreads the tasks of a step with a bound", func() {
--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -27,8 +27,9 @@
 	// left is the least time that the job still takes, in milliseconds.
 	left int64
 	tier tier
-	// image and size order jobs with serving tasks, so that those that come at the
-	// same time are packed well: the image, and the processor time of a task.
+	// image and size order new jobs with serving tasks, so that those that come at the
+	// same time are packed well: the image, and the processor time of a task. Overdue
+	// ones have none: the images that come first would keep the others waiting.
 	image string
 	size  int64
 	turn  turn
@@ -90,6 +91,7 @@
 			wj.tier = wj.tierAt(d.unix)
 			if wj.turn == turnLasting && d.unix-wj.job.AcceptedAt >= reserveAfter.Milliseconds() {
 				wj.turn = turnOverdue
+				wj.image, wj.size = "", 0
 			}
 			list = append(list, wj)
 		}
@@ -123,7 +125,7 @@
 		left: int64(estimateTrust * float64(chainLeft(j))), turn: turnOf(j),
 	}
 	if len(j.Spec.Steps) > 0 {
-		if first := &j.Spec.Steps[0]; first.TailTarget > 0 {
+		if first := &j.Spec.Steps[0]; first.TailTarget > 0 && wj.turn != turnRestart {
 			wj.image, wj.size = first.Image, first.Request.MilliCPU
 		}
 	}
