Serve short jobs before restarts of lasting tasks

Lasting tasks fill 92% of the processors there, 265 workers are replaced one after the other, and their restarts, about 35 tasks a second, took all room that came free. Change: restarts go after short jobs too, and before new lasting tasks; those that have waited for 1.5 s go first at the bounded rate.

--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -33,6 +33,8 @@
 	image string
 	size  int64
 	turn  turn
+	// since is the Unix time in milliseconds from which on a lasting job waits.
+	since int64
 }
 
 // turn orders jobs of one tier and priority. A new lasting task takes its room for
@@ -41,11 +43,11 @@
 type turn int
 
 const (
-	// turnRestart: lasting tasks that have run before and are missed by their users.
-	turnRestart turn = iota
 	// turnOverdue: lasting tasks that have waited for reserveAfter.
-	turnOverdue
+	turnOverdue turn = iota
 	turnShort
+	// turnRestart: lasting tasks that have run before and are missed by their users.
+	turnRestart
 	turnLasting
 )
 
@@ -89,7 +91,7 @@
 		}
 		if wj.service != "" {
 			wj.tier = wj.tierAt(d.unix)
-			if wj.turn == turnLasting && d.unix-wj.job.AcceptedAt >= reserveAfter.Milliseconds() {
+			if wj.turn > turnShort && d.unix-wj.since >= reserveAfter.Milliseconds() {
 				wj.turn = turnOverdue
 				wj.image, wj.size = "", 0
 			}
@@ -122,8 +124,9 @@
 	objective := int64(q.Stretch*float64(longestChain(&j.Spec))) + q.LatencyObjective
 	wj := &waitingJob{
 		job: j, priority: q.Priority, service: q.Service, objective: from + objective, worthless: from + lateFactor*objective,
-		left: int64(estimateTrust * float64(chainLeft(j))), turn: turnOf(j),
+		left: int64(estimateTrust * float64(chainLeft(j))),
 	}
+	wj.turn, wj.since = turnOf(j)
 	if len(j.Spec.Steps) > 0 {
 		if first := &j.Spec.Steps[0]; first.TailTarget > 0 && wj.turn != turnRestart {
 			wj.image, wj.size = first.Image, first.Request.MilliCPU
@@ -135,18 +138,21 @@
 	return wj
 }
 
-func turnOf(j *jobs.Job) turn {
+// turnOf returns the turn of a job and since when it waits.
+func turnOf(j *jobs.Job) (turn, int64) {
 	if len(j.Spec.Steps) == 0 || !j.Spec.Steps[0].LongRunning {
-		return turnShort
+		return turnShort, j.AcceptedAt
 	}
+	of, since := turnLasting, j.AcceptedAt
 	for o := range j.Runs {
 		for i := range j.StepTasks(o, 0) {
-			if t := &j.StepTasks(o, 0)[i]; t.Attempt > 0 && t.Bound == nil {
-				return turnRestart
+			t := &j.StepTasks(o, 0)[i]
+			if t.Attempt > 0 && t.Bound == nil && (of == turnLasting || t.EndedAt < since) {
+				of, since = turnRestart, t.EndedAt
 			}
 		}
 	}
-	return turnLasting
+	return of, since
 }
 
 // longestChain is the declared time of the longest chain of steps, in
