--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -45,7 +46,7 @@
 	answered func(dispatch.Reply)
 
 	carriers map[string]*carrier
-	// usable are the addresses of the carriers that answer, by domain and in all.
+	// usable are the carriers that answer, by address.
 	usable  []Carrier
 	waiting map[uint64]*sent
 	nextID  uint64
@@ -98,17 +99,7 @@
 			s.usable = append(s.usable, c)
 		}
 	}
-	slices.SortFunc(s.usable, func(a, b Carrier) int { return compareAddresses(a.Address, b.Address) })
-}
-
-func compareAddresses(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	slices.SortFunc(s.usable, func(a, b Carrier) int { return cmp.Compare(a.Address, b.Address) })
 }
 
 // Send gives an order to a carrier, in the worker's domain if there is one. It
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -17,6 +17,9 @@
 	reserveAfter = 1500 * time.Millisecond
 	// roomsPerReserved bounds the workers that are kept free.
 	roomsPerReserved = 50
+	// roomsPerOverdue is the number of workers for each overdue lasting task that goes
+	// before short ones in a second.
+	roomsPerOverdue = 50
 	// gatherTime is how long jobs with serving tasks wait for others, with which they
 	// are packed together.
 	gatherTime = 250 * time.Millisecond
@@ -134,7 +137,7 @@
 // raiseOverdue lets overdue lasting tasks go before short ones, at a rate that keeps
 // most of the room that comes free for short ones.
 func (d *Dispatcher) raiseOverdue(rooms int) {
-	most := 1 + float64(rooms)/roomsPerReserved
+	most := 1 + float64(rooms)/roomsPerOverdue
 	d.planner.overdue = min(most, d.planner.overdue+most*(d.now-d.planner.overdueAt).Seconds())
 	d.planner.overdueAt = d.now
 }
--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -51,6 +51,9 @@
 	turnLasting
 )
 
+// lasting reports whether the job runs until it is cancelled.
+func (wj *waitingJob) lasting() bool { return wj.turn != turnShort }
+
 // tier is what a job can still be worth.
 type tier int
 
@@ -91,7 +94,7 @@
 		}
 		if wj.service != "" {
 			wj.tier = wj.tierAt(d.unix)
-			if wj.turn > turnShort && d.unix-wj.since >= reserveAfter.Milliseconds() {
+			if wj.lasting() && d.unix-wj.since >= reserveAfter.Milliseconds() {
 				wj.turn = turnOverdue
 				wj.image, wj.size = "", 0
 			}
@@ -132,7 +135,7 @@
 			wj.image, wj.size = first.Image, first.Request.MilliCPU
 		}
 	}
-	if wj.turn != turnShort || j.Spec.Occurrences > 0 {
+	if wj.lasting() || j.Spec.Occurrences > 0 {
 		wj.worthless = never
 	}
 	return wj
