Allow for answers that overtake each other before a worker counts as restarted

Their tasks were inherited anew and starts on their way were refused. Change: the clock must be 300 ms behind; a life that begins anew is further back.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -24,6 +24,9 @@
 	slowestClockRate = 0.97
 	fastestClockRate = 1.03
 	leaseMargin      = 150 * time.Millisecond
+	// restartMargin is how far a worker's clock must be behind to show that it began
+	// anew. Answers overtake each other and readings are whole milliseconds.
+	restartMargin = 300 * time.Millisecond
 	// holdWait is how long a worker may wait for an end before it answers.
 	holdWait = time.Second
 	// holdWaitShared is the wait where fillers run beside serving tasks, whose
--- a/jobs/dispatch/ends_test.go
+++ b/jobs/dispatch/ends_test.go
@@ -117,4 +117,23 @@
 		Expect(d.workers[t.id].lastSeen).To(BeZero())
 		Expect(d.workers[t.id].fence).To(BeNumerically(">", former.fence))
 	})
+
+	// Guards against a life that is given up since the answer to a start overtakes that
+	// to a hold which the worker has given before.
+	It("stay with a life whose answers overtake each other", func() {
+		w := newWorld(7)
+		t := w.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		d := w.lead()
+		w.run(2 * time.Second)
+		on := d.workers[t.id]
+		sent := d.now
+		for _, clock := range []int64{t.clock(), t.clock() - 1} {
+			d.Answered(Reply{
+				Order: Order{on: on, Stop: &Stop{Task: jobs.TaskKey{Job: "j"}, Attempt: 1}}, Verdict: Accepted, Clock: clock,
+				SentAt: sent, ReceivedAt: sent + 400*time.Microsecond,
+			})
+		}
+		Expect(on.gone).To(BeFalse())
+		Expect(d.workers[t.id]).To(BeIdenticalTo(on))
+	})
 })
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -14,7 +14,7 @@
 	}
 	switch {
 	case w.gone || r.Clock == 0 || r.Born != 0 && r.Born != w.Born:
-	case r.Clock < w.minClock(r.SentAt):
+	case r.Clock < w.minClock(r.SentAt)-restartMargin.Milliseconds():
 		// Only lists say when the process was started, but its clock begins anew.
 		d.note("worker restarted under its id", w, nil, "")
 		d.otherLife(w, r)
