dispatch: register workers in the log, so that a new leader uses them at once

Change: the leader records each worker in the log, with its state; draining and leaving are acknowledged once that is committed. Lost workers are removed.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -159,7 +159,7 @@
 		options := dispatch.Options{
 			WorkerLease: m.settings.lease(), HeartbeatInterval: m.settings.heartbeat(), PreviousLeaderLease: replicate.LeaseTerm(),
 		}
-		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now()) //nolint:gosec // terms stay far below the limit
+		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now(), time.Now().UnixMilli()) //nolint:gosec // terms stay far below the limit
 		m.sender = m.newSender()
 		m.log.Info().Uint64("term", term).Msg("dispatch started")
 	}
--- a/jobd/service.go
+++ b/jobd/service.go
@@ -227,7 +227,16 @@
 	})
 }
 
-// Heartbeat implements WorkerService.
+// unresolvedUnless returns errUnresolved unless a command was committed.
+func unresolvedUnless(ok bool) error {
+	if ok {
+		return nil
+	}
+	return errUnresolved
+}
+
+// Heartbeat implements WorkerService. A worker that drains gets its answer once the log
+// records it.
 func (s *Server) Heartbeat(ctx context.Context, h dispatch.Heartbeat) (string, error) {
 	return callManager(ctx, s, func(m *manager, done func(string, error)) {
 		if err := m.checkLeader(); err != nil {
@@ -236,7 +245,7 @@
 		}
 		m.dispatcher.Advance(m.now(), time.Now().UnixMilli())
 		m.dispatcher.HandleHeartbeat(h)
-		done(m.settings.Listen, nil)
+		m.dispatcher.OnDrainRecorded(h.Worker, func(ok bool) { done(m.settings.Listen, unresolvedUnless(ok)) })
 		m.handleEvent()
 	})
 }
@@ -249,8 +258,7 @@
 			return
 		}
 		m.dispatcher.Advance(m.now(), time.Now().UnixMilli())
-		m.dispatcher.Deregister(id)
-		done(struct{}{}, nil)
+		m.dispatcher.Deregister(id, func(ok bool) { done(struct{}{}, unresolvedUnless(ok)) })
 		m.handleEvent()
 	})
 	return err
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -14,6 +14,10 @@
 	End           *End           `json:"end,omitempty"`
 	Prune         *Prune         `json:"prune,omitempty"`
 	RecordEffects *RecordEffects `json:"learn,omitempty"`
+	// RegisterWorker and RemoveWorker are ignored by versions that do not know them. The
+	// leader registers each worker anew that it finds unregistered.
+	RegisterWorker *RegisterWorker `json:"reg,omitempty"`
+	RemoveWorker   *RemoveWorker   `json:"unreg,omitempty"`
 }
 
 // Task returns the task that the command refers to, or the zero key if it does not
--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -18,7 +18,7 @@
 			Count: serving, LongRunning: true, LatencyTargetMS: 18, Image: fmt.Sprint("s", i%5), Request: jobs.Resources{MilliCPU: 6000, MemoryMB: 13000},
 		}}})
 	}
-	d := New(Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, PreviousLeaderLease: testPreviousLeaderLease}, sim.store, 1, 0)
+	d := New(Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, PreviousLeaderLease: testPreviousLeaderLease}, sim.store, 1, 0, sim.unix())
 	apply := func() {
 		for {
 			commands, _, _ := d.TakeOutput()
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -98,6 +98,9 @@
 	// orphans are attempts inherited from earlier leaders whose worker has not reported
 	// to this leader yet.
 	orphans map[jobs.TaskKey]*attempt
+	// orphansOf are the keys of the orphans by the id of the worker that they were bound
+	// to. It may name orphans that have ended.
+	orphansOf map[string][]jobs.TaskKey
 	// proposedBinds are the attempts whose binding is not committed yet.
 	proposedBinds map[jobs.TaskKey]*attempt
 	// proposedLateEnds are the tasks with a late end that is not committed yet: the end
@@ -144,21 +147,23 @@
 const incarnationsPerTerm = 1 << 20
 
 // New returns the dispatcher of a new leader. The term must be higher than the term of
-// every earlier leader.
-func New(options Options, store *jobs.Store, term int64, now time.Duration) *Dispatcher {
+// every earlier leader. now and unix have the meaning that they have for Advance.
+func New(options Options, store *jobs.Store, term int64, now time.Duration, unix int64) *Dispatcher {
 	d := &Dispatcher{
-		options: options, store: store, fence: term * incarnationsPerTerm, leaderSince: now, now: now,
-		workers: map[string]*worker{}, incarnations: map[string]int64{}, orphans: map[jobs.TaskKey]*attempt{},
+		options: options, store: store, fence: term * incarnationsPerTerm, leaderSince: now, now: now, unixMS: unix,
+		workers: map[string]*worker{}, incarnations: map[string]int64{}, orphans: map[jobs.TaskKey]*attempt{}, orphansOf: map[string][]jobs.TaskKey{},
 		proposedBinds: map[jobs.TaskKey]*attempt{}, proposedLateEnds: map[jobs.TaskKey]bool{}, model: interference.NewContention(),
 		effectCache: map[imagePair]float64{}, fillerImages: map[string]bool{},
 	}
 	d.planner.init(store)
 	d.loadEffects(store.Effects())
-	store.BoundWorkers(func(_ jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
+	store.BoundWorkers(func(worker jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
 		for _, t := range tasks {
 			d.orphans[t.Key] = d.newInheritedAttempt(t)
+			d.orphansOf[worker.Worker] = append(d.orphansOf[worker.Worker], t.Key)
 		}
 	})
+	d.restoreWorkers()
 	return d
 }
 
@@ -236,9 +241,10 @@
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
 		}
 		w.Heartbeat, w.heartbeatAt = h, d.now
-		w.updateClock(h.ClockMS, d.now)
+		d.updateClock(w, h.ClockMS, d.now)
 	}
 	w.deregistered = false
+	d.register(w)
 	d.pollUnconfirmed(w)
 }
 
@@ -249,7 +255,7 @@
 	d.incarnations[h.Worker]++
 	w := newWorker(h, d.fence+d.incarnations[h.Worker], d.now)
 	// An earlier leader may have granted leases until its own lease expired.
-	w.leaseEnd = w.clock + (d.options.PreviousLeaderLease + d.options.WorkerLease).Milliseconds()
+	w.leaseEnd = w.clock + d.inheritedLease().Milliseconds()
 	d.workers[h.Worker] = w
 	d.addLogEvent("worker registered", w, nil, h.HostPort)
 	if old != nil {
@@ -258,13 +264,14 @@
 			d.moveToIncarnation(a, w)
 		}
 	}
-	for key, a := range d.orphans {
-		if t := d.currentTask(a); t != nil && t.BoundTo.Worker == h.Worker {
+	for _, key := range d.orphansOf[h.Worker] {
+		if a := d.orphans[key]; a != nil && d.currentTask(a) != nil {
 			delete(d.orphans, key)
 			a.worker = w
 			w.attempts[key] = a
 		}
 	}
+	delete(d.orphansOf, h.Worker)
 	return w
 }
 
@@ -288,12 +295,17 @@
 
 // Deregister marks a worker as deregistered. It gets no new tasks. Its attempts are
 // abandoned once its lease has expired, another process answers at its address, or the
-// address refuses connections.
-func (d *Dispatcher) Deregister(id string) {
-	if w := d.workers[id]; w != nil {
-		w.deregistered = true
-		d.addLogEvent("worker deregistered", w, nil, "")
+// address refuses connections. done is called with true once the log records that the
+// worker has left, so that no later leader uses it.
+func (d *Dispatcher) Deregister(id string, done func(ok bool)) {
+	w := d.workers[id]
+	if w == nil {
+		done(true)
+		return
 	}
+	w.deregistered = true
+	d.addLogEvent("worker deregistered", w, nil, "")
+	d.removeRegistration(w.incarnation(), done)
 }
 
 func (d *Dispatcher) sendHold(w *worker) {
@@ -337,6 +349,7 @@
 		d.tickWorker(w)
 		if w.terminated && len(w.attempts) == 0 {
 			delete(d.workers, id)
+			d.removeRegistration(w.incarnation(), func(bool) {})
 		}
 	}
 	d.expireOrphans()
@@ -354,7 +367,7 @@
 	if w.terminated {
 		return
 	}
-	if w.unresponsive && w.leaseExpired(d.now) {
+	if w.unresponsive && d.leaseExpired(w) {
 		d.expireLease(w)
 	}
 	if !w.holdInFlight && d.now >= w.nextHoldAt && (len(w.attempts) > 0 || len(w.unexpected) > 0 || !w.fenceConfirmed) {
@@ -426,8 +439,7 @@
 // not reported to this one. It waits until the last lease that an earlier leader may
 // have granted has expired by the slowest clock.
 func (d *Dispatcher) expireOrphans() {
-	wait := time.Duration(float64(d.options.PreviousLeaderLease+d.options.WorkerLease)/slowestClockRate) + leaseMargin
-	if len(d.orphans) == 0 || d.now-d.leaderSince < wait {
+	if len(d.orphans) == 0 || !d.inheritedLeaseExpired() {
 		return
 	}
 	for key, a := range d.orphans {
--- /dev/null
+++ b/jobs/dispatch/registry.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+// registration is the progress of recording a worker in the log.
+type registration struct {
+	// proposed is set while a record of the worker is proposed but not committed yet.
+	proposed bool
+	// waiters are called once the record in the log is current, or with false if it may
+	// not be.
+	waiters []func(ok bool)
+}
+
+// restoreWorkers registers the workers that earlier leaders recorded, and polls them
+// over a time in proportion to the fleet. They get tasks once they have answered.
+func (d *Dispatcher) restoreWorkers() {
+	for i, recorded := range d.store.Workers() {
+		h := Heartbeat{
+			Worker: recorded.Worker, HostPort: recorded.HostPort, Service: recorded.Service, Domain: recorded.Domain,
+			Draining: recorded.Draining, Capacity: recorded.Capacity, Labels: recorded.Labels, StartedAtMS: recorded.StartedAtMS,
+		}
+		if recorded.Draining {
+			h.Remaining = time.Duration(max(0, recorded.DrainedAt-d.unixMS)) * time.Millisecond
+		}
+		w := d.newIncarnation(nil, h)
+		w.nextHoldAt = d.now + holdDelayPerWorker*time.Duration(i)
+	}
+}
+
+// record returns the registration of the worker as of its latest heartbeat.
+func (w *worker) record(unixMS int64) *jobs.Worker {
+	r := &jobs.Worker{
+		Incarnation: w.incarnation(), HostPort: w.HostPort, Service: w.Service, Domain: w.Domain, Capacity: w.Capacity,
+		Labels: w.Labels, Draining: w.Draining,
+	}
+	if w.Draining {
+		r.DrainedAt = unixMS + w.Remaining.Milliseconds()
+	}
+	return r
+}
+
+// register proposes the registration of a worker unless the log has it already.
+func (d *Dispatcher) register(w *worker) {
+	if w.registration.proposed {
+		return
+	}
+	record := w.record(d.unixMS)
+	if current := d.store.Worker(w.Worker); current != nil && current.Same(record) {
+		w.completeRegistration(true)
+		return
+	}
+	w.registration.proposed = true
+	command := jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: *record}}
+	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) {
+		w.registration.proposed = false
+		if !ok || w.terminated || w.deregistered {
+			w.completeRegistration(false)
+			return
+		}
+		d.register(w)
+	}})
+}
+
+func (w *worker) completeRegistration(ok bool) {
+	waiters := w.registration.waiters
+	w.registration.waiters = nil
+	for _, done := range waiters {
+		done(ok)
+	}
+}
+
+// OnDrainRecorded calls done once the log records that the worker is draining, so that
+// no later leader uses it, or with false if it may not. For a worker that is not
+// draining it calls done at once.
+func (d *Dispatcher) OnDrainRecorded(id string, done func(ok bool)) {
+	w := d.workers[id]
+	if w == nil || !w.Draining {
+		done(true)
+		return
+	}
+	w.registration.waiters = append(w.registration.waiters, done)
+	d.register(w)
+}
+
+// removeRegistration proposes to delete the registration of a worker that has left or is
+// lost. done is called with the outcome.
+func (d *Dispatcher) removeRegistration(worker jobs.Incarnation, done func(ok bool)) {
+	if d.store.Worker(worker.Worker) == nil {
+		done(true)
+		return
+	}
+	command := jobs.Command{RemoveWorker: &jobs.RemoveWorker{Worker: worker}}
+	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) { done(ok) }})
+}
+
+// updateClock records a reading of a worker's clock. The first reading of a worker that
+// was restored from the log also bounds the lease that an earlier leader may have granted.
+func (d *Dispatcher) updateClock(w *worker, clock int64, at time.Duration) {
+	first := w.clock == 0
+	w.updateClock(clock, at)
+	if first && w.clock != 0 {
+		w.leaseEnd = max(w.leaseEnd, w.clock+d.inheritedLease().Milliseconds())
+	}
+}
+
+// inheritedLease returns the longest lease that an earlier leader may have granted, from
+// the start of this leader.
+func (d *Dispatcher) inheritedLease() time.Duration {
+	return d.options.PreviousLeaderLease + d.options.WorkerLease
+}
+
+// inheritedLeaseExpired reports whether every lease that an earlier leader may have granted
+// has expired by the slowest clock.
+func (d *Dispatcher) inheritedLeaseExpired() bool {
+	wait := time.Duration(float64(d.inheritedLease())/slowestClockRate) + leaseMargin
+	return d.now-d.leaderSince >= wait
+}
+
+// leaseExpired reports whether the lease of a worker is certain to have expired. This
+// leader grants none before the worker's first answer, which tells its clock.
+func (d *Dispatcher) leaseExpired(w *worker) bool {
+	if w.clock == 0 {
+		return d.inheritedLeaseExpired()
+	}
+	return w.leaseExpired(d.now)
+}
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -80,7 +80,7 @@
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
 	options := Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, PreviousLeaderLease: testPreviousLeaderLease}
-	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now)
+	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
 	sim.leaders = append(sim.leaders, d)
 	sim.tick(d)
 	return d
@@ -233,6 +233,8 @@
 	hung        bool
 	// ordersBlocked drops all orders to the worker, while its heartbeats still arrive.
 	ordersBlocked bool
+	// heartbeatsBlocked drops the heartbeats of the worker, while orders still arrive.
+	heartbeatsBlocked bool
 	// tail is the usage that all tasks report.
 	tail float64
 	// usage returns the usage that a task reports, in place of tail.
@@ -285,7 +287,7 @@
 
 func (t *simWorker) sendHeartbeat() {
 	t.sim.schedule(testHeartbeatInterval, t.sendHeartbeat)
-	if !t.up || t.partitioned {
+	if !t.up || t.partitioned || t.heartbeatsBlocked {
 		return
 	}
 	t.sequence++
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -37,9 +37,10 @@
 	nextSweepAt time.Duration
 	attempts    map[jobs.TaskKey]*attempt
 	// unexpected are attempts that run on the worker without being bound to it.
-	unexpected map[attemptKey]*unexpectedAttempt
-	health     health
-	colocation colocation
+	unexpected   map[attemptKey]*unexpectedAttempt
+	health       health
+	colocation   colocation
+	registration registration
 }
 
 type attemptKey struct {
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -15,6 +15,8 @@
 	// boundTasks are the tasks with a current attempt, by worker.
 	boundTasks map[Incarnation]map[TaskKey]*Task
 	effects    []Effect
+	// workers are the registered workers, by id.
+	workers map[string]*Worker
 	// changed are the jobs whose waiting tasks may have changed since the last call of
 	// TakeChanged.
 	changed map[string]bool
@@ -22,7 +24,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{jobs: map[string]*Job{}, boundTasks: map[Incarnation]map[TaskKey]*Task{}, changed: map[string]bool{}}
+	return &Store{jobs: map[string]*Job{}, boundTasks: map[Incarnation]map[TaskKey]*Task{}, workers: map[string]*Worker{}, changed: map[string]bool{}}
 }
 
 // Result is the effect of a command.
@@ -51,6 +53,10 @@
 		return Result{Applied: true}
 	case c.Prune != nil:
 		return s.prune(c.Prune)
+	case c.RegisterWorker != nil:
+		return s.registerWorker(c.RegisterWorker)
+	case c.RemoveWorker != nil:
+		return s.removeWorker(c.RemoveWorker)
 	}
 	return Result{}
 }
@@ -286,14 +292,15 @@
 
 // snapshot is the serialized form of a Store.
 type snapshot struct {
-	Config  *Config  `json:"config"`
-	Jobs    []*Job   `json:"jobs"`
-	Effects []Effect `json:"effects,omitempty"`
+	Config  *Config   `json:"config"`
+	Jobs    []*Job    `json:"jobs"`
+	Effects []Effect  `json:"effects,omitempty"`
+	Workers []*Worker `json:"workers,omitempty"`
 }
 
 // Snapshot serializes the whole state.
 func (s *Store) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(snapshot{s.config, s.order, s.effects})
+	data, err := json.Marshal(snapshot{s.config, s.order, s.effects, s.Workers()})
 	if err != nil {
 		return nil, fmt.Errorf("encode the job state: %w", err)
 	}
@@ -308,6 +315,9 @@
 	}
 	s := NewStore()
 	s.config, s.effects = decoded.Config, decoded.Effects
+	for _, w := range decoded.Workers {
+		s.workers[w.Worker] = w
+	}
 	for _, j := range decoded.Jobs {
 		s.insert(j)
 		j.countRemainingRuns()
--- /dev/null
+++ b/jobs/worker.go
@@ -0,0 +1,69 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Worker is the registration of a worker. It lets a new leader use the worker without
+// waiting for its next heartbeat.
+type Worker struct {
+	Incarnation
+	HostPort string    `json:"addr"`
+	Service  string    `json:"service"`
+	Domain   string    `json:"domain,omitempty"`
+	Capacity Resources `json:"capacity"`
+	Labels   []string  `json:"labels,omitempty"`
+	// Draining is set for a worker that is about to shut down. DrainedAt is the Unix time
+	// in milliseconds until which it works at least.
+	Draining  bool  `json:"draining,omitempty"`
+	DrainedAt int64 `json:"drained_at,omitempty"`
+}
+
+// Same reports whether both registrations describe the same worker in the same state.
+func (w *Worker) Same(o *Worker) bool {
+	return w.Incarnation == o.Incarnation && w.HostPort == o.HostPort && w.Service == o.Service && w.Domain == o.Domain &&
+		w.Capacity == o.Capacity && w.Draining == o.Draining && slices.Equal(w.Labels, o.Labels)
+}
+
+// RegisterWorker records a worker or its new state.
+type RegisterWorker struct {
+	Worker Worker `json:"w"`
+}
+
+// RemoveWorker deletes the registration of a worker that has left or is lost. A later
+// incarnation under the same id stays registered.
+type RemoveWorker struct {
+	Worker Incarnation `json:"w"`
+}
+
+func (s *Store) registerWorker(c *RegisterWorker) Result {
+	if current := s.workers[c.Worker.Worker]; current != nil && current.StartedAtMS > c.Worker.StartedAtMS {
+		return Result{}
+	}
+	w := c.Worker
+	s.workers[w.Worker] = &w
+	return Result{Applied: true}
+}
+
+func (s *Store) removeWorker(c *RemoveWorker) Result {
+	current := s.workers[c.Worker.Worker]
+	if current == nil || current.StartedAtMS > c.Worker.StartedAtMS {
+		return Result{}
+	}
+	delete(s.workers, c.Worker.Worker)
+	return Result{Applied: true}
+}
+
+// Worker returns the registration of a worker id, or nil. The result must not be modified.
+func (s *Store) Worker(id string) *Worker { return s.workers[id] }
+
+// Workers returns the registered workers, sorted by id. The result must not be modified.
+func (s *Store) Workers() []*Worker {
+	list := make([]*Worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *Worker) int { return cmp.Compare(a.Worker, b.Worker) })
+	return list
+}
