delivery: drop orders that a paused process would send after the lease

Cause: a carrier that was paused after it had received a batch sent starts, stops and holds of a leader that had lost its lease meanwhile, and so did the leader's own goroutines after a pause. The fencing token of the worker makes that harmless only where the next leader has reached the worker. Change: orders carry the end of the leader's lease as a reading of the carrier's clock, which the leader takes from the carrier's last answer (at most 1 s old) with a bound on the rate; both clocks count suspensions. Whoever is late reports the order as not sent (Expired). Replicas of the former version answer without a clock and get no limit. Result: TestExpiredOrders (leader paused, carrier paused) and TestCarrierClock pass; without the check the paused processes call the worker.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -61,13 +61,29 @@
 	return r
 }
 
+// fakeClock is a clock that a test can advance, as a suspension of the machine does.
+type fakeClock struct{ offset atomic.Int64 }
+
+func newFakeClock(at time.Duration) *fakeClock {
+	c := &fakeClock{}
+	c.offset.Store(int64(at))
+	return c
+}
+
+func (c *fakeClock) read() time.Duration { return time.Duration(c.offset.Load()) }
+
+func (c *fakeClock) advance(d time.Duration) { c.offset.Add(int64(d)) }
+
 // fixture is a leader with carriers in the same process. It records the replies.
 type fixture struct {
 	*controlThread
 	sender  *Sender
 	workers *fakeWorkers
-	mu      sync.Mutex
-	replies []dispatch.Reply
+	// leaderBoot and carrierBoot are the clocks of the leader and of the carriers.
+	leaderBoot, carrierBoot *fakeClock
+	leaseEnd                time.Duration
+	mu                      sync.Mutex
+	replies                 []dispatch.Reply
 }
 
 func (f *fixture) received() []dispatch.Reply {
@@ -78,7 +94,7 @@
 
 func (f *fixture) startCarrier(t *testing.T) (*httptest.Server, string) {
 	s := httptest.NewUnstartedServer(nil)
-	s.Config = transport.NewServer(deliverypb.NewCarrierServer(NewReceiver(f.workers, transport.NewClient(transport.ClientOptions{}), zerolog.Nop())))
+	s.Config = transport.NewServer(deliverypb.NewCarrierServer(NewReceiver(f.workers, transport.NewClient(transport.ClientOptions{}), f.carrierBoot.read, zerolog.Nop())))
 	s.Start()
 	t.Cleanup(s.Close)
 	return s, strings.TrimPrefix(s.URL, "http://")
@@ -91,13 +107,14 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{controlThread: newControlThread(t), workers: &fakeWorkers{reply: dispatch.Reply{Status: dispatch.Accepted, ClockMS: 7}}}
+	f := &fixture{controlThread: newControlThread(t), leaderBoot: newFakeClock(time.Hour), carrierBoot: newFakeClock(time.Minute), leaseEnd: 2 * time.Hour, workers: &fakeWorkers{reply: dispatch.Reply{Status: dispatch.Accepted, ClockMS: 7}}}
 	leader := httptest.NewServer(deliverypb.NewLeaderServer(f))
 	t.Cleanup(leader.Close)
 	start := time.Now()
 	f.sender = NewSender(SenderOptions{
 		Term: 3, Address: strings.TrimPrefix(leader.URL, "http://"), Client: transport.NewClient(transport.ClientOptions{}),
 		Post: f.post, Now: func() time.Duration { return time.Second + time.Since(start) }, Log: zerolog.Nop(),
+		Boot: f.leaderBoot.read, LeaseEnd: func() time.Duration { return f.leaseEnd },
 		OnReply: func(r dispatch.Reply) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -201,3 +218,56 @@
 	g.Expect(f.received()[0].Status).To(Equal(dispatch.Unknown))
 	f.runAndWait(func() { g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeFalse(), "the failed carrier is not used") })
 }
+
+// TestExpiredOrders guards against orders that a paused process sends after the leader's
+// lease has ended, when another leader may act already.
+func TestExpiredOrders(t *testing.T) {
+	const lease = 400 * time.Millisecond
+	for name, pause := range map[string]func(*fixture){
+		"leader paused before it sends":     func(f *fixture) { f.leaderBoot.advance(lease) },
+		"carrier paused before it receives": func(f *fixture) { f.carrierBoot.advance(lease) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t)
+			_, address := f.startCarrier(t)
+			f.leaseEnd = f.leaderBoot.read() + lease
+			f.runAndWait(func() {
+				f.sender.SetCarriers([]Carrier{{Address: address, Domain: "a"}})
+				g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+			})
+			g.Eventually(f.received, "2s").Should(HaveLen(1))
+			g.Expect(f.received()[0].Status).To(Equal(dispatch.Accepted), "within the lease")
+			f.runAndWait(func() {
+				g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+				pause(f)
+			})
+			g.Eventually(f.received, "2s").Should(HaveLen(2))
+			g.Expect(f.received()[1].Status).To(Equal(dispatch.Expired))
+			g.Expect(f.workers.calls.Load()).To(BeEquivalentTo(1))
+		})
+	}
+}
+
+// TestCarrierClock guards against orders that expire on a carrier later than the leader's
+// lease, and against orders that expire at once after a time without any.
+func TestCarrierClock(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	_, address := f.startCarrier(t)
+	f.runAndWait(func() { f.sender.SetCarriers([]Carrier{{Address: address, Domain: "a"}}) })
+	for i := range 3 {
+		f.runAndWait(func() {
+			f.leaderBoot.advance(time.Minute)
+			f.carrierBoot.advance(59 * time.Second)
+			f.leaseEnd = f.leaderBoot.read() + 300*time.Millisecond
+			g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+		})
+		g.Eventually(f.received, "2s").Should(HaveLen(i + 1))
+		g.Expect(f.received()[i].Status).To(Equal(dispatch.Accepted))
+	}
+	c := carrierClock{reading: 5000, readAt: time.Second, known: true}
+	g.Expect(c.expiry(1100*time.Millisecond, 1400*time.Millisecond)).To(BeNumerically("<=", 5400))
+	old := carrierClock{known: true}
+	g.Expect(old.expiry(time.Second, 2*time.Second)).To(BeZero(), "a carrier without a clock")
+}
--- a/delivery/receiver.go
+++ b/delivery/receiver.go
@@ -28,6 +28,7 @@
 type Receiver struct {
 	workers WorkerClient
 	client  *http.Client
+	boot    func() time.Duration
 	log     zerolog.Logger
 
 	mu      sync.Mutex
@@ -41,9 +42,10 @@
 
 var _ deliverypb.Carrier = (*Receiver)(nil)
 
-// NewReceiver returns a receiver that calls workers with the given client.
-func NewReceiver(workers WorkerClient, client *http.Client, log zerolog.Logger) *Receiver {
-	return &Receiver{workers: workers, client: client, log: log, replies: map[destination][]*deliverypb.Reply{}}
+// NewReceiver returns a receiver that calls workers with the given client. boot is a
+// monotonic clock that also advances while the machine is suspended.
+func NewReceiver(workers WorkerClient, client *http.Client, boot func() time.Duration, log zerolog.Logger) *Receiver {
+	return &Receiver{workers: workers, client: client, boot: boot, log: log, replies: map[destination][]*deliverypb.Reply{}}
 }
 
 // Deliver implements deliverypb.Carrier.
@@ -56,11 +58,23 @@
 			continue
 		}
 		go func() {
-			reply := r.workers.Do(context.Background(), o)
+			reply := r.send(o, q.GetExpires())
 			r.enqueueReply(to, encodeReply(p.GetId(), &reply))
 		}()
 	}
-	return &deliverypb.DeliverResponse{}, nil
+	return &deliverypb.DeliverResponse{Clock: r.clock()}, nil
+}
+
+// clock returns the carrier's clock in milliseconds.
+func (r *Receiver) clock() int64 { return r.boot().Milliseconds() }
+
+// send sends an order to its worker, unless it has expired: after a pause of this process
+// or of the leader another leader may be active.
+func (r *Receiver) send(o dispatch.Order, expires int64) dispatch.Reply {
+	if now := r.clock(); expires != 0 && now >= expires {
+		return dispatch.Reply{Status: dispatch.Expired, Reason: "the order reached its carrier after the leader's lease"}
+	}
+	return r.workers.Do(context.Background(), o)
 }
 
 // enqueueReply queues a reply for the next report.
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -42,8 +42,11 @@
 	client  *http.Client
 	post    func(func())
 	now     func() time.Duration
-	log     zerolog.Logger
-	onReply func(dispatch.Reply)
+	boot    func() time.Duration
+	// leaseEnd returns the end of the leader's lease on the boot clock.
+	leaseEnd func() time.Duration
+	log      zerolog.Logger
+	onReply  func(dispatch.Reply)
 
 	carriers map[string]*carrier
 	// available are the carriers that respond, sorted by address.
@@ -56,6 +59,9 @@
 	stub           deliverypb.Carrier
 	queue          []*deliverypb.Order
 	flushScheduled bool
+	// leaseEnd is the end of the leader's lease as of the oldest order in the queue.
+	leaseEnd time.Duration
+	clock    carrierClock
 	// failedAt is the time of the last failure, 0 for none.
 	failedAt time.Duration
 }
@@ -77,7 +83,11 @@
 	// Post runs a function on the control thread. Now is a monotonic clock.
 	Post func(func())
 	Now  func() time.Duration
-	Log  zerolog.Logger
+	// Boot is a monotonic clock that also advances while the machine is suspended.
+	// LeaseEnd returns the end of the leader's lease on it. Orders are not sent later.
+	Boot     func() time.Duration
+	LeaseEnd func() time.Duration
+	Log      zerolog.Logger
 	// OnReply is called with each reply.
 	OnReply func(dispatch.Reply)
 }
@@ -85,7 +95,7 @@
 // NewSender returns a sender without carriers.
 func NewSender(o SenderOptions) *Sender {
 	return &Sender{
-		term: o.Term, address: o.Address, client: o.Client, post: o.Post, now: o.Now, log: o.Log, onReply: o.OnReply,
+		term: o.Term, address: o.Address, client: o.Client, post: o.Post, now: o.Now, boot: o.Boot, leaseEnd: o.LeaseEnd, log: o.Log, onReply: o.OnReply,
 		carriers: map[string]*carrier{}, pending: map[uint64]*pendingOrder{},
 	}
 }
@@ -120,6 +130,9 @@
 		timeout += o.Hold.MaxWait
 	}
 	s.pending[s.nextID] = &pendingOrder{order: o, carrier: c, sentAt: s.now(), deadline: s.now() + timeout}
+	if len(c.queue) == 0 {
+		c.leaseEnd = s.leaseEnd()
+	}
 	c.queue = append(c.queue, encodeOrder(s.nextID, &o))
 	if !c.flushScheduled {
 		c.flushScheduled = true
@@ -143,26 +156,62 @@
 	return best
 }
 
-// flush sends the queued orders of a carrier.
+// flush sends the queued orders of a carrier with the time at which they expire there. It
+// asks for the carrier's clock first if the last reading is too old.
 func (s *Sender) flush(c *carrier) {
+	now := s.boot()
+	if !c.clock.fresh(now) {
+		s.deliver(c, nil, func() { s.flush(c) })
+		return
+	}
 	c.flushScheduled = false
-	request := &deliverypb.DeliverRequest{Term: s.term, Leader: s.address, Orders: c.queue}
+	orders := c.queue
 	c.queue = nil
+	if c.leaseEnd <= now {
+		s.completeAll(orders, dispatch.Expired, "the leader's lease has ended")
+		return
+	}
+	s.deliver(c, orders, func() {})
+}
+
+// deliver sends orders to a carrier and records its clock, then calls done. Without
+// orders it only reads the clock.
+func (s *Sender) deliver(c *carrier, orders []*deliverypb.Order, done func()) {
+	request := &deliverypb.DeliverRequest{
+		Term: s.term, Leader: s.address, Orders: orders, Expires: c.clock.expiry(s.boot(), c.leaseEnd),
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
 		defer cancel()
-		if _, err := c.stub.Deliver(ctx, request); err != nil {
-			s.post(func() { s.deliveryFailed(c, request, err) })
-		}
+		response, err := c.stub.Deliver(ctx, request)
+		s.post(func() {
+			if err != nil {
+				s.deliveryFailed(c, request, err)
+				return
+			}
+			c.clock = carrierClock{reading: response.GetClock(), readAt: s.boot(), known: true}
+			done()
+		})
 	}()
 }
 
 // deliveryFailed completes the orders of an unacknowledged message with the status
-// Unknown, since they may still be executed at any later time.
+// Unknown, since they may still be executed until they expire. Without a reading of the
+// clock the queued orders can't be sent either.
 func (s *Sender) deliveryFailed(c *carrier, request *deliverypb.DeliverRequest, err error) {
 	s.markUnavailable(c, err.Error())
-	for _, o := range request.GetOrders() {
-		s.complete(o.GetId(), dispatch.Reply{Status: dispatch.Unknown, Reason: err.Error()})
+	orders := request.GetOrders()
+	if len(orders) == 0 {
+		c.flushScheduled = false
+		orders, c.queue = c.queue, nil
+	}
+	s.completeAll(orders, dispatch.Unknown, err.Error())
+}
+
+// completeAll completes orders with the same status.
+func (s *Sender) completeAll(orders []*deliverypb.Order, status dispatch.ReplyStatus, reason string) {
+	for _, o := range orders {
+		s.complete(o.GetId(), dispatch.Reply{Status: status, Reason: reason})
 	}
 }
 
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -218,9 +218,9 @@
 	if minWorkers := m.settings.MinWorkersForCarriers; minWorkers > 0 && d.WorkerCount() >= minWorkers && m.sender.Send(o, o.To.Domain) {
 		return
 	}
-	sentAt := m.now()
+	sentAt, leaseEnd := m.now(), m.replica.LeaseEnd()
 	go func() {
-		reply := m.workers.Do(ctx, o)
+		reply := m.sendDirectly(ctx, o, leaseEnd)
 		reply.SentAt, reply.ReceivedAt = sentAt, m.now()
 		m.post(func() {
 			if m.dispatcher == d {
@@ -231,6 +231,15 @@
 	}()
 }
 
+// sendDirectly calls the worker of an order, unless the leader's lease has ended since
+// the order was decided, for example because the process was paused.
+func (m *manager) sendDirectly(ctx context.Context, o dispatch.Order, leaseEnd time.Duration) dispatch.Reply {
+	if bootClock() >= leaseEnd {
+		return dispatch.Reply{Order: o, Status: dispatch.Expired, Reason: "the leader's lease has ended"}
+	}
+	return m.workers.Do(ctx, o)
+}
+
 func (m *manager) handleReply(r dispatch.Reply) {
 	m.dispatcher.Advance(m.now(), time.Now().UnixMilli())
 	m.dispatcher.HandleReply(r)
@@ -240,7 +249,7 @@
 func (m *manager) newSender() *delivery.Sender {
 	d := m.dispatcher
 	return delivery.NewSender(delivery.SenderOptions{
-		Term: m.term, Address: m.settings.PeerListen, Client: m.client, Post: m.post, Now: m.now, Log: m.log,
+		Term: m.term, Address: m.settings.PeerListen, Client: m.client, Post: m.post, Now: m.now, Boot: bootClock, LeaseEnd: m.replica.LeaseEnd, Log: m.log,
 		OnReply: func(r dispatch.Reply) {
 			if m.dispatcher == d {
 				m.handleReply(r)
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -84,7 +84,7 @@
 	}
 	s.manager = m
 	m.client = transport.NewClient(transport.ClientOptions{})
-	s.receiver = delivery.NewReceiver(o.Workers, m.client, o.Log)
+	s.receiver = delivery.NewReceiver(o.Workers, m.client, bootClock, o.Log)
 	discardLogs := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 	s.system = actor.NewActorSystem(actor.WithLoggerFactory(discardLogs))
 	s.pid = s.system.Root.Spawn(actor.PropsFromFunc(s.receive))
--- a/jobs/dispatch/orders.go
+++ b/jobs/dispatch/orders.go
@@ -95,6 +95,8 @@
 	Unknown
 	// Unreachable: the address refused the connection, so the order was not sent.
 	Unreachable
+	// Expired: the order was not sent, since the leader's lease had ended by then.
+	Expired
 )
 
 // Reply is the response to an order.
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -197,7 +197,7 @@
 		if !w.holdInFlight {
 			w.nextHoldAt = min(w.nextHoldAt, d.now)
 		}
-	case Refused, Unhealthy, Unreachable, WrongWorker:
+	case Refused, Unhealthy, Unreachable, WrongWorker, Expired:
 		d.addLogEvent("start refused", w, a, r.Reason)
 		if r.Status == Unhealthy {
 			w.health.quarantine(d.now)
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -222,6 +222,10 @@
 	return r.leading && r.options.Boot() < r.leaseEnd && r.node.Status().Transferee == 0
 }
 
+// LeaseEnd returns the time on the boot clock at which the leader's lease ends unless it
+// is renewed, 0 without a lease. Another replica may lead from then on.
+func (r *Replica) LeaseEnd() time.Duration { return r.leaseEnd }
+
 // Leading reports whether this replica is the leader and has applied every entry
 // that its predecessors committed, and the term of that leadership. Unlike Leads it
 // does not require a valid lease.
