replicate: let tests join through whichever replica leads

Change: the test looks for the leader before each request to join; all other checks and bounds are unchanged.

--- a/replicate/replicate_test.go
+++ b/replicate/replicate_test.go
@@ -226,9 +226,12 @@
 		Eventually(lines(first), "5s").Should(Equal([]string{"two"}))
 	})
 
-	join := func(l *node, address string) uint64 {
+	// join asks whichever node leads at the time, since leadership can move on a loaded
+	// machine.
+	join := func(nodes []*node, address string) uint64 {
 		var id uint64
 		Eventually(func() error {
+			l := waitForLeader(nodes...)
 			var err error
 			call(l, func() bool { id, err = l.replica.Join(address, ""); return true })
 			return err
@@ -244,7 +247,7 @@
 		failed := others(nodes, l)[0]
 		w.setPartitioned(failed.id, true)
 		address := fmt.Sprint("a", failed.id)
-		id := join(l, address)
+		id := join(others(nodes, failed), address)
 		Expect(id).To(BeEquivalentTo(4))
 		rejoined := w.start(id, raft.Stored{})
 		Eventually(lines(rejoined), "5s").Should(Equal([]string{"one"}))
@@ -258,10 +261,10 @@
 	It("keeps the number of voters odd", func() {
 		w, nodes := startCluster(3)
 		l := waitForLeader(nodes...)
-		w.start(join(l, "a8"), raft.Stored{})
+		w.start(join(nodes, "a8"), raft.Stored{})
 		Eventually(addresses(l), "3s").Should(ConsistOf("a1", "a2", "a3", "a8?"))
 		Consistently(addresses(l), "1s", "100ms").Should(ConsistOf("a1", "a2", "a3", "a8?"))
-		w.start(join(l, "a9"), raft.Stored{})
+		w.start(join(nodes, "a9"), raft.Stored{})
 		Eventually(addresses(l), "5s").Should(ConsistOf("a1", "a2", "a3", "a8", "a9"))
 	})
 
@@ -273,7 +276,7 @@
 		lost := others(nodes, l)[0]
 		w.setPartitioned(lost.id, true)
 		Consistently(addresses(l), "3s", "100ms").Should(ConsistOf("a1", "a2", "a3"))
-		id := join(l, "a9")
+		id := join(others(nodes, lost), "a9")
 		w.start(id, raft.Stored{})
 		Eventually(addresses(l), "6s").Should(HaveLen(3))
 		Expect(addresses(l)()).To(ContainElement("a9"))
