--- /dev/null
+++ b/jobs/dispatch/end.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"geraniumwall/jobs"
+)
+
+// expireLease abandons the attempts on an unresponsive worker whose lease has expired.
+func (d *Dispatcher) expireLease(w *worker) {
+	if len(w.attempts) > 0 {
+		d.addLogEvent("lease expired", w, nil, "")
+	}
+	for _, a := range w.attempts {
+		if a.phase != phaseProposed {
+			d.endAttempt(a, jobs.OutcomeLeaseExpired)
+		}
+	}
+	if len(w.attempts) == 0 && d.now-w.heartbeatAt > d.options.WorkerLease {
+		w.terminated = true
+	}
+}
+
+// expireOrphans abandons the attempts that earlier leaders bound to workers that have
+// not reported to this one. It waits until the last lease that an earlier leader may
+// have granted has expired by the slowest clock.
+func (d *Dispatcher) expireOrphans() {
+	if len(d.orphans) == 0 || !d.inheritedLeaseExpired() {
+		return
+	}
+	for key, a := range d.orphans {
+		if d.currentTask(a) == nil {
+			delete(d.orphans, key)
+			continue
+		}
+		d.endAttempt(a, jobs.OutcomeLeaseExpired)
+	}
+}
+
+// currentTask returns the task of an attempt, or nil if the attempt is no longer the
+// current one.
+func (d *Dispatcher) currentTask(a *attempt) *jobs.Task {
+	j := d.store.Job(a.task.Job)
+	if j == nil {
+		return nil
+	}
+	t := j.Task(a.task)
+	if t == nil || t.BoundTo == nil || t.Attempt != a.number {
+		return nil
+	}
+	return t
+}
+
+// endAttempt proposes the end of an attempt for the log.
+func (d *Dispatcher) endAttempt(a *attempt, outcome jobs.Outcome) {
+	d.proposeEnd(a, outcome, "", func() {})
+}
+
+// proposeEnd proposes the end of an attempt for the log and calls onRecorded once it is
+// committed.
+func (d *Dispatcher) proposeEnd(a *attempt, outcome jobs.Outcome, checkpoint string, onRecorded func()) {
+	if a.endProposed {
+		return
+	}
+	a.endProposed = true
+	if a.worker != nil && a.step.Filler {
+		a.worker.colocation.fillersChangedAt = d.now
+	}
+	if a.step.LongRunning && outcome == jobs.OutcomeLeaseExpired {
+		d.planner.leaseExpiredTasks[a.task] = true
+	}
+	if checkpoint == "" && outcome != jobs.OutcomeDone {
+		checkpoint = a.checkpoint
+	}
+	command := jobs.End{Task: a.task, Attempt: a.number, Outcome: outcome, Checkpoint: checkpoint, At: d.unixMS}
+	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
+		a.endProposed = false
+		if !ok {
+			return
+		}
+		d.dropAttempt(a)
+		onRecorded()
+	}})
+}
+
+// dropAttempt removes an attempt whose end is committed or whose binding was rejected.
+func (d *Dispatcher) dropAttempt(a *attempt) {
+	if a.worker != nil && a.worker.attempts[a.task] == a {
+		delete(a.worker.attempts, a.task)
+	}
+	if d.orphans[a.task] == a {
+		delete(d.orphans, a.task)
+	}
+	d.planner.dirty = true
+}
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -172,9 +172,10 @@
 }
 
 // handleMissing ends an attempt that its worker lists neither as running nor as
-// finished. A list that was requested before the attempt entered its phase is ignored.
+// finished. A list that was requested before the attempt entered its phase is ignored, and
+// so is an attempt whose end is proposed already.
 func (d *Dispatcher) handleMissing(a *attempt, requestedAt time.Duration) {
-	if requestedAt < a.phaseSince {
+	if requestedAt < a.phaseSince || a.endProposed {
 		return
 	}
 	switch a.phase {
