dispatch: remove a worker that leaves before its registration is committed

Cause: found in review: a worker that registered and left within one commit stayed registered, since the removal was skipped while the log lacked it. Change: the removal is proposed behind a registration in flight; fields renamed. Result: the new test fails without the change.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -241,7 +241,7 @@
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
 		}
 		w.Heartbeat, w.heartbeatAt = h, d.now
-		d.updateClock(w, h.ClockMS, d.now)
+		d.observeClock(w, h.ClockMS, d.now)
 	}
 	w.deregistered = false
 	d.register(w)
@@ -305,7 +305,7 @@
 	}
 	w.deregistered = true
 	d.addLogEvent("worker deregistered", w, nil, "")
-	d.removeRegistration(w.incarnation(), done)
+	d.removeRegistration(w, done)
 }
 
 func (d *Dispatcher) sendHold(w *worker) {
@@ -349,7 +349,7 @@
 		d.tickWorker(w)
 		if w.terminated && len(w.attempts) == 0 {
 			delete(d.workers, id)
-			d.removeRegistration(w.incarnation(), func(bool) {})
+			d.removeRegistration(w, func(bool) {})
 		}
 	}
 	d.expireOrphans()
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -24,7 +24,7 @@
 			Draining: recorded.Draining, Capacity: recorded.Capacity, Labels: recorded.Labels, StartedAtMS: recorded.StartedAtMS,
 		}
 		if recorded.Draining {
-			h.Remaining = time.Duration(max(0, recorded.DrainedAt-d.unixMS)) * time.Millisecond
+			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
 		}
 		w := d.newIncarnation(nil, h)
 		w.nextHoldAt = d.now + holdDelayPerWorker*time.Duration(i)
@@ -38,7 +38,7 @@
 		Labels: w.Labels, Draining: w.Draining,
 	}
 	if w.Draining {
-		r.DrainedAt = unixMS + w.Remaining.Milliseconds()
+		r.DrainEndsAt = unixMS + w.Remaining.Milliseconds()
 	}
 	return r
 }
@@ -88,18 +88,18 @@
 
 // removeRegistration proposes to delete the registration of a worker that has left or is
 // lost. done is called with the outcome.
-func (d *Dispatcher) removeRegistration(worker jobs.Incarnation, done func(ok bool)) {
-	if d.store.Worker(worker.Worker) == nil {
+func (d *Dispatcher) removeRegistration(w *worker, done func(ok bool)) {
+	if d.store.Worker(w.Worker) == nil && !w.registration.proposed {
 		done(true)
 		return
 	}
-	command := jobs.Command{RemoveWorker: &jobs.RemoveWorker{Worker: worker}}
+	command := jobs.Command{RemoveWorker: &jobs.RemoveWorker{Worker: w.incarnation()}}
 	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) { done(ok) }})
 }
 
-// updateClock records a reading of a worker's clock. The first reading of a worker that
+// observeClock records a reading of a worker's clock. The first reading of a worker that
 // was restored from the log also bounds the lease that an earlier leader may have granted.
-func (d *Dispatcher) updateClock(w *worker, clock int64, at time.Duration) {
+func (d *Dispatcher) observeClock(w *worker, clock int64, at time.Duration) {
 	first := w.clock == 0
 	w.updateClock(clock, at)
 	if first && w.clock != 0 {
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -21,7 +21,7 @@
 		d.handleRestart(w, r)
 		w = d.workers[w.Worker]
 	default:
-		d.updateClock(w, r.ClockMS, r.ReceivedAt)
+		d.observeClock(w, r.ClockMS, r.ReceivedAt)
 	}
 	switch {
 	case r.Order.Hold != nil:
--- a/jobs/dispatch/takeover_test.go
+++ b/jobs/dispatch/takeover_test.go
@@ -91,6 +91,22 @@
 		Expect(draining.running).To(BeEmpty())
 	})
 
+	// Guards against a registration that is committed after the worker has left.
+	It("removes a worker that leaves before its registration is committed", func() {
+		sim := newSimulation(5)
+		t := sim.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		t.heartbeatsBlocked = true
+		d := sim.startLeader()
+		d.HandleHeartbeat(Heartbeat{Worker: t.id, HostPort: t.address, Service: "s", ClockMS: t.clock(), StartedAtMS: t.startedAtMS, Sequence: 1})
+		left := false
+		d.Deregister(t.id, func(ok bool) { left = ok })
+		Expect(left).To(BeFalse(), "nothing is committed yet")
+		sim.carryOut(d)
+		sim.runUntil(time.Second)
+		Expect(left).To(BeTrue())
+		Expect(sim.store.Workers()).To(BeEmpty())
+	})
+
 	// Guards against registrations of lost workers that every later leader polls forever.
 	It("forgets a worker that is lost for good", func() {
 		sim := newSimulation(5)
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -14,10 +14,10 @@
 	Domain   string    `json:"domain,omitempty"`
 	Capacity Resources `json:"capacity"`
 	Labels   []string  `json:"labels,omitempty"`
-	// Draining is set for a worker that is about to shut down. DrainedAt is the Unix time
+	// Draining is set for a worker that is about to shut down. DrainEndsAt is the Unix time
 	// in milliseconds until which it works at least.
-	Draining  bool  `json:"draining,omitempty"`
-	DrainedAt int64 `json:"drained_at,omitempty"`
+	Draining    bool  `json:"draining,omitempty"`
+	DrainEndsAt int64 `json:"drain_ends_at,omitempty"`
 }
 
 // Same reports whether both registrations describe the same worker in the same state.
