delivery: avoid a carrier that receives orders after they have expired

Cause: found in review: a carrier that is always late, for example on a slow host, would drop each hold, and the leases of its workers would run out. Change: an expired reply makes the carrier unavailable for its backoff, like an overdue one. Result: TestExpiredOrders fails without the change, passes with it.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -227,6 +227,7 @@
 		"leader paused before it sends":     func(f *fixture) { f.leaderBoot.advance(lease) },
 		"carrier paused before it receives": func(f *fixture) { f.carrierBoot.advance(lease) },
 	} {
+		carrierPaused := strings.HasPrefix(name, "carrier")
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newFixture(t)
@@ -245,6 +246,9 @@
 			g.Eventually(f.received, "2s").Should(HaveLen(2))
 			g.Expect(f.received()[1].Status).To(Equal(dispatch.Expired))
 			g.Expect(f.workers.calls.Load()).To(BeEquivalentTo(1))
+			used := false
+			f.runAndWait(func() { used = f.sender.Send(holdOrder("i-1"), "a") })
+			g.Expect(used).To(Equal(!carrierPaused), "a carrier that is late is not used for now")
 		})
 	}
 }
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -227,10 +227,16 @@
 	}
 }
 
-// HandleReplies processes the replies that a carrier reports.
+// HandleReplies processes the replies that a carrier reports. A carrier that receives
+// orders only after they have expired gets no more until its backoff ends: the leases of
+// its workers would run out.
 func (s *Sender) HandleReplies(replies []*deliverypb.Reply) {
 	for _, p := range replies {
-		s.complete(p.GetId(), decodeReply(p))
+		r := decodeReply(p)
+		if o := s.pending[p.GetId()]; o != nil && r.Status == dispatch.Expired {
+			s.markUnavailable(o.carrier, r.Reason)
+		}
+		s.complete(p.GetId(), r)
 	}
 }
 
