--- a/delivery/receiver.go
+++ b/delivery/receiver.go
@@ -71,7 +71,7 @@
 // send sends an order to its worker, unless it has expired: after a pause of this process
 // or of the leader another leader may be active.
 func (r *Receiver) send(o dispatch.Order, expires int64) dispatch.Reply {
-	if now := r.clock(); expires != 0 && now >= expires {
+	if expires != 0 && r.clock() >= expires {
 		return dispatch.Reply{Status: dispatch.Expired, Reason: "the order reached its carrier after the leader's lease"}
 	}
 	return r.workers.Do(context.Background(), o)
--- a/jobd/identity.go
+++ b/jobd/identity.go
@@ -232,7 +232,7 @@
 }
 
 // handleJoin processes a request to join. The id is granted once its membership change
-// is committed; the requester retries until then.
+// is committed; the joining replica retries until then.
 func (m *manager) handleJoin(q joinRequest) joinResponse {
 	members := map[uint64]string{}
 	status := m.replica.Status()
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"geraniumwall/jobs"
-)
+import "geraniumwall/jobs"
 
 // expireLease abandons the attempts on an unresponsive worker whose lease has expired.
 func (d *Dispatcher) expireLease(w *worker) {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -13,8 +13,8 @@
 
 // relayedPing is a ping sent on behalf of another member.
 type relayedPing struct {
-	// requester is the gossip address to forward the ack to.
-	requester       string
+	// origin is the gossip address to forward the ack to.
+	origin          string
 	requestSequence uint64
 	expiresAt       time.Duration
 }
@@ -180,7 +180,7 @@
 func (c *Core) handleAck(p Packet) []Outgoing {
 	if r, known := c.relayedPings[p.Sequence]; known {
 		delete(c.relayedPings, p.Sequence)
-		return []Outgoing{c.preparePacket(r.requester, Packet{Kind: Ack, Sequence: r.requestSequence})}
+		return []Outgoing{c.preparePacket(r.origin, Packet{Kind: Ack, Sequence: r.requestSequence})}
 	}
 	if c.probe != nil && c.probe.sequence == p.Sequence {
 		c.probe.acked = true
@@ -190,7 +190,7 @@
 
 func (c *Core) handlePingRequest(now time.Duration, p Packet) []Outgoing {
 	sequence := c.nextSequence()
-	c.relayedPings[sequence] = relayedPing{requester: p.From.GossipAddress, requestSequence: p.Sequence, expiresAt: now + ProbePeriod}
+	c.relayedPings[sequence] = relayedPing{origin: p.From.GossipAddress, requestSequence: p.Sequence, expiresAt: now + ProbePeriod}
 	return []Outgoing{c.preparePacket(p.TargetGossipAddress, Packet{Kind: Ping, Sequence: sequence, Recipient: p.Target})}
 }
 
