dispatch: plan a task again whose binding the log has rejected

What callers saw: a job that was accepted and whose task no worker starts until the leader changes (LOST), with room for it.

Cause: the log rejects proposals while leadership is being transferred, and the leader may stay if the transfer fails. handleBound dropped such a result: the attempt stayed proposed and kept its room, and the job had left the plan, so nothing started it again.

Change: a binding that is not committed is dropped and its job planned anew, as one that no longer applies. Each leader of the simulation has a replica of its own now; one store for all let a former leader take the changes that its successor had to see.

--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -343,13 +343,11 @@
 	}})
 }
 
-// handleBound sends the start of an attempt whose binding is committed.
+// handleBound sends the start of an attempt whose binding is committed. After any other
+// result the task is planned anew.
 func (d *Dispatcher) handleBound(a *attempt, applied, known bool) {
 	delete(d.proposedBinds, a.task)
-	if !known {
-		return
-	}
-	if !applied {
+	if !known || !applied {
 		d.dropAttempt(a)
 		d.planner.waiting[a.task.Job] = nil
 		return
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -22,6 +22,9 @@
 	// lateRate is the share of orders that are executed late and not answered, noAnswerRate
 	// the share that are lost.
 	lateRate, noAnswerRate float64
+	// rejectRate is the share of the batches of commands that are not committed although
+	// the leader stays in office.
+	rejectRate float64
 	// maxDelay bounds the network delay of an order or a reply.
 	maxDelay time.Duration
 	// violations describes the invariants that were broken.
@@ -73,9 +76,10 @@
 
 func (sim *simulation) unix() int64 { return unixStart + sim.now.Milliseconds() }
 
-// startLeader starts a new leader. Earlier ones stay active for a random time of at most
-// testPreviousLeaderLease.
+// startLeader starts a new leader with a replica of the state. Earlier ones stay active for
+// a random time of at most testPreviousLeaderLease, and learn of no further commands.
 func (sim *simulation) startLeader() *Dispatcher {
+	sim.copyStore()
 	for _, previous := range sim.leaders {
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
@@ -86,6 +90,17 @@
 	return d
 }
 
+// copyStore replaces the store by a copy, as each replica has its own.
+func (sim *simulation) copyStore() {
+	data, err := sim.store.Snapshot()
+	if err != nil {
+		panic(err)
+	}
+	if sim.store, err = jobs.Restore(data); err != nil {
+		panic(err)
+	}
+}
+
 func (sim *simulation) depose(d *Dispatcher) { sim.deposed[d] = true }
 
 func (sim *simulation) current() *Dispatcher { return sim.leaders[len(sim.leaders)-1] }
@@ -117,8 +132,9 @@
 		return
 	}
 	d.Advance(sim.now, sim.unix())
+	rejected := sim.rejectRate > 0 && sim.rng.Float64() < sim.rejectRate
 	for _, p := range commands {
-		if d != sim.current() {
+		if rejected || d != sim.current() {
 			p.OnResult(jobs.Result{}, false)
 			continue
 		}
