dispatch: propose the end of an attempt again that the log has rejected

What callers saw: a task that the log holds as bound and that runs nowhere, until the leader changes (LOST).

The reply that a start was refused or has expired, and the news that a worker was replaced, propose the end of an attempt; if the log rejects that proposal, nothing brought it up again. The attempt stayed ordered, a phase in which a list without it proves nothing, so the holds did not end it either.

Change: a rejected end is proposed again with each tick until it is committed.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -106,7 +106,9 @@
 	// proposedLateEnds are the tasks with a late end that is not committed yet: the end
 	// of an attempt that had already been abandoned.
 	proposedLateEnds map[jobs.TaskKey]bool
-	planner          planner
+	// rejectedEnds propose the ends again that were not committed.
+	rejectedEnds []func()
+	planner      planner
 	// model estimates how much each filler image slows each serving image. effectCache
 	// holds its predictions until effectCacheExpiry.
 	model             *interference.Contention
@@ -352,6 +354,7 @@
 			d.removeRegistration(w, func(bool) {})
 		}
 	}
+	d.retryRejectedEnds()
 	d.expireOrphans()
 	d.recordEffects()
 	if d.now >= d.planner.replanAt {
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -52,8 +52,8 @@
 	d.proposeEnd(a, outcome, "", func() {})
 }
 
-// proposeEnd proposes the end of an attempt for the log and calls onRecorded once it is
-// committed.
+// proposeEnd proposes the end of an attempt for the log, until it is committed, and calls
+// onRecorded then.
 func (d *Dispatcher) proposeEnd(a *attempt, outcome jobs.Outcome, checkpoint string, onRecorded func()) {
 	if a.endProposed {
 		return
@@ -72,6 +72,7 @@
 	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
 		a.endProposed = false
 		if !ok {
+			d.rejectedEnds = append(d.rejectedEnds, func() { d.proposeEnd(a, outcome, checkpoint, onRecorded) })
 			return
 		}
 		d.dropAttempt(a)
@@ -79,6 +80,16 @@
 	}})
 }
 
+// retryRejectedEnds proposes the ends again that were not committed. No other event may
+// bring them up: the reply that a start was refused comes once.
+func (d *Dispatcher) retryRejectedEnds() {
+	retries := d.rejectedEnds
+	d.rejectedEnds = nil
+	for _, propose := range retries {
+		propose()
+	}
+}
+
 // dropAttempt removes an attempt whose end is committed or whose binding was rejected.
 func (d *Dispatcher) dropAttempt(a *attempt) {
 	if a.worker != nil && a.worker.attempts[a.task] == a {
--- a/jobs/dispatch/rejected_test.go
+++ b/jobs/dispatch/rejected_test.go
@@ -38,9 +38,10 @@
 			for at := 3 * time.Second; at < 8*time.Second; at += 400 * time.Millisecond {
 				sim.schedule(at, sim.failLastingTask)
 			}
+			sim.schedule(4*time.Second, func() { sim.workers[0].crash(time.Second) })
 			for at := 2 * time.Second; at < 8*time.Second; at += 700 * time.Millisecond {
-				sim.schedule(at, func() { sim.rejectRate = 0.5 })
-				sim.schedule(at+300*time.Millisecond, func() { sim.rejectRate = 0 })
+				sim.schedule(at, func() { sim.rejectRate, sim.expireRate = 0.5, 0.3 })
+				sim.schedule(at+300*time.Millisecond, func() { sim.rejectRate, sim.expireRate = 0, 0 })
 			}
 			sim.runUntil(8*time.Second + maxIdle)
 			Expect(sim.violations).To(BeEmpty(), "seed %d", seed)
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -25,6 +25,8 @@
 	// rejectRate is the share of the batches of commands that are not committed although
 	// the leader stays in office.
 	rejectRate float64
+	// expireRate is the share of orders that expire on their way and are not sent.
+	expireRate float64
 	// maxDelay bounds the network delay of an order or a reply.
 	maxDelay time.Duration
 	// violations describes the invariants that were broken.
@@ -159,6 +161,10 @@
 	if o.Hold != nil {
 		wait += o.Hold.MaxWait
 	}
+	if sim.expireRate > 0 && sim.rng.Float64() < sim.expireRate {
+		sim.schedule(sim.networkDelay(), func() { answer(Reply{Status: Expired}) })
+		return
+	}
 	switch draw := sim.rng.Float64(); {
 	case draw < sim.lateRate:
 		// The worker has received the order and executes it late, so the order is lost if
