--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -192,11 +192,15 @@
 	m.flush()
 }
 
+// logEvent logs an event. Repairs are rare, so their lines are not limited.
 func (m *manager) logEvent(event *dispatch.LogEvent) {
-	if !m.taskLogs.allow(m.now(), &m.log) {
+	e := m.log.Info()
+	if event.Repair {
+		m.metrics.recordRepair(event.Event)
+		e = m.log.Warn()
+	} else if !m.taskLogs.allow(m.now(), &m.log) {
 		return
 	}
-	e := m.log.Info()
 	if event.Worker != "" {
 		e = e.Str("worker", event.Worker).Int64("report_age_ms", event.ReportAge.Milliseconds())
 	}
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -15,6 +15,7 @@
 type Metrics struct {
 	orders   metric.Int64Counter
 	ended    metric.Int64Counter
+	repairs  metric.Int64Counter
 	duration metric.Float64Histogram
 }
 
@@ -30,12 +31,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("create the job counter: %w", err)
 	}
+	repairs, err := meter.Int64Counter("geranium.jobs.repairs", metric.WithUnit("{repair}"),
+		metric.WithDescription("Differences between the log and the dispatcher that an audit has repaired, by event."))
+	if err != nil {
+		return nil, fmt.Errorf("create the repair counter: %w", err)
+	}
 	took, err := meter.Float64Histogram("geranium.jobs.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from the acceptance of a job to its end."))
 	if err != nil {
 		return nil, fmt.Errorf("create the job duration histogram: %w", err)
 	}
-	return &Metrics{orders, ended, took}, nil
+	return &Metrics{orders, ended, repairs, took}, nil
 }
 
 func orderKind(o *dispatch.Order) string {
@@ -54,6 +60,10 @@
 	m.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", orderKind(o))))
 }
 
+func (m *Metrics) recordRepair(event string) {
+	m.repairs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 func (m *Metrics) recordJobEnded(j *jobs.Job) {
 	labels := metric.WithAttributes(attribute.String("queue", j.Queue), attribute.String("state", string(j.State)))
 	m.ended.Add(context.Background(), 1, labels)
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -108,7 +108,9 @@
 	proposedLateEnds map[jobs.TaskKey]bool
 	// rejectedEnds propose the ends again that were not committed.
 	rejectedEnds []func()
-	planner      planner
+	// nextAuditAt is the time of the next audit.
+	nextAuditAt time.Duration
+	planner     planner
 	// model estimates how much each filler image slows each serving image. effectCache
 	// holds its predictions until effectCacheExpiry.
 	model             *interference.Contention
@@ -142,6 +144,9 @@
 	Detail  string
 	// ReportAge is the age of the worker's newest heartbeat.
 	ReportAge time.Duration
+	// Repair is set for a difference between the log and the dispatcher that an audit has
+	// repaired.
+	Repair bool
 }
 
 // incarnationsPerTerm bounds the incarnations of one worker id during one leader term.
@@ -316,7 +321,7 @@
 		h.Deadline = w.leaseDeadline(d.now, d.options.WorkerLease)
 		w.leaseEnd = max(w.leaseEnd, h.Deadline)
 	}
-	w.holdInFlight = true
+	w.holdInFlight, w.holdSentAt = true, d.now
 	d.enqueueOrder(w, Order{Hold: h})
 }
 
@@ -357,6 +362,7 @@
 	d.retryRejectedEnds()
 	d.expireOrphans()
 	d.recordEffects()
+	d.audit()
 	if d.now >= d.planner.replanAt {
 		d.planner.dirty = true
 		d.planner.replanAt = d.now + replanInterval
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -120,7 +120,12 @@
 // carryOut sends the orders of a leader and proposes its commands. Only the commands of
 // the newest leader are committed.
 func (sim *simulation) carryOut(d *Dispatcher) {
-	commands, orders, _ := d.TakeOutput()
+	commands, orders, logEvents := d.TakeOutput()
+	for i := range logEvents {
+		if logEvents[i].Repair {
+			sim.violation("the audit had to repair: %+v", logEvents[i])
+		}
+	}
 	if len(commands) > 0 {
 		sim.schedule(5*time.Millisecond, func() { sim.commit(d, commands) })
 	}
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -32,6 +32,7 @@
 	// lastAcked is the highest number of a finished attempt that the worker may discard.
 	lastAcked    int64
 	holdInFlight bool
+	holdSentAt   time.Duration
 	nextHoldAt   time.Duration
 	// nextSweepAt is the time of the next check for tasks to stop.
 	nextSweepAt time.Duration
