jobd: keep commands queued while the log takes none

Cause: proposeBatch reported a batch as failed when the log rejected it, which it does while leadership is being transferred (raft.ErrTransferring) or too much is uncommitted. Nothing had been appended, and the dispatcher's commands have no other sender.

Change: such a batch goes back to the head of the queue and is proposed again with the next tick, until the term ends; then all are reported as before.

Evidence: TestRejectedCommandsStayQueued; on the code before, proposeBatch calls OnResult with false at the first rejection.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -14,14 +14,6 @@
 )
 
 const (
-	// maxProposalsInFlight limits the log entries that wait to be committed. Commands
-	// that arrive meanwhile share the next entry.
-	maxProposalsInFlight = 2
-	// proposalIntervalPerReplica times the number of replicas is the minimum interval
-	// between two entries. It limits the messages that a loaded leader sends.
-	proposalIntervalPerReplica = 2500 * time.Microsecond
-	// maxBatchCommands limits the commands in one entry.
-	maxBatchCommands = 512
 	// endedJobRetention is how long ended jobs are kept.
 	endedJobRetention = 150 * time.Second
 	pruneInterval     = time.Second
@@ -44,10 +36,8 @@
 	metrics    *Metrics
 	taskLogs   logLimiter
 
-	queued         []dispatch.Proposal
-	inFlight       int
-	nextProposalAt time.Duration
-	flushScheduled bool
+	// proposals are the commands for the log while this replica leads.
+	proposals      *proposalQueue
 	nextMaintainAt time.Duration
 	nextPruneAt    time.Duration
 	grantedIDs     map[string]uint64
@@ -146,11 +136,11 @@
 	term, leading := m.replica.Leading()
 	if m.dispatcher != nil && (!leading || term != m.term) {
 		m.dispatcher = nil
-		m.inFlight = 0
 		m.heldOrders = nil
 		m.sender = nil
 		m.cancelOrders()
-		m.failQueued()
+		m.proposals.fail()
+		m.proposals = nil
 		m.log.Info().Uint64("term", m.term).Msg("dispatch stopped")
 	}
 	if m.dispatcher == nil && leading {
@@ -161,24 +151,16 @@
 		}
 		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now(), time.Now().UnixMilli()) //nolint:gosec // terms stay far below the limit
 		m.sender = m.newSender()
+		m.proposals = m.newProposalQueue()
 		m.log.Info().Uint64("term", term).Msg("dispatch started")
 	}
 }
 
-// failQueued completes the queued proposals as failed after the loss of leadership.
-func (m *manager) failQueued() {
-	queued := m.queued
-	m.queued = nil
-	for i := range queued {
-		queued[i].OnResult(jobs.Result{}, false)
-	}
-}
-
 // flushDispatcher proposes the commands, sends the orders and logs the events that the
 // dispatcher has produced.
 func (m *manager) flushDispatcher() {
 	commands, orders, logEvents := m.dispatcher.TakeOutput()
-	m.queued = append(m.queued, commands...)
+	m.proposals.add(commands...)
 	m.heldOrders = append(m.heldOrders, orders...)
 	for i := range logEvents {
 		m.logEvent(&logEvents[i])
@@ -189,7 +171,7 @@
 		}
 		m.heldOrders = nil
 	}
-	m.flush()
+	m.proposals.flush()
 }
 
 // logEvent logs an event. Repairs are rare, so their lines are not limited.
@@ -274,83 +256,37 @@
 	return list
 }
 
-// propose queues a command for the log. onResult is called with the result once the
-// command is applied, or with false if it may not have been.
-func (m *manager) propose(c jobs.Command, onResult func(jobs.Result, bool)) {
-	m.queued = append(m.queued, dispatch.Proposal{Command: c, OnResult: onResult})
-	m.flush()
-}
-
-// flush proposes the queued commands in batches, unless enough entries are in flight.
-// This group commit keeps the number of disk syncs low.
-func (m *manager) flush() {
-	if len(m.queued) == 0 {
-		return
-	}
-	if wait := m.nextProposalAt - m.now(); wait > 0 {
-		m.flushLater(wait)
-		return
-	}
-	for len(m.queued) > 0 && m.inFlight < maxProposalsInFlight && m.now() >= m.nextProposalAt {
-		m.nextProposalAt = m.now() + proposalIntervalPerReplica*time.Duration(len(m.replica.Status().Membership.Members))
-		n := min(len(m.queued), maxBatchCommands)
-		batch := m.queued[:n:n]
-		m.queued = m.queued[n:]
-		m.proposeBatch(batch)
-	}
-}
-
-func (m *manager) flushLater(wait time.Duration) {
-	if m.flushScheduled {
-		return
-	}
-	m.flushScheduled = true
-	time.AfterFunc(wait, func() {
-		m.post(func() {
-			m.flushScheduled = false
-			m.flush()
-		})
-	})
-}
-
-func (m *manager) proposeBatch(batch []dispatch.Proposal) {
-	commands := make([]jobs.Command, len(batch))
-	for i := range batch {
-		commands[i] = batch[i].Command
-	}
+// newProposalQueue returns the queue of commands for the current term.
+func (m *manager) newProposalQueue() *proposalQueue {
 	d := m.dispatcher
-	data, err := jobs.Encode(commands)
-	if err == nil {
-		m.inFlight++
-		err = m.replica.Propose(data, func(result any, err error) { m.batchSettled(d, batch, result, err) })
-		if err != nil {
-			m.inFlight--
-		}
-	}
-	if err != nil {
-		m.log.Warn().Err(err).Int("commands", len(batch)).Msg("commands could not be proposed")
-		for i := range batch {
-			batch[i].OnResult(jobs.Result{}, false)
-		}
+	return &proposalQueue{
+		replicated: m.replica, now: m.now, log: m.log,
+		interval: func() time.Duration {
+			return proposalIntervalPerReplica * time.Duration(len(m.replica.Status().Membership.Members))
+		},
+		afterFunc: func(wait time.Duration, f func()) { time.AfterFunc(wait, func() { m.post(f) }) },
+		beforeResults: func() {
+			if m.dispatcher == d {
+				d.Advance(m.now(), time.Now().UnixMilli())
+			}
+		},
+		afterResults: func() {
+			if m.dispatcher == d {
+				m.post(m.handleEvent)
+			}
+		},
 	}
 }
 
-func (m *manager) batchSettled(d *dispatch.Dispatcher, batch []dispatch.Proposal, result any, err error) {
-	if m.dispatcher == d && d != nil {
-		m.inFlight--
-		d.Advance(m.now(), time.Now().UnixMilli())
-	}
-	results, _ := result.([]jobs.Result)
-	for i := range batch {
-		if err != nil {
-			batch[i].OnResult(jobs.Result{}, false)
-		} else {
-			batch[i].OnResult(results[i], true)
-		}
-	}
-	if m.dispatcher == d && d != nil {
-		m.post(m.handleEvent)
+// propose queues a command for the log. onResult is called with the result once the
+// command is applied, or with false if it may not have been.
+func (m *manager) propose(c jobs.Command, onResult func(jobs.Result, bool)) {
+	if m.proposals == nil {
+		onResult(jobs.Result{}, false)
+		return
 	}
+	m.proposals.add(dispatch.Proposal{Command: c, OnResult: onResult})
+	m.proposals.flush()
 }
 
 // maintain does the periodic work of the leader other than dispatching: it updates the
