delivery, jobd: send orders again that have expired on their way

What callers saw: beside other load nothing started for seconds and the workers counted as unresponsive in hundreds, with no change of the leader and room everywhere.

Cause: an order may be sent only within the leader's lease of 400 ms, which is renewed every 100 ms. It carried the end of the lease as of the time at which it was decided, and was sent whatever was left of it, 10 ms too; the carrier's clock was read late by the lag of the control thread, which made it expire sooner still. A lag of some 100 ms so expired whole batches. Each expired hold made a worker unresponsive, cancelled the bindings on their way to it and took its lease renewal away, each expired start ended an attempt, and each made its carrier unusable for 3 s, so that the leader sent all orders itself: the work that follows from the lag made the lag longer.

Change: an order that has not been sent is no failure of a worker. The sender waits with less than 150 ms of the lease left, takes the lease as of the time of sending (while it is renewed in the same term, no other replica has led), takes the reading of a carrier's clock when it arrives, and sends an expired order again, through another carrier if one stays late for 300 ms. Orders that the leader sends itself wait for the lease likewise, for 1.5 s at most. An order still never leaves after the lease.

TestExpiredOrders expected the expired status after a carrier's pause while the leader's lease was still valid; it now expects that nothing is sent while the lease is over, that the order is sent once after a renewal, and that it is reported as expired without one. TestLateCarrier covers the carrier that stays late.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -93,13 +94,24 @@
 }
 
 func (f *fixture) startCarrier(t *testing.T) (*httptest.Server, string) {
+	return f.startCarrierWithClock(t, f.carrierBoot.read)
+}
+
+func (f *fixture) startCarrierWithClock(t *testing.T, boot func() time.Duration) (*httptest.Server, string) {
 	s := httptest.NewUnstartedServer(nil)
-	s.Config = transport.NewServer(deliverypb.NewCarrierServer(NewReceiver(f.workers, transport.NewClient(transport.ClientOptions{}), f.carrierBoot.read, zerolog.Nop())))
+	s.Config = transport.NewServer(deliverypb.NewCarrierServer(NewReceiver(f.workers, transport.NewClient(transport.ClientOptions{}), boot, zerolog.Nop())))
 	s.Start()
 	t.Cleanup(s.Close)
 	return s, strings.TrimPrefix(s.URL, "http://")
 }
 
+// startLateCarrier starts a carrier that is paused for a time before each order.
+func (f *fixture) startLateCarrier(t *testing.T, pause time.Duration) string {
+	var readings atomic.Int64
+	_, address := f.startCarrierWithClock(t, func() time.Duration { return time.Duration(readings.Add(1)) * pause })
+	return address
+}
+
 // Report implements deliverypb.Leader.
 func (f *fixture) Report(_ context.Context, q *deliverypb.ReportRequest) (*deliverypb.ReportResponse, error) {
 	f.post(func() { f.sender.HandleReplies(q.GetReplies()) })
@@ -220,39 +232,71 @@
 }
 
 // TestExpiredOrders guards against orders that a paused process sends after the leader's
-// lease has ended, when another leader may act already.
+// lease has ended, when another leader may act already, and against orders that are
+// reported as failed although the lease is renewed within the term.
 func TestExpiredOrders(t *testing.T) {
 	const lease = 400 * time.Millisecond
 	for name, pause := range map[string]func(*fixture){
 		"leader paused before it sends":     func(f *fixture) { f.leaderBoot.advance(lease) },
-		"carrier paused before it receives": func(f *fixture) { f.carrierBoot.advance(lease) },
+		"carrier paused before it receives": func(f *fixture) { f.carrierBoot.advance(lease); f.leaderBoot.advance(lease) },
 	} {
-		carrierPaused := strings.HasPrefix(name, "carrier")
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			f := newFixture(t)
-			_, address := f.startCarrier(t)
-			f.leaseEnd = f.leaderBoot.read() + lease
-			f.runAndWait(func() {
-				f.sender.SetCarriers([]Carrier{{Address: address, Domain: "a"}})
-				g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
-			})
-			g.Eventually(f.received, "2s").Should(HaveLen(1))
-			g.Expect(f.received()[0].Status).To(Equal(dispatch.Accepted), "within the lease")
-			f.runAndWait(func() {
-				g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
-				pause(f)
+		for _, renewed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, lease renewed %v", name, renewed), func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFixture(t)
+				_, address := f.startCarrier(t)
+				f.leaseEnd = f.leaderBoot.read() + lease
+				f.runAndWait(func() {
+					f.sender.SetCarriers([]Carrier{{Address: address, Domain: "a"}})
+					g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+				})
+				g.Eventually(f.received, "2s").Should(HaveLen(1))
+				g.Expect(f.received()[0].Status).To(Equal(dispatch.Accepted), "within the lease")
+				f.runAndWait(func() {
+					g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+					pause(f)
+				})
+				g.Consistently(f.workers.calls.Load, "150ms").Should(BeEquivalentTo(1), "the lease has ended")
+				if renewed {
+					f.runAndWait(func() { f.leaseEnd = f.leaderBoot.read() + lease })
+				}
+				g.Eventually(func() []dispatch.Reply {
+					f.runAndWait(f.sender.Tick)
+					return f.received()
+				}, "3s", "20ms").Should(HaveLen(2))
+				want, calls := dispatch.Expired, 1
+				if renewed {
+					want, calls = dispatch.Accepted, 2
+				}
+				g.Expect(f.received()[1].Status).To(Equal(want))
+				g.Expect(f.workers.calls.Load()).To(BeEquivalentTo(calls))
+				f.runAndWait(func() { g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue(), "the carrier is still used") })
 			})
-			g.Eventually(f.received, "2s").Should(HaveLen(2))
-			g.Expect(f.received()[1].Status).To(Equal(dispatch.Expired))
-			g.Expect(f.workers.calls.Load()).To(BeEquivalentTo(1))
-			used := false
-			f.runAndWait(func() { used = f.sender.Send(holdOrder("i-1"), "a") })
-			g.Expect(used).To(Equal(!carrierPaused), "a carrier that is late is not used for now")
-		})
+		}
 	}
 }
 
+// TestLateCarrier guards against workers whose leases run out because all their orders
+// expire on the way to the same carrier.
+func TestLateCarrier(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	const lease = 400 * time.Millisecond
+	f.leaseEnd = f.leaderBoot.read() + lease
+	_, good := f.startCarrier(t)
+	late := f.startLateCarrier(t, lease)
+	f.runAndWait(func() {
+		f.sender.SetCarriers([]Carrier{{Address: late, Domain: "a"}, {Address: good, Domain: "b"}})
+		g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+	})
+	g.Eventually(f.received, "1500ms").Should(HaveLen(1))
+	g.Expect(f.received()[0].Status).To(Equal(dispatch.Accepted))
+	g.Expect(f.workers.calls.Load()).To(BeEquivalentTo(1), "the late carrier sends nothing")
+	f.runAndWait(func() {
+		g.Expect(f.sender.selectCarrier("i-1", "a")).To(Equal(good), "a carrier that stays late is not used for now")
+	})
+}
+
 // TestCarrierClock guards against orders that expire on a carrier later than the leader's
 // lease, and against orders that expire at once after a time without any.
 func TestCarrierClock(t *testing.T) {
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -26,6 +26,13 @@
 	replyTimeout = 1500 * time.Millisecond
 	// carrierBackoff is how long a carrier gets no orders after a failure.
 	carrierBackoff = 3 * time.Second
+	// minLeaseLeft is the rest of the leader's lease from which on orders are sent. With
+	// less they would often expire on their way, so they wait for the next renewal.
+	minLeaseLeft = 150 * time.Millisecond
+	// maxLateDuration is how long the orders of a carrier may keep arriving there after
+	// they have expired until it counts as failed. Single ones are sent again: a pause of
+	// the leader itself delays the orders of all carriers.
+	maxLateDuration = 300 * time.Millisecond
 )
 
 // Carrier is a replica that sends orders to workers for the leader.
@@ -59,19 +66,23 @@
 	stub           deliverypb.Carrier
 	queue          []*deliverypb.Order
 	flushScheduled bool
-	// leaseEnd is the end of the leader's lease as of the oldest order in the queue.
-	leaseEnd time.Duration
-	clock    carrierClock
+	clock          carrierClock
 	// failedAt is the time of the last failure, 0 for none.
 	failedAt time.Duration
+	// lateSince is when the carrier first reported an expired order after the last one
+	// that was in time, 0 for none.
+	lateSince time.Duration
 }
 
 // pendingOrder is an order that waits for its reply.
 type pendingOrder struct {
 	order    dispatch.Order
+	domain   string
 	carrier  *carrier
 	sentAt   time.Duration
 	deadline time.Duration
+	// delivered is set once the order was sent to its carrier.
+	delivered bool
 }
 
 // SenderOptions are the options of a Sender.
@@ -115,7 +126,16 @@
 // Send queues an order for a carrier, preferably one in the domain of the worker. It
 // returns false if no carrier is available.
 func (s *Sender) Send(o dispatch.Order, domain string) bool {
-	address := s.selectCarrier(o.To.Worker, domain)
+	timeout := replyTimeout
+	if o.Hold != nil {
+		timeout += o.Hold.MaxWait
+	}
+	return s.enqueue(&pendingOrder{order: o, domain: domain, sentAt: s.now(), deadline: s.now() + timeout})
+}
+
+// enqueue queues an order under a new id. It returns false if no carrier is available.
+func (s *Sender) enqueue(p *pendingOrder) bool {
+	address := s.selectCarrier(p.order.To.Worker, p.domain)
 	if address == "" {
 		return false
 	}
@@ -125,22 +145,20 @@
 		s.carriers[address] = c
 	}
 	s.nextID++
-	timeout := replyTimeout
-	if o.Hold != nil {
-		timeout += o.Hold.MaxWait
-	}
-	s.pending[s.nextID] = &pendingOrder{order: o, carrier: c, sentAt: s.now(), deadline: s.now() + timeout}
-	if len(c.queue) == 0 {
-		c.leaseEnd = s.leaseEnd()
-	}
-	c.queue = append(c.queue, encodeOrder(s.nextID, &o))
+	p.carrier, p.delivered = c, false
+	s.pending[s.nextID] = p
+	c.queue = append(c.queue, encodeOrder(s.nextID, &p.order))
 	if !c.flushScheduled {
-		c.flushScheduled = true
-		time.AfterFunc(batchDelay, func() { s.post(func() { s.flush(c) }) })
+		s.scheduleFlush(c)
 	}
 	return true
 }
 
+func (s *Sender) scheduleFlush(c *carrier) {
+	c.flushScheduled = true
+	time.AfterFunc(batchDelay, func() { s.post(func() { s.flush(c) }) })
+}
+
 // selectCarrier returns the address of the carrier for a worker. It uses rendezvous
 // hashing, so that the orders of a worker keep the same carrier while it responds and
 // few connections are opened.
@@ -157,39 +175,48 @@
 }
 
 // flush sends the queued orders of a carrier with the time at which they expire there. It
-// asks for the carrier's clock first if the last reading is too old.
+// asks for the carrier's clock first if the last reading is too old, and waits for the
+// leader's lease to be renewed if it is about to end: while it is renewed within the same
+// term no other replica can have led, so the orders still hold.
 func (s *Sender) flush(c *carrier) {
 	now := s.boot()
 	if !c.clock.fresh(now) {
-		s.deliver(c, nil, func() { s.flush(c) })
+		s.deliver(c, nil, 0, func() { s.flush(c) })
 		return
 	}
 	c.flushScheduled = false
+	c.queue = slices.DeleteFunc(c.queue, func(o *deliverypb.Order) bool { return s.pending[o.GetId()] == nil })
+	if len(c.queue) == 0 {
+		return
+	}
+	leaseEnd := s.leaseEnd()
+	if leaseEnd-now < minLeaseLeft {
+		s.scheduleFlush(c)
+		return
+	}
 	orders := c.queue
 	c.queue = nil
-	if c.leaseEnd <= now {
-		s.completeAll(orders, dispatch.Expired, "the leader's lease has ended")
-		return
+	for _, o := range orders {
+		s.pending[o.GetId()].delivered = true
 	}
-	s.deliver(c, orders, func() {})
+	s.deliver(c, orders, c.clock.expiry(now, leaseEnd), func() {})
 }
 
-// deliver sends orders to a carrier and records its clock, then calls done. Without
-// orders it only reads the clock.
-func (s *Sender) deliver(c *carrier, orders []*deliverypb.Order, done func()) {
-	request := &deliverypb.DeliverRequest{
-		Term: s.term, Leader: s.address, Orders: orders, Expires: c.clock.expiry(s.boot(), c.leaseEnd),
-	}
+// deliver sends orders to a carrier, which must send them before its clock shows expires,
+// and records its clock, then calls done. Without orders it only reads the clock.
+func (s *Sender) deliver(c *carrier, orders []*deliverypb.Order, expires int64, done func()) {
+	request := &deliverypb.DeliverRequest{Term: s.term, Leader: s.address, Orders: orders, Expires: expires}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
 		defer cancel()
 		response, err := c.stub.Deliver(ctx, request)
+		readAt := s.boot()
 		s.post(func() {
 			if err != nil {
 				s.deliveryFailed(c, request, err)
 				return
 			}
-			c.clock = carrierClock{reading: response.GetClock(), readAt: s.boot(), known: true}
+			c.clock = carrierClock{reading: response.GetClock(), readAt: readAt, known: true}
 			done()
 		})
 	}()
@@ -227,19 +254,42 @@
 	}
 }
 
-// HandleReplies processes the replies that a carrier reports. A carrier that receives
-// orders only after they have expired gets no more until its backoff ends: the leases of
-// its workers would run out.
+// HandleReplies processes the replies that a carrier reports. An order that reached the
+// carrier after it had expired was not sent to its worker, so it is sent again.
 func (s *Sender) HandleReplies(replies []*deliverypb.Reply) {
 	for _, p := range replies {
 		r := decodeReply(p)
-		if o := s.pending[p.GetId()]; o != nil && r.Status == dispatch.Expired {
-			s.markUnavailable(o.carrier, r.Reason)
+		o := s.pending[p.GetId()]
+		switch {
+		case o == nil:
+			continue
+		case r.Status != dispatch.Expired:
+			o.carrier.lateSince = 0
+		case s.resendExpired(p.GetId(), o, r.Reason):
+			continue
 		}
 		s.complete(p.GetId(), r)
 	}
 }
 
+// resendExpired sends an expired order again. A carrier that stays late gets no more
+// orders until its backoff ends: the leases of its workers would run out. It returns false
+// if no carrier is available.
+func (s *Sender) resendExpired(id uint64, o *pendingOrder, reason string) bool {
+	c := o.carrier
+	switch {
+	case c.lateSince == 0:
+		c.lateSince = s.now()
+	case s.now()-c.lateSince > maxLateDuration:
+		s.markUnavailable(c, reason)
+	}
+	if s.now() >= o.deadline || !s.enqueue(o) {
+		return false
+	}
+	delete(s.pending, id)
+	return true
+}
+
 // complete passes the first reply to an order to OnReply. Later ones are ignored.
 func (s *Sender) complete(id uint64, r dispatch.Reply) {
 	o := s.pending[id]
@@ -251,14 +301,18 @@
 	s.onReply(r)
 }
 
-// Tick completes orders whose reply is overdue with the status Unknown.
+// Tick completes orders whose reply is overdue: with the status Unknown if their carrier has
+// them, else with the status Expired, as they were not sent.
 func (s *Sender) Tick() {
 	now := s.now()
 	for id, o := range s.pending {
-		if now < o.deadline {
-			continue
+		switch {
+		case now < o.deadline:
+		case o.delivered:
+			s.markUnavailable(o.carrier, "a reply is overdue")
+			s.complete(id, dispatch.Reply{Status: dispatch.Unknown, Reason: "the carrier of the order has not reported"})
+		default:
+			s.complete(id, dispatch.Reply{Status: dispatch.Expired, Reason: "the leader's lease was not renewed in time"})
 		}
-		s.markUnavailable(o.carrier, "a reply is overdue")
-		s.complete(id, dispatch.Reply{Status: dispatch.Unknown, Reason: "the carrier of the order has not reported"})
 	}
 }
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -17,6 +17,8 @@
 	// endedJobRetention is how long ended jobs are kept.
 	endedJobRetention = 150 * time.Second
 	pruneInterval     = time.Second
+	// maxOrderDelay limits how long an order waits for the leader's lease to be renewed.
+	maxOrderDelay = 1500 * time.Millisecond
 	// maintainInterval is the interval between updates of the membership and the carriers.
 	maintainInterval = 200 * time.Millisecond
 )
@@ -43,7 +45,7 @@
 	grantedIDs     map[string]uint64
 	// heldOrders are orders that wait until the leader's lease is confirmed. Without the
 	// lease another leader may already be active.
-	heldOrders []dispatch.Order
+	heldOrders []heldOrder
 	// sender distributes orders over the other replicas while this one leads.
 	sender *delivery.Sender
 	client *http.Client
@@ -52,6 +54,12 @@
 	cancelOrders context.CancelFunc
 }
 
+// heldOrder is an order that waits to be sent.
+type heldOrder struct {
+	order     dispatch.Order
+	decidedAt time.Duration
+}
+
 // Apply implements replicate.StateMachine.
 func (m *manager) Apply(data []byte) any {
 	batch, err := jobs.Decode(data)
@@ -161,15 +169,18 @@
 func (m *manager) flushDispatcher() {
 	commands, orders, logEvents := m.dispatcher.TakeOutput()
 	m.proposals.add(commands...)
-	m.heldOrders = append(m.heldOrders, orders...)
+	for _, o := range orders {
+		m.heldOrders = append(m.heldOrders, heldOrder{o, m.now()})
+	}
 	for i := range logEvents {
 		m.logEvent(&logEvents[i])
 	}
 	if m.replica.Leads() {
-		for _, o := range m.heldOrders {
-			m.send(o)
-		}
+		held := m.heldOrders
 		m.heldOrders = nil
+		for _, h := range held {
+			m.send(h)
+		}
 	}
 	m.proposals.flush()
 }
@@ -198,8 +209,8 @@
 
 // send sends an order to its worker without blocking the control thread. In a large
 // fleet another replica sends it.
-func (m *manager) send(o dispatch.Order) {
-	d, ctx := m.dispatcher, m.orderCtx
+func (m *manager) send(h heldOrder) {
+	d, ctx, o := m.dispatcher, m.orderCtx, h.order
 	m.metrics.recordOrder(&o)
 	if minWorkers := m.settings.MinWorkersForCarriers; minWorkers > 0 && d.WorkerCount() >= minWorkers && m.sender.Send(o, o.To.Domain) {
 		return
@@ -209,10 +220,15 @@
 		reply := m.sendDirectly(ctx, o, leaseEnd)
 		reply.SentAt, reply.ReceivedAt = sentAt, m.now()
 		m.post(func() {
-			if m.dispatcher == d {
-				m.handleReply(reply)
-				m.handleEvent()
+			if m.dispatcher != d {
+				return
+			}
+			if reply.Status == dispatch.Expired && m.now()-h.decidedAt < maxOrderDelay {
+				m.heldOrders = append(m.heldOrders, h)
+				return
 			}
+			m.handleReply(reply)
+			m.handleEvent()
 		})
 	}()
 }
