dispatch: record ends that are listed behind one that has to wait

What callers saw: a lasting task that failed by itself and did not run again for the rest of another worker's lease, with room for it (LOST).

Cause: the list of ends of a worker was read up to the first end that cannot be recorded yet, since the worker discards ends in order. An end of an abandoned attempt has to wait while the start of the newer attempt is in flight, which takes up to that worker's lease if it is cut off. All ends behind it, of any job, waited too.

Change: only the acknowledgement stops there. Ends behind it are proposed, and listed again until the first one is recorded.

Evidence: the new test has no proposal for the end of the lasting task without the change.

--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -7,12 +7,11 @@
 )
 
 // handleFinished proposes the ends of the attempts that a worker lists as finished. The
-// worker may discard them once all are committed. Processing stops at the first end that
-// cannot be recorded yet, since the worker discards ends in order; the next list repeats
-// it.
+// worker discards ends in order, up to the number that is acknowledged. So no end at or
+// behind one that cannot be recorded yet is acknowledged; the next list repeats them.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
-	unrecorded, highest := 0, w.lastAcked
-	onRecorded := func() {
+	unrecorded, highest, acknowledgeable := 0, w.lastAcked, true
+	onAcknowledgeable := func() {
 		unrecorded--
 		if unrecorded == 0 {
 			w.lastAcked = max(w.lastAcked, highest)
@@ -26,16 +25,25 @@
 		a := w.attempts[f.Task]
 		current := a != nil && a.number == f.Attempt
 		if current && a.endProposed || !current && d.mustDeferLateEnd(f) {
-			return
+			acknowledgeable = false
+			continue
+		}
+		if !current && !d.lateEndApplies(f) {
+			if acknowledgeable {
+				highest = max(highest, f.Number)
+			}
+			continue
 		}
-		highest = max(highest, f.Number)
-		switch {
-		case current:
+		onRecorded := func() {}
+		if acknowledgeable {
+			highest = max(highest, f.Number)
 			unrecorded++
+			onRecorded = onAcknowledgeable
+		}
+		if current {
 			d.updateHealth(w, a, f.Outcome)
 			d.proposeEnd(a, f.Outcome, f.Checkpoint, onRecorded)
-		case d.lateEndApplies(f):
-			unrecorded++
+		} else {
 			d.proposeLateEnd(w, f, onRecorded)
 		}
 	}
--- a/jobs/dispatch/finished_test.go
+++ b/jobs/dispatch/finished_test.go
@@ -74,6 +74,46 @@
 		Expect(sim.store.Job("j").State).To(Equal(jobs.Done))
 	})
 
+	// Guards against a task that does not run again because its end is listed behind one
+	// that cannot be recorded for the rest of another worker's lease.
+	It("are recorded although an earlier one in the list has to wait", func() {
+		sim := newSimulation(7)
+		previous := sim.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		d := sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		small := jobs.Resources{MilliCPU: 1000, MemoryMB: 10}
+		sim.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, EstimateMS: 60_000}}})
+		sim.runUntil(3 * time.Second)
+		previous.partitioned = true
+		sim.runUntil(3*time.Second + testLease + time.Second)
+		other := sim.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		sim.runUntil(sim.now + 2*testHeartbeatInterval)
+		sim.submit("lasting", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, LongRunning: true}}})
+		sim.runUntil(sim.now + time.Second)
+		deferred, lasting := jobs.TaskKey{Job: "j"}, jobs.TaskKey{Job: "lasting"}
+		d.currentAttempt(deferred).setPhase(phaseOrdered, d.now)
+
+		w := d.workers[other.id]
+		list := []FinishedTask{
+			{Number: 1, Task: deferred, Attempt: 1, Outcome: jobs.OutcomeDone},
+			{Number: 2, Task: lasting, Attempt: 1, Outcome: jobs.OutcomeFailed},
+		}
+		d.handleFinished(w, list)
+		commands, _, _ := d.TakeOutput()
+		Expect(commands).To(HaveLen(1))
+		Expect(commands[0].Command.End.Task).To(Equal(lasting))
+		commands[0].OnResult(sim.store.Apply(commands[0].Command), true)
+		Expect(sim.store.Job("lasting").Task(lasting).BoundTo).To(BeNil())
+		Expect(w.lastAcked).To(BeZero(), "the first end is not recorded yet")
+
+		d.currentAttempt(deferred).setPhase(phaseStarted, d.now)
+		d.handleFinished(w, list)
+		commands, _, _ = d.TakeOutput()
+		Expect(commands).To(HaveLen(1))
+		commands[0].OnResult(sim.store.Apply(commands[0].Command), true)
+		Expect(w.lastAcked).To(BeEquivalentTo(2))
+	})
+
 	// Guards against starting a task that turns out to be done after its binding was
 	// proposed.
 	It("cancel a newer binding that is being recorded", func() {
