--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -10,13 +10,7 @@
 // worker discards ends in order, up to the number that is acknowledged. So no end at or
 // behind one that cannot be recorded yet is acknowledged; the next list repeats them.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
-	unrecorded, highest, acknowledgeable := 0, w.lastAcked, true
-	onAcknowledgeable := func() {
-		unrecorded--
-		if unrecorded == 0 {
-			w.lastAcked = max(w.lastAcked, highest)
-		}
-	}
+	ack := acknowledgement{worker: w, highest: w.lastAcked}
 	for i := range ends {
 		f := &ends[i]
 		if f.Number <= w.lastAcked {
@@ -24,31 +18,54 @@
 		}
 		a := w.attempts[f.Task]
 		current := a != nil && a.number == f.Attempt
-		if current && a.endProposed || !current && d.mustDeferLateEnd(f) {
-			acknowledgeable = false
-			continue
-		}
-		if !current && !d.lateEndApplies(f) {
-			if acknowledgeable {
-				highest = max(highest, f.Number)
-			}
-			continue
-		}
-		onRecorded := func() {}
-		if acknowledgeable {
-			highest = max(highest, f.Number)
-			unrecorded++
-			onRecorded = onAcknowledgeable
-		}
-		if current {
+		switch {
+		case current && a.endProposed || !current && d.mustDeferLateEnd(f):
+			ack.closed = true
+		case current:
 			d.updateHealth(w, a, f.Outcome)
-			d.proposeEnd(a, f.Outcome, f.Checkpoint, onRecorded)
-		} else {
-			d.proposeLateEnd(w, f, onRecorded)
+			d.proposeEnd(a, f.Outcome, f.Checkpoint, ack.expect(f.Number))
+		case d.lateEndApplies(f):
+			d.proposeLateEnd(w, f, ack.expect(f.Number))
+		default:
+			ack.include(f.Number)
 		}
 	}
-	if unrecorded == 0 {
-		w.lastAcked = highest
+	ack.advance()
+}
+
+// acknowledgement collects the ends of one list that a worker may discard once all of them
+// are recorded. It is closed by the first end that cannot be recorded yet.
+type acknowledgement struct {
+	worker     *worker
+	highest    int64
+	unrecorded int
+	closed     bool
+}
+
+// include adds an end that need not be recorded.
+func (a *acknowledgement) include(number int64) {
+	if !a.closed {
+		a.highest = max(a.highest, number)
+	}
+}
+
+// expect adds an end and returns the function to call once it is recorded.
+func (a *acknowledgement) expect(number int64) (onRecorded func()) {
+	if a.closed {
+		return func() {}
+	}
+	a.include(number)
+	a.unrecorded++
+	return func() {
+		a.unrecorded--
+		a.advance()
+	}
+}
+
+// advance acknowledges the ends unless some of them are not recorded yet.
+func (a *acknowledgement) advance() {
+	if a.unrecorded == 0 {
+		a.worker.lastAcked = max(a.worker.lastAcked, a.highest)
 	}
 }
 
