--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -166,7 +166,7 @@
 	if o.Hold != nil {
 		wait += o.Hold.MaxWait
 	}
-	if sim.expireRate > 0 && sim.rng.Float64() < sim.expireRate {
+	if sim.expires() {
 		sim.schedule(sim.networkDelay(), func() { answer(Reply{Status: Expired}) })
 		return
 	}
@@ -195,6 +195,9 @@
 	}
 }
 
+// expires draws whether an order expires on its way.
+func (sim *simulation) expires() bool { return sim.expireRate > 0 && sim.rng.Float64() < sim.expireRate }
+
 // deliver makes a worker answer an order. The reply to a hold is delayed while no attempt
 // has finished.
 func (sim *simulation) deliver(t *simWorker, o Order, answer func(Reply)) {
