--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -196,7 +196,9 @@
 }
 
 // expires draws whether an order expires on its way.
-func (sim *simulation) expires() bool { return sim.expireRate > 0 && sim.rng.Float64() < sim.expireRate }
+func (sim *simulation) expires() bool {
+	return sim.expireRate > 0 && sim.rng.Float64() < sim.expireRate
+}
 
 // deliver makes a worker answer an order. The reply to a hold is delayed while no attempt
 // has finished.
