dispatch: record the end of an attempt whose start a new leader has not seen answered

What callers saw: a job that runs for ever although its last task has ended (LOST).

Cause: a worker lists the end of an attempt that was abandoned with its lease, and behind it the end of the newer attempt of the same task, which it was given after its return. A new leader inherits the newer attempt and doesn't know that its start was answered. The first end has to wait until it is, and the list is processed in order, so the second one, which proves it, was never reached. All later ends of that worker were stuck behind it.

Change: an attempt whose end is listed has started.

--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"geraniumwall/jobs"
 )
@@ -10,6 +11,7 @@
 // worker discards ends in order, up to the number that is acknowledged. So no end at or
 // behind one that cannot be recorded yet is acknowledged; the next list repeats them.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
+	w.confirmStarts(ends, d.now)
 	ack := acknowledgement{worker: w, highest: w.lastAcked}
 	for i := range ends {
 		f := &ends[i]
@@ -69,6 +71,22 @@
 	}
 }
 
+// confirmStarts marks the listed attempts as started, so that their starts are not taken
+// to be in flight.
+func (w *worker) confirmStarts(ends []FinishedTask, now time.Duration) {
+	for i := range ends {
+		a := w.attempts[ends[i].Task]
+		if a == nil || a.number != ends[i].Attempt {
+			continue
+		}
+		switch a.phase {
+		case phaseInherited, phaseOrdered, phaseUncertain:
+			a.setPhase(phaseStarted, now)
+		case phaseProposed, phaseStarted, phaseVoid:
+		}
+	}
+}
+
 // lateEndApplies reports whether the end of an attempt that was already abandoned can
 // still change the state of its task.
 func (d *Dispatcher) lateEndApplies(f *FinishedTask) bool {
