dispatch: ask a worker again that failed a hold and has no attempts left

What callers saw: a lasting task that failed by itself was not started again by the leader of that time, though there was room, and at once by the next one (LOST).

Cause: a worker that does not answer a hold gets no tasks until it answers one. Holds go only to workers with attempts. A worker whose attempts ended meanwhile, as starts that were refused with the same batch of expired orders do, was never asked again: the leader held it unusable in memory for the rest of its term, while it reported with every heartbeat. The next leader polls all workers, and finds the room.

Change: each heartbeat of a worker that failed a hold is followed by a hold.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -293,9 +293,10 @@
 }
 
 // pollUnconfirmed requests the list of attempts from a worker that has not answered this
-// leader yet.
+// leader yet, or that failed to answer: without attempts no other hold would find out that
+// it receives orders again.
 func (d *Dispatcher) pollUnconfirmed(w *worker) {
-	if !w.fenceConfirmed && !w.holdInFlight && d.now >= w.nextHoldAt {
+	if (!w.fenceConfirmed || w.unresponsive) && !w.holdInFlight && d.now >= w.nextHoldAt {
 		d.sendHold(w)
 	}
 }
