dispatch: cancel a start that no longer fits its worker

A worker is chosen by its capacity at one moment, and the start goes out once the binding is committed. A heartbeat with a smaller capacity that arrived in between was ignored, so the start brought the worker over its capacity.

The start is now checked against all attempts on the worker, including those that are being stopped and unexpected ones. A start that no longer fits ends as never started, and its task is planned anew with the commit of that end. The starts of a gang are cancelled together, since members that start alone wait in vain.

--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -377,6 +377,23 @@
 		return "an earlier attempt succeeded"
 	case j == nil || j.State.Ended():
 		return "the job has ended"
+	case !a.worker.holdsAll():
+		return "the capacity of the worker shrank"
+	case a.step.Gang && !d.gangFits(j, a):
+		return "the capacity of the worker of another gang member shrank"
 	}
 	return ""
 }
+
+// gangFits reports whether the workers of all members of an attempt's gang can hold them.
+// Members that start alone would wait for the others in vain.
+func (d *Dispatcher) gangFits(j *jobs.Job, a *attempt) bool {
+	tasks := j.StepTasks(a.task.Occurrence, a.task.Step)
+	for i := range tasks {
+		member := d.currentAttempt(tasks[i].Key)
+		if member != nil && member.number == a.number && member.worker != nil && !member.worker.holdsAll() {
+			return false
+		}
+	}
+	return true
+}
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -125,6 +125,10 @@
 	return left
 }
 
+// holdsAll reports whether all attempts on the worker fit in its capacity, including those
+// that have not started yet and those that are being stopped.
+func (w *worker) holdsAll() bool { return jobs.Resources{}.FitsIn(w.free()) }
+
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now, heartbeatTimeout time.Duration) bool {
 	return w.fenceConfirmed && !w.terminated && !w.deregistered && !w.unresponsive && !w.Draining &&
