dispatch: use a restarted worker only once it has reported itself

A worker that restarts under its id may be of another kind and size. The leader took over the capacity, labels and service of the former incarnation and used the new one as soon as it had answered a hold, before its first heartbeat.

An incarnation gets tasks now only once it has reported itself, to this leader or, by the record in the log, to an earlier one. A binding that moved to a restarted worker before it was committed is cancelled too.

--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -166,7 +166,7 @@
 		return "not confirmed"
 	case w.unresponsive:
 		return "unresponsive"
-	case d.now-w.heartbeatAt >= maxMissedHeartbeats*d.options.HeartbeatInterval:
+	case !w.reportIsFresh(d.now):
 		return "silent"
 	case w.health.quarantined(d.now):
 		return "quarantined"
--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -32,10 +32,9 @@
 }
 
 func (d *Dispatcher) candidates() []*candidate {
-	heartbeatTimeout := maxMissedHeartbeats * d.options.HeartbeatInterval
 	var list []*candidate
 	for _, w := range d.workers {
-		if !w.usable(d.now, heartbeatTimeout) {
+		if !w.usable(d.now) {
 			continue
 		}
 		list = append(list, d.newCandidate(w))
--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -74,4 +74,48 @@
 		Expect(sim.starts).To(Equal(2))
 		Expect(sim.violations).To(BeEmpty())
 	})
+
+	// Guards against a start on a new incarnation by the capacity of the former one. The new
+	// one may be of another kind and size, also under the same id.
+	It("starts nothing on a restarted worker before it has reported itself", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		d := sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		sim.submit("resident", oneTask(1000, 60_000))
+		sim.runUntil(3 * time.Second)
+		t.nextCapacity = func() jobs.Resources { return quarter(fullCapacity) }
+		t.heartbeatsBlocked = true
+		t.crash(100 * time.Millisecond)
+		sim.runUntil(5 * time.Second)
+		Expect(d.workers[t.id].StartedAtMS).To(Equal(t.startedAtMS), "the hold has found the new incarnation")
+		Expect(d.workers[t.id].fenceConfirmed).To(BeTrue())
+		sim.submit("large", oneTask(3000, 60_000))
+		sim.runUntil(6 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(t.running).To(BeEmpty())
+		t.heartbeatsBlocked = false
+		t.report()
+		sim.runUntil(sim.now + replanInterval + 50*time.Millisecond)
+		Expect(t.running).To(HaveLen(1), "only the resident fits")
+		Expect(sim.violations).To(BeEmpty())
+	})
+
+	// Guards against a new leader that uses a restarted worker by the record of its former
+	// incarnation.
+	It("starts nothing on a worker that restarted while the leader changed before it has reported itself", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		t.nextCapacity = func() jobs.Resources { return quarter(fullCapacity) }
+		t.heartbeatsBlocked = true
+		t.crash(100 * time.Millisecond)
+		sim.submit("large", oneTask(3000, 60_000))
+		sim.runUntil(2200 * time.Millisecond)
+		sim.startLeader()
+		sim.runUntil(5 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(t.running).To(BeEmpty())
+	})
 })
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -250,11 +250,17 @@
 		w.Heartbeat, w.heartbeatAt = h, d.now
 		d.observeClock(w, h.ClockMS, d.now)
 	}
+	w.reportExpiresAt = d.now + d.maxReportAge()
 	w.deregistered = false
 	d.register(w)
 	d.pollUnconfirmed(w)
 }
 
+// maxReportAge returns the age from which on a worker's report is too old for new tasks.
+func (d *Dispatcher) maxReportAge() time.Duration {
+	return maxMissedHeartbeats * d.options.HeartbeatInterval
+}
+
 // newIncarnation registers a worker incarnation that is new to this leader. Attempts on
 // an earlier incarnation of the same id ended with its process, but unanswered starts
 // may still arrive until the new incarnation has seen its higher fencing token.
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -373,6 +373,8 @@
 	switch {
 	case a.worker.terminated || a.worker.unresponsive || !a.worker.fenceConfirmed:
 		return "the worker became unusable"
+	case !a.worker.reportIsFresh(d.now):
+		return "the worker's report is too old"
 	case a.superseded:
 		return "an earlier attempt succeeded"
 	case j == nil || j.State.Ended():
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -27,6 +27,7 @@
 			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
 		}
 		w := d.newIncarnation(nil, h)
+		w.reportExpiresAt = d.now + d.maxReportAge()
 		w.nextHoldAt = d.now + holdDelayPerWorker*time.Duration(i)
 	}
 }
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -85,7 +85,8 @@
 }
 
 // handleRestart registers a new incarnation after a process with a different start time
-// has answered under the worker's id.
+// has answered under the worker's id. It may be of another kind and size, so it gets no
+// tasks before it has reported itself.
 func (d *Dispatcher) handleRestart(w *worker, r Reply) {
 	h := w.Heartbeat
 	h.StartedAtMS, h.ClockMS, h.Sequence = r.StartedAtMS, r.ClockMS, 0
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -14,6 +14,9 @@
 	// each incarnation, since orders for an earlier one of the same id may still arrive.
 	fence       int64
 	heartbeatAt time.Duration
+	// reportExpiresAt is when the last report of this incarnation becomes too old for new
+	// tasks, 0 if it has not reported itself yet.
+	reportExpiresAt time.Duration
 	// clock is the worker's clock in milliseconds, read at clockAt or earlier.
 	clock   int64
 	clockAt time.Duration
@@ -130,9 +133,12 @@
 func (w *worker) holdsAll() bool { return jobs.Resources{}.FitsIn(w.free()) }
 
 // usable reports whether the worker may get new tasks.
-func (w *worker) usable(now, heartbeatTimeout time.Duration) bool {
+func (w *worker) usable(now time.Duration) bool {
 	return w.fenceConfirmed && !w.terminated && !w.deregistered && !w.unresponsive && !w.Draining &&
-		now-w.heartbeatAt < heartbeatTimeout && !w.health.quarantined(now)
+		w.reportIsFresh(now) && !w.health.quarantined(now)
 }
 
+// reportIsFresh reports whether the worker may get new tasks by its last report.
+func (w *worker) reportIsFresh(now time.Duration) bool { return now < w.reportExpiresAt }
+
 func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
