dispatch: bound the age of reports by when a smaller capacity binds

A worker got tasks as long as its last heartbeat was younger than four intervals. A capacity that shrank binds contact-ms plus one interval later, whether the leader has heard of it or not: with the platform's 3 s and 1.5 s starts went on for 6 s by a report that is good for 4.5 s.

With 0, the default, the bound is four intervals as before.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -157,7 +157,8 @@
 		m.term = term
 		m.orderCtx, m.cancelOrders = context.WithCancel(context.Background())
 		options := dispatch.Options{
-			WorkerLease: m.settings.lease(), HeartbeatInterval: m.settings.heartbeat(), PreviousLeaderLease: replicate.LeaseTerm(),
+			WorkerLease: m.settings.lease(), HeartbeatInterval: m.settings.heartbeat(), CapacityGrace: m.settings.capacityGrace(),
+			PreviousLeaderLease: replicate.LeaseTerm(),
 		}
 		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now(), time.Now().UnixMilli()) //nolint:gosec // terms stay far below the limit
 		m.sender = m.newSender()
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -36,6 +36,11 @@
 	// LeaseMS is the lease of a worker in milliseconds: how long its tasks keep running
 	// without contact to the leader, and how long they wait if the worker is lost.
 	LeaseMS int64 `json:"lease_ms"`
+	// CapacityGraceMS is how long, besides one heartbeat interval, a worker whose capacity has
+	// shrunk may still get tasks beyond it, in milliseconds. A worker that has reported
+	// nothing for so long gets no new tasks. With 0 it gets them for four heartbeat
+	// intervals.
+	CapacityGraceMS int64 `json:"capacity_grace_ms"`
 	// MinWorkersForCarriers is the number of workers from which on carriers, the other
 	// replicas, send the leader's orders to workers; 0 for never. In smaller fleets the
 	// leader calls the workers itself, since each replica in between is another point of
@@ -56,6 +61,7 @@
 	c.Positive("lease_ms", s.LeaseMS)
 	c.Positive("stop_within_ms", s.ShutdownTimeoutMS)
 	c.NotNegative("carry_from_workers", int64(s.MinWorkersForCarriers))
+	c.NotNegative("capacity_grace_ms", s.CapacityGraceMS)
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
@@ -66,6 +72,9 @@
 
 func (s *Settings) lease() time.Duration     { return time.Duration(s.LeaseMS) * time.Millisecond }
 func (s *Settings) heartbeat() time.Duration { return time.Duration(s.HeartbeatMS) * time.Millisecond }
+func (s *Settings) capacityGrace() time.Duration {
+	return time.Duration(s.CapacityGraceMS) * time.Millisecond
+}
 func (s *Settings) shutdownTimeout() time.Duration {
 	return time.Duration(s.ShutdownTimeoutMS) * time.Millisecond
 }
--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -118,4 +118,31 @@
 		Expect(sim.violations).To(BeEmpty())
 		Expect(t.running).To(BeEmpty())
 	})
+
+	// Guards against starts by a report that is too old to know that the capacity shrank.
+	It("starts nothing on a worker whose report is older than the time after which a smaller capacity binds", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		t.report()
+		sim.runUntil(sim.now + 10*time.Millisecond)
+		t.setCapacity(quarter(fullCapacity))
+		t.heartbeatsBlocked = true
+		sim.runUntil(sim.now + testCapacityGrace + testHeartbeatInterval)
+		sim.submit("large", oneTask(3000, 60_000))
+		sim.runUntil(sim.now + 2*time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(t.running).To(BeEmpty())
+	})
+
+	// Guards against other bounds where the setting is not given.
+	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
+		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
+		Expect(d.maxReportAge()).To(Equal(4 * time.Second))
+		d.options.CapacityGrace = 100 * time.Millisecond
+		Expect(d.maxReportAge()).To(Equal(time.Second), "a worker that reports in time stays in use")
+		d.options.CapacityGrace = time.Minute
+		Expect(d.maxReportAge()).To(Equal(4 * time.Second))
+	})
 })
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -58,6 +58,9 @@
 	// maxMissedHeartbeats is the number of heartbeat intervals without a heartbeat after
 	// which a worker gets no new tasks.
 	maxMissedHeartbeats = 4
+	// orderTravelTime is how long an order is on its way to a worker before it counts as not
+	// answered.
+	orderTravelTime = 700 * time.Millisecond
 	// drainMargin is how long before a draining worker shuts down its tasks must be
 	// done.
 	drainMargin = 700 * time.Millisecond
@@ -78,6 +81,10 @@
 	WorkerLease time.Duration
 	// HeartbeatInterval is the interval between heartbeats.
 	HeartbeatInterval time.Duration
+	// CapacityGrace is how long, besides one heartbeat interval, a worker whose capacity has
+	// shrunk may still get tasks beyond it. It bounds the age of a worker's report by which
+	// new tasks start; with 0, maxMissedHeartbeats alone bounds it.
+	CapacityGrace time.Duration
 	// PreviousLeaderLease is how long the previous leader may have remained active after
 	// this one took over.
 	PreviousLeaderLease time.Duration
@@ -256,9 +263,14 @@
 	d.pollUnconfirmed(w)
 }
 
-// maxReportAge returns the age from which on a worker's report is too old for new tasks.
+// maxReportAge returns the age from which on a worker's report is too old for new tasks. A
+// start that is sent by then arrives before a capacity that has shrunk since binds.
 func (d *Dispatcher) maxReportAge() time.Duration {
-	return maxMissedHeartbeats * d.options.HeartbeatInterval
+	age := maxMissedHeartbeats * d.options.HeartbeatInterval
+	if d.options.CapacityGrace > 0 {
+		age = min(age, d.options.HeartbeatInterval+max(0, d.options.CapacityGrace-orderTravelTime))
+	}
+	return age
 }
 
 // newIncarnation registers a worker incarnation that is new to this leader. Attempts on
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -96,7 +96,8 @@
 	for _, previous := range sim.leaders {
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
-	options := Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, PreviousLeaderLease: testPreviousLeaderLease}
+	options := Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, CapacityGrace: testCapacityGrace,
+		PreviousLeaderLease: testPreviousLeaderLease}
 	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
 	sim.leaders = append(sim.leaders, d)
 	sim.registered[d] = map[jobs.Incarnation]jobs.Resources{}
@@ -369,16 +370,21 @@
 	t.report()
 }
 
+// heartbeat returns a new heartbeat.
+func (t *simWorker) heartbeat() Heartbeat {
+	t.sequence++
+	return Heartbeat{
+		Worker: t.id, HostPort: t.address, Service: "s", Capacity: t.capacity, ClockMS: t.clock(), StartedAtMS: t.startedAtMS,
+		Sequence: t.sequence, Draining: t.draining, Remaining: 3 * time.Second,
+	}
+}
+
 // report sends one heartbeat.
 func (t *simWorker) report() {
 	if !t.up || t.partitioned || t.heartbeatsBlocked {
 		return
 	}
-	t.sequence++
-	h := Heartbeat{
-		Worker: t.id, HostPort: t.address, Service: "s", Capacity: t.capacity, ClockMS: t.clock(), StartedAtMS: t.startedAtMS,
-		Sequence: t.sequence, Draining: t.draining, Remaining: 3 * time.Second,
-	}
+	h := t.heartbeat()
 	delay := time.Millisecond
 	if t.sim.maxHeartbeatDelay > 0 {
 		delay += time.Duration(t.sim.rng.Int64N(int64(t.sim.maxHeartbeatDelay)))
