dispatch: count the age of a heartbeat from when the worker made it

A heartbeat that was delayed on its way counted as new when it arrived, although the capacity may have shrunk long ago by then. Its age is now taken from its reading of the worker's clock, which the replies to holds show as well.

A heartbeat that seems too old to count makes the leader ask the worker. The reply tells a late heartbeat from a clock that was reset by a restart; without that a worker whose clock goes back would get no tasks until its clock has caught up.

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -136,6 +136,44 @@
 		Expect(t.running).To(BeEmpty())
 	})
 
+	// Guards against a heartbeat that was delayed on its way and counts as new. By the time
+	// of its arrival the capacity may have shrunk long ago.
+	It("counts the age of a report from when the worker made it", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		sim.submit("resident", oneTask(1000, 60_000))
+		sim.runUntil(3 * time.Second)
+		d := sim.current()
+		t.heartbeatsBlocked = true
+		delayed := t.heartbeat()
+		sim.runUntil(sim.now + 10*time.Millisecond)
+		t.setCapacity(quarter(fullCapacity))
+		sim.runUntil(sim.now + 2*time.Second)
+		d.Advance(sim.now, sim.unix())
+		d.HandleHeartbeat(delayed)
+		sim.runUntil(sim.now + testCapacityGrace + testHeartbeatInterval - 1800*time.Millisecond)
+		sim.submit("large", oneTask(3000, 60_000))
+		sim.runUntil(sim.now + 2*time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(t.running).To(HaveLen(1))
+	})
+
+	// Guards against a worker that never gets tasks again because its clock went back
+	// without a restart that it reports: all its heartbeats would look late.
+	It("asks a worker for its clock when its heartbeat seems too late to count", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(20 * time.Second)
+		t.bootedAt = sim.now
+		sim.runUntil(22 * time.Second)
+		sim.submit("job", oneTask(1000, 500))
+		sim.runUntil(24 * time.Second)
+		Expect(sim.store.Job("job").State).To(Equal(jobs.Done))
+	})
+
 	// Guards against other bounds where the setting is not given.
 	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
 		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -245,6 +245,7 @@
 // those of earlier incarnations are dropped.
 func (d *Dispatcher) HandleHeartbeat(h Heartbeat) {
 	w := d.workers[h.Worker]
+	age := time.Duration(0)
 	switch {
 	case w == nil || h.StartedAtMS > w.StartedAtMS:
 		w = d.newIncarnation(w, h)
@@ -254,10 +255,11 @@
 		if h.Draining && !w.Draining {
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
 		}
+		age = w.ageOf(h.ClockMS, d.now)
 		w.Heartbeat, w.heartbeatAt = h, d.now
 		d.observeClock(w, h.ClockMS, d.now)
 	}
-	w.reportExpiresAt = d.now + d.maxReportAge()
+	w.reportExpiresAt = d.now - age + d.maxReportAge()
 	w.deregistered = false
 	d.register(w)
 	d.pollUnconfirmed(w)
@@ -311,9 +313,10 @@
 }
 
 // pollUnconfirmed requests the list of attempts from a worker that has not answered this
-// leader yet.
+// leader yet. It also asks a worker whose heartbeat was too late to count: if the reply
+// shows that the clock was reset, the worker has restarted.
 func (d *Dispatcher) pollUnconfirmed(w *worker) {
-	if !w.fenceConfirmed && !w.holdInFlight && d.now >= w.nextHoldAt {
+	if (!w.fenceConfirmed || !w.reportIsFresh(d.now)) && !w.holdInFlight && d.now >= w.nextHoldAt {
 		d.sendHold(w)
 	}
 }
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -104,6 +104,15 @@
 	return w.clock + elapsed.Milliseconds()
 }
 
+// ageOf returns how long ago the worker's clock showed a reading at least. A worker whose
+// clock is not known yet, or a report without a reading, counts as of now.
+func (w *worker) ageOf(clock int64, now time.Duration) time.Duration {
+	if w.clock == 0 || clock == 0 {
+		return 0
+	}
+	return max(0, time.Duration(w.minClock(now)-clock)*time.Millisecond)
+}
+
 // leaseExpired reports whether the lease is certain to have expired on the worker, so
 // that nothing this leader started there is still running.
 func (w *worker) leaseExpired(now time.Duration) bool {
