dispatch: give restored workers a short time to report to a new leader

The log records a worker when it changes, not when it reported last, but a new leader took each recorded worker as one that had just reported and used it for the whole age that a report may have. It now uses a restored worker for one heartbeat interval and the second after which a worker turns to another replica, and from then on only once it has reported. Starts go on at a takeover as before.

Without the fix the job "late", submitted 2 s after the takeover, started: [FAILED] Expected <map[jobs.TaskKey]*dispatch.simRun | len:2> ... to have length 1

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -174,12 +174,39 @@
 		Expect(sim.store.Job("job").State).To(Equal(jobs.Done))
 	})
 
+	// Guards against a restored worker that counts as having reported at the takeover,
+	// although the record in the log may be older.
+	It("uses a restored worker only for a short time before it reports to the new leader", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		t.heartbeatsBlocked = true
+		sim.startLeader()
+		sim.runUntil(sim.now + testHeartbeatInterval)
+		sim.submit("early", oneTask(1000, 60_000))
+		sim.runUntil(sim.now + 500*time.Millisecond)
+		Expect(t.running).To(HaveLen(1))
+		t.setCapacity(quarter(fullCapacity))
+		sim.runUntil(2*time.Second + testTakeover - 500*time.Millisecond)
+		sim.submit("late", oneTask(1000, 60_000))
+		sim.runUntil(sim.now + 2*time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(t.running).To(HaveLen(1))
+		t.setCapacity(fullCapacity)
+		t.heartbeatsBlocked = false
+		sim.runUntil(sim.now + testHeartbeatInterval + 300*time.Millisecond)
+		Expect(t.running).To(HaveLen(2))
+	})
+
 	// Guards against other bounds where the setting is not given.
 	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
 		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
 		Expect(d.maxReportAge()).To(Equal(4 * time.Second))
+		Expect(d.restoredReportAge()).To(Equal(2 * time.Second))
 		d.options.CapacityGrace = 100 * time.Millisecond
 		Expect(d.maxReportAge()).To(Equal(time.Second), "a worker that reports in time stays in use")
+		Expect(d.restoredReportAge()).To(Equal(time.Second))
 		d.options.CapacityGrace = time.Minute
 		Expect(d.maxReportAge()).To(Equal(4 * time.Second))
 	})
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -61,6 +61,9 @@
 	// orderTravelTime is how long an order is on its way to a worker before it counts as not
 	// answered.
 	orderTravelTime = 700 * time.Millisecond
+	// heartbeatRetryTime is how long a worker waits for the answer to a heartbeat before it
+	// sends it to another replica.
+	heartbeatRetryTime = time.Second
 	// drainMargin is how long before a draining worker shuts down its tasks must be
 	// done.
 	drainMargin = 700 * time.Millisecond
@@ -275,6 +278,13 @@
 	return age
 }
 
+// restoredReportAge returns how long after a takeover a worker that an earlier leader has
+// recorded gets tasks before it reports to this one. The record tells no time, and the
+// worker may have shrunk since, but without any of them a takeover would stop all starts.
+func (d *Dispatcher) restoredReportAge() time.Duration {
+	return min(d.maxReportAge(), d.options.HeartbeatInterval+heartbeatRetryTime)
+}
+
 // newIncarnation registers a worker incarnation that is new to this leader. Attempts on
 // an earlier incarnation of the same id ended with its process, but unanswered starts
 // may still arrive until the new incarnation has seen its higher fencing token.
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -16,7 +16,8 @@
 }
 
 // restoreWorkers registers the workers that earlier leaders recorded, and polls them
-// over a time in proportion to the fleet. They get tasks once they have answered.
+// over a time in proportion to the fleet. They get tasks once they have answered, for a
+// short time before they report to this leader.
 func (d *Dispatcher) restoreWorkers() {
 	for i, recorded := range d.store.Workers() {
 		h := Heartbeat{
@@ -27,7 +28,7 @@
 			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
 		}
 		w := d.newIncarnation(nil, h)
-		w.reportExpiresAt = d.now + d.maxReportAge()
+		w.reportExpiresAt = d.now + d.restoredReportAge()
 		w.nextHoldAt = d.now + holdDelayPerWorker*time.Duration(i)
 	}
 }
