dispatch: plan at once when a heartbeat makes room

A heartbeat that shows more capacity, or that of a worker which had been silent, did not mark the plan as outdated, so waiting tasks saw the room only with the next periodic plan, up to 200 ms later.

Without the fix: [FAILED] after the growth Expected <map[jobs.TaskKey]*dispatch.simRun | len:0>: {} to have length 1

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -199,6 +199,38 @@
 		Expect(t.running).To(HaveLen(2))
 	})
 
+	// Guards against waiting tasks that see a larger capacity, or a worker that reports again,
+	// only with the next periodic plan.
+	It("plans at once when a heartbeat makes room", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(quarter(fullCapacity), true)
+		d := sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		planned := func() {
+			for !d.planner.dirty && d.planner.replanAt-sim.now < replanInterval-2*testTick {
+				sim.runUntil(sim.now + testTick)
+			}
+		}
+		sim.submit("large", oneTask(3000, 60_000))
+		sim.runUntil(3 * time.Second)
+		planned()
+		t.setCapacity(fullCapacity)
+		t.report()
+		sim.runUntil(sim.now + 3*testTick)
+		Expect(t.running).To(HaveLen(1), "after the growth")
+		t.heartbeatsBlocked = true
+		sim.runUntil(sim.now + d.maxReportAge() + testHeartbeatInterval)
+		sim.submit("small", oneTask(1000, 60_000))
+		sim.runUntil(sim.now + testHeartbeatInterval)
+		Expect(t.running).To(HaveLen(1), "nothing starts on a silent worker")
+		planned()
+		t.heartbeatsBlocked = false
+		t.report()
+		sim.runUntil(sim.now + 3*testTick)
+		Expect(t.running).To(HaveLen(2), "after the silence")
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// Guards against other bounds where the setting is not given.
 	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
 		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -259,6 +259,9 @@
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
 		}
 		age = w.ageOf(h.ClockMS, d.now)
+		if !w.reportIsFresh(d.now) || !h.Capacity.FitsIn(w.Capacity) {
+			d.planner.dirty = true
+		}
 		w.Heartbeat, w.heartbeatAt = h, d.now
 		d.observeClock(w, h.ClockMS, d.now)
 	}
