dispatch: rank workers by what a task reserves, also without a CPU request

A worker kept free for a long-running task that reserves no CPU was chosen by its free CPU all the same: with none left it counted as full. The other places that use the free capacity need no change for workers that run more than their shrunken capacity holds; the tests show it for starts, also of tasks that reserve no CPU or nothing at all, for reservations, for the reserve for short tasks and for moves. Running tasks are left alone. A worker that reports no capacity gets no tasks that ask for any.

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -231,6 +231,105 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// Guards against starts on a worker that runs more than its capacity holds by now, also of
+	// tasks that reserve no CPU, and against running tasks that are stopped for it.
+	It("starts nothing until the running tasks fit again and leaves them alone", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		lasting := oneTask(1500, 0)
+		lasting.Steps[0].LongRunning = true
+		sim.submit("lasting", lasting)
+		sim.submit("short", oneTask(2000, 8000))
+		sim.runUntil(3 * time.Second)
+		Expect(t.running).To(HaveLen(2))
+		t.setCapacity(jobs.Resources{MilliCPU: 2000, MemoryMB: 1000})
+		t.report()
+		sim.runUntil(4 * time.Second)
+		filler := jobs.Spec{Steps: []jobs.Step{{
+			Count: 1, Request: jobs.Resources{MilliCPU: 200, MemoryMB: 10}, EstimateMS: 500, Filler: true, Image: "f",
+		}}}
+		sim.submit("filler", filler)
+		sim.submit("small", oneTask(500, 500))
+		sim.submit("nothing", jobs.Spec{Steps: []jobs.Step{{Count: 1, EstimateMS: 500}}})
+		sim.runUntil(9 * time.Second)
+		Expect(sim.starts).To(Equal(2), "nothing starts")
+		Expect(t.running).To(HaveLen(2), "nothing is stopped")
+		sim.runUntil(13 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		for _, id := range []string{"short", "filler", "small", "nothing"} {
+			Expect(sim.store.Job(id).State).To(Equal(jobs.Done), id)
+		}
+		Expect(t.running).To(HaveLen(1), "the lasting task goes on")
+		Expect(sim.starts).To(Equal(5))
+	})
+
+	// Guards against starts on a worker that reports no capacity at all.
+	It("starts nothing that asks for anything on a worker without capacity", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(jobs.Resources{}, true)
+		sim.startLeader()
+		sim.submit("job", oneTask(1, 500))
+		sim.submit("filler", jobs.Spec{Steps: []jobs.Step{{
+			Count: 1, Request: jobs.Resources{MilliCPU: 200}, EstimateMS: 500, Filler: true, Image: "f",
+		}}})
+		sim.runUntil(5 * time.Second)
+		Expect(sim.starts).To(Equal(0))
+		t.setCapacity(fullCapacity)
+		sim.runUntil(8 * time.Second)
+		Expect(sim.store.Job("job").State).To(Equal(jobs.Done))
+		Expect(sim.store.Job("filler").State).To(Equal(jobs.Done))
+	})
+
+	// Guards against decisions that mistake a negative rest of capacity for room.
+	It("takes a worker that is over its capacity for the worst choice", func() {
+		sim := newSimulation(7)
+		for range 3 {
+			sim.addWorker(fullCapacity, true)
+		}
+		d := sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		lasting := oneTask(3000, 0)
+		lasting.Steps[0].LongRunning, lasting.Steps[0].Count, lasting.Steps[0].LatencyTargetMS, lasting.Steps[0].Image = true, 3, 20, "s"
+		sim.submit("lasting", lasting)
+		sim.runUntil(4 * time.Second)
+		sim.workers[0].setCapacity(quarter(fullCapacity))
+		sim.workers[0].report()
+		sim.runUntil(sim.now + testTick)
+		candidates := d.candidates()
+		over := candidates[0]
+		Expect(over.free.MilliCPU).To(Equal(int64(-2000)))
+		Expect(over.freeAfterShort.MilliCPU).To(Equal(int64(-2000)))
+		serving, idle := &lasting.Steps[0], &jobs.Step{Request: jobs.Resources{MilliCPU: 100, MemoryMB: 10}, Filler: true, LongRunning: true}
+		for _, step := range []*jobs.Step{serving, idle, {}} {
+			Expect(step.ReservedResources().FitsIn(over.free)).To(BeFalse())
+			Expect(over.fitRatio(step)).To(BeNumerically("<", 0))
+			Expect(over.fitRatio(step)).To(BeNumerically("<", candidates[1].fitRatio(step)))
+		}
+		for _, moving := range candidates[1].worker.attempts {
+			moving.reserved = jobs.Resources{MemoryMB: 10}
+			to := d.destination(candidates[1], candidates, moving, map[*candidate]jobs.Resources{}, nil)
+			Expect(to).To(BeIdenticalTo(candidates[2]))
+		}
+		task := &jobs.Task{Key: jobs.TaskKey{Job: "restart"}, Attempt: 1}
+		for range 3 {
+			d.reserveForRestart(restart{&waitingJob{service: "s"}, idle, task}, candidates)
+		}
+		Expect(over.reserved).To(Equal(notReserved))
+		keepForShort("s", 100, candidates)
+		Expect(over.keptForShort).To(BeFalse())
+	})
+
+	// Guards against a reservation by the free CPU for a task that reserves none.
+	It("compares workers by memory alone for a task that reserves no CPU", func() {
+		step := &jobs.Step{Request: jobs.Resources{MilliCPU: 100, MemoryMB: 100}, Filler: true}
+		more := &candidate{free: jobs.Resources{MilliCPU: 0, MemoryMB: 90}}
+		less := &candidate{free: jobs.Resources{MilliCPU: 500, MemoryMB: 30}}
+		Expect(more.fitRatio(step)).To(BeNumerically("~", 0.9))
+		Expect(less.fitRatio(step)).To(BeNumerically("~", 0.3))
+	})
+
 	// Guards against other bounds where the setting is not given.
 	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
 		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"geraniumwall/jobs"
@@ -273,10 +274,18 @@
 }
 
 // fitRatio returns the ratio of free to requested capacity, for the scarcer of CPU and
-// memory.
+// memory. It is negative for a worker that is over its capacity.
 func (c *candidate) fitRatio(step *jobs.Step) float64 {
 	request := step.ReservedResources()
-	return min(float64(c.free.MilliCPU)/float64(max(1, request.MilliCPU)), float64(c.free.MemoryMB)/float64(max(1, request.MemoryMB)))
+	return min(ratio(c.free.MilliCPU, request.MilliCPU), ratio(c.free.MemoryMB, request.MemoryMB))
+}
+
+// ratio returns free / requested. A request for nothing is limited by a negative rest only.
+func ratio(free, requested int64) float64 {
+	if requested == 0 && free >= 0 {
+		return math.Inf(1)
+	}
+	return float64(free) / float64(max(1, requested))
 }
 
 // planGang binds all tasks of a gang or none of them. It reports whether they still wait.
