dispatch: let later clock readings show the age of a report

The age of a heartbeat was fixed at its arrival. A delayed one that was the first to tell a new leader the worker's clock counted as new, although the next reply of the worker shows how old it is.

Without the fix: 5.046s: w0:1 uses {3000 10 0} of {1000 250 0} with large/0/0/0, its capacities are [{0 {4000 1000 0}} { {1000 250 0}}]

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -160,6 +160,28 @@
 		Expect(t.running).To(HaveLen(1))
 	})
 
+	// Guards against a late heartbeat that counts as new because it is the first one that
+	// tells the leader the worker's clock.
+	It("counts the age of a report by later readings of the clock too", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		t.heartbeatsBlocked = true
+		delayed := t.heartbeat()
+		sim.runUntil(sim.now + 10*time.Millisecond)
+		t.setCapacity(quarter(fullCapacity))
+		sim.runUntil(4 * time.Second)
+		d := sim.startLeader()
+		d.HandleHeartbeat(delayed)
+		sim.runUntil(2*time.Second + testCapacityGrace + testHeartbeatInterval + 20*time.Millisecond)
+		delete(sim.registered[d], jobs.Incarnation{Worker: t.id, StartedAtMS: t.startedAtMS})
+		sim.submit("large", oneTask(3000, 60_000))
+		sim.runUntil(sim.now + 2*time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(t.running).To(BeEmpty())
+	})
+
 	// Guards against a worker that never gets tasks again because its clock went back
 	// without a restart that it reports: all its heartbeats would look late.
 	It("asks a worker for its clock when its heartbeat seems too late to count", func() {
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -248,7 +248,6 @@
 // those of earlier incarnations are dropped.
 func (d *Dispatcher) HandleHeartbeat(h Heartbeat) {
 	w := d.workers[h.Worker]
-	age := time.Duration(0)
 	switch {
 	case w == nil || h.StartedAtMS > w.StartedAtMS:
 		w = d.newIncarnation(w, h)
@@ -258,14 +257,14 @@
 		if h.Draining && !w.Draining {
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
 		}
-		age = w.ageOf(h.ClockMS, d.now)
 		if !w.reportIsFresh(d.now) || !h.Capacity.FitsIn(w.Capacity) {
 			d.planner.dirty = true
 		}
 		w.Heartbeat, w.heartbeatAt = h, d.now
 		d.observeClock(w, h.ClockMS, d.now)
 	}
-	w.reportExpiresAt = d.now - age + d.maxReportAge()
+	w.reportExpiresAt = d.now + d.maxReportAge()
+	d.limitReportAge(w)
 	w.deregistered = false
 	d.register(w)
 	d.pollUnconfirmed(w)
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -104,11 +104,18 @@
 func (d *Dispatcher) observeClock(w *worker, clock int64, at time.Duration) {
 	first := w.clock == 0
 	w.updateClock(clock, at)
+	d.limitReportAge(w)
 	if first && w.clock != 0 {
 		w.leaseEnd = max(w.leaseEnd, w.clock+d.inheritedLease().Milliseconds())
 	}
 }
 
+// limitReportAge lets the report of a worker expire by its age on the worker's clock, if that
+// is sooner than by its arrival: the report may have been delayed on its way.
+func (d *Dispatcher) limitReportAge(w *worker) {
+	w.reportExpiresAt = min(w.reportExpiresAt, d.now-w.ageOf(w.ClockMS, d.now)+d.maxReportAge())
+}
+
 // inheritedLease returns the longest lease that an earlier leader may have granted, from
 // the start of this leader.
 func (d *Dispatcher) inheritedLease() time.Duration {
