dispatch: keep the newest state of a worker over a takeover

The log recorded a worker without the number of the heartbeat that showed its state. A new leader therefore accepted any heartbeat of the incarnation, and one that had been delayed replaced a smaller capacity in the log by the larger one of before. The number is recorded now; it makes no registration by itself.

The number of registrations needs no change: a test with 300 workers whose capacity changes in each of 8 heartbeats before the first commit shows one proposal per worker on its way, and the newest state in the log after the second.

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -352,6 +352,69 @@
 		Expect(less.fitRatio(step)).To(BeNumerically("~", 0.3))
 	})
 
+	// Guards against a delayed heartbeat that replaces the newer state in the log after a
+	// takeover.
+	It("keeps the smaller capacity in the log when an older heartbeat arrives at a new leader", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		delayed := t.heartbeat()
+		t.setCapacity(quarter(fullCapacity))
+		t.report()
+		t.heartbeatsBlocked = true
+		sim.runUntil(2500 * time.Millisecond)
+		d := sim.startLeader()
+		Expect(d.workers[t.id].Capacity).To(Equal(quarter(fullCapacity)))
+		d.HandleHeartbeat(delayed)
+		Expect(d.workers[t.id].Capacity).To(Equal(quarter(fullCapacity)))
+		later := t.heartbeat()
+		d.HandleHeartbeat(later)
+		Expect(d.workers[t.id].Sequence).To(Equal(later.Sequence))
+	})
+
+	// Guards against a log that fills with registrations of workers whose capacity changes
+	// with each heartbeat, and against a later leader that gets an outdated one.
+	It("has one registration of a worker on its way at a time, and the newest state at the end", func() {
+		const workers, heartbeats = 300, 8
+		sim := newSimulation(7)
+		for range workers {
+			sim.addWorker(fullCapacity, true)
+		}
+		d := sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		for _, t := range sim.workers {
+			t.heartbeatsBlocked = true
+		}
+		var proposed []Proposal
+		for i := range heartbeats {
+			for _, t := range sim.workers {
+				h := t.heartbeat()
+				h.Capacity.MilliCPU = int64(1000 + i)
+				d.HandleHeartbeat(h)
+			}
+			commands, _, _ := d.TakeOutput()
+			for _, p := range commands {
+				if p.Command.RegisterWorker != nil {
+					proposed = append(proposed, p)
+				}
+			}
+		}
+		Expect(proposed).To(HaveLen(workers))
+		settled := 0
+		for len(proposed) > 0 {
+			for _, p := range proposed {
+				p.OnResult(sim.store.Apply(p.Command), true)
+			}
+			settled += len(proposed)
+			proposed, _, _ = d.TakeOutput()
+		}
+		Expect(settled).To(Equal(2*workers), "the first state and the newest one")
+		for _, w := range sim.store.Workers() {
+			Expect(w.Capacity.MilliCPU).To(Equal(int64(1000 + heartbeats - 1)))
+		}
+	})
+
 	// Guards against other bounds where the setting is not given.
 	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
 		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -23,6 +23,7 @@
 		h := Heartbeat{
 			Worker: recorded.Worker, HostPort: recorded.HostPort, Service: recorded.Service, Domain: recorded.Domain,
 			Draining: recorded.Draining, Capacity: recorded.Capacity, Labels: recorded.Labels, StartedAtMS: recorded.StartedAtMS,
+			Sequence: recorded.Sequence,
 		}
 		if recorded.Draining {
 			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
@@ -37,7 +38,7 @@
 func (w *worker) record(unixMS int64) *jobs.Worker {
 	r := &jobs.Worker{
 		Incarnation: w.incarnation(), HostPort: w.HostPort, Service: w.Service, Domain: w.Domain, Capacity: w.Capacity,
-		Labels: w.Labels, Draining: w.Draining,
+		Labels: w.Labels, Draining: w.Draining, Sequence: w.Sequence,
 	}
 	if w.Draining {
 		r.DrainEndsAt = unixMS + w.Remaining.Milliseconds()
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -18,9 +18,13 @@
 	// in milliseconds until which it works at least.
 	Draining    bool  `json:"draining,omitempty"`
 	DrainEndsAt int64 `json:"drain_ends_at,omitempty"`
+	// Sequence is the number of the heartbeat that showed this state. An older one that
+	// arrives at a later leader must not replace it.
+	Sequence int64 `json:"seq,omitempty"`
 }
 
-// Same reports whether both registrations describe the same worker in the same state.
+// Same reports whether both registrations describe the same worker in the same state, by
+// whichever heartbeat.
 func (w *Worker) Same(o *Worker) bool {
 	return w.Incarnation == o.Incarnation && w.HostPort == o.HostPort && w.Service == o.Service && w.Domain == o.Domain &&
 		w.Capacity == o.Capacity && w.Draining == o.Draining && slices.Equal(w.Labels, o.Labels)
