dispatch: do not repeat a registration that the log refuses

The log refuses the record of a worker if it has one with a later start time, for example after the worker's wall clock was set back. The leader compared its state with the log after each commit and proposed the same record again, once per commit without end. It now waits for the next heartbeat.

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -415,6 +415,28 @@
 		}
 	})
 
+	// Guards against a leader that proposes the same registration again and again because
+	// the log holds one of a later start time, for example after the worker's wall clock was
+	// set back.
+	It("does not repeat a registration that the log refuses", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		t.heartbeatsBlocked = true
+		sim.store.Apply(jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: jobs.Worker{
+			Incarnation: jobs.Incarnation{Worker: t.id, StartedAtMS: t.startedAtMS + 5000}, HostPort: t.address, Service: "s", Capacity: fullCapacity,
+		}}})
+		d := sim.startLeader()
+		sim.runUntil(100 * time.Millisecond)
+		Expect(d.workers[t.id].StartedAtMS).To(Equal(t.startedAtMS), "the worker has answered")
+		d.HandleHeartbeat(t.heartbeat())
+		commands, _, _ := d.TakeOutput()
+		for _, p := range commands {
+			p.OnResult(sim.store.Apply(p.Command), true)
+		}
+		commands, _, _ = d.TakeOutput()
+		Expect(commands).To(BeEmpty())
+	})
+
 	// Guards against other bounds where the setting is not given.
 	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
 		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -58,9 +58,10 @@
 	}
 	w.registration.proposed = true
 	command := jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: *record}}
-	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) {
+	d.commands = append(d.commands, Proposal{command, func(result jobs.Result, ok bool) {
 		w.registration.proposed = false
-		if !ok || w.terminated || w.deregistered {
+		// The log refuses a record if it has one of a later start time.
+		if !ok || !result.Applied || w.terminated || w.deregistered {
 			w.completeRegistration(false)
 			return
 		}
