dispatch: accept restarted workers that tell no start time after a takeover

The number of the last heartbeat in the log would have made a new leader drop the heartbeats of a worker that restarted and tells no start time, until its numbers had caught up. The number counts only together with a start time.

Without the fix: [FAILED] Expected {MilliCPU: 4000, MemoryMB: 1000, GPUs: 0} to equal {MilliCPU: 1000, MemoryMB: 250, GPUs: 0}

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -373,6 +373,18 @@
 		Expect(d.workers[t.id].Sequence).To(Equal(later.Sequence))
 	})
 
+	// Guards against a worker that tells no start time and restarts while the leader changes:
+	// its heartbeats count anew and must not be taken for old ones.
+	It("accepts the heartbeats of a restarted worker that tells no start time", func() {
+		sim := newSimulation(7)
+		sim.store.Apply(jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: jobs.Worker{
+			Incarnation: jobs.Incarnation{Worker: "w"}, HostPort: "w:1", Service: "s", Capacity: fullCapacity, Sequence: 50,
+		}}})
+		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, sim.store, 1, 0, unixStart)
+		d.HandleHeartbeat(Heartbeat{Worker: "w", HostPort: "w:1", Service: "s", Capacity: quarter(fullCapacity), Sequence: 1})
+		Expect(d.workers["w"].Capacity).To(Equal(quarter(fullCapacity)))
+	})
+
 	// Guards against a log that fills with registrations of workers whose capacity changes
 	// with each heartbeat, and against a later leader that gets an outdated one.
 	It("has one registration of a worker on its way at a time, and the newest state at the end", func() {
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -23,7 +23,10 @@
 		h := Heartbeat{
 			Worker: recorded.Worker, HostPort: recorded.HostPort, Service: recorded.Service, Domain: recorded.Domain,
 			Draining: recorded.Draining, Capacity: recorded.Capacity, Labels: recorded.Labels, StartedAtMS: recorded.StartedAtMS,
-			Sequence: recorded.Sequence,
+		}
+		if recorded.StartedAtMS != 0 {
+			// A worker that tells no start time may have restarted and count anew.
+			h.Sequence = recorded.Sequence
 		}
 		if recorded.Draining {
 			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
