dispatch: ask a worker again that failed a hold and has no attempts left

A worker that does not answer a hold gets no new tasks until it answers one, but holds go only to workers with attempts. One whose attempts ended meanwhile, for example with its lease, was not asked again and stayed out of use for the rest of the leader's term although it reported with every heartbeat. Each heartbeat of such a worker is now followed by a hold.

Without the fix: [FAILED] the task runs again Expected <int>: 1 to equal <int>: 2

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -325,10 +325,11 @@
 }
 
 // pollUnconfirmed requests the list of attempts from a worker that has not answered this
-// leader yet. It also asks a worker whose heartbeat was too late to count: if the reply
-// shows that the clock was reset, the worker has restarted.
+// leader yet, or that failed to answer: without attempts no other hold would find out that
+// it receives orders again. It also asks a worker whose heartbeat was too late to count: if
+// the reply shows that the clock was reset, the worker has restarted.
 func (d *Dispatcher) pollUnconfirmed(w *worker) {
-	if (!w.fenceConfirmed || !w.reportIsFresh(d.now)) && !w.holdInFlight && d.now >= w.nextHoldAt {
+	if (!w.fenceConfirmed || w.unresponsive || !w.reportIsFresh(d.now)) && !w.holdInFlight && d.now >= w.nextHoldAt {
 		d.sendHold(w)
 	}
 }
--- a/jobs/dispatch/faults_test.go
+++ b/jobs/dispatch/faults_test.go
@@ -89,6 +89,25 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// Guards against a worker that failed a hold and has no attempts left: without another
+	// hold it would stay out of use although it reports.
+	It("uses a worker again that receives orders again", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		sim.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, LongRunning: true}}})
+		sim.runUntil(3 * time.Second)
+		t.ordersBlocked = true
+		sim.runUntil(3*time.Second + testLease + 2*time.Second)
+		Expect(sim.current().workers[t.id].attempts).To(BeEmpty())
+		t.ordersBlocked = false
+		Expect(sim.starts).To(Equal(1))
+		sim.runUntil(sim.now + testHeartbeatInterval + time.Second)
+		Expect(sim.starts).To(Equal(2), "the task runs again")
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// Guards against a sequence of fillers beside a serving task whose tail latency is
 	// already too high. Each one is paused in time, but together they keep it slow.
 	It("starts no filler beside a serving task that is too slow", func() {
