dispatch: record silent workers, so that no later leader uses them unheard

Each new leader uses a worker in the log for a short time before it reports. A worker that had long been silent was thus used again after each takeover, by a record that nothing had confirmed meanwhile. The leader now records that a worker has been silent for one interval longer than it gets tasks, and its next heartbeat clears that. Each silence costs two commands in the log.

Without the fix the job "large" starts on the silent worker that has shrunk: [FAILED] Expected <map[jobs.TaskKey]*dispatch.simRun | len:1>: {{Job: "large" ... to be empty

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -352,6 +352,29 @@
 		Expect(less.fitRatio(step)).To(BeNumerically("~", 0.3))
 	})
 
+	// Guards against a worker that has long been silent and is used again by each new leader,
+	// by a record that nothing has confirmed meanwhile.
+	It("does not use a worker that an earlier leader saw silent before it reports", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		t.heartbeatsBlocked = true
+		t.setCapacity(quarter(fullCapacity))
+		sim.runUntil(6 * time.Second)
+		Expect(sim.store.Workers()[0].Silent).To(BeTrue())
+		sim.startLeader()
+		sim.submit("large", oneTask(3000, 60_000))
+		sim.runUntil(sim.now + 3*time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(t.running).To(BeEmpty())
+		t.setCapacity(fullCapacity)
+		t.heartbeatsBlocked = false
+		sim.runUntil(sim.now + testHeartbeatInterval + 100*time.Millisecond)
+		Expect(t.running).To(HaveLen(1))
+		Expect(sim.store.Workers()[0].Silent).To(BeFalse())
+	})
+
 	// Guards against a delayed heartbeat that replaces the newer state in the log after a
 	// takeover.
 	It("keeps the smaller capacity in the log when an older heartbeat arrives at a new leader", func() {
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -420,6 +420,7 @@
 		w.nextSweepAt = d.now + sweepInterval
 		d.stopUnneeded(w)
 		d.stopUnexpected(w)
+		d.registerSilent(w)
 	}
 }
 
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -17,7 +17,7 @@
 
 // restoreWorkers registers the workers that earlier leaders recorded, and polls them
 // over a time in proportion to the fleet. They get tasks once they have answered, for a
-// short time before they report to this leader.
+// short time before they report to this leader, unless they were silent before.
 func (d *Dispatcher) restoreWorkers() {
 	for i, recorded := range d.store.Workers() {
 		h := Heartbeat{
@@ -32,16 +32,19 @@
 			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
 		}
 		w := d.newIncarnation(nil, h)
-		w.reportExpiresAt = d.now + d.restoredReportAge()
+		if !recorded.Silent {
+			w.reportExpiresAt = d.now + d.restoredReportAge()
+		}
 		w.nextHoldAt = d.now + holdDelayPerWorker*time.Duration(i)
 	}
 }
 
 // record returns the registration of the worker as of its latest heartbeat.
-func (w *worker) record(unixMS int64) *jobs.Worker {
+func (w *worker) record(now time.Duration, unixMS int64) *jobs.Worker {
 	r := &jobs.Worker{
 		Incarnation: w.incarnation(), HostPort: w.HostPort, Service: w.Service, Domain: w.Domain, Capacity: w.Capacity,
 		Labels: w.Labels, Draining: w.Draining, Sequence: w.Sequence,
+		Silent: !w.reportIsFresh(now),
 	}
 	if w.Draining {
 		r.DrainEndsAt = unixMS + w.Remaining.Milliseconds()
@@ -54,7 +57,7 @@
 	if w.registration.proposed {
 		return
 	}
-	record := w.record(d.unixMS)
+	record := w.record(d.now, d.unixMS)
 	if current := d.store.Worker(w.Worker); current != nil && current.Same(record) {
 		w.completeRegistration(true)
 		return
@@ -72,6 +75,18 @@
 	}})
 }
 
+// registerSilent records that the last report of a registered worker has become too old, so
+// that no later leader uses it before it reports again. It waits for one more heartbeat,
+// since many are late after a takeover.
+func (d *Dispatcher) registerSilent(w *worker) {
+	if w.deregistered || d.now < w.reportExpiresAt+d.options.HeartbeatInterval {
+		return
+	}
+	if recorded := d.store.Worker(w.Worker); recorded != nil && recorded.Incarnation == w.incarnation() && !recorded.Silent {
+		d.register(w)
+	}
+}
+
 func (w *worker) completeRegistration(ok bool) {
 	waiters := w.registration.waiters
 	w.registration.waiters = nil
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -18,6 +18,8 @@
 	// in milliseconds until which it works at least.
 	Draining    bool  `json:"draining,omitempty"`
 	DrainEndsAt int64 `json:"drain_ends_at,omitempty"`
+	// Silent is set for a worker whose last report is too old for new tasks.
+	Silent bool `json:"silent,omitempty"`
 	// Sequence is the number of the heartbeat that showed this state. An older one that
 	// arrives at a later leader must not replace it.
 	Sequence int64 `json:"seq,omitempty"`
@@ -27,7 +29,7 @@
 // whichever heartbeat.
 func (w *Worker) Same(o *Worker) bool {
 	return w.Incarnation == o.Incarnation && w.HostPort == o.HostPort && w.Service == o.Service && w.Domain == o.Domain &&
-		w.Capacity == o.Capacity && w.Draining == o.Draining && slices.Equal(w.Labels, o.Labels)
+		w.Capacity == o.Capacity && w.Draining == o.Draining && w.Silent == o.Silent && slices.Equal(w.Labels, o.Labels)
 }
 
 // RegisterWorker records a worker or its new state.
