dispatch: acknowledge no ends to a worker that may have restarted

A hold acknowledges ends by their number. A worker that restarts under its id counts its ends anew. If the leader did not know of the restart, a slow hold with the number of the former incarnation made the worker forget an end of the new one before it was recorded, and the task would have run again. A hold after a pause of more than 300 ms or after a failed one acknowledges nothing now; the next one does. That costs one more hold when an idle worker gets a task.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -49,6 +49,10 @@
 	// holdRetryDelay is the delay after a hold that failed.
 	holdRetryDelay    = 150 * time.Millisecond
 	stopRetryInterval = 400 * time.Millisecond
+	// maxAckPause is how late a hold may be and still acknowledge ends. After a longer pause
+	// or a failed hold the worker may have restarted under its id and count its ends anew, so
+	// that it would forget ends of the new incarnation.
+	maxAckPause = 300 * time.Millisecond
 	// unexpectedTimeout is how long an unexpected attempt that the worker lists as
 	// finished still counts as running there.
 	unexpectedTimeout = 5 * time.Second
@@ -350,7 +354,10 @@
 }
 
 func (d *Dispatcher) sendHold(w *worker) {
-	h := &Hold{AckThrough: w.lastAcked, MaxWait: d.holdWaitFor(w)}
+	h := &Hold{MaxWait: d.holdWaitFor(w)}
+	if !w.unresponsive && d.now-w.nextHoldAt < maxAckPause {
+		h.AckThrough = w.lastAcked
+	}
 	if w.fenceConfirmed && !w.unresponsive {
 		h.Deadline = w.leaseDeadline(d.now, d.options.WorkerLease)
 		w.leaseEnd = max(w.leaseEnd, h.Deadline)
--- a/jobs/dispatch/faults_test.go
+++ b/jobs/dispatch/faults_test.go
@@ -108,6 +108,29 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// Guards against a hold that acknowledges ends of the former incarnation and arrives at a
+	// restarted worker, which counts its ends anew: it would forget an end that is not
+	// recorded, and the task would run again.
+	It("does not acknowledge ends by the numbers of a former incarnation", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, true)
+		d := sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		sim.submit("before", jobs.Spec{Steps: []jobs.Step{
+			{Count: 3, Request: small, EstimateMS: 100}, {Count: 1, Request: small, EstimateMS: 100, DependsOn: []int{0}},
+		}})
+		sim.runUntil(4 * time.Second)
+		Expect(d.workers[t.id].lastAcked).To(BeNumerically(">", 0))
+		t.crash(50 * time.Millisecond)
+		sim.runUntil(4100 * time.Millisecond)
+		sim.holdDelay, sim.commitDelay = 300*time.Millisecond, 50*time.Millisecond
+		sim.submit("after", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, EstimateMS: 100}}})
+		sim.runUntil(7 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(sim.store.Job("after").State).To(Equal(jobs.Done))
+		Expect(sim.starts).To(Equal(5))
+	})
+
 	// Guards against a sequence of fillers beside a serving task whose tail latency is
 	// already too high. Each one is paused in time, but together they keep it slow.
 	It("starts no filler beside a serving task that is too slow", func() {
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -30,6 +30,8 @@
 	commitDelay, committedUntil time.Duration
 	// expireRate is the share of orders that expire on their way and are not sent.
 	expireRate float64
+	// holdDelay is added to the network delay of holds.
+	holdDelay time.Duration
 	// maxDelay bounds the network delay of an order or a reply.
 	maxDelay time.Duration
 	// violations describes the invariants that were broken.
@@ -198,8 +200,11 @@
 	case draw < sim.lateRate+sim.noAnswerRate || t.partitioned || t.ordersBlocked || !t.up:
 		sim.schedule(wait, func() { answer(Reply{Status: Unknown}) })
 	default:
-		incarnation := t.startedAtMS
-		sim.schedule(sim.networkDelay(), func() {
+		incarnation, delay := t.startedAtMS, sim.networkDelay()
+		if o.Hold != nil {
+			delay += sim.holdDelay
+		}
+		sim.schedule(delay, func() {
 			if t.startedAtMS != incarnation || !t.up || t.partitioned {
 				sim.schedule(wait, func() { answer(Reply{Status: Unknown}) })
 				return
