Merge what follows from workers whose capacity changes

LIMIT: a start that no longer fits is cancelled, reports expire by the grace of the platform, restarted workers wait for their own report, room that grows is used at once.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -49,6 +49,10 @@
 	// holdRetryDelay is the delay after a hold that failed.
 	holdRetryDelay    = 150 * time.Millisecond
 	stopRetryInterval = 400 * time.Millisecond
+	// maxAckPause is how late a hold may be and still acknowledge ends. After a longer pause
+	// or a failed hold the worker may have restarted under its id and count its ends anew, so
+	// that it would forget ends of the new incarnation.
+	maxAckPause = 300 * time.Millisecond
 	// unexpectedTimeout is how long an unexpected attempt that the worker lists as
 	// finished still counts as running there.
 	unexpectedTimeout = 5 * time.Second
@@ -58,6 +62,12 @@
 	// maxMissedHeartbeats is the number of heartbeat intervals without a heartbeat after
 	// which a worker gets no new tasks.
 	maxMissedHeartbeats = 4
+	// orderTravelTime is how long an order is on its way to a worker before it counts as not
+	// answered.
+	orderTravelTime = 700 * time.Millisecond
+	// heartbeatRetryTime is how long a worker waits for the answer to a heartbeat before it
+	// sends it to another replica.
+	heartbeatRetryTime = time.Second
 	// drainMargin is how long before a draining worker shuts down its tasks must be
 	// done.
 	drainMargin = 700 * time.Millisecond
@@ -78,6 +88,10 @@
 	WorkerLease time.Duration
 	// HeartbeatInterval is the interval between heartbeats.
 	HeartbeatInterval time.Duration
+	// CapacityGrace is how long, besides one heartbeat interval, a worker whose capacity has
+	// shrunk may still get tasks beyond it. It bounds the age of a worker's report by which
+	// new tasks start; with 0, maxMissedHeartbeats alone bounds it.
+	CapacityGrace time.Duration
 	// PreviousLeaderLease is how long the previous leader may have remained active after
 	// this one took over.
 	PreviousLeaderLease time.Duration
@@ -247,14 +261,36 @@
 		if h.Draining && !w.Draining {
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
 		}
+		if !w.reportIsFresh(d.now) || !h.Capacity.FitsIn(w.Capacity) {
+			d.planner.dirty = true
+		}
 		w.Heartbeat, w.heartbeatAt = h, d.now
 		d.observeClock(w, h.ClockMS, d.now)
 	}
+	w.reportExpiresAt = d.now + d.maxReportAge()
+	d.limitReportAge(w)
 	w.deregistered = false
 	d.register(w)
 	d.pollUnconfirmed(w)
 }
 
+// maxReportAge returns the age from which on a worker's report is too old for new tasks. A
+// start that is sent by then arrives before a capacity that has shrunk since binds.
+func (d *Dispatcher) maxReportAge() time.Duration {
+	age := maxMissedHeartbeats * d.options.HeartbeatInterval
+	if d.options.CapacityGrace > 0 {
+		age = min(age, d.options.HeartbeatInterval+max(0, d.options.CapacityGrace-orderTravelTime))
+	}
+	return age
+}
+
+// restoredReportAge returns how long after a takeover a worker that an earlier leader has
+// recorded gets tasks before it reports to this one. The record tells no time, and the
+// worker may have shrunk since, but without any of them a takeover would stop all starts.
+func (d *Dispatcher) restoredReportAge() time.Duration {
+	return min(d.maxReportAge(), d.options.HeartbeatInterval+heartbeatRetryTime)
+}
+
 // newIncarnation registers a worker incarnation that is new to this leader. Attempts on
 // an earlier incarnation of the same id ended with its process, but unanswered starts
 // may still arrive until the new incarnation has seen its higher fencing token.
@@ -294,9 +330,10 @@
 
 // pollUnconfirmed requests the list of attempts from a worker that has not answered this
 // leader yet, or that failed to answer: without attempts no other hold would find out that
-// it receives orders again.
+// it receives orders again. It also asks a worker whose heartbeat was too late to count: if
+// the reply shows that the clock was reset, the worker has restarted.
 func (d *Dispatcher) pollUnconfirmed(w *worker) {
-	if (!w.fenceConfirmed || w.unresponsive) && !w.holdInFlight && d.now >= w.nextHoldAt {
+	if (!w.fenceConfirmed || w.unresponsive || !w.reportIsFresh(d.now)) && !w.holdInFlight && d.now >= w.nextHoldAt {
 		d.sendHold(w)
 	}
 }
@@ -317,7 +354,10 @@
 }
 
 func (d *Dispatcher) sendHold(w *worker) {
-	h := &Hold{AckThrough: w.lastAcked, MaxWait: d.holdWaitFor(w)}
+	h := &Hold{MaxWait: d.holdWaitFor(w)}
+	if !w.unresponsive && d.now-w.nextHoldAt < maxAckPause {
+		h.AckThrough = w.lastAcked
+	}
 	if w.fenceConfirmed && !w.unresponsive {
 		h.Deadline = w.leaseDeadline(d.now, d.options.WorkerLease)
 		w.leaseEnd = max(w.leaseEnd, h.Deadline)
@@ -387,6 +427,7 @@
 		w.nextSweepAt = d.now + sweepInterval
 		d.stopUnneeded(w)
 		d.stopUnexpected(w)
+		d.registerSilent(w)
 	}
 }
 
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"geraniumwall/jobs"
@@ -273,10 +274,18 @@
 }
 
 // fitRatio returns the ratio of free to requested capacity, for the scarcer of CPU and
-// memory.
+// memory. It is negative for a worker that is over its capacity.
 func (c *candidate) fitRatio(step *jobs.Step) float64 {
 	request := step.ReservedResources()
-	return min(float64(c.free.MilliCPU)/float64(max(1, request.MilliCPU)), float64(c.free.MemoryMB)/float64(max(1, request.MemoryMB)))
+	return min(ratio(c.free.MilliCPU, request.MilliCPU), ratio(c.free.MemoryMB, request.MemoryMB))
+}
+
+// ratio returns free / requested. A request for nothing is limited by a negative rest only.
+func ratio(free, requested int64) float64 {
+	if requested == 0 && free >= 0 {
+		return math.Inf(1)
+	}
+	return float64(free) / float64(max(1, requested))
 }
 
 // planGang binds all tasks of a gang or none of them. It reports whether they still wait.
@@ -373,10 +382,29 @@
 	switch {
 	case a.worker.terminated || a.worker.unresponsive || !a.worker.fenceConfirmed:
 		return "the worker became unusable"
+	case !a.worker.reportIsFresh(d.now):
+		return "the worker's report is too old"
 	case a.superseded:
 		return "an earlier attempt succeeded"
 	case j == nil || j.State.Ended():
 		return "the job has ended"
+	case !a.worker.holdsAll():
+		return "the capacity of the worker shrank"
+	case a.step.Gang && !d.gangFits(j, a):
+		return "the capacity of the worker of another gang member shrank"
 	}
 	return ""
 }
+
+// gangFits reports whether the workers of all members of an attempt's gang can hold them.
+// Members that start alone would wait for the others in vain.
+func (d *Dispatcher) gangFits(j *jobs.Job, a *attempt) bool {
+	tasks := j.StepTasks(a.task.Occurrence, a.task.Step)
+	for i := range tasks {
+		member := d.currentAttempt(tasks[i].Key)
+		if member != nil && member.number == a.number && member.worker != nil && !member.worker.holdsAll() {
+			return false
+		}
+	}
+	return true
+}
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -16,26 +16,35 @@
 }
 
 // restoreWorkers registers the workers that earlier leaders recorded, and polls them
-// over a time in proportion to the fleet. They get tasks once they have answered.
+// over a time in proportion to the fleet. They get tasks once they have answered, for a
+// short time before they report to this leader, unless they were silent before.
 func (d *Dispatcher) restoreWorkers() {
 	for i, recorded := range d.store.Workers() {
 		h := Heartbeat{
 			Worker: recorded.Worker, HostPort: recorded.HostPort, Service: recorded.Service, Domain: recorded.Domain,
 			Draining: recorded.Draining, Capacity: recorded.Capacity, Labels: recorded.Labels, StartedAtMS: recorded.StartedAtMS,
 		}
+		if recorded.StartedAtMS != 0 {
+			// A worker that tells no start time may have restarted and count anew.
+			h.Sequence = recorded.Sequence
+		}
 		if recorded.Draining {
 			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
 		}
 		w := d.newIncarnation(nil, h)
+		if !recorded.Silent {
+			w.reportExpiresAt = d.now + d.restoredReportAge()
+		}
 		w.nextHoldAt = d.now + holdDelayPerWorker*time.Duration(i)
 	}
 }
 
 // record returns the registration of the worker as of its latest heartbeat.
-func (w *worker) record(unixMS int64) *jobs.Worker {
+func (w *worker) record(now time.Duration, unixMS int64) *jobs.Worker {
 	r := &jobs.Worker{
 		Incarnation: w.incarnation(), HostPort: w.HostPort, Service: w.Service, Domain: w.Domain, Capacity: w.Capacity,
-		Labels: w.Labels, Draining: w.Draining,
+		Labels: w.Labels, Draining: w.Draining, Sequence: w.Sequence,
+		Silent: !w.reportIsFresh(now),
 	}
 	if w.Draining {
 		r.DrainEndsAt = unixMS + w.Remaining.Milliseconds()
@@ -48,16 +57,17 @@
 	if w.registration.proposed {
 		return
 	}
-	record := w.record(d.unixMS)
+	record := w.record(d.now, d.unixMS)
 	if current := d.store.Worker(w.Worker); current != nil && current.Same(record) {
 		w.completeRegistration(true)
 		return
 	}
 	w.registration.proposed = true
 	command := jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: *record}}
-	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) {
+	d.commands = append(d.commands, Proposal{command, func(result jobs.Result, ok bool) {
 		w.registration.proposed = false
-		if !ok || w.terminated || w.deregistered {
+		// The log refuses a record if it has one of a later start time.
+		if !ok || !result.Applied || w.terminated || w.deregistered {
 			w.completeRegistration(false)
 			return
 		}
@@ -65,6 +75,18 @@
 	}})
 }
 
+// registerSilent records that the last report of a registered worker has become too old, so
+// that no later leader uses it before it reports again. It waits for one more heartbeat,
+// since many are late after a takeover.
+func (d *Dispatcher) registerSilent(w *worker) {
+	if w.deregistered || d.now < w.reportExpiresAt+d.options.HeartbeatInterval {
+		return
+	}
+	if recorded := d.store.Worker(w.Worker); recorded != nil && recorded.Incarnation == w.incarnation() && !recorded.Silent {
+		d.register(w)
+	}
+}
+
 func (w *worker) completeRegistration(ok bool) {
 	waiters := w.registration.waiters
 	w.registration.waiters = nil
@@ -102,11 +124,18 @@
 func (d *Dispatcher) observeClock(w *worker, clock int64, at time.Duration) {
 	first := w.clock == 0
 	w.updateClock(clock, at)
+	d.limitReportAge(w)
 	if first && w.clock != 0 {
 		w.leaseEnd = max(w.leaseEnd, w.clock+d.inheritedLease().Milliseconds())
 	}
 }
 
+// limitReportAge lets the report of a worker expire by its age on the worker's clock, if that
+// is sooner than by its arrival: the report may have been delayed on its way.
+func (d *Dispatcher) limitReportAge(w *worker) {
+	w.reportExpiresAt = min(w.reportExpiresAt, d.now-w.ageOf(w.ClockMS, d.now)+d.maxReportAge())
+}
+
 // inheritedLease returns the longest lease that an earlier leader may have granted, from
 // the start of this leader.
 func (d *Dispatcher) inheritedLease() time.Duration {
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -14,6 +14,9 @@
 	// each incarnation, since orders for an earlier one of the same id may still arrive.
 	fence       int64
 	heartbeatAt time.Duration
+	// reportExpiresAt is when the last report of this incarnation becomes too old for new
+	// tasks, 0 if it has not reported itself yet.
+	reportExpiresAt time.Duration
 	// clock is the worker's clock in milliseconds, read at clockAt or earlier.
 	clock   int64
 	clockAt time.Duration
@@ -101,6 +104,15 @@
 	return w.clock + elapsed.Milliseconds()
 }
 
+// ageOf returns how long ago the worker's clock showed a reading at least. A worker whose
+// clock is not known yet, or a report without a reading, counts as of now.
+func (w *worker) ageOf(clock int64, now time.Duration) time.Duration {
+	if w.clock == 0 || clock == 0 {
+		return 0
+	}
+	return max(0, time.Duration(w.minClock(now)-clock)*time.Millisecond)
+}
+
 // leaseExpired reports whether the lease is certain to have expired on the worker, so
 // that nothing this leader started there is still running.
 func (w *worker) leaseExpired(now time.Duration) bool {
@@ -125,10 +137,17 @@
 	return left
 }
 
+// holdsAll reports whether all attempts on the worker fit in its capacity, including those
+// that have not started yet and those that are being stopped.
+func (w *worker) holdsAll() bool { return jobs.Resources{}.FitsIn(w.free()) }
+
 // usable reports whether the worker may get new tasks.
-func (w *worker) usable(now, heartbeatTimeout time.Duration) bool {
+func (w *worker) usable(now time.Duration) bool {
 	return w.fenceConfirmed && !w.terminated && !w.deregistered && !w.unresponsive && !w.Draining &&
-		now-w.heartbeatAt < heartbeatTimeout && !w.health.quarantined(now)
+		w.reportIsFresh(now) && !w.health.quarantined(now)
 }
 
+// reportIsFresh reports whether the worker may get new tasks by its last report.
+func (w *worker) reportIsFresh(now time.Duration) bool { return now < w.reportExpiresAt }
+
 func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
