e2e: tasks that crash their workers, workers that shrink, tasks that must run again

No test with the real programs covered tasks that crash each worker that starts them, workers whose capacity shrinks and grows, or tasks that last and must run again after they have failed by themselves.

TestJobSoak now submits deadly jobs and jobs that last to the end, whose first attempts fail. Workers shrink and grow, are back under a new id as well, and take 200 ms to stop a task. After the faults each task that lasts has to run within 10 s, deadly jobs have to be shown as failed and all others as done.

--- a/e2e/jobcallers_test.go
+++ b/e2e/jobcallers_test.go
@@ -32,16 +32,33 @@
 	jobs   int
 
 	mu sync.Mutex
-	// accepted are the acknowledged jobs that nobody has cancelled. done are those that
-	// were shown as done.
-	accepted map[string]bool
-	done     map[string]bool
+	// accepted are the acknowledged jobs that nobody has cancelled, with their kind. ended
+	// are those that were shown as done or failed, with that state.
+	accepted map[string]jobKind
+	ended    map[string]string
+	// drawn are the kinds of which a caller submits one job only.
+	drawn map[jobKind]bool
 }
 
+// jobKind is what the tasks of a job do.
+type jobKind int
+
+const (
+	// kindShort jobs end as done; a few are cancelled.
+	kindShort jobKind = iota
+	// kindLasting jobs last until they are cancelled.
+	kindLasting
+	// kindKept jobs last to the end of the test. Their first attempts fail.
+	kindKept
+	// kindDeadly jobs crash the workers that start them.
+	kindDeadly
+)
+
 func newJobCaller(f *jobFleet, seed uint64, number int) *jobCaller {
 	return &jobCaller{
 		f: f, number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), //nolint:gosec // a test
-		client: &http.Client{Timeout: jobCallTimeout, Transport: &http.Transport{}}, accepted: map[string]bool{}, done: map[string]bool{},
+		client:   &http.Client{Timeout: jobCallTimeout, Transport: &http.Transport{}},
+		accepted: map[string]jobKind{}, ended: map[string]string{}, drawn: map[jobKind]bool{},
 	}
 }
 
@@ -75,42 +92,74 @@
 	for time.Now().Before(until) {
 		c.jobs++
 		id := fmt.Sprintf("%08x%08x", c.number+1, c.jobs)
-		lasting := c.random.IntN(8) == 0
-		body := c.draw(id, lasting)
-		if !c.submit(id, body) {
+		kind := c.drawKind()
+		payload, steps := c.draw(kind)
+		if !c.submit(id, kind, c.offer(id, payload, steps)) || kind == kindKept {
 			continue
 		}
-		if lasting || c.random.IntN(10) == 0 {
+		if kind == kindLasting || kind == kindShort && c.random.IntN(10) == 0 {
 			time.Sleep(time.Duration(c.random.IntN(1500)) * time.Millisecond)
 			c.cancel(id)
 			continue
 		}
-		for patience := time.Now().Add(jobPatience); time.Now().Before(patience) && c.state(id) != "done"; {
+		for patience := time.Now().Add(jobPatience); time.Now().Before(patience) && !c.hasEnded(id); {
+			c.state(id)
 			time.Sleep(jobPolling)
 		}
 	}
 }
 
-// draw makes a job and tells the record of it.
-func (c *jobCaller) draw(id string, lasting bool) string {
-	payload := fmt.Sprint(50 + c.random.IntN(900))
-	steps := 1 + c.random.IntN(3)
-	if lasting {
-		payload, steps = "0", 1
+// drawKind draws the kind of the next job.
+func (c *jobCaller) drawKind() jobKind {
+	kind := kindShort
+	switch draw := c.random.IntN(16); {
+	case draw < 2:
+		kind = kindLasting
+	case draw < 4:
+		kind = kindKept
+	case draw < 5:
+		kind = kindDeadly
+	}
+	if (kind == kindKept || kind == kindDeadly) && c.drawn[kind] {
+		return kindShort
+	}
+	c.drawn[kind] = true
+	return kind
+}
+
+// draw makes a job of a kind.
+func (c *jobCaller) draw(kind jobKind) (standin.Payload, []standin.Step) {
+	after := time.Duration(50+c.random.IntN(900)) * time.Millisecond
+	count, milliCPU := 1+c.random.IntN(4), 500+500*c.random.Int64N(3)
+	switch kind {
+	case kindLasting:
+		return standin.Payload{}, []standin.Step{{Count: count, MilliCPU: milliCPU, Lasting: true}}
+	case kindKept:
+		// They are small enough to find room beside everything else.
+		return standin.Payload{After: after, FailingAttempts: 3}, []standin.Step{{Count: 1 + count%2, MilliCPU: 500, Lasting: true}}
+	case kindDeadly:
+		return standin.Payload{After: after * time.Duration(c.random.IntN(2)), Deadly: true}, []standin.Step{{Count: 1 + count%2, MilliCPU: milliCPU}}
+	case kindShort:
 	}
-	var known []standin.Step
+	steps := []standin.Step{{Count: count, MilliCPU: milliCPU}}
+	for i := range c.random.IntN(3) {
+		steps = append(steps, standin.Step{Count: 1 + c.random.IntN(4), MilliCPU: 500 + 500*c.random.Int64N(3), DependsOn: []int{i}})
+	}
+	return standin.Payload{After: after}, steps
+}
+
+// offer tells the record of a job and returns its submission.
+func (c *jobCaller) offer(id string, payload standin.Payload, steps []standin.Step) string {
+	c.f.record.Submitted(id, payload.String(), steps)
 	var sent []map[string]any
-	for i := range steps {
-		step := standin.Step{Count: 1 + c.random.IntN(4), MilliCPU: 500 + 500*c.random.Int64N(3), Lasting: lasting}
-		one := map[string]any{"count": step.Count, "cpu": step.MilliCPU, "mem-mb": 10, "estimate-ms": 500, "long-running": lasting}
-		if i > 0 {
-			step.DependsOn = []int{i - 1}
+	for _, step := range steps {
+		one := map[string]any{"count": step.Count, "cpu": step.MilliCPU, "mem-mb": 10, "estimate-ms": 500, "long-running": step.Lasting}
+		if step.DependsOn != nil {
 			one["depends-on"] = step.DependsOn
 		}
-		known, sent = append(known, step), append(sent, one)
+		sent = append(sent, one)
 	}
-	c.f.record.Submitted(id, payload, known)
-	body, err := json.Marshal(map[string]any{"spec": payload, "phases": sent})
+	body, err := json.Marshal(map[string]any{"spec": payload.String(), "phases": sent})
 	if err != nil {
 		panic(err)
 	}
@@ -118,14 +167,14 @@
 }
 
 // submit reports whether the job was acknowledged.
-func (c *jobCaller) submit(id, body string) bool {
+func (c *jobCaller) submit(id string, kind jobKind, body string) bool {
 	refused := true
 	for range submitTries {
 		status, _ := c.call(http.MethodPost, id, body)
 		switch status {
 		case http.StatusOK:
 			c.mu.Lock()
-			c.accepted[id] = true
+			c.accepted[id] = kind
 			c.mu.Unlock()
 			return true
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
@@ -153,9 +202,9 @@
 	}
 }
 
-// state returns the state that a job is shown in, empty for no answer, and checks
-// that it is known and stays done.
-func (c *jobCaller) state(id string) string {
+// state asks for the state of a job, and checks that it is known, has a cause and stays
+// as it is once the job has ended.
+func (c *jobCaller) state(id string) {
 	status, body := c.call(http.MethodGet, id, "")
 	var shown struct {
 		State string `json:"state"`
@@ -163,31 +212,50 @@
 	switch {
 	case status == http.StatusGone:
 		c.f.record.Breach("accepted job %s is not known", id)
-		return ""
+		return
 	case status != http.StatusOK || json.Unmarshal([]byte(body), &shown) != nil:
-		return ""
+		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	former := c.ended[id]
 	switch {
-	case shown.State == "done" && !c.done[id]:
-		c.done[id] = true
+	case former != "" && shown.State != former:
+		c.f.record.Breach("job %s was %s and is shown as %s", id, former, shown.State)
+	case former != "":
+	case shown.State == "done":
+		c.ended[id] = shown.State
 		c.f.record.Done(id)
-	case shown.State != "done" && c.done[id]:
-		c.f.record.Breach("job %s was done and is shown as %s", id, shown.State)
-	case shown.State == "failed" || shown.State == "cancelled":
-		c.f.record.Breach("job %s is shown as %s without cause", id, shown.State)
+	case shown.State == "failed":
+		c.ended[id] = shown.State
+		c.f.record.Failed(id)
+	case shown.State == "cancelled":
+		c.f.record.Breach("job %s is shown as cancelled without cause", id)
 	}
-	return shown.State
 }
 
-// open returns the accepted jobs that were not shown as done.
+func (c *jobCaller) hasEnded(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended[id] != ""
+}
+
+// open returns the accepted jobs that should end and were not shown as ended.
 func (c *jobCaller) open() []string {
+	return c.list(func(id string, kind jobKind) bool { return kind != kindKept && c.ended[id] == "" })
+}
+
+// kept returns the accepted jobs that last.
+func (c *jobCaller) kept() []string {
+	return c.list(func(_ string, kind jobKind) bool { return kind == kindKept })
+}
+
+func (c *jobCaller) list(include func(id string, kind jobKind) bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []string
-	for id := range c.accepted {
-		if !c.done[id] {
+	for id, kind := range c.accepted {
+		if include(id, kind) {
 			list = append(list, id)
 		}
 	}
--- a/e2e/jobfleet_test.go
+++ b/e2e/jobfleet_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -11,6 +12,7 @@
 	"geraniumwall/entry"
 	"geraniumwall/jobd"
 	"geraniumwall/platform/standin"
+	relayapi "geraniumwall/relay"
 )
 
 const (
@@ -22,6 +24,13 @@
 	jobBeat        = 300 * time.Millisecond
 	jobLease       = 3 * time.Second
 	jobWorkerCPU   = 4000
+	// jobStopTime is how long a worker takes to stop a task, jobDowntime how long it is
+	// down after a task has crashed it.
+	jobStopTime = 200 * time.Millisecond
+	jobDowntime = time.Second
+	// jobShrinkGrace is how long the former capacity of a worker that has shrunk may still
+	// be used: the contact time of the platform and one heartbeat.
+	jobShrinkGrace = 3*time.Second + jobBeat
 )
 
 // supervised is a process that is started again after it has ended, as the platform
@@ -167,6 +176,7 @@
 	w := standin.NewWorker(standin.Settings{
 		ID: fmt.Sprintf("i-%d", i), Listen: bind, Address: address, Control: f.control, Service: "s", MilliCPU: jobWorkerCPU,
 		Beat: jobBeat, Lease: jobLease, ClockRate: 0.98 + 0.02*float64(i%3),
+		ShrinkGrace: jobShrinkGrace, StopTime: jobStopTime, Downtime: jobDowntime, RenewID: i%2 == 1,
 	}, f.record)
 	f.workers = append(f.workers, w)
 	return w.Start()
@@ -199,6 +209,19 @@
 	return append(append([]*supervised(nil), f.replicas...), f.entries...)
 }
 
+// leader returns the replica that leads, or nil if none says so.
+func (f *jobFleet) leader() *supervised {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i, l := range f.peers {
+		var view relayapi.ClusterView
+		status, body := send(client, http.MethodGet, "http://"+l.target+relayapi.PathLeader, "", "")
+		if status == http.StatusOK && json.Unmarshal([]byte(body), &view) == nil && view.IsLeader {
+			return f.replicas[i]
+		}
+	}
+	return nil
+}
+
 // keepLogs copies the logs to a directory that outlives the test, and returns it.
 func (f *jobFleet) keepLogs() (string, error) {
 	dir, err := os.MkdirTemp("", "geranium-soak-")
--- a/e2e/jobsoak_test.go
+++ b/e2e/jobsoak_test.go
@@ -23,7 +23,9 @@
 	// all accepted work is done after the last one.
 	soakFaults   = 15 * time.Second
 	soakRecovery = 30 * time.Second
-	soakStep     = 50 * time.Millisecond
+	// soakLasting bounds the time from the last fault until all tasks that last run.
+	soakLasting = 10 * time.Second
+	soakStep    = 50 * time.Millisecond
 	// wipePause is the time without faults on replicas before and after one loses its
 	// disk: the others must be whole, and it must have caught up.
 	wipePause = 4 * time.Second
@@ -81,7 +83,7 @@
 // disturb brings one fault.
 func (s *jobSoak) disturb() {
 	length := s.between(300*time.Millisecond, 4500*time.Millisecond)
-	switch s.random.IntN(10) {
+	switch s.random.IntN(12) {
 	case 0, 1:
 		s.onReplica(length, s.stopReplica)
 	case 2, 3:
@@ -96,6 +98,8 @@
 		s.crashWorker(length)
 	case 9:
 		s.killAll()
+	case 10, 11:
+		s.shrinkWorker(length + time.Second)
 	}
 }
 
@@ -185,17 +189,19 @@
 	}
 }
 
-// crashWorker ends the life of a worker; the next one has the same id.
+// crashWorker ends the life of a worker; the next one has the same id or a new one.
 func (s *jobSoak) crashWorker(length time.Duration) {
 	i := s.random.IntN(len(s.f.workers))
 	s.note("crash worker %d for %v", i, length)
-	s.f.workers[i].Crash()
-	s.after(length, func() {
-		s.f.workers[i].Crash()
-		if err := s.f.workers[i].Start(); err != nil {
-			s.f.record.Breach("worker %d: %v", i, err)
-		}
-	})
+	s.f.workers[i].CrashFor(length)
+}
+
+// shrinkWorker reduces the capacity of a worker to a half or a quarter for a time.
+func (s *jobSoak) shrinkWorker(length time.Duration) {
+	i, milliCPU := s.random.IntN(len(s.f.workers)), jobWorkerCPU/(2+2*s.random.Int64N(2))
+	s.note("shrink worker %d to %d thousandths of a core for %v", i, milliCPU, length)
+	s.f.workers[i].SetCapacity(milliCPU)
+	s.after(length, func() { s.f.workers[i].SetCapacity(jobWorkerCPU) })
 }
 
 // heal ends all faults.
@@ -210,6 +216,11 @@
 	for _, p := range s.f.processes() {
 		p.startAt = time.Time{}
 	}
+	for i, w := range s.f.workers {
+		if err := w.Start(); err != nil {
+			s.f.record.Breach("worker %d: %v", i, err)
+		}
+	}
 	s.note("all faults have ended")
 }
 
@@ -226,13 +237,13 @@
 	for _, line := range s.log {
 		text += line + "\n"
 	}
-	return text
+	return text + fmt.Sprintf("broken promises: %v\n", s.f.record.Broken())
 }
 
-// runSoak plays one seed.
-func runSoak(t *testing.T, seed uint64) {
-	g := NewWithT(t)
-	f, err := newJobFleet(t.TempDir(), 3+int(seed%2)*2, 2, 4, int(seed/2%2)) //nolint:gosec // small
+// newSoak starts a fleet and gives it a configuration. The logs of a test that fails are
+// kept.
+func newSoak(t *testing.T, g *WithT, seed uint64, replicas, workers, carryFrom int) (*jobSoak, *jobOperator) {
+	f, err := newJobFleet(t.TempDir(), replicas, 2, workers, carryFrom)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(f.close)
 	t.Cleanup(func() {
@@ -247,7 +258,14 @@
 	}
 	s.await(g, "the first configuration", readyTimeout, func() bool { operator.change(); return operator.acknowledged > 0 })
 	g.Expect(f.forgetFirstStart()).To(Succeed())
+	return s, operator
+}
 
+// runSoak plays one seed.
+func runSoak(t *testing.T, seed uint64) {
+	g := NewWithT(t)
+	s, operator := newSoak(t, g, seed, 3+int(seed%2)*2, 4, int(seed/2%2)) //nolint:gosec // small
+	f := s.f
 	end := time.Now().Add(soakFaults)
 	var callers []*jobCaller
 	var group sync.WaitGroup
@@ -267,6 +285,7 @@
 	s.heal()
 	finished := make(chan struct{})
 	go func() { group.Wait(); close(finished) }()
+	s.awaitLasting(g, callers)
 	s.await(g, "the end of all calls", soakRecovery, func() bool {
 		select {
 		case <-finished:
@@ -276,19 +295,53 @@
 		}
 	})
 	for _, c := range callers {
-		s.await(g, fmt.Sprintf("the end of jobs %v", c.open()), soakRecovery, func() bool {
-			for _, id := range c.open() {
-				c.state(id)
-			}
-			return len(c.open()) == 0
-		})
+		s.awaitEnds(g, c)
 	}
+	s.awaitAllLasting(g, callers)
 	s.await(g, "the configuration", soakRecovery, operator.read)
 	g.Expect(f.record.Broken()).To(BeEmpty(), "seed %d; faults:\n%s", seed, s.history())
 	g.Expect(f.record.Starts()).NotTo(BeEmpty())
 	t.Logf("seed %d: %d tasks have run, configuration %d", seed, len(f.record.Starts()), operator.acknowledged)
 }
 
+// awaitEnds waits until all jobs of a caller that should end are shown as ended: deadly
+// ones as failed, all others as done.
+func (s *jobSoak) awaitEnds(g *WithT, c *jobCaller) {
+	s.await(g, fmt.Sprintf("the end of jobs %v", c.open()), soakRecovery, func() bool {
+		for _, id := range c.open() {
+			c.state(id)
+		}
+		return len(c.open()) == 0
+	})
+}
+
+// awaitLasting waits until each task has run, since now, of the jobs that last and were
+// accepted before.
+func (s *jobSoak) awaitLasting(g *WithT, callers []*jobCaller) {
+	kept := keptJobs(callers)
+	waiting := s.f.record.Idle(kept)
+	s.await(g, fmt.Sprintf("a run of the tasks that last %v", waiting), soakLasting, func() bool {
+		idle := s.f.record.Idle(kept)
+		waiting = slices.DeleteFunc(waiting, func(name string) bool { return !slices.Contains(idle, name) })
+		return len(waiting) == 0
+	})
+}
+
+// awaitAllLasting waits until all tasks of the jobs that last run at the same time. It is
+// for the time when no task crashes workers any more.
+func (s *jobSoak) awaitAllLasting(g *WithT, callers []*jobCaller) {
+	kept := keptJobs(callers)
+	s.await(g, fmt.Sprintf("all tasks of jobs %v that last", kept), soakLasting, func() bool { return len(s.f.record.Idle(kept)) == 0 })
+}
+
+func keptJobs(callers []*jobCaller) []string {
+	var list []string
+	for _, c := range callers {
+		list = append(list, c.kept()...)
+	}
+	return list
+}
+
 // soakRegressions are seeds that have failed, each with the cause.
 var soakRegressions = []uint64{}
 
