--- a/e2e/joblasting_test.go
+++ b/e2e/joblasting_test.go
@@ -23,7 +23,7 @@
 
 // accepts makes the link accept connections again.
 func (l *link) accepts() error {
-	r, err := newRelay(l.listener.Addr().String(), l.relay.target, l.there, l.back)
+	r, err := newRelay(l.listener.Addr().String(), l.target, l.there, l.back)
 	if err == nil {
 		l.relay = r
 	}
