dispatch: count the time without a leader into the age of recorded workers

What callers saw: nothing yet; a start over the room of a worker that had shrunk while all replicas were down (LIMIT), in a test with the real programs.

Cause: a new leader used each recorded worker for up to one heartbeat interval and a second before it reported, however long there had been no leader to hear of a smaller capacity.

Change: the time since the last command of an earlier leader, which the state machine keeps now, counts into the age of the record. Registrations carry their time for that.

The soak sets capacity_grace_ms as the platform does.

--- a/e2e/jobfleet_test.go
+++ b/e2e/jobfleet_test.go
@@ -143,7 +143,7 @@
 	p, err := newProcess(f.dir, "geranium-jobs", name, jobd.Settings{
 		Name: name, Domain: "a", Listen: f.control[i], PeerListen: peer, PeerBind: bind, Seeds: seeds, FirstStart: true,
 		DataDir: dataDir, HeartbeatMS: jobBeat.Milliseconds(), LeaseMS: jobLease.Milliseconds(), ShutdownTimeoutMS: 3000,
-		MinWorkersForCarriers: carryFrom,
+		MinWorkersForCarriers: carryFrom, CapacityGraceMS: (jobShrinkGrace - jobBeat).Milliseconds(),
 	})
 	if err != nil {
 		return err
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -32,6 +32,24 @@
 	return TaskKey{}
 }
 
+// at returns the time of the leader that proposed the command, in Unix milliseconds, or 0
+// if the command has none.
+func (c *Command) at() int64 {
+	switch {
+	case c.Submit != nil:
+		return c.Submit.At
+	case c.Cancel != nil:
+		return c.Cancel.At
+	case c.Bind != nil:
+		return c.Bind.At
+	case c.End != nil:
+		return c.End.At
+	case c.RegisterWorker != nil:
+		return c.RegisterWorker.At
+	}
+	return 0
+}
+
 // Configure activates a configuration if its version is higher than the current one.
 type Configure struct {
 	Config Config `json:"c"`
--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -474,7 +474,9 @@
 
 	// Guards against other bounds where the setting is not given.
 	It("uses a worker for four heartbeat intervals after its report without a capacity grace", func() {
-		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
+		store := jobs.NewStore()
+		store.Apply(jobs.Command{Cancel: &jobs.Cancel{ID: "j", At: unixStart}})
+		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, store, 1, 0, unixStart)
 		Expect(d.maxReportAge()).To(Equal(4 * time.Second))
 		Expect(d.restoredReportAge()).To(Equal(2 * time.Second))
 		d.options.CapacityGrace = 100 * time.Millisecond
@@ -483,4 +485,23 @@
 		d.options.CapacityGrace = time.Minute
 		Expect(d.maxReportAge()).To(Equal(4 * time.Second))
 	})
+
+	// Guards against starts over the room of workers that have shrunk while there was no
+	// leader: what the log says of them is out of date.
+	It("waits for the reports of recorded workers after a time without a leader", func() {
+		for leaderless, want := range map[time.Duration]time.Duration{
+			0: 2 * time.Second, 2500 * time.Millisecond: 1500 * time.Millisecond, 5 * time.Second: 0, time.Hour: 0, -time.Second: 2 * time.Second,
+		} {
+			store := jobs.NewStore()
+			store.Apply(jobs.Command{Bind: &jobs.Bind{At: unixStart}})
+			data, err := store.Snapshot()
+			Expect(err).NotTo(HaveOccurred())
+			restored, err := jobs.Restore(data)
+			Expect(err).NotTo(HaveOccurred())
+			d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, restored, 1, 0, unixStart+leaderless.Milliseconds())
+			Expect(d.restoredReportAge()).To(Equal(want), leaderless.String())
+		}
+		d := New(Options{HeartbeatInterval: time.Second, WorkerLease: testLease}, jobs.NewStore(), 1, 0, unixStart)
+		Expect(d.restoredReportAge()).To(BeZero(), "no leader has recorded a command")
+	})
 })
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -287,8 +287,10 @@
 // restoredReportAge returns how long after a takeover a worker that an earlier leader has
 // recorded gets tasks before it reports to this one. The record tells no time, and the
 // worker may have shrunk since, but without any of them a takeover would stop all starts.
+// The time without a leader counts, by the last command of the earlier one.
 func (d *Dispatcher) restoredReportAge() time.Duration {
-	return min(d.maxReportAge(), d.options.HeartbeatInterval+heartbeatRetryTime)
+	leaderless := max(0, time.Duration(d.unixMS-d.store.LastCommandAt())*time.Millisecond)
+	return max(0, min(d.options.HeartbeatInterval+heartbeatRetryTime, d.maxReportAge()-leaderless))
 }
 
 // newIncarnation registers a worker incarnation that is new to this leader. Attempts on
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -63,7 +63,7 @@
 		return
 	}
 	w.registration.proposed = true
-	command := jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: *record}}
+	command := jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: *record, At: d.unixMS}}
 	d.commands = append(d.commands, Proposal{command, func(result jobs.Result, ok bool) {
 		w.registration.proposed = false
 		// The log refuses a record if it has one of a later start time.
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -17,6 +17,9 @@
 	effects    []Effect
 	// workers are the registered workers, by id.
 	workers map[string]*Worker
+	// lastCommandAt is the time of the latest command that tells its time, in Unix
+	// milliseconds.
+	lastCommandAt int64
 	// changed are the jobs whose waiting tasks may have changed since the last call of
 	// TakeChanged.
 	changed map[string]bool
@@ -37,6 +40,9 @@
 
 // Apply applies a committed command.
 func (s *Store) Apply(c Command) Result {
+	if at := c.at(); at != 0 {
+		s.lastCommandAt = at
+	}
 	switch {
 	case c.Configure != nil:
 		return s.configure(c.Configure)
@@ -252,6 +258,10 @@
 // Config returns the active configuration, or nil before the first one.
 func (s *Store) Config() *Config { return s.config }
 
+// LastCommandAt returns when the latest command of a leader was proposed, in Unix
+// milliseconds by the clock of that leader, or 0 if there is none.
+func (s *Store) LastCommandAt() int64 { return s.lastCommandAt }
+
 // Effects returns the interference effects that a leader recorded last. The result
 // must not be modified.
 func (s *Store) Effects() []Effect { return s.effects }
@@ -296,11 +306,13 @@
 	Jobs    []*Job    `json:"jobs"`
 	Effects []Effect  `json:"effects,omitempty"`
 	Workers []*Worker `json:"workers,omitempty"`
+	// LastCommandAt is missing in snapshots of earlier versions.
+	LastCommandAt int64 `json:"last_command_at,omitempty"`
 }
 
 // Snapshot serializes the whole state.
 func (s *Store) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(snapshot{s.config, s.order, s.effects, s.Workers()})
+	data, err := json.Marshal(snapshot{s.config, s.order, s.effects, s.Workers(), s.lastCommandAt})
 	if err != nil {
 		return nil, fmt.Errorf("encode the job state: %w", err)
 	}
@@ -314,7 +326,7 @@
 		return nil, fmt.Errorf("decode the job state: %w; run the version that wrote the snapshot", err)
 	}
 	s := NewStore()
-	s.config, s.effects = decoded.Config, decoded.Effects
+	s.config, s.effects, s.lastCommandAt = decoded.Config, decoded.Effects, decoded.LastCommandAt
 	for _, w := range decoded.Workers {
 		s.workers[w.Worker] = w
 	}
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -35,6 +35,7 @@
 // RegisterWorker records a worker or its new state.
 type RegisterWorker struct {
 	Worker Worker `json:"w"`
+	At     int64  `json:"at,omitempty"`
 }
 
 // RemoveWorker deletes the registration of a worker that has left or is lost. A later
