delivery: end the sender with its term

Cause: orders that wait for the lease are flushed again every 12 ms. The sender of an ended term went on with that, and sent them once the replica led again. A fence or the deadline of a start keeps such an order from running twice, but a stop could reach a worker late.

Change: the sender is closed when the term ends and drops what it has not sent.

TestEndedTerm covers it.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -319,3 +319,20 @@
 	old := carrierClock{known: true}
 	g.Expect(old.expiry(time.Second, 2*time.Second)).To(BeZero(), "a carrier without a clock")
 }
+
+// TestEndedTerm guards against orders of an ended term that are sent when the replica
+// leads again.
+func TestEndedTerm(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	_, address := f.startCarrier(t)
+	f.leaseEnd = 0
+	f.runAndWait(func() {
+		f.sender.SetCarriers([]Carrier{{Address: address, Domain: "a"}})
+		g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+	})
+	time.Sleep(5 * batchDelay)
+	f.runAndWait(f.sender.Close)
+	f.runAndWait(func() { f.leaseEnd = 2 * time.Hour })
+	g.Consistently(f.workers.calls.Load, "300ms").Should(BeZero())
+}
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -60,6 +60,8 @@
 	available []Carrier
 	pending   map[uint64]*pendingOrder
 	nextID    uint64
+	// closed is set once the term has ended.
+	closed bool
 }
 
 type carrier struct {
@@ -111,6 +113,13 @@
 	}
 }
 
+// Close discards all orders that have not been sent. It must be called when the term ends:
+// orders that wait for the lease would be sent if this replica led again.
+func (s *Sender) Close() {
+	s.closed = true
+	clear(s.pending)
+}
+
 // SetCarriers replaces the carriers. Those that failed recently stay unavailable.
 func (s *Sender) SetCarriers(carriers []Carrier) {
 	s.available = s.available[:0]
@@ -179,6 +188,9 @@
 // leader's lease to be renewed if it is about to end: while it is renewed within the same
 // term no other replica can have led, so the orders still hold.
 func (s *Sender) flush(c *carrier) {
+	if s.closed {
+		return
+	}
 	now := s.boot()
 	if !c.clock.fresh(now) {
 		s.deliver(c, nil, 0, func() { s.flush(c) })
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -145,6 +145,7 @@
 	if m.dispatcher != nil && (!leading || term != m.term) {
 		m.dispatcher = nil
 		m.heldOrders = nil
+		m.sender.Close()
 		m.sender = nil
 		m.cancelOrders()
 		m.proposals.fail()
