dispatch: count the rest of a drain from the report also in later records

The record of a draining worker counted its remaining time from when the record was made. Since a silent worker is recorded some seconds after its last report, a new leader would have taken the worker to work that much longer.

--- a/jobs/dispatch/capacity_test.go
+++ b/jobs/dispatch/capacity_test.go
@@ -375,6 +375,23 @@
 		Expect(sim.store.Workers()[0].Silent).To(BeFalse())
 	})
 
+	// Guards against a draining worker that seems to work longer with each record, since its
+	// remaining time counts from its last report.
+	It("records the end of a silent worker's drain as it was reported", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(fullCapacity, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		t.draining = true
+		t.report()
+		t.heartbeatsBlocked = true
+		sim.runUntil(2100 * time.Millisecond)
+		reported := sim.store.Workers()[0].DrainEndsAt
+		sim.runUntil(6 * time.Second)
+		Expect(sim.store.Workers()[0].Silent).To(BeTrue())
+		Expect(sim.store.Workers()[0].DrainEndsAt).To(BeNumerically("~", reported, 10))
+	})
+
 	// Guards against a delayed heartbeat that replaces the newer state in the log after a
 	// takeover.
 	It("keeps the smaller capacity in the log when an older heartbeat arrives at a new leader", func() {
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -47,7 +47,7 @@
 		Silent: !w.reportIsFresh(now),
 	}
 	if w.Draining {
-		r.DrainEndsAt = unixMS + w.Remaining.Milliseconds()
+		r.DrainEndsAt = unixMS + (w.Remaining - (now - w.heartbeatAt)).Milliseconds()
 	}
 	return r
 }
