--- a/jobs/dispatch/capacity_random_test.go
+++ b/jobs/dispatch/capacity_random_test.go
@@ -17,10 +17,10 @@
 // capacityRegressions are the seeds that failed once.
 var capacityRegressions = []uint64{
 	69, 119, // a start by the capacity of the former incarnation
-	129,  // an older heartbeat replaced the smaller capacity in the log
-	877,  // a worker without attempts was not asked again after a failed hold
-	1211, // a restart and a takeover within a second
-	1549, // the end of a task was acknowledged by the number of the former incarnation
+	129,        // an older heartbeat replaced the smaller capacity in the log
+	877,        // a worker without attempts was not asked again after a failed hold
+	1211,       // a restart and a takeover within a second
+	1549, 4327, // the end of a task was acknowledged by a number of the former incarnation
 	2566, // a start for the former incarnation
 }
 
