delivery: count the time for a reply from when the order was sent

Cause: the time for a reply counted from the decision. An order that had waited for the lease for 1.4 s had 100 ms left, was reported as not answered though its worker had carried it out, and took its carrier out of use for 3 s. A control thread that lagged for 1.6 s did so with all orders, since its tick comes before the replies that wait behind it.

Change: an order waits for the lease and a carrier for 1.5 s at most, and its reply has its full time from then. A tick that comes late moves the deadlines by its delay.

TestReplyAfterWait and TestOwnLag cover both.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -336,3 +336,56 @@
 	f.runAndWait(func() { f.leaseEnd = 2 * time.Hour })
 	g.Consistently(f.workers.calls.Load, "300ms").Should(BeZero())
 }
+
+// slowWorkers respond after a delay.
+type slowWorkers struct {
+	fakeWorkers
+	delay time.Duration
+}
+
+func (w *slowWorkers) Do(ctx context.Context, o dispatch.Order) dispatch.Reply {
+	time.Sleep(w.delay)
+	return w.fakeWorkers.Do(ctx, o)
+}
+
+// TestReplyAfterWait guards against an order that waited for the lease and whose reply
+// counts as overdue at once, with its carrier as failed.
+func TestReplyAfterWait(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	workers := &slowWorkers{delay: 250 * time.Millisecond}
+	workers.reply = f.workers.reply
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = transport.NewServer(deliverypb.NewCarrierServer(NewReceiver(workers, transport.NewClient(transport.ClientOptions{}), f.carrierBoot.read, zerolog.Nop())))
+	server.Start()
+	t.Cleanup(server.Close)
+	f.runAndWait(func() {
+		f.leaseEnd = 0
+		f.sender.SetCarriers([]Carrier{{Address: strings.TrimPrefix(server.URL, "http://"), Domain: "a"}})
+		g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+	})
+	time.AfterFunc(1300*time.Millisecond, func() { f.post(func() { f.leaseEnd = 2 * time.Hour }) })
+	g.Eventually(func() []dispatch.Reply { f.runAndWait(f.sender.Tick); return f.received() }, "3s", "5ms").Should(HaveLen(1))
+	g.Expect(f.received()[0].Status).To(Equal(dispatch.Accepted))
+	f.runAndWait(func() { g.Expect(f.sender.available).To(HaveLen(1)) })
+}
+
+// TestOwnLag guards against replies that count as overdue while they wait behind the tick
+// of a control thread that lags.
+func TestOwnLag(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	_, address := f.startCarrier(t)
+	f.runAndWait(func() {
+		f.sender.SetCarriers([]Carrier{{Address: address, Domain: "a"}})
+		f.sender.Tick()
+		g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+	})
+	g.Eventually(f.received, "2s").Should(HaveLen(1))
+	f.runAndWait(func() { f.sender.Tick(); g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue()) })
+	g.Eventually(f.workers.calls.Load, "1s", "1ms").Should(BeEquivalentTo(2))
+	f.post(func() { time.Sleep(replyTimeout + 100*time.Millisecond) })
+	f.post(f.sender.Tick)
+	g.Eventually(f.received, "3s").Should(HaveLen(2))
+	g.Expect(f.received()[1].Status).To(Equal(dispatch.Accepted))
+}
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -24,6 +24,11 @@
 	// replyTimeout limits the wait for a reply, in addition to the time that the worker
 	// may wait itself. It covers the call to the worker and both messages.
 	replyTimeout = 1500 * time.Millisecond
+	// maxSendDelay limits the wait of an order for the leader's lease and for a carrier.
+	maxSendDelay = 1500 * time.Millisecond
+	// maxTickDelay is the time between two ticks from which on the control thread lags.
+	// Replies then wait behind the tick, so that they are not overdue yet.
+	maxTickDelay = 200 * time.Millisecond
 	// carrierBackoff is how long a carrier gets no orders after a failure.
 	carrierBackoff = 3 * time.Second
 	// minLeaseLeft is the rest of the leader's lease from which on orders are sent. With
@@ -60,6 +65,7 @@
 	available []Carrier
 	pending   map[uint64]*pendingOrder
 	nextID    uint64
+	tickedAt  time.Duration
 	// closed is set once the term has ended.
 	closed bool
 }
@@ -78,15 +84,24 @@
 
 // pendingOrder is an order that waits for its reply.
 type pendingOrder struct {
-	order    dispatch.Order
-	domain   string
-	carrier  *carrier
-	sentAt   time.Duration
-	deadline time.Duration
-	// delivered is set once the order was sent to its carrier.
+	order   dispatch.Order
+	domain  string
+	carrier *carrier
+	sentAt  time.Duration
+	// deadline is the time of the reply at the latest once delivered is set, and before that
+	// the time until which the order waits to be sent to its carrier.
+	deadline  time.Duration
 	delivered bool
 }
 
+// replyWithin returns how long the reply may take once the order was sent to its carrier.
+func (p *pendingOrder) replyWithin() time.Duration {
+	if p.order.Hold != nil {
+		return replyTimeout + p.order.Hold.MaxWait
+	}
+	return replyTimeout
+}
+
 // SenderOptions are the options of a Sender.
 type SenderOptions struct {
 	Term uint64
@@ -135,11 +150,7 @@
 // Send queues an order for a carrier, preferably one in the domain of the worker. It
 // returns false if no carrier is available.
 func (s *Sender) Send(o dispatch.Order, domain string) bool {
-	timeout := replyTimeout
-	if o.Hold != nil {
-		timeout += o.Hold.MaxWait
-	}
-	return s.enqueue(&pendingOrder{order: o, domain: domain, sentAt: s.now(), deadline: s.now() + timeout})
+	return s.enqueue(&pendingOrder{order: o, domain: domain, sentAt: s.now()})
 }
 
 // enqueue queues an order under a new id. It returns false if no carrier is available.
@@ -154,7 +165,7 @@
 		s.carriers[address] = c
 	}
 	s.nextID++
-	p.carrier, p.delivered = c, false
+	p.carrier, p.delivered, p.deadline = c, false, p.sentAt+maxSendDelay
 	s.pending[s.nextID] = p
 	c.queue = append(c.queue, encodeOrder(s.nextID, &p.order))
 	if !c.flushScheduled {
@@ -209,7 +220,8 @@
 	orders := c.queue
 	c.queue = nil
 	for _, o := range orders {
-		s.pending[o.GetId()].delivered = true
+		p := s.pending[o.GetId()]
+		p.delivered, p.deadline = true, s.now()+p.replyWithin()
 	}
 	s.deliver(c, orders, c.clock.expiry(now, leaseEnd), func() {})
 }
@@ -295,7 +307,7 @@
 	case s.now()-c.lateSince > maxLateDuration:
 		s.markUnavailable(c, reason)
 	}
-	if s.now() >= o.deadline || !s.enqueue(o) {
+	if s.now() >= o.sentAt+maxSendDelay || !s.enqueue(o) {
 		return false
 	}
 	delete(s.pending, id)
@@ -317,6 +329,12 @@
 // them, else with the status Expired, as they were not sent.
 func (s *Sender) Tick() {
 	now := s.now()
+	if lag := now - s.tickedAt; s.tickedAt != 0 && lag > maxTickDelay {
+		for _, o := range s.pending {
+			o.deadline += lag
+		}
+	}
+	s.tickedAt = now
 	for id, o := range s.pending {
 		switch {
 		case now < o.deadline:
