delivery: send orders through another carrier that were not sent, and spare late ones

Cause: three ways in which a carrier or a worker was charged with what it had not caused. A first reading of a carrier's clock that failed made all orders queued behind it count as not answered, though none had left. With every carrier late, which is the lag of the leader itself, all were taken out of use for 3 s, the orders were reported as expired, and the leader sent everything itself. A carrier that was late once was taken out by its next single late order, as the time of the first one outlived its backoff.

Change: unsent orders go to another carrier; a late one is spared while none is in time; its backoff clears when it was late.

--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -247,16 +247,22 @@
 }
 
 // deliveryFailed completes the orders of an unacknowledged message with the status
-// Unknown, since they may still be executed until they expire. Without a reading of the
-// clock the queued orders can't be sent either.
+// Unknown, since they may still be executed until they expire. If it only asked for the
+// clock, the queued orders were not sent, and go to another carrier.
 func (s *Sender) deliveryFailed(c *carrier, request *deliverypb.DeliverRequest, err error) {
 	s.markUnavailable(c, err.Error())
-	orders := request.GetOrders()
-	if len(orders) == 0 {
-		c.flushScheduled = false
-		orders, c.queue = c.queue, nil
+	if len(request.GetOrders()) > 0 {
+		s.completeAll(request.GetOrders(), dispatch.Unknown, err.Error())
+		return
+	}
+	c.flushScheduled = false
+	queue := c.queue
+	c.queue = nil
+	for _, o := range queue {
+		if p := s.pending[o.GetId()]; p != nil && !s.resend(o.GetId(), p) {
+			s.complete(o.GetId(), dispatch.Reply{Status: dispatch.Expired, Reason: err.Error()})
+		}
 	}
-	s.completeAll(orders, dispatch.Unknown, err.Error())
 }
 
 // completeAll completes orders with the same status.
@@ -270,7 +276,7 @@
 	if c.failedAt == 0 || s.now()-c.failedAt > carrierBackoff {
 		s.log.Warn().Str("reason", reason).Uint64("term", s.term).Msg("carrier failed; no new orders are sent through it until its backoff ends")
 	}
-	c.failedAt = max(1, s.now())
+	c.failedAt, c.lateSince = max(1, s.now()), 0
 	for address, other := range s.carriers {
 		if other == c {
 			s.available = slices.DeleteFunc(s.available, func(u Carrier) bool { return u.Address == address })
@@ -296,17 +302,32 @@
 	}
 }
 
-// resendExpired sends an expired order again. A carrier that stays late gets no more
-// orders until its backoff ends: the leases of its workers would run out. It returns false
-// if no carrier is available.
+// resendExpired sends an expired order again. A carrier that stays late while others are
+// in time gets no more orders until its backoff ends: the leases of its workers would run
+// out. It returns false if no carrier is available.
 func (s *Sender) resendExpired(id uint64, o *pendingOrder, reason string) bool {
 	c := o.carrier
 	switch {
 	case c.lateSince == 0:
 		c.lateSince = s.now()
-	case s.now()-c.lateSince > maxLateDuration:
+	case s.now()-c.lateSince > maxLateDuration && s.anyInTime():
 		s.markUnavailable(c, reason)
 	}
+	return s.resend(id, o)
+}
+
+// anyInTime reports whether an available carrier receives orders in time. If none does,
+// the leader itself is late.
+func (s *Sender) anyInTime() bool {
+	return slices.ContainsFunc(s.available, func(a Carrier) bool {
+		c := s.carriers[a.Address]
+		return c == nil || c.lateSince == 0
+	})
+}
+
+// resend queues an order that was not sent to its worker under a new id. It returns false
+// if it has waited for maxSendDelay or no carrier is available.
+func (s *Sender) resend(id uint64, o *pendingOrder) bool {
 	if s.now() >= o.sentAt+maxSendDelay || !s.enqueue(o) {
 		return false
 	}
