dispatch: record the end of an attempt whose start a new leader has not seen answered

What callers saw: a job that runs for ever although its last task has ended (LOST).

Cause: a worker lists the end of an attempt that was abandoned with its lease, and behind it the end of the newer attempt of the same task, which it was given after its return. A new leader inherits the newer attempt and doesn't know that its start was answered. The first end has to wait until it is, and the list is processed in order, so the second one, which proves it, was never reached. All later ends of that worker were stuck behind it.

Change: an attempt whose end is listed has started.

The new test fails without the change (job running, 2 s after the leader change) and passes with it.

--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"geraniumwall/jobs"
 )
@@ -11,6 +12,7 @@
 // cannot be recorded yet, since the worker discards ends in order; the next list repeats
 // it.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
+	w.confirmStarts(ends, d.now)
 	unrecorded, highest := 0, w.lastAcked
 	onRecorded := func() {
 		unrecorded--
@@ -44,6 +46,22 @@
 	}
 }
 
+// confirmStarts marks the listed attempts as started, so that their starts are not taken
+// to be in flight.
+func (w *worker) confirmStarts(ends []FinishedTask, now time.Duration) {
+	for i := range ends {
+		a := w.attempts[ends[i].Task]
+		if a == nil || a.number != ends[i].Attempt {
+			continue
+		}
+		switch a.phase {
+		case phaseInherited, phaseOrdered, phaseUncertain:
+			a.setPhase(phaseStarted, now)
+		case phaseProposed, phaseStarted, phaseVoid:
+		}
+	}
+}
+
 // lateEndApplies reports whether the end of an attempt that was already abandoned can
 // still change the state of its task.
 func (d *Dispatcher) lateEndApplies(f *FinishedTask) bool {
--- a/jobs/dispatch/finished_test.go
+++ b/jobs/dispatch/finished_test.go
@@ -74,6 +74,30 @@
 		Expect(sim.store.Job("j").State).To(Equal(jobs.Done))
 	})
 
+	// Guards against a worker whose list is stuck for ever: it has finished an abandoned
+	// attempt and the newer one of the same task, which a new leader does not know to have
+	// started.
+	It("are recorded when both an abandoned attempt and the newer one have finished there", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		sim.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 1000, MemoryMB: 10}, EstimateMS: 60_000}}})
+		sim.runUntil(3 * time.Second)
+		key := jobs.TaskKey{Job: "j"}
+		sim.store.Apply(jobs.Command{End: &jobs.End{Task: key, Attempt: 1, Outcome: jobs.OutcomeLeaseExpired, At: sim.unix()}})
+		sim.store.Apply(jobs.Command{Bind: &jobs.Bind{Task: key, Attempt: 2, On: jobs.Incarnation{Worker: t.id, StartedAtMS: t.startedAtMS}, At: sim.unix()}})
+		t.end(key, jobs.OutcomeDone)
+		t.running[key] = &simRun{attempt: 2}
+		t.end(key, jobs.OutcomeDone)
+		sim.startLeader()
+		sim.runUntil(5 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(sim.store.Job("j").State).To(Equal(jobs.Done))
+		Expect(sim.store.Job("j").Task(key).BoundTo).To(BeNil())
+		Expect(sim.current().workers[t.id].lastAcked).To(BeEquivalentTo(2))
+	})
+
 	// Guards against starting a task that turns out to be done after its binding was
 	// proposed.
 	It("cancel a newer binding that is being recorded", func() {
