jobs: count the workers that crash under a task and give its job up

Cause: a task that crashes each worker that starts it was bound again without bound.

Change: the end "crashed" counts towards Task.Crashes. The third crash under one task fails its job, or the second one if the task is known to have run there and nothing else may have. Crashes are no failures of the task. A long-running task that has run for a minute starts anew, so that ordinary crashes in a long life don't add up. An attempt that ends with the lease of its worker is kept with that worker (the latest three of a task), since only the return of the worker tells a crash from a loss of contact; it is settled once.

The dispatch does not use the end yet.

--- a/jobs/command.go
+++ b/jobs/command.go
@@ -69,6 +69,9 @@
 	Outcome    Outcome `json:"how"`
 	Checkpoint string  `json:"c,omitempty"`
 	At         int64   `json:"at"`
+	// Sole is set for a crash if the attempt is known to have run on the worker, and no other
+	// may have.
+	Sole bool `json:"sole,omitempty"`
 }
 
 // Effect is the slowdown that one core of a filler image causes to a serving image:
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -142,6 +142,9 @@
 	// OutcomeLost means that the attempt does not run and cannot start any more, and
 	// that its result is unknown.
 	OutcomeLost Outcome = "lost"
+	// OutcomeCrashed is like OutcomeLost, after the worker process has ended abnormally
+	// while the attempt may have been running there. It counts towards Task.Crashes.
+	OutcomeCrashed Outcome = "crashed"
 )
 
 // Incarnation identifies one run of a worker process. A restarted worker has the same
@@ -170,6 +173,22 @@
 	// AbandonedAttempts are the attempts that were abandoned before their worker reported
 	// an end. The worker may still report it.
 	AbandonedAttempts []int `json:"g,omitempty"`
+	// Crashes counts the workers that have crashed under the task. Long-running tasks start
+	// anew with each attempt that has run for stableRunMS.
+	Crashes int `json:"cr,omitempty"`
+	// ExpiredAttempts are the latest attempts that ended with the lease of their worker, the
+	// oldest first. The worker may have crashed; this is known once it is back.
+	ExpiredAttempts []ExpiredAttempt `json:"ex,omitempty"`
+}
+
+// ExpiredAttempt is an attempt that ended with the lease of its worker.
+type ExpiredAttempt struct {
+	Attempt int         `json:"a"`
+	On      Incarnation `json:"on"`
+	// HostPort is the address of the worker, empty if it has registered anew since.
+	HostPort string `json:"addr,omitempty"`
+	// EndedAt has the meaning of the field of Task.
+	EndedAt int64 `json:"ea"`
 }
 
 // run is the state of one occurrence of a job.
@@ -197,8 +216,14 @@
 	Started       bool  `json:"started,omitempty"`
 	Runs          []run `json:"runs,omitempty"`
 	runsRemaining int
+	// maxCrashes is an upper bound of Task.Crashes.
+	maxCrashes int
 }
 
+// MaxCrashes returns an upper bound of the number of workers that have crashed under one
+// task of the job.
+func (j *Job) MaxCrashes() int { return j.maxCrashes }
+
 // Tasks calls visit with each task of the job.
 func (j *Job) Tasks(visit func(*Task)) {
 	for o := range j.Runs {
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -17,6 +17,8 @@
 	effects    []Effect
 	// workers are the registered workers, by id.
 	workers map[string]*Worker
+	// expired are the tasks with expired attempts.
+	expired map[TaskKey]*Task
 	// changed are the jobs whose waiting tasks may have changed since the last call of
 	// TakeChanged.
 	changed map[string]bool
@@ -24,7 +26,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{jobs: map[string]*Job{}, boundTasks: map[Incarnation]map[TaskKey]*Task{}, workers: map[string]*Worker{}, changed: map[string]bool{}}
+	return &Store{
+		jobs: map[string]*Job{}, boundTasks: map[Incarnation]map[TaskKey]*Task{}, workers: map[string]*Worker{},
+		expired: map[TaskKey]*Task{}, changed: map[string]bool{},
+	}
 }
 
 // Result is the effect of a command.
@@ -159,13 +164,17 @@
 		delete(s.boundTasks, worker)
 	}
 	t.BoundTo, t.EndedAt = nil, c.At
-	if !j.Step(t.Key).LongRunning && (c.Outcome == OutcomeLeaseExpired || c.Outcome == OutcomeLost) {
+	if !j.Step(t.Key).LongRunning && (c.Outcome == OutcomeLeaseExpired || c.Outcome == OutcomeLost || c.Outcome == OutcomeCrashed) {
 		t.AbandonedAttempts = append(t.AbandonedAttempts, c.Attempt)
 	}
+	if c.Outcome == OutcomeLeaseExpired && !j.State.Ended() {
+		s.addExpired(t, worker, c)
+	}
 	if c.Checkpoint != "" {
 		t.Checkpoint = c.Checkpoint
 	}
 	s.changed[j.ID] = true
+	resetCrashes(j, t, c.At-t.BoundAt)
 	s.applyOutcome(j, t, c)
 	return Result{Applied: true, Known: true}
 }
@@ -173,6 +182,9 @@
 // endAbandoned records the outcome of an abandoned attempt that its worker reports late.
 // A task that is done stays done, and a failure counts once.
 func (s *Store) endAbandoned(j *Job, t *Task, c *End) Result {
+	if c.Outcome == OutcomeCrashed || c.Outcome == OutcomeLeaseExpired {
+		return s.settleExpired(j, t, c)
+	}
 	index := slices.Index(t.AbandonedAttempts, c.Attempt)
 	if index < 0 || t.Done || c.Outcome != OutcomeDone && c.Outcome != OutcomeFailed {
 		return Result{}
@@ -187,6 +199,8 @@
 func (s *Store) applyOutcome(j *Job, t *Task, c *End) {
 	step := j.Step(t.Key)
 	switch {
+	case c.Outcome == OutcomeCrashed:
+		s.countCrash(j, t, c)
 	case step.LongRunning:
 		if c.Outcome == OutcomeDone || c.Outcome == OutcomeFailed {
 			t.Checkpoint = ""
@@ -237,6 +251,7 @@
 			continue
 		}
 		delete(s.jobs, id)
+		j.Tasks(func(t *Task) { delete(s.expired, t.Key) })
 		s.order = slices.DeleteFunc(s.order, func(o *Job) bool { return o == j })
 	}
 	return Result{Applied: true}
@@ -325,6 +340,10 @@
 			if t.BoundTo != nil {
 				s.addBound(t)
 			}
+			if len(t.ExpiredAttempts) > 0 {
+				s.expired[t.Key] = t
+			}
+			j.maxCrashes = max(j.maxCrashes, t.Crashes)
 		})
 	}
 	return s, nil
