dispatch: tell the crash of a worker from other losses of an attempt

Cause: an attempt whose worker had crashed ended as lost or with its lease, like any other that is gone, so nothing limited how often a task that crashes its workers was bound again.

Change: an attempt that may have started ends as crashed when its worker, neither draining nor deregistered, is back as a new incarnation that does not list it, when another process answers at the address, or when the address refuses connections until the lease is over. This holds for inherited attempts too. Attempts that never can have started stay lost; among them now one whose start another process has rejected.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -48,6 +48,13 @@
 	// superseded is set when an earlier attempt that was abandoned turns out to
 	// have succeeded.
 	superseded bool
+	// unstarted is set for an attempt that was phaseVoid on an earlier incarnation of its
+	// worker.
+	unstarted bool
+	// crashed is set once the incarnation to which the attempt was bound is known to have
+	// crashed. sole is set if the attempt had started there and was the only one.
+	crashed bool
+	sole    bool
 	// endProposed is set while the end is proposed but not committed yet.
 	endProposed bool
 	// appliedPace is the last pace that the worker accepted, targetPace the pace that it
--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -25,6 +25,7 @@
 		return
 	}
 	d.nextAuditAt = d.now + auditInterval
+	d.settleExpired()
 	d.auditBound()
 	d.auditWaiting()
 	for _, w := range d.workers {
@@ -114,7 +115,7 @@
 			d.dropAttempt(a)
 		case w.terminated:
 			d.addRepair("attempt on an ended worker has no end", w, a)
-			d.endAttempt(a, jobs.OutcomeLost)
+			d.endAttempt(a, a.lossOutcome())
 		case a.phase == phaseOrdered && d.now-a.phaseSince > maxReplyWait:
 			d.addRepair("start was never answered", w, a)
 			a.setPhase(phaseUncertain, d.now)
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -266,11 +266,13 @@
 	d.workers[h.Worker] = w
 	d.addLogEvent("worker registered", w, nil, h.HostPort)
 	if old != nil {
+		d.markReplaced(old)
 		old.terminated = true
 		for _, a := range old.attempts {
 			d.moveToIncarnation(a, w)
 		}
 	}
+	d.markCrashedOrphans(w)
 	for _, key := range d.orphansOf[h.Worker] {
 		if a := d.orphans[key]; a != nil && d.currentTask(a) != nil {
 			delete(d.orphans, key)
@@ -288,6 +290,7 @@
 	a.worker = w
 	w.attempts[a.task] = a
 	if a.phase != phaseProposed {
+		a.unstarted = a.unstarted || a.phase == phaseVoid
 		a.setPhase(phaseInherited, d.now)
 	}
 }
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -7,8 +7,20 @@
 	if len(w.attempts) > 0 {
 		d.addLogEvent("lease expired", w, nil, "")
 	}
+	if w.refusesConnections {
+		d.markCrash(w)
+	}
 	for _, a := range w.attempts {
-		if a.phase != phaseProposed {
+		switch {
+		case a.phase == phaseProposed:
+		case !a.mayHaveStarted():
+			d.endAttempt(a, jobs.OutcomeLost)
+		case a.crashed:
+			if a.step.LongRunning {
+				d.planner.leaseExpiredTasks[a.task] = true
+			}
+			d.endAttempt(a, jobs.OutcomeCrashed)
+		default:
 			d.endAttempt(a, jobs.OutcomeLeaseExpired)
 		}
 	}
@@ -68,7 +80,7 @@
 	if checkpoint == "" && outcome != jobs.OutcomeDone {
 		checkpoint = a.checkpoint
 	}
-	command := jobs.End{Task: a.task, Attempt: a.number, Outcome: outcome, Checkpoint: checkpoint, At: d.unixMS}
+	command := jobs.End{Task: a.task, Attempt: a.number, Outcome: outcome, Checkpoint: checkpoint, At: d.unixMS, Sole: a.sole}
 	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
 		a.endProposed = false
 		if !ok {
@@ -76,6 +88,7 @@
 			return
 		}
 		d.dropAttempt(a)
+		d.handleCrashRecorded(&command)
 		onRecorded()
 	}})
 }
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -50,14 +50,8 @@
 // to be in flight.
 func (w *worker) confirmStarts(ends []FinishedTask, now time.Duration) {
 	for i := range ends {
-		a := w.attempts[ends[i].Task]
-		if a == nil || a.number != ends[i].Attempt {
-			continue
-		}
-		switch a.phase {
-		case phaseInherited, phaseOrdered, phaseUncertain:
-			a.setPhase(phaseStarted, now)
-		case phaseProposed, phaseStarted, phaseVoid:
+		if a := w.attempts[ends[i].Task]; a != nil && a.number == ends[i].Attempt {
+			a.confirmStart(now)
 		}
 	}
 }
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -9,7 +9,11 @@
 // HandleReply processes the reply to an order.
 func (d *Dispatcher) HandleReply(r Reply) {
 	w := r.Order.target
+	if r.Status != Expired {
+		w.refusesConnections = r.Status == Unreachable
+	}
 	if r.Status == WrongWorker {
+		d.voidRejectedStart(w, &r)
 		d.abandonIncarnation(w)
 	}
 	switch {
@@ -42,11 +46,12 @@
 	if w.terminated {
 		return
 	}
-	w.terminated = true
 	d.addLogEvent("worker replaced", w, nil, "")
+	d.markReplaced(w)
+	w.terminated = true
 	for _, a := range w.attempts {
 		if a.phase != phaseProposed {
-			d.endAttempt(a, jobs.OutcomeLost)
+			d.endAttempt(a, a.lossOutcome())
 		}
 	}
 }
@@ -78,7 +83,7 @@
 	if !w.fenceConfirmed || w.unresponsive {
 		d.planner.dirty = true
 	}
-	w.fenceConfirmed, w.unresponsive = true, false
+	w.fenceConfirmed, w.unresponsive, w.answeredAtMS = true, false, d.unixMS
 	d.reconcile(w, r)
 	d.updatePace(w)
 	d.detectSlowTasks(w)
@@ -126,11 +131,7 @@
 		d.handleUnexpected(w, r)
 		return
 	}
-	switch a.phase {
-	case phaseInherited, phaseOrdered, phaseUncertain:
-		a.setPhase(phaseStarted, d.now)
-	case phaseProposed, phaseStarted, phaseVoid:
-	}
+	a.confirmStart(d.now)
 	if r.Percent != a.percent {
 		a.percent, a.progressAt = r.Percent, d.now
 	}
@@ -167,7 +168,8 @@
 		if w.health.recordFailure(a.task.Job, d.now) {
 			d.addLogEvent("worker quarantined", w, nil, w.health.quarantineDuration.String())
 		}
-	case jobs.OutcomeStopped, jobs.OutcomeLeaseExpired, jobs.OutcomeGangMemberEnded, jobs.OutcomeGangIncomplete, jobs.OutcomeLost:
+	case jobs.OutcomeStopped, jobs.OutcomeLeaseExpired, jobs.OutcomeGangMemberEnded, jobs.OutcomeGangIncomplete, jobs.OutcomeLost,
+		jobs.OutcomeCrashed:
 	}
 }
 
@@ -181,7 +183,7 @@
 	switch a.phase {
 	case phaseInherited, phaseStarted, phaseVoid:
 		d.addLogEvent("task missing from the worker's hold reply", a.worker, a, "")
-		d.endAttempt(a, jobs.OutcomeLost)
+		d.endAttempt(a, a.lossOutcome())
 	case phaseProposed, phaseOrdered, phaseUncertain:
 	}
 }
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -26,6 +26,11 @@
 	// unresponsive is set from a failed hold or a refused connection until the worker
 	// answers a hold.
 	unresponsive bool
+	// refusesConnections is set if the address refused the connection for the last order,
+	// so that no process listens there.
+	refusesConnections bool
+	// answeredAtMS is the Unix time in milliseconds of the last answer to a hold.
+	answeredAtMS int64
 	// terminated is set once this incarnation is known to have ended.
 	terminated   bool
 	deregistered bool
