dispatch: keep tasks apart under which workers have crashed, then run them alone

Change: after one crash the task and others keep apart by penalties of the score, well below the weight of the data rack, and nothing waits. After two, or after one and a lease that has expired since and is not settled, a task runs alone: a worker without tasks, or one without long-running tasks is reserved and empties; after 1 s it goes to the least used worker that runs no other such task, after 2 s to any with room. Others run beside it only after 2 s without other room, and short ones only while most of the service is free, so that no task waits for 3 s with room in sight. A long-running task keeps others away for 10 s for each crash. Gangs keep apart only by the score. Without crashes a plan costs one comparison for each task and worker.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -48,6 +48,8 @@
 	// superseded is set when an earlier attempt that was abandoned turns out to
 	// have succeeded.
 	superseded bool
+	// suspicion is the suspicion of the task.
+	suspicion int
 	// unstarted is set for an attempt that was phaseVoid on an earlier incarnation of its
 	// worker.
 	unstarted bool
--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -18,6 +18,11 @@
 	shortMilliCPU int64
 	keptForShort  bool
 	pendingStarts int
+	// tasks is the number of tasks on the worker, suspects that of tasks under which workers
+	// have crashed. isolated is set if one of these is to run alone.
+	tasks    int
+	suspects int
+	isolated bool
 	// reserved limits which tasks the worker may get in this plan. With reservedForTask it
 	// is reservedTask only.
 	reserved     reservation
@@ -40,9 +45,10 @@
 		}
 		list = append(list, d.newCandidate(w))
 	}
-	d.planner.nonServing, d.planner.usable = 0, len(list)
+	d.planner.nonServing, d.planner.usable, d.planner.isolated = 0, len(list), 0
 	for _, c := range list {
 		d.planner.nonServing += boolToInt(c.servingTasks == 0)
+		d.planner.isolated += boolToInt(c.isolated)
 	}
 	slices.SortFunc(list, func(a, b *candidate) int { return cmp.Compare(a.worker.Worker, b.worker.Worker) })
 	return list
--- a/jobs/dispatch/choose.go
+++ b/jobs/dispatch/choose.go
@@ -24,7 +24,7 @@
 // chooseFromShortlist returns the best worker for one of the waiting tasks of a step, or
 // nil if none is eligible.
 func (d *Dispatcher) chooseFromShortlist(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate, list *shortlist) *candidate {
-	if step.LatencyTargetMS > 0 || d.hasAvoidance(t.Key) {
+	if step.LatencyTargetMS > 0 || t.Crashes > 0 || d.hasAvoidance(t.Key) {
 		// The score depends on the task itself, or on all workers.
 		list.built = false
 		return d.choose(wj, step, t, candidates, nil)
@@ -87,7 +87,7 @@
 
 // eligible reports whether a worker may run a task and has enough free capacity.
 func (d *Dispatcher) eligible(wj *waitingJob, step *jobs.Step, t *jobs.Task, c *candidate, gangCounts map[*candidate]int) bool {
-	if c.worker.Service != wj.service || !c.admits(step, t.Key) || c.keeps(step, t) || c.pendingStarts >= maxPendingStarts || !c.worker.hasLabel(step.RequiredLabel) ||
+	if c.worker.Service != wj.service || c.isolated && !wj.besideIsolated || !c.admits(step, t.Key) || c.keeps(step, t) || c.pendingStarts >= maxPendingStarts || !c.worker.hasLabel(step.RequiredLabel) ||
 		!step.ReservedResources().FitsIn(c.free) || !d.withinStepLimit(t, step, c, gangCounts) {
 		return false
 	}
--- a/jobs/dispatch/consolidate.go
+++ b/jobs/dispatch/consolidate.go
@@ -122,7 +122,7 @@
 ) *candidate {
 	var best *candidate
 	for _, c := range candidates {
-		if c == from || c.servingTasks == 0 || c.worker.Service != from.worker.Service || !c.worker.hasLabel(a.step.RequiredLabel) {
+		if c == from || c.servingTasks == 0 || c.isolated || c.worker.Service != from.worker.Service || !c.worker.hasLabel(a.step.RequiredLabel) {
 			continue
 		}
 		if !a.reserved.FitsIn(c.free.Sub(taken[c])) || !d.keepsProfiles(c, a.step.Image) {
--- a/jobs/dispatch/crash.go
+++ b/jobs/dispatch/crash.go
@@ -183,12 +183,23 @@
 		delete(d.proposedLateEnds, key)
 		d.planner.waiting[key.Job] = nil
 		d.planner.dirty = true
-		if ok {
-			d.handleCrashRecorded(&command)
+		if !ok {
+			return
+		}
+		if j := d.store.Job(key.Job); j != nil {
+			d.updateSuspicion(j.Task(key))
 		}
+		d.handleCrashRecorded(&command)
 	}})
 }
 
+// updateSuspicion updates the current attempt of a task.
+func (d *Dispatcher) updateSuspicion(t *jobs.Task) {
+	if a := d.currentAttempt(t.Key); a != nil {
+		a.suspicion = suspicion(t)
+	}
+}
+
 // handleCrashRecorded follows up the end of an attempt after the log has counted a crash.
 func (d *Dispatcher) handleCrashRecorded(c *jobs.End) {
 	j := d.store.Job(c.Task.Job)
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -183,7 +183,7 @@
 func (d *Dispatcher) newAttempt(t *jobs.Task, step *jobs.Step, number int, p phase) *attempt {
 	return &attempt{
 		task: t.Key, number: number, reserved: step.ReservedResources(), step: step, phase: p, checkpoint: t.Checkpoint,
-		phaseSince: d.now, progressAt: d.now, startedAt: d.now, appliedPace: fullPace, targetPace: fullPace,
+		phaseSince: d.now, progressAt: d.now, startedAt: d.now, appliedPace: fullPace, targetPace: fullPace, suspicion: suspicion(t),
 	}
 }
 
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -50,6 +50,10 @@
 	// usable workers.
 	nonServing int
 	usable     int
+	// isolationSince is the time since which each task that is to run alone waits.
+	isolationSince map[jobs.TaskKey]time.Duration
+	// isolated is the number of usable workers with a task that is to run alone.
+	isolated int
 	// blockedMilliCPU is the CPU request of the fillers that found no worker in the last
 	// plan, in millicores.
 	blockedMilliCPU int64
@@ -77,6 +81,7 @@
 	p.avoided = map[jobs.TaskKey]avoidance{}
 	p.leaseExpiredTasks = map[jobs.TaskKey]bool{}
 	p.shortReserves = map[string]*shortReserve{}
+	p.isolationSince = map[jobs.TaskKey]time.Duration{}
 	for _, j := range store.Jobs() {
 		p.waiting[j.ID] = nil
 	}
@@ -89,13 +94,18 @@
 }
 
 // prunePlannerState drops expired avoidances, and the tasks of ended jobs from
-// leaseExpiredTasks.
+// leaseExpiredTasks and isolationSince.
 func (d *Dispatcher) prunePlannerState() {
 	for key := range d.planner.leaseExpiredTasks {
 		if j := d.store.Job(key.Job); j == nil || j.State.Ended() {
 			delete(d.planner.leaseExpiredTasks, key)
 		}
 	}
+	for key := range d.planner.isolationSince {
+		if j := d.store.Job(key.Job); j == nil || j.State.Ended() {
+			delete(d.planner.isolationSince, key)
+		}
+	}
 	for key, a := range d.planner.avoided {
 		if d.now >= a.until {
 			delete(d.planner.avoided, key)
@@ -132,6 +142,7 @@
 	}
 	d.refillOverdueTokens(len(candidates))
 	ranked := d.rankedJobs()
+	d.planSuspects(ranked, candidates)
 	d.reserveForShort(ranked, candidates)
 	d.planRestarts(ranked, candidates)
 	noFit := unplaceable{}
@@ -204,15 +215,9 @@
 func (d *Dispatcher) planStep(wj *waitingJob, occurrence, s int, candidates []*candidate, noFit *unplaceable) bool {
 	step := &wj.job.Spec.Steps[s]
 	tasks := wj.job.StepTasks(occurrence, s)
-	var waiting []*jobs.Task
-	for i := range tasks {
-		t := &tasks[i]
-		if !t.Done && t.BoundTo == nil && !d.hasPendingRecord(t) {
-			waiting = append(waiting, t)
-		}
-	}
+	waiting, held := d.waitingTasks(step, tasks)
 	if len(waiting) == 0 {
-		return false
+		return held
 	}
 	if step.Gang {
 		return d.planGang(wj, step, waiting, len(tasks), candidates)
@@ -220,6 +225,7 @@
 	var list shortlist
 	for i, t := range waiting {
 		request := newUnplaceableRequest(wj.service, step, t)
+		request.besideIsolated = wj.besideIsolated
 		if noFit.covers(request) {
 			d.addBlocked(step, len(waiting)-i)
 			return true
@@ -238,7 +244,23 @@
 		}
 		d.bind(t, step, c, t.Attempt+1)
 	}
-	return false
+	return held
+}
+
+// waitingTasks returns the tasks of a step that wait for a worker. held reports whether
+// there are others that are to run alone, which planSuspects binds.
+func (d *Dispatcher) waitingTasks(step *jobs.Step, tasks []jobs.Task) (waiting []*jobs.Task, held bool) {
+	for i := range tasks {
+		t := &tasks[i]
+		switch {
+		case t.Done || t.BoundTo != nil || d.hasPendingRecord(t):
+		case t.Crashes > 0 && mustIsolate(step, t):
+			held = true
+		default:
+			waiting = append(waiting, t)
+		}
+	}
+	return waiting, held
 }
 
 // addBlocked adds the CPU request of fillers that found no worker.
@@ -331,9 +353,14 @@
 	w := c.worker
 	c.free = c.free.Sub(step.ReservedResources())
 	c.pendingStarts++
+	c.tasks++
 	d.addTask(c, step)
 	delete(d.planner.leaseExpiredTasks, t.Key)
+	delete(d.planner.isolationSince, t.Key)
 	a := d.newAttempt(t, step, number, phaseProposed)
+	if a.suspicion > 0 {
+		d.addSuspect(c, a)
+	}
 	a.worker = w
 	w.attempts[t.Key] = a
 	d.proposedBinds[t.Key] = a
--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -36,6 +36,8 @@
 	class jobClass
 	// waitingSince is the Unix time in milliseconds since which a long-running job waits.
 	waitingSince int64
+	// besideIsolated is set if the tasks may be placed beside a task that is to run alone.
+	besideIsolated bool
 }
 
 // jobClass orders jobs of one tier and priority. Short jobs come before new long-running
@@ -98,7 +100,7 @@
 			d.planner.waiting[id] = wj
 		}
 		if wj.service != "" {
-			wj.tier = wj.tierAt(d.unixMS)
+			wj.tier, wj.besideIsolated = wj.tierAt(d.unixMS), false
 			if wj.longRunning() && d.unixMS-wj.waitingSince >= reserveAfter.Milliseconds() {
 				wj.class = classOverdue
 				wj.image, wj.size = "", 0
--- a/jobs/dispatch/restart.go
+++ b/jobs/dispatch/restart.go
@@ -44,7 +44,7 @@
 		}
 		wj.job.Tasks(func(t *jobs.Task) {
 			step := wj.job.Step(t.Key)
-			if step.Gang || !step.LongRunning || t.Attempt == 0 || t.Done || t.BoundTo != nil || d.hasPendingRecord(t) {
+			if step.Gang || !step.LongRunning || t.Attempt == 0 || mustIsolate(step, t) || t.Done || t.BoundTo != nil || d.hasPendingRecord(t) {
 				return
 			}
 			if d.planner.leaseExpiredTasks[t.Key] || d.unixMS-t.EndedAt >= reserveAfter.Milliseconds() {
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -50,6 +50,7 @@
 func (d *Dispatcher) newCandidate(w *worker) *candidate {
 	c := &candidate{worker: w, free: w.free(), idleMilliCPU: float64(w.Capacity.MilliCPU)}
 	c.freeAfterShort = c.free
+	c.tasks = len(w.attempts) + len(w.unexpected)
 	for _, a := range w.attempts {
 		if !a.step.LongRunning {
 			c.freeAfterShort = c.freeAfterShort.Add(a.reserved)
@@ -57,6 +58,9 @@
 		}
 		c.pendingStarts += boolToInt(a.phase == phaseProposed || a.phase == phaseOrdered)
 		c.useIdle(a.step)
+		if a.suspicion > 0 {
+			d.addSuspect(c, a)
+		}
 		if a.step.LatencyTargetMS == 0 {
 			continue
 		}
@@ -117,6 +121,9 @@
 	if avoided, ok := d.planner.avoided[t.Key]; ok && avoided.worker == c.worker.Worker {
 		score -= avoidPenalty
 	}
+	if c.suspects > 0 || t.Crashes > 0 {
+		score -= c.suspectPenalty(t)
+	}
 	switch {
 	case step.LatencyTargetMS > 0:
 		return score + d.servingScore(step, c, capacity)
--- a/jobs/dispatch/unplaceable.go
+++ b/jobs/dispatch/unplaceable.go
@@ -19,7 +19,10 @@
 	// kept free of.
 	longRunning bool
 	restarted   bool
-	request     jobs.Resources
+	// besideIsolated tells apart the tasks that may be placed beside one that is to run
+	// alone.
+	besideIsolated bool
+	request        jobs.Resources
 }
 
 func newUnplaceableRequest(service string, step *jobs.Step, t *jobs.Task) unplaceableRequest {
