jobd: count crashes and say why a job has ended

Cause: `job ended` told neither the task nor the outcome that ended the job, so an operator could not tell a task that fails from one that crashes its workers.

Change: the line names the task, the attempt, its outcome and the failures and crashes of the task. geranium.jobs.crashes counts the attempts that ended with the crash of their worker, by queue.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -87,13 +87,27 @@
 		m.log.Info().Int64("version", c.Configure.Config.Version).Int("queues", len(c.Configure.Config.Queues)).
 			Msg("configuration activated")
 	case c.End != nil && m.dispatcher != nil:
-		if j := m.store.Job(c.End.Task.Job); j != nil && j.State.Ended() && j.EndedAt == c.End.At {
-			m.log.Info().Str("job", j.ID).Str("state", string(j.State)).Int64("took_ms", j.EndedAt-j.AcceptedAt).Msg("job ended")
-			m.metrics.recordJobEnded(j)
+		if j := m.store.Job(c.End.Task.Job); j != nil {
+			m.logEnd(j, c.End)
 		}
 	}
 }
 
+// logEnd logs the end of a job with the attempt that ended it.
+func (m *manager) logEnd(j *jobs.Job, c *jobs.End) {
+	if c.Outcome == jobs.OutcomeCrashed {
+		m.metrics.recordCrash(j)
+	}
+	if !j.State.Ended() || j.EndedAt != c.At {
+		return
+	}
+	t := j.Task(c.Task)
+	m.log.Info().Str("job", j.ID).Str("state", string(j.State)).Int64("took_ms", j.EndedAt-j.AcceptedAt).
+		Int("occurrence", t.Key.Occurrence).Int("step", t.Key.Step).Int("task", t.Key.Index).Int("attempt", c.Attempt).
+		Str("outcome", string(c.Outcome)).Int("failures", t.Failures).Int("crashes", t.Crashes).Msg("job ended")
+	m.metrics.recordJobEnded(j)
+}
+
 // Snapshot implements replicate.StateMachine.
 func (m *manager) Snapshot() ([]byte, error) { return m.store.Snapshot() }
 
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -16,6 +16,7 @@
 	orders   metric.Int64Counter
 	ended    metric.Int64Counter
 	repairs  metric.Int64Counter
+	crashes  metric.Int64Counter
 	duration metric.Float64Histogram
 }
 
@@ -36,12 +37,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("create the repair counter: %w", err)
 	}
+	crashes, err := meter.Int64Counter("geranium.jobs.crashes", metric.WithUnit("{attempt}"),
+		metric.WithDescription("Attempts that ended with the crash of their worker, by queue."))
+	if err != nil {
+		return nil, fmt.Errorf("create the crash counter: %w", err)
+	}
 	took, err := meter.Float64Histogram("geranium.jobs.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from the acceptance of a job to its end."))
 	if err != nil {
 		return nil, fmt.Errorf("create the job duration histogram: %w", err)
 	}
-	return &Metrics{orders, ended, repairs, took}, nil
+	return &Metrics{orders, ended, repairs, crashes, took}, nil
 }
 
 func orderKind(o *dispatch.Order) string {
@@ -64,6 +70,10 @@
 	m.repairs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+func (m *Metrics) recordCrash(j *jobs.Job) {
+	m.crashes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("queue", j.Queue)))
+}
+
 func (m *Metrics) recordJobEnded(j *jobs.Job) {
 	labels := metric.WithAttributes(attribute.String("queue", j.Queue), attribute.String("state", string(j.State)))
 	m.ended.Add(context.Background(), 1, labels)
