Merge the limit of starts for tasks that crash their workers

BUDGET: crashes are counted in the log, suspects are placed apart and then alone, and a job whose task has crashed three workers, or two and the last one alone, is given up.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -197,7 +197,7 @@
 func (d *Dispatcher) newAttempt(t *jobs.Task, step *jobs.Step, number int, p phase) *attempt {
 	return &attempt{
 		task: t.Key, number: number, reserved: step.ReservedResources(), step: step, phase: p, checkpoint: t.Checkpoint,
-		phaseSince: d.now, progressAt: d.now, startedAt: d.now, appliedPace: fullPace, targetPace: fullPace,
+		phaseSince: d.now, progressAt: d.now, startedAt: d.now, appliedPace: fullPace, targetPace: fullPace, suspicion: suspicion(t),
 	}
 }
 
@@ -304,11 +304,13 @@
 	d.workers[h.Worker] = w
 	d.addLogEvent("worker registered", w, nil, h.HostPort)
 	if old != nil {
+		d.markReplaced(old)
 		old.terminated = true
 		for _, a := range old.attempts {
 			d.moveToIncarnation(a, w)
 		}
 	}
+	d.markCrashedOrphans(w)
 	for _, key := range d.orphansOf[h.Worker] {
 		if a := d.orphans[key]; a != nil && d.currentTask(a) != nil {
 			delete(d.orphans, key)
@@ -326,6 +328,7 @@
 	a.worker = w
 	w.attempts[a.task] = a
 	if a.phase != phaseProposed {
+		a.unstarted = a.unstarted || a.phase == phaseVoid
 		a.setPhase(phaseInherited, d.now)
 	}
 }
