dispatch: charge no worker with a hold that has expired

Cause: a hold that the leader could not send within its lease made the worker unresponsive, as one that the worker does not answer: its bindings were cancelled and the next hold did not renew its lease. The status Expired means that nothing was sent.

Change: such a hold is only sent again.

--- a/jobs/dispatch/faults_test.go
+++ b/jobs/dispatch/faults_test.go
@@ -89,6 +89,20 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// Guards against workers that count as unresponsive for holds that never left the leader.
+	It("does not charge a worker with a hold that has expired", func() {
+		sim := newSimulation(7)
+		t := sim.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
+		d := sim.startLeader()
+		sim.runUntil(2 * time.Second)
+		w := d.workers[t.id]
+		d.sendHold(w)
+		d.HandleReply(Reply{Order: Order{Hold: &Hold{}, target: w}, Status: Expired, SentAt: sim.now, ReceivedAt: sim.now})
+		Expect(w.unresponsive).To(BeFalse())
+		Expect(w.holdInFlight).To(BeFalse())
+		Expect(w.usable(sim.now)).To(BeTrue())
+	})
+
 	// Guards against a worker that failed a hold and has no attempts left: without another
 	// hold it would stay out of use although it reports.
 	It("uses a worker again that receives orders again", func() {
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -64,6 +64,10 @@
 	}
 	if r.Status != Accepted {
 		w.nextHoldAt = d.now + holdRetryDelay
+		if r.Status == Expired {
+			// The hold did not reach the worker, which tells nothing about it.
+			return
+		}
 		if !w.unresponsive {
 			d.addLogEvent("worker unresponsive", w, nil, r.Reason)
 		}
