dispatch: let repairs of the audit free no room and no task that may still run

Cause: a bound task that was not tracked became inherited, a phase that relies on a fence which no earlier start carries; under the same leader its start may still be on its way. An attempt that was not bound was dropped with its room while it may still run.

Change: the first is stopped before it counts as lost unless the worker lists it, the second becomes an unexpected attempt, which keeps its room until the worker lists it no more.

--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -50,7 +50,8 @@
 	})
 }
 
-// adopt tracks the attempt of a bound task as if an earlier leader had bound it.
+// adopt tracks the attempt of a bound task. Its start may still be on its way, so it is
+// stopped unless the worker lists it first.
 func (d *Dispatcher) adopt(w *worker, t *jobs.Task) {
 	a := d.newInheritedAttempt(t)
 	if w == nil {
@@ -58,11 +59,20 @@
 		d.orphansOf[t.BoundTo.Worker] = append(d.orphansOf[t.BoundTo.Worker], t.Key)
 	} else {
 		a.worker = w
+		a.setPhase(phaseUncertain, d.now)
 		w.attempts[t.Key] = a
 	}
 	d.addRepair("bound task was not tracked", w, a)
 }
 
+// disown stops an attempt that is not bound. It keeps its room until the worker lists it no
+// more.
+func (d *Dispatcher) disown(w *worker, a *attempt) {
+	d.addRepair("tracked attempt is not bound", w, a)
+	d.dropAttempt(a)
+	w.unexpected[attemptKey{a.task, a.number}] = &unexpectedAttempt{reserved: a.reserved, listedAt: d.now}
+}
+
 // auditWaiting plans jobs with a startable task that the planner has dropped.
 func (d *Dispatcher) auditWaiting() {
 	d.refreshWaiting()
@@ -111,8 +121,7 @@
 				d.dropAttempt(a)
 			}
 		case d.currentTask(a) == nil:
-			d.addRepair("tracked attempt is not bound", w, a)
-			d.dropAttempt(a)
+			d.disown(w, a)
 		case w.terminated:
 			d.addRepair("attempt on an ended worker has no end", w, a)
 			d.endAttempt(a, a.lossOutcome())
