dispatch: wait longer for a worker of its own before the decisive run of a suspect

Cause: a task under which two workers have crashed waited one second for a worker of its own, and others two seconds to be placed beside it. On a small fleet the innocent one then shared a worker with the deadly one once more, and the third crash fails the job.

Change: short tasks wait three and four seconds; those of long-running tasks stay. A long-running task counts anew after 20 s in place of a minute.

TestInnocentJobsBesideDeadlyOnesAreDone keeps the strict check by itself.

--- a/e2e/jobdeadly_test.go
+++ b/e2e/jobdeadly_test.go
@@ -121,5 +121,6 @@
 	s.awaitFailure(g, deadly, func() {})
 	g.Expect(s.f.record.Broken()).To(BeEmpty(), s.history())
 	s.awaitEnds(g, innocent)
+	g.Expect(innocent.failed()).To(BeEmpty(), s.history())
 	g.Expect(s.f.record.Broken()).To(BeEmpty(), s.history())
 }
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -10,7 +10,7 @@
 	maxSoleCrashes = 2
 	// stableRunMS is the time in milliseconds after which a long-running task is not the
 	// cause of a crash. Over a long life it sees several ordinary ones.
-	stableRunMS = 60_000
+	stableRunMS = 20_000
 	// maxExpiredAttempts bounds Task.ExpiredAttempts. Earlier ones can't fail the job any
 	// more.
 	maxExpiredAttempts = maxCrashes
--- a/jobs/dispatch/suspects.go
+++ b/jobs/dispatch/suspects.go
@@ -10,11 +10,15 @@
 	// isolateSuspicion is the suspicion from which on a task runs alone, so that one more
 	// crash tells whether it is the cause.
 	isolateSuspicion = 2
-	// maxIsolationWait is how long such a task waits for a worker of its own.
-	maxIsolationWait = time.Second
+	// maxIsolationWait is how long such a task waits for a worker of its own. If it then
+	// shares a worker with the task that crashes it, the next crash fails its job.
+	maxIsolationWait = 3 * time.Second
 	// maxSeparationWait is how long tasks wait before they are placed beside one that is to
 	// run alone, for lack of other room.
-	maxSeparationWait = 2 * time.Second
+	maxSeparationWait = 4 * time.Second
+	// The waits of long-running tasks are shorter, since their users notice their absence.
+	maxLongRunningIsolationWait  = time.Second
+	maxLongRunningSeparationWait = 2 * time.Second
 	// suspicionPeriod times its suspicion is how long a long-running task has to run until
 	// it does not keep others away any more.
 	suspicionPeriod = 10 * time.Second
@@ -121,8 +125,17 @@
 	return d.now - since
 }
 
-// chooseForSuspect returns a worker without tasks for one that is to run alone. After
-// maxIsolationWait it returns the worker with the least reserved CPU.
+// isolationWaits returns how long a task that is to run alone waits for a worker of its own,
+// and how long a task waits before it is placed beside one that is to run alone.
+func isolationWaits(longRunning bool) (isolation, separation time.Duration) {
+	if longRunning {
+		return maxLongRunningIsolationWait, maxLongRunningSeparationWait
+	}
+	return maxIsolationWait, maxSeparationWait
+}
+
+// chooseForSuspect returns a worker without tasks for one that is to run alone. Once it has
+// waited for long it returns the worker with the least reserved CPU.
 func (d *Dispatcher) chooseForSuspect(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate) *candidate {
 	var vacant []*candidate
 	for _, c := range candidates {
@@ -131,11 +144,12 @@
 		}
 	}
 	waited := d.isolationWait(t.Key)
-	if best := d.choose(wj, step, t, vacant, nil); best != nil || waited < maxIsolationWait {
+	isolation, separation := isolationWaits(step.LongRunning)
+	if best := d.choose(wj, step, t, vacant, nil); best != nil || waited < isolation {
 		return best
 	}
 	relaxed := *wj
-	relaxed.besideIsolated = waited >= maxSeparationWait
+	relaxed.besideIsolated = waited >= separation
 	var best *candidate
 	for _, c := range candidates {
 		if d.eligible(&relaxed, step, t, c, nil) && (best == nil || c.lessUsed(best)) {
@@ -172,7 +186,7 @@
 		}
 	}
 	if best == nil {
-		return step.LongRunning && d.isolationWait(t.Key) >= maxIsolationWait && d.reserveForRestart(restart{wj, step, t}, candidates)
+		return step.LongRunning && d.isolationWait(t.Key) >= maxLongRunningIsolationWait && d.reserveForRestart(restart{wj, step, t}, candidates)
 	}
 	best.reserved, best.reservedTask = reservedForTask, t.Key
 	return true
@@ -197,7 +211,8 @@
 		reserved[c.worker.Service] += c.reservedMilliCPU()
 	}
 	for _, wj := range ranked {
-		waited := d.unixMS-wj.waitingSince >= maxSeparationWait.Milliseconds()
+		_, separation := isolationWaits(wj.longRunning())
+		waited := d.unixMS-wj.waitingSince >= separation.Milliseconds()
 		crowded := float64(reserved[wj.service]) > maxIsolatedLoad*float64(capacity[wj.service])
 		wj.besideIsolated = waited && (wj.longRunning() || !crowded)
 	}
