delivery: send within a short rest of the lease after a bounded wait

Cause: orders waited while less than 150 ms of the lease was left. If each renewal takes longer than 250 ms, as beside load, there never is more: the leader leads and binds, and nothing leaves through carriers.

Change: after 200 ms orders are sent with what is left of the lease; one that expires on its way is sent again. TestShortLease fails without the change (expired after 1.5 s).

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -445,3 +445,18 @@
 		g.Expect(f.sender.available).To(HaveLen(2))
 	})
 }
+
+// TestShortLease guards against orders that never leave although the leader leads: each
+// renewal of its lease takes so long that little of it is left.
+func TestShortLease(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	_, address := f.startCarrier(t)
+	f.leaseEnd = f.leaderBoot.read() + minLeaseLeft - 10*time.Millisecond
+	f.runAndWait(func() {
+		f.sender.SetCarriers([]Carrier{{Address: address, Domain: "a"}})
+		g.Expect(f.sender.Send(holdOrder("i-1"), "a")).To(BeTrue())
+	})
+	g.Eventually(func() []dispatch.Reply { f.runAndWait(f.sender.Tick); return f.received() }, "3s", "10ms").Should(HaveLen(1))
+	g.Expect(f.received()[0].Status).To(Equal(dispatch.Accepted))
+}
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -32,8 +32,10 @@
 	// carrierBackoff is how long a carrier gets no orders after a failure.
 	carrierBackoff = 3 * time.Second
 	// minLeaseLeft is the rest of the leader's lease from which on orders are sent. With
-	// less they would often expire on their way, so they wait for the next renewal.
-	minLeaseLeft = 150 * time.Millisecond
+	// less they would often expire on their way, so they wait for the next renewal, for
+	// maxRenewalWait at most: renewals that take long leave less each time.
+	minLeaseLeft   = 150 * time.Millisecond
+	maxRenewalWait = 200 * time.Millisecond
 	// maxLateDuration is how long the orders of a carrier may keep arriving there after
 	// they have expired until it counts as failed. Single ones are sent again: a pause of
 	// the leader itself delays the orders of all carriers.
@@ -77,6 +79,9 @@
 	clock          carrierClock
 	// failedAt is the time of the last failure, 0 for none.
 	failedAt time.Duration
+	// postponedAt is when its orders first waited for a renewal of the lease, 0 if they do
+	// not.
+	postponedAt time.Duration
 	// lateSince is when the carrier first reported an expired order after the last one
 	// that was in time, 0 for none.
 	lateSince time.Duration
@@ -213,10 +218,11 @@
 		return
 	}
 	leaseEnd := s.leaseEnd()
-	if leaseEnd-now < minLeaseLeft {
+	if s.mustPostpone(c, leaseEnd-now) {
 		s.scheduleFlush(c)
 		return
 	}
+	c.postponedAt = 0
 	orders := c.queue
 	c.queue = nil
 	for _, o := range orders {
@@ -226,6 +232,18 @@
 	s.deliver(c, orders, c.clock.expiry(now, leaseEnd), func() {})
 }
 
+// mustPostpone reports whether the orders of a carrier have to wait for the renewal of a
+// lease with the given time left.
+func (s *Sender) mustPostpone(c *carrier, left time.Duration) bool {
+	if left >= minLeaseLeft {
+		return false
+	}
+	if c.postponedAt == 0 {
+		c.postponedAt = s.now()
+	}
+	return left <= 0 || s.now()-c.postponedAt < maxRenewalWait
+}
+
 // deliver sends orders to a carrier, which must send them before its clock shows expires,
 // and records its clock, then calls done. Without orders it only reads the clock.
 func (s *Sender) deliver(c *carrier, orders []*deliverypb.Order, expires int64, done func()) {
