dispatch: spread the tasks that were lost with a worker

Cause: after a first crash the tasks that were lost with the worker preferred workers that ran only such tasks. The deadly one among them took them along a second time, and each task with two crashes has to run alone on a worker.

Change: they are kept off each other, and prefer workers that run nothing; other tasks keep apart from them only slightly. A second crash so finds the deadly one with few others.

--- a/jobs/dispatch/suspects.go
+++ b/jobs/dispatch/suspects.go
@@ -25,10 +25,11 @@
 	// maxIsolatedLoad is the share of the CPU of a service that is reserved from which on
 	// short tasks wait rather than run beside a task that is to run alone.
 	maxIsolatedLoad = 0.6
-	// suspectPenalty keeps suspects and other tasks apart. suspectPeerPenalty spreads
-	// suspects, for each that a worker runs, up to suspectPenalty.
-	suspectPenalty     = 1.5
-	suspectPeerPenalty = 0.1
+	// suspectPeerPenalty spreads suspects over workers: of those that a further crash finds
+	// together, each has to run alone. suspectOthersPenalty keeps suspects and other tasks
+	// apart where there is room.
+	suspectPeerPenalty   = 1.5
+	suspectOthersPenalty = 0.3
 )
 
 // suspicion returns the number of workers that have crashed under a task. A lease that has
@@ -71,10 +72,12 @@
 	switch {
 	case c.isolated:
 		return avoidPenalty
-	case t.Crashes == 0 || c.tasks > c.suspects:
-		return suspectPenalty
+	case t.Crashes > 0 && c.suspects > 0:
+		return suspectPeerPenalty
+	case t.Crashes > 0 && c.tasks == 0:
+		return 0
 	}
-	return min(suspectPenalty, suspectPeerPenalty*float64(c.suspects))
+	return suspectOthersPenalty
 }
 
 // planSuspects binds the tasks that are to run alone, and reserves a worker for each that
