--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -1,13 +1,11 @@
 package delivery
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"geraniumwall/jobs/dispatch"
@@ -42,12 +40,6 @@
 	maxLateDuration = 300 * time.Millisecond
 )
 
-// Carrier is a replica that sends orders to workers for the leader.
-type Carrier struct {
-	Address string
-	Domain  string
-}
-
 // Sender is the leader side: it distributes orders over the carriers during one term.
 // Its methods must be called on the control thread.
 type Sender struct {
@@ -72,21 +64,6 @@
 	closed bool
 }
 
-type carrier struct {
-	stub           deliverypb.Carrier
-	queue          []*deliverypb.Order
-	flushScheduled bool
-	clock          carrierClock
-	// failedAt is the time of the last failure, 0 for none.
-	failedAt time.Duration
-	// postponedAt is when its orders first waited for a renewal of the lease, 0 if they do
-	// not.
-	postponedAt time.Duration
-	// lateSince is when the carrier first reported an expired order after the last one
-	// that was in time, 0 for none.
-	lateSince time.Duration
-}
-
 // pendingOrder is an order that waits for its reply.
 type pendingOrder struct {
 	order   dispatch.Order
@@ -140,18 +117,6 @@
 	clear(s.pending)
 }
 
-// SetCarriers replaces the carriers. Those that failed recently stay unavailable.
-func (s *Sender) SetCarriers(carriers []Carrier) {
-	s.available = s.available[:0]
-	now := s.now()
-	for _, c := range carriers {
-		if existing := s.carriers[c.Address]; existing == nil || existing.failedAt == 0 || now-existing.failedAt > carrierBackoff {
-			s.available = append(s.available, c)
-		}
-	}
-	slices.SortFunc(s.available, func(a, b Carrier) int { return cmp.Compare(a.Address, b.Address) })
-}
-
 // Send queues an order for a carrier, preferably one in the domain of the worker. It
 // returns false if no carrier is available.
 func (s *Sender) Send(o dispatch.Order, domain string) bool {
@@ -184,21 +149,6 @@
 	time.AfterFunc(batchDelay, func() { s.post(func() { s.flush(c) }) })
 }
 
-// selectCarrier returns the address of the carrier for a worker. It uses rendezvous
-// hashing, so that the orders of a worker keep the same carrier while it responds and
-// few connections are opened.
-func (s *Sender) selectCarrier(worker, domain string) string {
-	best, bestWeight, bestSameDomain := "", uint64(0), false
-	for _, c := range s.available {
-		sameDomain := c.Domain == domain
-		weight := xxhash.Sum64String(worker + "/" + c.Address)
-		if best == "" || sameDomain && !bestSameDomain || sameDomain == bestSameDomain && weight > bestWeight {
-			best, bestWeight, bestSameDomain = c.Address, weight, sameDomain
-		}
-	}
-	return best
-}
-
 // flush sends the queued orders of a carrier with the time at which they expire there. It
 // asks for the carrier's clock first if the last reading is too old, and waits for the
 // leader's lease to be renewed if it is about to end: while it is renewed within the same
@@ -232,18 +182,6 @@
 	s.deliver(c, orders, c.clock.expiry(now, leaseEnd), func() {})
 }
 
-// mustPostpone reports whether the orders of a carrier have to wait for the renewal of a
-// lease with the given time left.
-func (s *Sender) mustPostpone(c *carrier, left time.Duration) bool {
-	if left >= minLeaseLeft {
-		return false
-	}
-	if c.postponedAt == 0 {
-		c.postponedAt = s.now()
-	}
-	return left <= 0 || s.now()-c.postponedAt < maxRenewalWait
-}
-
 // deliver sends orders to a carrier, which must send them before its clock shows expires,
 // and records its clock, then calls done. Without orders it only reads the clock.
 func (s *Sender) deliver(c *carrier, orders []*deliverypb.Order, expires int64, done func()) {
@@ -290,18 +228,6 @@
 	}
 }
 
-func (s *Sender) markUnavailable(c *carrier, reason string) {
-	if c.failedAt == 0 || s.now()-c.failedAt > carrierBackoff {
-		s.log.Warn().Str("reason", reason).Uint64("term", s.term).Msg("carrier failed; no new orders are sent through it until its backoff ends")
-	}
-	c.failedAt, c.lateSince = max(1, s.now()), 0
-	for address, other := range s.carriers {
-		if other == c {
-			s.available = slices.DeleteFunc(s.available, func(u Carrier) bool { return u.Address == address })
-		}
-	}
-}
-
 // HandleReplies processes the replies that a carrier reports. An order that reached the
 // carrier after it had expired was not sent to its worker, so it is sent again.
 func (s *Sender) HandleReplies(replies []*deliverypb.Reply) {
@@ -334,15 +260,6 @@
 	return s.resend(id, o)
 }
 
-// anyInTime reports whether an available carrier receives orders in time. If none does,
-// the leader itself is late.
-func (s *Sender) anyInTime() bool {
-	return slices.ContainsFunc(s.available, func(a Carrier) bool {
-		c := s.carriers[a.Address]
-		return c == nil || c.lateSince == 0
-	})
-}
-
 // resend queues an order that was not sent to its worker under a new id. It returns false
 // if it has waited for maxSendDelay or no carrier is available.
 func (s *Sender) resend(id uint64, o *pendingOrder) bool {
