dispatch: blame no task for a worker that did not answer its start in time

Cause: a start without an answer counted as one that may have crashed its worker.

Change: a start whose connection breaks may have reached the worker and counts; one that runs out of its time counts only once the worker lists the attempt.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -51,7 +51,7 @@
 	// suspicion is the suspicion of the task.
 	suspicion int
 	// unstarted is set for an attempt that was phaseVoid on an earlier incarnation of its
-	// worker.
+	// worker, or whose start had no answer in time: the worker was down already.
 	unstarted bool
 	// crashed is set once the incarnation to which the attempt was bound is known to have
 	// crashed. sole is set if the attempt had started there and was the only one.
--- a/jobs/dispatch/crash_test.go
+++ b/jobs/dispatch/crash_test.go
@@ -135,6 +135,27 @@
 		Expect(crashes()).To(Equal(1), "the crash of the second attempt only")
 	})
 
+	// Guards against a task that is blamed for the crash of a worker that was down before its
+	// start was sent, and against one that crashes its worker before the start is answered.
+	for status, want := range map[string]int{"is not answered in time": 0, "breaks off": 1} {
+		It(fmt.Sprintf("counts %d for a start that %s", want, status), func() {
+			start(jobs.Step{Count: 1, Request: small, EstimateMS: long})
+			d := sim.current()
+			a := d.workers[t.id].attempts[key]
+			a.setPhase(phaseOrdered, d.now)
+			after := 10 * time.Millisecond
+			if want == 0 {
+				after = orderTravelTime
+			}
+			order := Order{Start: &Start{Task: key, Attempt: 1}, target: a.worker}
+			d.HandleReply(Reply{Order: order, Status: Unknown, SentAt: d.now, ReceivedAt: d.now + after})
+			t.crash(time.Second)
+			sim.runUntil(7 * time.Second)
+			Expect(crashes()).To(Equal(want))
+			Expect(sim.store.Job("j").Task(key).Attempt).To(Equal(2))
+		})
+	}
+
 	// Guards against a crash that is blamed on a task that never started on the worker.
 	It("does not count for a start that another process has rejected", func() {
 		start(jobs.Step{Count: 1, Request: small, EstimateMS: long})
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -215,6 +215,8 @@
 	case Unknown:
 		d.addLogEvent("start not answered", w, a, r.Reason)
 		a.setPhase(phaseUncertain, d.now)
+		// A connection that breaks sooner had reached a process that ran.
+		a.unstarted = r.ReceivedAt-r.SentAt >= orderTravelTime
 	}
 }
 
