--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -434,7 +434,7 @@
 		c, other := &carrier{}, &carrier{}
 		f.sender.carriers = map[string]*carrier{"late": c, "good": other}
 		f.sender.SetCarriers([]Carrier{{Address: "late"}, {Address: "good"}})
-		late := &pendingOrder{carrier: c, sentAt: f.sender.now() - maxSendDelay}
+		late := &pendingOrder{carrier: c, queuedAt: f.sender.now() - maxSendDelay}
 		f.sender.resendExpired(1, late, "late")
 		c.lateSince -= 2 * maxLateDuration
 		f.sender.resendExpired(1, late, "late")
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -69,7 +69,8 @@
 	order   dispatch.Order
 	domain  string
 	carrier *carrier
-	sentAt  time.Duration
+	// queuedAt is when the leader decided the order.
+	queuedAt time.Duration
 	// deadline is the time of the reply at the latest once delivered is set, and before that
 	// the time until which the order waits to be sent to its carrier.
 	deadline  time.Duration
@@ -120,7 +121,7 @@
 // Send queues an order for a carrier, preferably one in the domain of the worker. It
 // returns false if no carrier is available.
 func (s *Sender) Send(o dispatch.Order, domain string) bool {
-	return s.enqueue(&pendingOrder{order: o, domain: domain, sentAt: s.now()})
+	return s.enqueue(&pendingOrder{order: o, domain: domain, queuedAt: s.now()})
 }
 
 // enqueue queues an order under a new id. It returns false if no carrier is available.
@@ -135,7 +136,7 @@
 		s.carriers[address] = c
 	}
 	s.nextID++
-	p.carrier, p.delivered, p.deadline = c, false, p.sentAt+maxSendDelay
+	p.carrier, p.delivered, p.deadline = c, false, p.queuedAt+maxSendDelay
 	s.pending[s.nextID] = p
 	c.queue = append(c.queue, encodeOrder(s.nextID, &p.order))
 	if !c.flushScheduled {
@@ -263,7 +264,7 @@
 // resend queues an order that was not sent to its worker under a new id. It returns false
 // if it has waited for maxSendDelay or no carrier is available.
 func (s *Sender) resend(id uint64, o *pendingOrder) bool {
-	if s.now() >= o.sentAt+maxSendDelay || !s.enqueue(o) {
+	if s.now() >= o.queuedAt+maxSendDelay || !s.enqueue(o) {
 		return false
 	}
 	delete(s.pending, id)
@@ -277,7 +278,7 @@
 		return
 	}
 	delete(s.pending, id)
-	r.Order, r.SentAt, r.ReceivedAt = o.order, o.sentAt, s.now()
+	r.Order, r.SentAt, r.ReceivedAt = o.order, o.queuedAt, s.now()
 	s.onReply(r)
 }
 
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -186,6 +186,7 @@
 	commands, orders, logEvents := m.dispatcher.TakeOutput()
 	m.proposals.add(commands...)
 	for _, o := range orders {
+		m.metrics.recordOrder(&o)
 		m.heldOrders = append(m.heldOrders, heldOrder{o, m.now()})
 	}
 	for i := range logEvents {
@@ -224,10 +225,9 @@
 }
 
 // send sends an order to its worker without blocking the control thread. In a large
-// fleet another replica sends it.
+// fleet another replica sends it. An order that has expired is held for the next lease.
 func (m *manager) send(h heldOrder) {
 	d, ctx, o := m.dispatcher, m.orderCtx, h.order
-	m.metrics.recordOrder(&o)
 	if minWorkers := m.settings.MinWorkersForCarriers; minWorkers > 0 && d.WorkerCount() >= minWorkers && m.sender.Send(o, o.To.Domain) {
 		return
 	}
