dispatch: keep tasks that are to run alone apart from each other for longer

Cause: a task that was to run alone joined another one after 4 s for lack of a worker. On two workers the deadly one so joined an innocent one whose third crash this was.

Change: such a task waits 10 s, a long-running one 4 s.

--- a/jobs/dispatch/suspects.go
+++ b/jobs/dispatch/suspects.go
@@ -16,9 +16,13 @@
 	// maxSeparationWait is how long tasks wait before they are placed beside one that is to
 	// run alone, for lack of other room.
 	maxSeparationWait = 4 * time.Second
+	// maxSuspectWait replaces maxSeparationWait for tasks that are to run alone themselves:
+	// of two of them, one may be the cause of the crashes of the other.
+	maxSuspectWait = 10 * time.Second
 	// The waits of long-running tasks are shorter, since their users notice their absence.
 	maxLongRunningIsolationWait  = time.Second
 	maxLongRunningSeparationWait = 2 * time.Second
+	maxLongRunningSuspectWait    = 4 * time.Second
 	// suspicionPeriod times its suspicion is how long a long-running task has to run until
 	// it does not keep others away any more.
 	suspicionPeriod = 10 * time.Second
@@ -128,13 +132,16 @@
 	return d.now - since
 }
 
-// isolationWaits returns how long a task that is to run alone waits for a worker of its own,
-// and how long a task waits before it is placed beside one that is to run alone.
-func isolationWaits(longRunning bool) (isolation, separation time.Duration) {
+// isolationWaits are the times that a task waits before it is placed less strictly:
+// isolation for a worker of its own, separation for one without a task that is to run
+// alone, and suspect for such a worker if it is to run alone itself.
+type isolationWaits struct{ isolation, separation, suspect time.Duration }
+
+func waitsFor(longRunning bool) isolationWaits {
 	if longRunning {
-		return maxLongRunningIsolationWait, maxLongRunningSeparationWait
+		return isolationWaits{maxLongRunningIsolationWait, maxLongRunningSeparationWait, maxLongRunningSuspectWait}
 	}
-	return maxIsolationWait, maxSeparationWait
+	return isolationWaits{maxIsolationWait, maxSeparationWait, maxSuspectWait}
 }
 
 // chooseForSuspect returns a worker without tasks for one that is to run alone. Once it has
@@ -147,12 +154,12 @@
 		}
 	}
 	waited := d.isolationWait(t.Key)
-	isolation, separation := isolationWaits(step.LongRunning)
-	if best := d.choose(wj, step, t, vacant, nil); best != nil || waited < isolation {
+	waits := waitsFor(step.LongRunning)
+	if best := d.choose(wj, step, t, vacant, nil); best != nil || waited < waits.isolation {
 		return best
 	}
 	relaxed := *wj
-	relaxed.besideIsolated = waited >= separation
+	relaxed.besideIsolated = waited >= waits.suspect
 	var best *candidate
 	for _, c := range candidates {
 		if d.eligible(&relaxed, step, t, c, nil) && (best == nil || c.lessUsed(best)) {
@@ -214,8 +221,7 @@
 		reserved[c.worker.Service] += c.reservedMilliCPU()
 	}
 	for _, wj := range ranked {
-		_, separation := isolationWaits(wj.longRunning())
-		waited := d.unixMS-wj.waitingSince >= separation.Milliseconds()
+		waited := d.unixMS-wj.waitingSince >= waitsFor(wj.longRunning()).separation.Milliseconds()
 		crowded := float64(reserved[wj.service]) > maxIsolatedLoad*float64(capacity[wj.service])
 		wj.besideIsolated = waited && (wj.longRunning() || !crowded)
 	}
