jobs: don't count a crash that became known after the lease for a lone run

Cause: the worker of an attempt was cut off, its lease ended the attempt, and the worker crashed half a second later. Back within 8 s it counted as crashed under the attempt. With that the second crash, under a run known to be alone, failed the job.

Change: two certain crashes are needed for a lone run; late ones still count for the three that fail a job in any case.

--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -20,7 +20,7 @@
 // milliseconds.
 func resetCrashes(j *Job, t *Task, ranMS int64) {
 	if j.Step(t.Key).LongRunning && ranMS >= stableRunMS {
-		t.Crashes = 0
+		t.Crashes, t.LateCrashes = 0, 0
 	}
 }
 
@@ -28,7 +28,7 @@
 func (s *Store) countCrash(j *Job, t *Task, c *End) {
 	t.Crashes++
 	j.maxCrashes = max(j.maxCrashes, t.Crashes)
-	if !j.State.Ended() && (t.Crashes >= maxCrashes || c.Sole && t.Crashes >= maxSoleCrashes) {
+	if !j.State.Ended() && (t.Crashes >= maxCrashes || c.Sole && t.Crashes-t.LateCrashes >= maxSoleCrashes) {
 		s.endJob(j, Failed, c.At)
 	}
 }
@@ -63,6 +63,7 @@
 		delete(s.expired, t.Key)
 	}
 	if c.Outcome == OutcomeCrashed && !t.Done {
+		t.LateCrashes++
 		s.countCrash(j, t, c)
 		s.changed[j.ID] = true
 	}
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -103,6 +103,19 @@
 		Expect(s.Job("a").Task(key).Crashes).To(Equal(2))
 	})
 
+	// Guards against a job that is given up for one crash: under the other one the attempt had
+	// ended with the lease of its worker before.
+	It("do not count as certain after the lease of the worker", func() {
+		s.Apply(jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: registered}})
+		submit(jobs.Step{Count: 1})
+		run(key, 1, 1, jobs.End{Outcome: jobs.OutcomeLeaseExpired, At: 2})
+		Expect(settle(1, jobs.OutcomeCrashed).Applied).To(BeTrue())
+		run(key, 2, 3, jobs.End{Outcome: jobs.OutcomeCrashed, Sole: true, At: 4})
+		Expect(s.Job("a").State).To(Equal(jobs.Running))
+		run(key, 3, 5, jobs.End{Outcome: jobs.OutcomeCrashed, Sole: true, At: 6})
+		Expect(s.Job("a").State).To(Equal(jobs.Failed))
+	})
+
 	// Guards against a crash that is not counted, or counted twice, because the lease of the
 	// worker had expired before it was back.
 	It("count once for an attempt that had ended with its lease", func() {
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -176,6 +176,9 @@
 	// Crashes counts the workers that have crashed under the task. Long-running tasks start
 	// anew with each attempt that has run for stableRunMS.
 	Crashes int `json:"cr,omitempty"`
+	// LateCrashes are those of Crashes that became known after the lease of the worker: the
+	// attempt may have ended with the lease before.
+	LateCrashes int `json:"lc,omitempty"`
 	// ExpiredAttempts are the latest attempts that ended with the lease of their worker, the
 	// oldest first. The worker may have crashed; this is known once it is back.
 	ExpiredAttempts []ExpiredAttempt `json:"ex,omitempty"`
