daemon: write buffered log lines before the process ends

Operators saw no "daemon stopped" in the logs of planned stops, and the line with the cause was missing where a process failed. Lines waited up to 20 ms for the poll of the log writer, and os.Exit came first.

Lines now go to a writer goroutine at once, in chunks of whole lines, and each way out of MainWith writes what is buffered and then a last line, for 300 ms at most: after 200 ms the rest of the backlog is counted as dropped, so that the last line also gets through to a slow reader. A panic of run writes the buffered lines first. The lines of the standard library's logger, which tell of panics in HTTP handlers, become log lines; before they went only to standard error, synchronously.

The diode is replaced, because its waiter, which hands lines over at once, can miss a wake-up (Broadcast without the lock), and because it can't keep the last line ahead of a backlog.

What a panic on any other goroutine takes along is what was logged within the scheduling latency of the writer goroutine, in place of up to 20 ms; the panic itself is printed to standard error by the runtime.

--- a/cmd/geranium-entry/main.go
+++ b/cmd/geranium-entry/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/rs/zerolog"
 
@@ -13,7 +14,7 @@
 
 func main() {
 	settings := &entry.Settings{}
-	options := daemon.Options{Name: "geranium-entry", File: platform.SettingsFile(), Logs: daemon.Stdout()}
+	options := daemon.Options{Name: "geranium-entry", File: platform.SettingsFile(), Logs: os.Stdout}
 	daemon.MainWith(options, settings, func(ctx context.Context, log zerolog.Logger, file string) error {
 		reloads := daemon.Reloads[entry.Settings](ctx, file, log)
 		return entry.Run(ctx, settings, reloads, platform.Deadline, log)
--- a/cmd/geranium-jobs/main.go
+++ b/cmd/geranium-jobs/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/rs/zerolog"
 
@@ -13,7 +14,7 @@
 
 func main() {
 	settings := &jobd.Settings{}
-	options := daemon.Options{Name: "geranium-jobs", File: platform.SettingsFile(), Logs: daemon.Stdout()}
+	options := daemon.Options{Name: "geranium-jobs", File: platform.SettingsFile(), Logs: os.Stdout}
 	daemon.MainWith(options, settings, func(ctx context.Context, log zerolog.Logger, file string) error {
 		go logReloads(daemon.Reloads[jobd.Settings](ctx, file, log), log)
 		return jobd.Run(ctx, settings, platform.NewWorkerClient(), platform.Interfaces, log)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,11 +3,13 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -40,40 +42,72 @@
 	Name string
 	// File is the path of the settings file if the flag names none.
 	File string
-	// Logs receives the log lines.
+	// Logs receives the log lines. A slow reader never blocks the daemon.
 	Logs io.Writer
 }
 
 // MainWith is Main with options. run also receives the path of the settings file.
 func MainWith(o Options, s settings.Checked, run func(context.Context, zerolog.Logger, string) error) {
-	file := flag.String("settings", o.File, "path of the JSON settings file")
-	defaults := flag.Bool("print-defaults", false, "print the default settings and exit")
-	flag.Parse()
-	if *defaults {
-		exitOn(settings.PrintDefaults(os.Stdout, s), ExitFailure)
-		os.Exit(0)
+	file := parseFlags(o, s)
+	logs := newLogWriter(o.Logs)
+	// A panic of run ends the process after this.
+	defer logs.close(nil)
+	log := newLogger(logs, o.Name)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(errorLog{log})
+	if err := settings.Load(file, s); err != nil {
+		logs.close(lastLine(o.Name, err))
+		exit(err, ExitUsage)
 	}
-	exitOn(settings.Load(*file, s), ExitUsage)
-	log := zerolog.New(o.Logs).With().Timestamp().Str("process", o.Name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err := run(ctx, log, *file)
+	err := run(ctx, log, file)
 	if lost := FlushMetrics(context.Background()); lost != nil {
 		log.Warn().Err(lost).Msg("the last metrics were not pushed")
 	}
+	logs.close(lastLine(o.Name, err))
 	if err != nil {
-		log.Error().Err(err).Msg("daemon failed")
 		os.Exit(ExitFailure)
 	}
-	log.Info().Msg("daemon stopped")
 	os.Exit(0)
 }
 
-func exitOn(err error, code int) {
+// parseFlags returns the path of the settings file, or prints the defaults and ends the
+// process if the flags ask for them.
+func parseFlags(o Options, s settings.Checked) string {
+	file := flag.String("settings", o.File, "path of the JSON settings file")
+	defaults := flag.Bool("print-defaults", false, "print the default settings and exit")
+	flag.Parse()
+	if !*defaults {
+		return *file
+	}
+	if err := settings.PrintDefaults(os.Stdout, s); err != nil {
+		exit(err, ExitFailure)
+	}
+	os.Exit(0)
+	return ""
+}
+
+func newLogger(logs io.Writer, name string) zerolog.Logger {
+	return zerolog.New(logs).With().Timestamp().Str("process", name).Logger()
+}
+
+// lastLine returns the log line that says what ended the process.
+func lastLine(name string, err error) []byte {
+	var line bytes.Buffer
+	log := newLogger(&line, name)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(code)
+		log.Error().Err(err).Msg("daemon failed")
+	} else {
+		log.Info().Msg("daemon stopped")
 	}
+	return line.Bytes()
+}
+
+// exit prints err to standard error and ends the process.
+func exit(err error, code int) {
+	newLogWriter(os.Stderr).close([]byte(err.Error() + "\n"))
+	os.Exit(code)
 }
 
 // Server is an HTTP server that is stopped gracefully.
