wal: wait while too many files are open

net/http retries an accept that fails with EMFILE, so the listeners did not end the process.

An open that fails changes nothing, so it is repeated until a descriptor is free, for 30 s at most. Writes and syncs are not repeated.

The test fails with EMFILE once at each step that opens a file.

--- a/wal/create.go
+++ b/wal/create.go
@@ -29,6 +29,7 @@
 	if o.FS == nil {
 		o.FS = OSFS{}
 	}
+	o.FS = waitingFS{o.FS}
 	if o.SegmentBytes == 0 {
 		o.SegmentBytes = DefaultSegmentBytes
 	}
--- a/wal/store_test.go
+++ b/wal/store_test.go
@@ -37,6 +37,32 @@
 		}
 	})
 
+	It("survives a shortage of descriptors at any open", func() {
+		whole := newMemFS()
+		play(whole)
+		waited := 0
+		for at := range whole.steps {
+			fs := newMemFS()
+			fs.failAt, fs.failure = at, syscall.EMFILE
+			err := wal.Create(options(fs), raft.Bootstrap(nil))
+			var store *wal.Store
+			if err == nil {
+				store, _, err = wal.Open(options(fs))
+			}
+			for _, op := range workload {
+				if err == nil {
+					err = perform(store, op)
+				}
+			}
+			if fs.failedKind != "create" && fs.failedKind != "directory sync" {
+				continue
+			}
+			Expect(err).NotTo(HaveOccurred(), "%s at step %d", fs.failedKind, at)
+			waited++
+		}
+		Expect(waited).To(BeNumerically(">", 0))
+	})
+
 	It("never retries a failed sync", func() {
 		fs := newMemFS()
 		play(fs)
