jobd: a status line of the leader once a second

A late job could wait for room, for the commit of its binding, for the order or for the control thread; the log lines about single tasks are limited to 600 a second and can't tell these apart on a fleet that starts 2,000 a second. The leader now logs workers by what keeps tasks from them, attempts by the progress of their start, waiting jobs by priority, delays of the stages, orders at the carriers, and how long the control thread worked and lagged.

--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -118,6 +118,20 @@
 	clear(s.pending)
 }
 
+// Pending returns the number of orders that wait to be sent to a carrier, and of those that
+// a carrier has and that wait for their reply.
+func (s *Sender) Pending() (queued, delivered int) {
+	for _, p := range s.pending {
+		if p.delivered {
+			delivered++
+		}
+	}
+	return len(s.pending) - delivered, delivered
+}
+
+// Available returns the number of carriers that respond.
+func (s *Sender) Available() int { return len(s.available) }
+
 // Send queues an order for a carrier, preferably one in the domain of the worker. It
 // returns false if no carrier is available.
 func (s *Sender) Send(o dispatch.Order, domain string) bool {
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -37,6 +37,7 @@
 	now        func() time.Duration
 	metrics    *Metrics
 	taskLogs   logLimiter
+	status     statusReport
 
 	// proposals are the commands for the log while this replica leads.
 	proposals      *proposalQueue
@@ -138,6 +139,7 @@
 		m.dispatcher.Tick()
 	}
 	m.flushDispatcher()
+	m.reportStatus()
 }
 
 // handleEvent does the work that follows from an event. Periodic work is left to the
@@ -176,6 +178,7 @@
 		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now(), time.Now().UnixMilli()) //nolint:gosec // terms stay far below the limit
 		m.sender = m.newSender()
 		m.proposals = m.newProposalQueue()
+		m.status.nextAt = m.now() + statusInterval
 		m.log.Info().Uint64("term", term).Msg("dispatch started")
 	}
 }
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -110,7 +110,9 @@
 	if !ok {
 		return
 	}
+	begin := time.Now()
 	defer func() {
+		s.manager.status.recordWork(time.Since(begin))
 		if p := recover(); p != nil {
 			s.fatal(fmt.Errorf("%v\n%s", p, debug.Stack()))
 		}
@@ -129,8 +131,11 @@
 		select {
 		case <-s.stopping:
 			return
-		case <-t.C:
-			s.post(s.manager.tick)
+		case at := <-t.C:
+			s.post(func() {
+				s.manager.status.recordTick(time.Since(at))
+				s.manager.tick()
+			})
 		}
 	}
 }
--- /dev/null
+++ b/jobd/status.go
@@ -0,0 +1,78 @@
+package jobd
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumwall/jobs/dispatch"
+)
+
+// statusInterval is the time between two status lines of the leader.
+const statusInterval = time.Second
+
+// statusReport measures the control thread between two status lines.
+type statusReport struct {
+	nextAt time.Duration
+	// lag is the longest time that a tick waited for the control thread, busy the time that
+	// the thread has worked, longest that of one event.
+	lag, busy, longest time.Duration
+	events             int
+}
+
+func (s *statusReport) recordTick(lag time.Duration) { s.lag = max(s.lag, lag) }
+
+func (s *statusReport) recordWork(took time.Duration) {
+	s.busy += took
+	s.longest = max(s.longest, took)
+	s.events++
+}
+
+// reportStatus logs the state of the leader once per statusInterval.
+func (m *manager) reportStatus() {
+	if m.now() < m.status.nextAt {
+		return
+	}
+	s := m.dispatcher.TakeStatus()
+	measured := m.status
+	m.status = statusReport{nextAt: m.now() + statusInterval}
+	e := m.log.Info().Uint64("term", m.term).Bool("leads", m.replica.Leads()).
+		Int64("lag_ms", measured.lag.Milliseconds()).Int64("busy_ms", measured.busy.Milliseconds()).
+		Int64("longest_ms", measured.longest.Milliseconds()).Int("events", measured.events).Int("plans", s.Plans).
+		Int("proposals_queued", len(m.proposals.queued)).Int("proposals_in_flight", m.proposals.inFlight).
+		Int("orders_held", len(m.heldOrders)).Int64("free_millicpu", s.FreeMilliCPU).
+		Dict("carriers", carrierFields(m)).Dict("workers", workerFields(&s.Workers)).Dict("attempts", attemptFields(&s.Attempts)).
+		Dict("holds", zerolog.Dict().Int("in_flight", s.Holds.InFlight).Int("answered", s.Holds.Answered).
+			Int("expired", s.Holds.Expired).Int("failed", s.Holds.Failed)).
+		Dict("commit", delayFields(&s.Commit)).Dict("start_reply", delayFields(&s.StartReply))
+	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
+}
+
+func carrierFields(m *manager) *zerolog.Event {
+	queued, delivered := m.sender.Pending()
+	return zerolog.Dict().Int("available", m.sender.Available()).Int("queued", queued).Int("delivered", delivered)
+}
+
+func workerFields(c *dispatch.WorkerCounts) *zerolog.Event {
+	return zerolog.Dict().Int("known", c.Known).Int("usable", c.Usable).Int("leaving", c.Leaving).
+		Int("unconfirmed", c.Unconfirmed).Int("unresponsive", c.Unresponsive).Int("silent", c.Silent).Int("quarantined", c.Quarantined)
+}
+
+func attemptFields(c *dispatch.AttemptCounts) *zerolog.Event {
+	return zerolog.Dict().Int("orphaned", c.Orphaned).Int("inherited", c.Inherited).Int("proposed", c.Proposed).
+		Int("ordered", c.Ordered).Int("started", c.Started).Int("uncertain", c.Uncertain).Int("void", c.Void)
+}
+
+func delayFields(s *dispatch.DelayStats) *zerolog.Event {
+	return zerolog.Dict().Int("count", s.Count).Int64("mean_ms", s.Mean().Milliseconds()).Int64("max_ms", s.Max.Milliseconds())
+}
+
+func queueArray(queues []dispatch.QueueStatus) *zerolog.Array {
+	list := zerolog.Arr()
+	for i := range queues {
+		q := &queues[i]
+		list.Dict(zerolog.Dict().Int("priority", q.Priority).Bool("long_running", q.LongRunning).Int("jobs", q.Jobs).
+			Int("late", q.Late).Int("expired", q.Expired).Int("tasks", q.Tasks).Dict("begin", delayFields(&q.Begin)))
+	}
+	return list
+}
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -125,6 +125,8 @@
 	// nextAuditAt is the time of the next audit.
 	nextAuditAt time.Duration
 	planner     planner
+	// activity is what the next status reports besides the present state.
+	activity activity
 	// model estimates how much each filler image slows each serving image. effectCache
 	// holds its predictions until effectCacheExpiry.
 	model             *interference.Contention
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -133,6 +133,7 @@
 	if !d.planner.dirty || d.now < d.planner.nextPlanAt || d.store.Config() == nil {
 		return
 	}
+	d.activity.plans++
 	d.planner.nextPlanAt = d.now + planDelayPerWorker*time.Duration(len(d.workers))
 	d.planner.dirty = false
 	d.planner.nextDueAt = 0
@@ -373,6 +374,7 @@
 	a.worker = w
 	w.attempts[t.Key] = a
 	d.proposedBinds[t.Key] = a
+	d.recordBinding(t, step)
 	command := jobs.Bind{Task: t.Key, Attempt: number, On: w.incarnation(), At: d.unixMS}
 	d.commands = append(d.commands, Proposal{jobs.Command{Bind: &command}, func(result jobs.Result, ok bool) {
 		d.handleBound(a, result.Applied, ok)
@@ -395,6 +397,7 @@
 		d.endAttempt(a, jobs.OutcomeLost)
 		return
 	}
+	d.activity.commit.add(d.now - a.phaseSince)
 	a.setPhase(phaseOrdered, d.now)
 	a.startedAt = d.now
 	deadline := w.leaseDeadline(d.now, d.options.WorkerLease)
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -57,6 +57,7 @@
 }
 
 func (d *Dispatcher) handleHoldReply(w *worker, r Reply) {
+	d.activity.recordHoldReply(r.Status)
 	w.holdInFlight = false
 	w.nextHoldAt = d.now + d.holdDelayFor(w)
 	if w.terminated {
@@ -198,6 +199,7 @@
 	if a == nil || a.number != r.Order.Start.Attempt || a.phase != phaseOrdered {
 		return
 	}
+	d.activity.startReply.add(d.now - a.phaseSince)
 	switch r.Status {
 	case Accepted:
 		a.setPhase(phaseStarted, d.now)
--- /dev/null
+++ b/jobs/dispatch/status.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+// Status is a summary of the dispatch state, for logs. The delays and the
+// counts of replies cover the time since the previous summary.
+type Status struct {
+	Workers  WorkerCounts
+	Attempts AttemptCounts
+	// FreeMilliCPU is the unreserved CPU of the usable workers, in millicores.
+	FreeMilliCPU int64
+	// Queues holds an entry for each kind of queue with waiting or new jobs.
+	Queues []QueueStatus
+	// Commit is the time from the proposal of a binding to its commit, StartReply that from
+	// its commit to the worker's answer.
+	Commit, StartReply DelayStats
+	Holds              HoldCounts
+	// Plans is the number of plans.
+	Plans int
+}
+
+// WorkerCounts counts workers by state. Except for Known each worker counts once.
+type WorkerCounts struct {
+	Known, Usable, Leaving, Unconfirmed, Unresponsive, Silent, Quarantined int
+}
+
+// AttemptCounts counts attempts by the progress of their start.
+type AttemptCounts struct {
+	Orphaned, Inherited, Proposed, Ordered, Started, Uncertain, Void int
+}
+
+// QueueStatus summarizes the queues of one priority with short or long-running jobs.
+type QueueStatus struct {
+	Priority    int
+	LongRunning bool
+	// Jobs is the number of jobs with startable tasks that wait, Late and Expired that of
+	// those which can't meet their objective any more or have no value.
+	Jobs, Late, Expired int
+	Tasks               int
+	// Begin is the time from the acceptance of a job to the first binding of each task
+	// that waits for no other step.
+	Begin DelayStats
+}
+
+// DelayStats summarizes delays.
+type DelayStats struct {
+	Count      int
+	Total, Max time.Duration
+}
+
+func (s *DelayStats) add(delay time.Duration) {
+	s.Count++
+	s.Total += delay
+	s.Max = max(s.Max, delay)
+}
+
+// Mean returns the mean delay, 0 without any.
+func (s *DelayStats) Mean() time.Duration { return s.Total / time.Duration(max(1, s.Count)) }
+
+// HoldCounts counts holds that are in flight, and replies by their kind.
+type HoldCounts struct {
+	InFlight, Answered, Expired, Failed int
+}
+
+// queueKind identifies a QueueStatus.
+type queueKind struct {
+	priority    int
+	longRunning bool
+}
+
+// activity accumulates what the next summary reports besides the present state.
+type activity struct {
+	begin              map[queueKind]*DelayStats
+	commit, startReply DelayStats
+	holds              HoldCounts
+	plans              int
+}
+
+// recordBegin records the delay of a job whose first task is bound.
+func (a *activity) recordBegin(kind queueKind, delay time.Duration) {
+	if a.begin == nil {
+		a.begin = map[queueKind]*DelayStats{}
+	}
+	if a.begin[kind] == nil {
+		a.begin[kind] = &DelayStats{}
+	}
+	a.begin[kind].add(delay)
+}
+
+func (a *activity) recordHoldReply(status ReplyStatus) {
+	switch status {
+	case Accepted:
+		a.holds.Answered++
+	case Expired:
+		a.holds.Expired++
+	case Refused, Unhealthy, WrongWorker, Unknown, Unreachable:
+		a.holds.Failed++
+	}
+}
+
+// TakeStatus returns a summary of the present state and of the activity since the last
+// call.
+func (d *Dispatcher) TakeStatus() Status {
+	recent := d.activity
+	d.activity = activity{}
+	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans}
+	s.Attempts.Orphaned = len(d.orphans)
+	for _, w := range d.workers {
+		d.countWorker(w, &s)
+	}
+	s.Queues = d.queueStatus(recent.begin)
+	return s
+}
+
+func (d *Dispatcher) countWorker(w *worker, s *Status) {
+	s.Workers.Known++
+	s.Holds.InFlight += boolToInt(w.holdInFlight)
+	for _, a := range w.attempts {
+		s.Attempts.count(a.phase)
+	}
+	switch {
+	case w.terminated || w.deregistered || w.Draining:
+		s.Workers.Leaving++
+	case !w.fenceConfirmed:
+		s.Workers.Unconfirmed++
+	case w.unresponsive:
+		s.Workers.Unresponsive++
+	case !w.reportIsFresh(d.now):
+		s.Workers.Silent++
+	case w.health.quarantined(d.now):
+		s.Workers.Quarantined++
+	default:
+		s.Workers.Usable++
+		s.FreeMilliCPU += max(0, w.free().MilliCPU)
+	}
+}
+
+func (c *AttemptCounts) count(p phase) {
+	switch p {
+	case phaseInherited:
+		c.Inherited++
+	case phaseProposed:
+		c.Proposed++
+	case phaseOrdered:
+		c.Ordered++
+	case phaseStarted:
+		c.Started++
+	case phaseUncertain:
+		c.Uncertain++
+	case phaseVoid:
+		c.Void++
+	}
+}
+
+// queueStatus counts the waiting jobs and tasks, by priority.
+func (d *Dispatcher) queueStatus(begin map[queueKind]*DelayStats) []QueueStatus {
+	queues := map[queueKind]*QueueStatus{}
+	at := func(kind queueKind) *QueueStatus {
+		if queues[kind] == nil {
+			queues[kind] = &QueueStatus{Priority: kind.priority, LongRunning: kind.longRunning}
+		}
+		return queues[kind]
+	}
+	for kind, delays := range begin {
+		at(kind).Begin = *delays
+	}
+	for _, wj := range d.planner.waiting {
+		if wj == nil || wj.service == "" {
+			continue
+		}
+		if tasks := d.waitingCount(wj.job); tasks > 0 {
+			at(queueKind{wj.priority, wj.longRunning()}).countJob(wj.tierAt(d.unixMS), tasks)
+		}
+	}
+	var list []QueueStatus
+	for _, q := range queues {
+		list = append(list, *q)
+	}
+	slices.SortFunc(list, func(a, b QueueStatus) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(boolToInt(a.LongRunning), boolToInt(b.LongRunning)))
+	})
+	return list
+}
+
+func (q *QueueStatus) countJob(t tier, tasks int) {
+	q.Jobs++
+	q.Tasks += tasks
+	q.Late += boolToInt(t == tierLate)
+	q.Expired += boolToInt(t == tierExpired)
+}
+
+// waitingCount returns the number of tasks of a job that wait for a worker.
+func (d *Dispatcher) waitingCount(j *jobs.Job) int {
+	count := 0
+	for o := range j.Runs {
+		if j.Spec.Due(o) > d.unixMS {
+			continue
+		}
+		for s := range j.Spec.Steps {
+			if !j.StepReady(o, s) {
+				continue
+			}
+			for _, t := range j.StepTasks(o, s) {
+				count += boolToInt(!t.Done && t.BoundTo == nil && !d.hasPendingRecord(&t))
+			}
+		}
+	}
+	return count
+}
+
+// recordBinding records the delay of the first binding of a task that waits for no other
+// step.
+func (d *Dispatcher) recordBinding(t *jobs.Task, step *jobs.Step) {
+	j := d.store.Job(t.Key.Job)
+	q := d.store.Config().Queue(j.Queue)
+	if q == nil || t.Attempt > 0 || len(step.DependsOn) > 0 {
+		return
+	}
+	since := max(j.AcceptedAt, j.Spec.Due(t.Key.Occurrence))
+	delay := time.Duration(d.unixMS-since) * time.Millisecond
+	d.activity.recordBegin(queueKind{q.Priority, step.LongRunning}, delay)
+}
