--- a/jobd/status.go
+++ b/jobd/status.go
@@ -72,7 +72,7 @@
 	for i := range queues {
 		q := &queues[i]
 		list.Dict(zerolog.Dict().Int("priority", q.Priority).Bool("long_running", q.LongRunning).Int("jobs", q.Jobs).
-			Int("late", q.Late).Int("expired", q.Expired).Int("tasks", q.Tasks).Dict("begin", delayFields(&q.Begin)))
+			Int("late", q.Late).Int("expired", q.Expired).Int("tasks", q.Tasks).Str("blocked", q.Blocked).Dict("begin", delayFields(&q.Begin)))
 	}
 	return list
 }
--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -152,23 +152,24 @@
 		return
 	}
 	waited := time.Duration(d.unixMS-longest.task.EndedAt) * time.Millisecond
-	detail := fmt.Sprintf("waited %v: %s", waited, d.ineligibility(longest))
+	detail := fmt.Sprintf("waited %v: %s", waited, d.ineligibility(longest.job, longest.step, longest.task))
 	d.addLogEvent("restart finds no worker", nil, &attempt{task: longest.task.Key, number: longest.task.Attempt}, detail)
 }
 
-// ineligibility counts the workers of the service by what keeps a restart from them.
-func (d *Dispatcher) ineligibility(r *restart) string {
+// ineligibility counts the workers of the service by what keeps a task from them.
+func (d *Dispatcher) ineligibility(wj *waitingJob, step *jobs.Step, t *jobs.Task) string {
 	counts := map[string]int{}
 	for _, w := range d.workers {
-		if w.Service == r.job.service {
-			counts[d.ineligibleBecause(r, w)]++
+		if w.Service == wj.service {
+			counts[d.ineligibleBecause(step, t, w)]++
 		}
 	}
 	return fmt.Sprint(counts)
 }
 
-func (d *Dispatcher) ineligibleBecause(r *restart, w *worker) string {
+func (d *Dispatcher) ineligibleBecause(step *jobs.Step, t *jobs.Task, w *worker) string {
 	c := d.newCandidate(w)
+	request := step.ReservedResources()
 	switch {
 	case w.terminated || w.deregistered || w.Draining:
 		return "leaving"
@@ -182,12 +183,18 @@
 		return "quarantined"
 	case c.pendingStarts >= maxPendingStarts:
 		return "starting others"
-	case !w.hasLabel(r.step.RequiredLabel):
+	case !w.hasLabel(step.RequiredLabel):
 		return "lacks the label"
-	case !r.step.ReservedResources().FitsIn(c.free):
-		return "no room"
-	case !d.withinStepLimit(r.task, r.step, c, nil):
+	case request.MilliCPU > c.free.MilliCPU:
+		return "no CPU"
+	case !request.FitsIn(c.free):
+		return "no memory"
+	case !d.withinStepLimit(t, step, c, nil):
 		return "step limit"
+	case step.Filler && c.lacksResources(step):
+		return "no idle CPU or memory"
+	case step.Filler && (w.colocation.tailHighSince != 0 || d.exceedsHeadroom(step, c)):
+		return "disturbs"
 	}
 	return "eligible"
 }
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -46,6 +46,11 @@
 	// Begin is the time from the acceptance of a job to the first binding of each task
 	// that waits for no other step.
 	Begin DelayStats
+	// Blocked counts the workers by what keeps the task that has waited longest from them,
+	// "" if none waits.
+	Blocked string
+
+	longest *waitingJob
 }
 
 // DelayStats summarizes delays.
@@ -175,11 +180,14 @@
 			continue
 		}
 		if tasks := d.waitingCount(wj.job); tasks > 0 {
-			at(queueKind{wj.priority, wj.longRunning()}).countJob(wj.tierAt(d.unixMS), tasks)
+			at(queueKind{wj.priority, wj.longRunning()}).countJob(wj, wj.tierAt(d.unixMS), tasks)
 		}
 	}
 	var list []QueueStatus
 	for _, q := range queues {
+		if step, t := d.firstWaiting(q.longest); t != nil {
+			q.Blocked = d.ineligibility(q.longest, step, t)
+		}
 		list = append(list, *q)
 	}
 	slices.SortFunc(list, func(a, b QueueStatus) int {
@@ -188,7 +196,10 @@
 	return list
 }
 
-func (q *QueueStatus) countJob(t tier, tasks int) {
+func (q *QueueStatus) countJob(wj *waitingJob, t tier, tasks int) {
+	if t != tierExpired && (q.longest == nil || wj.job.AcceptedAt < q.longest.job.AcceptedAt) {
+		q.longest = wj
+	}
 	q.Jobs++
 	q.Tasks += tasks
 	q.Late += boolToInt(t == tierLate)
@@ -198,6 +209,25 @@
 // waitingCount returns the number of tasks of a job that wait for a worker.
 func (d *Dispatcher) waitingCount(j *jobs.Job) int {
 	count := 0
+	d.eachWaiting(j, func(*jobs.Step, *jobs.Task) { count++ })
+	return count
+}
+
+// firstWaiting returns the first task of a job that waits for a worker, or nil.
+func (d *Dispatcher) firstWaiting(wj *waitingJob) (step *jobs.Step, task *jobs.Task) {
+	if wj == nil {
+		return nil, nil
+	}
+	d.eachWaiting(wj.job, func(s *jobs.Step, t *jobs.Task) {
+		if task == nil {
+			step, task = s, t
+		}
+	})
+	return step, task
+}
+
+// eachWaiting calls f with each task of a job that waits for a worker.
+func (d *Dispatcher) eachWaiting(j *jobs.Job, f func(*jobs.Step, *jobs.Task)) {
 	for o := range j.Runs {
 		if j.Spec.Due(o) > d.unixMS {
 			continue
@@ -206,12 +236,14 @@
 			if !j.StepReady(o, s) {
 				continue
 			}
-			for _, t := range j.StepTasks(o, s) {
-				count += boolToInt(!t.Done && t.BoundTo == nil && !d.hasPendingRecord(&t))
+			tasks := j.StepTasks(o, s)
+			for i := range tasks {
+				if t := &tasks[i]; !t.Done && t.BoundTo == nil && !d.hasPendingRecord(t) {
+					f(&j.Spec.Steps[s], t)
+				}
 			}
 		}
 	}
-	return count
 }
 
 // recordBinding records the delay of the first binding of a task that waits for no other
