daemon: keep SIGHUP, SIGTERM and SIGINT until the process has ended

A caller of a front that was being stopped got no answer when a SIGHUP came during the drain: the process ended at once with status 129. The reload of the settings and the watch of the keys called signal.Stop when the stop began, which gives SIGHUP its default effect back; and before the settings were loaded no signal was taken over, so that a SIGHUP ended a starting process. A daemon without TLS and reloads (control, gateway, scheduler) ended at any SIGHUP.

MainWith now takes over the three signals first thing and never gives them back. One goroutine passes SIGHUP on to the settings and the keys, also to those that subscribe after it arrived; in a stop it is logged and ignored, as is a second SIGTERM. A SIGTERM before the settings are loaded ends the process without running it. The last line names the signal and how long the stop took.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,8 +13,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -48,6 +47,7 @@
 
 // MainWith is Main with options. run also receives the path of the settings file.
 func MainWith(o Options, s settings.Checked, run func(context.Context, zerolog.Logger, string) error) {
+	received := takeSignals()
 	file := parseFlags(o, s)
 	logs := newLogWriter(o.Logs)
 	// A panic of run ends the process after this.
@@ -55,23 +55,46 @@
 	log := newLogger(logs, o.Name)
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(errorLog{log})
-	if err := settings.Load(file, s); err != nil {
-		logs.close(lastLine(o.Name, err))
+	ctx := received.watch(context.Background(), log)
+	if err := load(ctx, file, s); err != nil {
+		logs.close(lastLine(ctx, o.Name, err))
 		exit(err, ExitUsage)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	err := run(ctx, log, file)
+	err := runUnlessStopped(ctx, log, file, run)
 	if lost := FlushMetrics(context.Background()); lost != nil {
 		log.Warn().Err(lost).Msg("the last metrics were not pushed")
 	}
-	logs.close(lastLine(o.Name, err))
+	logs.close(lastLine(ctx, o.Name, err))
 	if err != nil {
 		os.Exit(ExitFailure)
 	}
 	os.Exit(0)
 }
 
+// load loads the settings. It returns early, without an error, if the process is asked
+// to stop.
+func load(ctx context.Context, file string, s settings.Checked) error {
+	loaded := make(chan error, 1)
+	go func() { loaded <- settings.Load(file, s) }()
+	select {
+	case err := <-loaded:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func runUnlessStopped(
+	ctx context.Context, log zerolog.Logger, file string, run func(context.Context, zerolog.Logger, string) error,
+) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	default:
+		return run(ctx, log, file)
+	}
+}
+
 // parseFlags returns the path of the settings file, or prints the defaults and ends the
 // process if the flags ask for them.
 func parseFlags(o Options, s settings.Checked) string {
@@ -93,14 +116,18 @@
 }
 
 // lastLine returns the log line that says what ended the process.
-func lastLine(name string, err error) []byte {
+func lastLine(ctx context.Context, name string, err error) []byte {
 	var line bytes.Buffer
 	log := newLogger(&line, name)
+	event, message := log.Info(), "daemon stopped"
 	if err != nil {
-		log.Error().Err(err).Msg("daemon failed")
-	} else {
-		log.Info().Msg("daemon stopped")
+		event, message = log.Error().Err(err), "daemon failed"
+	}
+	var stop *stopRequest
+	if errors.As(context.Cause(ctx), &stop) {
+		event.Stringer("signal", stop).Dur("took", time.Since(stop.at))
 	}
+	event.Msg(message)
 	return line.Bytes()
 }
 
@@ -124,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	go keys.Watch(context.Background())
+	go keys.Watch(context.Background(), reloads.subscribe())
 	return keys, nil
 }
 
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -27,6 +27,7 @@
 	variableMode = "GERANIUM_TEST_DAEMON"
 	// endWithin is the time after which a daemon counts as still running.
 	endWithin = 5 * time.Second
+	drainTime = 300 * time.Millisecond
 	// manyLines are more than a pipe holds.
 	manyLines = 5000
 )
@@ -55,6 +56,8 @@
 		return waitForStop(ctx, log, file)
 	},
 	"panic in handler": servePanic,
+	"drain":            drainSlowly,
+	"reload":           reload,
 }
 
 func waitForStop(ctx context.Context, log zerolog.Logger, _ string) error {
@@ -63,6 +66,27 @@
 	return nil
 }
 
+// drainSlowly takes a while for its graceful shutdown.
+func drainSlowly(ctx context.Context, log zerolog.Logger, file string) error {
+	err := waitForStop(ctx, log, file)
+	time.Sleep(drainTime)
+	return err
+}
+
+// reload logs the settings after each reload.
+func reload(ctx context.Context, log zerolog.Logger, file string) error {
+	reloads := daemon.Reloads[testSettings](ctx, file, log)
+	log.Info().Msg("running")
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-reloads:
+			log.Info().Str("value", s.Value).Msg("reloaded")
+		}
+	}
+}
+
 func logLines(ctx context.Context, log zerolog.Logger, file string) error {
 	for range manyLines {
 		log.Info().Str("filler", strings.Repeat("x", 100)).Msg("line")
@@ -102,11 +126,15 @@
 
 func startChild(t *testing.T, mode string) *child {
 	t.Helper()
-	file := filepath.Join(t.TempDir(), "settings.json")
-	if err := os.WriteFile(file, []byte(`{"value":"v"}`), 0o600); err != nil {
+	return startChildWith(t, mode, writeSettings(t, filepath.Join(t.TempDir(), "settings.json"), `{"value":"v"}`))
+}
+
+func writeSettings(t *testing.T, file, document string) string {
+	t.Helper()
+	if err := os.WriteFile(file, []byte(document), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return startChildWith(t, mode, file)
+	return file
 }
 
 func startChildWith(t *testing.T, mode, settingsFile string) *child {
@@ -253,3 +281,42 @@
 	c.signal(g, syscall.SIGTERM)
 	c.expectExit(g, 0)
 }
+
+// Guards against a process that a signal ends under the requests that it still answers.
+func TestSignalsDuringAStop(t *testing.T) {
+	g := NewWithT(t)
+	c := startChild(t, "drain")
+	c.waitForLine(g, "running")
+	c.signal(g, syscall.SIGINT)
+	c.waitForLine(g, `"signal":"SIGINT"`)
+	c.signal(g, syscall.SIGHUP)
+	c.waitForLine(g, `"signal":"SIGHUP"`)
+	c.signal(g, syscall.SIGTERM)
+	c.waitForLine(g, `"signal":"SIGTERM"`)
+	c.expectExit(g, 0)
+	g.Expect(c.lastLine(g)).To(And(ContainSubstring(`"signal":"SIGINT"`), MatchRegexp(`"took":[3-9]\d\d`), ContainSubstring("daemon stopped")))
+}
+
+// Guards against a process that an invalid settings file ends or leaves without settings.
+func TestInvalidSettingsAreIgnoredOnReload(t *testing.T) {
+	g := NewWithT(t)
+	file := writeSettings(t, filepath.Join(t.TempDir(), "settings.json"), `{"value":"v"}`)
+	c := startChildWith(t, "reload", file)
+	c.waitForLine(g, "running")
+	for _, document := range []string{
+		"", "{", "null", "[]", `{"value":7}`, `{"value":1e400}`, `{"value":""}`, `{"format":99,"value":"v"}`, "\x00\xff",
+		strings.Repeat(`{"value":`, 100_000), strings.Repeat("[", 1_000_000),
+	} {
+		writeSettings(t, file, document)
+		c.signal(g, syscall.SIGHUP)
+		c.waitForLine(g, "changed settings are ignored")
+	}
+	g.Expect(os.Remove(file)).To(Succeed())
+	c.signal(g, syscall.SIGHUP)
+	c.waitForLine(g, "changed settings are ignored")
+	writeSettings(t, file, `{"value":"w"}`)
+	c.signal(g, syscall.SIGHUP)
+	c.waitForLine(g, `"value":"w"`)
+	c.signal(g, syscall.SIGTERM)
+	c.expectExit(g, 0)
+}
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -2,31 +2,26 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/rs/zerolog"
 
 	"geraniumwall/settings"
 )
 
-// Reloads delivers the settings after each SIGHUP. A file with problems is logged
-// and the former settings stay in force.
+// Reloads delivers the settings after each SIGHUP, also after one that arrived while the
+// process started. A file with problems is logged and the former settings stay in force.
 func Reloads[T any, S interface {
 	*T
 	settings.Checked
 }](ctx context.Context, file string, log zerolog.Logger) <-chan S {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+	requests := reloads.subscribe()
 	loaded := make(chan S, 1)
 	go func() {
-		defer signal.Stop(signals)
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-signals:
+			case <-requests:
 			}
 			s := S(new(T))
 			if err := settings.Load(file, s); err != nil {
--- a/transport/keys.go
+++ b/transport/keys.go
@@ -5,12 +5,9 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
-	"os"
-	"os/signal"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -68,22 +65,19 @@
 // Identity returns the role and name in the certificate of this process.
 func (k *Keys) Identity() Identity { return k.current.Load().identity }
 
-// Watch reloads the files until ctx is done: within 2 s of a change and immediately on
-// SIGHUP. If the new files are invalid, the previous keys stay in use.
-func (k *Keys) Watch(ctx context.Context) {
+// Watch reloads the files until ctx is done: within 2 s of a change and immediately when
+// reloads delivers. If the new files are invalid, the previous keys stay in use.
+func (k *Keys) Watch(ctx context.Context, reloads <-chan struct{}) {
 	if k == nil {
 		return
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-reloads:
 		case <-ticker.C:
 		}
 		k.Reload()
