daemon: ignore SIGHUP while the libraries are initialized

A SIGHUP that arrives before main ends the process, since nothing has taken the signal over. Initializing the libraries takes most of that time: 6.3 ms until the last package of geranium-entry (GODEBUG=inittrace=1), on a slow host many times that. The settings are loaded later, so the signal needs no reload.

What is left, the time of exec and of the Go runtime, can't be covered from within.

TestHangupIsIgnoredBeforeLibrariesStart checks the order of initialization; it fails without the import.

--- a/cmd/geranium-control/main.go
+++ b/cmd/geranium-control/main.go
@@ -8,6 +8,7 @@
 
 	"geraniumwall/control"
 	"geraniumwall/daemon"
+	_ "geraniumwall/daemon/ignorehup"
 )
 
 func main() {
--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -15,6 +15,7 @@
 
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
+	_ "geraniumwall/daemon/ignorehup"
 	"geraniumwall/gateway"
 	"geraniumwall/membership"
 	"geraniumwall/membership/gossip"
--- a/cmd/geranium-jobs/main.go
+++ b/cmd/geranium-jobs/main.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumwall/daemon"
+	_ "geraniumwall/daemon/ignorehup"
 	"geraniumwall/jobd"
 	"geraniumwall/platform"
 )
--- a/e2e/signals_test.go
+++ b/e2e/signals_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -171,6 +172,21 @@
 	}
 }
 
+// Guards against a SIGHUP that ends a process while it initializes its libraries.
+func TestHangupIsIgnoredBeforeLibrariesStart(t *testing.T) {
+	for _, d := range signalledDaemons {
+		g := NewWithT(t)
+		command := exec.Command(binaryPath(d.binary), "-print-defaults")
+		command.Env = append(os.Environ(), "GODEBUG=inittrace=1")
+		output, err := command.CombinedOutput()
+		g.Expect(err).NotTo(HaveOccurred())
+		ignored := strings.Index(string(output), "init geraniumwall/daemon/ignorehup")
+		libraries := strings.Index(string(output), "init github.com/prometheus")
+		g.Expect(ignored).To(BeNumerically(">=", 0), "%s: %s", d.binary, output)
+		g.Expect(ignored).To(BeNumerically("<", libraries), "%s: %s", d.binary, output)
+	}
+}
+
 // feed waits until the process opens its settings, a named pipe, and writes them after
 // meanwhile has returned.
 func feed(g *WithT, p *process, settings any, meanwhile func()) {
