daemon: survive a closed standard output or standard error

A write to a pipe without a reader on standard output or standard error ends a Go program by SIGPIPE. The end of whatever collects the logs thus ended every daemon at its next log line, under the requests in progress.

Found by looking for other ways in which the surroundings of a process end it. Failed before: TestClosedOutputDoesNotEndTheProcess, both cases; the process ended 10 ms after the SIGHUP that made it log a line.

--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -25,6 +25,8 @@
 const (
 	// variableMode makes the test binary a daemon that runs one of the modes.
 	variableMode = "GERANIUM_TEST_DAEMON"
+	// variableStderr lets it write its logs to standard error.
+	variableStderr = "GERANIUM_TEST_STDERR"
 	// endWithin is the time after which a daemon counts as still running.
 	endWithin = 5 * time.Second
 	drainTime = 300 * time.Millisecond
@@ -113,7 +115,11 @@
 	if mode == "" {
 		os.Exit(m.Run())
 	}
-	daemon.MainWith(daemon.Options{Name: "test", File: os.Getenv("GERANIUM_TEST_SETTINGS"), Logs: os.Stdout}, &testSettings{}, modes[mode])
+	logs := os.Stdout
+	if os.Getenv(variableStderr) != "" {
+		logs = os.Stderr
+	}
+	daemon.MainWith(daemon.Options{Name: "test", File: os.Getenv("GERANIUM_TEST_SETTINGS"), Logs: logs}, &testSettings{}, modes[mode])
 }
 
 // child is a daemon that runs as a process of its own.
@@ -146,6 +152,9 @@
 	c := &child{Cmd: exec.Command(os.Args[0]), out: out, ended: make(chan error, 1)}
 	c.Env = append(os.Environ(), variableMode+"="+mode, "GERANIUM_TEST_SETTINGS="+settingsFile)
 	c.Stdout, c.Stderr = in, &c.errors
+	if os.Getenv(variableStderr) != "" {
+		c.Stdout, c.Stderr = nil, in
+	}
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -320,3 +329,23 @@
 	c.signal(g, syscall.SIGTERM)
 	c.expectExit(g, 0)
 }
+
+// Guards against a process that ends because the reader of its standard output or
+// standard error has gone.
+func TestClosedOutputDoesNotEndTheProcess(t *testing.T) {
+	for name, variable := range map[string]string{"stdout": "", "stderr": "1"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			t.Setenv(variableStderr, variable)
+			c := startChild(t, "wait")
+			c.waitForLine(g, "running")
+			g.Expect(c.out.Close()).To(Succeed())
+			for range 3 {
+				c.signal(g, syscall.SIGHUP)
+				g.Consistently(c.ended).WithTimeout(drainTime).ShouldNot(Receive())
+			}
+			c.signal(g, syscall.SIGTERM)
+			c.expectExit(g, 0)
+		})
+	}
+}
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -24,6 +24,8 @@
 	s := &signals{stops: make(chan os.Signal, 1), hangups: make(chan os.Signal, 1)}
 	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.hangups, syscall.SIGHUP)
+	// Otherwise a write to a closed standard output or standard error ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
