daemon, entry: answer each request that is read whole in a drain

Callers of a stopping entry process lost requests: the connection ended without an answer or a refusal. http.Server.Shutdown lets a connection without a request live on, but conn.serve returns without calling the handler for each request that it reads after Shutdown began, and idle connections are closed without a look at what has arrived.

daemon.Server.Drain takes the place of Shutdown. From its beginning each response carries Connection: close. Connections are accepted during a notice time, and those that wait at its end are accepted too. A connection without a request is closed once no request has begun for 400 ms: its blocked read is woken by an expired deadline, and reads what has arrived without blocking before it reports the end. http.Server isn't in Shutdown then, so what was read is answered. Requests that begin shortly before the end get a 503 with Retry-After and are not run. HTTP/2 clients get GOAWAY by Shutdown, after the last HTTP/1 connection. What is in progress at the end is counted and logged.

The same look before giving up covers the read deadline of a header: a request that had arrived in time was dropped if the process was late to read it.

The drain of an entry process ends before stop_within_ms by a twelfth, since the platform kills the process at that time.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,12 +4,9 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -76,13 +73,6 @@
 	}
 }
 
-// Server is an HTTP server that is stopped gracefully.
-type Server struct {
-	http     *http.Server
-	listener net.Listener
-	failed   chan error
-}
-
 // Keys loads the keys of the settings, nil for nil settings, and keeps them current
 // until the process ends.
 func Keys(s *transport.Settings, log zerolog.Logger) (*transport.Keys, error) {
@@ -93,63 +83,3 @@
 	go keys.Watch(context.Background())
 	return keys, nil
 }
-
-// Listen binds the address; Serve starts to accept.
-func Listen(ctx context.Context, address string, handler http.Handler) (*Server, error) {
-	return listen(ctx, address, transport.NewServer(handler))
-}
-
-// ListenSecure is Listen with keys; nil keys make it the same.
-func ListenSecure(
-	ctx context.Context, address string, handler http.Handler, keys *transport.Keys, clients transport.Clients,
-) (*Server, error) {
-	return listen(ctx, address, transport.NewSecureServer(handler, keys, clients))
-}
-
-func listen(ctx context.Context, address string, server *http.Server) (*Server, error) {
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w; choose a free address in the settings", address, err)
-	}
-	return &Server{http: server, listener: listener, failed: make(chan error, 1)}, nil
-}
-
-// Address returns the bound address.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-// Serve accepts connections in the background. A nil *Server serves nothing and
-// never fails.
-func (s *Server) Serve() {
-	if s == nil {
-		return
-	}
-	go func() {
-		if err := s.serve(); !errors.Is(err, http.ErrServerClosed) {
-			s.failed <- err
-		}
-	}()
-}
-
-func (s *Server) serve() error {
-	if s.http.TLSConfig != nil {
-		return s.http.ServeTLS(s.listener, "", "")
-	}
-	return s.http.Serve(s.listener)
-}
-
-// Failed delivers the error of a server that stopped by itself.
-func (s *Server) Failed() <-chan error {
-	if s == nil {
-		return nil
-	}
-	return s.failed
-}
-
-// Shutdown stops accepting and waits for requests in progress until ctx is over.
-func (s *Server) Shutdown(ctx context.Context) error {
-	if s == nil {
-		return nil
-	}
-	return s.http.Shutdown(ctx)
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,9 @@
 	leaderContactTimeout = 2 * time.Second
 	// drainDelay gives the load balancer time to notice that the process is not ready.
 	drainDelay = 2500 * time.Millisecond
+	// exitReservePart is the part of the time for a shutdown that is left after the drain,
+	// as a fraction 1/exitReservePart.
+	exitReservePart = 12
 	// maxBodyBytes limits the body of a request. The leader enforces the configured
 	// limit.
 	maxBodyBytes      = 4 << 20
@@ -126,22 +129,18 @@
 	case err := <-checks.Failed():
 		return fmt.Errorf("serve readiness checks: %w", err)
 	}
-	return p.drain(callers, time.Duration(s.ShutdownTimeoutMS)*time.Millisecond)
+	p.drain(callers, time.Duration(s.ShutdownTimeoutMS)*time.Millisecond)
+	return nil
 }
 
-// drain reports not ready, waits until the load balancer has noticed, and then waits
-// for the requests in progress.
-func (p *process) drain(callers *daemon.Server, timeout time.Duration) error {
+// drain reports not ready, waits until the load balancer has noticed, and then until
+// every request that was read whole has been answered.
+func (p *process) drain(callers *daemon.Server, timeout time.Duration) {
 	p.log.Info().Dur("within", timeout).Msg("entry process is stopping")
 	p.stopping.Store(true)
 	p.ready.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	time.Sleep(min(drainDelay, timeout/2))
-	if err := callers.Shutdown(ctx); err != nil {
-		return fmt.Errorf("wait for requests in progress: %w", err)
-	}
-	return nil
+	report := callers.Drain(daemon.DrainOptions{Notice: drainDelay, Within: timeout - timeout/exitReservePart})
+	report.Log(p.log)
 }
 
 // refreshLoop refreshes the relay and the readiness periodically and applies changed
@@ -190,9 +189,6 @@
 // serve forwards a request of a caller to the leader.
 func (p *process) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	if p.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, "the request cannot be read: "+err.Error(), http.StatusBadRequest)
