--- a/daemon/server.go
+++ b/daemon/server.go
@@ -80,12 +80,3 @@
 	}
 	return s.failed
 }
-
-// Shutdown stops accepting and waits for requests in progress until ctx is over.
-func (s *Server) Shutdown(ctx context.Context) error {
-	if s == nil {
-		return nil
-	}
-	s.draining.Store(true)
-	return s.http.Shutdown(ctx)
-}
