settings: refuse addresses of other processes that can't be reached

A seed with port 0 or an unspecified address passed the check of a reloaded settings file and took the place of good seeds. A port beyond 65535, a name or a malformed address was refused before, with a text that did not name the range; jobd.PeerAddresses itself took any text before the colon and any number as the port. Lists of addresses now need a port and a host, PeerAddresses checks both of its arguments, and the texts name the range. PeerAddresses keeps the text of a host, since replicas are told apart by it.

--- a/e2e/signals_test.go
+++ b/e2e/signals_test.go
@@ -260,3 +260,36 @@
 	defer answer.Body.Close()
 	return answer.Status
 }
+
+// Guards against seeds in a changed settings file that end a process or replace good ones.
+func TestMalformedSeedsAreIgnoredOnReload(t *testing.T) {
+	for _, d := range signalledDaemons[:2] {
+		t.Run(d.binary, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			dir := t.TempDir()
+			settings := d.settings(fleets.Add(1), dir)
+			p := startSignalled(t, g, d, settings, dir)
+			g.Eventually(p.logged).WithTimeout(readyTimeout).Should(ContainSubstring(d.running))
+			valid, err := os.ReadFile(p.settings)
+			g.Expect(err).NotTo(HaveOccurred())
+			for i, seed := range []string{"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:0", "127.0.0.1", "nowhere"} {
+				var changed map[string]any
+				g.Expect(json.Unmarshal(valid, &changed)).To(Succeed())
+				changed["seeds"] = []string{seed}
+				document, err := json.Marshal(changed)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(os.WriteFile(p.settings, document, 0o600)).To(Succeed())
+				p.send(g, syscall.SIGHUP)
+				g.Eventually(func() int { return strings.Count(p.logged(), "changed settings are ignored") }).
+					WithTimeout(readyTimeout).Should(Equal(i+1), "%q: %s", seed, p.logged())
+			}
+			g.Expect(p.logged()).NotTo(ContainSubstring("settings reloaded"))
+			g.Expect(os.WriteFile(p.settings, valid, 0o600)).To(Succeed())
+			p.send(g, syscall.SIGHUP)
+			g.Eventually(p.logged).WithTimeout(readyTimeout).Should(ContainSubstring("settings reloaded"))
+			p.send(g, syscall.SIGTERM)
+			p.expectPlannedEnd(g)
+		})
+	}
+}
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"path/filepath"
-	"strconv"
 	"time"
 
 	"geraniumwall/settings"
@@ -83,16 +83,13 @@
 
 // PeerAddresses returns the internal API addresses of the seeds.
 func PeerAddresses(seeds []string, peerListen string) ([]string, error) {
-	_, port, err := net.SplitHostPort(peerListen)
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen %q: %w; use the form 192.0.2.1:7000", peerListen, err)
-	}
-	if _, err := strconv.Atoi(port); err != nil {
-		return nil, fmt.Errorf("peer_listen %q: the port is not a number; use the form 192.0.2.1:7000", peerListen)
+	_, port, err := splitAddress(peerListen)
+	if err != nil || port == "0" {
+		return nil, fmt.Errorf("peer_listen %q is not an IP address with a port from 1 to 65535; use the form 192.0.2.1:7000", peerListen)
 	}
 	var addresses []string
 	for _, seed := range seeds {
-		host, _, err := net.SplitHostPort(seed)
+		host, _, err := splitAddress(seed)
 		if err != nil {
 			return nil, fmt.Errorf("seed %q: %w; use the form 192.0.2.1:7000", seed, err)
 		}
@@ -100,3 +97,12 @@
 	}
 	return addresses, nil
 }
+
+// splitAddress returns the host and the port as they are written, since replicas are
+// told apart by the text of their addresses.
+func splitAddress(address string) (host, port string, err error) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return "", "", err
+	}
+	return net.SplitHostPort(address)
+}
--- a/jobd/settings_test.go
+++ b/jobd/settings_test.go
@@ -48,3 +48,19 @@
 	s.CapacityGraceMS = -1
 	g.Expect(settings.Validate("f", &s)).To(MatchError(ContainSubstring("capacity_grace_ms")))
 }
+
+// Guards against addresses of replicas that are made from malformed seeds or ports.
+func TestPeerAddressesRefuseMalformedAddresses(t *testing.T) {
+	g := NewWithT(t)
+	addresses, err := PeerAddresses([]string{"192.0.2.1:80", "[2001:DB8::1]:80"}, "192.0.2.9:7000")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(addresses).To(Equal([]string{"192.0.2.1:7000", "[2001:DB8::1]:7000"}))
+	for _, seed := range []string{"", "192.0.2.1", ":80", "192.0.2.1:99999", "192.0.2.1:-1", "192.0.2.1:x", "a b:80", "192.0.2.1\x00:80"} {
+		_, err := PeerAddresses([]string{"192.0.2.1:80", seed}, "192.0.2.9:7000")
+		g.Expect(err).To(MatchError(ContainSubstring("use the form")), "%q", seed)
+	}
+	for _, listen := range []string{"", "192.0.2.9", "192.0.2.9:0", "192.0.2.9:-1", "192.0.2.9:99999", "192.0.2.9:x"} {
+		_, err := PeerAddresses([]string{"192.0.2.1:80"}, listen)
+		g.Expect(err).To(MatchError(And(ContainSubstring("peer_listen"), ContainSubstring("use the form"))), "%q", listen)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,18 +32,29 @@
 // Address records a problem unless value is an IP address with a port.
 func (c *Checker) Address(field, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
-		c.Add(field, fmt.Sprintf("%q is not an IP address with a port", value), "use the form 192.0.2.1:7000")
+		c.Add(field, fmt.Sprintf("%q is not an IP address with a port up to 65535", value), "use the form 192.0.2.1:7000")
 	}
 }
 
+// PeerAddress records a problem unless value is an IP address with a port at which
+// another process can be reached.
+func (c *Checker) PeerAddress(field, value string) {
+	address, err := netip.ParseAddrPort(value)
+	if err == nil && (address.Port() == 0 || address.Addr().IsUnspecified()) {
+		c.Add(field, fmt.Sprintf("%q names no process", value), "use the address and the port that it listens on")
+		return
+	}
+	c.Address(field, value)
+}
+
 // Addresses records a problem if values is empty, and one for each value that is not
-// an IP address with a port.
+// the address of another process.
 func (c *Checker) Addresses(field string, values []string) {
 	if len(values) == 0 {
 		c.Add(field, "is empty", "list at least one address")
 	}
 	for i, value := range values {
-		c.Address(fmt.Sprintf("%s[%d]", field, i), value)
+		c.PeerAddress(fmt.Sprintf("%s[%d]", field, i), value)
 	}
 }
 
