daemon: let log lines of 5 ms share a write

Writing each line at once costs a wake-up of the writer for each. So a panic on a goroutine of its own takes along 5 ms of lines at most.

--- a/daemon/logs.go
+++ b/daemon/logs.go
@@ -18,17 +18,21 @@
 	// logChunkBytes is the size up to which a write to a pipe is atomic, so that lines
 	// are not mixed with those of others.
 	logChunkBytes = 4096
+	// logInterval is the time between two writes, so that many lines share one.
+	logInterval = 5 * time.Millisecond
 	// At the end of the process, buffered lines are written for backlogTimeout at most
 	// and the last line for lastLineTimeout more.
 	backlogTimeout  = 200 * time.Millisecond
 	lastLineTimeout = 100 * time.Millisecond
 )
 
-// logWriter hands log lines to a goroutine that writes them at once. Write never blocks.
+// logWriter hands log lines to a goroutine that writes them, the first one after a pause
+// at once. Write never blocks.
 type logWriter struct {
-	out  io.Writer
-	wake chan struct{}
-	done chan struct{}
+	out     io.Writer
+	wake    chan struct{}
+	closing chan struct{}
+	done    chan struct{}
 
 	mu      sync.Mutex
 	pending []byte
@@ -40,7 +44,7 @@
 }
 
 func newLogWriter(out io.Writer) *logWriter {
-	w := &logWriter{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &logWriter{out: out, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -66,6 +70,7 @@
 	w.mu.Lock()
 	if !w.closed {
 		w.closed, w.last, w.dropAfter = true, last, time.Now().Add(backlogTimeout)
+		close(w.closing)
 	}
 	w.mu.Unlock()
 	w.notify()
@@ -95,6 +100,10 @@
 			w.writeLast()
 			return
 		}
+		select {
+		case <-w.closing:
+		case <-time.After(logInterval):
+		}
 	}
 }
 
--- a/daemon/logs_test.go
+++ b/daemon/logs_test.go
@@ -47,14 +47,24 @@
 		g := NewWithT(t)
 		out := &output{}
 		w := newLogWriter(out)
-		start := time.Now()
 		for i := range 3 {
+			start := time.Now()
 			fmt.Fprintf(w, "line %d\n", i)
 			synctest.Wait()
 			g.Expect(out.String()).To(HaveSuffix(fmt.Sprintf("line %d\n", i)))
+			g.Expect(time.Since(start)).To(BeZero())
+			fmt.Fprintln(w, "another")
+			time.Sleep(logInterval)
+			synctest.Wait()
+			g.Expect(out.String()).To(HaveSuffix("another\n"))
+			time.Sleep(logInterval)
 		}
-		g.Expect(time.Since(start)).To(BeZero())
+		fmt.Fprintln(w, "before the end")
+		fmt.Fprintln(w, "at the end")
+		start := time.Now()
 		w.close(nil)
+		g.Expect(out.String()).To(HaveSuffix("at the end\n"))
+		g.Expect(time.Since(start)).To(BeZero())
 	})
 }
 
@@ -121,7 +131,7 @@
 		g.Expect(out.String()).To(Equal(lines.String()))
 		out.err = errors.New("closed")
 		fmt.Fprintln(w, "lost")
-		synctest.Wait()
+		time.Sleep(2 * logInterval)
 		out.err = nil
 		w.close([]byte("the end\n"))
 		g.Expect(out.String()).To(HaveSuffix(droppedLine(1) + "the end\n"))
