dispatch: let a worker's clock decide when its sequence can't

The sequence is there to recognise late reports, which are also behind by the worker's clock. A report now counts as late only if both are behind. The clock of the known report is limited by the answers of the worker: a reading beyond what the answers allow is untrue, and a report with one is ignored and the worker asked. The log records the reading beside the sequence; a record without it (of earlier landings) gets it from the first answer to the new leader, which is later than any report that an earlier leader can have had.

The simulation answers orders to an address where nothing listens as refused.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 	// reading to count as restarted. Smaller differences occur without a restart:
 	// replies arrive out of order and readings are in whole milliseconds.
 	restartClockRegression = 300 * time.Millisecond
+	// clockMargin is how far a worker's clock may be ahead of its highest expected reading.
+	clockMargin = 300 * time.Millisecond
 	// holdWait is how long a worker may delay its reply to a hold until an attempt
 	// finishes.
 	holdWait = time.Second
--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -9,7 +9,10 @@
 	switch {
 	case w == nil || h.StartedAtMS > w.StartedAtMS:
 		w = d.newIncarnation(w, h)
-	case h.StartedAtMS < w.StartedAtMS || h.Sequence < w.Sequence:
+	case h.StartedAtMS < w.StartedAtMS || w.isLate(&h):
+		return
+	case h.ClockMS > w.maxClock(d.now):
+		d.ignoreUntrue(w, "its clock can't be that far")
 		return
 	default:
 		if h.Draining && !w.Draining {
@@ -18,7 +21,7 @@
 		if !w.reportIsFresh(d.now) || !h.Capacity.FitsIn(w.Capacity) {
 			d.planner.dirty = true
 		}
-		w.Heartbeat, w.heartbeatAt = h, d.now
+		w.setReport(h, d.now)
 		d.observeClock(w, h.ClockMS, d.now)
 	}
 	w.reportExpiresAt = d.now + d.maxReportAge()
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -32,6 +32,9 @@
 			h.Remaining = time.Duration(max(0, recorded.DrainEndsAt-d.unixMS)) * time.Millisecond
 		}
 		w := d.newIncarnation(nil, h)
+		if recorded.ClockMS != 0 {
+			w.reportClock = recorded.ClockMS
+		}
 		if !recorded.Silent {
 			w.reportExpiresAt = d.now + d.restoredReportAge()
 		}
@@ -46,6 +49,9 @@
 		Labels: w.Labels, Draining: w.Draining, Sequence: w.Sequence,
 		Silent: !w.reportIsFresh(now),
 	}
+	if w.reportClock != unknownClock {
+		r.ClockMS = w.reportClock
+	}
 	if w.Draining {
 		r.DrainEndsAt = unixMS + (w.Remaining - (now - w.heartbeatAt)).Milliseconds()
 	}
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -26,6 +26,7 @@
 		w = d.workers[w.Worker]
 	default:
 		d.observeClock(w, r.ClockMS, r.ReceivedAt)
+		w.observeAnswer(&r)
 	}
 	switch {
 	case r.Order.Hold != nil:
@@ -99,7 +100,7 @@
 func (d *Dispatcher) handleRestart(w *worker, r Reply) {
 	h := w.Heartbeat
 	h.StartedAtMS, h.ClockMS, h.Sequence = r.StartedAtMS, r.ClockMS, 0
-	d.newIncarnation(w, h)
+	d.newIncarnation(w, h).observeAnswer(&r)
 }
 
 // reconcile compares the attempts that a worker lists with those bound to it.
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -202,6 +202,8 @@
 		return
 	}
 	switch draw := sim.rng.Float64(); {
+	case t == nil:
+		sim.schedule(sim.networkDelay(), func() { answer(Reply{Status: Unreachable}) })
 	case draw < sim.lateRate:
 		sim.executeLate(leader, t, o)
 		sim.schedule(wait, func() { answer(Reply{Status: Unknown}) })
@@ -266,13 +268,14 @@
 	return time.Millisecond + time.Duration(sim.rng.Int64N(int64(sim.maxDelay)))
 }
 
+// workerAt returns the worker at an address, or nil if nothing listens there.
 func (sim *simulation) workerAt(address string) *simWorker {
 	for _, t := range sim.workers {
 		if t.address == address {
 			return t
 		}
 	}
-	panic("no worker at " + address)
+	return nil
 }
 
 func (sim *simulation) runUntil(until time.Duration) {
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -14,6 +14,14 @@
 	// each incarnation, since orders for an earlier one of the same id may still arrive.
 	fence       int64
 	heartbeatAt time.Duration
+	// reportClock is a reading of the worker's clock that is not older than the known
+	// heartbeat, unknownClock if there is none. A heartbeat beyond it is newer whatever its
+	// sequence.
+	reportClock int64
+	// answerClock is the reading in an answer of this incarnation to an order that was sent
+	// at answerSentAt, 0 if it has not answered.
+	answerClock  int64
+	answerSentAt time.Duration
 	// reportExpiresAt is when the last report of this incarnation becomes too old for new
 	// tasks, 0 if it has not reported itself yet.
 	reportExpiresAt time.Duration
@@ -65,9 +73,10 @@
 
 func newWorker(h Heartbeat, fence int64, now time.Duration) *worker {
 	w := &worker{
-		Heartbeat: h, fence: fence, heartbeatAt: now,
+		fence: fence, reportClock: unknownClock,
 		attempts: map[jobs.TaskKey]*attempt{}, unexpected: map[attemptKey]*unexpectedAttempt{},
 	}
+	w.setReport(h, now)
 	w.updateClock(h.ClockMS, now)
 	return w
 }
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -23,6 +23,9 @@
 	// Sequence is the number of the heartbeat that showed this state. An older one that
 	// arrives at a later leader must not replace it.
 	Sequence int64 `json:"seq,omitempty"`
+	// ClockMS is a reading of the worker's clock that is not older than the heartbeat, 0 if
+	// unknown. Earlier versions do not record it.
+	ClockMS int64 `json:"clock,omitempty"`
 }
 
 // Same reports whether both registrations describe the same worker in the same state, by
