dispatch: replace the record of an untrue later start

A report with a start in the year 2109 under the id of a worker is recorded in the log, and the log refuses each record of an earlier start from then on: the worker's state was never recorded again, each of its heartbeats proposed a record that was refused, and its drain was never acknowledged (504).

Answers to holds carry the start of the process that gave them. A leader whose worker has told its start in an answer removes the later record before it records the worker, with the commands that exist, so that replicas of the earlier landing apply the same. Without such an answer it no longer proposes what the log refuses.

--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -68,6 +68,10 @@
 		w.completeRegistration(true)
 		return
 	}
+	if !d.replaceLater(w) {
+		w.completeRegistration(false)
+		return
+	}
 	w.registration.proposed = true
 	command := jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: *record, At: d.unixMS}}
 	d.commands = append(d.commands, Proposal{command, func(result jobs.Result, ok bool) {
@@ -81,6 +85,23 @@
 	}})
 }
 
+// replaceLater proposes to remove the record of a later incarnation under the id of a worker:
+// it is untrue if the worker has told its own start time in an answer. It returns false if
+// the log would refuse the worker's record.
+func (d *Dispatcher) replaceLater(w *worker) bool {
+	recorded := d.store.Worker(w.Worker)
+	if recorded == nil || recorded.StartedAtMS <= w.StartedAtMS {
+		return true
+	}
+	if !w.startConfirmed {
+		return false
+	}
+	d.addLogEvent("untrue registration replaced", w, nil, recorded.HostPort)
+	command := jobs.Command{RemoveWorker: &jobs.RemoveWorker{Worker: recorded.Incarnation}}
+	d.commands = append(d.commands, Proposal{command, func(jobs.Result, bool) {}})
+	return true
+}
+
 // registerSilent records that the last report of a registered worker has become too old, so
 // that no later leader uses it before it reports again. It waits for one more heartbeat,
 // since many are late after a takeover.
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -89,6 +89,7 @@
 		d.planner.dirty = true
 	}
 	w.fenceConfirmed, w.unresponsive, w.answeredAtMS = true, false, d.unixMS
+	w.startConfirmed = r.StartedAtMS != 0
 	d.reconcile(w, r)
 	d.updatePace(w)
 	d.detectSlowTasks(w)
@@ -100,7 +101,9 @@
 func (d *Dispatcher) handleRestart(w *worker, r Reply) {
 	h := w.Heartbeat
 	h.StartedAtMS, h.ClockMS, h.Sequence = r.StartedAtMS, r.ClockMS, 0
-	d.newIncarnation(w, h).observeAnswer(&r)
+	restarted := d.newIncarnation(w, h)
+	restarted.observeAnswer(&r)
+	restarted.startConfirmed = r.StartedAtMS != 0
 }
 
 // reconcile compares the attempts that a worker lists with those bound to it.
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -40,6 +40,8 @@
 	// refusesConnections is set if the address refused the connection for the last order,
 	// so that no process listens there.
 	refusesConnections bool
+	// startConfirmed is set once the process has told its start time in an answer.
+	startConfirmed bool
 	// answeredAtMS is the Unix time in milliseconds of the last answer to a hold.
 	answeredAtMS int64
 	// terminated is set once this incarnation is known to have ended.
