dispatch: keep the address at which a worker answers

A well-formed report under the id of a worker that names another address moved the worker there at once.

A process keeps its address. A report that names another one than that at which the worker answers, or may run tasks, is ignored and the worker asked where it is known; a later start elsewhere is believed once the known address has failed to answer. A later start that has never answered gives way to an earlier one at another address. A worker that does move with a restart is used again within the same few heartbeats (tested, idle and busy).

--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -7,7 +7,11 @@
 func (d *Dispatcher) HandleHeartbeat(h Heartbeat) {
 	w := d.workers[h.Worker]
 	switch {
-	case w == nil || h.StartedAtMS > w.StartedAtMS:
+	case w != nil && w.contradictsAddress(&h):
+		d.ignoreUntrue(w, "the worker answers at another address")
+		d.confirmAddress(w)
+		return
+	case w == nil || h.StartedAtMS > w.StartedAtMS || w.unheardAt(&h):
 		w = d.newIncarnation(w, h)
 	case h.StartedAtMS < w.StartedAtMS || w.isLate(&h):
 		return
--- a/jobs/dispatch/odd_report_test.go
+++ b/jobs/dispatch/odd_report_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -32,6 +33,14 @@
 	{"no capacity", func(h *Heartbeat) { h.Capacity = jobs.Resources{} }},
 	{"another service", func(h *Heartbeat) { h.Service = "unheard" }},
 	{"other labels and domain", func(h *Heartbeat) { h.Labels, h.Domain = []string{"x", "y"}, "z" }},
+	{"the address of another worker", func(h *Heartbeat) { h.HostPort = "w1:1" }},
+	{"an address where nothing listens", func(h *Heartbeat) { h.HostPort = "nowhere:1" }},
+	{"a late start at the address of another", func(h *Heartbeat) { h.StartedAtMS, h.HostPort = 1<<42, "w1:1" }},
+	{"a late start where nothing listens", func(h *Heartbeat) { h.StartedAtMS, h.HostPort = 1<<42, "nowhere:1" }},
+	{"everything untrue", func(h *Heartbeat) {
+		h.StartedAtMS, h.HostPort, h.Sequence, h.ClockMS = 1<<42, "w1:1", math.MaxInt64, 1<<42
+		h.Service, h.Labels, h.Capacity, h.Draining = "unheard", []string{"x"}, jobs.Resources{}, true
+	}},
 }
 
 // oddReports is a fleet of two workers of which the second one is full. All tasks with a
@@ -161,4 +170,22 @@
 			Expect(o.violations).To(BeEmpty())
 		}
 	})
+
+	// Guards against a worker that is ignored after it has started again elsewhere.
+	for _, busy := range []bool{false, true} {
+		It(fmt.Sprintf("is told from one of a worker that has moved with a restart, busy %t", busy), func() {
+			o := newOddReports()
+			o.startLeader()
+			o.runUntil(2500 * time.Millisecond)
+			if busy {
+				o.submit("resident", oneTask(1000, 1000))
+				o.runUntil(o.now + 500*time.Millisecond)
+			}
+			o.worker.crash(500 * time.Millisecond)
+			o.worker.address = "moved:1"
+			o.runUntil(o.now + 500*time.Millisecond)
+			o.runsJob("next", recoveryTime)
+			Expect(o.current().workers[o.worker.id].HostPort).To(Equal("moved:1"))
+		})
+	}
 })
--- a/jobs/dispatch/report.go
+++ b/jobs/dispatch/report.go
@@ -49,3 +49,29 @@
 	d.addLogEvent("untrue heartbeat ignored", w, nil, reason)
 	d.pollUnconfirmed(w)
 }
+
+// contradictsAddress reports whether a heartbeat names another address than the one at which
+// the worker answers, or may run tasks. A process keeps its address, and one that has
+// started later elsewhere is believed once the known address has failed to answer.
+func (w *worker) contradictsAddress(h *Heartbeat) bool {
+	if h.HostPort == w.HostPort || w.StartedAtMS == 0 || w.terminated || w.deregistered {
+		return false
+	}
+	if h.StartedAtMS == w.StartedAtMS && len(w.attempts) > 0 {
+		return true
+	}
+	return h.StartedAtMS >= w.StartedAtMS && !w.unresponsive && (w.fenceConfirmed || len(w.attempts) > 0)
+}
+
+// unheardAt reports whether a heartbeat of an earlier start comes from another address than
+// that of a worker that has never answered: the later start may be untrue.
+func (w *worker) unheardAt(h *Heartbeat) bool {
+	return h.HostPort != w.HostPort && h.StartedAtMS < w.StartedAtMS && !w.fenceConfirmed && (w.unresponsive || w.terminated)
+}
+
+// confirmAddress asks the worker at the address at which it has answered.
+func (d *Dispatcher) confirmAddress(w *worker) {
+	if !w.holdInFlight && d.now >= w.nextHoldAt {
+		d.sendHold(w)
+	}
+}
