--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,8 @@
 	// viewTimeout limits a request for the view of a replica.
 	viewTimeout      = 500 * time.Millisecond
 	maxResponseBytes = 16 << 20
+	// maxMembers bounds the members in a view.
+	maxMembers = 64
 )
 
 // ErrNotRun means that no replica has executed the request or will execute it later.
@@ -110,19 +112,20 @@
 }
 
 // nextTarget returns the leader if it is known, and otherwise the members and seeds in
-// turn.
+// turn: members that a replica named wrongly must not keep the seeds from being asked.
 func (r *Relay) nextTarget() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.leader != "" {
 		return r.leader
 	}
-	candidates := slices.Concat(r.members, r.seeds)
-	if len(candidates) == 0 {
+	lists := slices.DeleteFunc([][]string{r.members, r.seeds}, func(list []string) bool { return len(list) == 0 })
+	if len(lists) == 0 {
 		return ""
 	}
 	r.next++
-	return candidates[r.next%len(candidates)]
+	list := lists[r.next%len(lists)]
+	return list[r.next/len(lists)%len(list)]
 }
 
 // setLeaderHint sets the presumed leader, empty if unknown. source is the replica that
@@ -209,7 +212,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(view.Members) > 0 {
+	if len(view.Members) > 0 && len(view.Members) <= maxMembers {
 		r.members = view.Members
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -27,7 +27,9 @@
 type fakeReplica struct {
 	server *httptest.Server
 	view   relay.ClusterView
-	serve  http.HandlerFunc
+	// rawView replaces view if it is set.
+	rawView string
+	serve   http.HandlerFunc
 }
 
 func (r *fakeReplica) address() string { return strings.TrimPrefix(r.server.URL, "http://") }
@@ -36,6 +38,10 @@
 	r := &fakeReplica{}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == relay.PathLeader {
+			if r.rawView != "" {
+				_, _ = io.WriteString(w, r.rawView)
+				return
+			}
 			_ = json.NewEncoder(w).Encode(r.view)
 			return
 		}
