jobd: refuse a request to join that names no address

A request to join with an empty address, a port out of range or a blank in it was passed on to the membership as it is; by reading, such a member stays a learner that never answers until it is removed. Addresses are now checked for host and port before, with a 400 that names the remedy; the body is bounded by 16 KiB.

--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -24,6 +24,7 @@
 	// relayTimeout limits forwarding a request from a follower to the leader.
 	relayTimeout    = 900 * time.Millisecond
 	maxRelayedBytes = 16 << 20
+	maxJoinBytes    = 16 << 10
 )
 
 // startingHandler serves all requests until the replica has opened its log.
@@ -74,8 +75,8 @@
 }
 
 func (s *Server) serveJoin(w http.ResponseWriter, r *http.Request) {
-	var q joinRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxRelayedBytes)).Decode(&q); err != nil {
+	q, err := decodeJoin(io.LimitReader(r.Body, maxJoinBytes))
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/jobd/identity.go
+++ b/jobd/identity.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -179,6 +181,25 @@
 	Nonce string `json:"nonce"`
 }
 
+var errJoinAddress = errors.New("the request to join names no address of host and port; correct the listen address of the replica")
+
+// decodeJoin reads a request to join. A member whose address can't be dialled would stay in
+// the membership without ever answering.
+func decodeJoin(body io.Reader) (joinRequest, error) {
+	var q joinRequest
+	if err := json.NewDecoder(body).Decode(&q); err != nil {
+		return q, fmt.Errorf("decode the request to join: %w", err)
+	}
+	host, port, err := net.SplitHostPort(q.Address)
+	if err != nil || host == "" || strings.ContainsFunc(q.Address, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '/' }) {
+		return q, errJoinAddress
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return q, errJoinAddress
+	}
+	return q, nil
+}
+
 // join requests to join the log until the leader grants it.
 func join(ctx context.Context, s *Settings, seeds []string, log zerolog.Logger) (Identity, error) {
 	client := transport.NewClient(transport.ClientOptions{Timeout: joinTimeout})
