--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -26,6 +26,7 @@
 		w = d.workers[w.Worker]
 	default:
 		d.observeClock(w, r.ClockMS, r.ReceivedAt)
+		w.observeAnswer(&r)
 	}
 	switch {
 	case r.Order.Hold != nil:
@@ -89,6 +90,7 @@
 		d.planner.dirty = true
 	}
 	w.fenceConfirmed, w.unresponsive, w.answeredAtMS = true, false, d.unixMS
+	w.startConfirmed = r.StartedAtMS != 0
 	d.reconcile(w, r)
 	d.updatePace(w)
 	d.detectSlowTasks(w)
@@ -100,7 +102,9 @@
 func (d *Dispatcher) handleRestart(w *worker, r Reply) {
 	h := w.Heartbeat
 	h.StartedAtMS, h.ClockMS, h.Sequence = r.StartedAtMS, r.ClockMS, 0
-	d.newIncarnation(w, h)
+	restarted := d.newIncarnation(w, h)
+	restarted.observeAnswer(&r)
+	restarted.startConfirmed = r.StartedAtMS != 0
 }
 
 // reconcile compares the attempts that a worker lists with those bound to it.
