daemon: rows of docs/metrics.md don't depend on the order of the specs

The global meter provider makes the instruments again that were made before it was first set. With a drain spec before the metrics spec the scheduler's table had the drain rows twice, so the check failed or passed with the random order of the specs. A provider is now set before all specs.

--- a/daemon/daemon_suite_test.go
+++ b/daemon/daemon_suite_test.go
@@ -5,8 +5,14 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/metric/noop"
 )
 
+// Instruments made before the first global meter provider is set are made again by it,
+// which would add the drains of other specs to the rows of docs/metrics.md.
+var _ = BeforeSuite(func() { otel.SetMeterProvider(noop.NewMeterProvider()) })
+
 func TestDaemon(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "daemon")
