dispatch: keep the service, domain and labels that a worker has reported

Service, domain and labels stay with a process. A report that changes them is ignored unless the next different report agrees with it, so that a worker whose first report was untrue is known rightly two heartbeats later. A new process under the id (a later start, or an answer to a hold that tells one) isn't bound by what the former one reported.

--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -18,6 +18,10 @@
 	case h.ClockMS > w.maxClock(d.now):
 		d.ignoreUntrue(w, "its clock can't be that far")
 		return
+	case w.contradictsIdentity(&h):
+		w.identityClaim = &h
+		d.ignoreUntrue(w, "a process keeps its service, domain and labels")
+		return
 	default:
 		if h.Draining && !w.Draining {
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
--- a/jobs/dispatch/odd_report_test.go
+++ b/jobs/dispatch/odd_report_test.go
@@ -188,4 +188,39 @@
 			Expect(o.current().workers[o.worker.id].HostPort).To(Equal("moved:1"))
 		})
 	}
+
+	// Guards against a task that starts on a worker of another service, or without the label
+	// that it requires.
+	It("makes it no worker of another service and gives it no labels", func() {
+		o := newOddReports()
+		o.store.Apply(jobs.Command{Configure: &jobs.Configure{Config: jobs.Config{Version: 2, Queues: []jobs.Queue{
+			{Name: "q", Service: "s", MaxAttempts: 1000, Stretch: 2},
+			{Name: "other", Service: "other", MaxAttempts: 1000, Stretch: 2},
+		}}}})
+		labelled := oneTask(1000, 200)
+		labelled.Steps[0].RequiredLabel = "fast"
+		o.submit("labelled", labelled)
+		o.store.Apply(jobs.Command{Submit: &jobs.Submit{ID: "elsewhere", Queue: "other", Spec: oneTask(1000, 200), At: o.unix()}})
+		o.startLeader()
+		o.runUntil(2500 * time.Millisecond)
+		for range 4 {
+			o.inject(func(h *Heartbeat) { h.Service = "other" })
+			o.runUntil(o.now + 1300*time.Millisecond)
+			o.inject(func(h *Heartbeat) { h.Labels = []string{"fast", "r"} })
+			o.runUntil(o.now + 1300*time.Millisecond)
+		}
+		Expect(o.starts).To(BeZero())
+		o.runsJob("own", recoveryTime)
+	})
+
+	// Guards against a worker that keeps the service of an untrue report that came first.
+	It("gives way to two reports of the worker in a row", func() {
+		o := newOddReports()
+		o.startLeader()
+		o.inject(func(h *Heartbeat) { h.Service, h.Labels, h.Domain = "other", []string{"fast"}, "z" })
+		o.runUntil(2500 * time.Millisecond)
+		w := o.current().workers[o.worker.id]
+		Expect([]any{w.Service, w.Labels, w.Domain}).To(Equal([]any{"s", []string(nil), ""}))
+		o.runsJob("own", recoveryTime)
+	})
 })
--- a/jobs/dispatch/report.go
+++ b/jobs/dispatch/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -10,7 +11,7 @@
 
 // setReport replaces the known heartbeat of a worker.
 func (w *worker) setReport(h Heartbeat, now time.Duration) {
-	w.Heartbeat, w.heartbeatAt = h, now
+	w.Heartbeat, w.heartbeatAt, w.identityClaim = h, now, nil
 	if w.reportClock == unknownClock && h.ClockMS != 0 {
 		w.reportClock = h.ClockMS
 	} else if w.reportClock != unknownClock {
@@ -75,3 +76,17 @@
 		d.sendHold(w)
 	}
 }
+
+// contradictsIdentity reports whether a heartbeat has another service, domain or labels than
+// those that the process has reported. Two in a row that agree are believed.
+func (w *worker) contradictsIdentity(h *Heartbeat) bool {
+	if w.StartedAtMS == 0 || w.reportExpiresAt == 0 || sameIdentity(&w.Heartbeat, h) {
+		return false
+	}
+	claim := w.identityClaim
+	return claim == nil || !sameIdentity(claim, h) || claim.Sequence == h.Sequence
+}
+
+func sameIdentity(a, b *Heartbeat) bool {
+	return a.Service == b.Service && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
+}
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -18,6 +18,8 @@
 	// heartbeat, unknownClock if there is none. A heartbeat beyond it is newer whatever its
 	// sequence.
 	reportClock int64
+	// identityClaim is the last heartbeat that was ignored for its service, domain or labels.
+	identityClaim *Heartbeat
 	// answerClock is the reading in an answer of this incarnation to an order that was sent
 	// at answerSentAt, 0 if it has not answered.
 	answerClock  int64
