dispatch: ask the worker whenever a heartbeat contradicts what is known

A contradiction was followed by a hold only if the worker's report was too old for new tasks. If the leader's clock has stood still, honest reports are ahead of the bound on the worker's clock until it answers; they were ignored for the rest of that time. The worker is now asked at once. The new test is a guard: it wasn't run on the code before.

--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -9,7 +9,6 @@
 	switch {
 	case w != nil && w.contradictsAddress(&h):
 		d.ignoreUntrue(w, "the worker answers at another address")
-		d.confirmAddress(w)
 		return
 	case w == nil || h.StartedAtMS > w.StartedAtMS || w.unheardAt(&h):
 		w = d.newIncarnation(w, h)
--- a/jobs/dispatch/odd_report_test.go
+++ b/jobs/dispatch/odd_report_test.go
@@ -223,4 +223,15 @@
 		Expect([]any{w.Service, w.Labels, w.Domain}).To(Equal([]any{"s", []string(nil), ""}))
 		o.runsJob("own", recoveryTime)
 	})
+
+	// Guards against honest reports that are ignored for good after the leader's own clock has
+	// stood still.
+	It("is told from one of a worker whose clock has run on while the leader's stood still", func() {
+		o := newOddReports()
+		o.startLeader()
+		o.runUntil(2500 * time.Millisecond)
+		o.worker.bootedAt -= time.Minute
+		o.runUntil(o.now + recoveryTime)
+		o.runsJob("next", recoveryTime)
+	})
 })
--- a/jobs/dispatch/report.go
+++ b/jobs/dispatch/report.go
@@ -44,11 +44,13 @@
 	}
 }
 
-// ignoreUntrue logs a heartbeat that contradicts the answers of its worker, and asks the
-// worker again unless it has reported itself lately.
+// ignoreUntrue logs a heartbeat that contradicts what is known of its worker, and asks the
+// worker itself.
 func (d *Dispatcher) ignoreUntrue(w *worker, reason string) {
 	d.addLogEvent("untrue heartbeat ignored", w, nil, reason)
-	d.pollUnconfirmed(w)
+	if !w.holdInFlight && d.now >= w.nextHoldAt {
+		d.sendHold(w)
+	}
 }
 
 // contradictsAddress reports whether a heartbeat names another address than the one at which
@@ -70,13 +72,6 @@
 	return h.HostPort != w.HostPort && h.StartedAtMS < w.StartedAtMS && !w.fenceConfirmed && (w.unresponsive || w.terminated)
 }
 
-// confirmAddress asks the worker at the address at which it has answered.
-func (d *Dispatcher) confirmAddress(w *worker) {
-	if !w.holdInFlight && d.now >= w.nextHoldAt {
-		d.sendHold(w)
-	}
-}
-
 // contradictsIdentity reports whether a heartbeat has another service, domain or labels than
 // those that the process has reported. Two in a row that agree are believed.
 func (w *worker) contradictsIdentity(h *Heartbeat) bool {
