--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -9,7 +9,6 @@
 	switch {
 	case w != nil && w.contradictsAddress(&h):
 		d.ignoreUntrue(w, "the worker answers at another address")
-		d.confirmAddress(w)
 		return
 	case w == nil || h.StartedAtMS > w.StartedAtMS || w.unheardAt(&h):
 		w = d.newIncarnation(w, h)
@@ -18,6 +17,10 @@
 	case h.ClockMS > w.maxClock(d.now):
 		d.ignoreUntrue(w, "its clock can't be that far")
 		return
+	case w.contradictsIdentity(&h):
+		w.identityClaim = &h
+		d.ignoreUntrue(w, "a process keeps its service, domain and labels")
+		return
 	default:
 		if h.Draining && !w.Draining {
 			d.addLogEvent("worker draining", w, nil, h.Remaining.String())
--- a/jobs/dispatch/report.go
+++ b/jobs/dispatch/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -10,7 +11,7 @@
 
 // setReport replaces the known heartbeat of a worker.
 func (w *worker) setReport(h Heartbeat, now time.Duration) {
-	w.Heartbeat, w.heartbeatAt = h, now
+	w.Heartbeat, w.heartbeatAt, w.identityClaim = h, now, nil
 	if w.reportClock == unknownClock && h.ClockMS != 0 {
 		w.reportClock = h.ClockMS
 	} else if w.reportClock != unknownClock {
@@ -43,11 +44,13 @@
 	}
 }
 
-// ignoreUntrue logs a heartbeat that contradicts the answers of its worker, and asks the
-// worker again unless it has reported itself lately.
+// ignoreUntrue logs a heartbeat that contradicts what is known of its worker, and asks the
+// worker itself.
 func (d *Dispatcher) ignoreUntrue(w *worker, reason string) {
 	d.addLogEvent("untrue heartbeat ignored", w, nil, reason)
-	d.pollUnconfirmed(w)
+	if !w.holdInFlight && d.now >= w.nextHoldAt {
+		d.sendHold(w)
+	}
 }
 
 // contradictsAddress reports whether a heartbeat names another address than the one at which
@@ -69,9 +72,16 @@
 	return h.HostPort != w.HostPort && h.StartedAtMS < w.StartedAtMS && !w.fenceConfirmed && (w.unresponsive || w.terminated)
 }
 
-// confirmAddress asks the worker at the address at which it has answered.
-func (d *Dispatcher) confirmAddress(w *worker) {
-	if !w.holdInFlight && d.now >= w.nextHoldAt {
-		d.sendHold(w)
+// contradictsIdentity reports whether a heartbeat has another service, domain or labels than
+// those that the process has reported. Two in a row that agree are believed.
+func (w *worker) contradictsIdentity(h *Heartbeat) bool {
+	if w.StartedAtMS == 0 || w.reportExpiresAt == 0 || sameIdentity(&w.Heartbeat, h) {
+		return false
 	}
+	claim := w.identityClaim
+	return claim == nil || !sameIdentity(claim, h) || claim.Sequence == h.Sequence
+}
+
+func sameIdentity(a, b *Heartbeat) bool {
+	return a.Service == b.Service && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
 }
