--- a/daemon/logs_test.go
+++ b/daemon/logs_test.go
@@ -132,6 +132,7 @@
 		out.err = errors.New("closed")
 		fmt.Fprintln(w, "lost")
 		time.Sleep(2 * logInterval)
+		synctest.Wait()
 		out.err = nil
 		w.close([]byte("the end\n"))
 		g.Expect(out.String()).To(HaveSuffix(droppedLine(1) + "the end\n"))
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -234,6 +234,8 @@
 func TestLastLineReachesASlowReader(t *testing.T) {
 	g := NewWithT(t)
 	c := startChild(t, "lines")
+	c.waitForLine(g, "filler")
+	g.Expect(c.out.SetReadDeadline(time.Time{})).To(Succeed())
 	read := make(chan string, 1)
 	go func() {
 		var all bytes.Buffer
@@ -259,6 +261,7 @@
 func TestProcessEndsWhenNobodyReadsItsLogs(t *testing.T) {
 	g := NewWithT(t)
 	c := startChild(t, "lines")
+	c.waitForLine(g, "filler")
 	time.Sleep(200 * time.Millisecond)
 	c.signal(g, syscall.SIGTERM)
 	c.expectExit(g, 0)
