transport: limit the connections of a process to half of its files

Cause: nothing looked at the limit. Each worker address had a client of its own with four connections, kept for a minute and never forgotten, and every listener accepted without bound. A dial that failed for lack of descriptors counted as no answer of the worker: the worker was set aside as unresponsive and its start as perhaps carried out.

A budget now allows half of the files that the process may open (the lower of RLIMIT_NOFILE and max_open_files, which the templates fill from the host's limit) for connections. Each purpose has a guaranteed part and may borrow what the guarantees of the others leave: - Calls to workers wait for a connection, long polls only for three quarters of them, and fail with an error that says that nothing was sent. They are then reported as not sent (Expired), so the leader sends them again and the worker is not blamed. Idle connections are closed first, those to the address that was not called for the longest time before others. Long polls get shorter while others wait, so each worker is still called once in the usual time. Addresses that are not called any more are forgotten. - A listener that is full accepts no more, asks clients with Connection: close to leave, and closes connections that were idle for 5 s. It never closes one with a request in progress. - A shortage is logged once a second at most, with the counts by purpose, and gauges show open files, their limit, and connections by purpose.

The test runs three replicas that may open 128 files, with 70 workers.

What changed in existing tests: constructors take a pool (nil), the template test knows limits.max-fds, newSoak was split so that a test can prepare its fleet.

--- a/cmd/geranium-jobs/main.go
+++ b/cmd/geranium-jobs/main.go
@@ -16,7 +16,7 @@
 	options := daemon.Options{Name: "geranium-jobs", File: platform.SettingsFile(), Logs: daemon.Stdout()}
 	daemon.MainWith(options, settings, func(ctx context.Context, log zerolog.Logger, file string) error {
 		go logReloads(daemon.Reloads[jobd.Settings](ctx, file, log), log)
-		return jobd.Run(ctx, settings, platform.NewWorkerClient(), platform.Interfaces, log)
+		return jobd.Run(ctx, settings, platform.NewWorkerClient, platform.Interfaces, log)
 	})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -112,6 +112,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; choose a free address in the settings", address, err)
 	}
+	listener = transport.LimitListener(ctx, listener, server)
 	return &Server{http: server, listener: listener, failed: make(chan error, 1)}, nil
 }
 
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -25,6 +25,7 @@
 	"geraniumwall/jobd"
 	"geraniumwall/policy/engine"
 	"geraniumwall/schedulerd"
+	"geraniumwall/transport"
 )
 
 const metricsPage = "../docs/metrics.md"
@@ -119,11 +120,13 @@
 func jobInstruments(m metric.Meter) {
 	_, err := jobd.NewMetrics(m)
 	Expect(err).NotTo(HaveOccurred())
+	Expect(transport.NewBudget(0, zerolog.Nop()).Observe(m)).To(Succeed())
 }
 
 func entryInstruments(m metric.Meter) {
 	_, err := entry.NewMetrics(m)
 	Expect(err).NotTo(HaveOccurred())
+	Expect(transport.NewBudget(0, zerolog.Nop()).Observe(m)).To(Succeed())
 }
 
 func page() string {
--- a/e2e/jobsoak_test.go
+++ b/e2e/jobsoak_test.go
@@ -245,6 +245,11 @@
 func newSoak(t *testing.T, g *WithT, seed uint64, replicas, workers, carryFrom int) (*jobSoak, *jobOperator) {
 	f, err := newJobFleet(t.TempDir(), replicas, 2, workers, carryFrom)
 	g.Expect(err).NotTo(HaveOccurred())
+	return startSoak(t, g, seed, f)
+}
+
+// startSoak starts the processes of a fleet and gives it a configuration.
+func startSoak(t *testing.T, g *WithT, seed uint64, f *jobFleet) (*jobSoak, *jobOperator) {
 	t.Cleanup(f.close)
 	t.Cleanup(func() {
 		if t.Failed() {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -24,8 +24,12 @@
 	logFile  string
 	// binaries is the directory of another version's binaries; empty for this one's.
 	binaries string
-	command  *exec.Cmd
-	exit     *exit
+	// maxFiles limits the open files of the process; 0 leaves the limit of the test.
+	maxFiles int
+	// starts counts the starts of the process.
+	starts  int
+	command *exec.Cmd
+	exit    *exit
 }
 
 // exit is the end of one run of a process; err is set before done is closed.
@@ -67,6 +71,11 @@
 		path = filepath.Join(p.binaries, p.binary)
 	}
 	p.command = exec.Command(path, "-settings", p.settings)
+	if p.maxFiles > 0 {
+		limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.maxFiles)
+		p.command = exec.Command("sh", "-c", limited, path, "-settings", p.settings)
+	}
+	p.starts++
 	p.command.Stdout, p.command.Stderr = log, log
 	if err := p.command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w; run make build first", p.name, err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"geraniumwall/jobd"
 	"geraniumwall/relay"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 const (
@@ -42,7 +43,11 @@
 	// limit.
 	maxBodyBytes      = 4 << 20
 	retryAfterSeconds = "1"
-	meterName         = "geraniumwall/entry"
+	// Guaranteed shares of the connections of the process.
+	callerShare  = 0.5
+	replicaShare = 0.1
+	checkShare   = 0.1
+	meterName    = "geraniumwall/entry"
 )
 
 // Settings are the settings of an entry process.
@@ -60,6 +65,8 @@
 	MetricsListen string `json:"metrics_listen"`
 	// Seeds are as in the settings of a job replica.
 	Seeds []string `json:"seeds"`
+	// MaxOpenFiles is as in the settings of a job replica.
+	MaxOpenFiles int64 `json:"max_open_files"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
 }
@@ -72,6 +79,7 @@
 	c.Address("peer_listen", s.PeerListen)
 	c.Addresses("seeds", s.Seeds)
 	c.Positive("stop_within_ms", s.ShutdownTimeoutMS)
+	c.NotNegative("max_open_files", s.MaxOpenFiles)
 	if s.MetricsListen != "" {
 		c.Address("metrics_listen", s.MetricsListen)
 	}
@@ -104,12 +112,16 @@
 	if err != nil {
 		return err
 	}
-	p := &process{log: log, relay: relay.New(seeds), deadline: deadline, metrics: m}
-	callers, err := daemon.Listen(ctx, s.Listen, http.HandlerFunc(p.serve))
+	budget := transport.NewBudget(s.MaxOpenFiles, log)
+	if err := budget.Observe(otel.Meter(meterName)); err != nil {
+		return err
+	}
+	p := &process{log: log, relay: relay.New(seeds, budget.Pool("replicas", replicaShare)), deadline: deadline, metrics: m}
+	callers, err := daemon.Listen(transport.WithPool(ctx, budget.Pool("callers", callerShare)), s.Listen, http.HandlerFunc(p.serve))
 	if err != nil {
 		return err
 	}
-	checks, err := daemon.Listen(ctx, s.ReadyListen, http.HandlerFunc(p.serveReady))
+	checks, err := daemon.Listen(transport.WithPool(ctx, budget.Pool("checks", checkShare)), s.ReadyListen, http.HandlerFunc(p.serveReady))
 	if err != nil {
 		return err
 	}
--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -111,7 +111,7 @@
 // controlHandler serves workers and operators. The leader executes their requests;
 // followers forward them to the leader.
 func (s *Server) controlHandler(handlers Handlers) http.Handler {
-	leaderRelay := relay.New(nil)
+	leaderRelay := relay.New(nil, s.peers)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		v, err := s.clusterView(r.Context())
 		if err == nil && v.IsLeader {
--- a/jobd/run.go
+++ b/jobd/run.go
@@ -12,6 +12,7 @@
 
 	"geraniumwall/daemon"
 	"geraniumwall/raft"
+	"geraniumwall/transport"
 	"geraniumwall/wal"
 )
 
@@ -19,23 +20,30 @@
 // next start joins again.
 var errRetired = errors.New("this replica was removed from the membership while it was offline; the next start deletes its data and joins under a new id")
 
+// NewWorkerClient creates the client of workers, which takes its connections from pool.
+type NewWorkerClient func(pool *transport.Pool) WorkerClient
+
 // Adapter creates the HTTP handlers for a replica.
 type Adapter func(*Server) Handlers
 
 // Run runs a job replica until ctx is done. It then transfers leadership, waits for the
 // requests in progress and stops.
-func Run(ctx context.Context, s *Settings, workers WorkerClient, adapter Adapter, log zerolog.Logger) error {
+func Run(ctx context.Context, s *Settings, newWorkers NewWorkerClient, adapter Adapter, log zerolog.Logger) error {
 	if _, err := daemon.ServeMetrics(ctx, s.MetricsListen); err != nil {
 		return err
 	}
+	pools, err := newConnections(s, log)
+	if err != nil {
+		return err
+	}
 	peerHandler, controlHandler := &daemon.SwitchHandler{}, &daemon.SwitchHandler{}
 	peerHandler.Set(startingHandler)
 	controlHandler.Set(startingHandler)
-	peers, err := daemon.Listen(ctx, cmp.Or(s.PeerBind, s.PeerListen), peerHandler)
+	peers, err := daemon.Listen(transport.WithPool(ctx, pools.internal), cmp.Or(s.PeerBind, s.PeerListen), peerHandler)
 	if err != nil {
 		return err
 	}
-	control, err := daemon.Listen(ctx, s.Listen, controlHandler)
+	control, err := daemon.Listen(transport.WithPool(ctx, pools.control), s.Listen, controlHandler)
 	if err != nil {
 		return err
 	}
@@ -46,13 +54,14 @@
 	if err != nil {
 		return err
 	}
-	p := &process{settings: s, log: log, peers: peers, control: control, store: store, failed: make(chan error, 1)}
-	return errors.Join(p.run(ctx, identity, stored, workers, adapter, peerHandler, controlHandler), store.Close())
+	p := &process{settings: s, log: log, pools: pools, peers: peers, control: control, store: store, failed: make(chan error, 1)}
+	return errors.Join(p.run(ctx, identity, stored, newWorkers(pools.workers), adapter, peerHandler, controlHandler), store.Close())
 }
 
 type process struct {
 	settings *Settings
 	log      zerolog.Logger
+	pools    connections
 	peers    *daemon.Server
 	control  *daemon.Server
 	store    *wal.Store
@@ -70,7 +79,7 @@
 		}
 	}
 	server, err := New(Options{
-		Settings: p.settings, Identity: identity, Storage: p.store, Stored: stored, Workers: workers, Log: p.log,
+		Settings: p.settings, Identity: identity, Storage: p.store, Stored: stored, Workers: workers, Peers: p.pools.peers, Log: p.log,
 		Fatal: fail, Removed: func() { fail(p.markRetired(identity)) },
 	})
 	if err != nil {
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -38,6 +38,7 @@
 // OperatorService.
 type Server struct {
 	settings *Settings
+	peers    *transport.Pool
 	log      zerolog.Logger
 	system   *actor.ActorSystem
 	pid      *actor.PID
@@ -61,7 +62,9 @@
 	Storage  replicate.Storage
 	Stored   raft.Stored
 	Workers  WorkerClient
-	Log      zerolog.Logger
+	// Peers is the pool of the connections to other replicas; nil for no limit.
+	Peers *transport.Pool
+	Log   zerolog.Logger
 	// Fatal is called with an error after which the process must exit.
 	Fatal func(error)
 	// Removed is called when this replica was removed from the membership.
@@ -71,7 +74,7 @@
 // New restores the stored state and starts the replica.
 func New(o Options) (*Server, error) {
 	s := &Server{
-		settings: o.Settings, log: o.Log, stopping: make(chan struct{}), fatal: o.Fatal,
+		settings: o.Settings, peers: o.Peers, log: o.Log, stopping: make(chan struct{}), fatal: o.Fatal,
 	}
 	metrics, err := NewMetrics(otel.Meter(meterName))
 	if err != nil {
@@ -83,12 +86,12 @@
 		now: func() time.Duration { return time.Since(start) }, grantedIDs: map[string]uint64{},
 	}
 	s.manager = m
-	m.client = transport.NewClient(transport.ClientOptions{})
+	m.client = transport.NewClient(transport.ClientOptions{Pool: o.Peers})
 	s.receiver = delivery.NewReceiver(o.Workers, m.client, bootClock, o.Log)
 	discardLogs := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 	s.system = actor.NewActorSystem(actor.WithLoggerFactory(discardLogs))
 	s.pid = s.system.Root.Spawn(actor.PropsFromFunc(s.receive))
-	client := transport.NewClient(transport.ClientOptions{Timeout: peerTimeout})
+	client := transport.NewClient(transport.ClientOptions{Timeout: peerTimeout, Pool: o.Peers})
 	m.replica, err = replicate.New(replicate.Options{
 		ID: o.Identity.ReplicaID, Stored: o.Stored, Storage: o.Storage, Machine: m, Log: o.Log,
 		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, client, nil, o.Removed),
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -46,6 +46,9 @@
 	// leader calls the workers itself, since each replica in between is another point of
 	// failure.
 	MinWorkersForCarriers int `json:"carry_from_workers"`
+	// MaxOpenFiles limits the open files, sockets included, besides the resource limit of
+	// the process; 0 for no other limit.
+	MaxOpenFiles int64 `json:"max_open_files"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
 }
@@ -62,6 +65,7 @@
 	c.Positive("stop_within_ms", s.ShutdownTimeoutMS)
 	c.NotNegative("carry_from_workers", int64(s.MinWorkersForCarriers))
 	c.NotNegative("capacity_grace_ms", s.CapacityGraceMS)
+	c.NotNegative("max_open_files", s.MaxOpenFiles)
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
--- a/jobs/dispatch/orders.go
+++ b/jobs/dispatch/orders.go
@@ -95,7 +95,8 @@
 	Unknown
 	// Unreachable: the address refused the connection, so the order was not sent.
 	Unreachable
-	// Expired: the order was not sent, since the leader's lease had ended by then.
+	// Expired: the order was not sent in time, since the leader's lease had ended by then or
+	// no connection to the worker was free.
 	Expired
 )
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,9 +90,10 @@
 	lastContact time.Time
 }
 
-// New returns a relay that looks for the leader at the seeds.
-func New(seeds []string) *Relay {
-	return &Relay{client: transport.NewClient(transport.ClientOptions{}), seeds: seeds}
+// New returns a relay that looks for the leader at the seeds. Its connections count in pool,
+// which may be nil.
+func New(seeds []string, pool *transport.Pool) *Relay {
+	return &Relay{client: transport.NewClient(transport.ClientOptions{Pool: pool}), seeds: seeds}
 }
 
 // SetSeeds replaces the seeds.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -71,7 +71,7 @@
 			body, _ := io.ReadAll(q.Body)
 			w.Write([]byte(q.Host + " " + string(body)))
 		}
-		response, err := relay.New([]string{follower.address()}).Send(withTimeout(2*time.Second), request)
+		response, err := relay.New([]string{follower.address()}, nil).Send(withTimeout(2*time.Second), request)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(response.Body)).To(Equal("h body"))
 	})
@@ -82,7 +82,7 @@
 		leader := newFakeReplica()
 		leader.view = relay.ClusterView{IsLeader: true, Leader: leader.address()}
 		leader.serve = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
-		_, err := relay.New([]string{leader.address()}).Send(withTimeout(300*time.Millisecond), request)
+		_, err := relay.New([]string{leader.address()}, nil).Send(withTimeout(300*time.Millisecond), request)
 		Expect(err).To(MatchError(relay.ErrUnresolved))
 		Expect(err).NotTo(MatchError(relay.ErrNotRun))
 	})
@@ -90,13 +90,13 @@
 	// Guards against reporting a request as unresolved that was never sent.
 	It("reports a request as not run while no replica leads or listens", func() {
 		follower := newFakeReplica()
-		_, err := relay.New([]string{follower.address()}).Send(withTimeout(200*time.Millisecond), request)
+		_, err := relay.New([]string{follower.address()}, nil).Send(withTimeout(200*time.Millisecond), request)
 		Expect(err).To(MatchError(relay.ErrNotRun))
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		closed := l.Addr().String()
 		Expect(l.Close()).To(Succeed())
-		_, err = relay.New([]string{closed}).Send(withTimeout(200*time.Millisecond), request)
+		_, err = relay.New([]string{closed}, nil).Send(withTimeout(200*time.Millisecond), request)
 		Expect(err).To(MatchError(relay.ErrNotRun))
 	})
 
@@ -106,7 +106,7 @@
 		silent := newFakeReplica()
 		silent.view = relay.ClusterView{IsLeader: true, Leader: silent.address()}
 		silent.serve = func(http.ResponseWriter, *http.Request) {}
-		r := relay.New([]string{silent.address()})
+		r := relay.New([]string{silent.address()}, nil)
 		_, err := r.Send(withTimeout(time.Second), request)
 		Expect(err).NotTo(HaveOccurred())
 		received := make(chan struct{}, 10)
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -11,8 +11,9 @@
 // then performs the TLS handshake, with protocol for ALPN, if options.Keys is set.
 func dialer(options ClientOptions, protocol string) dialFunc {
 	netDialer := &net.Dialer{Timeout: dialTimeout}
+	dial := options.Pool.limitDial(netDialer.DialContext)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := netDialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -22,3 +23,22 @@
 		return options.Keys.Handshake(ctx, conn, protocol, options.Peers)
 	}
 }
+
+// limitDial returns a dial function whose connections count in the pool.
+func (p *Pool) limitDial(dial dialFunc) dialFunc {
+	if p == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := p.reserve(ctx); err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			p.closed()
+			p.reportFailure(err)
+			return nil, err
+		}
+		return &pooledConn{Conn: conn, pool: p}, nil
+	}
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -57,6 +57,8 @@
 	// BufferedBytes is the size of the read buffer and of the write buffer of each
 	// connection. 0 means 8 KiB.
 	BufferedBytes int
+	// Pool, if set, counts the connections and is asked for room before one is opened.
+	Pool *Pool
 	// Wrap, if set, replaces each new connection, for example by one that counts bytes.
 	Wrap func(net.Conn) net.Conn
 }
