--- a/daemon/server.go
+++ b/daemon/server.go
@@ -44,7 +44,7 @@
 		http: server, address: tcp.Addr(), conns: newConnections(), requests: newRequests(), failed: make(chan error, 1),
 	}
 	s.bound = &listener{TCPListener: tcp.(*net.TCPListener), conns: s.conns}
-	s.listener = s.bound
+	s.listener = transport.LimitListener(ctx, s.bound, server)
 	server.Handler = s.requests.track(server.Handler)
 	server.ConnState = s.conns.stateChanged
 	return s, nil
