transport: close idle accepted connections without losing a request

A full pool closed the connection that was idle for the longest time without a look at what had arrived meanwhile, the fault of the drain once more. It now uses the close of the drain, which reads what has arrived first.

--- a/daemon/conn.go
+++ b/daemon/conn.go
@@ -157,6 +157,9 @@
 	c.TCPConn.SetReadDeadline(longAgo)
 }
 
+// CloseIdle closes the connection unless a request has arrived or is in progress.
+func (c *conn) CloseIdle() { c.end(time.Now()) }
+
 func (c *conn) isHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relay/odd_view_test.go
+++ b/relay/odd_view_test.go
@@ -42,7 +42,7 @@
 					w.Header().Set(relay.HeaderNotLeader, hint)
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}
-				r := relay.New([]string{leader.address(), odd.address()})
+				r := relay.New([]string{leader.address(), odd.address()}, nil)
 				for range 3 {
 					response, err := r.Send(withTimeout(3*time.Second), request)
 					Expect(err).NotTo(HaveOccurred())
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -106,7 +106,7 @@
 		return true
 	})
 	if longest != nil {
-		_ = longest.Close()
+		longest.closeIdle()
 	}
 }
 
@@ -164,6 +164,17 @@
 	return n, err
 }
 
+// idleCloser is a connection that can be closed without losing a request that has arrived.
+type idleCloser interface{ CloseIdle() }
+
+func (c *acceptedConn) closeIdle() {
+	if conn, ok := c.Conn.(idleCloser); ok {
+		conn.CloseIdle()
+		return
+	}
+	_ = c.Close()
+}
+
 // CloseWrite closes the direction to the client. net/http uses it so that a client can
 // still read the last response.
 func (c *acceptedConn) CloseWrite() error {
