daemon: count the requests of a drain by outcome

A drain is logged at its end (answered, refused, cut off, how long) and each request that it cut off has a line. The counter geranium.drain.requests and the histogram geranium.drain.duration show the same to a collector. docs/metrics.md lists them for each process; its test asks each process for them in addition to its own instruments.

--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -91,7 +91,7 @@
 func shutDown(g *gateway.Gateway, notice time.Duration, log zerolog.Logger, servers ...*daemon.Server) {
 	g.Drain()
 	report := daemon.DrainAll(daemon.DrainOptions{Notice: notice, Within: notice + longestDrain}, servers...)
-	report.Log(log)
+	report.Record(log)
 	ctx, cancel := context.WithTimeout(context.Background(), recordWait)
 	defer cancel()
 	g.Stop(ctx)
--- a/control/run.go
+++ b/control/run.go
@@ -108,7 +108,7 @@
 	replica.Transfer(ctx)
 	replica.EndPolls()
 	report := server.Drain(daemon.DrainOptions{Within: max(minDrainTime, stopWithin-time.Since(start))})
-	report.Log(log)
+	report.Record(log)
 	replica.Stop()
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
 )
 
 const (
@@ -158,8 +159,14 @@
 	return sum
 }
 
-// Log writes the report, with a line for each request that was cut off.
-func (r DrainReport) Log(log zerolog.Logger) {
+// Record logs the report, with a line for each request that was cut off, and counts it in
+// the metrics.
+func (r DrainReport) Record(log zerolog.Logger) {
+	if m, err := NewDrainMetrics(otel.Meter(meterName)); err != nil {
+		log.Warn().Err(err).Msg("the drain is not counted")
+	} else {
+		m.record(r)
+	}
 	for _, q := range r.CutOff[:min(len(r.CutOff), maxCutOffLogged)] {
 		log.Warn().Str("method", q.Method).Str("path", q.Path).Str("remote", q.Remote).
 			Dur("running", time.Since(q.Start)).Msg("request cut off at the end of the drain")
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -144,7 +144,7 @@
 		Expect(report.Duration).To(BeNumerically("<", time.Second))
 		Expect(report.CutOff).To(HaveLen(1))
 		var lines bytes.Buffer
-		report.Log(zerolog.New(&lines))
+		report.Record(zerolog.New(&lines))
 		Expect(lines.String()).To(And(ContainSubstring(`"method":"GET","path":"/r"`), ContainSubstring(`"cut_off":1`)))
 	})
 
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -78,10 +78,13 @@
 
 func (p recordingProvider) Meter(string, ...metric.MeterOption) metric.Meter { return p.recorder }
 
-// instruments returns the sorted rows of a process that make starts.
+// instruments returns the sorted rows of a process that make starts, with those that all
+// processes share.
 func instruments(make func(metric.Meter)) []string {
 	r := recorder{rows: &[]string{}}
 	make(r)
+	_, err := daemon.NewDrainMetrics(r)
+	Expect(err).NotTo(HaveOccurred())
 	slices.Sort(*r.rows)
 	return *r.rows
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,7 +140,7 @@
 	p.stopping.Store(true)
 	p.ready.Store(false)
 	report := callers.Drain(daemon.DrainOptions{Notice: drainDelay, Within: timeout - timeout/exitReservePart})
-	report.Log(p.log)
+	report.Record(p.log)
 }
 
 // refreshLoop refreshes the relay and the readiness periodically and applies changed
--- a/jobd/run.go
+++ b/jobd/run.go
@@ -113,7 +113,7 @@
 	server.Transfer(ctx)
 	within := max(minDrainTime, timeout-timeout/exitReservePart-time.Since(start))
 	report := daemon.DrainAll(daemon.DrainOptions{Within: within, Refusal: stoppingHandler}, p.control, p.peers)
-	report.Log(p.log)
+	report.Record(p.log)
 	server.Stop()
 	return nil
 }
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -189,7 +189,7 @@
 	s.core.send(func(now time.Duration, core *scheduler.Core) { core.Resign(now) })
 	s.waitUntil(handoverTimeout, func(core *scheduler.Core) bool { return core.Detached() })
 	report := s.http.Drain(daemon.DrainOptions{Within: drainTimeout})
-	report.Log(s.log)
+	report.Record(s.log)
 	s.cancel()
 	s.core.stop()
 }
