daemon: count the quiet time of a drain from its beginning

A server that nobody uses waited 0.4 s more after the notice time, though no request had begun for longer. Also checks the errors that the linter names.

--- a/daemon/conn.go
+++ b/daemon/conn.go
@@ -113,7 +113,7 @@
 	}
 	if c.ending {
 		c.ending = false
-		c.TCPConn.SetReadDeadline(c.deadline)
+		_ = c.TCPConn.SetReadDeadline(c.deadline)
 	}
 }
 
@@ -154,7 +154,7 @@
 		return
 	}
 	c.ending = true
-	c.TCPConn.SetReadDeadline(longAgo)
+	_ = c.TCPConn.SetReadDeadline(longAgo)
 }
 
 func (c *conn) isHTTP2() bool {
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -101,15 +101,16 @@
 // endHTTP1 waits until no HTTP/1 connection is left.
 func (d *drain) endHTTP1() {
 	s := d.server
-	begun, quietSince, ending := s.requests.begunSoFar(), time.Now(), false
+	quietSince, ending := d.start, false
 	for now := time.Now(); !expired(d.end, now); now = time.Now() {
 		open, reading := s.conns.http1(now)
 		if len(open) == 0 {
 			return
 		}
-		if n := s.requests.begunSoFar(); n != begun || reading {
-			begun, quietSince = n, now
+		if reading {
+			quietSince = now
 		}
+		quietSince = latest(quietSince, s.requests.lastBegin())
 		late := expired(d.lastCall, now)
 		if late {
 			s.requests.refuse(d.refusal)
@@ -130,7 +131,7 @@
 	s := d.server
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go s.http.Shutdown(ctx)
+	go func() { _ = s.http.Shutdown(ctx) }()
 	for now := time.Now(); !expired(d.end, now) && s.conns.number()+s.requests.inProgress() > 0; now = time.Now() {
 		if expired(d.lastCall, now) {
 			s.requests.refuse(d.refusal)
@@ -139,6 +140,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func expired(t, now time.Time) bool { return !t.IsZero() && !now.Before(t) }
 
 // DrainAll drains servers at the same time and returns the sum of their reports.
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -81,7 +81,7 @@
 // tcpConn returns the connection of a socket, nil if it has none.
 func tcpConn(fd int) *net.TCPConn {
 	file := os.NewFile(uintptr(fd), "accepted")
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	c, err := net.FileConn(file)
 	if err != nil {
 		return nil
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -25,7 +25,7 @@
 
 	mu       sync.Mutex
 	open     map[*RequestInProgress]struct{}
-	begun    int
+	last     time.Time // when the last request began
 	answered int
 	refused  int
 }
@@ -53,7 +53,7 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	rs.open[q] = struct{}{}
-	rs.begun++
+	rs.last = q.Start
 }
 
 func (rs *requests) end(q *RequestInProgress, refused bool) {
@@ -78,11 +78,11 @@
 // refuse lets refusal respond to the requests that begin from now on.
 func (rs *requests) refuse(refusal http.Handler) { rs.refusal.Store(&refusal) }
 
-// begunSoFar returns the number of requests that have begun.
-func (rs *requests) begunSoFar() int {
+// lastBegin returns when the last request began.
+func (rs *requests) lastBegin() time.Time {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return rs.begun
+	return rs.last
 }
 
 func (rs *requests) inProgress() int {
