--- a/daemon/daemon_suite_test.go
+++ b/daemon/daemon_suite_test.go
@@ -15,5 +15,8 @@
 
 func TestDaemon(t *testing.T) {
 	RegisterFailHandler(Fail)
+	// The default provider would make the instruments of earlier specs again in the first
+	// provider that a later spec sets.
+	otel.SetMeterProvider(noop.NewMeterProvider())
 	RunSpecs(t, "daemon")
 }
