--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -352,3 +352,17 @@
 		})
 	}
 }
+
+// Guards against a process that can't be stopped while it waits for its settings.
+func TestStopWhileSettingsAreLoaded(t *testing.T) {
+	g := NewWithT(t)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	g.Expect(syscall.Mkfifo(file, 0o600)).To(Succeed())
+	c := startChildWith(t, "wait", file)
+	opened, err := os.OpenFile(file, os.O_WRONLY, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer opened.Close()
+	c.signal(g, syscall.SIGTERM)
+	c.expectExit(g, 0)
+	g.Expect(c.lastLine(g)).To(And(ContainSubstring("daemon stopped"), ContainSubstring("SIGTERM")))
+}
--- a/transport/keys_test.go
+++ b/transport/keys_test.go
@@ -1,6 +1,7 @@
 package transport_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -8,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -205,3 +207,24 @@
 	_, err := transport.LoadKeys(&files, zerolog.Nop())
 	g.Expect(err).To(MatchError(ContainSubstring("specify a file that this process can read")))
 }
+
+// Guards against new files that wait for the next check although a reload was requested.
+func TestRequestedReloadIsImmediate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		authority, log := newAuthority(t), gbytes.NewBuffer()
+		keys, files := authority.newPeer(t, transport.RoleControl, time.Hour, log)
+		reloads := make(chan struct{}, 1)
+		ctx, stop := context.WithCancel(t.Context())
+		var watch sync.WaitGroup
+		watch.Go(func() { keys.Watch(ctx, reloads) })
+		authority.issue(t, files, transport.RoleControl, 2*time.Hour, authority)
+		start := time.Now()
+		reloads <- struct{}{}
+		synctest.Wait()
+		g.Expect(string(log.Contents())).To(ContainSubstring("tls files reloaded"))
+		g.Expect(time.Since(start)).To(BeZero())
+		stop()
+		watch.Wait()
+	})
+}
