--- a/transport/budget.go
+++ b/transport/budget.go
@@ -205,6 +205,19 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
 
+// pauseAfter delays the next attempt to open a connection after an error that says that too
+// many files are open.
+func (p *Pool) pauseAfter(ctx context.Context, err error) {
+	if !isFileShortage(err) {
+		return
+	}
+	p.reportFailure(err)
+	select {
+	case <-ctx.Done():
+	case <-time.After(reserveTimeout):
+	}
+}
+
 // reportFailure logs an error that says that too many files are open.
 func (p *Pool) reportFailure(err error) {
 	if isFileShortage(err) {
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -36,7 +36,7 @@
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			p.closed()
-			p.reportFailure(err)
+			p.pauseAfter(ctx, err)
 			return nil, err
 		}
 		return &pooledConn{Conn: conn, pool: p}, nil
