dispatch: wait for the lease of tasks whose worker is said to have moved

Without a clock in the report, or where nothing listens, the lease counted from the start of the leader, so it had expired already.

Attempts that come from another address are kept until the worker has answered at the new one, or the longest lease that its former process may have had has expired since. The answer of a wrong worker no longer tells a clock.

--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -68,6 +68,7 @@
 	d.workers[h.Worker] = w
 	d.addLogEvent("worker registered", w, nil, h.HostPort)
 	if old != nil {
+		w.setMoved(old, d.now)
 		d.markReplaced(old)
 		old.terminated = true
 		for _, a := range old.attempts {
--- a/jobs/dispatch/odd_report_test.go
+++ b/jobs/dispatch/odd_report_test.go
@@ -37,6 +37,8 @@
 	{"an address where nothing listens", func(h *Heartbeat) { h.HostPort = "nowhere:1" }},
 	{"a late start at the address of another", func(h *Heartbeat) { h.StartedAtMS, h.HostPort = 1<<42, "w1:1" }},
 	{"a late start where nothing listens", func(h *Heartbeat) { h.StartedAtMS, h.HostPort = 1<<42, "nowhere:1" }},
+	{"a late start at the address of another and no clock", func(h *Heartbeat) { h.StartedAtMS, h.HostPort, h.ClockMS = 1<<42, "w1:1", 0 }},
+	{"a late start where nothing listens and no clock", func(h *Heartbeat) { h.StartedAtMS, h.HostPort, h.ClockMS = 1<<42, "nowhere:1", 0 }},
 	{"everything untrue", func(h *Heartbeat) {
 		h.StartedAtMS, h.HostPort, h.Sequence, h.ClockMS = 1<<42, "w1:1", math.MaxInt64, 1<<42
 		h.Service, h.Labels, h.Capacity, h.Draining = "unheard", []string{"x"}, jobs.Resources{}, true
@@ -234,4 +236,25 @@
 		o.runUntil(o.now + recoveryTime)
 		o.runsJob("next", recoveryTime)
 	})
+
+	// Guards against tasks that start a second time because another worker answers at the
+	// address in the report, while their own worker runs them and can't be reached.
+	It("ends no task of a worker that is cut off", func() {
+		for _, u := range untrue {
+			o := newOddReports()
+			third := o.addWorker(fullCapacity, true)
+			third.up = false
+			o.startLeader()
+			o.runUntil(2500 * time.Millisecond)
+			o.submit("resident", oneTask(1000, 60_000))
+			o.runUntil(o.now + 500*time.Millisecond)
+			Expect(o.worker.running).To(HaveLen(1))
+			third.boot()
+			o.worker.partitioned = true
+			o.runUntil(o.now + 2*time.Second)
+			o.inject(u.change)
+			o.runUntil(o.now + 10*time.Second)
+			Expect(o.violations).To(BeEmpty(), u.name)
+		}
+	})
 })
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -172,14 +172,23 @@
 // inheritedLeaseExpired reports whether every lease that an earlier leader may have granted
 // has expired by the slowest clock.
 func (d *Dispatcher) inheritedLeaseExpired() bool {
+	return d.leaseExpiredSince(d.leaderSince)
+}
+
+// leaseExpiredSince reports whether every lease granted before a time has expired by the
+// slowest clock.
+func (d *Dispatcher) leaseExpiredSince(at time.Duration) bool {
 	wait := time.Duration(float64(d.inheritedLease())/slowestClockRate) + leaseMargin
-	return d.now-d.leaderSince >= wait
+	return d.now-at >= wait
 }
 
 // leaseExpired reports whether the lease of a worker is certain to have expired. This
 // leader grants none before the worker's first answer, which tells its clock.
 func (d *Dispatcher) leaseExpired(w *worker) bool {
-	if w.clock == 0 {
+	switch {
+	case w.movedAt != 0:
+		return d.leaseExpiredSince(w.movedAt)
+	case w.clock == 0:
 		return d.inheritedLeaseExpired()
 	}
 	return w.leaseExpired(d.now)
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -14,10 +14,12 @@
 	}
 	if r.Status == WrongWorker {
 		d.voidRejectedStart(w, &r)
-		d.abandonIncarnation(w)
+		if w.movedAt == 0 {
+			d.abandonIncarnation(w)
+		}
 	}
 	switch {
-	case w.terminated || r.ClockMS == 0 || r.StartedAtMS != 0 && r.StartedAtMS != w.StartedAtMS:
+	case w.terminated || r.Status == WrongWorker || r.ClockMS == 0 || r.StartedAtMS != 0 && r.StartedAtMS != w.StartedAtMS:
 	case r.ClockMS < w.minClock(r.SentAt)-restartClockRegression.Milliseconds():
 		// Only replies to holds carry the start time of the process, but the clock is
 		// reset with each start.
@@ -89,7 +91,7 @@
 		d.planner.dirty = true
 	}
 	w.fenceConfirmed, w.unresponsive, w.answeredAtMS = true, false, d.unixMS
-	w.startConfirmed = r.StartedAtMS != 0
+	w.startConfirmed, w.movedAt = r.StartedAtMS != 0, 0
 	d.reconcile(w, r)
 	d.updatePace(w)
 	d.detectSlowTasks(w)
@@ -102,6 +104,7 @@
 	h := w.Heartbeat
 	h.StartedAtMS, h.ClockMS, h.Sequence = r.StartedAtMS, r.ClockMS, 0
 	restarted := d.newIncarnation(w, h)
+	restarted.movedAt = 0
 	restarted.observeAnswer(&r)
 	restarted.startConfirmed = r.StartedAtMS != 0
 }
--- a/jobs/dispatch/report.go
+++ b/jobs/dispatch/report.go
@@ -85,3 +85,15 @@
 func sameIdentity(a, b *Heartbeat) bool {
 	return a.Service == b.Service && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
 }
+
+// setMoved notes that the attempts of a process are taken over at another address, where the
+// worker has not answered yet. A wrong worker there tells nothing about them.
+func (w *worker) setMoved(old *worker, now time.Duration) {
+	switch {
+	case len(old.attempts) == 0 || old.terminated:
+	case old.movedAt != 0:
+		w.movedAt = old.movedAt
+	case old.HostPort != w.HostPort:
+		w.movedAt = now
+	}
+}
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -42,6 +42,9 @@
 	// refusesConnections is set if the address refused the connection for the last order,
 	// so that no process listens there.
 	refusesConnections bool
+	// movedAt is when attempts were taken over from a process at another address, 0 once the
+	// worker has answered at its own: until then the former process may still run them.
+	movedAt time.Duration
 	// startConfirmed is set once the process has told its start time in an answer.
 	startConfirmed bool
 	// answeredAtMS is the Unix time in milliseconds of the last answer to a hold.
