--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -28,8 +28,12 @@
 
 // attempt is the current attempt of a task.
 type attempt struct {
-	task     jobs.TaskKey
-	number   int
+	task   jobs.TaskKey
+	number int
+	// job and record are the task's job and its record in the log. Both outlive the attempt:
+	// a job that is pruned has ended.
+	job      *jobs.Job
+	record   *jobs.Task
 	worker   *worker
 	reserved jobs.Resources
 	step     *jobs.Step
--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -61,3 +61,45 @@
 	b.StopTimer()
 	d.TakeOutput()
 }
+
+// BenchmarkBusyFleet measures the parts of a plan and of a tick that examine every worker,
+// on a fleet where each worker runs serving tasks and fillers.
+func BenchmarkBusyFleet(b *testing.B) {
+	d := busyFleet(1100)
+	b.Run("candidates", func(b *testing.B) {
+		for range b.N {
+			clear(d.effectCache)
+			d.candidates()
+		}
+	})
+	b.Run("sweep", func(b *testing.B) {
+		for range b.N {
+			for _, w := range d.workers {
+				d.stopUnneeded(w)
+			}
+		}
+	})
+}
+
+// busyFleet returns a leader whose workers run four serving tasks and seven fillers each.
+func busyFleet(workers int) *Dispatcher {
+	sim := newSimulation(1)
+	for range workers {
+		sim.addWorker(jobs.Resources{MilliCPU: 32_000, MemoryMB: 125_000}, true)
+	}
+	d := sim.startLeader()
+	sim.runUntil(2 * time.Second)
+	for i := range workers / 6 {
+		sim.submit(fmt.Sprintf("serve-%d", i), jobs.Spec{Steps: []jobs.Step{{
+			Count: 24, LongRunning: true, LatencyTargetMS: 18, Image: fmt.Sprint("s", i%16), Request: jobs.Resources{MilliCPU: 6000, MemoryMB: 13_000},
+		}}})
+	}
+	sim.runUntil(4 * time.Second)
+	for i := range workers * 7 / 40 {
+		sim.submit(fmt.Sprintf("fill-%d", i), jobs.Spec{Steps: []jobs.Step{{
+			Count: 40, Filler: true, Image: fmt.Sprint("f", i%30), EstimateMS: 60_000, Request: jobs.Resources{MilliCPU: 2000, MemoryMB: 5000},
+		}}})
+	}
+	sim.runUntil(8 * time.Second)
+	return d
+}
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -198,7 +198,7 @@
 
 func (d *Dispatcher) newAttempt(t *jobs.Task, step *jobs.Step, number int, p phase) *attempt {
 	return &attempt{
-		task: t.Key, number: number, reserved: step.ReservedResources(), step: step, phase: p, checkpoint: t.Checkpoint,
+		task: t.Key, number: number, job: d.store.Job(t.Key.Job), record: t, reserved: step.ReservedResources(), step: step, phase: p, checkpoint: t.Checkpoint,
 		phaseSince: d.now, progressAt: d.now, startedAt: d.now, appliedPace: fullPace, targetPace: fullPace, suspicion: suspicion(t),
 	}
 }
@@ -308,7 +308,7 @@
 
 // mustStop reports whether an attempt on a worker has to be stopped.
 func (d *Dispatcher) mustStop(w *worker, a *attempt) bool {
-	if j := d.store.Job(a.task.Job); j == nil || j.State.Ended() || j.Task(a.task).Done {
+	if a.job.State.Ended() || a.record.Done {
 		return a.phase != phaseOrdered
 	}
 	if a.phase == phaseUncertain {
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -142,18 +142,6 @@
 	return d.model.Slowdown(a.step.Image, d.model.Load(a.task.Job, d.now), a.usage)
 }
 
-// headroom returns the further slowdown that a serving task tolerates before it reaches
-// goalTailRatio, if all fillers beside it run at full pace.
-func (d *Dispatcher) headroom(w *worker, a *attempt) float64 {
-	left := d.tolerableSlowdown(a, goalTailRatio, placementLookahead) - 1
-	for _, f := range w.attempts {
-		if f.step.Filler {
-			left -= d.effect(a.step.Image, f.step.Image) * f.declaredCores()
-		}
-	}
-	return left
-}
-
 // declaredCores returns the CPU request of the task, in cores.
 func (a *attempt) declaredCores() float64 { return float64(a.step.Request.MilliCPU) / milliCPUPerCore }
 
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -48,12 +48,18 @@
 
 // newCandidate returns the state of a worker at the start of a plan.
 func (d *Dispatcher) newCandidate(w *worker) *candidate {
-	c := &candidate{worker: w, free: w.free(), idleMilliCPU: float64(w.Capacity.MilliCPU)}
+	c := &candidate{worker: w, free: w.Capacity, idleMilliCPU: float64(w.Capacity.MilliCPU)}
+	for _, u := range w.unexpected {
+		c.free = c.free.Sub(u.reserved)
+	}
 	c.freeAfterShort = c.free
 	c.tasks = len(w.attempts) + len(w.unexpected)
+	var fillers []fillerCores
 	for _, a := range w.attempts {
-		if !a.step.LongRunning {
-			c.freeAfterShort = c.freeAfterShort.Add(a.reserved)
+		c.free = c.free.Sub(a.reserved)
+		if a.step.LongRunning {
+			c.freeAfterShort = c.freeAfterShort.Sub(a.reserved)
+		} else {
 			c.shortMilliCPU += a.reserved.MilliCPU
 		}
 		c.pendingStarts += boolToInt(a.phase == phaseProposed || a.phase == phaseOrdered)
@@ -61,17 +67,45 @@
 		if a.suspicion > 0 {
 			d.addSuspect(c, a)
 		}
-		if a.step.LatencyTargetMS == 0 {
-			continue
+		if a.step.Filler {
+			fillers = addCores(fillers, a)
+		}
+		if a.step.LatencyTargetMS > 0 {
+			c.limitHeadroom(a.step.Image, d.tolerableSlowdown(a, goalTailRatio, placementLookahead)-1)
 		}
-		headroom := d.headroom(w, a)
-		if lowest, known := c.headroom[a.step.Image]; !known || headroom < lowest {
-			c.setHeadroom(a.step.Image, headroom)
+	}
+	for image, headroom := range c.headroom {
+		for _, f := range fillers {
+			headroom -= d.effect(image, f.image) * f.cores
 		}
+		c.headroom[image] = headroom
 	}
 	return c
 }
 
+// fillerCores is the CPU request of the fillers of one image on a worker, in cores.
+type fillerCores struct {
+	image string
+	cores float64
+}
+
+func addCores(list []fillerCores, a *attempt) []fillerCores {
+	for i := range list {
+		if list[i].image == a.step.Image {
+			list[i].cores += a.declaredCores()
+			return list
+		}
+	}
+	return append(list, fillerCores{a.step.Image, a.declaredCores()})
+}
+
+// limitHeadroom lowers the headroom of a serving image to that of one more of its tasks.
+func (c *candidate) limitHeadroom(image string, headroom float64) {
+	if lowest, known := c.headroom[image]; !known || headroom < lowest {
+		c.setHeadroom(image, headroom)
+	}
+}
+
 // setHeadroom sets the headroom of a serving image. The map is allocated on first use,
 // since many workers run no serving tasks.
 func (c *candidate) setHeadroom(image string, headroom float64) {
