--- a/daemon/daemon_suite_test.go
+++ b/daemon/daemon_suite_test.go
@@ -9,10 +9,6 @@
 	"go.opentelemetry.io/otel/metric/noop"
 )
 
-// Instruments made before the first global meter provider is set are made again by it,
-// which would add the drains of other specs to the rows of docs/metrics.md.
-var _ = BeforeSuite(func() { otel.SetMeterProvider(noop.NewMeterProvider()) })
-
 func TestDaemon(t *testing.T) {
 	RegisterFailHandler(Fail)
 	// The default provider would make the instruments of earlier specs again in the first
