--- a/transport/slots.go
+++ b/transport/slots.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// LongPollShare returns the part of their time for which long polls should wait so that
-// those without a slot get their turn: 1 if none waits for one.
+// LongPollShare returns the part of their time for which long polls should wait: 1 if none
+// waits for a slot, else so little that those without one get it within half that time.
 func (p *Pool) LongPollShare() float64 {
 	if p == nil {
 		return 1
@@ -119,5 +119,5 @@
 	p.budget.mu.Lock()
 	defer p.budget.mu.Unlock()
 	limit := p.longPollLimit()
-	return float64(limit) / float64(limit+p.waiting[1].Len())
+	return float64(limit) / float64(limit+2*p.waiting[1].Len())
 }
