--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -168,19 +168,12 @@
 }
 
 func (d *Dispatcher) ineligibleBecause(step *jobs.Step, t *jobs.Task, w *worker) string {
+	if state := d.unusableBecause(w); state != "" {
+		return state
+	}
 	c := d.newCandidate(w)
 	request := step.ReservedResources()
 	switch {
-	case w.terminated || w.deregistered || w.Draining:
-		return "leaving"
-	case !w.fenceConfirmed:
-		return "not confirmed"
-	case w.unresponsive:
-		return "unresponsive"
-	case !w.reportIsFresh(d.now):
-		return "silent"
-	case w.health.quarantined(d.now):
-		return "quarantined"
 	case c.pendingStarts >= maxPendingStarts:
 		return "starting others"
 	case !w.hasLabel(step.RequiredLabel):
@@ -198,3 +191,20 @@
 	}
 	return "eligible"
 }
+
+// unusableBecause returns what keeps all new tasks from a worker, or "".
+func (d *Dispatcher) unusableBecause(w *worker) string {
+	switch {
+	case w.terminated || w.deregistered || w.Draining:
+		return "leaving"
+	case !w.fenceConfirmed:
+		return "not confirmed"
+	case w.unresponsive:
+		return "unresponsive"
+	case !w.reportIsFresh(d.now):
+		return "silent"
+	case w.health.quarantined(d.now):
+		return "quarantined"
+	}
+	return ""
+}
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -129,16 +129,16 @@
 	for _, a := range w.attempts {
 		s.Attempts.count(a.phase)
 	}
-	switch {
-	case w.terminated || w.deregistered || w.Draining:
+	switch d.unusableBecause(w) {
+	case "leaving":
 		s.Workers.Leaving++
-	case !w.fenceConfirmed:
+	case "not confirmed":
 		s.Workers.Unconfirmed++
-	case w.unresponsive:
+	case "unresponsive":
 		s.Workers.Unresponsive++
-	case !w.reportIsFresh(d.now):
+	case "silent":
 		s.Workers.Silent++
-	case w.health.quarantined(d.now):
+	case "quarantined":
 		s.Workers.Quarantined++
 	default:
 		s.Workers.Usable++
