--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -93,6 +93,26 @@
 		Consistently(s.Failed()).ShouldNot(Receive())
 	})
 
+	It("answers requests that wait for a connection while the pool is full", func() {
+		pool := transport.NewBudget(40, zerolog.Nop()).Pool("callers", 1)
+		slow := func(http.ResponseWriter, *http.Request) { time.Sleep(100 * time.Millisecond) }
+		s, err := daemon.Listen(transport.WithPool(context.Background(), pool), "127.0.0.1:0", http.HandlerFunc(slow))
+		Expect(err).NotTo(HaveOccurred())
+		s.Serve()
+		var clients []net.Conn
+		for range 70 {
+			c := dial(s)
+			write(c, getRequest)
+			clients = append(clients, c)
+		}
+		time.Sleep(50 * time.Millisecond)
+		reports := startDrain(s, daemon.DrainOptions{Within: 5 * time.Second})
+		for _, c := range clients {
+			Expect(readResponse(c).StatusCode).To(Equal(http.StatusOK))
+		}
+		Expect((<-reports).CutOff).To(BeEmpty())
+	})
+
 	It("closes the connections of requests that began before it", func() {
 		s := serve(func(http.ResponseWriter, *http.Request) { time.Sleep(200 * time.Millisecond) })
 		c := dial(s)
