transport: serve accepted connections in a drain while the pool is full

Callers of a process at its limit of connections saw a whole request without an answer in a planned stop: the drain accepted what waited at the socket, but the limited listener handed it on only once the pool had room. Connections that are open already now pass it. Before, the test failed after 1.96 s with an i/o timeout; with the change it passes (focused run of ./daemon with -race).

--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -38,6 +38,13 @@
 	return next, nil
 }
 
+// Stopped reports whether Accept returns only connections that are open already.
+func (l *listener) Stopped() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopped
+}
+
 // stop accepts what is waiting and closes the socket.
 func (l *listener) stop() error {
 	l.mu.Lock()
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -64,7 +64,7 @@
 
 // Accept implements net.Listener. It waits while the pool is full.
 func (l *limitedListener) Accept() (net.Conn, error) {
-	for !l.pool.hasRoom() {
+	for !l.pool.hasRoom() && !l.stopping() {
 		l.fullAt.Store(int64(sinceStart()))
 		l.pool.reportShortage("no more connections are accepted")
 		l.closeLongestIdle()
@@ -87,6 +87,12 @@
 	return c, nil
 }
 
+// stopping reports whether all connections that Accept still returns are open already.
+func (l *limitedListener) stopping() bool {
+	s, ok := l.Listener.(interface{ Stopped() bool })
+	return ok && s.Stopped()
+}
+
 // Close implements net.Listener.
 func (l *limitedListener) Close() error {
 	l.stopOnce.Do(func() { close(l.stopped) })
