daemon: a drain waits for the last connection that is accepted

Between the return of accept and the registration of the connection a drain could see no connection, go on to Shutdown, and net/http drops the request that it reads then. The drain now waits until the server accepts no more.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -103,8 +103,9 @@
 	s := d.server
 	quietSince, ending := d.start, false
 	for now := time.Now(); !expired(d.end, now); now = time.Now() {
+		accepting := s.accepting()
 		open, reading := s.conns.http1(now)
-		if len(open) == 0 {
+		if len(open) == 0 && !accepting {
 			return
 		}
 		if reading {
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -20,6 +20,9 @@
 	requests *requests
 	draining atomic.Bool
 	failed   chan error
+	// started is set by Serve, and served closed once it has accepted the last connection.
+	started atomic.Bool
+	served  chan struct{}
 }
 
 // Listen binds the address; Serve starts to accept.
@@ -41,7 +44,7 @@
 		return nil, fmt.Errorf("listen on %s: %w; choose a free address in the settings", address, err)
 	}
 	s := &Server{
-		http: server, address: tcp.Addr(), conns: newConnections(), requests: newRequests(), failed: make(chan error, 1),
+		http: server, address: tcp.Addr(), conns: newConnections(), requests: newRequests(), failed: make(chan error, 1), served: make(chan struct{}),
 	}
 	s.bound = &listener{TCPListener: tcp.(*net.TCPListener), conns: s.conns}
 	s.listener = transport.LimitListener(ctx, s.bound, server)
@@ -59,7 +62,9 @@
 	if s == nil {
 		return
 	}
+	s.started.Store(true)
 	go func() {
+		defer close(s.served)
 		if err := s.serve(); !s.draining.Load() {
 			s.failed <- err
 		}
@@ -80,3 +85,13 @@
 	}
 	return s.failed
 }
+
+// accepting reports whether the server may still accept a connection.
+func (s *Server) accepting() bool {
+	select {
+	case <-s.served:
+		return false
+	default:
+		return s.started.Load()
+	}
+}
