daemon: a pipelined request is served without an expired deadline

A connection that a drain was about to end and whose next request lay in net/http's buffer already kept its expired read deadline while that request was served.

--- a/daemon/conn.go
+++ b/daemon/conn.go
@@ -114,6 +114,11 @@
 	if c.phase == phaseWaiting {
 		c.phase = phaseReading
 	}
+	c.keepOpen()
+}
+
+// keepOpen takes back the end of the connection, since a request has arrived. mu is held.
+func (c *conn) keepOpen() {
 	if c.ending {
 		c.ending = false
 		_ = c.TCPConn.SetReadDeadline(c.deadline)
@@ -156,6 +161,7 @@
 	defer c.mu.Unlock()
 	c.phase = phaseServing
 	c.http2 = c.http2 || http2
+	c.keepOpen()
 }
 
 // finish notes that a request has been answered.
