transport: allow connections 0.85 of the open files

Half of the files (2,162 connections) can't carry this fleet when one or two replicas carry all orders: 1,100 long polls, 1,100 heartbeats and 330 connections of entry processes are 2,530 before any start. Long polls may use three quarters of the pool of workers, 892 of 1,190, so holds waited, leases ran out, and the listener for entry processes stood at its limit of 974. The log has the line 'connections are short' with up to 3,763 waits a second.

The budget is now 0.85 of the limit, with at least 64 files left, so that it still acts before accept and the log fail, and no longer before the fleet has what it needs.

--- a/transport/budget.go
+++ b/transport/budget.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// connectionsPerFile is the part of the open files that may be connections. The rest is
-	// for the log, for replication and for connections that are just being closed.
-	connectionsPerFile = 0.5
+	// connectionsPerFile is the part of the open files that may be connections. The rest, and
+	// reservedFiles at least, is for the log, for replication and for connections that are just
+	// being closed. minConnectionsPerFile applies under a very low limit.
+	connectionsPerFile    = 0.85
+	reservedFiles         = 64
+	minConnectionsPerFile = 0.5
 	// minGuaranteed lets all replicas connect to each other under a very low limit.
 	minGuaranteed = 16
 	// reserveTimeout is how long a call that may open a connection waits until an idle one
@@ -55,7 +58,12 @@
 	if configured > 0 {
 		maxFiles = int(min(int64(maxFiles), configured))
 	}
-	return &Budget{maxFiles: maxFiles, total: int(float64(maxFiles) * connectionsPerFile), log: log}
+	return &Budget{maxFiles: maxFiles, total: maxConnections(maxFiles), log: log}
+}
+
+func maxConnections(maxFiles int) int {
+	most := min(int(float64(maxFiles)*connectionsPerFile), maxFiles-reservedFiles)
+	return max(most, int(float64(maxFiles)*minConnectionsPerFile))
 }
 
 // Pool adds a pool to which the given share of all connections is guaranteed, and
