transport, platform: count connections, don't limit them

The limits make things worse where replicas are few: calls that wait for a slot come back as Expired, for which the sender sets the carrier aside, so that the others meet their limits too.

What stays is the wait of the log for a descriptor, which ended processes, the line 'connections are short' and the gauges.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	budget := transport.NewBudget(s.MaxOpenFiles, log)
+	budget := transport.NewCount(s.MaxOpenFiles, log)
 	if err := budget.Observe(otel.Meter(meterName)); err != nil {
 		return err
 	}
--- a/jobd/connections.go
+++ b/jobd/connections.go
@@ -26,7 +26,7 @@
 }
 
 func newConnections(s *Settings, log zerolog.Logger) (connections, error) {
-	budget := transport.NewBudget(s.MaxOpenFiles, log)
+	budget := transport.NewCount(s.MaxOpenFiles, log)
 	c := connections{
 		workers: budget.Pool("workers", workerShare), peers: budget.Pool("peers", peerShare),
 		control: budget.Pool("control", controlShare), internal: budget.Pool("internal", internalShare),
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -46,8 +46,8 @@
 	// leader calls the workers itself, since each replica in between is another point of
 	// failure.
 	MinWorkersForCarriers int `json:"carry_from_workers"`
-	// MaxOpenFiles limits the open files, sockets included, besides the resource limit of
-	// the process; 0 for no other limit.
+	// MaxOpenFiles is the limit of open files, sockets included, that the metrics show if the
+	// resource limit of the process is not lower; 0 for the resource limit.
 	MaxOpenFiles int64 `json:"max_open_files"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
--- a/transport/budget.go
+++ b/transport/budget.go
@@ -61,6 +61,13 @@
 	return &Budget{maxFiles: maxFiles, total: maxConnections(maxFiles), log: log}
 }
 
+// NewCount returns a budget without a limit, which only counts the connections.
+func NewCount(configured int64, log zerolog.Logger) *Budget {
+	b := NewBudget(configured, log)
+	b.total = math.MaxInt32
+	return b
+}
+
 func maxConnections(maxFiles int) int {
 	most := min(int(float64(maxFiles)*connectionsPerFile), maxFiles-reservedFiles)
 	return max(most, int(float64(maxFiles)*minConnectionsPerFile))
