dispatch: bound leases of earlier leaders by time, not by a worker's first reading

Callers could see a task run twice: a new leader gave up a run whose lease was still valid on its worker, and started the task elsewhere.

Cause: the bound for leases that an earlier leader had granted was the first known reading of the worker's clock plus the lease. That reading may come from a heartbeat that waited for the control thread or at a connection. Later readings are up to date, so that the bound lay in the past by the age of the first one.

Leases of earlier leaders and of earlier incarnations are now bounded by the leader's own clock, as those of orphans were; a reading bounds only what this leader has granted itself.

--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -63,8 +63,10 @@
 func (d *Dispatcher) newIncarnation(old *worker, h Heartbeat) *worker {
 	d.incarnations[h.Worker]++
 	w := newWorker(h, d.fence+d.incarnations[h.Worker], d.now)
-	// An earlier leader may have granted leases until its own lease expired.
-	w.leaseEnd = w.clock + d.inheritedLease().Milliseconds()
+	w.grantsBefore = d.leaderSince
+	if d.incarnations[h.Worker] > 1 {
+		w.grantsBefore = d.now
+	}
 	d.workers[h.Worker] = w
 	d.addLogEvent("worker registered", w, nil, h.HostPort)
 	if old != nil {
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -146,15 +146,10 @@
 	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) { done(ok) }})
 }
 
-// observeClock records a reading of a worker's clock. The first reading of a worker that
-// was restored from the log also bounds the lease that an earlier leader may have granted.
+// observeClock records a reading of a worker's clock.
 func (d *Dispatcher) observeClock(w *worker, clock int64, at time.Duration) {
-	first := w.clock == 0
 	w.updateClock(clock, at)
 	d.limitReportAge(w)
-	if first && w.clock != 0 {
-		w.leaseEnd = max(w.leaseEnd, w.clock+d.inheritedLease().Milliseconds())
-	}
 }
 
 // limitReportAge lets the report of a worker expire by its age on the worker's clock, if that
@@ -182,14 +177,12 @@
 	return d.now-at >= wait
 }
 
-// leaseExpired reports whether the lease of a worker is certain to have expired. This
-// leader grants none before the worker's first answer, which tells its clock.
+// leaseExpired reports whether the lease of a worker is certain to have expired, so that
+// nothing that was started there is still running. This leader grants none before the
+// worker's first answer, which tells its clock.
 func (d *Dispatcher) leaseExpired(w *worker) bool {
-	switch {
-	case w.movedAt != 0:
+	if w.movedAt != 0 {
 		return d.leaseExpiredSince(w.movedAt)
-	case w.clock == 0:
-		return d.inheritedLeaseExpired()
 	}
-	return w.leaseExpired(d.now)
+	return d.leaseExpiredSince(w.grantsBefore) && (w.leaseEnd == 0 || w.ownLeaseExpired(d.now))
 }
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -30,9 +30,13 @@
 	// clock is the worker's clock in milliseconds, read at clockAt or earlier.
 	clock   int64
 	clockAt time.Duration
-	// leaseEnd is the latest lease deadline that the worker may have received, in
-	// milliseconds of its clock.
+	// leaseEnd is the latest lease deadline that this leader has granted to the incarnation,
+	// in milliseconds of the worker's clock, 0 for none.
 	leaseEnd int64
+	// grantsBefore is the time until which others may have granted leases: earlier leaders, or
+	// this one to an earlier incarnation. A bound by the worker's clock would be too early for
+	// them, since the first known reading may have been under way for seconds.
+	grantsBefore time.Duration
 	// fenceConfirmed is set once the worker has answered under this leader's fencing
 	// token. From then on it rejects orders of earlier leaders.
 	fenceConfirmed bool
@@ -134,9 +138,9 @@
 	return max(0, time.Duration(w.minClock(now)-clock)*time.Millisecond)
 }
 
-// leaseExpired reports whether the lease is certain to have expired on the worker, so
-// that nothing this leader started there is still running.
-func (w *worker) leaseExpired(now time.Duration) bool {
+// ownLeaseExpired reports whether the leases that this leader has granted to the incarnation
+// are certain to have expired.
+func (w *worker) ownLeaseExpired(now time.Duration) bool {
 	return w.minClock(now) > w.leaseEnd+leaseMargin.Milliseconds()
 }
 
