--- a/jobs/dispatch/effects.go
+++ b/jobs/dispatch/effects.go
@@ -35,17 +35,12 @@
 		return
 	}
 	d.effectsCheckedAt = d.now
+	images, servingJobs := d.serving()
+	d.model.Keep(servingJobs)
 	learned := map[imagePair]float64{}
-	serving := map[string]bool{}
-	for _, w := range d.workers {
-		for _, a := range w.attempts {
-			if a.isServing() {
-				d.collectEffects(a.step.Image, learned)
-				serving[a.task.Job] = true
-			}
-		}
+	for image := range images {
+		d.collectEffects(image, learned)
 	}
-	d.model.Keep(serving)
 	changed := false
 	for pair, value := range learned {
 		changed = changed || math.Abs(value-d.recordedEffects[pair]) > minEffectChange
@@ -63,13 +58,24 @@
 	d.commands = append(d.commands, Proposal{command, func(jobs.Result, bool) {}})
 }
 
+// serving returns the images and the jobs of the serving tasks.
+func (d *Dispatcher) serving() (images, servingJobs map[string]bool) {
+	images, servingJobs = map[string]bool{}, map[string]bool{}
+	for _, w := range d.workers {
+		for _, a := range w.attempts {
+			if a.isServing() {
+				images[a.step.Image] = true
+				servingJobs[a.task.Job] = true
+			}
+		}
+	}
+	return images, servingJobs
+}
+
 // collectEffects adds the effects of all known fillers on a serving image.
 func (d *Dispatcher) collectEffects(serving string, into map[imagePair]float64) {
 	for filler := range d.fillerImages {
-		pair := imagePair{serving, filler}
-		if _, known := into[pair]; !known {
-			into[pair] = d.effect(serving, filler)
-		}
+		into[imagePair{serving, filler}] = d.effect(serving, filler)
 	}
 }
 
