dispatch: skip the pauses of a worker without fillers

Without fillers on the worker there is nothing to pause or resume, so that the predictions for its serving tasks are not needed. The model still learns from them. The package's specs pass.

--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -154,11 +154,16 @@
 	} else if w.colocation.tailHighSince == 0 {
 		w.colocation.tailHighSince = d.now
 	}
+	fillers := false
 	for _, f := range w.attempts {
 		if f.step.Filler {
+			fillers = true
 			d.enqueuePace(w, f)
 		}
 	}
+	if !fillers {
+		return
+	}
 	d.pauseFillers(w)
 	d.resumeFillers(w)
 }
