dispatch: acknowledge no end of an attempt that the log has bound before it is recorded

Callers could see a task run again after its end was taken note of.

Cause: handleFinished acknowledged every end that was neither that of an attempt in memory nor a late end that applies. Among these were ends of attempts that the log has bound: to this worker, but not tracked; to another worker; and orphans. The worker forgot the end, its next list lacked the attempt, and the task was given up as lost and started again. In the same way an attempt that the log has bound, but the dispatcher does not track, was stopped as unexpected when the worker listed it as running.

An attempt that a worker lists and the log has bound to it is now tracked at once, with the repair event of the audit, and its end is recorded first. One that is bound elsewhere or is an orphan is not acknowledged while it is bound. The store is looked up only for listed attempts that are not tracked.

The simulation now checks each end that a hold acknowledges, of any outcome: its attempt must not be bound, the log must know it, a success and a failure must be recorded. It checked only successes before.

finished_test.go: the test on an abandoned attempt and a newer one writes to the log behind its first leader, which noticed that with the audit only, after the test. It notices at the next list now and reports a repair, so the test deposes that leader before it writes. What it expects is unchanged.

--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -52,7 +52,7 @@
 
 // adopt tracks the attempt of a bound task. Its start may still be on its way, so it is
 // stopped unless the worker lists it first.
-func (d *Dispatcher) adopt(w *worker, t *jobs.Task) {
+func (d *Dispatcher) adopt(w *worker, t *jobs.Task) *attempt {
 	a := d.newInheritedAttempt(t)
 	if w == nil {
 		d.orphans[t.Key] = a
@@ -61,8 +61,10 @@
 		a.worker = w
 		a.setPhase(phaseUncertain, d.now)
 		w.attempts[t.Key] = a
+		delete(w.unexpected, attemptKey{a.task, a.number})
 	}
 	d.addRepair("bound task was not tracked", w, a)
+	return a
 }
 
 // disown stops an attempt that is not bound. It keeps its room until the worker lists it no
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -48,15 +48,7 @@
 // currentTask returns the task of an attempt, or nil if the attempt is no longer the
 // current one.
 func (d *Dispatcher) currentTask(a *attempt) *jobs.Task {
-	j := d.store.Job(a.task.Job)
-	if j == nil {
-		return nil
-	}
-	t := j.Task(a.task)
-	if t == nil || t.BoundTo == nil || t.Attempt != a.number {
-		return nil
-	}
-	return t
+	return d.boundTask(a.task, a.number)
 }
 
 // endAttempt proposes the end of an attempt for the log.
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -18,12 +18,11 @@
 		if f.Number <= w.lastAcked {
 			continue
 		}
-		a := w.attempts[f.Task]
-		current := a != nil && a.number == f.Attempt
+		a := d.listedAttempt(w, f.Task, f.Attempt)
 		switch {
-		case current && a.endProposed || !current && d.mustDeferLateEnd(f):
+		case a != nil && a.endProposed, a == nil && d.mustDeferEnd(f):
 			ack.closed = true
-		case current:
+		case a != nil:
 			d.updateHealth(w, a, f.Outcome)
 			d.proposeEnd(a, f.Outcome, f.Checkpoint, ack.expect(f.Number))
 		case d.lateEndApplies(f):
@@ -35,6 +34,41 @@
 	ack.advance()
 }
 
+// listedAttempt returns an attempt that a worker lists, or nil if it is not bound to the
+// worker. It tracks one that only the log knows: the audit may come after the worker has
+// discarded its end.
+func (d *Dispatcher) listedAttempt(w *worker, key jobs.TaskKey, number int) *attempt {
+	if a := w.attempts[key]; a != nil && a.number == number {
+		return a
+	}
+	t := d.boundTask(key, number)
+	if t == nil || t.BoundTo.Worker != w.Worker || d.orphans[key] != nil {
+		return nil
+	}
+	a := d.adopt(w, t)
+	a.confirmStart(d.now)
+	return a
+}
+
+// boundTask returns the task of an attempt that the log has bound, or nil.
+func (d *Dispatcher) boundTask(key jobs.TaskKey, number int) *jobs.Task {
+	j := d.store.Job(key.Job)
+	if j == nil {
+		return nil
+	}
+	t := j.Task(key)
+	if t == nil || t.BoundTo == nil || t.Attempt != number {
+		return nil
+	}
+	return t
+}
+
+// mustDeferEnd reports whether the end of an attempt that is not bound to the worker that
+// lists it must not be acknowledged yet.
+func (d *Dispatcher) mustDeferEnd(f *FinishedTask) bool {
+	return d.boundTask(f.Task, f.Attempt) != nil || d.mustDeferLateEnd(f)
+}
+
 // acknowledgement collects the ends of one list that a worker may discard once all of them
 // are recorded. It is closed by the first end that cannot be recorded yet.
 type acknowledgement struct {
--- a/jobs/dispatch/finished_test.go
+++ b/jobs/dispatch/finished_test.go
@@ -120,10 +120,11 @@
 	It("are recorded when both an abandoned attempt and the newer one have finished there", func() {
 		sim := newSimulation(7)
 		t := sim.addWorker(jobs.Resources{MilliCPU: 1000, MemoryMB: 1000}, true)
-		sim.startLeader()
+		previous := sim.startLeader()
 		sim.runUntil(2 * time.Second)
 		sim.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 1000, MemoryMB: 10}, EstimateMS: 60_000}}})
 		sim.runUntil(3 * time.Second)
+		sim.depose(previous)
 		key := jobs.TaskKey{Job: "j"}
 		sim.store.Apply(jobs.Command{End: &jobs.End{Task: key, Attempt: 1, Outcome: jobs.OutcomeLeaseExpired, At: sim.unix()}})
 		sim.store.Apply(jobs.Command{Bind: &jobs.Bind{Task: key, Attempt: 2, On: jobs.Incarnation{Worker: t.id, StartedAtMS: t.startedAtMS}, At: sim.unix()}})
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -139,8 +139,8 @@
 
 // handleRunning records that a worker lists an attempt as running.
 func (d *Dispatcher) handleRunning(w *worker, r *RunningTask) {
-	a := w.attempts[r.Task]
-	if a == nil || a.number != r.Attempt {
+	a := d.listedAttempt(w, r.Task, r.Attempt)
+	if a == nil {
 		d.handleUnexpected(w, r)
 		return
 	}
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -494,10 +494,7 @@
 
 func (t *simWorker) listAttempts(r *Reply, ackThrough int64) {
 	for len(t.finished) > 0 && t.finished[0].Number <= ackThrough {
-		f := t.finished[0]
-		if f.Outcome == jobs.OutcomeDone && !t.sim.store.Job(f.Task.Job).Task(f.Task).Done {
-			t.sim.violation("end of %v was acknowledged before it was committed", f.Task)
-		}
+		t.checkAcknowledged(&t.finished[0])
 		t.finished = t.finished[1:]
 	}
 	r.Finished = append(r.Finished, t.finished...)
