dispatch, platform: acknowledge no end that is listed behind an unreadable one

Callers could see a task run again after its end was taken note of.

Cause: a row of a worker's list of ends that could not be read was left out of the reply, and the ends behind it were acknowledged. The worker forgot both, the next list lacked the attempt, and it was given up as lost. A row without a number (null) had the same effect, since it counted as acknowledged already.

An unreadable row of the list of ends now keeps its place as a zero FinishedTask, which the messages between replicas carry as they are; a row without a number or an attempt is unreadable too. Nothing at or behind it is acknowledged, and readable rows are recorded. As long as such rows are there, nothing that the worker lists nowhere is given up, for 3 s at most: an end that is never acknowledged may be followed by a start, and a task must not hang. The status and the reasons that keep tasks from workers say 'unreadable ends'. While a row of the running attempts cannot be read, nothing is given up, as before.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -158,7 +158,7 @@
 	reply := dispatch.Reply{
 		Status: dispatch.Accepted, Reason: "r", ClockMS: 5, StartedAtMS: 6, Malformed: 1,
 		Running:  []dispatch.RunningTask{{Task: key, Attempt: 4, Checkpoint: "c", Percent: 41, Usage: 17.5}},
-		Finished: []dispatch.FinishedTask{{Number: 8, Task: key, Attempt: 4, Outcome: jobs.OutcomeDone, Checkpoint: "c"}},
+		Finished: []dispatch.FinishedTask{{}, {Number: 8, Task: key, Attempt: 4, Outcome: jobs.OutcomeDone, Checkpoint: "c"}},
 	}
 	g.Expect(decodeReply(encodeReply(1, &reply))).To(Equal(reply))
 }
--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -207,6 +207,8 @@
 		return "silent"
 	case w.health.quarantined(d.now):
 		return "quarantined"
+	case w.endsStayUnreadable(d.now):
+		return "unreadable ends"
 	}
 	return ""
 }
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -76,6 +76,9 @@
 	// finishedListLimit is the number of finished attempts from which on the lists of a
 	// reply may be incomplete.
 	finishedListLimit = 500
+	// unreadableEndsTimeout is how long a worker's list of ends may have rows that cannot be
+	// read until the attempts that are listed nowhere are given up.
+	unreadableEndsTimeout = 3 * time.Second
 	// replanInterval is the longest time between two plans, since the passing of time
 	// alone can make a worker usable again.
 	replanInterval = 200 * time.Millisecond
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -15,6 +16,10 @@
 	ack := acknowledgement{worker: w, highest: w.lastAcked}
 	for i := range ends {
 		f := &ends[i]
+		if f.unreadable() {
+			ack.closed = true
+			continue
+		}
 		if f.Number <= w.lastAcked {
 			continue
 		}
@@ -34,6 +39,28 @@
 	ack.advance()
 }
 
+// observeUnreadableEnds notes whether a list of ends has rows that cannot be read and
+// returns their number. The next hold waits, since the worker answers it at once.
+func (d *Dispatcher) observeUnreadableEnds(w *worker, ends []FinishedTask) int {
+	unreadable := 0
+	for i := range ends {
+		unreadable += boolToInt(ends[i].unreadable())
+	}
+	switch {
+	case unreadable == 0 && w.endsUnreadableSince != 0:
+		d.addLogEvent("list of ends can be read again", w, nil, "")
+		w.endsUnreadableSince = 0
+		d.planner.dirty = true
+	case unreadable > 0 && w.endsUnreadableSince == 0:
+		d.addLogEvent("list of ends has unreadable rows", w, nil, fmt.Sprintf("rows: %d", unreadable))
+		w.endsUnreadableSince = d.now
+	}
+	if unreadable > 0 {
+		w.nextHoldAt = d.now + holdRetryDelay
+	}
+	return unreadable
+}
+
 // listedAttempt returns an attempt that a worker lists, or nil if it is not bound to the
 // worker. It tracks one that only the log knows: the audit may come after the worker has
 // discarded its end.
--- a/jobs/dispatch/orders.go
+++ b/jobs/dispatch/orders.go
@@ -115,7 +115,8 @@
 	// unknown.
 	StartedAtMS int64
 	Running     []RunningTask
-	Finished    []FinishedTask
+	// Finished keeps the place of a row that could not be decoded as a zero FinishedTask.
+	Finished []FinishedTask
 	// Malformed counts the list entries that could not be decoded.
 	Malformed int
 }
@@ -143,6 +144,9 @@
 	Checkpoint string
 }
 
+// unreadable reports whether the row of the list could not be decoded.
+func (f *FinishedTask) unreadable() bool { return *f == FinishedTask{} }
+
 // Heartbeat is a worker's periodic status report.
 type Heartbeat struct {
 	Worker   string
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -110,7 +110,10 @@
 	restarted.startConfirmed = r.StartedAtMS != 0
 }
 
-// reconcile compares the attempts that a worker lists with those bound to it.
+// reconcile compares the attempts that a worker lists with those bound to it. Attempts that
+// are listed nowhere are given up, unless they may be in a row that cannot be read. An end
+// in such a row is not acknowledged, so the attempt is given up after a while if only ends
+// are concerned.
 func (d *Dispatcher) reconcile(w *worker, r Reply) {
 	listed := map[attemptKey]bool{}
 	for i := range r.Running {
@@ -121,13 +124,14 @@
 		listed[attemptKey{r.Finished[i].Task, r.Finished[i].Attempt}] = true
 	}
 	d.handleFinished(w, r.Finished)
+	unreadable := d.observeUnreadableEnds(w, r.Finished)
 	for key, s := range w.unexpected {
 		if !listed[key] || d.now-s.listedAt > unexpectedTimeout {
 			delete(w.unexpected, key)
 			d.planner.dirty = true
 		}
 	}
-	if len(r.Finished) >= finishedListLimit || r.Malformed > 0 {
+	if len(r.Finished) >= finishedListLimit || r.Malformed > unreadable || unreadable > 0 && !w.endsStayUnreadable(d.now) {
 		return
 	}
 	for _, a := range w.attempts {
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -326,6 +326,8 @@
 	tail float64
 	// usage returns the usage that a task reports, in place of tail.
 	usage func(key jobs.TaskKey) float64
+	// garbleLists changes the lists in a reply on their way to the leader.
+	garbleLists func(r *Reply)
 }
 
 // capacityChange is a capacity and the time from which on it is in force.
@@ -505,6 +507,9 @@
 		}
 		r.Running = append(r.Running, listed)
 	}
+	if t.garbleLists != nil {
+		t.garbleLists(r)
+	}
 }
 
 func (t *simWorker) startTask(leader *Dispatcher, o *Order, sentAt time.Duration) (ReplyStatus, string) {
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -27,7 +27,7 @@
 
 // WorkerCounts counts workers by state. Except for Known each worker counts once.
 type WorkerCounts struct {
-	Known, Usable, Leaving, Unconfirmed, Unresponsive, Silent, Quarantined int
+	Known, Usable, Leaving, Unconfirmed, Unresponsive, Silent, Quarantined, UnreadableEnds int
 }
 
 // AttemptCounts counts attempts by the progress of their start.
@@ -140,6 +140,8 @@
 		s.Workers.Silent++
 	case "quarantined":
 		s.Workers.Quarantined++
+	case "unreadable ends":
+		s.Workers.UnreadableEnds++
 	default:
 		s.Workers.Usable++
 		s.FreeMilliCPU += max(0, w.free().MilliCPU)
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -57,10 +57,13 @@
 	terminated   bool
 	deregistered bool
 	// lastAcked is the highest number of a finished attempt that the worker may discard.
-	lastAcked    int64
-	holdInFlight bool
-	holdSentAt   time.Duration
-	nextHoldAt   time.Duration
+	lastAcked int64
+	// endsUnreadableSince is when a list of ends was first received with a row that could not
+	// be read, 0 if the last one had none.
+	endsUnreadableSince time.Duration
+	holdInFlight        bool
+	holdSentAt          time.Duration
+	nextHoldAt          time.Duration
 	// nextSweepAt is the time of the next check for tasks to stop.
 	nextSweepAt time.Duration
 	attempts    map[jobs.TaskKey]*attempt
@@ -169,7 +172,14 @@
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Duration) bool {
 	return w.fenceConfirmed && !w.terminated && !w.deregistered && !w.unresponsive && !w.Draining &&
-		w.reportIsFresh(now) && !w.health.quarantined(now)
+		w.reportIsFresh(now) && !w.health.quarantined(now) && !w.endsStayUnreadable(now)
+}
+
+// endsStayUnreadable reports whether the worker's list of ends has had unreadable rows for
+// so long that the worker gets no new tasks: nothing behind them is acknowledged, so that
+// the list fills up.
+func (w *worker) endsStayUnreadable(now time.Duration) bool {
+	return w.endsUnreadableSince != 0 && now-w.endsUnreadableSince >= unreadableEndsTimeout
 }
 
 // reportIsFresh reports whether the worker may get new tasks by its last report.
