dispatch, jobd: keep the decisions about ends and log them when a check fails

The logs could not tell why a task ran twice: no line said which end was acknowledged to whom with which record, or what made a leader certain that the attempt before was over, and the limit on the lines of tasks drops them by the thousand under load.

Nothing is logged in the normal case. The decisions of a task are written out, beyond the limit on lines, when an attempt that was given up turns out to be done or failed after a newer one was bound, when an end is acknowledged that the log has bound or does not know, or when the audit repairs the task.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -205,13 +205,13 @@
 	m.proposals.flush()
 }
 
-// logEvent logs an event. Repairs are rare, so their lines are not limited.
+// logEvent logs an event. Repairs and failed checks are rare, so their lines are not limited.
 func (m *manager) logEvent(event *dispatch.LogEvent) {
 	e := m.log.Info()
 	if event.Repair {
 		m.metrics.recordRepair(event.Event)
 		e = m.log.Warn()
-	} else if !m.taskLogs.allow(m.now(), &m.log) {
+	} else if !event.Trace && !m.taskLogs.allow(m.now(), &m.log) {
 		return
 	}
 	if event.Worker != "" {
--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -61,6 +61,8 @@
 	// crashed. sole is set if the attempt had started there and was the only one.
 	crashed bool
 	sole    bool
+	// over is what makes it certain that the attempt is over, set before its end is proposed.
+	over certainty
 	// endProposed is set while the end is proposed but not committed yet.
 	endProposed bool
 	// appliedPace is the last pace that the worker accepted, targetPace the pace that it
--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -126,6 +126,7 @@
 			d.disown(w, a)
 		case w.terminated:
 			d.addRepair("attempt on an ended worker has no end", w, a)
+			a.over = certainty{basis: basisWorkerReplaced}
 			d.endAttempt(a, a.lossOutcome())
 		case a.phase == phaseOrdered && d.now-a.phaseSince > maxReplyWait:
 			d.addRepair("start was never answered", w, a)
@@ -134,10 +135,13 @@
 	}
 }
 
-// addRepair logs a repair.
+// addRepair logs a repair and the decisions about its task.
 func (d *Dispatcher) addRepair(event string, w *worker, a *attempt) {
 	d.addLogEvent(event, w, a, "")
 	d.logEvents[len(d.logEvents)-1].Repair = true
+	if a != nil {
+		d.reportDecisions(a.task)
+	}
 }
 
 // reportLongestWait logs why the restart that has waited longest finds no worker.
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -130,6 +130,7 @@
 	// nextAuditAt is the time of the next audit.
 	nextAuditAt time.Duration
 	planner     planner
+	trace       trace
 	// activity is what the next status reports besides the present state.
 	activity activity
 	// model estimates how much each filler image slows each serving image. effectCache
@@ -168,6 +169,8 @@
 	// Repair is set for a difference between the log and the dispatcher that an audit has
 	// repaired.
 	Repair bool
+	// Trace is set for a failed check and for the decisions about its task.
+	Trace bool
 }
 
 // incarnationsPerTerm bounds the incarnations of one worker id during one leader term.
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -10,10 +10,13 @@
 	if w.refusesConnections {
 		d.markCrash(w)
 	}
+	expired := d.leaseCertainty(w)
 	for _, a := range w.attempts {
+		a.over = expired
 		switch {
 		case a.phase == phaseProposed:
 		case !a.mayHaveStarted():
+			a.over.basis = basisNeverStarted
 			d.endAttempt(a, jobs.OutcomeLost)
 		case a.crashed:
 			if a.step.LongRunning {
@@ -41,6 +44,7 @@
 			delete(d.orphans, key)
 			continue
 		}
+		a.over = d.leaderClockCertainty(d.leaderSince)
 		d.endAttempt(a, jobs.OutcomeLeaseExpired)
 	}
 }
@@ -63,6 +67,7 @@
 		return
 	}
 	a.endProposed = true
+	d.traceAttempt(attemptEnded, a, outcome, a.over)
 	if a.worker != nil && a.step.Filler {
 		a.worker.colocation.fillersChangedAt = d.now
 	}
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -13,7 +13,7 @@
 // behind one that cannot be recorded yet is acknowledged; the next list repeats them.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
 	w.confirmStarts(ends, d.now)
-	ack := acknowledgement{worker: w, highest: w.lastAcked}
+	ack := acknowledgement{dispatcher: d, worker: w, ends: ends, highest: w.lastAcked}
 	for i := range ends {
 		f := &ends[i]
 		if f.unreadable() {
@@ -29,6 +29,7 @@
 			ack.closed = true
 		case a != nil:
 			d.updateHealth(w, a, f.Outcome)
+			a.over = certainty{basis: basisListed, end: f.Number}
 			d.proposeEnd(a, f.Outcome, f.Checkpoint, ack.expect(f.Number))
 		case d.lateEndApplies(f):
 			d.proposeLateEnd(w, f, ack.expect(f.Number))
@@ -99,7 +100,10 @@
 // acknowledgement collects the ends of one list that a worker may discard once all of them
 // are recorded. It is closed by the first end that cannot be recorded yet.
 type acknowledgement struct {
+	dispatcher *Dispatcher
 	worker     *worker
+	// ends is the list.
+	ends       []FinishedTask
 	highest    int64
 	unrecorded int
 	closed     bool
@@ -127,9 +131,15 @@
 
 // advance acknowledges the ends unless some of them are not recorded yet.
 func (a *acknowledgement) advance() {
-	if a.unrecorded == 0 {
-		a.worker.lastAcked = max(a.worker.lastAcked, a.highest)
+	if a.unrecorded > 0 || a.highest <= a.worker.lastAcked {
+		return
 	}
+	for i := range a.ends {
+		if f := &a.ends[i]; f.Number > a.worker.lastAcked && f.Number <= a.highest {
+			a.dispatcher.acknowledgeEnd(a.worker, f)
+		}
+	}
+	a.worker.lastAcked = a.highest
 }
 
 // confirmStarts marks the listed attempts as started, so that their starts are not taken
@@ -202,6 +212,8 @@
 func (d *Dispatcher) proposeLateEnd(w *worker, f *FinishedTask, onRecorded func()) {
 	d.logEvents = append(d.logEvents, LogEvent{Event: "late end", Worker: w.Worker, Task: f.Task, Attempt: f.Attempt, Detail: string(f.Outcome)})
 	d.proposedLateEnds[f.Task] = true
+	d.traceListed(attemptEnded, w, f, basisListedLate)
+	d.checkLateEnd(w, f)
 	command := jobs.End{Task: f.Task, Attempt: f.Attempt, Outcome: f.Outcome, At: d.unixMS}
 	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
 		delete(d.proposedLateEnds, f.Task)
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -394,6 +394,7 @@
 	if reason := d.startBlocker(a); reason != "" {
 		d.addLogEvent("start cancelled", w, a, reason)
 		a.setPhase(phaseVoid, d.now)
+		a.over = certainty{basis: basisStartNotSent}
 		d.endAttempt(a, jobs.OutcomeLost)
 		return
 	}
@@ -403,6 +404,9 @@
 	deadline := w.leaseDeadline(d.now, d.options.WorkerLease)
 	w.leaseEnd = max(w.leaseEnd, deadline)
 	d.addLogEvent("starting task", w, a, "")
+	if a.number > 1 {
+		d.traceAttempt(attemptStarted, a, "", certainty{basis: basisPreviousEnded})
+	}
 	d.enqueueOrder(w, Order{Start: &Start{a.task, a.number, d.store.Job(a.task.Job).Spec.Payload, deadline, a.checkpoint}})
 }
 
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -173,8 +173,12 @@
 // leaseExpiredSince reports whether every lease granted before a time has expired by the
 // slowest clock.
 func (d *Dispatcher) leaseExpiredSince(at time.Duration) bool {
-	wait := time.Duration(float64(d.inheritedLease())/slowestClockRate) + leaseMargin
-	return d.now-at >= wait
+	return d.now-at >= d.maxLeaseWait()
+}
+
+// maxLeaseWait returns the time after which a lease has expired by the slowest clock.
+func (d *Dispatcher) maxLeaseWait() time.Duration {
+	return time.Duration(float64(d.inheritedLease())/slowestClockRate) + leaseMargin
 }
 
 // leaseExpired reports whether the lease of a worker is certain to have expired, so that
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -54,6 +54,7 @@
 	w.terminated = true
 	for _, a := range w.attempts {
 		if a.phase != phaseProposed {
+			a.over = certainty{basis: basisWorkerReplaced}
 			d.endAttempt(a, a.lossOutcome())
 		}
 	}
@@ -200,6 +201,10 @@
 	switch a.phase {
 	case phaseInherited, phaseStarted, phaseVoid:
 		d.addLogEvent("task missing from the worker's hold reply", a.worker, a, "")
+		a.over = certainty{basis: basisMissing, bound: a.phaseSince.Milliseconds(), reading: requestedAt.Milliseconds()}
+		if a.phase == phaseVoid {
+			a.over.basis = basisVoidMissing
+		}
 		d.endAttempt(a, a.lossOutcome())
 	case phaseProposed, phaseOrdered, phaseUncertain:
 	}
@@ -224,6 +229,7 @@
 			w.health.quarantine(d.now)
 		}
 		w.unresponsive = w.unresponsive || r.Status == Unreachable
+		a.over = startRefusal(r.Status)
 		d.endAttempt(a, jobs.OutcomeLost)
 	case Unknown:
 		d.addLogEvent("start not answered", w, a, r.Reason)
