jobd: keep the log lines of tasks that are bound again and again

A lasting task was bound five times within 18 s and ran nowhere (LOST), and none of its lines stood in the log: the limit of 600 lines a second about tasks had dropped them among those of first attempts.

Lines about attempts from the third on have a limit of their own of 600 lines a second, so that the volume stays bounded. The test writes 1,200 lines of each kind in one second: without the change no line of the third attempt is written.

--- a/jobd/loglimit.go
+++ b/jobd/loglimit.go
@@ -10,6 +10,10 @@
 // the logs does not grow with the load.
 const maxTaskLogLinesPerSecond = 600
 
+// repeatedAttempt is the number of an attempt from which on its lines have a limit of their
+// own, so that the many lines about first attempts don't displace them.
+const repeatedAttempt = 3
+
 // logLimiter limits the rate of log lines and reports how many were dropped.
 type logLimiter struct {
 	windowStart time.Duration
--- a/jobd/loglimit_test.go
+++ b/jobd/loglimit_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+
+	"geraniumwall/jobs"
+	"geraniumwall/jobs/dispatch"
 )
 
 // Guards against logs whose volume grows with the load, and against lines that are
@@ -26,3 +30,26 @@
 	g.Expect(l.allow(11*time.Second, &log)).To(BeTrue())
 	g.Expect(out.String()).To(ContainSubstring(`"lines":600`))
 }
+
+// Guards against tasks that are bound again and again, or whose check has failed, without a
+// line in the log.
+func TestLogKeepsLinesOfRepeatedAttempts(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	m := manager{log: zerolog.New(&out), now: func() time.Duration { return 10 * time.Second }}
+	key := jobs.TaskKey{Job: "j"}
+	for range 2 * maxTaskLogLinesPerSecond {
+		m.logEvent(&dispatch.LogEvent{Event: "starting task", Task: key, Attempt: repeatedAttempt - 1})
+	}
+	g.Expect(strings.Count(out.String(), "starting task")).To(Equal(maxTaskLogLinesPerSecond))
+	out.Reset()
+	for range 2 * maxTaskLogLinesPerSecond {
+		m.logEvent(&dispatch.LogEvent{Event: "starting again", Task: key, Attempt: repeatedAttempt})
+	}
+	g.Expect(strings.Count(out.String(), "starting again")).To(Equal(maxTaskLogLinesPerSecond))
+	out.Reset()
+	for range 2 * maxTaskLogLinesPerSecond {
+		m.logEvent(&dispatch.LogEvent{Event: "decision", Task: key, Attempt: 1, Trace: true})
+	}
+	g.Expect(strings.Count(out.String(), "decision")).To(Equal(2 * maxTaskLogLinesPerSecond))
+}
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -37,6 +37,8 @@
 	now        func() time.Duration
 	metrics    *Metrics
 	taskLogs   logLimiter
+	// repeatLogs limits the lines about repeated attempts.
+	repeatLogs logLimiter
 	status     statusReport
 
 	// proposals are the commands for the log while this replica leads.
@@ -206,12 +208,13 @@
 }
 
 // logEvent logs an event. Repairs and failed checks are rare, so their lines are not limited.
+// Tasks that are bound again and again have a limit of their own.
 func (m *manager) logEvent(event *dispatch.LogEvent) {
 	e := m.log.Info()
 	if event.Repair {
 		m.metrics.recordRepair(event.Event)
 		e = m.log.Warn()
-	} else if !event.Trace && !m.taskLogs.allow(m.now(), &m.log) {
+	} else if !event.Trace && !m.limiter(event).allow(m.now(), &m.log) {
 		return
 	}
 	if event.Worker != "" {
@@ -227,6 +230,14 @@
 	e.Msg(event.Event)
 }
 
+// limiter returns the limiter of the lines about an attempt.
+func (m *manager) limiter(event *dispatch.LogEvent) *logLimiter {
+	if event.Attempt >= repeatedAttempt {
+		return &m.repeatLogs
+	}
+	return &m.taskLogs
+}
+
 // send sends an order to its worker without blocking the control thread. In a large
 // fleet another replica sends it. An order that has expired is held for the next lease.
 func (m *manager) send(h heldOrder) {
