--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -52,7 +52,7 @@
 
 // adopt tracks the attempt of a bound task. Its start may still be on its way, so it is
 // stopped unless the worker lists it first.
-func (d *Dispatcher) adopt(w *worker, t *jobs.Task) {
+func (d *Dispatcher) adopt(w *worker, t *jobs.Task) *attempt {
 	a := d.newInheritedAttempt(t)
 	if w == nil {
 		d.orphans[t.Key] = a
@@ -61,8 +61,10 @@
 		a.worker = w
 		a.setPhase(phaseUncertain, d.now)
 		w.attempts[t.Key] = a
+		delete(w.unexpected, attemptKey{a.task, a.number})
 	}
 	d.addRepair("bound task was not tracked", w, a)
+	return a
 }
 
 // disown stops an attempt that is not bound. It keeps its room until the worker lists it no
@@ -124,6 +126,7 @@
 			d.disown(w, a)
 		case w.terminated:
 			d.addRepair("attempt on an ended worker has no end", w, a)
+			a.over = certainty{basis: basisWorkerReplaced}
 			d.endAttempt(a, a.lossOutcome())
 		case a.phase == phaseOrdered && d.now-a.phaseSince > maxReplyWait:
 			d.addRepair("start was never answered", w, a)
@@ -132,10 +135,13 @@
 	}
 }
 
-// addRepair logs a repair.
+// addRepair logs a repair and the decisions about its task.
 func (d *Dispatcher) addRepair(event string, w *worker, a *attempt) {
 	d.addLogEvent(event, w, a, "")
 	d.logEvents[len(d.logEvents)-1].Repair = true
+	if a != nil {
+		d.reportDecisions(a.task)
+	}
 }
 
 // reportLongestWait logs why the restart that has waited longest finds no worker.
@@ -205,6 +211,8 @@
 		return "silent"
 	case w.health.quarantined(d.now):
 		return "quarantined"
+	case w.endsStayUnreadable(d.now):
+		return "unreadable ends"
 	}
 	return ""
 }
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -76,6 +76,9 @@
 	// finishedListLimit is the number of finished attempts from which on the lists of a
 	// reply may be incomplete.
 	finishedListLimit = 500
+	// unreadableEndsTimeout is how long a worker's list of ends may have rows that cannot be
+	// read until the attempts that are listed nowhere are given up.
+	unreadableEndsTimeout = 3 * time.Second
 	// replanInterval is the longest time between two plans, since the passing of time
 	// alone can make a worker usable again.
 	replanInterval = 200 * time.Millisecond
@@ -127,6 +130,7 @@
 	// nextAuditAt is the time of the next audit.
 	nextAuditAt time.Duration
 	planner     planner
+	trace       trace
 	// activity is what the next status reports besides the present state.
 	activity activity
 	// model estimates how much each filler image slows each serving image. effectCache
@@ -165,6 +169,8 @@
 	// Repair is set for a difference between the log and the dispatcher that an audit has
 	// repaired.
 	Repair bool
+	// Trace is set for a failed check and for the decisions about its task.
+	Trace bool
 }
 
 // incarnationsPerTerm bounds the incarnations of one worker id during one leader term.
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -10,10 +10,13 @@
 	if w.refusesConnections {
 		d.markCrash(w)
 	}
+	expired := d.leaseCertainty(w)
 	for _, a := range w.attempts {
+		a.over = expired
 		switch {
 		case a.phase == phaseProposed:
 		case !a.mayHaveStarted():
+			a.over.basis = basisNeverStarted
 			d.endAttempt(a, jobs.OutcomeLost)
 		case a.crashed:
 			if a.step.LongRunning {
@@ -41,6 +44,7 @@
 			delete(d.orphans, key)
 			continue
 		}
+		a.over = d.leaderClockCertainty(d.leaderSince)
 		d.endAttempt(a, jobs.OutcomeLeaseExpired)
 	}
 }
@@ -48,15 +52,7 @@
 // currentTask returns the task of an attempt, or nil if the attempt is no longer the
 // current one.
 func (d *Dispatcher) currentTask(a *attempt) *jobs.Task {
-	j := d.store.Job(a.task.Job)
-	if j == nil {
-		return nil
-	}
-	t := j.Task(a.task)
-	if t == nil || t.BoundTo == nil || t.Attempt != a.number {
-		return nil
-	}
-	return t
+	return d.boundTask(a.task, a.number)
 }
 
 // endAttempt proposes the end of an attempt for the log.
@@ -71,6 +67,7 @@
 		return
 	}
 	a.endProposed = true
+	d.traceAttempt(attemptEnded, a, outcome, a.over)
 	if a.worker != nil && a.step.Filler {
 		a.worker.colocation.fillersChangedAt = d.now
 	}
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -12,19 +13,23 @@
 // behind one that cannot be recorded yet is acknowledged; the next list repeats them.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
 	w.confirmStarts(ends, d.now)
-	ack := acknowledgement{worker: w, highest: w.lastAcked}
+	ack := acknowledgement{dispatcher: d, worker: w, ends: ends, highest: w.lastAcked}
 	for i := range ends {
 		f := &ends[i]
+		if f.unreadable() {
+			ack.closed = true
+			continue
+		}
 		if f.Number <= w.lastAcked {
 			continue
 		}
-		a := w.attempts[f.Task]
-		current := a != nil && a.number == f.Attempt
+		a := d.listedAttempt(w, f.Task, f.Attempt)
 		switch {
-		case current && a.endProposed || !current && d.mustDeferLateEnd(f):
+		case a != nil && a.endProposed, a == nil && d.mustDeferEnd(f):
 			ack.closed = true
-		case current:
+		case a != nil:
 			d.updateHealth(w, a, f.Outcome)
+			a.over = certainty{basis: basisListed, end: f.Number}
 			d.proposeEnd(a, f.Outcome, f.Checkpoint, ack.expect(f.Number))
 		case d.lateEndApplies(f):
 			d.proposeLateEnd(w, f, ack.expect(f.Number))
@@ -35,10 +40,70 @@
 	ack.advance()
 }
 
+// observeUnreadableEnds notes whether a list of ends has rows that cannot be read and
+// returns their number. The next hold waits, since the worker answers it at once.
+func (d *Dispatcher) observeUnreadableEnds(w *worker, ends []FinishedTask) int {
+	unreadable := 0
+	for i := range ends {
+		unreadable += boolToInt(ends[i].unreadable())
+	}
+	switch {
+	case unreadable == 0 && w.endsUnreadableSince != 0:
+		d.addLogEvent("list of ends can be read again", w, nil, "")
+		w.endsUnreadableSince = 0
+		d.planner.dirty = true
+	case unreadable > 0 && w.endsUnreadableSince == 0:
+		d.addLogEvent("list of ends has unreadable rows", w, nil, fmt.Sprintf("rows: %d", unreadable))
+		w.endsUnreadableSince = d.now
+	}
+	if unreadable > 0 {
+		w.nextHoldAt = d.now + holdRetryDelay
+	}
+	return unreadable
+}
+
+// listedAttempt returns an attempt that a worker lists, or nil if it is not bound to the
+// worker. It tracks one that only the log knows: the audit may come after the worker has
+// discarded its end.
+func (d *Dispatcher) listedAttempt(w *worker, key jobs.TaskKey, number int) *attempt {
+	if a := w.attempts[key]; a != nil && a.number == number {
+		return a
+	}
+	t := d.boundTask(key, number)
+	if t == nil || t.BoundTo.Worker != w.Worker || d.orphans[key] != nil {
+		return nil
+	}
+	a := d.adopt(w, t)
+	a.confirmStart(d.now)
+	return a
+}
+
+// boundTask returns the task of an attempt that the log has bound, or nil.
+func (d *Dispatcher) boundTask(key jobs.TaskKey, number int) *jobs.Task {
+	j := d.store.Job(key.Job)
+	if j == nil {
+		return nil
+	}
+	t := j.Task(key)
+	if t == nil || t.BoundTo == nil || t.Attempt != number {
+		return nil
+	}
+	return t
+}
+
+// mustDeferEnd reports whether the end of an attempt that is not bound to the worker that
+// lists it must not be acknowledged yet.
+func (d *Dispatcher) mustDeferEnd(f *FinishedTask) bool {
+	return d.boundTask(f.Task, f.Attempt) != nil || d.mustDeferLateEnd(f)
+}
+
 // acknowledgement collects the ends of one list that a worker may discard once all of them
 // are recorded. It is closed by the first end that cannot be recorded yet.
 type acknowledgement struct {
+	dispatcher *Dispatcher
 	worker     *worker
+	// ends is the list.
+	ends       []FinishedTask
 	highest    int64
 	unrecorded int
 	closed     bool
@@ -66,9 +131,15 @@
 
 // advance acknowledges the ends unless some of them are not recorded yet.
 func (a *acknowledgement) advance() {
-	if a.unrecorded == 0 {
-		a.worker.lastAcked = max(a.worker.lastAcked, a.highest)
+	if a.unrecorded > 0 || a.highest <= a.worker.lastAcked {
+		return
+	}
+	for i := range a.ends {
+		if f := &a.ends[i]; f.Number > a.worker.lastAcked && f.Number <= a.highest {
+			a.dispatcher.acknowledgeEnd(a.worker, f)
+		}
 	}
+	a.worker.lastAcked = a.highest
 }
 
 // confirmStarts marks the listed attempts as started, so that their starts are not taken
@@ -141,6 +212,8 @@
 func (d *Dispatcher) proposeLateEnd(w *worker, f *FinishedTask, onRecorded func()) {
 	d.logEvents = append(d.logEvents, LogEvent{Event: "late end", Worker: w.Worker, Task: f.Task, Attempt: f.Attempt, Detail: string(f.Outcome)})
 	d.proposedLateEnds[f.Task] = true
+	d.traceListed(attemptEnded, w, f, basisListedLate)
+	d.checkLateEnd(w, f)
 	command := jobs.End{Task: f.Task, Attempt: f.Attempt, Outcome: f.Outcome, At: d.unixMS}
 	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
 		delete(d.proposedLateEnds, f.Task)
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -54,6 +54,7 @@
 	w.terminated = true
 	for _, a := range w.attempts {
 		if a.phase != phaseProposed {
+			a.over = certainty{basis: basisWorkerReplaced}
 			d.endAttempt(a, a.lossOutcome())
 		}
 	}
@@ -110,7 +111,10 @@
 	restarted.startConfirmed = r.StartedAtMS != 0
 }
 
-// reconcile compares the attempts that a worker lists with those bound to it.
+// reconcile compares the attempts that a worker lists with those bound to it. Attempts that
+// are listed nowhere are given up, unless they may be in a row that cannot be read. An end
+// in such a row is not acknowledged, so the attempt is given up after a while if only ends
+// are concerned.
 func (d *Dispatcher) reconcile(w *worker, r Reply) {
 	listed := map[attemptKey]bool{}
 	for i := range r.Running {
@@ -121,13 +125,14 @@
 		listed[attemptKey{r.Finished[i].Task, r.Finished[i].Attempt}] = true
 	}
 	d.handleFinished(w, r.Finished)
+	unreadable := d.observeUnreadableEnds(w, r.Finished)
 	for key, s := range w.unexpected {
 		if !listed[key] || d.now-s.listedAt > unexpectedTimeout {
 			delete(w.unexpected, key)
 			d.planner.dirty = true
 		}
 	}
-	if len(r.Finished) >= finishedListLimit || r.Malformed > 0 {
+	if len(r.Finished) >= finishedListLimit || r.Malformed > unreadable || unreadable > 0 && !w.endsStayUnreadable(d.now) {
 		return
 	}
 	for _, a := range w.attempts {
@@ -139,8 +144,8 @@
 
 // handleRunning records that a worker lists an attempt as running.
 func (d *Dispatcher) handleRunning(w *worker, r *RunningTask) {
-	a := w.attempts[r.Task]
-	if a == nil || a.number != r.Attempt {
+	a := d.listedAttempt(w, r.Task, r.Attempt)
+	if a == nil {
 		d.handleUnexpected(w, r)
 		return
 	}
@@ -196,6 +201,10 @@
 	switch a.phase {
 	case phaseInherited, phaseStarted, phaseVoid:
 		d.addLogEvent("task missing from the worker's hold reply", a.worker, a, "")
+		a.over = certainty{basis: basisMissing, bound: a.phaseSince.Milliseconds(), reading: requestedAt.Milliseconds()}
+		if a.phase == phaseVoid {
+			a.over.basis = basisVoidMissing
+		}
 		d.endAttempt(a, a.lossOutcome())
 	case phaseProposed, phaseOrdered, phaseUncertain:
 	}
@@ -220,6 +229,7 @@
 			w.health.quarantine(d.now)
 		}
 		w.unresponsive = w.unresponsive || r.Status == Unreachable
+		a.over = startRefusal(r.Status)
 		d.endAttempt(a, jobs.OutcomeLost)
 	case Unknown:
 		d.addLogEvent("start not answered", w, a, r.Reason)
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -326,6 +326,8 @@
 	tail float64
 	// usage returns the usage that a task reports, in place of tail.
 	usage func(key jobs.TaskKey) float64
+	// garbleLists changes the lists in a reply on their way to the leader.
+	garbleLists func(r *Reply)
 }
 
 // capacityChange is a capacity and the time from which on it is in force.
@@ -494,10 +496,7 @@
 
 func (t *simWorker) listAttempts(r *Reply, ackThrough int64) {
 	for len(t.finished) > 0 && t.finished[0].Number <= ackThrough {
-		f := t.finished[0]
-		if f.Outcome == jobs.OutcomeDone && !t.sim.store.Job(f.Task.Job).Task(f.Task).Done {
-			t.sim.violation("end of %v was acknowledged before it was committed", f.Task)
-		}
+		t.checkAcknowledged(&t.finished[0])
 		t.finished = t.finished[1:]
 	}
 	r.Finished = append(r.Finished, t.finished...)
@@ -508,6 +507,9 @@
 		}
 		r.Running = append(r.Running, listed)
 	}
+	if t.garbleLists != nil {
+		t.garbleLists(r)
+	}
 }
 
 func (t *simWorker) startTask(leader *Dispatcher, o *Order, sentAt time.Duration) (ReplyStatus, string) {
