dispatch: look up an unanswered start before stopping it

A start without an answer in time was stopped within 80 ms. Most of these starts had been executed; only their answer was late. The stop ended a sound run, the task was ordered again, and each round cost the leader two commits, two orders and the replies to them, so that answers became later still.

Now the next list of the worker decides: it confirms the attempt, or lacks it although it was requested after the answer was missed, and then the attempt is stopped as before. Without such a list it is stopped after lookupTimeout. The hold that looks it up does not wait for an end. A late answer confirms the attempt or ends it if the start was refused, as long as no stop was sent. An attempt is still abandoned only by the same evidence: a refusal, a confirmed stop and a list without it, or an expired lease.

A hold whose carrier has not reported tells nothing about the worker, so only the second one in a row makes it unresponsive. Such a hold is followed by one that acknowledges no ends, as a failed one is. A late list counts unless a newer hold has been settled.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -19,7 +19,8 @@
 	phaseOrdered
 	// phaseStarted: the worker has accepted the start or lists the attempt as running.
 	phaseStarted
-	// phaseUncertain: the start got no answer and may still arrive. A stop prevents that.
+	// phaseUncertain: the start got no answer and may still arrive. It is looked up in the
+	// worker's next list; if that lacks it, a stop prevents that it starts.
 	phaseUncertain
 	// phaseVoid: the attempt can no longer start. The worker has confirmed a stop after an
 	// uncertain start, or the start was never sent.
@@ -48,6 +49,9 @@
 	progressAt time.Duration
 	startedAt  time.Duration
 	stopping   bool
+	// unlisted is set if a list that the worker was asked for in phaseUncertain lacks the
+	// attempt.
+	unlisted   bool
 	nextStopAt time.Duration
 	// superseded is set when an earlier attempt that was abandoned turns out to
 	// have succeeded.
@@ -72,7 +76,9 @@
 	paceInFlight bool
 }
 
-func (a *attempt) setPhase(p phase, now time.Duration) { a.phase, a.phaseSince = p, now }
+func (a *attempt) setPhase(p phase, now time.Duration) {
+	a.phase, a.phaseSince, a.unlisted = p, now, false
+}
 
 // remaining estimates the time until the attempt finishes from its progress, or from
 // the declared duration before any progress is reported.
--- a/jobs/dispatch/crash.go
+++ b/jobs/dispatch/crash.go
@@ -114,7 +114,7 @@
 		return
 	}
 	a := w.attempts[r.Order.Start.Task]
-	if a != nil && a.number == r.Order.Start.Attempt && a.phase == phaseOrdered {
+	if a != nil && a.number == r.Order.Start.Attempt && a.awaitsReply(r) {
 		a.setPhase(phaseVoid, d.now)
 	}
 }
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -70,6 +70,12 @@
 	// heartbeatRetryTime is how long a worker waits for the answer to a heartbeat before it
 	// sends it to another replica.
 	heartbeatRetryTime = time.Second
+	// lookupTimeout is how long an attempt whose start was not answered is looked up in the
+	// lists of its worker before it is stopped.
+	lookupTimeout = 3 * time.Second
+	// maxUnreportedHolds is the number of holds in a row without a report from their carrier
+	// from which on the worker counts as unresponsive.
+	maxUnreportedHolds = 2
 	// drainMargin is how long before a draining worker shuts down its tasks must be
 	// done.
 	drainMargin = 700 * time.Millisecond
@@ -292,8 +298,8 @@
 	}
 }
 
-// stopUnneeded stops attempts whose job or task has ended, whose start was not answered,
-// which are being moved, or which cannot finish before a draining worker shuts down.
+// stopUnneeded stops attempts whose job or task has ended, whose start was not answered and
+// which their worker does not list, which are being moved, or which cannot finish before a draining worker shuts down.
 func (d *Dispatcher) stopUnneeded(w *worker) {
 	for _, a := range w.attempts {
 		if a.endProposed || a.phase == phaseProposed || a.phase == phaseVoid || d.now < a.nextStopAt {
@@ -314,7 +320,7 @@
 		return a.phase != phaseOrdered
 	}
 	if a.phase == phaseUncertain {
-		return true
+		return !d.mustLookUp(a)
 	}
 	if !w.Draining || a.phase != phaseStarted {
 		return false
@@ -323,6 +329,12 @@
 	return a.step.LongRunning || a.remaining(d.now) > left
 }
 
+// mustLookUp reports whether the next list of the worker decides about an attempt whose
+// start was not answered: most such starts were executed.
+func (d *Dispatcher) mustLookUp(a *attempt) bool {
+	return a.phase == phaseUncertain && !a.unlisted && !a.stopping && d.now-a.phaseSince < lookupTimeout
+}
+
 func (d *Dispatcher) stopUnexpected(w *worker) {
 	for key, u := range w.unexpected {
 		if d.now >= u.nextStopAt && w.fenceConfirmed {
--- a/jobs/dispatch/holds.go
+++ b/jobs/dispatch/holds.go
@@ -4,7 +4,7 @@
 
 func (d *Dispatcher) sendHold(w *worker) {
 	h := &Hold{MaxWait: d.holdWaitFor(w)}
-	if !w.unresponsive && d.now-w.nextHoldAt < maxAckPause {
+	if !w.unresponsive && w.unreportedHolds == 0 && d.now-w.nextHoldAt < maxAckPause {
 		h.AckThrough = w.lastAcked
 	}
 	if w.fenceConfirmed && !w.unresponsive {
@@ -23,6 +23,9 @@
 	for _, a := range w.attempts {
 		serving = serving || a.step.LatencyTargetMS > 0
 		fillers = fillers || a.step.Filler
+		if d.mustLookUp(a) {
+			return 0
+		}
 	}
 	if serving && fillers {
 		return holdWaitColocated
--- a/jobs/dispatch/orders.go
+++ b/jobs/dispatch/orders.go
@@ -104,6 +104,11 @@
 type Reply struct {
 	Order  Order
 	Status ReplyStatus
+	// Unreported is set with the status Unknown if the carrier of the order has not reported
+	// in time, which tells nothing about the worker. Late is set if the order had been
+	// reported so before.
+	Unreported bool
+	Late       bool
 	// Reason is the error or the worker's reason for a refusal, for logs.
 	Reason string
 	// SentAt and ReceivedAt are monotonic times of the leader's process.
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -9,7 +9,7 @@
 // HandleReply processes the reply to an order.
 func (d *Dispatcher) HandleReply(r Reply) {
 	w := r.Order.target
-	if r.Status != Expired {
+	if r.Status != Expired && !r.Late {
 		w.refusesConnections = r.Status == Unreachable
 	}
 	if r.Status == WrongWorker {
@@ -60,27 +60,22 @@
 }
 
 func (d *Dispatcher) handleHoldReply(w *worker, r Reply) {
-	d.activity.recordHoldReply(r.Status)
-	w.holdInFlight = false
-	w.nextHoldAt = d.now + d.holdDelayFor(w)
+	if r.Late && (r.Status != Accepted || r.SentAt <= w.settledHoldAt) {
+		return
+	}
+	if !r.Late {
+		d.activity.recordHoldReply(r.Status)
+		w.holdInFlight = false
+		w.nextHoldAt = d.now + d.holdDelayFor(w)
+	}
 	if w.terminated {
 		return
 	}
 	if r.Status != Accepted {
-		w.nextHoldAt = d.now + holdRetryDelay
-		if r.Status == Expired {
-			// The hold did not reach the worker, which tells nothing about it.
-			return
-		}
-		if !w.unresponsive {
-			d.addLogEvent("worker unresponsive", w, nil, r.Reason)
-		}
-		w.unresponsive = true
-		if r.Status == Unreachable && w.deregistered {
-			d.abandonIncarnation(w)
-		}
+		d.handleFailedHold(w, &r)
 		return
 	}
+	w.settledHoldAt, w.unreportedHolds = r.SentAt, 0
 	if r.StartedAtMS != 0 && r.StartedAtMS != w.StartedAtMS {
 		d.handleRestart(w, r)
 		return
@@ -98,6 +93,31 @@
 	d.detectSlowTasks(w)
 }
 
+// handleFailedHold counts a worker as unresponsive that has not answered a hold. A hold that
+// has expired did not reach the worker, and one without a report from its carrier may have
+// been answered: neither tells anything about the worker.
+func (d *Dispatcher) handleFailedHold(w *worker, r *Reply) {
+	w.nextHoldAt = d.now + holdRetryDelay
+	switch {
+	case r.Status == Expired:
+		return
+	case r.Unreported:
+		w.unreportedHolds++
+		if w.unreportedHolds < maxUnreportedHolds {
+			return
+		}
+	default:
+		w.settledHoldAt = r.SentAt
+	}
+	if !w.unresponsive {
+		d.addLogEvent("worker unresponsive", w, nil, r.Reason)
+	}
+	w.unresponsive = true
+	if r.Status == Unreachable && w.deregistered {
+		d.abandonIncarnation(w)
+	}
+}
+
 // handleRestart registers a new incarnation after a process with a different start time
 // has answered under the worker's id. It may be of another kind and size, so it gets no
 // tasks before it has reported itself.
@@ -197,19 +217,21 @@
 	case phaseInherited, phaseStarted, phaseVoid:
 		d.addLogEvent("task missing from the worker's hold reply", a.worker, a, "")
 		d.endAttempt(a, a.lossOutcome())
-	case phaseProposed, phaseOrdered, phaseUncertain:
+	case phaseUncertain:
+		a.unlisted = true
+	case phaseProposed, phaseOrdered:
 	}
 }
 
 func (d *Dispatcher) handleStartReply(w *worker, r Reply) {
 	a := w.attempts[r.Order.Start.Task]
-	if a == nil || a.number != r.Order.Start.Attempt || a.phase != phaseOrdered {
+	if a == nil || a.number != r.Order.Start.Attempt || !a.awaitsReply(&r) {
 		return
 	}
-	d.activity.startReply.add(d.now - a.phaseSince)
+	d.activity.startReply.add(r.ReceivedAt - r.SentAt)
 	switch r.Status {
 	case Accepted:
-		a.setPhase(phaseStarted, d.now)
+		a.confirmStart(d.now)
 		a.startedAt, a.progressAt = d.now, d.now
 		if !w.holdInFlight {
 			w.nextHoldAt = min(w.nextHoldAt, d.now)
@@ -219,16 +241,25 @@
 		if r.Status == Unhealthy {
 			w.health.quarantine(d.now)
 		}
-		w.unresponsive = w.unresponsive || r.Status == Unreachable
+		w.unresponsive = w.unresponsive || r.Status == Unreachable && !r.Late
 		d.endAttempt(a, jobs.OutcomeLost)
 	case Unknown:
 		d.addLogEvent("start not answered", w, a, r.Reason)
 		a.setPhase(phaseUncertain, d.now)
 		// A connection that breaks sooner had reached a process that ran.
-		a.unstarted = r.ReceivedAt-r.SentAt >= orderTravelTime
+		a.unstarted = !r.Unreported && r.ReceivedAt-r.SentAt >= orderTravelTime
+		if !w.holdInFlight {
+			w.nextHoldAt = min(w.nextHoldAt, d.now)
+		}
 	}
 }
 
+// awaitsReply reports whether a reply to the start of an attempt decides about it. After a
+// stop the worker's answer to the stop does.
+func (a *attempt) awaitsReply(r *Reply) bool {
+	return a.phase == phaseOrdered || a.phase == phaseUncertain && r.Late && !a.stopping
+}
+
 func (d *Dispatcher) handleStopReply(w *worker, r Reply) {
 	a := w.attempts[r.Order.Stop.Task]
 	if a == nil || a.number != r.Order.Stop.Attempt || r.Status != Accepted {
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -32,6 +32,13 @@
 	expireRate float64
 	// holdDelay is added to the network delay of holds.
 	holdDelay time.Duration
+	// answerDelay is how long each answer takes in addition. One that takes longer than
+	// simReplyTimeout counts as missing at first, and the answer to another order than a hold
+	// is lost unless lateAnswers is set.
+	answerDelay time.Duration
+	lateAnswers bool
+	// stops counts the stop orders that workers have executed.
+	stops int
 	// maxDelay bounds the network delay of an order or a reply.
 	maxDelay time.Duration
 	// violations describes the invariants that were broken.
@@ -193,6 +200,9 @@
 		leader.HandleReply(r)
 		sim.carryOut(leader)
 	}
+	if sim.answerDelay > 0 {
+		answer = sim.delayAnswer(o, answer)
+	}
 	wait := 700 * time.Millisecond
 	if o.Hold != nil {
 		wait += o.Hold.MaxWait
@@ -226,6 +236,37 @@
 	}
 }
 
+// simReplyTimeout is how long the sender of an order waits for its answer, besides the time
+// that the worker may wait.
+const simReplyTimeout = 1500 * time.Millisecond
+
+// delayAnswer returns a function that passes an answer on answerDelay later. The order
+// counts as not answered once simReplyTimeout has passed.
+func (sim *simulation) delayAnswer(o Order, answer func(Reply)) func(Reply) {
+	timeout := simReplyTimeout
+	if o.Hold != nil {
+		timeout += o.Hold.MaxWait
+	}
+	answered := false
+	sim.schedule(timeout, func() {
+		if !answered {
+			answered = true
+			answer(Reply{Status: Unknown, Unreported: true})
+		}
+	})
+	return func(r Reply) {
+		sim.schedule(sim.answerDelay, func() {
+			if !answered {
+				answered = true
+				answer(r)
+			} else if sim.lateAnswers || o.Hold != nil {
+				r.Late = true
+				answer(r)
+			}
+		})
+	}
+}
+
 // expires draws whether an order expires on its way.
 func (sim *simulation) expires() bool {
 	return sim.expireRate > 0 && sim.rng.Float64() < sim.expireRate
@@ -470,6 +511,7 @@
 	case o.Start != nil:
 		r.Status, r.Reason = t.startTask(leader, &o, sentAt)
 	case o.Stop != nil:
+		t.sim.stops++
 		t.refusedUpTo[o.Stop.Task] = max(t.refusedUpTo[o.Stop.Task], o.Stop.Attempt)
 		if run := t.running[o.Stop.Task]; run != nil && run.attempt <= o.Stop.Attempt {
 			t.end(o.Stop.Task, jobs.OutcomeStopped)
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -60,7 +60,11 @@
 	lastAcked    int64
 	holdInFlight bool
 	holdSentAt   time.Duration
-	nextHoldAt   time.Duration
+	// settledHoldAt is when the newest hold was sent whose outcome is known, unreportedHolds
+	// the number of holds since then whose carrier has not reported.
+	settledHoldAt   time.Duration
+	unreportedHolds int
+	nextHoldAt      time.Duration
 	// nextSweepAt is the time of the next check for tasks to stop.
 	nextSweepAt time.Duration
 	attempts    map[jobs.TaskKey]*attempt
