dispatch: acknowledge ends only after an answer in time

A worker that restarts under its id counts its ends anew. A hold that still acknowledges by the former numbers makes it discard ends that the log has not recorded, and the tasks run again.

Evidence: the test fails before with 'Expected <int64>: 7 to be zero-valued' for the hold after a late answer. Now each hold without an answer in time pauses acknowledgements until the next answer in time.

--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -65,6 +65,7 @@
 		return
 	}
 	if !r.Late {
+		w.ackPaused = r.Status != Accepted
 		d.activity.recordHoldReply(r.Status)
 		w.holdInFlight = false
 		w.nextHoldAt = d.now + d.holdDelayFor(w)
--- a/jobs/dispatch/slow_answer_test.go
+++ b/jobs/dispatch/slow_answer_test.go
@@ -130,6 +130,29 @@
 		Expect(orders[0].Hold.AckThrough).To(BeZero())
 	})
 
+	// Guards against a hold that acknowledges ends by their former numbers after a late answer:
+	// it tells that the worker had not restarted by then, and not that it hasn't since.
+	It("acknowledges nothing after a late answer until one comes in time", func() {
+		d, w, _ := setUp()
+		order := Order{Hold: &Hold{}, target: w}
+		nextAck := func() int64 {
+			d.TakeOutput()
+			w.nextHoldAt = d.now
+			d.sendHold(w)
+			_, orders, _ := d.TakeOutput()
+			Expect(orders).To(HaveLen(1))
+			return orders[0].Hold.AckThrough
+		}
+		w.lastAcked = 7
+		d.HandleReply(Reply{Order: order, Status: Unknown, Unreported: true, SentAt: d.now})
+		d.HandleReply(Reply{Order: order, Status: Accepted, Late: true, SentAt: d.now})
+		Expect(nextAck()).To(BeZero())
+		d.HandleReply(Reply{Order: order, Status: Accepted, SentAt: d.now})
+		Expect(nextAck()).To(BeEquivalentTo(7))
+		d.HandleReply(Reply{Order: order, Status: Expired, SentAt: d.now})
+		Expect(nextAck()).To(BeZero(), "the hold had waited and was not sent")
+	})
+
 	// Guards against a late list that replaces a newer one: it lacks starts that the newer one
 	// has confirmed, and lists attempts that have ended since.
 	It("ignores a late list that is older than the last one", func() {
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -67,7 +67,10 @@
 	// the number of holds since then whose carrier has not reported.
 	settledHoldAt   time.Duration
 	unreportedHolds int
-	nextHoldAt      time.Duration
+	// ackPaused is set from a hold without an answer in time until the next one with one. The
+	// worker may have restarted under its id meanwhile and count its ends anew.
+	ackPaused  bool
+	nextHoldAt time.Duration
 	// nextSweepAt is the time of the next check for tasks to stop.
 	nextSweepAt time.Duration
 	attempts    map[jobs.TaskKey]*attempt
