dispatch: random runs with rows of a worker's lists that cannot be read

40 seeds with the faults of the other random runs and, for one to eight seconds at a time, unreadable rows of the ends or of both lists of a worker: no invariant breaks and all jobs are done.

--- a/jobs/dispatch/unreadable_test.go
+++ b/jobs/dispatch/unreadable_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -117,4 +119,48 @@
 		Expect(sim.starts).To(Equal(4))
 		Expect(sim.violations).To(BeEmpty())
 	})
+
+	// Guards against tasks that run twice, start after an acknowledged end or never end, while
+	// rows of both lists can't be read now and then.
+	It("keeps the invariants and finishes all jobs, beside other faults", func() {
+		for seed := range uint64(40) {
+			sim := newSimulation(seed)
+			for range 3 + sim.rng.IntN(4) {
+				sim.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, sim.rng.IntN(2) == 0)
+			}
+			sim.startLeader()
+			for at := time.Second; at < faultsEnd; at += 700 * time.Millisecond {
+				sim.schedule(at, func() { sim.submit(fmt.Sprintf("job-%v", at), sim.randomSpec()) })
+			}
+			for at := 3 * time.Second; at < faultsEnd; at += 1500 * time.Millisecond {
+				sim.schedule(at, sim.injectFault)
+				sim.schedule(at, sim.injectUnreadableRows)
+			}
+			sim.runUntil(simulationEnd)
+			Expect(sim.violations).To(BeEmpty(), "seed %d", seed)
+			for _, j := range sim.store.Jobs() {
+				sim.expectDone(seed, j)
+			}
+		}
+	})
 })
+
+// injectUnreadableRows makes rows of the lists of a worker unreadable for a while.
+func (sim *simulation) injectUnreadableRows() {
+	t := sim.workers[sim.rng.IntN(len(sim.workers))]
+	length := time.Second + time.Duration(sim.rng.Int64N(int64(7*time.Second)))
+	rate, runningToo := sim.rng.Float64(), sim.rng.IntN(2) == 0
+	hides := func(number int64) bool { return float64(number%16) < 16*rate }
+	t.garbleLists = func(r *Reply) {
+		for i := range r.Finished {
+			if hides(r.Finished[i].Number) {
+				r.Finished[i] = FinishedTask{}
+				r.Malformed++
+			}
+		}
+		running := len(r.Running)
+		r.Running = slices.DeleteFunc(r.Running, func(run RunningTask) bool { return runningToo && hides(int64(run.Task.Index)) })
+		r.Malformed += running - len(r.Running)
+	}
+	sim.schedule(length, func() { t.garbleLists = nil })
+}
