dispatch: keep the room of unexpected attempts while running rows are unreadable

An attempt that is not bound to its worker keeps its room until the worker does not list it any more. A list with an unreadable row of a running attempt counted as not listing it, so that its room was given to other tasks while it still ran, beyond the capacity of the worker.

Nothing is concluded from what such a list lacks now, as for bound attempts. A row of the list of ends does not matter for it.

--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -126,13 +126,17 @@
 	}
 	d.handleFinished(w, r.Finished)
 	unreadable := d.observeUnreadableEnds(w, r.Finished)
+	if r.Malformed > unreadable {
+		// Some of the running attempts are not known.
+		return
+	}
 	for key, s := range w.unexpected {
 		if !listed[key] || d.now-s.listedAt > unexpectedTimeout {
 			delete(w.unexpected, key)
 			d.planner.dirty = true
 		}
 	}
-	if len(r.Finished) >= finishedListLimit || r.Malformed > unreadable || unreadable > 0 && !w.endsStayUnreadable(d.now) {
+	if len(r.Finished) >= finishedListLimit || unreadable > 0 && !w.endsStayUnreadable(d.now) {
 		return
 	}
 	for _, a := range w.attempts {
--- a/jobs/dispatch/unreadable_test.go
+++ b/jobs/dispatch/unreadable_test.go
@@ -120,6 +120,18 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// Guards against room that is given away while an attempt that is to stop still runs there.
+	It("keeps the room of an unexpected attempt while a row of the running tasks cannot be read", func() {
+		d := sim.current()
+		d.Advance(sim.now, sim.unix())
+		idle := d.workers[other.id]
+		d.handleUnexpected(idle, &RunningTask{Task: first, Attempt: 9})
+		d.reconcile(idle, Reply{Finished: []FinishedTask{{}}, Malformed: 2})
+		Expect(idle.free().MilliCPU).To(BeEquivalentTo(1000))
+		d.reconcile(idle, Reply{Finished: []FinishedTask{{}}, Malformed: 1})
+		Expect(idle.free().MilliCPU).To(BeEquivalentTo(2000))
+	})
+
 	// Guards against tasks that run twice, start after an acknowledged end or never end, while
 	// rows of both lists can't be read now and then.
 	It("keeps the invariants and finishes all jobs, beside other faults", func() {
