dispatch: check that each start follows a recorded end of the attempt before it

In the random runs of the decisions each start of a second or later attempt must come after a decision, of this leader or an earlier one, that the attempt before it has ended.

--- a/jobs/dispatch/trace_test.go
+++ b/jobs/dispatch/trace_test.go
@@ -120,9 +120,10 @@
 		Expect(traced()).To(HaveLen(2 + perReport))
 	})
 
-	// Guards against an attempt that is ended without anything that makes it certain to be over.
+	// Guards against an attempt that is ended without anything that makes it certain to be over,
+	// and against a start whose previous attempt has no recorded end.
 	It("say what makes each attempt certain to be over, under faults", func() {
-		ended := 0
+		ended, restarted := 0, 0
 		for seed := range uint64(20) {
 			sim := newSimulation(seed)
 			for range 4 {
@@ -137,8 +138,14 @@
 			}
 			sim.runUntil(faultsEnd + 20*time.Second)
 			Expect(sim.violations).To(BeEmpty(), "seed %d", seed)
+			ends := map[attemptKey]bool{}
 			for _, leader := range sim.leaders {
 				for _, e := range leader.trace.decisions {
+					ends[attemptKey{e.task, e.attempt}] = ends[attemptKey{e.task, e.attempt}] || e.kind == attemptEnded
+					if e.kind == attemptStarted {
+						Expect(ends).To(HaveKeyWithValue(attemptKey{e.task, e.attempt - 1}, true), "seed %d: %+v", seed, e)
+						restarted++
+					}
 					Expect(e.basis).NotTo(BeEmpty(), "seed %d: %+v", seed, e)
 					Expect(e.reading).To(BeNumerically(">=", e.bound), "seed %d: %+v", seed, e)
 					ended += boolToInt(e.kind == attemptEnded)
@@ -146,5 +153,6 @@
 			}
 		}
 		Expect(ended).To(BeNumerically(">", 1000))
+		Expect(restarted).To(BeNumerically(">", 100))
 	})
 })
