dispatch: let the runs of the decisions see each way in which an attempt ends

The 20 runs had no refused or unsent start: with the basis of these taken away the test passed. Orders now expire and addresses refuse connections in them, and each basis but a refused start must come up. Without the basis the test fails at seed 0.

--- a/jobs/dispatch/trace_test.go
+++ b/jobs/dispatch/trace_test.go
@@ -123,12 +123,14 @@
 	// Guards against an attempt that is ended without anything that makes it certain to be over,
 	// and against a start whose previous attempt has no recorded end.
 	It("say what makes each attempt certain to be over, under faults", func() {
-		ended, restarted := 0, 0
+		ended, restarted := map[decisionBasis]int{}, 0
 		for seed := range uint64(20) {
 			sim := newSimulation(seed)
 			for range 4 {
-				sim.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, sim.rng.IntN(2) == 0)
+				t := sim.addWorker(jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, sim.rng.IntN(2) == 0)
+				t.refusesConnections = sim.rng.IntN(2) == 0
 			}
+			sim.expireRate = 0.02
 			sim.startLeader()
 			for at := time.Second; at < faultsEnd; at += 700 * time.Millisecond {
 				sim.schedule(at, func() { sim.submit(fmt.Sprintf("job-%v", at), sim.randomSpec()) })
@@ -148,11 +150,15 @@
 					}
 					Expect(e.basis).NotTo(BeEmpty(), "seed %d: %+v", seed, e)
 					Expect(e.reading).To(BeNumerically(">=", e.bound), "seed %d: %+v", seed, e)
-					ended += boolToInt(e.kind == attemptEnded)
+					ended[e.basis] += boolToInt(e.kind == attemptEnded)
 				}
 			}
 		}
-		Expect(ended).To(BeNumerically(">", 1000))
+		for _, basis := range []decisionBasis{
+			basisListed, basisListedLate, basisMissing, basisVoidMissing, basisStartNotSent, basisLeaseByWorker, basisLeaseByLeader, basisNeverStarted,
+		} {
+			Expect(ended[basis]).To(BeNumerically(">", 0), "%s of %v", basis, ended)
+		}
 		Expect(restarted).To(BeNumerically(">", 100))
 	})
 })
