delivery: pass on replies that arrive after their deadline

The carrier was taken out of use for 3 s for one late reply even if it had reported others meanwhile, which moved its load to the rest, and each hold that was overdue made its worker unresponsive.

An order that a carrier has and has not reported on is now completed as Unknown and Unreported, also after a failed Deliver, and a reply to it within the next 5 s is passed on as a late one. A carrier counts as failed only if it has reported nothing since it got the order.

--- a/delivery/carrier.go
+++ b/delivery/carrier.go
@@ -23,6 +23,8 @@
 	clock          carrierClock
 	// failedAt is the time of the last failure, 0 for none.
 	failedAt time.Duration
+	// reportedAt is when the carrier last reported a reply, 0 if it has not.
+	reportedAt time.Duration
 	// postponedAt is when its orders first waited for a renewal of the lease, 0 if they do
 	// not.
 	postponedAt time.Duration
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -22,6 +23,8 @@
 	// replyTimeout limits the wait for a reply, in addition to the time that the worker
 	// may wait itself. It covers the call to the worker and both messages.
 	replyTimeout = 1500 * time.Millisecond
+	// lateReplyWindow is how long a reply is still taken in after it was overdue.
+	lateReplyWindow = 5 * time.Second
 	// maxSendDelay limits the wait of an order for the leader's lease and for a carrier.
 	maxSendDelay = 1500 * time.Millisecond
 	// maxTickDelay is the time between two ticks from which on the control thread lags.
@@ -58,8 +61,10 @@
 	// available are the carriers that respond, sorted by address.
 	available []Carrier
 	pending   map[uint64]*pendingOrder
-	nextID    uint64
-	tickedAt  time.Duration
+	// unreported are the orders whose reply was overdue, until their deadline.
+	unreported map[uint64]*pendingOrder
+	nextID     uint64
+	tickedAt   time.Duration
 	// closed is set once the term has ended.
 	closed bool
 }
@@ -75,6 +80,8 @@
 	// the time until which the order waits to be sent to its carrier.
 	deadline  time.Duration
 	delivered bool
+	// deliveredAt is when it was last sent to its carrier.
+	deliveredAt time.Duration
 }
 
 // replyWithin returns how long the reply may take once the order was sent to its carrier.
@@ -107,7 +114,7 @@
 func NewSender(o SenderOptions) *Sender {
 	return &Sender{
 		term: o.Term, address: o.Address, client: o.Client, post: o.Post, now: o.Now, boot: o.Boot, leaseEnd: o.LeaseEnd, log: o.Log, onReply: o.OnReply,
-		carriers: map[string]*carrier{}, pending: map[uint64]*pendingOrder{},
+		carriers: map[string]*carrier{}, pending: map[uint64]*pendingOrder{}, unreported: map[uint64]*pendingOrder{},
 	}
 }
 
@@ -116,6 +123,7 @@
 func (s *Sender) Close() {
 	s.closed = true
 	clear(s.pending)
+	clear(s.unreported)
 }
 
 // Pending returns the number of orders that wait to be sent to a carrier, and of those that
@@ -192,7 +200,7 @@
 	c.queue = nil
 	for _, o := range orders {
 		p := s.pending[o.GetId()]
-		p.delivered, p.deadline = true, s.now()+p.replyWithin()
+		p.delivered, p.deliveredAt, p.deadline = true, s.now(), s.now()+p.replyWithin()
 	}
 	s.deliver(c, orders, c.clock.expiry(now, leaseEnd), func() {})
 }
@@ -217,13 +225,15 @@
 	}()
 }
 
-// deliveryFailed completes the orders of an unacknowledged message with the status
-// Unknown, since they may still be executed until they expire. If it only asked for the
+// deliveryFailed completes the orders of an unacknowledged message as not reported, since
+// they may still be executed until they expire. If it only asked for the
 // clock, the queued orders were not sent, and go to another carrier.
 func (s *Sender) deliveryFailed(c *carrier, request *deliverypb.DeliverRequest, err error) {
 	s.markUnavailable(c, err.Error())
 	if len(request.GetOrders()) > 0 {
-		s.completeAll(request.GetOrders(), dispatch.Unknown, err.Error())
+		for _, o := range request.GetOrders() {
+			s.completeUnreported(o.GetId(), err.Error())
+		}
 		return
 	}
 	c.flushScheduled = false
@@ -236,22 +246,18 @@
 	}
 }
 
-// completeAll completes orders with the same status.
-func (s *Sender) completeAll(orders []*deliverypb.Order, status dispatch.ReplyStatus, reason string) {
-	for _, o := range orders {
-		s.complete(o.GetId(), dispatch.Reply{Status: status, Reason: reason})
-	}
-}
-
 // HandleReplies processes the replies that a carrier reports. An order that reached the
 // carrier after it had expired was not sent to its worker, so it is sent again.
 func (s *Sender) HandleReplies(replies []*deliverypb.Reply) {
 	for _, p := range replies {
-		r := decodeReply(p)
 		o := s.pending[p.GetId()]
-		switch {
-		case o == nil:
+		if o == nil {
+			s.handleLate(p)
 			continue
+		}
+		r := decodeReply(p)
+		o.carrier.reportedAt = s.now()
+		switch {
 		case r.Status != dispatch.Expired:
 			o.carrier.lateSince = 0
 		case s.resendExpired(p.GetId(), o, r.Reason):
@@ -261,6 +267,19 @@
 	}
 }
 
+// handleLate passes on the reply to an order that has counted as not reported.
+func (s *Sender) handleLate(p *deliverypb.Reply) {
+	o := s.unreported[p.GetId()]
+	if o == nil {
+		return
+	}
+	delete(s.unreported, p.GetId())
+	o.carrier.reportedAt = s.now()
+	r := decodeReply(p)
+	r.Late = true
+	s.reply(o, r)
+}
+
 // resendExpired sends an expired order again. A carrier that stays late while others are
 // in time gets no more orders until its backoff ends: the leases of its workers would run
 // out. It returns false if no carrier is available.
@@ -292,12 +311,32 @@
 		return
 	}
 	delete(s.pending, id)
+	s.reply(o, r)
+}
+
+// completeUnreported completes an order that its carrier has and to which it has not reported
+// a reply. A reply that is reported later is passed on as a late one.
+func (s *Sender) completeUnreported(id uint64, reason string) {
+	o := s.pending[id]
+	if o == nil {
+		return
+	}
+	if o.order.Pace == nil {
+		s.unreported[id] = o
+		o.deadline = s.now() + lateReplyWindow
+	}
+	s.complete(id, dispatch.Reply{Status: dispatch.Unknown, Unreported: true, Reason: reason})
+}
+
+// reply passes a reply to OnReply.
+func (s *Sender) reply(o *pendingOrder, r dispatch.Reply) {
 	r.Order, r.SentAt, r.ReceivedAt = o.order, o.queuedAt, s.now()
 	s.onReply(r)
 }
 
-// Tick completes orders whose reply is overdue: with the status Unknown if their carrier has
-// them, else with the status Expired, as they were not sent.
+// Tick completes orders whose reply is overdue: as not reported if their carrier has them,
+// else with the status Expired, as they were not sent. A carrier that has reported nothing
+// since it got the order counts as failed.
 func (s *Sender) Tick() {
 	now := s.now()
 	if lag := now - s.tickedAt; s.tickedAt != 0 && lag > maxTickDelay {
@@ -310,10 +349,13 @@
 		switch {
 		case now < o.deadline:
 		case o.delivered:
-			s.markUnavailable(o.carrier, "a reply is overdue")
-			s.complete(id, dispatch.Reply{Status: dispatch.Unknown, Reason: "the carrier of the order has not reported"})
+			if o.carrier.reportedAt < o.deliveredAt {
+				s.markUnavailable(o.carrier, "a reply is overdue")
+			}
+			s.completeUnreported(id, "the carrier of the order has not reported")
 		default:
 			s.complete(id, dispatch.Reply{Status: dispatch.Expired, Reason: "the leader's lease was not renewed in time"})
 		}
 	}
+	maps.DeleteFunc(s.unreported, func(_ uint64, o *pendingOrder) bool { return now >= o.deadline })
 }
