--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -85,6 +86,8 @@
 	leaseEnd                time.Duration
 	mu                      sync.Mutex
 	replies                 []dispatch.Reply
+	// unreachable makes all reports to the leader fail.
+	unreachable atomic.Bool
 }
 
 func (f *fixture) received() []dispatch.Reply {
@@ -114,6 +117,9 @@
 
 // Report implements deliverypb.Leader.
 func (f *fixture) Report(_ context.Context, q *deliverypb.ReportRequest) (*deliverypb.ReportResponse, error) {
+	if f.unreachable.Load() {
+		return nil, errors.New("unreachable")
+	}
 	f.post(func() { f.sender.HandleReplies(q.GetReplies()) })
 	return &deliverypb.ReportResponse{}, nil
 }
