dispatch: benchmark of a leader of a full fleet

Measured are a plan, the list of candidates, the status and the parts of the audit that examine jobs.

--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"geraniumwall/jobs"
+	"geraniumwall/policy/interference"
 )
 
 // BenchmarkPlan measures a plan for fleets of several sizes, where fillers wait for a
@@ -103,3 +106,180 @@
 	sim.runUntil(8 * time.Second)
 	return d
 }
+
+const (
+	// fullFleetWorkers is the size of the fleet of the benchmark of a full one.
+	fullFleetWorkers = 1100
+	servingImages    = 16
+	fillerImageCount = 30
+	// changedWorkers is the number of workers whose attempts change between two plans.
+	changedWorkers = 200
+)
+
+// BenchmarkFullFleet measures what runs on a fleet without free CPU while 100 short jobs of
+// two priorities and 50 long-running ones wait.
+func BenchmarkFullFleet(b *testing.B) {
+	d, sim := fullFleet()
+	changed := slices.Sorted(maps.Keys(d.workers))[:changedWorkers]
+	b.Run("plan", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			d.planner.dirty, d.planner.nextPlanAt = true, 0
+			// Predictions of the model are kept for less than the time between two plans.
+			d.Advance(d.now+110*time.Millisecond, sim.unix())
+			d.refreshReports()
+			d.changeAttempts(changed)
+			d.Plan()
+		}
+	})
+	b.Run("candidates", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			clear(d.effectCache)
+			d.candidates()
+		}
+	})
+	b.Run("status", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			d.TakeStatus()
+		}
+	})
+	b.Run("audit", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			d.auditWaiting()
+			d.reportLongestWait()
+			d.logEvents = nil
+		}
+	})
+	if len(d.commands) > 0 {
+		b.Fatalf("%d tasks were bound on a full fleet", len(d.commands))
+	}
+}
+
+// changeAttempts lets an attempt on each of the given workers pass through another phase.
+func (d *Dispatcher) changeAttempts(workers []string) {
+	for _, id := range workers {
+		for _, a := range d.workers[id].attempts {
+			a.setPhase(phaseOrdered, d.now)
+			a.setPhase(phaseStarted, d.now)
+			break
+		}
+	}
+}
+
+// refreshReports keeps the workers usable without heartbeats.
+func (d *Dispatcher) refreshReports() {
+	for _, w := range d.workers {
+		w.reportExpiresAt = d.now + time.Second
+	}
+}
+
+// fullFleet returns a leader whose workers run five or six long-running tasks and as many
+// short ones each, and have no free CPU.
+func fullFleet() (*Dispatcher, *simulation) {
+	sim := newSimulation(1)
+	sim.store.Apply(jobs.Command{Configure: &jobs.Configure{Config: jobs.Config{Version: 2, Queues: []jobs.Queue{
+		{Name: "q", Service: "s", MaxAttempts: 1000, Stretch: 2, LatencyObjective: 1000},
+		{Name: "low", Service: "s", Priority: 2, MaxAttempts: 1000, Stretch: 2, LatencyObjective: 1000},
+	}}}})
+	serve := jobs.Step{LongRunning: true, LatencyTargetMS: 18, Request: jobs.Resources{MilliCPU: 5000, MemoryMB: 10_000}}
+	fill := jobs.Step{Filler: true, EstimateMS: 60_000, Request: jobs.Resources{MilliCPU: 3500, MemoryMB: 9000}}
+	short := jobs.Step{EstimateMS: 60_000, Request: jobs.Resources{MilliCPU: 3500, MemoryMB: 10_000}}
+	sim.bindToAll("serve", "q", 24, 5*fullFleetWorkers, serve, servingImages)
+	sim.bindToAll("fill", "low", 40, 5*fullFleetWorkers, fill, fillerImageCount)
+	sim.bindToAll("short", "q", 13, 2*fullFleetWorkers, short, 1)
+
+	d := New(Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, PreviousLeaderLease: testPreviousLeaderLease}, sim.store, 1, 0, sim.unix())
+	for i := range fullFleetWorkers {
+		d.HandleHeartbeat(Heartbeat{
+			Worker: workerName(i), Service: "s", Capacity: jobs.Resources{MilliCPU: 32_000, MemoryMB: 128_000}, ClockMS: 1, StartedAtMS: 1, Sequence: 1})
+	}
+	for _, w := range d.workers {
+		w.fenceConfirmed = true
+		for _, a := range w.attempts {
+			a.setPhase(phaseStarted, d.now)
+			a.percent = 50
+		}
+	}
+	sim.now = 3 * time.Second
+	sim.supposeEffects(d)
+	sim.submitWaiting()
+	sim.now += 2 * time.Second
+	d.Advance(sim.now, sim.unix())
+	d.TakeOutput()
+	return d, sim
+}
+
+// supposeEffects sets effects of fillers on serving images, of which two in three disturb,
+// and the loads of the serving jobs.
+func (sim *simulation) supposeEffects(d *Dispatcher) {
+	for s := range servingImages {
+		for f := range fillerImageCount {
+			effect := 0.0
+			if sim.rng.IntN(3) > 0 {
+				effect = 0.03 + 0.1*sim.rng.Float64()
+			}
+			d.model.Suppose(fmt.Sprint("serve", s), fmt.Sprint("fill", f), effect)
+			d.fillerImages[fmt.Sprint("fill", f)] = true
+		}
+	}
+	for _, j := range sim.store.Jobs() {
+		if j.Spec.Steps[0].LatencyTargetMS > 0 {
+			d.model.Observe(interference.Reading{Image: j.Spec.Steps[0].Image, Group: j.ID, Tail: 10, Measured: sim.now})
+		}
+	}
+}
+
+// submitWaiting submits 100 short jobs of two priorities and 50 long-running ones.
+func (sim *simulation) submitWaiting() {
+	random := func(mean int64) int64 { return mean/2 + sim.rng.Int64N(mean) }
+	for i := range 50 {
+		sim.submitTo("low", fmt.Sprint("wait-fill-", i), jobs.Step{
+			Count: int(random(40)), Filler: true, Image: fmt.Sprint("fill", i%fillerImageCount), EstimateMS: random(2200),
+			Request: jobs.Resources{MilliCPU: random(3500), MemoryMB: 5000 + random(6400)},
+		})
+		sim.submitTo("q", fmt.Sprint("wait-short-", i), jobs.Step{
+			Count: int(random(13)), EstimateMS: random(1000), MaxPerWorker: sim.rng.IntN(7) / 6,
+			Request: jobs.Resources{MilliCPU: random(6400), MemoryMB: random(13_000)},
+		})
+		sim.submitTo("q", fmt.Sprint("wait-serve-", i), jobs.Step{
+			Count: int(random(24)), LongRunning: true, LatencyTargetMS: 18, Image: fmt.Sprint("serve", i%servingImages),
+			MaxPerWorker: sim.rng.IntN(2), Request: jobs.Resources{MilliCPU: random(6400), MemoryMB: random(13_000)},
+		})
+	}
+	for i := range 10 {
+		sim.loseFirstTask(fmt.Sprint("wait-serve-", i))
+	}
+}
+
+// loseFirstTask makes the first task of a job one that has run and lost its worker.
+func (sim *simulation) loseFirstTask(job string) {
+	key := jobs.TaskKey{Job: job}
+	on := jobs.Incarnation{Worker: "gone", StartedAtMS: 1}
+	sim.store.Apply(jobs.Command{Bind: &jobs.Bind{Task: key, Attempt: 1, On: on, At: sim.unix()}})
+	sim.store.Apply(jobs.Command{End: &jobs.End{Task: key, Attempt: 1, Outcome: jobs.OutcomeLost, At: sim.unix()}})
+}
+
+func (sim *simulation) submitTo(queue, id string, steps ...jobs.Step) {
+	sim.store.Apply(jobs.Command{Submit: &jobs.Submit{ID: id, Queue: queue, Spec: jobs.Spec{Payload: "x", Steps: steps}, At: sim.unix()}})
+}
+
+func workerName(i int) string { return fmt.Sprintf("i-%08x", i*2654435761%(1<<32)) }
+
+// bindToAll submits jobs with a number of tasks each until there are tasks of them, and
+// binds the tasks to the workers by turns.
+func (sim *simulation) bindToAll(kind, queue string, perJob, tasks int, step jobs.Step, images int) {
+	step.Count = perJob
+	for i := 0; i < tasks; i++ {
+		id := fmt.Sprintf("%s-%08x", kind, i/perJob)
+		if i%perJob == 0 {
+			step.Image = fmt.Sprint(kind, (i/perJob)%images)
+			sim.submitTo(queue, id, step)
+		}
+		key := jobs.TaskKey{Job: id, Index: i % perJob}
+		on := jobs.Incarnation{Worker: workerName(i % fullFleetWorkers), StartedAtMS: 1}
+		sim.store.Apply(jobs.Command{Bind: &jobs.Bind{Task: key, Attempt: 1, On: on, At: sim.unix()}})
+	}
+}
