dispatch: keep what the attempts of a worker take up between plans

Callers saw late starts on a full fleet of 1,100 workers, where the control thread was busy for most of each second. Each plan and each status line walked over all attempts of all workers, looked up the effects of all fillers on all serving images there and allocated maps for them, although few workers change between two plans and hardly any has room.

A worker now keeps the sums over its attempts. They are added up anew after an attempt has been added, removed or has changed its phase or suspicion. The headroom of serving images depends on the model and is computed in the plan that asks for it, for the workers that have room otherwise. The order of the workers is kept until one is added, replaced or removed.

Before each tick the simulation compares the kept sums with those over all attempts.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -72,7 +72,28 @@
 	paceInFlight bool
 }
 
-func (a *attempt) setPhase(p phase, now time.Duration) { a.phase, a.phaseSince = p, now }
+func (a *attempt) setPhase(p phase, now time.Duration) {
+	pending := a.startPending()
+	a.phase, a.phaseSince = p, now
+	if a.startPending() != pending {
+		a.markLoadOutdated()
+	}
+}
+
+func (a *attempt) setSuspicion(suspicion int) {
+	a.suspicion = suspicion
+	a.markLoadOutdated()
+}
+
+// markLoadOutdated makes the worker of the attempt add up its load anew.
+func (a *attempt) markLoadOutdated() {
+	if a.worker != nil {
+		a.worker.load.outdated = true
+	}
+}
+
+// startPending reports whether the start of the attempt is not answered yet.
+func (a *attempt) startPending() bool { return a.phase == phaseProposed || a.phase == phaseOrdered }
 
 // remaining estimates the time until the attempt finishes from its progress, or from
 // the declared duration before any progress is reported.
--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -58,9 +58,8 @@
 		d.orphans[t.Key] = a
 		d.orphansOf[t.BoundTo.Worker] = append(d.orphansOf[t.BoundTo.Worker], t.Key)
 	} else {
-		a.worker = w
 		a.setPhase(phaseUncertain, d.now)
-		w.attempts[t.Key] = a
+		w.addAttempt(a)
 	}
 	d.addRepair("bound task was not tracked", w, a)
 }
@@ -159,19 +158,22 @@
 // ineligibility counts the workers of the service by what keeps a task from them.
 func (d *Dispatcher) ineligibility(wj *waitingJob, step *jobs.Step, t *jobs.Task) string {
 	counts := map[string]int{}
+	var c candidate
 	for _, w := range d.workers {
 		if w.Service == wj.service {
-			counts[d.ineligibleBecause(step, t, w)]++
+			counts[d.ineligibleBecause(step, t, w, &c)]++
 		}
 	}
 	return fmt.Sprint(counts)
 }
 
-func (d *Dispatcher) ineligibleBecause(step *jobs.Step, t *jobs.Task, w *worker) string {
+// ineligibleBecause returns what keeps a task from a worker. It uses c for the state of the
+// worker.
+func (d *Dispatcher) ineligibleBecause(step *jobs.Step, t *jobs.Task, w *worker, c *candidate) string {
 	if state := d.unusableBecause(w); state != "" {
 		return state
 	}
-	c := d.newCandidate(w)
+	*c = d.newCandidate(w)
 	request := step.ReservedResources()
 	switch {
 	case c.pendingStarts >= maxPendingStarts:
--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -28,31 +28,46 @@
 	reserved     reservation
 	reservedTask jobs.TaskKey
 	// servingTasks is the number of serving tasks on the worker. headroom holds the further
-	// slowdown that each of their images tolerates.
-	servingTasks int
-	headroom     map[string]float64
+	// slowdown that each of their images tolerates once headroomKnown is set; headroomOf
+	// returns it.
+	servingTasks  int
+	headroom      []imageHeadroom
+	headroomKnown bool
 	// idleMilliCPU is the CPU time that the tasks on the worker are expected to leave for
 	// fillers, in millicores.
 	idleMilliCPU float64
 }
 
 func (d *Dispatcher) candidates() []*candidate {
-	var list []*candidate
-	for _, w := range d.workers {
-		if !w.usable(d.now) {
-			continue
+	states := make([]candidate, 0, len(d.workers))
+	for _, w := range d.workersByID() {
+		if w.usable(d.now) {
+			states = append(states, d.newCandidate(w))
 		}
-		list = append(list, d.newCandidate(w))
 	}
-	d.planner.nonServing, d.planner.usable, d.planner.isolated = 0, len(list), 0
-	for _, c := range list {
+	d.planner.nonServing, d.planner.usable, d.planner.isolated = 0, len(states), 0
+	list := make([]*candidate, len(states))
+	for i := range states {
+		c := &states[i]
+		list[i] = c
 		d.planner.nonServing += boolToInt(c.servingTasks == 0)
 		d.planner.isolated += boolToInt(c.isolated)
 	}
-	slices.SortFunc(list, func(a, b *candidate) int { return cmp.Compare(a.worker.Worker, b.worker.Worker) })
 	return list
 }
 
+// workersByID returns the workers in the order of their ids. The list is kept until a
+// worker is added, replaced or removed.
+func (d *Dispatcher) workersByID() []*worker {
+	if len(d.planner.workersByID) == 0 {
+		for _, w := range d.workers {
+			d.planner.workersByID = append(d.planner.workersByID, w)
+		}
+		slices.SortFunc(d.planner.workersByID, func(a, b *worker) int { return cmp.Compare(a.Worker, b.Worker) })
+	}
+	return d.planner.workersByID
+}
+
 // reservation limits which tasks may be bound to a worker during one plan.
 type reservation int
 
--- a/jobs/dispatch/crash.go
+++ b/jobs/dispatch/crash.go
@@ -196,7 +196,7 @@
 // updateSuspicion updates the current attempt of a task.
 func (d *Dispatcher) updateSuspicion(t *jobs.Task) {
 	if a := d.currentAttempt(t.Key); a != nil {
-		a.suspicion = suspicion(t)
+		a.setSuspicion(suspicion(t))
 	}
 }
 
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -258,6 +258,7 @@
 		d.tickWorker(w)
 		if w.terminated && len(w.attempts) == 0 {
 			delete(d.workers, id)
+			d.planner.workersByID = nil
 			d.removeRegistration(w, func(bool) {})
 		}
 	}
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -105,8 +105,8 @@
 
 // dropAttempt removes an attempt whose end is committed or whose binding was rejected.
 func (d *Dispatcher) dropAttempt(a *attempt) {
-	if a.worker != nil && a.worker.attempts[a.task] == a {
-		delete(a.worker.attempts, a.task)
+	if a.worker != nil {
+		a.worker.removeAttempt(a)
 	}
 	if d.orphans[a.task] == a {
 		delete(d.orphans, a.task)
--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -68,6 +68,7 @@
 		w.grantsBefore = d.now
 	}
 	d.workers[h.Worker] = w
+	d.planner.workersByID = nil
 	d.addLogEvent("worker registered", w, nil, h.HostPort)
 	if old != nil {
 		w.setMoved(old, d.now)
@@ -81,8 +82,7 @@
 	for _, key := range d.orphansOf[h.Worker] {
 		if a := d.orphans[key]; a != nil && d.currentTask(a) != nil {
 			delete(d.orphans, key)
-			a.worker = w
-			w.attempts[key] = a
+			w.addAttempt(a)
 		}
 	}
 	delete(d.orphansOf, h.Worker)
@@ -92,8 +92,7 @@
 // moveToIncarnation keeps an attempt of a terminated incarnation until the new
 // incarnation lists its running tasks under its own fencing token.
 func (d *Dispatcher) moveToIncarnation(a *attempt, w *worker) {
-	a.worker = w
-	w.attempts[a.task] = a
+	w.addAttempt(a)
 	if a.phase != phaseProposed {
 		a.unstarted = a.unstarted || a.phase == phaseVoid
 		a.setPhase(phaseInherited, d.now)
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -132,8 +132,13 @@
 // reaches the ratio of its objective, at the higher of the loads now and after the
 // lookahead.
 func (d *Dispatcher) tolerableSlowdown(a *attempt, ratio float64, lookahead time.Duration) float64 {
-	load := max(d.model.Load(a.task.Job, d.now), d.model.Load(a.task.Job, d.now+lookahead))
-	return d.model.Bearable(a.step.Image, load, ratio*float64(a.step.LatencyTargetMS))
+	return d.tolerableByGroup(a.servingGroup(), ratio, lookahead)
+}
+
+// tolerableByGroup returns the result of tolerableSlowdown for each task of a group.
+func (d *Dispatcher) tolerableByGroup(g servingGroup, ratio float64, lookahead time.Duration) float64 {
+	load := max(d.model.Load(g.job, d.now), d.model.Load(g.job, d.now+lookahead))
+	return d.model.Bearable(g.image, load, ratio*float64(g.latencyTargetMS))
 }
 
 // observedSlowdown returns the slowdown that the reported tail latency of a serving task
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -41,6 +41,8 @@
 	// waiting holds the jobs that may have waiting tasks. A nil job has to be ranked anew.
 	waiting map[string]*waitingJob
 	avoided map[jobs.TaskKey]avoidance
+	// workersByID are the workers in the order of their ids, nil after a change.
+	workersByID []*worker
 	// leaseExpiredTasks are the long-running tasks that ended with the lease of a worker.
 	// They were already down for a whole lease, so their restart does not wait for
 	// reserveAfter.
@@ -371,8 +373,7 @@
 	if a.suspicion > 0 {
 		d.addSuspect(c, a)
 	}
-	a.worker = w
-	w.attempts[t.Key] = a
+	w.addAttempt(a)
 	d.proposedBinds[t.Key] = a
 	d.recordBinding(t, step)
 	command := jobs.Bind{Task: t.Key, Attempt: number, On: w.incarnation(), At: d.unixMS}
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "geraniumwall/jobs"
+import (
+	"slices"
+
+	"geraniumwall/jobs"
+)
 
 // Bonuses and penalties of a worker's score for a task, where 1 is the worker's CPU
 // capacity, and the bounds that placement uses.
@@ -47,101 +51,90 @@
 )
 
 // newCandidate returns the state of a worker at the start of a plan.
-func (d *Dispatcher) newCandidate(w *worker) *candidate {
-	c := &candidate{worker: w, free: w.Capacity, idleMilliCPU: float64(w.Capacity.MilliCPU)}
+func (d *Dispatcher) newCandidate(w *worker) candidate {
+	l := w.currentLoad()
+	left := w.Capacity
 	for _, u := range w.unexpected {
-		c.free = c.free.Sub(u.reserved)
-	}
-	c.freeAfterShort = c.free
-	c.tasks = len(w.attempts) + len(w.unexpected)
-	var fillers []fillerCores
-	for _, a := range w.attempts {
-		c.free = c.free.Sub(a.reserved)
-		if a.step.LongRunning {
-			c.freeAfterShort = c.freeAfterShort.Sub(a.reserved)
-		} else {
-			c.shortMilliCPU += a.reserved.MilliCPU
-		}
-		c.pendingStarts += boolToInt(a.phase == phaseProposed || a.phase == phaseOrdered)
-		c.useIdle(a.step)
-		if a.suspicion > 0 {
-			d.addSuspect(c, a)
-		}
-		if a.step.Filler {
-			fillers = addCores(fillers, a)
-		}
-		if a.step.LatencyTargetMS > 0 {
-			c.limitHeadroom(a.step.Image, d.tolerableSlowdown(a, goalTailRatio, placementLookahead)-1)
-		}
+		left = left.Sub(u.reserved)
 	}
-	for image, headroom := range c.headroom {
-		for _, f := range fillers {
-			headroom -= d.effect(image, f.image) * f.cores
-		}
-		c.headroom[image] = headroom
+	c := candidate{
+		worker: w, free: left.Sub(l.reserved), freeAfterShort: left.Sub(l.lasting),
+		shortMilliCPU: l.reserved.MilliCPU - l.lasting.MilliCPU, pendingStarts: l.pendingStarts,
+		tasks: len(w.attempts) + len(w.unexpected), servingTasks: l.serving,
+		idleMilliCPU: float64(w.Capacity.MilliCPU) - l.expectedMilliCPU,
+	}
+	for _, a := range l.suspects {
+		d.addSuspect(&c, a)
 	}
 	return c
 }
 
-// fillerCores is the CPU request of the fillers of one image on a worker, in cores.
-type fillerCores struct {
+// imageHeadroom is the further slowdown that a serving image on a worker tolerates.
+type imageHeadroom struct {
 	image string
-	cores float64
+	value float64
 }
 
-func addCores(list []fillerCores, a *attempt) []fillerCores {
-	for i := range list {
-		if list[i].image == a.step.Image {
-			list[i].cores += a.declaredCores()
-			return list
+// headroomOf returns the headroom of the serving images on a worker. It is computed on
+// first use, since most workers of a full fleet are skipped before.
+func (d *Dispatcher) headroomOf(c *candidate) []imageHeadroom {
+	if c.headroomKnown {
+		return c.headroom
+	}
+	c.headroomKnown = true
+	l := c.worker.currentLoad()
+	for _, g := range l.servingGroups {
+		c.limitHeadroom(g.image, d.tolerableByGroup(g, goalTailRatio, placementLookahead)-1)
+	}
+	for i := range c.headroom {
+		h := &c.headroom[i]
+		for _, f := range l.fillers {
+			h.value -= d.effect(h.image, f.image) * float64(f.milliCPU) / milliCPUPerCore
 		}
 	}
-	return append(list, fillerCores{a.step.Image, a.declaredCores()})
+	return c.headroom
 }
 
 // limitHeadroom lowers the headroom of a serving image to that of one more of its tasks.
 func (c *candidate) limitHeadroom(image string, headroom float64) {
-	if lowest, known := c.headroom[image]; !known || headroom < lowest {
-		c.setHeadroom(image, headroom)
+	for i := range c.headroom {
+		if c.headroom[i].image == image {
+			c.headroom[i].value = min(c.headroom[i].value, headroom)
+			return
+		}
 	}
+	c.headroom = append(c.headroom, imageHeadroom{image, headroom})
 }
 
-// setHeadroom sets the headroom of a serving image. The map is allocated on first use,
-// since many workers run no serving tasks.
-func (c *candidate) setHeadroom(image string, headroom float64) {
-	if c.headroom == nil {
-		c.headroom = map[string]float64{}
-	}
-	c.headroom[image] = headroom
+func (c *candidate) servesImage(image string) bool {
+	return slices.ContainsFunc(c.headroom, func(h imageHeadroom) bool { return h.image == image })
 }
 
 // useIdle subtracts the expected CPU usage of a task from the idle CPU.
 func (c *candidate) useIdle(step *jobs.Step) {
-	share := 1.0
-	if step.LatencyTargetMS > 0 {
-		share = servingCPUShare
-		c.servingTasks++
-	}
-	c.idleMilliCPU -= share * float64(step.Request.MilliCPU)
+	c.servingTasks += boolToInt(step.LatencyTargetMS > 0)
+	c.idleMilliCPU -= expectedMilliCPU(step)
 }
 
 // addTask adds a planned task to a worker's serving tasks, headroom and CPU usage.
 func (d *Dispatcher) addTask(c *candidate, step *jobs.Step) {
+	d.headroomOf(c)
 	if step.LatencyTargetMS > 0 {
 		if c.servingTasks == 0 {
 			d.planner.nonServing--
 		}
-		if _, known := c.headroom[step.Image]; !known {
+		if !c.servesImage(step.Image) {
 			bound := goalTailRatio * float64(step.LatencyTargetMS)
-			c.setHeadroom(step.Image, d.model.Bearable(step.Image, assumedLoad, bound)-1)
+			c.limitHeadroom(step.Image, d.model.Bearable(step.Image, assumedLoad, bound)-1)
 		}
 	}
 	c.useIdle(step)
 	if !step.Filler {
 		return
 	}
-	for image := range c.headroom {
-		c.headroom[image] -= d.effect(image, step.Image) * float64(step.Request.MilliCPU) / milliCPUPerCore
+	for i := range c.headroom {
+		h := &c.headroom[i]
+		h.value -= d.effect(h.image, step.Image) * float64(step.Request.MilliCPU) / milliCPUPerCore
 	}
 }
 
@@ -191,10 +184,11 @@
 // compareProfiles reports whether a worker runs serving tasks that are disturbed by other
 // fillers than the image is, and whether the tasks that it runs already differ in that.
 func (d *Dispatcher) compareProfiles(c *candidate, image string) (dissimilar, mixed bool) {
-	for served := range c.headroom {
-		dissimilar = dissimilar || !d.similarInterference(served, image)
-		for other := range c.headroom {
-			mixed = mixed || !d.similarInterference(served, other)
+	headroom := d.headroomOf(c)
+	for _, served := range headroom {
+		dissimilar = dissimilar || !d.similarInterference(served.image, image)
+		for _, other := range headroom {
+			mixed = mixed || !d.similarInterference(served.image, other.image)
 		}
 	}
 	return dissimilar, mixed
@@ -211,9 +205,9 @@
 		score -= nonServingPenalty
 	}
 	worst := 0.0
-	for image, headroom := range c.headroom {
-		slowdown := d.effect(image, step.Image) * float64(step.Request.MilliCPU) / milliCPUPerCore
-		worst = max(worst, min(1, slowdown/max(headroom, minHeadroom)))
+	for _, h := range d.headroomOf(c) {
+		slowdown := d.effect(h.image, step.Image) * float64(step.Request.MilliCPU) / milliCPUPerCore
+		worst = max(worst, min(1, slowdown/max(h.value, minHeadroom)))
 	}
 	return score - interferencePenalty*worst
 }
@@ -232,9 +226,9 @@
 // than its headroom.
 func (d *Dispatcher) exceedsHeadroom(step *jobs.Step, c *candidate) bool {
 	cores := float64(step.Request.MilliCPU) / milliCPUPerCore
-	for image, headroom := range c.headroom {
-		effect := d.effect(image, step.Image)
-		if effect > disturbingEffect && effect*cores > headroom {
+	for _, h := range d.headroomOf(c) {
+		effect := d.effect(h.image, step.Image)
+		if effect > disturbingEffect && effect*cores > h.value {
 			return true
 		}
 	}
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -141,6 +141,7 @@
 		return
 	}
 	d.Advance(sim.now, sim.unix())
+	sim.checkLoads(d)
 	d.Tick()
 	sim.carryOut(d)
 	sim.schedule(testTick, func() { sim.tick(d) })
--- a/jobs/dispatch/suspects.go
+++ b/jobs/dispatch/suspects.go
@@ -202,14 +202,7 @@
 	return true
 }
 
-func (c *candidate) runsLongRunning() bool {
-	for _, a := range c.worker.attempts {
-		if a.step.LongRunning {
-			return true
-		}
-	}
-	return false
-}
+func (c *candidate) runsLongRunning() bool { return c.worker.currentLoad().longRunning > 0 }
 
 // allowBesideIsolated lets jobs that have waited be placed beside tasks that are to run
 // alone, if there is no other room for them: short ones while most of the service is
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -63,7 +63,9 @@
 	nextHoldAt   time.Duration
 	// nextSweepAt is the time of the next check for tasks to stop.
 	nextSweepAt time.Duration
-	attempts    map[jobs.TaskKey]*attempt
+	// attempts changes through addAttempt and removeAttempt, so that load stays current.
+	attempts map[jobs.TaskKey]*attempt
+	load     load
 	// unexpected are attempts that run on the worker without being bound to it.
 	unexpected   map[attemptKey]*unexpectedAttempt
 	health       health
@@ -152,10 +154,7 @@
 
 // free returns the capacity that neither bound nor unexpected attempts occupy.
 func (w *worker) free() jobs.Resources {
-	left := w.Capacity
-	for _, a := range w.attempts {
-		left = left.Sub(a.reserved)
-	}
+	left := w.Capacity.Sub(w.currentLoad().reserved)
 	for _, s := range w.unexpected {
 		left = left.Sub(s.reserved)
 	}
