dispatch: examine the limit of tasks for each worker last when reserving one

After the sums over attempts were kept, two thirds of a plan of a full fleet went into reservations for long-running tasks: for each task without room the limit of tasks for each worker was counted on all 1,100 workers, over all attempts there, and also when no further worker could be reserved.

A reservation now compares the share that fits first and examines the limit only for a worker that would be chosen. It stops at once when the plan has made all its reservations. The tasks of steps with a limit are counted in the kept load of a worker.

Tests compare both with an examination of all workers on random states.

--- a/jobs/dispatch/choose.go
+++ b/jobs/dispatch/choose.go
@@ -87,8 +87,9 @@
 
 // eligible reports whether a worker may run a task and has enough free capacity.
 func (d *Dispatcher) eligible(wj *waitingJob, step *jobs.Step, t *jobs.Task, c *candidate, gangCounts map[*candidate]int) bool {
-	if c.worker.Service != wj.service || c.isolated && !wj.besideIsolated || !c.admits(step, t.Key) || c.keeps(step, t) || c.pendingStarts >= maxPendingStarts || !c.worker.hasLabel(step.RequiredLabel) ||
-		!step.ReservedResources().FitsIn(c.free) || !d.withinStepLimit(t, step, c, gangCounts) {
+	if !step.ReservedResources().FitsIn(c.free) || c.worker.Service != wj.service || c.isolated && !wj.besideIsolated ||
+		!c.admits(step, t.Key) || c.keeps(step, t) || c.pendingStarts >= maxPendingStarts || !c.worker.hasLabel(step.RequiredLabel) ||
+		!d.withinStepLimit(t, step, c, gangCounts) {
 		return false
 	}
 	return !step.Filler || !c.lacksResources(step) && c.worker.colocation.tailHighSince == 0 && !d.exceedsHeadroom(step, c)
@@ -103,12 +104,10 @@
 	return gangCounts[c]+countStep(c.worker, t.Key) < step.MaxPerWorker
 }
 
-// countStep returns the number of tasks of the key's step on a worker.
+// countStep returns the number of tasks of the key's step on a worker, for a step with
+// MaxPerWorker.
 func countStep(w *worker, key jobs.TaskKey) int {
-	count := 0
-	for other := range w.attempts {
-		count += boolToInt(stepKey(other) == stepKey(key))
-	}
+	count := w.currentLoad().countStep(stepKey(key))
 	for other := range w.unexpected {
 		count += boolToInt(stepKey(other.task) == stepKey(key))
 	}
--- a/jobs/dispatch/load.go
+++ b/jobs/dispatch/load.go
@@ -24,6 +24,8 @@
 	serving          int
 	servingGroups    []servingGroup
 	fillers          []fillerUse
+	// limitedSteps are the steps with MaxPerWorker.
+	limitedSteps []stepCount
 	// suspects are the attempts under whose task workers have crashed.
 	suspects []*attempt
 }
@@ -40,6 +42,12 @@
 	milliCPU int64
 }
 
+// stepCount is the number of tasks of one step.
+type stepCount struct {
+	step  jobs.TaskKey
+	tasks int
+}
+
 // currentLoad returns what the attempts of the worker take up.
 func (w *worker) currentLoad() *load {
 	if w.load.outdated || w.load.attempts != len(w.attempts) {
@@ -53,7 +61,7 @@
 
 // reset empties the load and keeps the memory of its lists.
 func (l *load) reset() {
-	*l = load{servingGroups: l.servingGroups[:0], fillers: l.fillers[:0], suspects: l.suspects[:0]}
+	*l = load{servingGroups: l.servingGroups[:0], fillers: l.fillers[:0], limitedSteps: l.limitedSteps[:0], suspects: l.suspects[:0]}
 }
 
 func (l *load) add(a *attempt) {
@@ -72,6 +80,9 @@
 	if a.step.Filler {
 		l.addFiller(a.step.Image, a.step.Request.MilliCPU)
 	}
+	if a.step.MaxPerWorker > 0 {
+		l.addStep(stepKey(a.task))
+	}
 	if a.suspicion > 0 {
 		l.suspects = append(l.suspects, a)
 	}
@@ -97,6 +108,26 @@
 	l.fillers = append(l.fillers, fillerUse{image, milliCPU})
 }
 
+func (l *load) addStep(step jobs.TaskKey) {
+	for i := range l.limitedSteps {
+		if l.limitedSteps[i].step == step {
+			l.limitedSteps[i].tasks++
+			return
+		}
+	}
+	l.limitedSteps = append(l.limitedSteps, stepCount{step, 1})
+}
+
+// countStep returns the number of tasks of a step with MaxPerWorker.
+func (l *load) countStep(step jobs.TaskKey) int {
+	for i := range l.limitedSteps {
+		if l.limitedSteps[i].step == step {
+			return l.limitedSteps[i].tasks
+		}
+	}
+	return 0
+}
+
 // expectedMilliCPU returns the CPU that a task is expected to use, in millicores.
 func expectedMilliCPU(step *jobs.Step) float64 {
 	if step.LatencyTargetMS > 0 {
--- a/jobs/dispatch/load_test.go
+++ b/jobs/dispatch/load_test.go
@@ -105,7 +105,7 @@
 
 // randomAttempt returns an attempt with a random step, phase and suspicion.
 func (d *Dispatcher) randomAttempt(rng *rand.Rand, index int) *attempt {
-	step := &jobs.Step{Request: jobs.Resources{MilliCPU: rng.Int64N(7000), MemoryMB: rng.Int64N(9000)}}
+	step := &jobs.Step{MaxPerWorker: 20, Request: jobs.Resources{MilliCPU: rng.Int64N(7000), MemoryMB: rng.Int64N(9000)}}
 	switch rng.IntN(3) {
 	case 0:
 		step.LongRunning, step.LatencyTargetMS, step.Image = true, 18, fmt.Sprint("s", rng.IntN(4))
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -63,6 +63,9 @@
 	// blockedSince is the time since which plans leave fillers without a worker, 0 for
 	// none.
 	blockedSince time.Duration
+	// reservations is the number of workers that the plan has reserved for long-running
+	// tasks.
+	reservations int
 	// consolidatedAt is when the serving tasks of a worker were last considered for moves.
 	consolidatedAt time.Duration
 	// overdueTokens is a token bucket: each overdue long-running task that starts ahead of
@@ -140,6 +143,7 @@
 	d.planner.dirty = false
 	d.planner.nextDueAt = 0
 	d.planner.blockedMilliCPU = 0
+	d.planner.reservations = 0
 	candidates := d.candidates()
 	if len(candidates) == 0 {
 		return
@@ -280,22 +284,37 @@
 	if since := max(wj.job.AcceptedAt, t.EndedAt); !step.LongRunning || d.unixMS-since < reserveAfter.Milliseconds() {
 		return
 	}
+	if d.planner.reservations > len(candidates)/workersPerReservation {
+		return
+	}
+	best := d.largestShare(wj, step, t, candidates, func(c *candidate) bool {
+		return step.ReservedResources().FitsIn(c.worker.Capacity) && !c.keeps(step, t)
+	})
+	if best != nil {
+		best.reserved = reservedForLongRunning
+		d.planner.reservations++
+	}
+}
+
+// largestShare returns the worker without a reservation that can hold the largest share of
+// a task now, among those that admissible accepts, or nil. The limit of tasks for each
+// worker is examined last, since it takes longest.
+func (d *Dispatcher) largestShare(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate, admissible func(*candidate) bool) *candidate {
 	var best *candidate
-	reserved := 0
+	var bestRatio float64
 	for _, c := range candidates {
-		reserved += boolToInt(c.reserved == reservedForLongRunning)
-		if c.worker.Service != wj.service || c.reserved != notReserved || !c.worker.hasLabel(step.RequiredLabel) ||
-			!step.ReservedResources().FitsIn(c.worker.Capacity) || c.keeps(step, t) ||
-			!d.withinStepLimit(t, step, c, nil) {
+		if c.reserved != notReserved || c.worker.Service != wj.service {
 			continue
 		}
-		if best == nil || c.fitRatio(step) > best.fitRatio(step) {
-			best = c
+		share := c.fitRatio(step)
+		if best != nil && share <= bestRatio {
+			continue
+		}
+		if admissible(c) && c.worker.hasLabel(step.RequiredLabel) && d.withinStepLimit(t, step, c, nil) {
+			best, bestRatio = c, share
 		}
 	}
-	if best != nil && reserved <= len(candidates)/workersPerReservation {
-		best.reserved = reservedForLongRunning
-	}
+	return best
 }
 
 // fitRatio returns the ratio of free to requested capacity, for the scarcer of CPU and
--- a/jobs/dispatch/restart.go
+++ b/jobs/dispatch/restart.go
@@ -62,16 +62,9 @@
 // chooses the worker that can hold the largest share of the task now, among those that
 // can hold all of it once their short tasks have finished.
 func (d *Dispatcher) reserveForRestart(r restart, candidates []*candidate) bool {
-	var best *candidate
-	for _, c := range candidates {
-		if c.worker.Service != r.job.service || c.reserved != notReserved || !c.worker.hasLabel(r.step.RequiredLabel) ||
-			!r.step.ReservedResources().FitsIn(c.freeAfterShort) || !d.withinStepLimit(r.task, r.step, c, nil) {
-			continue
-		}
-		if best == nil || c.fitRatio(r.step) > best.fitRatio(r.step) {
-			best = c
-		}
-	}
+	best := d.largestShare(r.job, r.step, r.task, candidates, func(c *candidate) bool {
+		return r.step.ReservedResources().FitsIn(c.freeAfterShort)
+	})
 	if best == nil {
 		return false
 	}
