dispatch: keep an attempt whose start may reach the next life of a worker that left

Callers could see a task run twice after a takeover: an attempt of a worker that had deregistered ended as soon as its address refused a connection, and the task started elsewhere. A start of the former leader that was still at a carrier then reached the next process under the same id, which had seen no higher fence and carried it out.

Cause: abandonIncarnation relies on starts that name the abandoned incarnation. They name the worker's id only, which a restart may keep.

Of such a worker only attempts that it is known to have started, or that can start no more, end at once. The others wait for the list of the next process under the id, which then refuses lower fences, or for the end of the lease. The simulation gets what the test needs: control threads, carriers and replies that are late, commands that a new leader inherits uncommitted, and a check of each start against successful ends that are acknowledged by then or later.

--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -42,9 +42,27 @@
 	}
 }
 
+// abandonLeft abandons a deregistered worker whose address refuses connections. A start that
+// is still on its way would take effect if a process under the same id comes up there: such an
+// attempt is kept until that one lists its tasks or the lease has expired.
+func (d *Dispatcher) abandonLeft(w *worker) {
+	pending := false
+	for _, a := range w.attempts {
+		switch a.phase {
+		case phaseStarted, phaseVoid:
+			d.endAttempt(a, a.lossOutcome())
+		case phaseInherited, phaseProposed, phaseOrdered, phaseUncertain:
+			pending = true
+		}
+	}
+	if !pending {
+		d.abandonIncarnation(w)
+	}
+}
+
 // abandonIncarnation abandons a worker incarnation after another process has answered at
-// its address, or the address of a deregistered worker refused a connection. Unanswered
-// starts cannot take effect either, since they name the abandoned incarnation.
+// its address, or a deregistered worker has left. Unanswered starts cannot take effect either,
+// since they name the abandoned incarnation.
 func (d *Dispatcher) abandonIncarnation(w *worker) {
 	if w.terminated {
 		return
@@ -77,7 +95,7 @@
 		}
 		w.unresponsive = true
 		if r.Status == Unreachable && w.deregistered {
-			d.abandonIncarnation(w)
+			d.abandonLeft(w)
 		}
 		return
 	}
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"geraniumwall/jobs"
@@ -52,6 +53,38 @@
 	crashesUnder       map[jobs.TaskKey]int
 	startsAfterCrashes map[jobs.TaskKey]int
 	possibleCrashes    map[jobs.TaskKey]int
+	// stalledUntil is when the control thread of a leader runs again. Its events wait until then.
+	stalledUntil map[*Dispatcher]time.Duration
+	// maxCarrierWait bounds how long an order waits at a carrier that has found it to be in
+	// time, and lostReplyRate is the share of the replies that carriers lose.
+	maxCarrierWait time.Duration
+	lostReplyRate  float64
+	// carrierWait returns how long an order waits there, in place of a random time.
+	carrierWait func(o Order) time.Duration
+	// proposed are the commands of the current leader that are not committed yet. A takeover
+	// commits some of them if inheritProposals is set.
+	proposed         []*proposedBatch
+	inheritProposals bool
+	// boundToEnded counts the bindings to incarnations that had ended already.
+	boundToEnded map[jobs.TaskKey]int
+	// doneEnds are the successful ends on workers, by task.
+	doneEnds map[jobs.TaskKey][]*doneEnd
+}
+
+// proposedBatch is a batch of commands that a leader has proposed together.
+type proposedBatch struct {
+	leader   *Dispatcher
+	commands []Proposal
+}
+
+// doneEnd is a successful end on a worker.
+type doneEnd struct {
+	attempt int
+	// leaseExpired is set once the lease of the worker has expired since, and acknowledged once
+	// a leader has acknowledged the end before that.
+	leaseExpired, acknowledged bool
+	// startedAgain is set once a later start of the task was carried out.
+	startedAgain bool
 }
 
 type event struct {
@@ -96,6 +129,9 @@
 	// log: the time that a restored worker has to report, and that an order travels.
 	testTakeover = testHeartbeatInterval + 1500*time.Millisecond
 	unixStart    = 1_700_000_000_000
+	// testReplyTimeout is how long a leader waits for the reply of a carrier, besides the time
+	// that a worker may wait itself.
+	testReplyTimeout = 1500 * time.Millisecond
 )
 
 func (sim *simulation) unix() int64 { return unixStart + sim.now.Milliseconds() }
@@ -104,6 +140,7 @@
 // a random time of at most testPreviousLeaderLease, and learn of no further commands.
 func (sim *simulation) startLeader() *Dispatcher {
 	sim.copyStore()
+	sim.commitInherited()
 	for _, previous := range sim.leaders {
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
@@ -132,6 +169,49 @@
 	}
 }
 
+// commitInherited commits the first of the commands that the former leader has proposed, as
+// far as the new one has them in its log.
+func (sim *simulation) commitInherited() {
+	if sim.inheritProposals && len(sim.proposed) > 0 {
+		for _, batch := range sim.proposed[:sim.rng.IntN(len(sim.proposed)+1)] {
+			for _, p := range batch.commands {
+				sim.apply(p.Command)
+			}
+		}
+	}
+	sim.proposed = nil
+}
+
+func (sim *simulation) apply(c jobs.Command) jobs.Result {
+	result := sim.store.Apply(c)
+	if c.Bind != nil && result.Applied && !sim.isUp(c.Bind.On) {
+		sim.boundToEnded[c.Bind.Task]++
+	}
+	return result
+}
+
+func (sim *simulation) isUp(on jobs.Incarnation) bool {
+	return slices.ContainsFunc(sim.workers, func(t *simWorker) bool {
+		return t.up && t.id == on.Worker && t.startedAtMS == on.StartedAtMS
+	})
+}
+
+// onControl runs a function on the control thread of a leader, after those that wait there.
+func (sim *simulation) onControl(d *Dispatcher, run func()) {
+	if wait := sim.stalledUntil[d] - sim.now; wait > 0 {
+		sim.schedule(wait, func() { sim.onControl(d, run) })
+		return
+	}
+	run()
+}
+
+// stall keeps the control thread of the current leader from running for a time.
+func (sim *simulation) stall(length time.Duration) {
+	if d := sim.current(); sim.stalledUntil[d] <= sim.now {
+		sim.stalledUntil[d] = sim.now + length
+	}
+}
+
 func (sim *simulation) depose(d *Dispatcher) { sim.deposed[d] = true }
 
 func (sim *simulation) current() *Dispatcher { return sim.leaders[len(sim.leaders)-1] }
@@ -143,7 +223,7 @@
 	d.Advance(sim.now, sim.unix())
 	d.Tick()
 	sim.carryOut(d)
-	sim.schedule(testTick, func() { sim.tick(d) })
+	sim.schedule(testTick, func() { sim.onControl(d, func() { sim.tick(d) }) })
 }
 
 // carryOut sends the orders of a leader and proposes its commands. Only the commands of
@@ -158,41 +238,80 @@
 	if len(commands) > 0 {
 		// Commands are committed in the order in which they were proposed.
 		sim.committedUntil = max(sim.committedUntil, sim.now+5*time.Millisecond+sim.commitDelay)
-		sim.schedule(sim.committedUntil-sim.now, func() { sim.commit(d, commands) })
+		batch := &proposedBatch{d, commands}
+		sim.proposed = append(sim.proposed, batch)
+		sim.schedule(sim.committedUntil-sim.now, func() { sim.onControl(d, func() { sim.commit(batch) }) })
 	}
 	for _, o := range orders {
 		sim.sendOrder(d, o)
 	}
 }
 
-func (sim *simulation) commit(d *Dispatcher, commands []Proposal) {
+func (sim *simulation) commit(batch *proposedBatch) {
+	d := batch.leader
+	sim.proposed = slices.DeleteFunc(sim.proposed, func(b *proposedBatch) bool { return b == batch })
 	if sim.deposed[d] {
 		return
 	}
 	d.Advance(sim.now, sim.unix())
 	rejected := sim.rejectRate > 0 && sim.rng.Float64() < sim.rejectRate
-	for _, p := range commands {
+	for _, p := range batch.commands {
 		if rejected || d != sim.current() {
 			p.OnResult(jobs.Result{}, false)
 			continue
 		}
-		p.OnResult(sim.store.Apply(p.Command), true)
+		p.OnResult(sim.apply(p.Command), true)
 	}
 	sim.carryOut(d)
 }
 
 func (sim *simulation) sendOrder(leader *Dispatcher, o Order) {
-	t := sim.workerAt(o.To.HostPort)
-	sent := sim.now
+	sent, answered := sim.now, false
 	answer := func(r Reply) {
-		if sim.deposed[leader] {
+		if answered {
 			return
 		}
-		r.Order, r.SentAt, r.ReceivedAt = o, sent, sim.now
-		leader.Advance(sim.now, sim.unix())
-		leader.HandleReply(r)
-		sim.carryOut(leader)
+		answered = true
+		sim.onControl(leader, func() { sim.handleReply(leader, o, r, sent) })
+	}
+	if sim.maxCarrierWait == 0 && sim.lostReplyRate == 0 && sim.carrierWait == nil {
+		sim.call(leader, o, answer)
+		return
 	}
+	sim.sendByCarrier(leader, o, answer)
+}
+
+func (sim *simulation) handleReply(leader *Dispatcher, o Order, r Reply, sent time.Duration) {
+	if sim.deposed[leader] {
+		return
+	}
+	r.Order, r.SentAt, r.ReceivedAt = o, sent, sim.now
+	leader.Advance(sim.now, sim.unix())
+	leader.HandleReply(r)
+	sim.carryOut(leader)
+}
+
+// sendByCarrier lets an order wait at a carrier, which may lose the reply.
+func (sim *simulation) sendByCarrier(leader *Dispatcher, o Order, answer func(Reply)) {
+	limit := testReplyTimeout
+	if o.Hold != nil {
+		limit += o.Hold.MaxWait
+	}
+	sim.schedule(limit, func() { answer(Reply{Status: Unknown, Reason: "the carrier has not reported"}) })
+	report := answer
+	if sim.rng.Float64() < sim.lostReplyRate {
+		report = func(Reply) {}
+	}
+	wait := time.Duration(sim.rng.Int64N(int64(sim.maxCarrierWait) + 1))
+	if sim.carrierWait != nil {
+		wait = sim.carrierWait(o)
+	}
+	sim.schedule(wait, func() { sim.call(leader, o, report) })
+}
+
+// call sends an order to its worker.
+func (sim *simulation) call(leader *Dispatcher, o Order, answer func(Reply)) {
+	t := sim.workerAt(o.To.HostPort)
 	wait := 700 * time.Millisecond
 	if o.Hold != nil {
 		wait += o.Hold.MaxWait
@@ -429,11 +548,20 @@
 	if t.sim.maxHeartbeatDelay > 0 {
 		delay += time.Duration(t.sim.rng.Int64N(int64(t.sim.maxHeartbeatDelay)))
 	}
-	t.sim.schedule(delay, func() {
-		d := t.sim.current()
-		d.Advance(t.sim.now, t.sim.unix())
+	t.sim.schedule(delay, func() { t.sim.deliverHeartbeat(t.sim.current(), h) })
+}
+
+// deliverHeartbeat passes a heartbeat to a leader, or to a later one if that has been replaced
+// before it gets to it.
+func (sim *simulation) deliverHeartbeat(d *Dispatcher, h Heartbeat) {
+	sim.onControl(d, func() {
+		if sim.current() != d {
+			sim.deliverHeartbeat(sim.current(), h)
+			return
+		}
+		d.Advance(sim.now, sim.unix())
 		d.HandleHeartbeat(h)
-		t.sim.carryOut(d)
+		sim.carryOut(d)
 	})
 }
 
@@ -498,6 +626,7 @@
 		if f.Outcome == jobs.OutcomeDone && !t.sim.store.Job(f.Task.Job).Task(f.Task).Done {
 			t.sim.violation("end of %v was acknowledged before it was committed", f.Task)
 		}
+		t.sim.acknowledge(f)
 		t.finished = t.finished[1:]
 	}
 	r.Finished = append(r.Finished, t.finished...)
@@ -525,6 +654,7 @@
 	step := t.sim.store.Job(s.Task.Job).Step(s.Task)
 	t.sim.checkStart(t, s, step)
 	t.sim.checkCapacity(leader, t, o, step, sentAt)
+	t.sim.noteStart(s)
 	run := &simRun{attempt: s.Attempt, reserved: step.ReservedResources(), startedAt: t.sim.now}
 	t.running[s.Task] = run
 	if !step.LongRunning {
@@ -562,6 +692,9 @@
 	t.endCount++
 	t.sim.failedEnds[key] += boolToInt(outcome == jobs.OutcomeFailed)
 	t.finished = append(t.finished, FinishedTask{Number: t.endCount, Task: key, Attempt: run.attempt, Outcome: outcome})
+	if outcome == jobs.OutcomeDone {
+		t.sim.doneEnds[key] = append(t.sim.doneEnds[key], &doneEnd{attempt: run.attempt})
+	}
 }
 
 // expire ends all runs once the lease has expired.
@@ -572,6 +705,44 @@
 	for key := range t.running {
 		t.end(key, jobs.OutcomeLeaseExpired)
 	}
+	for i := range t.finished {
+		if e := t.sim.doneEnd(&t.finished[i]); e != nil {
+			e.leaseExpired = true
+		}
+	}
+}
+
+// doneEnd returns the record of a successful end, or nil.
+func (sim *simulation) doneEnd(f *FinishedTask) *doneEnd {
+	for _, e := range sim.doneEnds[f.Task] {
+		if e.attempt == f.Attempt {
+			return e
+		}
+	}
+	return nil
+}
+
+// acknowledge checks that a task was not started again after an end that is acknowledged now,
+// unless the lease of its worker has expired since.
+func (sim *simulation) acknowledge(f FinishedTask) {
+	e := sim.doneEnd(&f)
+	if e == nil || e.leaseExpired {
+		return
+	}
+	e.acknowledged = true
+	if e.startedAgain {
+		sim.violation("the end of attempt %d of %v is acknowledged after a later start", f.Attempt, f.Task)
+	}
+}
+
+// noteStart checks that a task does not start after an acknowledged end.
+func (sim *simulation) noteStart(s *Start) {
+	for _, e := range sim.doneEnds[s.Task] {
+		e.startedAgain = true
+		if e.acknowledged {
+			sim.violation("attempt %d of %v starts after the end of attempt %d was acknowledged", s.Attempt, s.Task, e.attempt)
+		}
+	}
 }
 
 // checkStart checks the invariants when a worker starts a task.
