replicate: tell a replica that it was removed before it heard from a leader

A replica that had lost its disk could wait for good with an id that was no member's any more; a restart kept the id. The log went on with fewer replicas.

Cause: a request to join that is repeated at the next leader, or is processed late, removes the learner that the former request had added. A removed replica learns of it from the answers to its messages, but one without a membership sends none: it asks for no votes, and no leader sends it anything.

A replica that does not vote and has heard nothing for 2 s shows its id to its peers by a message that they ignore. The answer tells it that it was removed, and it joins again.

--- a/replicate/join_test.go
+++ b/replicate/join_test.go
@@ -81,4 +81,17 @@
 		_, err = former.requestJoin("x", "h8")
 		Expect(err).To(MatchError(raft.ErrNotLeader))
 	})
+
+	// Guards against a replica that never takes part because it was removed by a repeated
+	// request to join before it had heard from a leader.
+	It("learns that it was removed before it heard from a leader", func() {
+		c := newPowerCluster(1, 3, 0)
+		id := c.join("first", "h4")
+		peers := c.addresses()
+		c.join("second", "h4")
+		h := c.addHost("h4")
+		h.startAs(id, peers)
+		c.becomeComplete()
+		Expect(h.id).To(BeNumerically(">", id))
+	})
 })
--- a/replicate/members.go
+++ b/replicate/members.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"geraniumwall/raft"
 )
@@ -70,6 +72,38 @@
 	return nil
 }
 
+// askIfRemoved shows the id of a silent replica that doesn't vote to its peers, which answer a
+// removed one. Nothing else would tell it: it asks for no votes, and a leader sends nothing to
+// replicas that are not members.
+func (r *Replica) askIfRemoved() {
+	now := r.options.Now()
+	if now-r.heardAt < removalCheckInterval {
+		return
+	}
+	r.heardAt = now
+	if r.node.Status().Membership.IsVoter(r.options.ID) {
+		return
+	}
+	var messages []raft.Message
+	for _, id := range r.peerIDs() {
+		// Without a term the peers do nothing else with it.
+		messages = append(messages, raft.Message{Type: raft.MessageHeartbeatResponse, From: r.options.ID, To: id})
+	}
+	r.options.Transport.Send(messages)
+}
+
+// peerIDs returns the ids of the other replicas, by the options until the membership is known.
+func (r *Replica) peerIDs() []uint64 {
+	var ids []uint64
+	for _, m := range r.members {
+		ids = append(ids, m.ID)
+	}
+	if len(r.node.Status().Membership.Members) == 0 {
+		ids = slices.AppendSeq(ids, maps.Keys(r.options.Peers))
+	}
+	return slices.DeleteFunc(ids, func(id uint64) bool { return id == r.options.ID })
+}
+
 // maxVoters is the largest number of voters. Further replicas stay learners.
 const maxVoters = 7
 
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -30,6 +30,9 @@
 	// voterSilenceTimeout is how long a voter must have been silent before a learner
 	// may replace it.
 	voterSilenceTimeout = 2500 * time.Millisecond
+	// removalCheckInterval is how long a replica that doesn't vote may hear nothing until it
+	// asks whether it was removed.
+	removalCheckInterval = 2 * time.Second
 )
 
 // ErrLost means that another entry was committed at the index of the proposal, which
@@ -94,6 +97,9 @@
 	appliedIndex   uint64
 	members        []raft.Member
 	peersSet       bool
+	// heardAt is when another replica's message last arrived, or when this one last asked
+	// whether it was removed.
+	heardAt time.Duration
 
 	leading bool
 	term    uint64
@@ -153,6 +159,7 @@
 func (r *Replica) Tick() {
 	r.node.Tick(r.options.Now())
 	r.renewLease()
+	r.askIfRemoved()
 	r.processReady()
 }
 
@@ -161,6 +168,7 @@
 	r.node.Tick(r.options.Now())
 	for _, m := range messages {
 		if m.To == r.options.ID {
+			r.heardAt = r.options.Now()
 			r.node.Step(m)
 		}
 	}
