raft: introduce a sender to replicas that don't know its address

A replica that was down while others joined could stay behind for good, and not vote, once one of those led: with two of five replicas replaced, the next failure stopped the log although a majority was up.

Cause: a replica sends to the addresses of the membership in its own log. A leader that joined later is not in there, so that the answers to it are dropped. It goes on probing at its last entry and waits for a rejection, and the entry that tells its address never arrives. The answers to its requests for votes are lost in the same way.

--- a/control/peers.go
+++ b/control/peers.go
@@ -6,13 +6,14 @@
 	"geraniumwall/raft"
 )
 
-// updatePeers follows the membership with the transport. The addresses of the
-// settings serve until a replica knows a membership.
-func (r *replica) updatePeers(m raft.Membership) {
-	if slices.Equal(m.Members, r.members.Members) && len(m.Members) > 0 {
+// updatePeers follows the membership, and newcomers, with the transport. The addresses of
+// the settings serve until a replica knows a membership.
+func (r *replica) updatePeers(s *raft.Status) {
+	m := s.Membership
+	if slices.Equal(m.Members, r.members.Members) && len(m.Members) > 0 && slices.Equal(s.Newcomers, r.newcomers) {
 		return
 	}
-	r.members = m
+	r.members, r.newcomers = m, s.Newcomers
 	r.net.SetPeers(r.addresses())
 }
 
@@ -24,7 +25,7 @@
 	if len(r.members.Members) > 0 {
 		clear(addresses)
 	}
-	for _, m := range r.members.Members {
+	for _, m := range slices.Concat(r.members.Members, r.newcomers) {
 		addresses[m.ID] = m.Address
 	}
 	return addresses
--- a/control/replica.go
+++ b/control/replica.go
@@ -43,6 +43,7 @@
 	ended     map[string][]chan *controlpb.Task
 	feeds     map[string][]feedWaiter
 	members   raft.Membership
+	newcomers []raft.Member
 	// removed is set once another replica said that the membership without this
 	// one is committed.
 	removed bool
@@ -278,7 +279,7 @@
 		r.log.Info().Uint64("term", s.Term).Uint64("index", s.Commit).Msg("leadership began")
 		r.lead = newLeadership(s.Term, r.now(), r.machine)
 	}
-	r.updatePeers(s.Membership)
+	r.updatePeers(&s)
 	r.view.Store(&view{
 		status: s, ready: r.lead != nil, applied: r.machine.Index(), leaderAddress: r.addressOf(s.Leader),
 		retired: r.removed,
--- a/raft/election.go
+++ b/raft/election.go
@@ -34,6 +34,7 @@
 	last := n.log.last()
 	m.Index = last.Index
 	m.LogTerm = last.Term
+	m.Entries = n.introduction()
 	for _, id := range n.membership().Voters() {
 		if id == n.config.ID {
 			continue
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -139,12 +139,16 @@
 func (n *Node) sendHeartbeats() {
 	n.lead.lastHeartbeat = n.now
 	for _, peer := range n.orderedPeers() {
-		n.send(Message{
+		m := Message{
 			Type:   MessageHeartbeat,
 			To:     peer.id,
 			Commit: min(peer.match, n.log.commit),
 			Round:  n.lead.reads.round,
-		})
+		}
+		if !peer.answered {
+			m.Entries = n.introduction()
+		}
+		n.send(m)
 	}
 }
 
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -1,6 +1,9 @@
 package raft
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // membershipAt is a membership and the entry that set it. A membership is in
 // force as soon as its entry is in the log, committed or not.
@@ -54,6 +57,31 @@
 	}
 }
 
+// introduction returns the membership as the only entry of a message that appends none.
+func (n *Node) introduction() []Entry {
+	return []Entry{{Kind: EntryMembership, Data: EncodeMembership(n.membership())}}
+}
+
+// noteNewcomer remembers a sender that this replica's membership does not know yet. Without its
+// address no answer would reach it, and if it leads, no entry that tells the address arrives.
+func (n *Node) noteNewcomer(m Message) {
+	if m.Type == MessageAppend || len(m.Entries) != 1 || m.Entries[0].Kind != EntryMembership {
+		return
+	}
+	known := n.membership().HighestID
+	n.newcomers = slices.DeleteFunc(n.newcomers, func(other Member) bool { return other.ID <= known || other.ID == m.From })
+	membership, err := DecodeMembership(m.Entries[0].Data)
+	if err != nil || m.From <= known {
+		return
+	}
+	if sender, found := membership.Find(m.From); found && len(n.newcomers) < maxNewcomers {
+		n.newcomers = append(n.newcomers, sender)
+	}
+}
+
+// maxNewcomers bounds the senders that a replica remembers besides its members.
+const maxNewcomers = 16
+
 // ChangeMembers appends a membership change. One change is allowed at a time,
 // and none before the leader has committed an entry of its term: two quorums of
 // consecutive memberships then always intersect. Its errors are ErrNotLeader,
--- a/raft/message.go
+++ b/raft/message.go
@@ -33,6 +33,9 @@
 	Index   uint64
 	LogTerm uint64
 	Commit  uint64
+	// Entries are those to append. A request for votes, and a heartbeat to a replica that has
+	// not answered in this term, has the sender's membership: the receiver may not know yet
+	// to which address it has to answer.
 	Entries []Entry
 	Reject  bool
 	// HintIndex and HintTerm name the entry at which a follower's log may match.
--- a/raft/node.go
+++ b/raft/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -25,6 +26,9 @@
 	electionStart   time.Duration
 	electionTimeout time.Duration
 
+	// newcomers are senders with ids above those that the membership knows.
+	newcomers []Member
+
 	votes    map[uint64]bool
 	lead     *leadership
 	incoming *incomingSnapshot
@@ -206,6 +210,7 @@
 		Last:       n.log.last().Index,
 		Membership: n.membership(),
 		Committed:  n.membershipAt(n.log.commit),
+		Newcomers:  slices.Clone(n.newcomers),
 	}
 	if n.role == RoleLeader {
 		s.LeaderReady = n.committedInTerm()
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -17,6 +17,8 @@
 	window  []inflight
 	bytes   int
 	contact time.Duration
+	// answered is set from the first message of the peer in this term on.
+	answered bool
 	// round is the newest heartbeat round that the peer has answered.
 	round    uint64
 	outgoing *outgoingSnapshot
--- a/raft/step.go
+++ b/raft/step.go
@@ -8,6 +8,7 @@
 	if m.To != n.config.ID || m.From == n.config.ID || m.From == 0 {
 		return
 	}
+	n.noteNewcomer(m)
 	if m.Term < n.hard.Term {
 		n.refuseOldTerm(m)
 		return
@@ -48,7 +49,7 @@
 	if !known {
 		return
 	}
-	peer.contact = n.now
+	peer.contact, peer.answered = n.now, true
 	switch m.Type {
 	case MessageAppendResponse:
 		n.handleAppendResponse(peer, m)
--- a/raft/types.go
+++ b/raft/types.go
@@ -212,6 +212,9 @@
 	Membership Membership
 	// Committed is the membership as of the commit index.
 	Committed Membership
+	// Newcomers are members by a newer membership than this replica's that have sent it
+	// messages, for their addresses.
+	Newcomers []Member
 	// LeaderReady is true on a leader that has committed an entry of its term.
 	LeaderReady bool
 	// Transferee is the target of a leadership transfer in progress, or 0.
--- a/replicate/join_test.go
+++ b/replicate/join_test.go
@@ -94,4 +94,31 @@
 		c.becomeComplete()
 		Expect(h.id).To(BeNumerically(">", id))
 	})
+
+	// Guards against a replica that stays behind because it can't answer a leader that has
+	// joined since: no entry that tells the leader's address reaches it.
+	It("brings members up to date that don't know it when it leads", func() {
+		c := newPowerCluster(1, 3, 0)
+		first := c.leader(nil)
+		behind := c.hosts[(first.id)%3]
+		behind.powerOff()
+		var joined []*powerHost
+		for _, address := range []string{"h4", "h5"} {
+			id := c.join(address, address)
+			h := c.addHost(address)
+			h.startAs(id, c.addresses())
+			joined = append(joined, h)
+		}
+		for len(c.leader(nil).replica.Status().Committed.Voters()) < 5 {
+			c.runUntil(c.now + TickInterval)
+		}
+		c.runUntil(c.now + time.Second)
+		for c.leader(nil) != joined[0] {
+			leader := c.leader(nil)
+			leader.onControl(leader.life, func() { _ = leader.replica.node.Transfer(joined[0].id) })
+			c.runUntil(c.now + time.Second)
+		}
+		behind.powerOn()
+		c.becomeComplete()
+	})
 })
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -353,15 +354,30 @@
 		r.leading, r.term, r.nextLeaseRenewal = true, s.Term, 0
 		r.options.Log.Info().Uint64("term", s.Term).Uint64("index", s.Commit).Msg("became leader")
 	}
-	if len(s.Membership.Members) > 0 && (!r.peersSet || !slices.Equal(s.Membership.Members, r.members)) {
-		r.peersSet, r.members = true, s.Membership.Members
-		peers := map[uint64]string{}
-		for _, m := range r.members {
-			peers[m.ID] = m.Address
-		}
-		r.options.Transport.SetPeers(peers)
-		r.options.Log.Info().Int("members", len(r.members)).Int("voters", len(s.Membership.Voters())).Msg("membership changed")
+	r.updatePeers(&s)
+}
+
+// updatePeers tells the transport the addresses of the members and of newcomers. Those of the
+// options serve until a membership is known.
+func (r *Replica) updatePeers(s *raft.Status) {
+	members := s.Membership.Members
+	if len(s.Newcomers) > 0 {
+		members = slices.Concat(members, s.Newcomers)
+	}
+	if len(members) == 0 || r.peersSet && slices.Equal(members, r.members) {
+		return
+	}
+	r.peersSet, r.members = true, members
+	peers := map[uint64]string{}
+	if len(s.Membership.Members) == 0 {
+		maps.Copy(peers, r.options.Peers)
+	}
+	for _, m := range members {
+		peers[m.ID] = m.Address
 	}
+	r.options.Transport.SetPeers(peers)
+	r.options.Log.Info().Int("members", len(s.Membership.Members)).Int("voters", len(s.Membership.Voters())).
+		Int("newcomers", len(s.Newcomers)).Msg("membership changed")
 }
 
 // failProposals completes the pending proposals of a former leader with
