--- a/replicate/members.go
+++ b/replicate/members.go
@@ -3,13 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"geraniumwall/raft"
 )
 
-// ErrNotReady is returned by Join until a former member at the same address has
-// been removed.
-var ErrNotReady = errors.New("replicate: a former member at this address is being removed; retry the join")
+// ErrNotReady is returned by Join until a former member at the same address has been
+// removed, and by RequestJoin until the new one is committed.
+var ErrNotReady = errors.New("replicate: a change of the membership at this address is not committed yet; retry the join")
 
 // Join adds a replica without data as a learner and returns its id. A member that is
 // already registered at the address is taken to have lost its disk: Join proposes
@@ -33,6 +35,33 @@
 	return member.ID, nil
 }
 
+// RequestJoin adds a replica without data as a learner and returns its id once the change is
+// committed. Before that it returns ErrNotReady, or the error of Join, and the caller retries.
+// The nonce identifies the repetitions of a request.
+func (r *Replica) RequestJoin(nonce, address, domain string) (uint64, error) {
+	s := r.node.Status()
+	if id := r.requestedIDs[nonce]; isMemberAt(s.Membership, id, address) {
+		// Until the change is committed, another leader may grant the same id to another
+		// replica.
+		if !isMemberAt(s.Committed, id, address) {
+			return 0, ErrNotReady
+		}
+		return id, nil
+	}
+	id, err := r.Join(address, domain)
+	if err != nil {
+		return 0, err
+	}
+	r.requestedIDs[nonce] = id
+	return 0, ErrNotReady
+}
+
+// isMemberAt reports whether a member has the id and the address.
+func isMemberAt(membership raft.Membership, id uint64, address string) bool {
+	m, found := membership.Find(id)
+	return found && m.Address == address
+}
+
 func (r *Replica) proposeChange(c raft.MemberChange) error {
 	if _, err := r.node.ChangeMembers(c); err != nil {
 		return fmt.Errorf("change the membership: %w", err)
@@ -43,6 +72,38 @@
 	return nil
 }
 
+// askIfRemoved shows the id of a silent replica that doesn't vote to its peers, which answer a
+// removed one. Nothing else would tell it: it asks for no votes, and a leader sends nothing to
+// replicas that are not members.
+func (r *Replica) askIfRemoved() {
+	now := r.options.Now()
+	if now-r.heardAt < removalCheckInterval {
+		return
+	}
+	r.heardAt = now
+	if r.node.Status().Membership.IsVoter(r.options.ID) {
+		return
+	}
+	var messages []raft.Message
+	for _, id := range r.peerIDs() {
+		// Without a term the peers do nothing else with it.
+		messages = append(messages, raft.Message{Type: raft.MessageHeartbeatResponse, From: r.options.ID, To: id})
+	}
+	r.options.Transport.Send(messages)
+}
+
+// peerIDs returns the ids of the other replicas, by the options until the membership is known.
+func (r *Replica) peerIDs() []uint64 {
+	var ids []uint64
+	for _, m := range r.members {
+		ids = append(ids, m.ID)
+	}
+	if len(r.node.Status().Membership.Members) == 0 {
+		ids = slices.AppendSeq(ids, maps.Keys(r.options.Peers))
+	}
+	return slices.DeleteFunc(ids, func(id uint64) bool { return id == r.options.ID })
+}
+
 // maxVoters is the largest number of voters. Further replicas stay learners.
 const maxVoters = 7
 
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,6 +31,9 @@
 	// voterSilenceTimeout is how long a voter must have been silent before a learner
 	// may replace it.
 	voterSilenceTimeout = 2500 * time.Millisecond
+	// removalCheckInterval is how long a replica that doesn't vote may hear nothing until it
+	// asks whether it was removed.
+	removalCheckInterval = 2 * time.Second
 )
 
 // ErrLost means that another entry was committed at the index of the proposal, which
@@ -94,6 +98,9 @@
 	appliedIndex   uint64
 	members        []raft.Member
 	peersSet       bool
+	// heardAt is when another replica's message last arrived, or when this one last asked
+	// whether it was removed.
+	heardAt time.Duration
 
 	leading bool
 	term    uint64
@@ -111,6 +118,9 @@
 	// replacedVoters are silent voters that a promoted learner replaces, to be
 	// removed.
 	replacedVoters map[uint64]bool
+	// requestedIDs are the ids that this replica has proposed for joining replicas, by the
+	// nonce of their request.
+	requestedIDs map[string]uint64
 }
 
 // New restores the stored state and returns a running replica.
@@ -126,6 +136,7 @@
 	r := &Replica{
 		options: o, node: node, proposals: map[uint64][]proposal{}, pendingReads: map[uint64]func(error){},
 		lastHeard: map[uint64]time.Duration{}, learnerAddedAt: map[uint64]time.Duration{}, replacedVoters: map[uint64]bool{},
+		requestedIDs: map[string]uint64{},
 	}
 	if o.Stored.Snapshot.Index > 0 {
 		if err := o.Machine.Restore(o.Stored.Snapshot.Data); err != nil {
@@ -149,6 +160,7 @@
 func (r *Replica) Tick() {
 	r.node.Tick(r.options.Now())
 	r.renewLease()
+	r.askIfRemoved()
 	r.processReady()
 }
 
@@ -157,6 +169,7 @@
 	r.node.Tick(r.options.Now())
 	for _, m := range messages {
 		if m.To == r.options.ID {
+			r.heardAt = r.options.Now()
 			r.node.Step(m)
 		}
 	}
@@ -341,15 +354,30 @@
 		r.leading, r.term, r.nextLeaseRenewal = true, s.Term, 0
 		r.options.Log.Info().Uint64("term", s.Term).Uint64("index", s.Commit).Msg("became leader")
 	}
-	if len(s.Membership.Members) > 0 && (!r.peersSet || !slices.Equal(s.Membership.Members, r.members)) {
-		r.peersSet, r.members = true, s.Membership.Members
-		peers := map[uint64]string{}
-		for _, m := range r.members {
-			peers[m.ID] = m.Address
-		}
-		r.options.Transport.SetPeers(peers)
-		r.options.Log.Info().Int("members", len(r.members)).Int("voters", len(s.Membership.Voters())).Msg("membership changed")
+	r.updatePeers(&s)
+}
+
+// updatePeers tells the transport the addresses of the members and of newcomers. Those of the
+// options serve until a membership is known.
+func (r *Replica) updatePeers(s *raft.Status) {
+	members := s.Membership.Members
+	if len(s.Newcomers) > 0 {
+		members = slices.Concat(members, s.Newcomers)
+	}
+	if len(members) == 0 || r.peersSet && slices.Equal(members, r.members) {
+		return
+	}
+	r.peersSet, r.members = true, members
+	peers := map[uint64]string{}
+	if len(s.Membership.Members) == 0 {
+		maps.Copy(peers, r.options.Peers)
+	}
+	for _, m := range members {
+		peers[m.ID] = m.Address
 	}
+	r.options.Transport.SetPeers(peers)
+	r.options.Log.Info().Int("members", len(s.Membership.Members)).Int("voters", len(s.Membership.Voters())).
+		Int("newcomers", len(s.Newcomers)).Msg("membership changed")
 }
 
 // failProposals completes the pending proposals of a former leader with
