dispatch: make room for urgent short steps by claims and preemption

A short step that found no room and can still meet its objective now claims room: a claim keeps the free capacity of a worker from other tasks until a task of the step fits, for 1.2 s at most. The room is made by work of a lower priority that ends within the time that a stop takes, else by work that is stopped because it loses little. Stops go the normal way; the task is planned again from its checkpoint, and the end "stopped" is not a failure. Gangs, long-running tasks, tasks with a disruption budget, of the same priority, or whose job would become late are never stopped; a token bucket bounds the rate, and a task is stopped twice at most. Overdue restarts come before claims, since a long-running task must not wait while room is kept.

--- a/jobd/status.go
+++ b/jobd/status.go
@@ -44,7 +44,8 @@
 		Dict("carriers", carrierFields(m)).Dict("workers", workerFields(&s.Workers)).Dict("attempts", attemptFields(&s.Attempts)).
 		Dict("holds", zerolog.Dict().Int("in_flight", s.Holds.InFlight).Int("answered", s.Holds.Answered).
 			Int("expired", s.Holds.Expired).Int("failed", s.Holds.Failed)).
-		Dict("commit", delayFields(&s.Commit)).Dict("start_reply", delayFields(&s.StartReply))
+		Dict("commit", delayFields(&s.Commit)).Dict("start_reply", delayFields(&s.StartReply)).
+		Dict("preemptions", preemptionFields(&s.Preemptions))
 	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
 }
 
@@ -63,6 +64,10 @@
 		Int("ordered", c.Ordered).Int("started", c.Started).Int("uncertain", c.Uncertain).Int("void", c.Void)
 }
 
+func preemptionFields(c *dispatch.PreemptionCounts) *zerolog.Event {
+	return zerolog.Dict().Int("preempted", c.Preempted).Int("claimed", c.Claimed).Int("used", c.Used).Int("expired", c.Expired)
+}
+
 func delayFields(s *dispatch.DelayStats) *zerolog.Event {
 	return zerolog.Dict().Int("count", s.Count).Int64("mean_ms", s.Mean().Milliseconds()).Int64("max_ms", s.Max.Milliseconds())
 }
--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -48,6 +48,8 @@
 	progressAt time.Duration
 	startedAt  time.Duration
 	stopping   bool
+	// yields is set while the room of the attempt is claimed for another task.
+	yields     bool
 	nextStopAt time.Duration
 	// superseded is set when an earlier attempt that was abandoned turns out to
 	// have succeeded.
--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -103,3 +103,42 @@
 	sim.runUntil(8 * time.Second)
 	return d
 }
+
+// BenchmarkPreempt measures a plan in which urgent tasks look for room on a fleet that is
+// full of work of a lower priority.
+func BenchmarkPreempt(b *testing.B) {
+	const workers = 1100
+	l := newBatchLoad(1, workers, 0)
+	l.runUntil(batchStart + 4*time.Second)
+	d := l.current()
+	for i := range 10 {
+		l.submitUrgent(fmt.Sprint("urgent-", i), jobs.Spec{Steps: []jobs.Step{{
+			Count: 13, Request: jobs.Resources{MilliCPU: 6400, MemoryMB: 10}, EstimateMS: 600,
+		}}})
+	}
+	d.refreshWaiting()
+	candidates := d.candidates()
+	ranked := d.rankedJobs()
+	b.Logf("%d jobs wait", len(ranked))
+	b.ResetTimer()
+	for range b.N {
+		p := &d.planner.preemptor
+		for _, cl := range p.claims {
+			for _, a := range cl.sources {
+				a.yields, a.stopping = false, false
+			}
+		}
+		for _, c := range candidates {
+			c.claims, c.claimed = nil, jobs.Resources{}
+		}
+		p.init()
+		p.claims, p.tokens = nil, 1000
+		search := newRoomSearch(d, candidates)
+		for _, wj := range ranked {
+			d.preemptFor(wj, search)
+		}
+	}
+	b.StopTimer()
+	b.Logf("%+v", d.activity.preemptions)
+	d.TakeOutput()
+}
--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -27,6 +27,9 @@
 	// is reservedTask only.
 	reserved     reservation
 	reservedTask jobs.TaskKey
+	// claims are the claims of room on the worker, claimed is what they request together.
+	claims  []*claim
+	claimed jobs.Resources
 	// servingTasks is the number of serving tasks on the worker. headroom holds the further
 	// slowdown that each of their images tolerates.
 	servingTasks int
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -69,6 +69,7 @@
 	overdueRefilledAt time.Duration
 	// shortReserves is the capacity of each service that new long-running tasks leave free.
 	shortReserves map[string]*shortReserve
+	preemptor     preemptor
 }
 
 type avoidance struct {
@@ -82,6 +83,7 @@
 	p.avoided = map[jobs.TaskKey]avoidance{}
 	p.leaseExpiredTasks = map[jobs.TaskKey]bool{}
 	p.shortReserves = map[string]*shortReserve{}
+	p.preemptor.init()
 	p.isolationSince = map[jobs.TaskKey]time.Duration{}
 	for _, j := range store.Jobs() {
 		p.waiting[j.ID] = nil
@@ -95,8 +97,9 @@
 }
 
 // prunePlannerState drops expired avoidances, and the tasks of ended jobs from
-// leaseExpiredTasks and isolationSince.
+// leaseExpiredTasks, isolationSince and the preemptor.
 func (d *Dispatcher) prunePlannerState() {
+	d.planner.preemptor.prune(d.store)
 	for key := range d.planner.leaseExpiredTasks {
 		if j := d.store.Job(key.Job); j == nil || j.State.Ended() {
 			delete(d.planner.leaseExpiredTasks, key)
@@ -147,7 +150,8 @@
 	d.planSuspects(ranked, candidates)
 	d.reserveForShort(ranked, candidates)
 	d.planRestarts(ranked, candidates)
-	noFit := unplaceable{}
+	d.planClaims(candidates)
+	noFit, search := unplaceable{}, newRoomSearch(d, candidates)
 	var overdue []*waitingJob
 	for _, wj := range ranked {
 		if wj.class == classOverdue && d.planner.overdueTokens < 1 {
@@ -155,6 +159,7 @@
 			continue
 		}
 		d.planJob(wj, candidates, &noFit)
+		d.preemptFor(wj, search)
 	}
 	for _, wj := range overdue {
 		d.planJob(wj, candidates, &noFit)
--- a/jobs/dispatch/random_test.go
+++ b/jobs/dispatch/random_test.go
@@ -33,7 +33,7 @@
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), store: jobs.NewStore(), deposed: map[*Dispatcher]bool{}, failedEnds: map[jobs.TaskKey]int{}, //nolint:gosec // a simulation
 		deadly: map[jobs.TaskKey]bool{}, crashesUnder: map[jobs.TaskKey]int{}, startsAfterCrashes: map[jobs.TaskKey]int{},
-		possibleCrashes: map[jobs.TaskKey]int{}, registered: map[*Dispatcher]map[jobs.Incarnation]jobs.Resources{},
+		possibleCrashes: map[jobs.TaskKey]int{}, stoppedEnds: map[jobs.TaskKey]int{}, registered: map[*Dispatcher]map[jobs.Incarnation]jobs.Resources{},
 	}
 	sim.store.Apply(jobs.Command{Configure: &jobs.Configure{Config: jobs.Config{
 		Version: 1, Queues: []jobs.Queue{{Name: "q", Service: "s", MaxAttempts: 1000, Stretch: 2, LatencyObjective: 1000}},
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -32,6 +32,10 @@
 	expireRate float64
 	// holdDelay is added to the network delay of holds.
 	holdDelay time.Duration
+	// stopTime is how long a worker takes to stop a task.
+	stopTime time.Duration
+	// durationSpread is the largest share by which a run is shorter or longer than declared.
+	durationSpread float64
 	// maxDelay bounds the network delay of an order or a reply.
 	maxDelay time.Duration
 	// violations describes the invariants that were broken.
@@ -39,6 +43,8 @@
 	starts     int
 	// failedEnds counts the failed attempts of each task on workers.
 	failedEnds map[jobs.TaskKey]int
+	// stoppedEnds counts the attempts of each task that workers stopped.
+	stoppedEnds map[jobs.TaskKey]int
 	// registered holds the capacity of each worker that was not silent, by the log, when a
 	// leader took over.
 	registered map[*Dispatcher]map[jobs.Incarnation]jobs.Resources
@@ -363,6 +369,44 @@
 	duration  time.Duration
 	percent   int
 	paused    bool
+	// checkpointed is set for a run that saves its work when it is stopped. saved is the work
+	// of earlier runs, stopping is set while the run is being stopped.
+	checkpointed bool
+	saved        time.Duration
+	stopping     bool
+}
+
+// simRestoreTime is how long a run takes to resume from a checkpoint.
+const simRestoreTime = 100 * time.Millisecond
+
+// resume sets the work that a run still has to do by its checkpoint.
+func (r *simRun) resume(step *jobs.Step, checkpoint string, factor float64) {
+	r.checkpointed = step.Checkpointed
+	r.duration = time.Duration(factor * float64(step.EstimateMS) * float64(time.Millisecond))
+	if saved, err := time.ParseDuration(checkpoint); err == nil {
+		r.saved = min(saved, r.duration)
+		r.duration += simRestoreTime
+	}
+}
+
+// durationFactor draws the ratio of the duration of a run to the declared one.
+func (sim *simulation) durationFactor() float64 {
+	if sim.durationSpread == 0 {
+		return 1
+	}
+	return 1 + sim.durationSpread*(2*sim.rng.Float64()-1)
+}
+
+// checkpoint returns the checkpoint of a run that is stopped at a time, empty for none.
+func (r *simRun) checkpoint(now time.Duration) string {
+	if !r.checkpointed {
+		return ""
+	}
+	worked := now - r.startedAt
+	if r.saved > 0 {
+		worked = max(0, worked-simRestoreTime)
+	}
+	return (r.saved + worked).String()
 }
 
 // progress returns the progress of a run in percent. It does not advance while the worker
@@ -372,7 +416,7 @@
 		return 100
 	}
 	if !t.hung {
-		r.percent = min(99, int(100*(t.sim.now-r.startedAt)/r.duration))
+		r.percent = min(99, int(100*(r.saved+t.sim.now-r.startedAt)/r.duration))
 	}
 	return r.percent
 }
@@ -472,7 +516,7 @@
 	case o.Stop != nil:
 		t.refusedUpTo[o.Stop.Task] = max(t.refusedUpTo[o.Stop.Task], o.Stop.Attempt)
 		if run := t.running[o.Stop.Task]; run != nil && run.attempt <= o.Stop.Attempt {
-			t.end(o.Stop.Task, jobs.OutcomeStopped)
+			t.stop(o.Stop.Task, run)
 		}
 	case o.Pace != nil:
 		if run := t.running[o.Pace.Task]; run != nil && run.attempt == o.Pace.Attempt {
@@ -528,8 +572,8 @@
 	run := &simRun{attempt: s.Attempt, reserved: step.ReservedResources(), startedAt: t.sim.now}
 	t.running[s.Task] = run
 	if !step.LongRunning {
-		run.duration = time.Duration(step.EstimateMS) * time.Millisecond
-		t.sim.schedule(run.duration, func() { t.complete(s.Task, run) })
+		run.resume(step, s.Checkpoint, t.sim.durationFactor())
+		t.sim.schedule(run.duration-run.saved, func() { t.complete(s.Task, run) })
 	}
 	if t.sim.deadly[s.Task] {
 		t.crashUnder(s.Task, run)
@@ -561,7 +605,29 @@
 	t.refusedUpTo[key] = max(t.refusedUpTo[key], run.attempt)
 	t.endCount++
 	t.sim.failedEnds[key] += boolToInt(outcome == jobs.OutcomeFailed)
-	t.finished = append(t.finished, FinishedTask{Number: t.endCount, Task: key, Attempt: run.attempt, Outcome: outcome})
+	f := FinishedTask{Number: t.endCount, Task: key, Attempt: run.attempt, Outcome: outcome}
+	if outcome == jobs.OutcomeStopped {
+		f.Checkpoint = run.checkpoint(t.sim.now)
+		t.sim.stoppedEnds[key]++
+	}
+	t.finished = append(t.finished, f)
+}
+
+// stop ends a run after stopTime.
+func (t *simWorker) stop(key jobs.TaskKey, run *simRun) {
+	if t.sim.stopTime == 0 {
+		t.end(key, jobs.OutcomeStopped)
+		return
+	}
+	if run.stopping {
+		return
+	}
+	run.stopping = true
+	t.sim.schedule(t.sim.stopTime, func() {
+		if t.up && t.running[key] == run {
+			t.end(key, jobs.OutcomeStopped)
+		}
+	})
 }
 
 // expire ends all runs once the lease has expired.
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -22,7 +22,8 @@
 	Commit, StartReply DelayStats
 	Holds              HoldCounts
 	// Plans is the number of plans.
-	Plans int
+	Plans       int
+	Preemptions PreemptionCounts
 }
 
 // WorkerCounts counts workers by state. Except for Known each worker counts once.
@@ -85,6 +86,7 @@
 	commit, startReply DelayStats
 	holds              HoldCounts
 	plans              int
+	preemptions        PreemptionCounts
 }
 
 // recordBegin records the delay of a job whose first task is bound.
@@ -114,7 +116,8 @@
 func (d *Dispatcher) TakeStatus() Status {
 	recent := d.activity
 	d.activity = activity{}
-	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans}
+	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans,
+		Preemptions: recent.preemptions}
 	s.Attempts.Orphaned = len(d.orphans)
 	for _, w := range d.workers {
 		d.countWorker(w, &s)
