--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -51,7 +51,9 @@
 	stopping   bool
 	// unlisted is set if a list that the worker was asked for in phaseUncertain lacks the
 	// attempt.
-	unlisted   bool
+	unlisted bool
+	// yields is set while the room of the attempt is claimed for another task.
+	yields     bool
 	nextStopAt time.Duration
 	// superseded is set when an earlier attempt that was abandoned turns out to
 	// have succeeded.
