dispatch: wait for the list of a worker before its expired short tasks start again

Cause: the end of a lease shows that an attempt runs no more, not that it has not ended before. A worker out of contact for longer than the lease keeps the ends of what finished meanwhile, and lists them once it is back; a lease holds only what still runs, so where all tasks have finished none lapses. The leader took the end of the lease for the loss of the result.

A short task now waits for the list of such a worker: while it is in contact again until it has answered, with the bound that settles expired attempts; and while it stays silent for as long as a report takes after a cut. It does not wait where the worker refuses connections or was replaced, or where a long-running task must have run into the end of the lease.

A silent worker costs its short tasks that much more time; that is the price.

--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -10,6 +10,7 @@
 	if w.refusesConnections {
 		d.markCrash(w)
 	}
+	d.noteCertainLapses(w)
 	expired := d.leaseCertainty(w)
 	for _, a := range w.attempts {
 		a.over = expired
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -47,6 +47,9 @@
 	// They were already down for a whole lease, so their restart does not wait for
 	// reserveAfter.
 	leaseExpiredTasks map[jobs.TaskKey]bool
+	// certainLapses are the short tasks whose last attempt ended with the lease of a worker on
+	// which something still ran.
+	certainLapses map[jobs.TaskKey]bool
 	// nextDueAt is the Unix time of the next scheduled start in milliseconds, 0 for none.
 	nextDueAt int64
 	// nonServing is the number of usable workers without serving tasks, usable that of all
@@ -87,6 +90,7 @@
 	p.waiting = map[string]*waitingJob{}
 	p.avoided = map[jobs.TaskKey]avoidance{}
 	p.leaseExpiredTasks = map[jobs.TaskKey]bool{}
+	p.certainLapses = map[jobs.TaskKey]bool{}
 	p.shortReserves = map[string]*shortReserve{}
 	p.preemptor.init()
 	p.isolationSince = map[jobs.TaskKey]time.Duration{}
@@ -102,7 +106,7 @@
 }
 
 // prunePlannerState drops expired avoidances, and the tasks of ended jobs from
-// leaseExpiredTasks, isolationSince and the preemptor.
+// leaseExpiredTasks, certainLapses, isolationSince and the preemptor.
 func (d *Dispatcher) prunePlannerState() {
 	d.planner.preemptor.prune(d.store)
 	for key := range d.planner.leaseExpiredTasks {
@@ -110,6 +114,11 @@
 			delete(d.planner.leaseExpiredTasks, key)
 		}
 	}
+	for key := range d.planner.certainLapses {
+		if j := d.store.Job(key.Job); j == nil || j.State.Ended() {
+			delete(d.planner.certainLapses, key)
+		}
+	}
 	for key := range d.planner.isolationSince {
 		if j := d.store.Job(key.Job); j == nil || j.State.Ended() {
 			delete(d.planner.isolationSince, key)
@@ -261,7 +270,8 @@
 }
 
 // waitingTasks returns the tasks of a step that wait for a worker. held reports whether
-// there are others that are to run alone, which planSuspects binds.
+// there are others: those that are to run alone, which planSuspects binds, and those that
+// wait for the list of the worker of an expired attempt.
 func (d *Dispatcher) waitingTasks(step *jobs.Step, tasks []jobs.Task) (waiting []*jobs.Task, held bool) {
 	for i := range tasks {
 		t := &tasks[i]
@@ -269,6 +279,8 @@
 		case t.Done || t.BoundTo != nil || d.hasPendingRecord(t):
 		case t.Crashes > 0 && mustIsolate(step, t):
 			held = true
+		case len(t.ExpiredAttempts) > 0 && !step.LongRunning && d.awaitsList(t):
+			held = true
 		default:
 			waiting = append(waiting, t)
 		}
@@ -392,6 +404,7 @@
 	c.tasks++
 	d.addTask(c, step)
 	delete(d.planner.leaseExpiredTasks, t.Key)
+	delete(d.planner.certainLapses, t.Key)
 	delete(d.planner.isolationSince, t.Key)
 	a := d.newAttempt(t, step, number, phaseProposed)
 	if a.suspicion > 0 {
