--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -13,7 +13,7 @@
 // behind one that cannot be recorded yet is acknowledged; the next list repeats them.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
 	w.confirmStarts(ends, d.now)
-	ack := acknowledgement{dispatcher: d, worker: w, ends: ends, highest: w.lastAcked}
+	ack := acknowledgement{dispatcher: d, worker: w, ends: ends, highest: w.lastAcked, closed: w.gaveUpUnlisted}
 	for i := range ends {
 		f := &ends[i]
 		if f.unreadable() {
@@ -56,7 +56,7 @@
 		d.addLogEvent("list of ends has unreadable rows", w, nil, fmt.Sprintf("rows: %d", unreadable))
 		w.endsUnreadableSince = d.now
 	}
-	if unreadable > 0 {
+	if unreadable > 0 || w.gaveUpUnlisted {
 		w.nextHoldAt = d.now + holdRetryDelay
 	}
 	return unreadable
