dispatch: count no crash for an attempt that was bound after it

Callers could see a job as failed (given up) although fewer workers had crashed under its tasks than that takes.

Cause: a new leader knows a worker from its registration in the log. If the log lacks the registration of the worker's latest incarnation, for example because that command was not committed, but has attempts bound to it, the leader took them for attempts of the incarnation before, and counted a crash under them as soon as the worker reported its true start.

The new test fails without the change: 'Expected <int>: 1 to be zero-valued' (crashes of the task).

An attempt that the log has bound to a later incarnation than the one that is replaced is not counted as lost in a crash.

--- a/jobs/dispatch/crash.go
+++ b/jobs/dispatch/crash.go
@@ -66,7 +66,7 @@
 	var lost []*attempt
 	single := w.runsSingleAttempt()
 	for _, a := range w.attempts {
-		if a.mayHaveStarted() && !a.crashed {
+		if a.mayHaveStarted() && !a.crashed && !a.boundAfter(w) {
 			a.sole = single && a.phase == phaseStarted
 			lost = append(lost, a)
 		}
@@ -75,6 +75,13 @@
 	return len(lost)
 }
 
+// boundAfter reports whether the log has bound the attempt to a later incarnation than the
+// given one. A leader knows an earlier one if the log has no registration of the later one.
+func (a *attempt) boundAfter(w *worker) bool {
+	on := a.record.BoundTo
+	return on != nil && on.Worker == w.Worker && on.StartedAtMS > w.StartedAtMS
+}
+
 func (d *Dispatcher) setCrashed(w *worker, lost []*attempt) {
 	for _, a := range lost {
 		a.crashed = true
