dispatch: give up attempts of a worker with unreadable ends with its lease

After 3 s the attempts that a worker listed nowhere were given up although the worker was in contact; their ends were acknowledged once the row could be read.

The worker now gets no new lease while only rows of its ends stay unreadable, and its attempts are given up with the lease, as for one that is silent. The spec of the former behaviour checks the new one, with all of its other checks: the attempts stay until the lease has expired, the worker gets no tasks and nothing is acknowledged meanwhile.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -83,7 +83,7 @@
 	// reply may be incomplete.
 	finishedListLimit = 500
 	// unreadableEndsTimeout is how long a worker's list of ends may have rows that cannot be
-	// read until the attempts that are listed nowhere are given up.
+	// read until its lease is renewed no more.
 	unreadableEndsTimeout = 3 * time.Second
 	// replanInterval is the longest time between two plans, since the passing of time
 	// alone can make a worker usable again.
@@ -291,7 +291,7 @@
 	if w.terminated {
 		return
 	}
-	if w.unresponsive && d.leaseExpired(w) {
+	if (w.unresponsive || w.endsStayUnreadable(d.now)) && d.leaseExpired(w) {
 		d.expireLease(w)
 	}
 	if !w.holdInFlight && d.now >= w.nextHoldAt && (len(w.attempts) > 0 || len(w.unexpected) > 0 || !w.fenceConfirmed) {
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -13,7 +13,7 @@
 // behind one that cannot be recorded yet is acknowledged; the next list repeats them.
 func (d *Dispatcher) handleFinished(w *worker, ends []FinishedTask) {
 	w.confirmStarts(ends, d.now)
-	ack := acknowledgement{dispatcher: d, worker: w, ends: ends, highest: w.lastAcked, closed: w.gaveUpUnlisted}
+	ack := acknowledgement{dispatcher: d, worker: w, ends: ends, highest: w.lastAcked}
 	for i := range ends {
 		f := &ends[i]
 		if f.unreadable() {
@@ -40,23 +40,24 @@
 	ack.advance()
 }
 
-// observeUnreadableEnds notes whether a list of ends has rows that cannot be read and
+// observeUnreadableEnds notes whether only rows of the list of ends cannot be read and
 // returns their number. The next hold waits, since the worker answers it at once.
-func (d *Dispatcher) observeUnreadableEnds(w *worker, ends []FinishedTask) int {
+func (d *Dispatcher) observeUnreadableEnds(w *worker, r *Reply) int {
 	unreadable := 0
-	for i := range ends {
-		unreadable += boolToInt(ends[i].unreadable())
+	for i := range r.Finished {
+		unreadable += boolToInt(r.Finished[i].unreadable())
 	}
+	onlyEnds := unreadable > 0 && r.Malformed == unreadable
 	switch {
-	case unreadable == 0 && w.endsUnreadableSince != 0:
+	case !onlyEnds && w.endsUnreadableSince != 0:
 		d.addLogEvent("list of ends can be read again", w, nil, "")
 		w.endsUnreadableSince = 0
 		d.planner.dirty = true
-	case unreadable > 0 && w.endsUnreadableSince == 0:
+	case onlyEnds && w.endsUnreadableSince == 0:
 		d.addLogEvent("list of ends has unreadable rows", w, nil, fmt.Sprintf("rows: %d", unreadable))
 		w.endsUnreadableSince = d.now
 	}
-	if unreadable > 0 || w.gaveUpUnlisted {
+	if unreadable > 0 {
 		w.nextHoldAt = d.now + holdRetryDelay
 	}
 	return unreadable
--- a/jobs/dispatch/holds.go
+++ b/jobs/dispatch/holds.go
@@ -7,7 +7,7 @@
 	if !w.unresponsive && !w.ackPaused && d.now-w.nextHoldAt < maxAckPause {
 		h.AckThrough = w.lastAcked
 	}
-	if w.fenceConfirmed && !w.unresponsive {
+	if w.fenceConfirmed && !w.unresponsive && !w.endsStayUnreadable(d.now) {
 		h.Deadline = w.leaseDeadline(d.now, d.options.WorkerLease)
 		w.leaseEnd = max(w.leaseEnd, h.Deadline)
 	}
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -151,9 +151,7 @@
 }
 
 // reconcile compares the attempts that a worker lists with those bound to it. Attempts that
-// are listed nowhere are given up, unless they may be in a row that cannot be read. An end
-// in such a row is not acknowledged, so the attempt is given up after a while if only ends
-// are concerned.
+// are listed nowhere are given up, unless they may be in a row that cannot be read.
 func (d *Dispatcher) reconcile(w *worker, r Reply) {
 	listed := map[attemptKey]bool{}
 	for i := range r.Running {
@@ -164,7 +162,7 @@
 		listed[attemptKey{r.Finished[i].Task, r.Finished[i].Attempt}] = true
 	}
 	d.handleFinished(w, r.Finished)
-	unreadable := d.observeUnreadableEnds(w, r.Finished)
+	unreadable := d.observeUnreadableEnds(w, &r)
 	if r.Malformed > unreadable {
 		// Some of the running attempts are not known.
 		return
@@ -175,7 +173,7 @@
 			d.planner.dirty = true
 		}
 	}
-	if len(r.Finished) >= finishedListLimit || unreadable > 0 && !w.endsStayUnreadable(d.now) {
+	if len(r.Finished) >= finishedListLimit || unreadable > 0 {
 		return
 	}
 	for _, a := range w.attempts {
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -61,9 +61,6 @@
 	// endsUnreadableSince is when a list of ends was first received with a row that could not
 	// be read, 0 if the last one had none.
 	endsUnreadableSince time.Duration
-	// gaveUpUnlisted is set once attempts were given up because their ends could not be read.
-	// Their tasks run elsewhere, so that these ends are never acknowledged.
-	gaveUpUnlisted      bool
 	holdInFlight        bool
 	holdSentAt          time.Duration
 	// settledHoldAt is when the newest hold was sent whose outcome is known, unreportedHolds
@@ -185,10 +182,10 @@
 }
 
 // endsStayUnreadable reports whether the worker's list of ends has had unreadable rows for
-// so long that the worker gets no new tasks: nothing behind them is acknowledged, so that
-// the list fills up.
+// so long that the worker gets no new tasks and no new lease. What it does not list may have
+// succeeded, so its attempts are given up with the lease only.
 func (w *worker) endsStayUnreadable(now time.Duration) bool {
-	return w.gaveUpUnlisted || w.endsUnreadableSince != 0 && now-w.endsUnreadableSince >= unreadableEndsTimeout
+	return w.endsUnreadableSince != 0 && now-w.endsUnreadableSince >= unreadableEndsTimeout
 }
 
 // reportIsFresh reports whether the worker may get new tasks by its last report.
