--- a/jobs/dispatch/random_test.go
+++ b/jobs/dispatch/random_test.go
@@ -21,8 +21,11 @@
 )
 
 // seeds returns the seeds of the random runs. GERANIUM_SOAK_SECONDS sets their number, and
-// they start from the current time then.
+// they start from the current time then. GERANIUM_SEED runs one seed alone.
 func seeds() (first uint64, count int) {
+	if seed, err := strconv.ParseUint(os.Getenv("GERANIUM_SEED"), 10, 64); err == nil {
+		return seed, 1
+	}
 	if s, err := strconv.Atoi(os.Getenv("GERANIUM_SOAK_SECONDS")); err == nil && s > 0 {
 		return uint64(time.Now().UnixNano()), s * 10 //nolint:gosec // a seed
 	}
