dispatch: compare the profiles of serving images once in a plan

On a fleet with room each choice of a worker for a serving task compared the serving images on every worker with the one to place and with each other, and each comparison summed the effects of all fillers. A job of 24 such tasks takes 24 such choices in one plan, as when a fleet fills or a host is lost, and everything else waits for it.

The result for two images is kept for one plan, in which effects don't change, and whether a worker mixes profiles until a task of another image is added to it.

--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -139,6 +139,19 @@
 			d.candidates()
 		}
 	})
+	b.Run("serving choice", func(b *testing.B) {
+		b.ReportAllocs()
+		// A task that reserves no CPU finds room on each worker.
+		step := &jobs.Step{LongRunning: true, LatencyTargetMS: 18, Image: "serve3", Request: jobs.Resources{MemoryMB: 1}}
+		wj, t := &waitingJob{service: "s"}, &jobs.Task{Key: jobs.TaskKey{Job: "job"}}
+		d.refreshReports()
+		candidates := d.candidates()
+		for range b.N {
+			if d.choose(wj, step, t, candidates, nil) == nil {
+				b.Fatal("no worker was chosen")
+			}
+		}
+	})
 	b.Run("status", func(b *testing.B) {
 		b.ReportAllocs()
 		for range b.N {
--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -33,12 +33,17 @@
 	servingTasks  int
 	headroom      []imageHeadroom
 	headroomKnown bool
+	// mixed is set if serving tasks on the worker are disturbed by different fillers, once
+	// mixedKnown is set.
+	mixed      bool
+	mixedKnown bool
 	// idleMilliCPU is the CPU time that the tasks on the worker are expected to leave for
 	// fillers, in millicores.
 	idleMilliCPU float64
 }
 
 func (d *Dispatcher) candidates() []*candidate {
+	clear(d.planner.similar)
 	states := make([]candidate, 0, len(d.workers))
 	for _, w := range d.workersByID() {
 		if w.usable(d.now) {
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -111,14 +111,27 @@
 	return e
 }
 
-// imagePair is a serving image and a filler image that may disturb it.
+// imagePair is a serving image and a filler image that may disturb it, or two serving
+// images.
 type imagePair struct{ serving, filler string }
 
-// similarInterference reports whether mostly the same fillers disturb both serving images.
+// similarInterference reports whether mostly the same fillers disturb both serving images,
+// by the effects at the start of the plan.
 func (d *Dispatcher) similarInterference(image, other string) bool {
 	if image == other {
 		return true
 	}
+	key := imagePair{image, other}
+	similar, known := d.planner.similar[key]
+	if !known {
+		similar = d.compareInterference(image, other)
+		d.planner.similar[key] = similar
+	}
+	return similar
+}
+
+// compareInterference computes the result of similarInterference for two different images.
+func (d *Dispatcher) compareInterference(image, other string) bool {
 	common, combined := 0.0, 0.0
 	for filler := range d.fillerImages {
 		x, y := d.effect(image, filler), d.effect(other, filler)
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -41,6 +41,8 @@
 	// waiting holds the jobs that may have waiting tasks. A nil job has to be ranked anew.
 	waiting map[string]*waitingJob
 	avoided map[jobs.TaskKey]avoidance
+	// similar holds the results of similarInterference in this plan.
+	similar map[imagePair]bool
 	// workersByID are the workers in the order of their ids, nil after a change.
 	workersByID []*worker
 	// leaseExpiredTasks are the long-running tasks that ended with the lease of a worker.
@@ -84,6 +86,7 @@
 func (p *planner) init(store *jobs.Store) {
 	p.dirty = true
 	p.waiting = map[string]*waitingJob{}
+	p.similar = map[imagePair]bool{}
 	p.avoided = map[jobs.TaskKey]avoidance{}
 	p.leaseExpiredTasks = map[jobs.TaskKey]bool{}
 	p.shortReserves = map[string]*shortReserve{}
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -124,6 +124,7 @@
 			d.planner.nonServing--
 		}
 		if !c.servesImage(step.Image) {
+			c.mixedKnown = false
 			bound := goalTailRatio * float64(step.LatencyTargetMS)
 			c.limitHeadroom(step.Image, d.model.Bearable(step.Image, assumedLoad, bound)-1)
 		}
@@ -185,13 +186,24 @@
 // fillers than the image is, and whether the tasks that it runs already differ in that.
 func (d *Dispatcher) compareProfiles(c *candidate, image string) (dissimilar, mixed bool) {
 	headroom := d.headroomOf(c)
-	for _, served := range headroom {
-		dissimilar = dissimilar || !d.similarInterference(served.image, image)
-		for _, other := range headroom {
-			mixed = mixed || !d.similarInterference(served.image, other.image)
+	dissimilar = slices.ContainsFunc(headroom, func(served imageHeadroom) bool { return !d.similarInterference(served.image, image) })
+	if !c.mixedKnown {
+		c.mixed, c.mixedKnown = d.mixesProfiles(headroom), true
+	}
+	return dissimilar, c.mixed
+}
+
+// mixesProfiles reports whether some of the serving images are disturbed by other fillers
+// than the rest.
+func (d *Dispatcher) mixesProfiles(headroom []imageHeadroom) bool {
+	for i, served := range headroom {
+		for _, other := range headroom[i+1:] {
+			if !d.similarInterference(served.image, other.image) {
+				return true
+			}
 		}
 	}
-	return dissimilar, mixed
+	return false
 }
 
 // fillerScore prefers workers with idle CPU and serving tasks that the filler does not
