dispatch: examine the free capacity of a worker before all else

On a full fleet a plan asks 1,100 workers for each of some hundred requests, and almost none has room. The request was computed for each worker, and the worker itself was read for its service and capacity before its free capacity was compared.

The request is computed once for a choice, the capacity is part of a candidate, and a worker without room is skipped at once.

--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -9,8 +9,9 @@
 
 // candidate is a worker with its free capacity during one plan.
 type candidate struct {
-	worker *worker
-	free   jobs.Resources
+	worker   *worker
+	capacity jobs.Resources
+	free     jobs.Resources
 	// freeAfterShort is the free capacity once all short tasks have finished.
 	freeAfterShort jobs.Resources
 	// shortMilliCPU is the CPU that short tasks have reserved, in millicores. keptForShort
--- a/jobs/dispatch/choose.go
+++ b/jobs/dispatch/choose.go
@@ -31,8 +31,9 @@
 	}
 	if !list.built {
 		*list = shortlist{built: true, entries: list.entries[:0], chosen: -1}
+		request := step.ReservedResources()
 		for _, c := range candidates {
-			if d.eligible(wj, step, t, c, nil) {
+			if c.hasRoom(step, &request) && d.accepts(wj, step, t, c, nil) {
 				list.entries = append(list.entries, shortlistEntry{c, d.score(step, t, c)})
 			}
 		}
@@ -73,8 +74,9 @@
 func (d *Dispatcher) choose(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate, gangCounts map[*candidate]int) *candidate {
 	var best *candidate
 	var bestScore float64
+	request := step.ReservedResources()
 	for _, c := range candidates {
-		if !d.eligible(wj, step, t, c, gangCounts) {
+		if !c.hasRoom(step, &request) || !d.accepts(wj, step, t, c, gangCounts) {
 			continue
 		}
 		score := d.score(step, t, c)
@@ -87,12 +89,23 @@
 
 // eligible reports whether a worker may run a task and has enough free capacity.
 func (d *Dispatcher) eligible(wj *waitingJob, step *jobs.Step, t *jobs.Task, c *candidate, gangCounts map[*candidate]int) bool {
-	if !step.ReservedResources().FitsIn(c.free) || c.worker.Service != wj.service || c.isolated && !wj.besideIsolated ||
-		!c.admits(step, t.Key) || c.keeps(step, t) || c.pendingStarts >= maxPendingStarts || !c.worker.hasLabel(step.RequiredLabel) ||
-		!d.withinStepLimit(t, step, c, gangCounts) {
+	request := step.ReservedResources()
+	return c.hasRoom(step, &request) && d.accepts(wj, step, t, c, gangCounts)
+}
+
+// hasRoom reports whether a worker has the free capacity for a task that reserves the
+// given resources. It is examined first, since most workers of a full fleet have none.
+func (c *candidate) hasRoom(step *jobs.Step, request *jobs.Resources) bool {
+	return request.FitsIn(c.free) && (!step.Filler || !c.lacksResources(step))
+}
+
+// accepts reports whether a worker with enough free capacity may run a task.
+func (d *Dispatcher) accepts(wj *waitingJob, step *jobs.Step, t *jobs.Task, c *candidate, gangCounts map[*candidate]int) bool {
+	if c.worker.Service != wj.service || c.isolated && !wj.besideIsolated || !c.admits(step, t.Key) || c.keeps(step, t) ||
+		c.pendingStarts >= maxPendingStarts || !c.worker.hasLabel(step.RequiredLabel) || !d.withinStepLimit(t, step, c, gangCounts) {
 		return false
 	}
-	return !step.Filler || !c.lacksResources(step) && c.worker.colocation.tailHighSince == 0 && !d.exceedsHeadroom(step, c)
+	return !step.Filler || c.worker.colocation.tailHighSince == 0 && !d.exceedsHeadroom(step, c)
 }
 
 // withinStepLimit reports whether the worker may run one more task of the step under
--- a/jobs/dispatch/load_test.go
+++ b/jobs/dispatch/load_test.go
@@ -15,7 +15,7 @@
 // plainCandidate computes the state of a worker from all of its attempts, with the headroom
 // of each serving image.
 func (d *Dispatcher) plainCandidate(w *worker) (candidate, map[string]float64) {
-	c := candidate{worker: w, free: w.Capacity, idleMilliCPU: float64(w.Capacity.MilliCPU)}
+	c := candidate{worker: w, capacity: w.Capacity, free: w.Capacity, idleMilliCPU: float64(w.Capacity.MilliCPU)}
 	for _, u := range w.unexpected {
 		c.free = c.free.Sub(u.reserved)
 	}
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -58,7 +58,7 @@
 		left = left.Sub(u.reserved)
 	}
 	c := candidate{
-		worker: w, free: left.Sub(l.reserved), freeAfterShort: left.Sub(l.lasting),
+		worker: w, capacity: w.Capacity, free: left.Sub(l.reserved), freeAfterShort: left.Sub(l.lasting),
 		shortMilliCPU: l.reserved.MilliCPU - l.lasting.MilliCPU, pendingStarts: l.pendingStarts,
 		tasks: len(w.attempts) + len(w.unexpected), servingTasks: l.serving,
 		idleMilliCPU: float64(w.Capacity.MilliCPU) - l.expectedMilliCPU,
@@ -230,8 +230,8 @@
 func (c *candidate) lacksResources(step *jobs.Step) bool {
 	left := c.idleMilliCPU - float64(step.Request.MilliCPU)
 	memory := c.free.MemoryMB - step.Request.MemoryMB
-	return left < -maxCPUDeficitShare*float64(c.worker.Capacity.MilliCPU) ||
-		float64(memory) < reservedMemoryShare*float64(c.worker.Capacity.MemoryMB)
+	return left < -maxCPUDeficitShare*float64(c.capacity.MilliCPU) ||
+		float64(memory) < reservedMemoryShare*float64(c.capacity.MemoryMB)
 }
 
 // exceedsHeadroom reports whether a filler would slow a serving task on the worker by more
