--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -58,7 +58,7 @@
 		left = left.Sub(u.reserved)
 	}
 	c := candidate{
-		worker: w, free: left.Sub(l.reserved), freeAfterShort: left.Sub(l.lasting),
+		worker: w, capacity: w.Capacity, free: left.Sub(l.reserved), freeAfterShort: left.Sub(l.lasting),
 		shortMilliCPU: l.reserved.MilliCPU - l.lasting.MilliCPU, pendingStarts: l.pendingStarts,
 		tasks: len(w.attempts) + len(w.unexpected), servingTasks: l.serving,
 		idleMilliCPU: float64(w.Capacity.MilliCPU) - l.expectedMilliCPU,
@@ -124,6 +124,7 @@
 			d.planner.nonServing--
 		}
 		if !c.servesImage(step.Image) {
+			c.mixedKnown = false
 			bound := goalTailRatio * float64(step.LatencyTargetMS)
 			c.limitHeadroom(step.Image, d.model.Bearable(step.Image, assumedLoad, bound)-1)
 		}
@@ -185,13 +186,24 @@
 // fillers than the image is, and whether the tasks that it runs already differ in that.
 func (d *Dispatcher) compareProfiles(c *candidate, image string) (dissimilar, mixed bool) {
 	headroom := d.headroomOf(c)
-	for _, served := range headroom {
-		dissimilar = dissimilar || !d.similarInterference(served.image, image)
-		for _, other := range headroom {
-			mixed = mixed || !d.similarInterference(served.image, other.image)
+	dissimilar = slices.ContainsFunc(headroom, func(served imageHeadroom) bool { return !d.similarInterference(served.image, image) })
+	if !c.mixedKnown {
+		c.mixed, c.mixedKnown = d.mixesProfiles(headroom), true
+	}
+	return dissimilar, c.mixed
+}
+
+// mixesProfiles reports whether some of the serving images are disturbed by other fillers
+// than the rest.
+func (d *Dispatcher) mixesProfiles(headroom []imageHeadroom) bool {
+	for i, served := range headroom {
+		for _, other := range headroom[i+1:] {
+			if !d.similarInterference(served.image, other.image) {
+				return true
+			}
 		}
 	}
-	return dissimilar, mixed
+	return false
 }
 
 // fillerScore prefers workers with idle CPU and serving tasks that the filler does not
@@ -218,8 +230,8 @@
 func (c *candidate) lacksResources(step *jobs.Step) bool {
 	left := c.idleMilliCPU - float64(step.Request.MilliCPU)
 	memory := c.free.MemoryMB - step.Request.MemoryMB
-	return left < -maxCPUDeficitShare*float64(c.worker.Capacity.MilliCPU) ||
-		float64(memory) < reservedMemoryShare*float64(c.worker.Capacity.MemoryMB)
+	return left < -maxCPUDeficitShare*float64(c.capacity.MilliCPU) ||
+		float64(memory) < reservedMemoryShare*float64(c.capacity.MemoryMB)
 }
 
 // exceedsHeadroom reports whether a filler would slow a serving task on the worker by more
