dispatch: acknowledge no ends with the hold after one that expired

A hold that acknowledges ends must follow an answer of the worker closely: the worker may have restarted under its id and count its ends anew, and would forget ends that are not recorded, so that a task that is done could start again (TWICE).

Now a hold acknowledges ends only if the one before it was answered in time. The test failed before for the status Expired: "Expected <int64>: 7 to be zero-valued".

--- a/jobs/dispatch/holds.go
+++ b/jobs/dispatch/holds.go
@@ -4,7 +4,7 @@
 
 func (d *Dispatcher) sendHold(w *worker) {
 	h := &Hold{MaxWait: d.holdWaitFor(w)}
-	if !w.unresponsive && w.unreportedHolds == 0 && d.now-w.nextHoldAt < maxAckPause {
+	if !w.unresponsive && !w.holdFailed && d.now-w.nextHoldAt < maxAckPause {
 		h.AckThrough = w.lastAcked
 	}
 	if w.fenceConfirmed && !w.unresponsive {
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -76,6 +76,8 @@
 		return
 	}
 	w.settledHoldAt, w.unreportedHolds = r.SentAt, 0
+	// A late answer may be older than a restart.
+	w.holdFailed = w.holdFailed && r.Late
 	if r.StartedAtMS != 0 && r.StartedAtMS != w.StartedAtMS {
 		d.handleRestart(w, r)
 		return
@@ -97,7 +99,7 @@
 // has expired did not reach the worker, and one without a report from its carrier may have
 // been answered: neither tells anything about the worker.
 func (d *Dispatcher) handleFailedHold(w *worker, r *Reply) {
-	w.nextHoldAt = d.now + holdRetryDelay
+	w.nextHoldAt, w.holdFailed = d.now+holdRetryDelay, true
 	switch {
 	case r.Status == Expired:
 		return
--- a/jobs/dispatch/slow_answer_test.go
+++ b/jobs/dispatch/slow_answer_test.go
@@ -116,18 +116,29 @@
 		Expect(w.unresponsive).To(BeFalse(), "the answer was late only")
 	})
 
-	// Guards against a hold that acknowledges ends by their former numbers after a hold without
-	// a report: the worker may have restarted under its id meanwhile.
-	It("acknowledges nothing with the hold after one without a report", func() {
-		d, w, _ := setUp()
-		w.lastAcked = 7
-		d.HandleReply(Reply{Order: Order{Hold: &Hold{}, target: w}, Status: Unknown, Unreported: true, SentAt: d.now})
-		d.TakeOutput()
-		w.nextHoldAt = d.now
-		d.sendHold(w)
-		_, orders, _ := d.TakeOutput()
-		Expect(orders).To(HaveLen(1))
-		Expect(orders[0].Hold.AckThrough).To(BeZero())
+	// Guards against a hold that acknowledges ends by their former numbers after one without an
+	// answer: the worker may have restarted under its id meanwhile.
+	It("acknowledges nothing with the hold after one without an answer", func() {
+		for _, r := range []Reply{{Status: Unknown, Unreported: true}, {Status: Unknown}, {Status: Expired}} {
+			d, w, _ := setUp()
+			w.lastAcked = 7
+			r.Order, r.SentAt = Order{Hold: &Hold{}, target: w}, d.now
+			d.HandleReply(r)
+			d.TakeOutput()
+			w.nextHoldAt = d.now
+			d.sendHold(w)
+			_, orders, _ := d.TakeOutput()
+			Expect(orders).To(HaveLen(1))
+			Expect(orders[0].Hold.AckThrough).To(BeZero(), "%+v", r)
+			d.HandleReply(Reply{Order: r.Order, Status: Accepted, Late: true, SentAt: d.now})
+			Expect(w.holdFailed).To(BeTrue())
+			d.HandleReply(Reply{Order: r.Order, Status: Accepted, SentAt: d.now})
+			w.nextHoldAt = d.now
+			d.sendHold(w)
+			_, orders, _ = d.TakeOutput()
+			Expect(orders).To(HaveLen(1))
+			Expect(orders[0].Hold.AckThrough).To(BeEquivalentTo(7))
+		}
 	})
 
 	// Guards against a late list that replaces a newer one: it lacks starts that the newer one
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -64,7 +64,9 @@
 	// the number of holds since then whose carrier has not reported.
 	settledHoldAt   time.Duration
 	unreportedHolds int
-	nextHoldAt      time.Duration
+	// holdFailed is set while the last hold has not been answered.
+	holdFailed bool
+	nextHoldAt time.Duration
 	// nextSweepAt is the time of the next check for tasks to stop.
 	nextSweepAt time.Duration
 	attempts    map[jobs.TaskKey]*attempt
