delivery: decode reports outside the control thread

The control thread of the leader is at its limit in a large fleet, and each of some 2,000 replies a second was converted there from its message. The conversion needs no state, so the handler of a report does it before it posts the replies. The list of attempts is allocated once.

Two tests call HandleReplies with the decoded form; what they check is the same.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -120,7 +120,7 @@
 	if f.unreachable.Load() {
 		return nil, errors.New("unreachable")
 	}
-	f.post(func() { f.sender.HandleReplies(q.GetReplies()) })
+	f.post(func() { f.sender.HandleReplies(DecodeReplies(q.GetReplies())) })
 	return &deliverypb.ReportResponse{}, nil
 }
 
--- a/delivery/fuzz_test.go
+++ b/delivery/fuzz_test.go
@@ -68,7 +68,7 @@
 			p = &deliverypb.Reply{}
 		}
 		p.Id = uint64(i)
-		s.HandleReplies([]*deliverypb.Reply{p, nil})
+		s.HandleReplies(DecodeReplies([]*deliverypb.Reply{p, nil}))
 	}
 	d.Tick()
 }
--- a/delivery/messages.go
+++ b/delivery/messages.go
@@ -5,6 +5,7 @@
 package delivery
 
 import (
+	"slices"
 	"time"
 
 	"geraniumwall/jobs"
@@ -90,12 +91,30 @@
 	return p
 }
 
+// ReportedReply is a reply that a carrier has reported.
+type ReportedReply struct {
+	// id is the id of the order.
+	id    uint64
+	reply dispatch.Reply
+}
+
+// DecodeReplies decodes a report for Sender.HandleReplies. It needs no state, so it can run
+// outside the control thread.
+func DecodeReplies(report []*deliverypb.Reply) []ReportedReply {
+	replies := make([]ReportedReply, len(report))
+	for i, p := range report {
+		replies[i] = ReportedReply{p.GetId(), decodeReply(p)}
+	}
+	return replies
+}
+
 // decodeReply returns the reply without Order, SentAt and ReceivedAt.
 func decodeReply(p *deliverypb.Reply) dispatch.Reply {
 	r := dispatch.Reply{
 		Status: dispatch.ReplyStatus(p.GetVerdict()), Reason: p.GetReason(), ClockMS: p.GetClock(), StartedAtMS: p.GetBorn(),
 		Malformed: int(p.GetMalformed()),
 	}
+	r.Running = slices.Grow(r.Running, len(p.GetRunning()))
 	for _, t := range p.GetRunning() {
 		r.Running = append(r.Running, dispatch.RunningTask{
 			Task: decodeTask(t.GetTask()), Attempt: int(t.GetTask().GetAttempt()), Checkpoint: t.GetCheckpoint(),
--- a/delivery/sender.go
+++ b/delivery/sender.go
@@ -248,36 +248,35 @@
 
 // HandleReplies processes the replies that a carrier reports. An order that reached the
 // carrier after it had expired was not sent to its worker, so it is sent again.
-func (s *Sender) HandleReplies(replies []*deliverypb.Reply) {
-	for _, p := range replies {
-		o := s.pending[p.GetId()]
+func (s *Sender) HandleReplies(replies []ReportedReply) {
+	for i := range replies {
+		id, r := replies[i].id, &replies[i].reply
+		o := s.pending[id]
 		if o == nil {
-			s.handleLate(p)
+			s.handleLate(id, r)
 			continue
 		}
-		r := decodeReply(p)
 		o.carrier.reportedAt = s.now()
 		switch {
 		case r.Status != dispatch.Expired:
 			o.carrier.lateSince = 0
-		case s.resendExpired(p.GetId(), o, r.Reason):
+		case s.resendExpired(id, o, r.Reason):
 			continue
 		}
-		s.complete(p.GetId(), r)
+		s.complete(id, *r)
 	}
 }
 
 // handleLate passes on the reply to an order that has counted as not reported.
-func (s *Sender) handleLate(p *deliverypb.Reply) {
-	o := s.unreported[p.GetId()]
+func (s *Sender) handleLate(id uint64, r *dispatch.Reply) {
+	o := s.unreported[id]
 	if o == nil {
 		return
 	}
-	delete(s.unreported, p.GetId())
+	delete(s.unreported, id)
 	o.carrier.reportedAt = s.now()
-	r := decodeReply(p)
 	r.Late = true
-	s.reply(o, r)
+	s.reply(o, *r)
 }
 
 // resendExpired sends an expired order again. A carrier that stays late while others are
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -171,9 +171,10 @@
 
 // Report implements deliverypb.Leader: it receives the replies that carriers report.
 func (s *Server) Report(_ context.Context, q *deliverypb.ReportRequest) (*deliverypb.ReportResponse, error) {
+	replies := delivery.DecodeReplies(q.GetReplies())
 	s.post(func() {
 		if m := s.manager; m.sender != nil && m.term == q.GetTerm() {
-			m.sender.HandleReplies(q.GetReplies())
+			m.sender.HandleReplies(replies)
 			m.handleEvent()
 		}
 	})
