dispatch: allocate less for each list of a worker

Each reply to a hold built a map of the listed attempts and walked the finished siblings of each attempt, on the control thread. The map is now kept for the next list, and an attempt that is no straggler whatever its siblings took is sorted out first: one that has worked for less than stragglerMargin or has no more than twice that left.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -147,6 +147,10 @@
 	recordedEffects  map[imagePair]float64
 	effectsCheckedAt time.Duration
 
+	// listed are the attempts in the list that is being reconciled. The map is kept for the
+	// next list.
+	listed map[attemptKey]bool
+
 	commands  []Proposal
 	orders    []Order
 	logEvents []LogEvent
@@ -183,7 +187,7 @@
 	d := &Dispatcher{
 		options: options, store: store, fence: term * incarnationsPerTerm, leaderSince: now, now: now, unixMS: unix,
 		workers: map[string]*worker{}, incarnations: map[string]int64{}, orphans: map[jobs.TaskKey]*attempt{}, orphansOf: map[string][]jobs.TaskKey{},
-		proposedBinds: map[jobs.TaskKey]*attempt{}, proposedLateEnds: map[jobs.TaskKey]bool{}, model: interference.NewContention(),
+		proposedBinds: map[jobs.TaskKey]*attempt{}, proposedLateEnds: map[jobs.TaskKey]bool{}, listed: map[attemptKey]bool{}, model: interference.NewContention(),
 		effectCache: map[imagePair]float64{}, fillerImages: map[string]bool{},
 	}
 	d.planner.init(store)
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -134,7 +134,8 @@
 
 // reconcile compares the attempts that a worker lists with those bound to it.
 func (d *Dispatcher) reconcile(w *worker, r Reply) {
-	listed := map[attemptKey]bool{}
+	listed := d.listed
+	clear(listed)
 	for i := range r.Running {
 		listed[attemptKey{r.Running[i].Task, r.Running[i].Attempt}] = true
 		d.handleRunning(w, &r.Running[i])
--- a/jobs/dispatch/slow_tasks.go
+++ b/jobs/dispatch/slow_tasks.go
@@ -70,8 +70,12 @@
 	if !a.measurable() || a.number > maxSlowAttempts {
 		return false
 	}
-	mean := d.meanSiblingDuration(a)
 	elapsed := d.now - a.startedAt
+	if elapsed < stragglerMargin || a.remaining(d.now) <= 2*stragglerMargin {
+		// It is no straggler whatever its siblings took.
+		return false
+	}
+	mean := d.meanSiblingDuration(a)
 	if mean == 0 || float64(elapsed) < stragglerFactor*float64(mean)+float64(stragglerMargin) {
 		return false
 	}
