--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -86,6 +86,9 @@
 	if a.startPending() != pending {
 		a.markLoadOutdated()
 	}
+	if a.worker != nil {
+		a.worker.nextSweepAt = now
+	}
 }
 
 func (a *attempt) setSuspicion(suspicion int) {
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -96,6 +96,7 @@
 		return
 	}
 	w.settledHoldAt, w.unreportedHolds = r.SentAt, 0
+	// A late answer may be older than a restart.
 	if r.StartedAtMS != 0 && r.StartedAtMS != w.StartedAtMS {
 		d.handleRestart(w, r)
 		return
@@ -153,7 +154,8 @@
 // reconcile compares the attempts that a worker lists with those bound to it. Attempts that
 // are listed nowhere are given up, unless they may be in a row that cannot be read.
 func (d *Dispatcher) reconcile(w *worker, r Reply) {
-	listed := map[attemptKey]bool{}
+	listed := d.listed
+	clear(listed)
 	for i := range r.Running {
 		listed[attemptKey{r.Running[i].Task, r.Running[i].Attempt}] = true
 		d.handleRunning(w, &r.Running[i])
@@ -210,6 +212,7 @@
 			s.reserved = j.Step(r.Task).ReservedResources()
 		}
 		w.unexpected[key] = s
+		w.nextSweepAt = d.now
 		d.logEvents = append(d.logEvents, LogEvent{
 			Event: "unexpected task runs", Worker: w.Worker, Task: r.Task, Attempt: r.Attempt, Detail: "stopping it"})
 	}
@@ -249,6 +252,7 @@
 		d.endAttempt(a, a.lossOutcome())
 	case phaseUncertain:
 		a.unlisted = true
+		a.worker.nextSweepAt = d.now
 	case phaseProposed, phaseOrdered:
 	}
 }
