--- a/jobs/dispatch/sweep_test.go
+++ b/jobs/dispatch/sweep_test.go
@@ -45,6 +45,7 @@
 		}),
 		Entry("a worker that drains", func(sim *simulation, d *Dispatcher, w *worker) {
 			w.attempts[key].step.LongRunning = true
+			w.attempts[key].markLoadOutdated()
 			sim.workers[0].draining = true
 			d.HandleHeartbeat(sim.workers[0].heartbeat())
 		}),
