jobd: run messages of the log before other work of the control thread

They now pass ahead of what was posted before, in their own order. They are few, about 200 a second beside 3,000 others, so that nothing starves.

--- a/jobd/server.go
+++ b/jobd/server.go
@@ -42,6 +42,7 @@
 	log      zerolog.Logger
 	system   *actor.ActorSystem
 	pid      *actor.PID
+	urgent   urgentQueue
 	manager  *manager
 	receiver *delivery.Receiver
 	ticking  sync.WaitGroup
@@ -96,7 +97,7 @@
 		ID: o.Identity.ReplicaID, Stored: o.Stored, Storage: o.Storage, Machine: m, Log: o.Log,
 		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, client, nil, o.Removed),
 		Seed:      rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
-		Post:      s.post, Fatal: o.Fatal, Now: m.now, Boot: bootClock, Peers: o.Identity.Peers,
+		Post:      s.postUrgent, Fatal: o.Fatal, Now: m.now, Boot: bootClock, Peers: o.Identity.Peers,
 	})
 	if err != nil {
 		return nil, err
@@ -106,13 +107,21 @@
 	return s, nil
 }
 
-// receive runs posted functions on the control thread. A panic, which means a violated
-// invariant, is reported as fatal.
+// receive runs posted functions on the control thread, the urgent ones first.
 func (s *Server) receive(c actor.Context) {
 	f, ok := c.Message().(func())
 	if !ok {
 		return
 	}
+	for urgent := s.urgent.pop(); urgent != nil; urgent = s.urgent.pop() {
+		s.run(urgent)
+	}
+	s.run(f)
+}
+
+// run runs a posted function. A panic, which means a violated invariant, is reported as
+// fatal.
+func (s *Server) run(f func()) {
 	begin := time.Now()
 	defer func() {
 		s.manager.status.recordWork(time.Since(begin))
@@ -154,7 +163,7 @@
 		}
 		messages = append(messages, m)
 	}
-	removed, err := callManager(context.Background(), s, func(m *manager, done func(bool, error)) {
+	removed, err := callManagerBy(context.Background(), s, s.postUrgent, func(m *manager, done func(bool, error)) {
 		if m.replica.Status().Committed.Removed(q.GetFrom()) {
 			done(true, nil)
 			return
--- a/jobd/service.go
+++ b/jobd/service.go
@@ -43,6 +43,11 @@
 // callManager runs f on the control thread and returns what f passes to done. f must
 // call done once, possibly after it has returned.
 func callManager[T any](ctx context.Context, s *Server, f func(m *manager, done func(T, error))) (T, error) {
+	return callManagerBy(ctx, s, s.post, f)
+}
+
+// callManagerBy is callManager with the function that posts to the control thread.
+func callManagerBy[T any](ctx context.Context, s *Server, post func(func()), f func(m *manager, done func(T, error))) (T, error) {
 	type result struct {
 		value T
 		err   error
@@ -50,7 +55,7 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, resultTimeout)
 	defer cancel()
 	results := make(chan result, 1)
-	s.post(func() {
+	post(func() {
 		f(s.manager, func(value T, err error) {
 			select {
 			case results <- result{value, err}:
