dispatch: keep the wait for a worker's list in the leader, for each way of giving up

A step back of the leader's wall clock kept a task waiting for as long.

The wait now follows from what the leader itself gave up with a lease, by its monotonic clock, and ends with a list of all ends that was requested after the log had recorded that. Specs for an unanswered start, a long-running task and the clock; the spec that let a task start at once beside a long-running one is replaced by one that demands the wait. The spec of unreadable ends allows the wait. An inherited attempt, whose age is not known, makes no room for urgent work, and a newcomer no longer overrides the address of a member that has got its id.

--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -67,6 +67,10 @@
 	// crashed. sole is set if the attempt had started there and was the only one.
 	crashed bool
 	sole    bool
+	// lapsedOn is the worker with whose lease the attempt of a short task is given up.
+	lapsedOn jobs.Incarnation
+	// inherited is set for an attempt whose start by an earlier leader has no known time.
+	inherited bool
 	// over is what makes it certain that the attempt is over, set before its end is proposed.
 	over certainty
 	// endProposed is set while the end is proposed but not committed yet.
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -207,13 +207,14 @@
 			d.orphansOf[worker.Worker] = append(d.orphansOf[worker.Worker], t.Key)
 		}
 	})
+	d.inheritLapses()
 	d.restoreWorkers()
 	return d
 }
 
 func (d *Dispatcher) newInheritedAttempt(t *jobs.Task) *attempt {
 	a := d.newAttempt(t, d.store.Job(t.Key.Job).Step(t.Key), t.Attempt, phaseInherited)
-	a.appliedPace = unknownPace
+	a.appliedPace, a.inherited = unknownPace, true
 	return a
 }
 
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -10,10 +10,10 @@
 	if w.refusesConnections {
 		d.markCrash(w)
 	}
-	d.noteCertainLapses(w)
 	expired := d.leaseCertainty(w)
 	for _, a := range w.attempts {
 		a.over = expired
+		d.markLapsed(a)
 		switch {
 		case a.phase == phaseProposed:
 		case !a.mayHaveStarted():
@@ -46,6 +46,7 @@
 			continue
 		}
 		a.over = d.leaderClockCertainty(d.leaderSince)
+		d.markLapsed(a)
 		d.endAttempt(a, jobs.OutcomeLeaseExpired)
 	}
 }
@@ -86,6 +87,9 @@
 			return
 		}
 		d.dropAttempt(a)
+		if outcome != jobs.OutcomeDone && outcome != jobs.OutcomeCrashed && a.lapsedOn.Worker != "" {
+			d.planner.lapses[a.task] = lapse{a.lapsedOn, d.now}
+		}
 		d.handleCrashRecorded(&command)
 		onRecorded()
 	}})
--- a/jobs/dispatch/expired.go
+++ b/jobs/dispatch/expired.go
@@ -6,53 +6,56 @@
 	"geraniumwall/jobs"
 )
 
-// awaitsList reports whether a short task has to wait for the list of a worker on which its
-// lease has expired. The attempt runs no more, but it may have ended before: the worker keeps
-// such an end, and a lease holds only what still runs.
-func (d *Dispatcher) awaitsList(t *jobs.Task) bool {
-	for i := range t.ExpiredAttempts {
-		if d.mayStillList(t.Key, &t.ExpiredAttempts[i]) {
-			return true
-		}
-	}
-	return false
+// lapse is an attempt of a short task that was given up since the lease of its worker had
+// expired. It runs no more, but it may have ended before: the worker keeps such an end, and
+// a lease holds only what still runs.
+type lapse struct {
+	on jobs.Incarnation
+	// recordedAt is when this leader learned that the log has recorded it.
+	recordedAt time.Duration
 }
 
-// mayStillList reports whether a worker is expected to list the end of an expired attempt
-// soon. A worker in contact is waited for until it has answered or settleExpired gives up; a
-// silent one for as long as a worker needs to report after a cut, unless something else on it
-// must have run into the end of the lease.
-func (d *Dispatcher) mayStillList(key jobs.TaskKey, e *jobs.ExpiredAttempt) bool {
-	w := d.workers[e.On.Worker]
-	if w != nil {
-		switch {
-		case w.incarnation() != e.On, w.terminated, w.deregistered, w.refusesConnections, w.answeredAtMS > e.EndedAt:
-			return false
-		case d.unixMS-(d.now-w.heartbeatAt).Milliseconds() > e.EndedAt:
-			return true
+// inheritLapses lets the short tasks that an earlier leader has given up wait for the lists
+// of their workers.
+func (d *Dispatcher) inheritLapses() {
+	d.store.ExpiredTasks(func(t *jobs.Task) {
+		if latest := t.ExpiredAttempts[len(t.ExpiredAttempts)-1]; latest.Attempt == t.Attempt {
+			d.planner.lapses[t.Key] = lapse{latest.On, d.now}
 		}
-	}
-	return !d.planner.certainLapses[key] && d.unixMS-e.EndedAt < d.reportWait().Milliseconds()
+	})
 }
 
-// reportWait returns how long a worker that is back in contact takes to report itself.
-func (d *Dispatcher) reportWait() time.Duration {
-	return d.options.HeartbeatInterval + heartbeatRetryTime
+// markLapsed notes that an attempt is given up with the lease of its worker.
+func (d *Dispatcher) markLapsed(a *attempt) {
+	if t := d.currentTask(a); t != nil && !a.step.LongRunning {
+		a.lapsedOn = *t.BoundTo
+	}
 }
 
-// noteCertainLapses notes the short tasks of a worker whose lease has expired if a
-// long-running one was at work there: it did not end before the lease.
-func (d *Dispatcher) noteCertainLapses(w *worker) {
-	lasting := false
-	for _, a := range w.attempts {
-		lasting = lasting || a.step.LongRunning && a.phase == phaseStarted
+// awaitsList reports whether a task has to wait for the list of the worker of its last
+// attempt. A worker in contact is waited for until it has listed its ends, for expiredWindow
+// at most, and a silent one for as long as a worker needs to report after a cut.
+func (d *Dispatcher) awaitsList(key jobs.TaskKey) bool {
+	l, known := d.planner.lapses[key]
+	if !known {
+		return false
 	}
-	if !lasting {
-		return
+	elapsed, w := d.now-l.recordedAt, d.workers[l.on.Worker]
+	if w == nil {
+		return elapsed < d.reportWait()
 	}
-	for key, a := range w.attempts {
-		if !a.step.LongRunning {
-			d.planner.certainLapses[key] = true
-		}
+	switch {
+	case elapsed >= expiredWindow, w.listedAt > l.recordedAt, w.deregistered, w.refusesConnections:
+		return false
+	case l.on.StartedAtMS != 0 && w.incarnation() != l.on:
+		return false
+	case w.heartbeatAt > l.recordedAt:
+		return true
 	}
+	return elapsed < d.reportWait()
+}
+
+// reportWait returns how long a worker that is back in contact takes to report itself.
+func (d *Dispatcher) reportWait() time.Duration {
+	return d.options.HeartbeatInterval + heartbeatRetryTime
 }
--- a/jobs/dispatch/expired_test.go
+++ b/jobs/dispatch/expired_test.go
@@ -65,16 +65,56 @@
 		Expect(sim.starts).To(Equal(2))
 	})
 
-	// Guards against a longer interruption than needed where the lease is certain to have
-	// ended a run.
-	It("starts at once if a long-running task was at work there", func() {
+	// Guards against a task that runs again after it is done because a long-running task was at
+	// work beside it: that one may have failed before the end of the lease.
+	It("waits also where a long-running task was at work", func() {
 		sim.submit("lasting", jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: small, LongRunning: true}}})
 		sim.runUntil(3 * time.Second)
 		Expect(t.running).To(HaveLen(2))
 		t.partitioned = true
 		sim.addWorker(jobs.Resources{MilliCPU: 2000, MemoryMB: 1000}, true)
-		sim.runUntil(expiry + 500*time.Millisecond)
-		Expect(sim.store.Job("j").Task(key).Attempt).To(Equal(2))
+		sim.runUntil(3500 * time.Millisecond)
+		t.end(key, jobs.OutcomeDone)
+		t.end(jobs.TaskKey{Job: "lasting"}, jobs.OutcomeFailed)
+		sim.runUntil(expiry)
+		t.partitioned = false
+		sim.runUntil(expiry + 3*time.Second)
+		Expect(sim.store.Job("j").Task(key).Attempt).To(Equal(1))
+		Expect(sim.store.Job("j").State).To(Equal(jobs.Done))
+	})
+
+	// Guards against the same for a start whose answer the cut has swallowed: the attempt was
+	// taken for one that can't have started.
+	It("waits although the start was not answered", func() {
+		sim.runUntil(3 * time.Second)
+		d := sim.current()
+		a := d.workers[t.id].attempts[key]
+		t.partitioned = true
+		a.setPhase(phaseUncertain, d.now)
+		a.unstarted = true
+		sim.addWorker(jobs.Resources{MilliCPU: 2000, MemoryMB: 1000}, true)
+		sim.runUntil(3500 * time.Millisecond)
+		t.end(key, jobs.OutcomeDone)
+		sim.runUntil(expiry)
+		Expect(sim.store.Job("j").Task(key).BoundTo).To(BeNil())
+		t.partitioned = false
+		sim.runUntil(expiry + 3*time.Second)
+		Expect(sim.starts).To(Equal(1))
+		Expect(sim.store.Job("j").State).To(Equal(jobs.Done))
+	})
+
+	// Guards against a task that waits for the length of a step back of the leader's wall clock.
+	It("waits by a clock that does not step", func() {
+		sim.runUntil(3 * time.Second)
+		t.partitioned = true
+		sim.addWorker(jobs.Resources{MilliCPU: 2000, MemoryMB: 1000}, true)
+		sim.runUntil(expiry)
+		task := sim.store.Job("j").Task(key)
+		Expect(task.BoundTo).To(BeNil())
+		task.EndedAt += 60_000
+		task.ExpiredAttempts[0].EndedAt += 60_000
+		sim.runUntil(expiry + sim.current().reportWait() + 500*time.Millisecond)
+		Expect(sim.starts).To(Equal(2))
 	})
 
 	It("starts at once if the worker refuses connections", func() {
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -49,9 +49,8 @@
 	// They were already down for a whole lease, so their restart does not wait for
 	// reserveAfter.
 	leaseExpiredTasks map[jobs.TaskKey]bool
-	// certainLapses are the short tasks whose last attempt ended with the lease of a worker on
-	// which something still ran.
-	certainLapses map[jobs.TaskKey]bool
+	// lapses are the short tasks whose last attempt was given up with the lease of its worker.
+	lapses map[jobs.TaskKey]lapse
 	// nextDueAt is the Unix time of the next scheduled start in milliseconds, 0 for none.
 	nextDueAt int64
 	// nonServing is the number of usable workers without serving tasks, usable that of all
@@ -93,7 +92,7 @@
 	p.similar = map[imagePair]bool{}
 	p.avoided = map[jobs.TaskKey]avoidance{}
 	p.leaseExpiredTasks = map[jobs.TaskKey]bool{}
-	p.certainLapses = map[jobs.TaskKey]bool{}
+	p.lapses = map[jobs.TaskKey]lapse{}
 	p.shortReserves = map[string]*shortReserve{}
 	p.preemptor.init()
 	p.isolationSince = map[jobs.TaskKey]time.Duration{}
@@ -109,7 +108,7 @@
 }
 
 // prunePlannerState drops expired avoidances, and the tasks of ended jobs from
-// leaseExpiredTasks, certainLapses, isolationSince and the preemptor.
+// leaseExpiredTasks, lapses, isolationSince and the preemptor.
 func (d *Dispatcher) prunePlannerState() {
 	d.planner.preemptor.prune(d.store)
 	for key := range d.planner.leaseExpiredTasks {
@@ -117,9 +116,9 @@
 			delete(d.planner.leaseExpiredTasks, key)
 		}
 	}
-	for key := range d.planner.certainLapses {
+	for key := range d.planner.lapses {
 		if j := d.store.Job(key.Job); j == nil || j.State.Ended() {
-			delete(d.planner.certainLapses, key)
+			delete(d.planner.lapses, key)
 		}
 	}
 	for key := range d.planner.isolationSince {
@@ -283,7 +282,7 @@
 		case t.Done || t.BoundTo != nil || d.hasPendingRecord(t):
 		case t.Crashes > 0 && mustIsolate(step, t):
 			held = true
-		case len(t.ExpiredAttempts) > 0 && !step.LongRunning && d.awaitsList(t):
+		case len(d.planner.lapses) > 0 && d.awaitsList(t.Key):
 			held = true
 		default:
 			waiting = append(waiting, t)
@@ -408,7 +407,7 @@
 	c.tasks++
 	d.addTask(c, step)
 	delete(d.planner.leaseExpiredTasks, t.Key)
-	delete(d.planner.certainLapses, t.Key)
+	delete(d.planner.lapses, t.Key)
 	delete(d.planner.isolationSince, t.Key)
 	a := d.newAttempt(t, step, number, phaseProposed)
 	if a.suspicion > 0 {
--- a/jobs/dispatch/preempt.go
+++ b/jobs/dispatch/preempt.go
@@ -486,7 +486,7 @@
 
 // source returns how an attempt can make room. ok is false if it can't, or must not.
 func (s *roomSearch) source(a *attempt) (source roomSource, ok bool) {
-	if a.phase != phaseStarted || a.endProposed || a.suspicion > 0 ||
+	if a.phase != phaseStarted || a.inherited || a.endProposed || a.suspicion > 0 ||
 		a.step.LongRunning || a.step.Gang || a.step.MaxUnavailable > 0 || s.priorities[a.job.Queue] <= s.wj.priority {
 		return roomSource{}, false
 	}
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -178,6 +178,7 @@
 	if len(r.Finished) >= finishedListLimit || unreadable > 0 {
 		return
 	}
+	w.listedAt = max(w.listedAt, r.SentAt)
 	for _, a := range w.attempts {
 		if !listed[attemptKey{a.task, a.number}] {
 			d.handleMissing(a, r.SentAt)
--- a/jobs/dispatch/suspects.go
+++ b/jobs/dispatch/suspects.go
@@ -112,7 +112,7 @@
 func (d *Dispatcher) waitingSuspects(j *jobs.Job) []*jobs.Task {
 	var list []*jobs.Task
 	j.Tasks(func(t *jobs.Task) {
-		if !mustIsolate(j.Step(t.Key), t) || t.Done || t.BoundTo != nil || d.hasPendingRecord(t) {
+		if !mustIsolate(j.Step(t.Key), t) || t.Done || t.BoundTo != nil || d.hasPendingRecord(t) || d.awaitsList(t.Key) {
 			return
 		}
 		if j.StepReady(t.Key.Occurrence, t.Key.Step) && j.Spec.Due(t.Key.Occurrence) <= d.unixMS {
--- a/jobs/dispatch/unreadable_test.go
+++ b/jobs/dispatch/unreadable_test.go
@@ -69,7 +69,7 @@
 		t.end(first, jobs.OutcomeDone)
 		sim.runUntil(5*time.Second + unreadableEndsTimeout + testLease - 500*time.Millisecond)
 		Expect(w.attempts).To(HaveKey(first))
-		sim.runUntil(5*time.Second + unreadableEndsTimeout + testLease + 2*time.Second)
+		sim.runUntil(5*time.Second + unreadableEndsTimeout + testLease + 2*time.Second + expiredWindow)
 		Expect(other.running).To(And(HaveKey(first), HaveKey(second)))
 		Expect(t.running).To(BeEmpty())
 
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -63,6 +63,8 @@
 	endsUnreadableSince time.Duration
 	holdInFlight        bool
 	holdSentAt          time.Duration
+	// listedAt is when the newest hold was sent whose answer listed all ends of the worker.
+	listedAt time.Duration
 	// settledHoldAt is when the newest hold was sent whose outcome is known, unreportedHolds
 	// the number of holds since then whose carrier has not reported.
 	settledHoldAt   time.Duration
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// unknownNewcomers returns the newcomers whose ids the membership does not know. An id that
+// it knows may have been granted to another replica since.
+func (n *Node) unknownNewcomers() []Member {
+	known := n.membership().HighestID
+	return slices.DeleteFunc(slices.Clone(n.newcomers), func(m Member) bool { return m.ID <= known })
+}
+
 // maxNewcomers bounds the senders that a replica remembers besides its members.
 const maxNewcomers = 16
 
--- a/raft/node.go
+++ b/raft/node.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -210,7 +209,7 @@
 		Last:       n.log.last().Index,
 		Membership: n.membership(),
 		Committed:  n.membershipAt(n.log.commit),
-		Newcomers:  slices.Clone(n.newcomers),
+		Newcomers:  n.unknownNewcomers(),
 	}
 	if n.role == RoleLeader {
 		s.LeaderReady = n.committedInTerm()
