--- a/jobs/dispatch/incarnation.go
+++ b/jobs/dispatch/incarnation.go
@@ -101,9 +101,10 @@
 }
 
 // pollUnconfirmed requests the list of attempts from a worker that has not answered this
-// leader yet, that failed to answer, or whose list of ends could not be read: without attempts no other hold would find out that
-// it receives orders again. It also asks a worker whose heartbeat was too late to count: if
-// the reply shows that the clock was reset, the worker has restarted.
+// leader yet, that failed to answer, or whose list of ends could not be read: without attempts
+// no other hold would find out that it receives orders again. It also asks a worker whose
+// heartbeat was too late to count: if the reply shows that the clock was reset, the worker has
+// restarted.
 func (d *Dispatcher) pollUnconfirmed(w *worker) {
 	ask := !w.fenceConfirmed || w.unresponsive || !w.reportIsFresh(d.now) || w.endsUnreadableSince != 0
 	if ask && !w.holdInFlight && d.now >= w.nextHoldAt {
