--- a/raft/leader.go
+++ b/raft/leader.go
@@ -70,6 +70,9 @@
 			ID:       peer.id,
 			Match:    peer.match,
 			Active:   n.isActive(peer),
+			Answered: peer.answered,
+			Silence:  n.now - peer.contact,
+			CaughtUp: n.isCaughtUp(peer),
 			Snapshot: peer.outgoing != nil,
 		})
 	}
@@ -80,6 +83,12 @@
 	return n.now-peer.contact < n.config.ElectionTimeout
 }
 
+// isCaughtUp reports whether a peer is in contact and has nearly all entries. One that has
+// acknowledged nothing may not have started, however short the log is.
+func (n *Node) isCaughtUp(peer *progress) bool {
+	return peer.match != 0 && n.isActive(peer) && peer.match+n.config.PromotionLag >= n.log.last().Index
+}
+
 // Propose appends a command. The data must not be modified afterwards. Its
 // errors are ErrNotLeader, ErrTransferring and ErrOverloaded; after any of them
 // nothing has been appended.
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -139,16 +139,14 @@
 	return current, fmt.Errorf("%w: unknown kind %d; use add, promote or remove", ErrInvalidChange, change.Kind)
 }
 
-// promoted makes a learner a voter if it is in contact and has nearly all
-// entries, since otherwise the larger quorum could stall the log. One that has
-// acknowledged nothing may not have started, however short the log is.
+// promoted makes a learner a voter if it has caught up, since otherwise the larger
+// quorum could stall the log.
 func (n *Node) promoted(member Member, found bool) (Membership, error) {
 	current := n.membership()
 	if !found || !member.Learner {
 		return current, fmt.Errorf("%w: replica %d is no learner; add it as a learner first", ErrInvalidChange, member.ID)
 	}
-	peer := n.lead.peers[member.ID]
-	if peer.match == 0 || !n.isActive(peer) || peer.match+n.config.PromotionLag < n.log.last().Index {
+	if !n.isCaughtUp(n.lead.peers[member.ID]) {
 		return current, ErrNotCaughtUp
 	}
 	member.Learner = false
--- a/raft/types.go
+++ b/raft/types.go
@@ -1,6 +1,9 @@
 package raft
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // EntryKind tells what the data of an entry means.
 type EntryKind uint8
@@ -228,8 +231,17 @@
 	ID uint64
 	// Match is the highest index known to be durable at the peer.
 	Match uint64
-	// Active is true if the peer has answered within the election timeout.
+	// Active is true if the peer has answered within the election timeout, or the term began
+	// so recently that it need not have.
 	Active bool
+	// Answered is true if the peer has answered in this term.
+	Answered bool
+	// Silence is the time since the peer last answered, since the leader knows of the peer if
+	// it has not answered in this term.
+	Silence time.Duration
+	// CaughtUp is true if the peer is in contact and has nearly all entries, so that it may
+	// be promoted.
+	CaughtUp bool
 	// Snapshot is true while a snapshot is being sent to the peer.
 	Snapshot bool
 }
