--- a/replicate/power_test.go
+++ b/replicate/power_test.go
@@ -65,6 +65,8 @@
 	stalledUntil time.Duration
 	nonce        string
 	wasLeading   bool
+	// gone is set once the host is taken away for good.
+	gone bool
 }
 
 type powerEvent struct {
@@ -429,7 +431,7 @@
 }
 
 func (h *powerHost) powerOnUnlessUp() {
-	if !h.up {
+	if !h.up && !h.gone {
 		h.powerOn()
 	}
 }
@@ -437,9 +439,16 @@
 // losePower ends all processes at once, empties two disks and starts the hosts one by one.
 func (c *powerCluster) losePower() {
 	c.counts["power losses"]++
-	lost := c.rng.Perm(len(c.hosts))[:2]
+	c.losePowerAndDisks(2)
+}
+
+// losePowerAndDisks ends all processes at once, empties a number of disks drawn by lot and
+// starts the hosts one by one.
+func (c *powerCluster) losePowerAndDisks(disks int) {
+	hosts := c.remaining()
+	lost := c.rng.Perm(len(hosts))[:disks]
 	clear(c.group)
-	for i, h := range c.hosts {
+	for i, h := range hosts {
 		if h.up {
 			h.powerOff()
 		}
@@ -450,17 +459,23 @@
 	}
 }
 
+// remaining returns the hosts that are not gone for good.
+func (c *powerCluster) remaining() []*powerHost {
+	return slices.DeleteFunc(slices.Clone(c.hosts), func(h *powerHost) bool { return h.gone })
+}
+
 // complete reports whether every host is an active member, and all agree on the members.
 func (c *powerCluster) complete() bool {
-	for _, h := range c.hosts {
+	hosts := c.remaining()
+	for _, h := range hosts {
 		if h.replica == nil {
 			return false
 		}
 		members := h.replica.Status().Committed
-		if len(members.Members) != len(c.hosts) || len(members.Voters()) < targetVoters(len(c.hosts)) {
+		if len(members.Members) != len(hosts) || len(members.Voters()) != targetVoters(len(hosts)) {
 			return false
 		}
-		for _, other := range c.hosts {
+		for _, other := range hosts {
 			if _, found := members.Find(other.id); !found {
 				return false
 			}
@@ -528,7 +543,7 @@
 		c.runUntil(c.now + TickInterval)
 	}
 	c.runUntil(c.now + 2*time.Second)
-	for _, h := range c.hosts {
+	for _, h := range c.remaining() {
 		for command := range c.acknowledged {
 			if !slices.Contains(h.machine.lines, command) {
 				c.fail("%s lacks the acknowledged command %s: %s", h.address, command, c.describe())
@@ -540,7 +555,7 @@
 func (c *powerCluster) describe() string {
 	text := ""
 	for _, h := range c.hosts {
-		text += fmt.Sprintf("\n%s id %d up %t", h.address, h.id, h.up)
+		text += fmt.Sprintf("\n%s id %d up %t gone %t", h.address, h.id, h.up, h.gone)
 		if h.replica != nil {
 			s := h.replica.Status()
 			text += fmt.Sprintf(" %v term %d last %d commit %d members %v", s.Role, s.Term, s.Last, s.Commit, s.Membership.Members)
