raft: attributes of members, one change for a replacement, notice of a stop

A leader could not leave behind in the log what it knows of the members: which are silent, which stop, which have joined beside the others. A replacement took two changes, and a vote could be taken only with the membership.

The membership now holds for each member whether it is leaving, the highest id that had been granted when it was last heard from, and whether it has joined without taking the place of another. A change may carry such updates. AddLearner may remove a member in the same change, DemoteVoter takes a vote. Each change still alters the vote of one member at most. Replicas announce in their messages that they stop.

Old encodings decode to members without attributes.

--- a/raft/codec.go
+++ b/raft/codec.go
@@ -42,6 +42,7 @@
 		Round:     m.Round,
 		Transfer:  m.Transfer,
 		Offset:    m.Offset,
+		Leaving:   m.Leaving,
 	}
 	if m.Chunk != nil {
 		out.Chunk = &raftpb.SnapshotChunk{
@@ -82,6 +83,7 @@
 		Round:     in.Round,
 		Transfer:  in.Transfer,
 		Offset:    in.Offset,
+		Leaving:   in.Leaving,
 	}
 	if in.Chunk != nil {
 		meta, err := metaFromProto(in.Chunk.Meta)
@@ -179,10 +181,13 @@
 	out := &raftpb.Membership{HighestId: m.HighestID}
 	for _, member := range m.Members {
 		out.Members = append(out.Members, &raftpb.Member{
-			Id:      member.ID,
-			Learner: member.Learner,
-			Address: member.Address,
-			Domain:  member.Domain,
+			Id:            member.ID,
+			Learner:       member.Learner,
+			Address:       member.Address,
+			Domain:        member.Domain,
+			Leaving:       member.Leaving,
+			SilentSinceId: member.SilentSinceID,
+			Surplus:       member.Surplus,
 		})
 	}
 	return out
@@ -196,7 +201,10 @@
 			return Membership{}, fmt.Errorf("%w: member ids are not ascending", ErrDecode)
 		}
 		previous = member.Id
-		m.Members = append(m.Members, Member{ID: member.Id, Learner: member.Learner, Address: member.Address, Domain: member.Domain})
+		m.Members = append(m.Members, Member{
+			ID: member.Id, Learner: member.Learner, Address: member.Address, Domain: member.Domain,
+			Leaving: member.Leaving, SilentSinceID: member.SilentSinceId, Surplus: member.Surplus,
+		})
 	}
 	return m, nil
 }
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -30,6 +30,9 @@
 	}
 	n.appendOwn(EntryEmpty, nil)
 	n.updatePeers()
+	if previous := n.lead.peers[n.lastLeader]; previous != nil {
+		previous.contact = n.lastLeaderContact
+	}
 	n.sendHeartbeats()
 }
 
@@ -71,6 +74,7 @@
 			Match:    peer.match,
 			Active:   n.isActive(peer),
 			Answered: peer.answered,
+			Leaving:  peer.leaving,
 			Silence:  n.now - peer.contact,
 			CaughtUp: n.isCaughtUp(peer),
 			Snapshot: peer.outgoing != nil,
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -108,6 +108,9 @@
 	if err != nil {
 		return Position{}, err
 	}
+	for _, update := range change.Updates {
+		next = next.updated(update)
+	}
 	position := n.appendOwn(EntryMembership, EncodeMembership(next))
 	n.memberships = append(n.memberships, membershipAt{index: position.Index, membership: next})
 	n.updatePeers()
@@ -124,19 +127,45 @@
 		}
 		learner := change.Member
 		learner.Learner = true
-		return current.with(learner), nil
+		if change.Replaces == 0 {
+			return current.with(learner), nil
+		}
+		remaining, err := n.removed(change.Replaces)
+		return remaining.with(learner), err
 	case PromoteLearner:
 		return n.promoted(member, found)
 	case RemoveMember:
-		if !found {
-			return current, fmt.Errorf("%w: replica %d is no member; see the status", ErrInvalidChange, change.Member.ID)
-		}
-		if member.ID == n.config.ID {
-			return current, fmt.Errorf("%w: replica %d is the leader; transfer leadership first", ErrInvalidChange, member.ID)
-		}
-		return current.without(member.ID), nil
+		return n.removed(change.Member.ID)
+	case DemoteVoter:
+		return n.demoted(member, found)
+	case UpdateMembers:
+		return current, nil
+	}
+	return current, fmt.Errorf("%w: unknown kind %d; use add, promote, demote, remove or update", ErrInvalidChange, change.Kind)
+}
+
+func (n *Node) removed(id uint64) (Membership, error) {
+	current := n.membership()
+	if _, found := current.Find(id); !found {
+		return current, fmt.Errorf("%w: replica %d is no member; see the status", ErrInvalidChange, id)
 	}
-	return current, fmt.Errorf("%w: unknown kind %d; use add, promote or remove", ErrInvalidChange, change.Kind)
+	if id == n.config.ID {
+		return current, fmt.Errorf("%w: replica %d is the leader; transfer leadership first", ErrInvalidChange, id)
+	}
+	return current.without(id), nil
+}
+
+// demoted makes a voter a learner. The leader stays a voter.
+func (n *Node) demoted(member Member, found bool) (Membership, error) {
+	current := n.membership()
+	if !found || member.Learner {
+		return current, fmt.Errorf("%w: replica %d is no voter; see the status", ErrInvalidChange, member.ID)
+	}
+	if member.ID == n.config.ID {
+		return current, fmt.Errorf("%w: replica %d is the leader; transfer leadership first", ErrInvalidChange, member.ID)
+	}
+	member.Learner = true
+	return current.with(member), nil
 }
 
 // promoted makes a learner a voter if it has caught up, since otherwise the larger
--- a/raft/message.go
+++ b/raft/message.go
@@ -48,6 +48,8 @@
 	Chunk    *SnapshotChunk
 	// Offset is the count of snapshot bytes received, in a SnapshotResponse.
 	Offset uint64
+	// Leaving is true if the sender's process is stopping.
+	Leaving bool
 }
 
 // SnapshotChunk is a part of a snapshot's data.
--- a/raft/node.go
+++ b/raft/node.go
@@ -20,10 +20,16 @@
 	// leader is 0 when unknown.
 	leader uint64
 
-	now             time.Duration
-	leaderContact   time.Duration
-	electionStart   time.Duration
-	electionTimeout time.Duration
+	now           time.Duration
+	leaderContact time.Duration
+	// lastLeader is the leader that was heard from last, at lastLeaderContact.
+	lastLeader        uint64
+	lastLeaderContact time.Duration
+	electionStart     time.Duration
+	electionTimeout   time.Duration
+
+	// leaving is announced in all messages.
+	leaving bool
 
 	// newcomers are senders with ids above those that the membership knows.
 	newcomers []Member
@@ -185,6 +191,7 @@
 // send queues a message, for after the next write if it depends on one.
 func (n *Node) send(m Message) {
 	m.From = n.config.ID
+	m.Leaving = n.leaving
 	if m.Term == 0 {
 		m.Term = n.hard.Term
 	}
@@ -196,6 +203,10 @@
 	n.ready.Messages = append(n.ready.Messages, m)
 }
 
+// Leave announces to the leader that this replica's process is stopping. The
+// membership doesn't change by itself.
+func (n *Node) Leave() { n.leaving = true }
+
 // Status returns a copy of the node's observable state.
 func (n *Node) Status() Status {
 	s := Status{
@@ -207,6 +218,7 @@
 		Applied:    n.log.handed,
 		First:      n.log.first(),
 		Last:       n.log.last().Index,
+		Leaving:    n.leaving,
 		Membership: n.membership(),
 		Committed:  n.membershipAt(n.log.commit),
 		Newcomers:  n.unknownNewcomers(),
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -19,6 +19,8 @@
 	contact time.Duration
 	// answered is set from the first message of the peer in this term on.
 	answered bool
+	// leaving is what the peer's last message said.
+	leaving bool
 	// round is the newest heartbeat round that the peer has answered.
 	round    uint64
 	outgoing *outgoingSnapshot
--- a/raft/random_test.go
+++ b/raft/random_test.go
@@ -109,23 +109,32 @@
 
 func (m *machine) changeMembers(t *rapid.T) {
 	r := m.pickLeader(t)
-	kind := rapid.SampledFrom([]raft.ChangeKind{raft.AddLearner, raft.PromoteLearner, raft.RemoveMember}).Draw(t, "kind")
+	kinds := []raft.ChangeKind{raft.AddLearner, raft.PromoteLearner, raft.RemoveMember, raft.DemoteVoter, raft.UpdateMembers}
+	kind := rapid.SampledFrom(kinds).Draw(t, "kind")
 	members := r.node.Status().Membership.Members
 	if len(members) == 0 {
 		t.Skip("no members")
 	}
 	member := rapid.SampledFrom(members).Draw(t, "member")
+	replaces := uint64(0)
+	update := rapid.SampledFrom(members).Draw(t, "update")
+	update.Leaving = rapid.Bool().Draw(t, "leaving")
 	switch {
 	case kind == raft.RemoveMember && len(members) <= 3:
 		t.Skip("too few members")
 	case kind == raft.AddLearner && len(m.c.replicas) >= randomReplicas:
 		t.Skip("enough replicas")
+	case kind == raft.DemoteVoter && len(r.node.Status().Membership.Voters()) <= 3:
+		t.Skip("too few voters")
 	case kind == raft.AddLearner:
+		if len(members) > 3 && rapid.Bool().Draw(t, "replace") {
+			replaces = member.ID
+		}
 		m.nextID++
 		member = raft.Member{ID: m.nextID}
 		m.c.add(member.ID, raft.Stored{})
 	}
-	_, _ = r.node.ChangeMembers(raft.MemberChange{Kind: kind, Member: member})
+	_, _ = r.node.ChangeMembers(raft.MemberChange{Kind: kind, Member: member, Replaces: replaces, Updates: []raft.Member{update}})
 	m.c.pump(r)
 }
 
--- a/raft/step.go
+++ b/raft/step.go
@@ -49,7 +49,7 @@
 	if !known {
 		return
 	}
-	peer.contact, peer.answered = n.now, true
+	peer.contact, peer.answered, peer.leaving = n.now, true, m.Leaving
 	switch m.Type {
 	case MessageAppendResponse:
 		n.handleAppendResponse(peer, m)
@@ -108,6 +108,7 @@
 	}
 	n.leader = m.From
 	n.leaderContact = n.now
+	n.lastLeader, n.lastLeaderContact = m.From, n.now
 	n.electionStart = n.now
 }
 
--- a/raft/types.go
+++ b/raft/types.go
@@ -38,13 +38,22 @@
 	Commit uint64
 }
 
-// Member is one replica of the cluster. Address and Domain are not interpreted
-// by this package.
+// Member is one replica of the cluster. Only ID and Learner are interpreted by
+// this package.
 type Member struct {
 	ID      uint64
 	Learner bool
 	Address string
 	Domain  string
+	// Leaving is true if the member has announced that its process stops, until it answers
+	// again after that.
+	Leaving bool
+	// SilentSinceID is the highest id that had been granted when the member was last heard
+	// from, 0 while it answers. Members with higher ids have joined since then.
+	SilentSinceID uint64
+	// Surplus is true for a member that has joined a running system and not taken the place of
+	// another member yet.
+	Surplus bool
 }
 
 // Membership is the set of replicas, ordered by id. It is immutable.
@@ -109,6 +118,17 @@
 	return next
 }
 
+// updated returns a copy in which a member has the attributes of the update, but for its
+// vote, address and domain.
+func (m Membership) updated(update Member) Membership {
+	current, found := m.Find(update.ID)
+	if !found {
+		return m
+	}
+	update.Learner, update.Address, update.Domain = current.Learner, current.Address, current.Domain
+	return m.with(update)
+}
+
 // SnapshotMeta identifies a snapshot: the last entry it covers and the
 // membership as of that entry.
 type SnapshotMeta struct {
@@ -210,8 +230,10 @@
 	// Applied is the last index handed out in Ready.Committed or Restore.
 	Applied uint64
 	// First and Last bound the log in memory; Last may not be durable yet.
-	First      uint64
-	Last       uint64
+	First uint64
+	Last  uint64
+	// Leaving is true after Leave.
+	Leaving    bool
 	Membership Membership
 	// Committed is the membership as of the commit index.
 	Committed Membership
@@ -236,8 +258,10 @@
 	Active bool
 	// Answered is true if the peer has answered in this term.
 	Answered bool
-	// Silence is the time since the peer last answered, since the leader knows of the peer if
-	// it has not answered in this term.
+	// Leaving is true if the peer has said that its process is stopping.
+	Leaving bool
+	// Silence is the time since the peer last answered. If it has not answered in this term it
+	// is the time since its last message as the leader before, or since this leader knows of it.
 	Silence time.Duration
 	// CaughtUp is true if the peer is in contact and has nearly all entries, so that it may
 	// be promoted.
