replicate: keep the mark of a silent member until it answers again

A member that fell silent less than 500 ms before another one joined was marked in the log at the join and unmarked 50 ms later, since it still counted as active; the next leader would not have known the order. Both decisions use the same age of the last answer now.

--- a/replicate/members.go
+++ b/replicate/members.go
@@ -14,9 +14,9 @@
 const (
 	// silenceNoticeTime is how long a member must have been silent until the log records it.
 	silenceNoticeTime = time.Second
-	// joinSilence is how long a member must have been silent to count as silent when another
-	// one joins. It is a few heartbeat intervals.
-	joinSilence = 3 * raft.DefaultHeartbeatInterval
+	// maxAnswerAge is how long ago a member may have answered to count as heard from. It is a
+	// few heartbeat intervals.
+	maxAnswerAge = 3 * raft.DefaultHeartbeatInterval
 	// maxTickGap is the longest time between two ticks after which silence still counts as
 	// that of the members, not as a pause of this replica.
 	maxTickGap = 500 * time.Millisecond
@@ -115,6 +115,9 @@
 	return min(p.Silence, now-r.observedSince)
 }
 
+// isHeard reports whether a peer answers at present.
+func isHeard(p raft.PeerStatus) bool { return p.Answered && p.Silence < maxAnswerAge }
+
 // observed returns the members whose state in the log differs from what this leader sees.
 func (r *Replica) observed(s raft.Status) []raft.Member {
 	var updates []raft.Member
@@ -129,7 +132,7 @@
 		}
 		seen := m
 		switch silence := r.silence(p); {
-		case p.Answered && p.Active:
+		case isHeard(p):
 			seen.SilentSinceID, seen.Leaving = 0, p.Leaving
 		case m.SilentSinceID == 0 && silence >= silenceNoticeTime:
 			seen.SilentSinceID = r.highestIDBefore(s, m.ID, silence)
@@ -147,7 +150,7 @@
 	var updates []raft.Member
 	for _, p := range s.Peers {
 		m, found := s.Membership.Find(p.ID)
-		if found && m.SilentSinceID == 0 && (!p.Answered || p.Silence >= joinSilence) {
+		if found && m.SilentSinceID == 0 && !isHeard(p) {
 			m.SilentSinceID = r.highestIDBefore(s, m.ID, p.Silence)
 			updates = append(updates, m)
 		}
