raft: hand leadership to a replica that does not stop itself

A stopping leader chose the voter with the most entries, which may have announced its own stop. The spec fails without the change (3 in place of 2).

--- a/raft/attributes_test.go
+++ b/raft/attributes_test.go
@@ -59,6 +59,19 @@
 		Expect(again).To(Equal(message))
 	})
 
+	// Guards against leadership that is handed to a replica that stops at the same time.
+	It("prefer a successor that does not stop", func() {
+		status := raft.Status{
+			ID: 1, Membership: raft.Membership{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4, Learner: true}}},
+			Peers: []raft.PeerStatus{
+				{ID: 2, Active: true, Match: 5}, {ID: 3, Active: true, Match: 9, Leaving: true}, {ID: 4, Active: true, Match: 9},
+			},
+		}
+		Expect(status.Successor()).To(BeEquivalentTo(2))
+		status.Peers[0].Active = false
+		Expect(status.Successor()).To(BeEquivalentTo(3))
+	})
+
 	// Guards against a leader that counts a former one as heard from when the term began, so
 	// that a host that joins at once never counts as its successor.
 	It("count the silence of the former leader from its last message", func() {
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -1,11 +1,15 @@
 package raft
 
 // Successor returns the active voter with the most entries besides the leader, to
-// which a leader hands over, or 0 if there is none.
+// which a leader hands over, or 0 if there is none. One that stops itself is chosen only
+// if there is no other.
 func (s Status) Successor() uint64 {
 	var best PeerStatus
 	for _, p := range s.Peers {
-		if p.Active && s.Membership.IsVoter(p.ID) && p.Match >= best.Match && p.ID != s.ID {
+		if !p.Active || !s.Membership.IsVoter(p.ID) || p.ID == s.ID {
+			continue
+		}
+		if best.ID == 0 || best.Leaving && !p.Leaving || best.Leaving == p.Leaving && p.Match >= best.Match {
 			best = p
 		}
 	}
