replicate: demote no voter that the quorum needs

A voter that stops was demoted before its successor was promoted, also while another voter was silent: three voters, one of them gone, became two, of which one ran. That change could not be committed, and the host that was gone counted for good. The successor is promoted first then. A voter that is demoted because too many vote is now one without which the others that answer hold a quorum.

The entry "a planned stop while another voter is silent" of the new table fails before: 'demote 2' leaves one running voter of two.

--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -114,9 +114,13 @@
 		}
 	}
 	for _, m := range voters {
-		if p.isLeaving(m) && found {
-			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and another member takes its place", true
+		if !p.isLeaving(m) || !found {
+			continue
+		}
+		if !p.keepsQuorum(voters, m, p.stays) {
+			return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "a voter stops that the quorum needs until another one votes", true
 		}
+		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and another member takes its place", true
 	}
 	if m, found := p.worstVoter(voters); found && len(voters) > target && !p.awaitsRemoval(voters) {
 		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "more vote than fit the number of replicas", true
@@ -185,10 +189,38 @@
 	}), true
 }
 
-// worstVoter returns the voter to demote next, which is not this replica: one that stops or
-// is silent, else of the domain with the most voters, and the youngest of these.
+// keepsQuorum reports whether the voters besides one hold a quorum of those that count.
+// Without it the change that demotes the voter might never be committed.
+func (p *membershipPlan) keepsQuorum(voters []raft.Member, demoted raft.Member, counts func(raft.Member) bool) bool {
+	remaining, counted := 0, 0
+	for _, m := range voters {
+		if m.ID == demoted.ID {
+			continue
+		}
+		remaining++
+		if counts(m) {
+			counted++
+		}
+	}
+	return 2*counted > remaining
+}
+
+// answers reports whether a member has answered this leader a moment ago.
+func (p *membershipPlan) answers(m raft.Member) bool {
+	peer := p.peers[m.ID]
+	return m.ID == p.self || m.SilentSinceID == 0 && peer.Answered && peer.Silence < joinSilence
+}
+
+// stays reports whether a member answers and has not announced that it stops.
+func (p *membershipPlan) stays(m raft.Member) bool { return p.answers(m) && !m.Leaving }
+
+// worstVoter returns the voter to demote next, which is not this replica and not needed for
+// the quorum: one that stops or is silent, else of the domain with the most voters, and the
+// youngest of these.
 func (p *membershipPlan) worstVoter(voters []raft.Member) (raft.Member, bool) {
-	candidates := slices.DeleteFunc(slices.Clone(voters), func(m raft.Member) bool { return m.ID == p.self })
+	candidates := slices.DeleteFunc(slices.Clone(voters), func(m raft.Member) bool {
+		return m.ID == p.self || !p.keepsQuorum(voters, m, p.answers)
+	})
 	if len(candidates) == 0 {
 		return raft.Member{}, false
 	}
--- /dev/null
+++ b/replicate/plan_test.go
@@ -0,0 +1,171 @@
+package replicate
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/raft"
+)
+
+// planSteps is more than the changes that any membership needs.
+const planSteps = 60
+
+// planState is a membership as its leader sees it.
+type planState struct {
+	self    uint64
+	members []raft.Member
+	silence time.Duration
+	// behind are the members that have not caught up.
+	behind map[uint64]bool
+}
+
+func (s *planState) plan() *membershipPlan {
+	status := raft.Status{ID: s.self, Membership: raft.Membership{Members: s.members, HighestID: s.members[len(s.members)-1].ID}}
+	for _, m := range s.members {
+		if m.ID == s.self {
+			continue
+		}
+		peer := raft.PeerStatus{ID: m.ID, Active: true, Answered: true, Leaving: m.Leaving, CaughtUp: !s.behind[m.ID]}
+		if m.SilentSinceID != 0 {
+			peer.Active, peer.CaughtUp, peer.Silence = false, false, s.silence
+		}
+		status.Peers = append(status.Peers, peer)
+	}
+	return newMembershipPlan(status, func(p raft.PeerStatus) time.Duration { return p.Silence })
+}
+
+// apply carries out a change as raft does.
+func (s *planState) apply(c raft.MemberChange) {
+	s.members = slices.Clone(s.members)
+	index := slices.IndexFunc(s.members, func(m raft.Member) bool { return m.ID == c.Member.ID })
+	Expect(index).To(BeNumerically(">=", 0), "%v of a member that is unknown", c.Kind)
+	switch c.Kind {
+	case raft.PromoteLearner:
+		s.members[index].Learner = false
+	case raft.DemoteVoter:
+		s.members[index].Learner = true
+	case raft.RemoveMember:
+		s.members = slices.Delete(s.members, index, index+1)
+	default:
+		Fail(fmt.Sprint("unexpected change ", c.Kind))
+	}
+	for _, u := range c.Updates {
+		for i := range s.members {
+			if s.members[i].ID == u.ID {
+				u.Learner, u.Address, u.Domain = s.members[i].Learner, s.members[i].Address, s.members[i].Domain
+				s.members[i] = u
+			}
+		}
+	}
+}
+
+// hasQuorum reports whether the voters that run are a majority.
+func (s *planState) hasQuorum() bool {
+	voters, running := 0, 0
+	for _, m := range s.members {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if m.SilentSinceID == 0 {
+			running++
+		}
+	}
+	return 2*running > voters
+}
+
+// expectAllowed requires that a change keeps the quorum, does not touch the leader and
+// removes only a silent member that a surplus one replaces.
+func (s *planState) expectAllowed(c raft.MemberChange, note string) {
+	if c.Kind != raft.PromoteLearner {
+		Expect(c.Member.ID).NotTo(Equal(s.self), note)
+	}
+	if c.Kind == raft.RemoveMember {
+		m := c.Member
+		Expect(m.SilentSinceID).NotTo(BeZero(), note)
+		Expect(c.Updates).To(HaveLen(1), note)
+		at := slices.IndexFunc(s.members, func(other raft.Member) bool { return other.ID == c.Updates[0].ID })
+		successor := s.members[at]
+		Expect(successor.Surplus).To(BeTrue(), note)
+		Expect(successor.ID).NotTo(Equal(m.ID), note)
+		Expect(successor.ID > m.SilentSinceID || m.Leaving || s.silence >= unannouncedSilence).To(BeTrue(), note)
+	}
+	next := *s
+	next.apply(c)
+	Expect(next.hasQuorum()).To(BeTrue(), note)
+}
+
+// settle applies changes until there are none, and returns them.
+func (s *planState) settle(note string) []string {
+	var steps []string
+	for {
+		c, _, found := s.plan().next()
+		if !found {
+			return steps
+		}
+		steps = append(steps, fmt.Sprint(c.Kind, " ", c.Member.ID))
+		Expect(len(steps)).To(BeNumerically("<", planSteps), "%s: no end: %v", note, steps)
+		s.expectAllowed(c, fmt.Sprintf("%s: %v of %+v", note, steps, s.members))
+		s.apply(c)
+	}
+}
+
+// Flags of the members in the table.
+const (
+	learner = 1 << iota
+	surplus
+	leaving
+	behind
+)
+
+// planMember is a member in the table. SilentSince is 0 for one that runs.
+type planMember struct {
+	id, silentSince uint64
+	flags           int
+}
+
+func stateOf(self uint64, silence time.Duration, members ...planMember) *planState {
+	s := &planState{self: self, silence: silence, behind: map[uint64]bool{}}
+	for _, m := range members {
+		s.members = append(s.members, raft.Member{
+			ID: m.id, SilentSinceID: m.silentSince, Learner: m.flags&learner != 0, Surplus: m.flags&surplus != 0, Leaving: m.flags&leaving != 0,
+		})
+		s.behind[m.id] = m.flags&behind != 0
+	}
+	return s
+}
+
+var _ = Describe("The plan of the membership", func() {
+	const gone, partitioned = replacementSilence, replacementSilence
+	joined := learner | surplus
+
+	// Guards against a wrong order of changes, which costs the quorum or keeps a host that is gone.
+	DescribeTable("makes the changes that fit", func(s *planState, steps ...string) {
+		Expect(s.settle("table")).To(HaveExactElements(steps))
+	},
+		Entry("a replacement", stateOf(1, gone, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 3, 0}, planMember{4, 0, joined}), "remove 3", "promote 4"),
+		Entry("a successor that has not caught up", stateOf(1, gone, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 3, 0}, planMember{4, 0, joined | behind})),
+		Entry("a silence that is too short", stateOf(1, gone-1, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 3, 0}, planMember{4, 0, joined})),
+		Entry("a successor that is replaced itself",
+			stateOf(1, gone, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 3, 0}, planMember{4, 4, joined}, planMember{5, 0, joined}), "remove 3", "promote 5", "remove 4"),
+		Entry("a planned stop with a learner ready", stateOf(1, 0, planMember{1, 0, 0}, planMember{2, 0, leaving}, planMember{3, 0, 0}, planMember{4, 0, joined}), "demote 2", "promote 4"),
+		Entry("a planned stop without a learner", stateOf(1, 0, planMember{1, 0, 0}, planMember{2, 0, leaving}, planMember{3, 0, 0})),
+		Entry("a planned stop with a learner that is behind", stateOf(1, 0, planMember{1, 0, 0}, planMember{2, 0, leaving}, planMember{3, 0, 0}, planMember{4, 0, joined | behind})),
+		Entry("a leader that stops", stateOf(1, 0, planMember{1, 0, leaving}, planMember{2, 0, 0}, planMember{3, 0, 0}, planMember{4, 0, joined})),
+		Entry("an addition beside a partitioned voter", stateOf(1, partitioned, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 4, 0}, planMember{4, 0, joined})),
+		Entry("two additions beside a partitioned voter",
+			stateOf(1, partitioned, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 5, 0}, planMember{4, 0, joined}, planMember{5, 0, joined}), "promote 4", "promote 5"),
+		Entry("two hosts gone and two joined",
+			stateOf(1, gone, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 0, 0}, planMember{4, 5, 0}, planMember{5, 5, 0}, planMember{6, 0, joined}, planMember{7, 0, joined}),
+			"remove 4", "promote 6", "remove 5", "promote 7"),
+		Entry("five voters of four hosts", stateOf(1, gone, planMember{1, 0, 0}, planMember{2, 0, 0}, planMember{3, 0, 0}, planMember{4, 4, 0}, planMember{5, 0, surplus}),
+			"remove 4", "demote 5"),
+		// Guards against the demotion of a running voter beside a silent one, which leaves no quorum.
+		Entry("a planned stop while another voter is silent",
+			stateOf(1, partitioned, planMember{1, 0, 0}, planMember{2, 0, leaving}, planMember{3, 4, 0}, planMember{4, 0, joined}), "promote 4", "demote 3"),
+	)
+})
