--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -30,8 +30,9 @@
 // membership in the log and from the present silence of the members, so that each leader
 // goes on where the one before has stopped.
 //
-// A member that is silent is replaced by one that has joined since. One that announces that it
-// stops is replaced by any surplus member. Only such a pair tells a replica that is gone from
+// A member that is silent is replaced by one that has joined since, and after a long silence by
+// a surplus member that runs. One that announces that it stops is replaced by any surplus
+// member. Only such a pair tells a replica that is gone from
 // one that is partitioned, which is never removed: it may return with entries that others
 // need.
 type membershipPlan struct {
@@ -58,8 +59,8 @@
 }
 
 // pair gives each surplus member the silent one whose place it takes. Of several it is the
-// one that has been silent the longest. The members are ordered by id, and each surplus
-// member may replace all that those before it may, so that as many as possible are paired.
+// one that has been silent the longest. The members are ordered by id, and each surplus member
+// that runs may replace all that those before it may, so that as many as possible are paired.
 func (p *membershipPlan) pair() {
 	for _, successor := range p.members {
 		if !successor.Surplus {
@@ -96,7 +97,9 @@
 		return false
 	}
 	joinedSince := m.SilentSinceID != 0 && m.SilentSinceID < successor.ID
-	return joinedSince || m.Leaving || m.SilentSinceID != 0 && p.silence[m.ID] >= unannouncedSilence
+	// One that had joined before and is silent too may be on the same side of a partition.
+	unannounced := m.SilentSinceID != 0 && successor.SilentSinceID == 0 && p.silence[m.ID] >= unannouncedSilence
+	return joinedSince || m.Leaving || unannounced
 }
 
 // next returns the next change and its reason.
--- a/replicate/plan_test.go
+++ b/replicate/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,8 +12,14 @@
 	"geraniumwall/raft"
 )
 
-// planSteps is more than the changes that any membership needs.
-const planSteps = 60
+const (
+	// planSeeds is the number of random memberships.
+	planSeeds = 3_000
+	// planSteps is more than the changes that any of them needs.
+	planSteps = 60
+	// longSilence makes each silent member count as gone.
+	longSilence = 2 * unannouncedSilence
+)
 
 // planState is a membership as its leader sees it.
 type planState struct {
@@ -93,6 +100,9 @@
 		Expect(successor.Surplus).To(BeTrue(), note)
 		Expect(successor.ID).NotTo(Equal(m.ID), note)
 		Expect(successor.ID > m.SilentSinceID || m.Leaving || s.silence >= unannouncedSilence).To(BeTrue(), note)
+		if successor.ID <= m.SilentSinceID && !m.Leaving {
+			Expect(successor.SilentSinceID).To(BeZero(), note)
+		}
 	}
 	next := *s
 	next.apply(c)
@@ -114,6 +124,59 @@
 	}
 }
 
+// expectSettled requires that no silent member with a successor is left and that as many vote
+// as fit, unless there is nobody else who could.
+func (s *planState) expectSettled(note string) {
+	p := s.plan()
+	for id := range p.successors {
+		m := p.members[slices.IndexFunc(p.members, func(m raft.Member) bool { return m.ID == id })]
+		if m.SilentSinceID != 0 && (m.Learner || s.spares() > 0) {
+			Fail(fmt.Sprintf("%s: silent member %d has a successor and stays: %+v", note, id, p.members))
+		}
+	}
+	voters, target := len(p.voters()), targetVoters(p.replicas())
+	Expect(voters).To(BeNumerically("<=", target), "%s: %+v", note, p.members)
+	if s.spares() > 0 {
+		Expect(voters).To(Equal(target), "%s: %+v", note, p.members)
+	}
+}
+
+// spares returns the number of learners that may be promoted.
+func (s *planState) spares() int {
+	count := 0
+	for _, m := range s.members {
+		if m.Learner && m.SilentSinceID == 0 && !m.Leaving && !s.behind[m.ID] {
+			count++
+		}
+	}
+	return count
+}
+
+// randomState draws a membership whose leader runs and has a quorum.
+func randomState(rng *rand.Rand) *planState {
+	for {
+		s := &planState{silence: longSilence}
+		id := uint64(0)
+		for range 1 + rng.IntN(10) {
+			id += 1 + rng.Uint64N(2)
+			s.members = append(s.members, raft.Member{
+				ID: id, Learner: rng.IntN(2) == 0, Leaving: rng.IntN(5) == 0, Surplus: rng.IntN(2) == 0,
+				Domain: fmt.Sprint(rng.IntN(3)),
+			})
+		}
+		for i := range s.members {
+			if rng.IntN(3) == 0 {
+				s.members[i].SilentSinceID = s.members[i].ID + rng.Uint64N(id-s.members[i].ID+1)
+			}
+		}
+		leader := &s.members[rng.IntN(len(s.members))]
+		leader.Learner, leader.SilentSinceID, s.self = false, 0, leader.ID
+		if s.hasQuorum() {
+			return s
+		}
+	}
+}
+
 // Flags of the members in the table.
 const (
 	learner = 1 << iota
@@ -168,4 +231,26 @@
 		Entry("a planned stop while another voter is silent",
 			stateOf(1, partitioned, planMember{1, 0, 0}, planMember{2, 0, leaving}, planMember{3, 4, 0}, planMember{4, 0, joined}), "promote 4", "demote 3"),
 	)
+
+	// Guards against a membership from which no change leads on, or the wrong member goes.
+	It("ends with voters that run, from any membership with a quorum", func() {
+		for seed := range uint64(planSeeds) {
+			s := randomState(rand.New(rand.NewPCG(seed, 0))) //nolint:gosec // a simulation
+			note := fmt.Sprintf("seed %d, leader %d, %+v", seed, s.self, s.members)
+			s.settle(note)
+			s.expectSettled(note)
+		}
+	})
+
+	// Guards against a step that only a short silence makes possible and that costs the quorum.
+	It("keeps the quorum while the silence grows", func() {
+		for seed := range uint64(planSeeds) {
+			s := randomState(rand.New(rand.NewPCG(seed, 0))) //nolint:gosec // a simulation
+			note := fmt.Sprintf("seed %d, leader %d, %+v", seed, s.self, s.members)
+			for _, s.silence = range []time.Duration{silenceNoticeTime, replacementSilence, longSilence} {
+				s.settle(note)
+			}
+			s.expectSettled(note)
+		}
+	})
 })
