replicate: demote a voter that stops from an even number

Four voters, of which two stop, lost their quorum when both were gone before a learner had caught up. Four voters tolerate the loss of one and so do three, so one that stops is demoted as soon as the number is even.

The entry "two planned stops of four voters" fails before: no change is made. In the entry "a planned stop while another voter is silent" the voter that stops is now demoted instead of the silent one, which may return.

--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -116,17 +116,32 @@
 			return p.removal(m), "another member has taken its place", true
 		}
 	}
+	if change, reason, found := p.nextForLeaving(voters, learner, found); found {
+		return change, reason, true
+	}
+	if m, found := p.worstVoter(voters); found && len(voters) > target && !p.awaitsRemoval(voters) {
+		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "more vote than fit the number of replicas", true
+	}
+	return raft.MemberChange{}, "", false
+}
+
+// nextForLeaving returns the next change on behalf of a voter that stops. The learner is the one
+// to promote next, if found.
+func (p *membershipPlan) nextForLeaving(voters []raft.Member, learner raft.Member, found bool) (raft.MemberChange, string, bool) {
 	for _, m := range voters {
-		if !p.isLeaving(m) || !found {
+		if !p.isLeaving(m) {
 			continue
 		}
-		if !p.keepsQuorum(voters, m, p.stays) {
+		// An even number of voters tolerates no more failures than one less.
+		if len(voters)%2 == 0 && p.keepsQuorum(voters, m, p.answers) {
+			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and an even number of members vote", true
+		}
+		if found && !p.keepsQuorum(voters, m, p.stays) {
 			return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "a voter stops that the quorum needs until another one votes", true
 		}
-		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and another member takes its place", true
-	}
-	if m, found := p.worstVoter(voters); found && len(voters) > target && !p.awaitsRemoval(voters) {
-		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "more vote than fit the number of replicas", true
+		if found {
+			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and another member takes its place", true
+		}
 	}
 	return raft.MemberChange{}, "", false
 }
