--- a/e2e/jobfleet_test.go
+++ b/e2e/jobfleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -119,7 +120,12 @@
 // jobFleet is a deployment of job replicas, entries and stand-in workers. A relay
 // stands in front of each replica and of each worker.
 type jobFleet struct {
-	dir      string
+	dir string
+	// network numbers the fleet, and added counts the replicas that it has ever had.
+	network int32
+	added   int
+	// gone are the replicas that were taken away for good.
+	gone     []*supervised
 	replicas []*supervised
 	entries  []*supervised
 	control  []string
@@ -141,14 +147,14 @@
 // carry the orders of the leader; 0 for never.
 func newJobFleet(dir string, replicas, entries, workers, carryFrom int) (*jobFleet, error) {
 	network := fleets.Add(1)
-	f := &jobFleet{dir: dir, record: standin.NewRecord()}
+	f := &jobFleet{dir: dir, network: network, record: standin.NewRecord()}
 	var seeds []string
 	for i := range replicas {
-		f.control = append(f.control, jobHost(network, 10+i, jobControlPort))
+		f.control = append(f.control, f.controlAddress(i))
 	}
 	seeds = f.control[:min(3, replicas)]
-	for i := range replicas {
-		if err := f.addReplica(network, i, carryFrom, seeds); err != nil {
+	for range replicas {
+		if err := f.addReplica(carryFrom, seeds, true); err != nil {
 			return nil, err
 		}
 	}
@@ -158,15 +164,20 @@
 		}
 	}
 	for i := range workers {
-		if err := f.addWorker(network, i); err != nil {
+		if err := f.addWorker(i, f.control); err != nil {
 			return nil, err
 		}
 	}
 	return f, nil
 }
 
-func (f *jobFleet) addReplica(network int32, i, carryFrom int, seeds []string) error {
-	peer, bind := jobHost(network, 10+i, jobPeerPort), jobHost(network, 100+i, jobPeerPort)
+// controlAddress returns the address for workers and operators of a replica.
+func (f *jobFleet) controlAddress(i int) string { return jobHost(f.network, 10+i, jobControlPort) }
+
+func (f *jobFleet) addReplica(carryFrom int, seeds []string, firstStart bool) error {
+	i := f.added
+	f.added++
+	peer, bind := jobHost(f.network, 10+i, jobPeerPort), jobHost(f.network, 100+i, jobPeerPort)
 	l, err := newLink(peer, bind)
 	if err != nil {
 		return err
@@ -175,7 +186,7 @@
 	name := fmt.Sprintf("jobs-%d", i+1)
 	dataDir := filepath.Join(f.dir, name)
 	p, err := newProcess(f.dir, "geranium-jobs", name, jobd.Settings{
-		Name: name, Domain: "a", Listen: f.control[i], PeerListen: peer, PeerBind: bind, Seeds: seeds, FirstStart: true,
+		Name: name, Domain: "a", Listen: f.controlAddress(i), PeerListen: peer, PeerBind: bind, Seeds: seeds, FirstStart: firstStart,
 		DataDir: dataDir, HeartbeatMS: jobBeat.Milliseconds(), LeaseMS: jobLease.Milliseconds(), ShutdownTimeoutMS: 3000,
 		MinWorkersForCarriers: carryFrom, CapacityGraceMS: (jobShrinkGrace - jobBeat).Milliseconds(),
 	})
@@ -200,15 +211,15 @@
 	return nil
 }
 
-func (f *jobFleet) addWorker(network int32, i int) error {
-	address, bind := jobHost(network, 70+i, jobWorkerPort), jobHost(network, 170+i, jobWorkerPort)
+func (f *jobFleet) addWorker(i int, control []string) error {
+	address, bind := jobHost(f.network, 70+i, jobWorkerPort), jobHost(f.network, 170+i, jobWorkerPort)
 	l, err := newLink(address, bind)
 	if err != nil {
 		return err
 	}
 	f.orders = append(f.orders, l)
 	w := standin.NewWorker(standin.Settings{
-		ID: fmt.Sprintf("i-%d", i), Listen: bind, Address: address, Control: f.control, Service: "s", MilliCPU: jobWorkerCPU,
+		ID: fmt.Sprintf("i-%d", i), Listen: bind, Address: address, Control: control, Service: "s", MilliCPU: jobWorkerCPU,
 		Beat: jobBeat, Lease: jobLease, ClockRate: 0.98 + 0.02*float64(i%3),
 		ShrinkGrace: jobShrinkGrace, StopTime: jobStopTime, Downtime: jobDowntime, RenewID: i%2 == 1,
 	}, f.record)
@@ -216,6 +227,24 @@
 	return w.Start()
 }
 
+// startSuccessor adds an empty replica at a new address, which the next step starts.
+func (f *jobFleet) startSuccessor() error {
+	seeds := f.control
+	f.control = append(slices.Clone(f.control), f.controlAddress(f.added))
+	return f.addReplica(0, seeds, false)
+}
+
+// takeAway takes a replica that has ended away for good.
+func (f *jobFleet) takeAway(r *supervised) error {
+	i := slices.Index(f.replicas, r)
+	f.peers[i].close()
+	f.gone = append(f.gone, r)
+	f.replicas = slices.Delete(f.replicas, i, i+1)
+	f.peers = slices.Delete(f.peers, i, i+1)
+	f.control = slices.Delete(slices.Clone(f.control), i, i+1)
+	return os.RemoveAll(r.dataDir)
+}
+
 // forgetFirstStart changes the settings of the replicas as the platform does once
 // the system has started.
 func (f *jobFleet) forgetFirstStart() error {
@@ -262,7 +291,7 @@
 	if err != nil {
 		return "", err
 	}
-	for _, p := range f.processes() {
+	for _, p := range append(f.processes(), f.gone...) {
 		data, err := os.ReadFile(p.logFile)
 		if err != nil {
 			return "", err
