--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -30,8 +30,9 @@
 // membership in the log and from the present silence of the members, so that each leader
 // goes on where the one before has stopped.
 //
-// A member that is silent is replaced by one that has joined since. One that announces that it
-// stops is replaced by any surplus member. Only such a pair tells a replica that is gone from
+// A member that is silent is replaced by one that has joined since, and after a long silence by
+// a surplus member that runs. One that announces that it stops is replaced by any surplus
+// member. Only such a pair tells a replica that is gone from
 // one that is partitioned, which is never removed: it may return with entries that others
 // need.
 type membershipPlan struct {
@@ -58,8 +59,8 @@
 }
 
 // pair gives each surplus member the silent one whose place it takes. Of several it is the
-// one that has been silent the longest. The members are ordered by id, and each surplus
-// member may replace all that those before it may, so that as many as possible are paired.
+// one that has been silent the longest. The members are ordered by id, and each surplus member
+// that runs may replace all that those before it may, so that as many as possible are paired.
 func (p *membershipPlan) pair() {
 	for _, successor := range p.members {
 		if !successor.Surplus {
@@ -96,7 +97,9 @@
 		return false
 	}
 	joinedSince := m.SilentSinceID != 0 && m.SilentSinceID < successor.ID
-	return joinedSince || m.Leaving || m.SilentSinceID != 0 && p.silence[m.ID] >= unannouncedSilence
+	// One that had joined before and is silent too may be on the same side of a partition.
+	unannounced := m.SilentSinceID != 0 && successor.SilentSinceID == 0 && p.silence[m.ID] >= unannouncedSilence
+	return joinedSince || m.Leaving || unannounced
 }
 
 // next returns the next change and its reason.
@@ -113,10 +116,8 @@
 			return p.removal(m), "another member has taken its place", true
 		}
 	}
-	for _, m := range voters {
-		if p.isLeaving(m) && found {
-			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and another member takes its place", true
-		}
+	if change, reason, found := p.nextForLeaving(voters, learner, found); found {
+		return change, reason, true
 	}
 	if m, found := p.worstVoter(voters); found && len(voters) > target && !p.awaitsRemoval(voters) {
 		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "more vote than fit the number of replicas", true
@@ -124,6 +125,27 @@
 	return raft.MemberChange{}, "", false
 }
 
+// nextForLeaving returns the next change on behalf of a voter that stops. The learner is the one
+// to promote next, if found.
+func (p *membershipPlan) nextForLeaving(voters []raft.Member, learner raft.Member, found bool) (raft.MemberChange, string, bool) {
+	for _, m := range voters {
+		if !p.isLeaving(m) {
+			continue
+		}
+		// An even number of voters tolerates no more failures than one less.
+		if len(voters)%2 == 0 && p.keepsQuorum(voters, m, p.answers) {
+			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and an even number of members vote", true
+		}
+		if found && !p.keepsQuorum(voters, m, p.stays) {
+			return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "a voter stops that the quorum needs until another one votes", true
+		}
+		if found {
+			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and another member takes its place", true
+		}
+	}
+	return raft.MemberChange{}, "", false
+}
+
 // replicas returns the number of replicas that run or may return: without the silent ones
 // that have a successor.
 func (p *membershipPlan) replicas() int {
@@ -185,10 +207,37 @@
 	}), true
 }
 
-// worstVoter returns the voter to demote next, which is not this replica: one that stops or
-// is silent, else of the domain with the most voters, and the youngest of these.
+// keepsQuorum reports whether the voters besides one hold a quorum of those that count.
+// Without it the change that demotes the voter might never be committed.
+func (p *membershipPlan) keepsQuorum(voters []raft.Member, demoted raft.Member, counts func(raft.Member) bool) bool {
+	remaining, counted := 0, 0
+	for _, m := range voters {
+		if m.ID == demoted.ID {
+			continue
+		}
+		remaining++
+		if counts(m) {
+			counted++
+		}
+	}
+	return 2*counted > remaining
+}
+
+// answers reports whether a member has answered this leader a moment ago.
+func (p *membershipPlan) answers(m raft.Member) bool {
+	return m.ID == p.self || m.SilentSinceID == 0 && isHeard(p.peers[m.ID])
+}
+
+// stays reports whether a member answers and has not announced that it stops.
+func (p *membershipPlan) stays(m raft.Member) bool { return p.answers(m) && !m.Leaving }
+
+// worstVoter returns the voter to demote next, which is not this replica and not needed for
+// the quorum: one that stops or is silent, else of the domain with the most voters, and the
+// youngest of these.
 func (p *membershipPlan) worstVoter(voters []raft.Member) (raft.Member, bool) {
-	candidates := slices.DeleteFunc(slices.Clone(voters), func(m raft.Member) bool { return m.ID == p.self })
+	candidates := slices.DeleteFunc(slices.Clone(voters), func(m raft.Member) bool {
+		return m.ID == p.self || !p.keepsQuorum(voters, m, p.answers)
+	})
 	if len(candidates) == 0 {
 		return raft.Member{}, false
 	}
