jobd: ask all candidates at once when joining

Cause: a joining replica asked its seeds one after the other, 500 ms for each that is gone and 150 ms between two, and took no candidates from the members in a response.

Change: it asks up to 16 candidates at the same time for their view of the cluster and follows the leader and the members that these name. It asks only the replica that holds the leader's lease to add it, and one at a time: a second grant at the same address would remove the first.

--- a/jobd/identity.go
+++ b/jobd/identity.go
@@ -1,34 +1,19 @@
 package jobd
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"slices"
-	"strconv"
-	"strings"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"geraniumwall/raft"
-	"geraniumwall/replicate"
-	"geraniumwall/transport"
 	"geraniumwall/wal"
 )
 
-const (
-	pathJoin          = "/v1/join"
-	joinTimeout       = 500 * time.Millisecond
-	joinRetryInterval = 150 * time.Millisecond
-)
-
 // Identity identifies a replica. It is stored before the replica participates in the
 // log, and an id whose data is lost is never used again.
 type Identity struct {
@@ -166,113 +151,3 @@
 	}
 	return identity, identity.save(s)
 }
-
-// joinResponse grants or redirects a request to join.
-type joinResponse struct {
-	ReplicaID uint64            `json:"replica_id"`
-	Members   map[uint64]string `json:"members"`
-	// Leader is the address to retry at if ReplicaID is 0.
-	Leader string `json:"leader"`
-}
-
-type joinRequest struct {
-	Address string `json:"address"`
-	Domain  string `json:"domain"`
-	// Nonce identifies repetitions of the same request.
-	Nonce string `json:"nonce"`
-	// FirstStart is set if the whole system starts for the first time.
-	FirstStart bool `json:"first_start"`
-}
-
-var errJoinAddress = errors.New("the request to join names no address of host and port; correct the listen address of the replica")
-
-// decodeJoin reads a request to join. A member whose address can't be dialled would stay in
-// the membership without ever answering.
-func decodeJoin(body io.Reader) (joinRequest, error) {
-	var q joinRequest
-	if err := json.NewDecoder(body).Decode(&q); err != nil {
-		return q, fmt.Errorf("decode the request to join: %w", err)
-	}
-	host, port, err := net.SplitHostPort(q.Address)
-	if err != nil || host == "" || strings.ContainsFunc(q.Address, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '/' }) {
-		return q, errJoinAddress
-	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
-		return q, errJoinAddress
-	}
-	return q, nil
-}
-
-// join requests to join the log until the leader grants it.
-func join(ctx context.Context, s *Settings, seeds []string, firstStart bool, log zerolog.Logger) (Identity, error) {
-	client := transport.NewClient(transport.ClientOptions{Timeout: joinTimeout})
-	request := joinRequest{
-		Address: s.PeerListen, Domain: s.Domain, Nonce: strconv.FormatInt(time.Now().UnixNano(), 36), FirstStart: firstStart,
-	}
-	candidates := slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return a == s.PeerListen })
-	log.Info().Strs("seeds", candidates).Msg("joining the log")
-	for i := 0; ; i++ {
-		if len(candidates) > 0 {
-			response, err := requestJoin(ctx, client, candidates[i%len(candidates)], request)
-			switch {
-			case err != nil:
-				log.Debug().Err(err).Msg("join request failed")
-			case response.ReplicaID != 0:
-				log.Info().Uint64("replica", response.ReplicaID).Msg("joined the log")
-				return Identity{ReplicaID: response.ReplicaID, Peers: response.Members}, nil
-			case response.Leader != "" && !slices.Contains(candidates, response.Leader):
-				candidates = append(candidates, response.Leader)
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return Identity{}, fmt.Errorf("join the log: %w", ctx.Err())
-		case <-time.After(joinRetryInterval):
-		}
-	}
-}
-
-func requestJoin(ctx context.Context, client *http.Client, address string, q joinRequest) (joinResponse, error) {
-	body, err := json.Marshal(q)
-	if err != nil {
-		return joinResponse{}, fmt.Errorf("encode the join request: %w", err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, transport.URL(address)+pathJoin, bytes.NewReader(body))
-	if err != nil {
-		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
-		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
-	}
-	var result joinResponse
-	if err := json.Unmarshal(data, &result); err != nil {
-		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
-	}
-	return result, nil
-}
-
-// handleJoin processes a request to join. The id is granted once its membership change
-// is committed; the joining replica retries until then.
-func (m *manager) handleJoin(q joinRequest) joinResponse {
-	members := map[uint64]string{}
-	status := m.replica.Status()
-	for _, member := range status.Membership.Members {
-		members[member.ID] = member.Address
-	}
-	response := joinResponse{Members: members, Leader: m.replica.LeaderAddress()}
-	id, err := m.replica.RequestJoin(replicate.JoinRequest{Nonce: q.Nonce, Address: q.Address, Domain: q.Domain, FirstStart: q.FirstStart})
-	switch {
-	case err == nil:
-		response.ReplicaID = id
-		response.Members[id] = q.Address
-	case !errors.Is(err, raft.ErrNotLeader):
-		m.log.Info().Err(err).Str("address", q.Address).Msg("join request not granted yet")
-	}
-	return response
-}
--- /dev/null
+++ b/jobd/join.go
@@ -0,0 +1,344 @@
+package jobd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumwall/raft"
+	"geraniumwall/relay"
+	"geraniumwall/replicate"
+	"geraniumwall/transport"
+)
+
+const (
+	pathJoin = "/v1/join"
+	// joinTimeout limits one request of a joining replica.
+	joinTimeout = 500 * time.Millisecond
+	// viewInterval is the pause until a candidate is asked again for its view of the cluster.
+	viewInterval = 150 * time.Millisecond
+	// joinRetryInterval is the pause between two requests to join to the same leader.
+	joinRetryInterval = 50 * time.Millisecond
+	// maxAskedCandidates bounds the candidates that are asked at the same time.
+	maxAskedCandidates = 16
+	// maxCandidates bounds the candidates that a joining replica knows.
+	maxCandidates = 64
+)
+
+// joinResponse grants or redirects a request to join.
+type joinResponse struct {
+	ReplicaID uint64            `json:"replica_id"`
+	Members   map[uint64]string `json:"members"`
+	// Leader is the address to retry at if ReplicaID is 0.
+	Leader string `json:"leader"`
+	// Pending is set if this replica leads and the change is not committed yet.
+	Pending bool `json:"pending"`
+}
+
+type joinRequest struct {
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	// Nonce identifies repetitions of the same request.
+	Nonce string `json:"nonce"`
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool `json:"first_start"`
+}
+
+var errJoinAddress = errors.New("the request to join names no address of host and port; correct the listen address of the replica")
+
+// decodeJoin reads a request to join. A member whose address can't be dialled would stay in
+// the membership without ever answering.
+func decodeJoin(body io.Reader) (joinRequest, error) {
+	var q joinRequest
+	if err := json.NewDecoder(body).Decode(&q); err != nil {
+		return q, fmt.Errorf("decode the request to join: %w", err)
+	}
+	return q, checkPeerAddress(q.Address)
+}
+
+// checkPeerAddress returns errJoinAddress unless the address can be dialled.
+func checkPeerAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" || strings.ContainsFunc(address, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '/' }) {
+		return errJoinAddress
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errJoinAddress
+	}
+	return nil
+}
+
+// candidate is a replica that may know the leader.
+type candidate struct {
+	address string
+	// asked is set while it is asked for its view.
+	asked bool
+	// dueAt is when it is asked next.
+	dueAt time.Time
+	// silent is set if it has not answered the last request.
+	silent bool
+}
+
+// viewAnswer is the answer of a candidate that was asked for its view.
+type viewAnswer struct {
+	address string
+	view    relay.ClusterView
+	err     error
+}
+
+// joinAnswer is the answer to a request to join.
+type joinAnswer struct {
+	address  string
+	response joinResponse
+	err      error
+}
+
+// joiner joins the log. It asks all candidates at the same time who leads, and only the leader
+// to add this replica: if two replicas granted an id each, the later one would replace the
+// earlier one, which the joining replica may have taken.
+type joiner struct {
+	request    joinRequest
+	client     *http.Client
+	views      *relay.Relay
+	log        zerolog.Logger
+	candidates []*candidate
+	// leader is the address of the replica that holds the leader's lease, empty if unknown.
+	leader string
+	// joinAt is when the leader is asked next. cancelJoin is set while it is asked.
+	joinAt     time.Time
+	cancelJoin context.CancelFunc
+	answers    chan viewAnswer
+	joins      chan joinAnswer
+}
+
+// join requests to join the log until the leader grants it.
+func join(ctx context.Context, s *Settings, seeds []string, firstStart bool, log zerolog.Logger) (Identity, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	j := &joiner{
+		request: joinRequest{
+			Address: s.PeerListen, Domain: s.Domain, Nonce: strconv.FormatInt(time.Now().UnixNano(), 36), FirstStart: firstStart,
+		},
+		client: transport.NewClient(transport.ClientOptions{Timeout: joinTimeout}), views: relay.New(nil, nil), log: log,
+		answers: make(chan viewAnswer), joins: make(chan joinAnswer),
+	}
+	j.addCandidates(seeds...)
+	log.Info().Strs("seeds", seeds).Msg("joining the log")
+	return j.run(ctx)
+}
+
+// run asks the candidates until the leader grants the request.
+func (j *joiner) run(ctx context.Context) (Identity, error) {
+	for {
+		timer := time.NewTimer(time.Until(j.askDue(ctx)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return Identity{}, fmt.Errorf("join the log: %w", ctx.Err())
+		case <-timer.C:
+		case a := <-j.answers:
+			j.handleView(a)
+		case a := <-j.joins:
+			if j.handleJoinAnswer(a) {
+				timer.Stop()
+				j.log.Info().Uint64("replica", a.response.ReplicaID).Msg("joined the log")
+				return Identity{ReplicaID: a.response.ReplicaID, Peers: a.response.Members}, nil
+			}
+		}
+		timer.Stop()
+	}
+}
+
+// addCandidates adds the addresses that are not known yet, so that they are asked before the
+// others and the last one first. Without room they take the place of candidates that don't
+// answer.
+func (j *joiner) addCandidates(addresses ...string) {
+	for _, address := range addresses {
+		if address == j.request.Address || checkPeerAddress(address) != nil || j.find(address) != nil {
+			continue
+		}
+		if len(j.candidates) == maxCandidates {
+			i := slices.IndexFunc(j.candidates, func(c *candidate) bool { return c.silent && !c.asked })
+			if i < 0 {
+				return
+			}
+			j.candidates = slices.Delete(j.candidates, i, i+1)
+		}
+		j.candidates = slices.Insert(j.candidates, 0, &candidate{address: address})
+	}
+}
+
+func (j *joiner) find(address string) *candidate {
+	i := slices.IndexFunc(j.candidates, func(c *candidate) bool { return c.address == address })
+	if i < 0 {
+		return nil
+	}
+	return j.candidates[i]
+}
+
+// askDue asks the leader and the candidates that are due and returns when the next one is.
+func (j *joiner) askDue(ctx context.Context) time.Time {
+	now := time.Now()
+	next := now.Add(viewInterval)
+	if j.leader != "" && j.cancelJoin == nil {
+		if now.Before(j.joinAt) {
+			next = j.joinAt
+		} else {
+			j.askLeader(ctx)
+		}
+	}
+	asked := 0
+	for _, c := range j.candidates {
+		if c.asked {
+			asked++
+		}
+	}
+	// New candidates are due since the zero time, and so come first.
+	for _, c := range slices.SortedStableFunc(slices.Values(j.candidates), func(a, b *candidate) int { return a.dueAt.Compare(b.dueAt) }) {
+		switch {
+		case c.asked || asked >= maxAskedCandidates:
+		case now.Before(c.dueAt):
+			if c.dueAt.Before(next) {
+				next = c.dueAt
+			}
+		default:
+			asked++
+			j.askView(ctx, c)
+		}
+	}
+	return next
+}
+
+func (j *joiner) askView(ctx context.Context, c *candidate) {
+	c.asked = true
+	address := c.address
+	go func() {
+		view, err := j.views.FetchView(ctx, address)
+		select {
+		case j.answers <- viewAnswer{address, view, err}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// handleView follows the view of a candidate. Only the replica that holds the lease calls
+// itself the leader, so that the newest claim counts.
+func (j *joiner) handleView(a viewAnswer) {
+	if c := j.find(a.address); c != nil {
+		c.asked, c.silent, c.dueAt = false, a.err != nil, time.Now().Add(viewInterval)
+	}
+	if a.err != nil {
+		return
+	}
+	if a.view.IsLeader {
+		j.setLeader(a.address)
+	}
+	j.addCandidates(a.view.Members...)
+	j.addCandidates(a.view.Leader)
+}
+
+// setLeader sets the replica to ask. A request to another one is given up.
+func (j *joiner) setLeader(address string) {
+	if j.leader == address {
+		return
+	}
+	j.leader, j.joinAt = address, time.Time{}
+	if j.cancelJoin != nil {
+		j.cancelJoin()
+		j.cancelJoin = nil
+	}
+}
+
+func (j *joiner) askLeader(ctx context.Context) {
+	joinCtx, cancel := context.WithCancel(ctx)
+	j.cancelJoin = cancel
+	address := j.leader
+	go func() {
+		defer cancel()
+		response, err := requestJoin(joinCtx, j.client, address, j.request)
+		select {
+		case j.joins <- joinAnswer{address, response, err}:
+		case <-joinCtx.Done():
+		}
+	}()
+}
+
+// handleJoinAnswer reports whether the leader has granted the request.
+func (j *joiner) handleJoinAnswer(a joinAnswer) bool {
+	if a.address != j.leader {
+		return false
+	}
+	j.cancelJoin = nil
+	switch {
+	case a.err != nil:
+		j.log.Debug().Err(a.err).Msg("join request failed")
+		j.setLeader("")
+	case a.response.ReplicaID != 0:
+		return true
+	case a.response.Pending:
+		j.joinAt = time.Now().Add(joinRetryInterval)
+	default:
+		j.setLeader("")
+		j.addCandidates(slices.Collect(maps.Values(a.response.Members))...)
+		j.addCandidates(a.response.Leader)
+	}
+	return false
+}
+
+func requestJoin(ctx context.Context, client *http.Client, address string, q joinRequest) (joinResponse, error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return joinResponse{}, fmt.Errorf("encode the join request: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, transport.URL(address)+pathJoin, bytes.NewReader(body))
+	if err != nil {
+		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
+	}
+	var result joinResponse
+	if err := json.Unmarshal(data, &result); err != nil {
+		return joinResponse{}, fmt.Errorf("join request to %s: %w", address, err)
+	}
+	return result, nil
+}
+
+// handleJoin processes a request to join. The id is granted once its membership change
+// is committed; the joining replica retries until then.
+func (m *manager) handleJoin(q joinRequest) joinResponse {
+	members := map[uint64]string{}
+	status := m.replica.Status()
+	for _, member := range status.Membership.Members {
+		members[member.ID] = member.Address
+	}
+	response := joinResponse{Members: members, Leader: m.replica.LeaderAddress()}
+	id, err := m.replica.RequestJoin(replicate.JoinRequest{Nonce: q.Nonce, Address: q.Address, Domain: q.Domain, FirstStart: q.FirstStart})
+	switch {
+	case err == nil:
+		response.ReplicaID = id
+		response.Members[id] = q.Address
+	case !errors.Is(err, raft.ErrNotLeader):
+		response.Pending = true
+		m.log.Info().Err(err).Str("address", q.Address).Msg("join request not granted yet")
+	}
+	return response
+}
