jobd: answer a join request once its change is committed

Cause: the leader answered a request to join at once, before the change of the membership was committed, so that each join needed a second request after a pause.

Change: the leader waits up to 300 ms for the commit. A request that was given up proposes nothing any more.

--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -87,7 +87,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	response, err := callManager(r.Context(), s, func(m *manager, done func(joinResponse, error)) { done(m.handleJoin(q), nil) })
+	response, err := s.addReplica(r.Context(), q)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/jobd/join.go
+++ b/jobd/join.go
@@ -31,6 +31,11 @@
 	viewInterval = 150 * time.Millisecond
 	// joinRetryInterval is the pause between two requests to join to the same leader.
 	joinRetryInterval = 50 * time.Millisecond
+	// commitWait is how long the leader waits for a change of the membership until it answers a
+	// request to join. It is less than joinTimeout, so that the answer arrives.
+	commitWait = 300 * time.Millisecond
+	// commitPollInterval is the interval at which the leader looks whether it is committed.
+	commitPollInterval = 10 * time.Millisecond
 	// maxAskedCandidates bounds the candidates that are asked at the same time.
 	maxAskedCandidates = 16
 	// maxCandidates bounds the candidates that a joining replica knows.
@@ -322,9 +327,37 @@
 	return result, nil
 }
 
-// handleJoin processes a request to join. The id is granted once its membership change
-// is committed; the joining replica retries until then.
-func (m *manager) handleJoin(q joinRequest) joinResponse {
+// addReplica processes a request to join. It waits up to commitWait for the change of the
+// membership to be committed; the joining replica retries from then on.
+func (s *Server) addReplica(ctx context.Context, q joinRequest) (joinResponse, error) {
+	deadline := time.Now().Add(commitWait)
+	for {
+		response, err := callManager(ctx, s, func(m *manager, done func(joinResponse, error)) {
+			// The change for a request that was given up could replace a later one.
+			if err := ctx.Err(); err != nil {
+				done(joinResponse{}, err)
+				return
+			}
+			response, reason := m.handleJoin(q)
+			if response.Pending && !time.Now().Before(deadline) {
+				m.log.Info().Err(reason).Str("address", q.Address).Msg("join request not granted yet")
+			}
+			done(response, nil)
+		})
+		if err != nil || !response.Pending || !time.Now().Before(deadline) {
+			return response, err
+		}
+		select {
+		case <-ctx.Done():
+			return response, ctx.Err()
+		case <-time.After(commitPollInterval):
+		}
+	}
+}
+
+// handleJoin processes a request to join. The id is granted once its membership change is
+// committed. Until then the response is pending, and the error is the reason.
+func (m *manager) handleJoin(q joinRequest) (joinResponse, error) {
 	members := map[uint64]string{}
 	status := m.replica.Status()
 	for _, member := range status.Membership.Members {
@@ -338,7 +371,6 @@
 		response.Members[id] = q.Address
 	case !errors.Is(err, raft.ErrNotLeader):
 		response.Pending = true
-		m.log.Info().Err(err).Str("address", q.Address).Msg("join request not granted yet")
 	}
-	return response
+	return response, err
 }
