jobd, replicate: a joining replica asks the members that send it messages

Cause: a host that lost its disk knew only its seeds. Once all of them were replaced it asked addresses that are gone for ever, though the members sent it messages for its earlier id.

Change: a Step request names the address of its sender. A starting replica refuses the request as before and asks the sender who leads. control/ names no address.

--- a/control/server.go
+++ b/control/server.go
@@ -129,7 +129,7 @@
 	}
 	s.metrics = m
 	if s.options.Transport == nil {
-		s.options.Transport = replicate.NewHTTPTransport(options.Settings.ReplicaID, newHTTPClient(m, options.Keys), s.reports,
+		s.options.Transport = replicate.NewHTTPTransport(options.Settings.ReplicaID, "", newHTTPClient(m, options.Keys), s.reports,
 			func() { s.send(&removal{}) })
 	}
 	r, err := s.newReplica()
--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"geraniumwall/relay"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/deliverypb"
@@ -25,6 +27,11 @@
 	relayTimeout    = 900 * time.Millisecond
 	maxRelayedBytes = 16 << 20
 	maxJoinBytes    = 16 << 10
+	// maxLearnedStepBytes bounds the messages that a starting replica reads to learn their
+	// sender. Heartbeats are far smaller.
+	maxLearnedStepBytes = 1 << 20
+	// learnedQueueLength bounds the addresses that wait until a joining replica takes them.
+	learnedQueueLength = 16
 )
 
 // startingHandler serves all requests until the replica has opened its log.
@@ -34,6 +41,36 @@
 	http.Error(w, "this replica is starting; nothing was done, try another one", http.StatusServiceUnavailable)
 })
 
+// startingPeerHandler refuses all requests like startingHandler. Members that still know an
+// earlier id of this replica send it messages of the log; it passes their addresses to learned.
+func startingPeerHandler(learned chan<- string) http.Handler {
+	stepPath := controlpb.ReplicaPathPrefix + "Step"
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == stepPath {
+			if address, found := senderAddress(http.MaxBytesReader(w, r.Body, maxLearnedStepBytes)); found {
+				select {
+				case learned <- address:
+				default:
+				}
+			}
+		}
+		startingHandler(w, r)
+	})
+}
+
+// senderAddress returns the address that a Step request names, if it can be dialled.
+func senderAddress(body io.Reader) (string, bool) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return "", false
+	}
+	var q controlpb.StepRequest
+	if err := proto.Unmarshal(data, &q); err != nil {
+		return "", false
+	}
+	return q.GetAddress(), checkPeerAddress(q.GetAddress()) == nil
+}
+
 // stoppingHandler refuses requests that begin too late to be served before the end.
 var stoppingHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(relay.HeaderNotLeader, "")
--- a/jobd/identity.go
+++ b/jobd/identity.go
@@ -91,14 +91,14 @@
 
 // openReplica returns the identity of the replica and its log. A replica without data
 // bootstraps the log if it is a seed and the system starts for the first time, and joins
-// the existing members otherwise.
-func openReplica(ctx context.Context, s *Settings, log zerolog.Logger) (Identity, *wal.Store, raft.Stored, error) {
+// the existing members otherwise. From learned come addresses of further members to ask.
+func openReplica(ctx context.Context, s *Settings, learned <-chan string, log zerolog.Logger) (Identity, *wal.Store, raft.Stored, error) {
 	identity, err := loadIdentity(s)
 	if err != nil {
 		return identity, nil, raft.Stored{}, err
 	}
 	if identity.ReplicaID == 0 || identity.Retired {
-		if identity, err = newIdentity(ctx, s, identity.Retired, log); err != nil {
+		if identity, err = newIdentity(ctx, s, identity.Retired, learned, log); err != nil {
 			return identity, nil, raft.Stored{}, err
 		}
 	}
@@ -131,7 +131,7 @@
 
 // newIdentity bootstraps or joins the log. Data of a retired identity is deleted first.
 // The identity is stored before the log is created, so that no log exists without one.
-func newIdentity(ctx context.Context, s *Settings, retired bool, log zerolog.Logger) (Identity, error) {
+func newIdentity(ctx context.Context, s *Settings, retired bool, learned <-chan string, log zerolog.Logger) (Identity, error) {
 	if err := os.RemoveAll(s.logDir()); err != nil {
 		return Identity{}, fmt.Errorf("remove the data of a retired replica: %w", err)
 	}
@@ -146,7 +146,7 @@
 			identity.Peers[uint64(i)+1] = address //nolint:gosec // small
 		}
 		log.Info().Uint64("replica", identity.ReplicaID).Strs("founders", seeds).Msg("bootstrapping the log")
-	} else if identity, err = join(ctx, s, seeds, s.FirstStart && !retired, log); err != nil {
+	} else if identity, err = join(ctx, s, seeds, s.FirstStart && !retired, learned, log); err != nil {
 		return identity, err
 	}
 	return identity, identity.save(s)
--- a/jobd/join.go
+++ b/jobd/join.go
@@ -128,8 +128,9 @@
 	joins      chan joinAnswer
 }
 
-// join requests to join the log until the leader grants it.
-func join(ctx context.Context, s *Settings, seeds []string, firstStart bool, log zerolog.Logger) (Identity, error) {
+// join requests to join the log until the leader grants it. It asks the seeds and the
+// addresses from learned.
+func join(ctx context.Context, s *Settings, seeds []string, firstStart bool, learned <-chan string, log zerolog.Logger) (Identity, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j := &joiner{
@@ -141,11 +142,11 @@
 	}
 	j.addCandidates(seeds...)
 	log.Info().Strs("seeds", seeds).Msg("joining the log")
-	return j.run(ctx)
+	return j.run(ctx, learned)
 }
 
 // run asks the candidates until the leader grants the request.
-func (j *joiner) run(ctx context.Context) (Identity, error) {
+func (j *joiner) run(ctx context.Context, learned <-chan string) (Identity, error) {
 	for {
 		timer := time.NewTimer(time.Until(j.askDue(ctx)))
 		select {
@@ -153,6 +154,8 @@
 			timer.Stop()
 			return Identity{}, fmt.Errorf("join the log: %w", ctx.Err())
 		case <-timer.C:
+		case address := <-learned:
+			j.addCandidates(address)
 		case a := <-j.answers:
 			j.handleView(a)
 		case a := <-j.joins:
--- a/jobd/join_commit_test.go
+++ b/jobd/join_commit_test.go
@@ -29,7 +29,7 @@
 	s := &Settings{
 		Name: "r", PeerListen: address, Seeds: []string{address}, FirstStart: true, DataDir: t.TempDir(), HeartbeatMS: 500, LeaseMS: 2000,
 	}
-	identity, store, stored, err := openReplica(context.Background(), s, zerolog.Nop())
+	identity, store, stored, err := openReplica(context.Background(), s, nil, zerolog.Nop())
 	g.Expect(err).NotTo(HaveOccurred())
 	server, err := New(Options{
 		Settings: s, Identity: identity, Storage: store, Stored: stored, Workers: noWorkers{}, Log: zerolog.Nop(),
--- a/jobd/join_find_test.go
+++ b/jobd/join_find_test.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	start := time.Now()
-	identity, err := join(ctx, &Settings{PeerListen: selfAddress}, seeds, false, zerolog.Nop())
+	identity, err := join(ctx, &Settings{PeerListen: selfAddress}, seeds, false, nil, zerolog.Nop())
 	took := time.Since(start)
 	t.Logf("joined in %v: %v", took, err)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
--- a/jobd/run.go
+++ b/jobd/run.go
@@ -36,7 +36,8 @@
 		return err
 	}
 	peerHandler, controlHandler := &daemon.SwitchHandler{}, &daemon.SwitchHandler{}
-	peerHandler.Set(startingHandler)
+	learned := make(chan string, learnedQueueLength)
+	peerHandler.Set(startingPeerHandler(learned))
 	controlHandler.Set(startingHandler)
 	peers, err := daemon.Listen(transport.WithPool(ctx, pools.internal), cmp.Or(s.PeerBind, s.PeerListen), peerHandler)
 	if err != nil {
@@ -49,7 +50,7 @@
 	peers.Serve()
 	control.Serve()
 	log.Info().Str("address", s.Listen).Str("peers", s.PeerListen).Msg("job replica started")
-	identity, store, stored, err := openReplica(ctx, s, log)
+	identity, store, stored, err := openReplica(ctx, s, learned, log)
 	if err != nil {
 		return err
 	}
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -95,7 +95,7 @@
 	client := transport.NewClient(transport.ClientOptions{Timeout: peerTimeout, Pool: o.Peers})
 	m.replica, err = replicate.New(replicate.Options{
 		ID: o.Identity.ReplicaID, Stored: o.Stored, Storage: o.Storage, Machine: m, Log: o.Log,
-		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, client, nil, o.Removed),
+		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, o.Settings.PeerListen, client, nil, o.Removed),
 		Seed:      rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
 		Post:      s.postUrgent, Fatal: o.Fatal, Now: m.now, Boot: bootClock, Peers: o.Identity.Peers,
 	})
--- a/replicate/transport.go
+++ b/replicate/transport.go
@@ -39,6 +39,7 @@
 // that an unresponsive peer does not delay the others.
 type HTTPTransport struct {
 	selfID    uint64
+	address   string
 	client    *http.Client
 	processes func() []*controlpb.ProcessStatus
 	// onRemoved is called when a peer responds that this replica was removed.
@@ -58,14 +59,16 @@
 	lastReported time.Time
 }
 
-// NewHTTPTransport returns the transport of the replica selfID. The result of
+// NewHTTPTransport returns the transport of the replica selfID. Peers that join learn the
+// address from its messages; it is empty if it takes no requests to join. The result of
 // processes is reported to each peer at most once a second; nil reports nothing.
 func NewHTTPTransport(
-	selfID uint64, client *http.Client, processes func() []*controlpb.ProcessStatus, onRemoved func(),
+	selfID uint64, address string, client *http.Client, processes func() []*controlpb.ProcessStatus, onRemoved func(),
 ) *HTTPTransport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &HTTPTransport{
-		selfID: selfID, client: client, processes: processes, onRemoved: onRemoved, ctx: ctx, cancel: cancel, peers: map[uint64]*peer{},
+		selfID: selfID, address: address, client: client, processes: processes, onRemoved: onRemoved, ctx: ctx, cancel: cancel,
+		peers: map[uint64]*peer{},
 	}
 }
 
@@ -131,7 +134,7 @@
 // sendBatch sends a message together with those queued after it in one call. Errors
 // are ignored, since raft resends what is not acknowledged.
 func (t *HTTPTransport) sendBatch(ctx context.Context, stub controlpb.Replica, p *peer, first raft.Message) {
-	request := &controlpb.StepRequest{From: t.selfID, Messages: [][]byte{raft.EncodeMessage(first)}}
+	request := &controlpb.StepRequest{From: t.selfID, Address: t.address, Messages: [][]byte{raft.EncodeMessage(first)}}
 	for len(request.Messages) < maxStepMessages {
 		select {
 		case m := <-p.queue:
