jobd: a removed replica asks the last members that it knows

Cause: a replica that was removed while it was away joined again by its seeds alone.

Change: it asks the peers of its former identity as well, and stores the members of its last membership as peers when it learns that it was removed.

--- a/jobd/identity.go
+++ b/jobd/identity.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 
@@ -20,7 +21,8 @@
 	ReplicaID uint64 `json:"replica_id"`
 	// Founder is set for the replicas that bootstrapped the log.
 	Founder bool `json:"founder"`
-	// Peers are the addresses of the members by id at the time when the replica joined.
+	// Peers are the addresses of the members by id at the time when the replica joined, or
+	// was found to be removed.
 	Peers map[uint64]string `json:"peers"`
 	// Retired is set once the replica was removed from the membership. The next start
 	// deletes its data and joins under a new id.
@@ -98,7 +100,7 @@
 		return identity, nil, raft.Stored{}, err
 	}
 	if identity.ReplicaID == 0 || identity.Retired {
-		if identity, err = newIdentity(ctx, s, identity.Retired, learned, log); err != nil {
+		if identity, err = newIdentity(ctx, s, identity, learned, log); err != nil {
 			return identity, nil, raft.Stored{}, err
 		}
 	}
@@ -129,9 +131,10 @@
 	return raft.Bootstrap(members)
 }
 
-// newIdentity bootstraps or joins the log. Data of a retired identity is deleted first.
+// newIdentity bootstraps or joins the log. Data of a retired identity is deleted first, and its
+// peers are asked besides the seeds.
 // The identity is stored before the log is created, so that no log exists without one.
-func newIdentity(ctx context.Context, s *Settings, retired bool, learned <-chan string, log zerolog.Logger) (Identity, error) {
+func newIdentity(ctx context.Context, s *Settings, former Identity, learned <-chan string, log zerolog.Logger) (Identity, error) {
 	if err := os.RemoveAll(s.logDir()); err != nil {
 		return Identity{}, fmt.Errorf("remove the data of a retired replica: %w", err)
 	}
@@ -140,13 +143,13 @@
 		return Identity{}, err
 	}
 	var identity Identity
-	if index := slices.Index(seeds, s.PeerListen); index >= 0 && s.FirstStart && !retired {
+	if index := slices.Index(seeds, s.PeerListen); index >= 0 && s.FirstStart && !former.Retired {
 		identity = Identity{ReplicaID: uint64(index) + 1, Founder: true, Peers: map[uint64]string{}} //nolint:gosec // small
 		for i, address := range seeds {
 			identity.Peers[uint64(i)+1] = address //nolint:gosec // small
 		}
 		log.Info().Uint64("replica", identity.ReplicaID).Strs("founders", seeds).Msg("bootstrapping the log")
-	} else if identity, err = join(ctx, s, seeds, s.FirstStart && !retired, learned, log); err != nil {
+	} else if identity, err = join(ctx, s, slices.AppendSeq(seeds, maps.Values(former.Peers)), s.FirstStart && !former.Retired, learned, log); err != nil {
 		return identity, err
 	}
 	return identity, identity.save(s)
--- a/jobd/join.go
+++ b/jobd/join.go
@@ -361,12 +361,7 @@
 // handleJoin processes a request to join. The id is granted once its membership change is
 // committed. Until then the response is pending, and the error is the reason.
 func (m *manager) handleJoin(q joinRequest) (joinResponse, error) {
-	members := map[uint64]string{}
-	status := m.replica.Status()
-	for _, member := range status.Membership.Members {
-		members[member.ID] = member.Address
-	}
-	response := joinResponse{Members: members, Leader: m.replica.LeaderAddress()}
+	response := joinResponse{Members: m.memberAddresses(), Leader: m.replica.LeaderAddress()}
 	id, err := m.replica.RequestJoin(replicate.JoinRequest{Nonce: q.Nonce, Address: q.Address, Domain: q.Domain, FirstStart: q.FirstStart})
 	switch {
 	case err == nil:
@@ -377,3 +372,12 @@
 	}
 	return response, err
 }
+
+// memberAddresses returns the addresses of the members by id.
+func (m *manager) memberAddresses() map[uint64]string {
+	members := map[uint64]string{}
+	for _, member := range m.replica.Status().Membership.Members {
+		members[member.ID] = member.Address
+	}
+	return members
+}
--- a/jobd/join_commit_test.go
+++ b/jobd/join_commit_test.go
@@ -33,7 +33,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	server, err := New(Options{
 		Settings: s, Identity: identity, Storage: store, Stored: stored, Workers: noWorkers{}, Log: zerolog.Nop(),
-		Fatal: func(err error) { t.Error(err) }, Removed: func() {},
+		Fatal: func(err error) { t.Error(err) }, Removed: func(map[uint64]string) {},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() {
--- a/jobd/run.go
+++ b/jobd/run.go
@@ -80,7 +80,7 @@
 	}
 	server, err := New(Options{
 		Settings: p.settings, Identity: identity, Storage: p.store, Stored: stored, Workers: workers, Peers: p.pools.peers, Log: p.log,
-		Fatal: fail, Removed: func() { fail(p.markRetired(identity)) },
+		Fatal: fail, Removed: func(members map[uint64]string) { fail(p.markRetired(identity, members)) },
 	})
 	if err != nil {
 		return err
@@ -103,9 +103,12 @@
 }
 
 // markRetired stores that the replica was removed, so that the next start joins under a
-// new id.
-func (p *process) markRetired(identity Identity) error {
+// new id and asks the last members that this one knows.
+func (p *process) markRetired(identity Identity, members map[uint64]string) error {
 	identity.Retired = true
+	if len(members) > 0 {
+		identity.Peers = members
+	}
 	return errors.Join(errRetired, identity.save(p.settings))
 }
 
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -32,6 +32,8 @@
 	// transferTimeout limits the transfer of leadership during a graceful shutdown.
 	transferTimeout      = 1500 * time.Millisecond
 	transferPollInterval = 20 * time.Millisecond
+	// lastMembersTimeout limits how long a removed replica waits for the members that it knows.
+	lastMembersTimeout = 200 * time.Millisecond
 )
 
 // Server is a running job replica. It implements CallerService, WorkerService and
@@ -68,8 +70,9 @@
 	Log   zerolog.Logger
 	// Fatal is called with an error after which the process must exit.
 	Fatal func(error)
-	// Removed is called when this replica was removed from the membership.
-	Removed func()
+	// Removed is called when this replica was removed from the membership, with the addresses
+	// of the last members that it knows by id, nil if it knows none.
+	Removed func(members map[uint64]string)
 }
 
 // New restores the stored state and starts the replica.
@@ -95,7 +98,7 @@
 	client := transport.NewClient(transport.ClientOptions{Timeout: peerTimeout, Pool: o.Peers})
 	m.replica, err = replicate.New(replicate.Options{
 		ID: o.Identity.ReplicaID, Stored: o.Stored, Storage: o.Storage, Machine: m, Log: o.Log,
-		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, o.Settings.PeerListen, client, nil, o.Removed),
+		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, o.Settings.PeerListen, client, nil, func() { o.Removed(s.lastMembers()) }),
 		Seed:      rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
 		Post:      s.postUrgent, Fatal: o.Fatal, Now: m.now, Boot: bootClock, Peers: o.Identity.Peers,
 	})
@@ -152,6 +155,19 @@
 	}
 }
 
+// lastMembers returns the addresses of the members by id, nil if no membership is known.
+func (s *Server) lastMembers() map[uint64]string {
+	ctx, cancel := context.WithTimeout(context.Background(), lastMembersTimeout)
+	defer cancel()
+	members, err := callManagerBy(ctx, s, s.postUrgent, func(m *manager, done func(map[uint64]string, error)) {
+		done(m.memberAddresses(), nil)
+	})
+	if err != nil || len(members) == 0 {
+		return nil
+	}
+	return members
+}
+
 // Step implements controlpb.Replica: it receives Raft messages from other replicas.
 func (s *Server) Step(_ context.Context, q *controlpb.StepRequest) (*controlpb.StepResponse, error) {
 	messages := make([]raft.Message, 0, len(q.GetMessages()))
