relay: ask all known replicas at once who leads

Cause: while the leader was unknown the relay asked one address after the other, 250 ms for each that doesn't answer and 40 ms between two. The view of any replica replaced the members that the leader had named, so that one with an old view made it forget where the next leader is.

Change: it asks up to 16 known replicas at the same time, each at most every 40 ms, and follows the leader that they name. The members that a leader has named are kept beside those that another replica has named.

The fake replica of the tests guards its view by a mutex, since the relay now asks in the background; its checks are the same.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -44,6 +45,8 @@
 	maxResponseBytes = 16 << 20
 	// maxMembers bounds the members in a view.
 	maxMembers = 64
+	// maxAsked bounds the replicas that are asked at the same time who leads.
+	maxAsked = 16
 )
 
 // ErrNotRun means that no replica has executed the request or will execute it later.
@@ -82,12 +85,21 @@
 
 // Relay forwards requests to the current leader. It is safe for concurrent use.
 type Relay struct {
-	client  *http.Client
-	mu      sync.Mutex
-	leader  string
-	seeds   []string
-	members []string
-	next    int
+	client *http.Client
+	mu     sync.Mutex
+	leader string
+	seeds  []string
+	// members are the members that a leader has named last, named those that another replica
+	// has named last.
+	members, named []string
+	// next is the place among the known replicas from which they are asked next.
+	next int
+	// asked is when each replica was last asked who leads. asking has those that have not
+	// answered yet.
+	asked  map[string]time.Time
+	asking map[string]bool
+	// found is closed once a leader is found, and then replaced.
+	found chan struct{}
 	// lastContact is the time of the last response of a leader.
 	lastContact time.Time
 }
@@ -95,7 +107,10 @@
 // New returns a relay that looks for the leader at the seeds. Its connections count in pool,
 // which may be nil.
 func New(seeds []string, pool *transport.Pool) *Relay {
-	return &Relay{client: transport.NewClient(transport.ClientOptions{Pool: pool}), seeds: seeds}
+	return &Relay{
+		client: transport.NewClient(transport.ClientOptions{Pool: pool}), seeds: seeds,
+		asked: map[string]time.Time{}, asking: map[string]bool{}, found: make(chan struct{}),
+	}
 }
 
 // SetSeeds replaces the seeds.
@@ -112,21 +127,90 @@
 	return r.lastContact
 }
 
-// nextTarget returns the leader if it is known, and otherwise the members and seeds in
-// turn: members that a replica named wrongly must not keep the seeds from being asked.
-func (r *Relay) nextTarget() string {
+// presumedLeader returns the leader, empty if it is unknown.
+func (r *Relay) presumedLeader() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leader != "" {
-		return r.leader
+	return r.leader
+}
+
+// awaitLeader asks the known replicas who leads and waits for a leader, at most for
+// retryInterval. Replicas that don't answer delay no others. It returns false if ctx is done.
+func (r *Relay) awaitLeader(ctx context.Context) bool {
+	r.mu.Lock()
+	found := r.found
+	known := r.known()
+	r.next++
+	r.mu.Unlock()
+	for _, address := range known {
+		r.ask(address)
 	}
-	lists := slices.DeleteFunc([][]string{r.members, r.seeds}, func(list []string) bool { return len(list) == 0 })
-	if len(lists) == 0 {
-		return ""
+	t := time.NewTimer(retryInterval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-found:
+	case <-t.C:
 	}
-	r.next++
-	list := lists[r.next%len(lists)]
-	return list[r.next/len(lists)%len(list)]
+	return ctx.Err() == nil
+}
+
+// known returns the addresses of all known replicas, each time from another one on. Members
+// that a replica has named wrongly must not keep the others from being asked.
+func (r *Relay) known() []string {
+	var known []string
+	for _, list := range [][]string{r.seeds, r.members, r.named} {
+		for _, address := range list {
+			if address != "" && !slices.Contains(known, address) {
+				known = append(known, address)
+			}
+		}
+	}
+	if len(known) == 0 {
+		return nil
+	}
+	first := r.next % len(known)
+	return slices.Concat(known[first:], known[:first])
+}
+
+// ask asks a replica for its view, unless it was asked within retryInterval or has not answered
+// yet. It does not wait for the answer.
+func (r *Relay) ask(address string) {
+	if !r.startAsking(address) {
+		return
+	}
+	go func() {
+		defer r.endAsking(address)
+		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+		defer cancel()
+		view, err := r.FetchView(ctx, address)
+		if err != nil {
+			return
+		}
+		r.recordView(address, view)
+		if !view.IsLeader && view.Leader != "" {
+			r.ask(view.Leader)
+		}
+	}()
+}
+
+func (r *Relay) startAsking(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(r.asked, func(_ string, at time.Time) bool { return now.Sub(at) >= retryInterval })
+	if _, recent := r.asked[address]; recent || r.asking[address] || len(r.asking) >= maxAsked {
+		return false
+	}
+	r.asked[address], r.asking[address] = now, true
+	return true
+}
+
+func (r *Relay) endAsking(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.asking, address)
 }
 
 // setLeaderHint sets the presumed leader, empty if unknown. source is the replica that
@@ -146,6 +230,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leader, r.lastContact = address, time.Now()
+	close(r.found)
+	r.found = make(chan struct{})
 }
 
 // Send forwards a request to the leader and returns its response. It retries until ctx
@@ -154,7 +240,13 @@
 	failure := ErrNotRun
 	var last error
 	for {
-		address := r.nextTarget()
+		address := r.presumedLeader()
+		if address == "" && !r.awaitLeader(ctx) {
+			return nil, errors.Join(failure, last)
+		}
+		if address == "" {
+			continue
+		}
 		if !r.confirmLeader(ctx, address) {
 			if !sleep(ctx, retryInterval) {
 				return nil, errors.Join(failure, last)
@@ -184,9 +276,6 @@
 // confirmLeader reports whether the replica is the leader, according to a recent
 // response or else to a probe.
 func (r *Relay) confirmLeader(ctx context.Context, address string) bool {
-	if address == "" {
-		return false
-	}
 	r.mu.Lock()
 	fresh := r.leader == address && time.Since(r.lastContact) < leaderStaleAfter
 	r.mu.Unlock()
@@ -204,18 +293,29 @@
 	return view.IsLeader
 }
 
-// applyView updates the leader and the members from the view of a replica.
+// applyView updates the leader and the members from the view of the presumed leader.
 func (r *Relay) applyView(address string, view ClusterView) {
+	if !view.IsLeader {
+		r.setLeaderHint(address, view.Leader)
+	}
+	r.recordView(address, view)
+}
+
+// recordView updates the leader, if the replica leads, and the members from its view.
+func (r *Relay) recordView(address string, view ClusterView) {
 	if view.IsLeader {
 		r.recordLeader(address)
-	} else {
-		r.setLeaderHint(address, view.Leader)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(view.Members) > 0 && len(view.Members) <= maxMembers {
+	if len(view.Members) == 0 || len(view.Members) > maxMembers {
+		return
+	}
+	if view.IsLeader {
 		r.members = view.Members
+		return
 	}
+	r.named = view.Members
 }
 
 func isNotLeader(response *Response) bool {
@@ -278,11 +378,12 @@
 	return view, nil
 }
 
-// Refresh updates the relay with the view of the leader, or of another replica if the
+// Refresh updates the relay with the view of the leader, or of the other replicas if the
 // leader is unknown.
 func (r *Relay) Refresh(ctx context.Context) {
-	address := r.nextTarget()
+	address := r.presumedLeader()
 	if address == "" {
+		r.awaitLeader(ctx)
 		return
 	}
 	view, err := r.FetchView(ctx, address)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	// rawView replaces view if it is set.
 	rawView string
 	serve   http.HandlerFunc
+	// mu guards view and serve where they change while the relay asks.
+	mu sync.Mutex
 }
 
 func (r *fakeReplica) address() string { return strings.TrimPrefix(r.server.URL, "http://") }
@@ -42,15 +45,20 @@
 				_, _ = io.WriteString(w, r.rawView)
 				return
 			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			_ = json.NewEncoder(w).Encode(r.view)
 			return
 		}
-		if r.serve == nil {
-			w.Header().Set(relay.HeaderNotLeader, r.view.Leader)
+		r.mu.Lock()
+		serve, leader := r.serve, r.view.Leader
+		r.mu.Unlock()
+		if serve == nil {
+			w.Header().Set(relay.HeaderNotLeader, leader)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		r.serve(w, q)
+		serve(w, q)
 	})
 	r.server = httptest.NewUnstartedServer(handler)
 	r.server.Config = transport.NewServer(handler)
