jobd: log what the candidates of a join answer

Cause: a replica that could not join left no line that says whom it asked and what these answered; failed requests were debug lines.

Change: once a second it logs how long it has been joining and the last answer of each candidate: no answer, not ready, not leader, leader, or not committed yet. The line about the join says which leader granted it and after how long.

--- a/jobd/join.go
+++ b/jobd/join.go
@@ -36,6 +36,8 @@
 	commitWait = 300 * time.Millisecond
 	// commitPollInterval is the interval at which the leader looks whether it is committed.
 	commitPollInterval = 10 * time.Millisecond
+	// joinReportInterval is the interval of the log lines while a replica joins.
+	joinReportInterval = time.Second
 	// maxAskedCandidates bounds the candidates that are asked at the same time.
 	maxAskedCandidates = 16
 	// maxCandidates bounds the candidates that a joining replica knows.
@@ -94,8 +96,19 @@
 	dueAt time.Time
 	// silent is set if it has not answered the last request.
 	silent bool
+	// answer is what it answered last, for the log.
+	answer string
 }
 
+// Answers of candidates, as they are logged.
+const (
+	answerNone      = "no answer"
+	answerNotReady  = "not ready"
+	answerNotLeader = "not leader"
+	answerLeader    = "leader"
+	answerPending   = "not committed yet"
+)
+
 // viewAnswer is the answer of a candidate that was asked for its view.
 type viewAnswer struct {
 	address string
@@ -126,6 +139,9 @@
 	cancelJoin context.CancelFunc
 	answers    chan viewAnswer
 	joins      chan joinAnswer
+	// startedAt is when this replica began to join. reportAt is when the next line says how far
+	// it is.
+	startedAt, reportAt time.Time
 }
 
 // join requests to join the log until the leader grants it. It asks the seeds and the
@@ -138,8 +154,9 @@
 			Address: s.PeerListen, Domain: s.Domain, Nonce: strconv.FormatInt(time.Now().UnixNano(), 36), FirstStart: firstStart,
 		},
 		client: transport.NewClient(transport.ClientOptions{Timeout: joinTimeout}), views: relay.New(nil, nil), log: log,
-		answers: make(chan viewAnswer), joins: make(chan joinAnswer),
+		answers: make(chan viewAnswer), joins: make(chan joinAnswer), startedAt: time.Now(),
 	}
+	j.reportAt = j.startedAt.Add(joinReportInterval)
 	j.addCandidates(seeds...)
 	log.Info().Strs("seeds", seeds).Msg("joining the log")
 	return j.run(ctx, learned)
@@ -148,6 +165,7 @@
 // run asks the candidates until the leader grants the request.
 func (j *joiner) run(ctx context.Context, learned <-chan string) (Identity, error) {
 	for {
+		j.report()
 		timer := time.NewTimer(time.Until(j.askDue(ctx)))
 		select {
 		case <-ctx.Done():
@@ -161,7 +179,8 @@
 		case a := <-j.joins:
 			if j.handleJoinAnswer(a) {
 				timer.Stop()
-				j.log.Info().Uint64("replica", a.response.ReplicaID).Msg("joined the log")
+				j.log.Info().Uint64("replica", a.response.ReplicaID).Str("leader", a.address).
+					Int64("took_ms", time.Since(j.startedAt).Milliseconds()).Msg("joined the log")
 				return Identity{ReplicaID: a.response.ReplicaID, Peers: a.response.Members}, nil
 			}
 		}
@@ -169,6 +188,45 @@
 	}
 }
 
+// report logs once in joinReportInterval what the candidates have answered.
+func (j *joiner) report() {
+	now := time.Now()
+	if now.Before(j.reportAt) {
+		return
+	}
+	j.reportAt = now.Add(joinReportInterval)
+	asked := zerolog.Arr()
+	for _, c := range j.candidates {
+		if c.answer != "" {
+			asked.Dict(zerolog.Dict().Str("address", c.address).Str("answer", c.answer))
+		}
+	}
+	j.log.Info().Int64("joining_ms", now.Sub(j.startedAt).Milliseconds()).Int("known", len(j.candidates)).
+		Str("leader", j.leader).Array("candidates", asked).Msg("still joining the log")
+}
+
+// viewAnswerText returns the answer of a candidate for the log.
+func viewAnswerText(a viewAnswer) string {
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(a.err, &syntax):
+		return answerNotReady
+	case a.err != nil:
+		return answerNone
+	case a.view.IsLeader:
+		return answerLeader
+	}
+	return answerNotLeader
+}
+
+// setAnswer records an answer for the log. A view of a leader that has yet to commit the
+// request says less than its answer to the request.
+func (c *candidate) setAnswer(answer string) {
+	if answer != answerLeader || c.answer != answerPending {
+		c.answer = answer
+	}
+}
+
 // addCandidates adds the addresses that are not known yet, so that they are asked before the
 // others and the last one first. Without room they take the place of candidates that don't
 // answer.
@@ -246,6 +304,7 @@
 func (j *joiner) handleView(a viewAnswer) {
 	if c := j.find(a.address); c != nil {
 		c.asked, c.silent, c.dueAt = false, a.err != nil, time.Now().Add(viewInterval)
+		c.setAnswer(viewAnswerText(a))
 	}
 	if a.err != nil {
 		return
@@ -289,6 +348,9 @@
 		return false
 	}
 	j.cancelJoin = nil
+	if c := j.find(a.address); c != nil {
+		c.setAnswer(joinAnswerText(a))
+	}
 	switch {
 	case a.err != nil:
 		j.log.Debug().Err(a.err).Msg("join request failed")
@@ -305,6 +367,19 @@
 	return false
 }
 
+// joinAnswerText returns the answer to a request to join for the log.
+func joinAnswerText(a joinAnswer) string {
+	switch {
+	case a.err != nil:
+		return answerNone
+	case a.response.Pending:
+		return answerPending
+	case a.response.ReplicaID == 0:
+		return answerNotLeader
+	}
+	return answerLeader
+}
+
 func requestJoin(ctx context.Context, client *http.Client, address string, q joinRequest) (joinResponse, error) {
 	body, err := json.Marshal(q)
 	if err != nil {
