--- a/jobd/run.go
+++ b/jobd/run.go
@@ -36,7 +36,8 @@
 		return err
 	}
 	peerHandler, controlHandler := &daemon.SwitchHandler{}, &daemon.SwitchHandler{}
-	peerHandler.Set(startingHandler)
+	learned := make(chan string, learnedQueueLength)
+	peerHandler.Set(startingPeerHandler(learned))
 	controlHandler.Set(startingHandler)
 	peers, err := daemon.Listen(transport.WithPool(ctx, pools.internal), cmp.Or(s.PeerBind, s.PeerListen), peerHandler)
 	if err != nil {
@@ -49,7 +50,7 @@
 	peers.Serve()
 	control.Serve()
 	log.Info().Str("address", s.Listen).Str("peers", s.PeerListen).Msg("job replica started")
-	identity, store, stored, err := openReplica(ctx, s, log)
+	identity, store, stored, err := openReplica(ctx, s, learned, log)
 	if err != nil {
 		return err
 	}
@@ -79,7 +80,7 @@
 	}
 	server, err := New(Options{
 		Settings: p.settings, Identity: identity, Storage: p.store, Stored: stored, Workers: workers, Peers: p.pools.peers, Log: p.log,
-		Fatal: fail, Removed: func() { fail(p.markRetired(identity)) },
+		Fatal: fail, Removed: func(members map[uint64]string) { fail(p.markRetired(identity, members)) },
 	})
 	if err != nil {
 		return err
@@ -102,9 +103,12 @@
 }
 
 // markRetired stores that the replica was removed, so that the next start joins under a
-// new id.
-func (p *process) markRetired(identity Identity) error {
+// new id and asks the last members that this one knows.
+func (p *process) markRetired(identity Identity, members map[uint64]string) error {
 	identity.Retired = true
+	if len(members) > 0 {
+		identity.Peers = members
+	}
 	return errors.Join(errRetired, identity.save(p.settings))
 }
 
