replicate: log the members and why a change of them waits

What an operator could not see: the line "membership changed" counted the members and named none, and nothing said why a silent member stays or a learner does not vote.

The line now has one object for each member with id, address, domain, vote and attributes. If only attributes have changed, "member attributes changed" names those members, and the transport is not set up again. Options.OnChange reports the proposed changes.

--- a/replicate/members.go
+++ b/replicate/members.go
@@ -23,7 +23,11 @@
 )
 
 func (r *Replica) proposeChange(c raft.MemberChange, reason string) error {
-	if _, err := r.node.ChangeMembers(c); err != nil {
+	_, err := r.node.ChangeMembers(c)
+	if r.options.OnChange != nil {
+		r.options.OnChange(c.Kind, err)
+	}
+	if err != nil {
 		return fmt.Errorf("change the membership: %w", err)
 	}
 	r.options.Log.Info().Uint64("replica", c.Member.ID).Str("address", c.Member.Address).Stringer("change", c.Kind).
@@ -41,6 +45,21 @@
 	return list
 }
 
+// sameVoteAndAddress reports whether two members differ in no more than the attributes that
+// MemberChange.Updates can change.
+func sameVoteAndAddress(a, b raft.Member) bool {
+	return a.ID == b.ID && a.Learner == b.Learner && a.Address == b.Address && a.Domain == b.Domain
+}
+
+func memberArray(members []raft.Member) *zerolog.Array {
+	list := zerolog.Arr()
+	for _, m := range members {
+		list.Dict(zerolog.Dict().Uint64("replica", m.ID).Str("address", m.Address).Str("domain", m.Domain).Bool("voter", !m.Learner).
+			Uint64("silent_since_id", m.SilentSinceID).Bool("leaving", m.Leaving).Bool("surplus", m.Surplus))
+	}
+	return list
+}
+
 // askIfRemoved shows the id of a silent replica that doesn't vote to its peers, which answer a
 // removed one. Nothing else would tell it: it asks for no votes, and a leader sends nothing to
 // replicas that are not members.
@@ -87,12 +106,17 @@
 	p := newMembershipPlan(s, r.silence)
 	if change, reason, found := p.next(); found {
 		r.tryChange(change, reason)
+	} else {
+		r.noteRefusal(nil)
 	}
+	r.reportDelays(p)
 }
 
 // tryChange proposes a change that the next call of Maintain repeats if it is refused.
 func (r *Replica) tryChange(c raft.MemberChange, reason string) {
-	if err := r.proposeChange(c, reason); err != nil {
+	err := r.proposeChange(c, reason)
+	r.noteRefusal(err)
+	if err != nil {
 		r.options.Log.Debug().Err(err).Str("reason", reason).Msg("membership change refused, will retry")
 	}
 }
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -69,6 +69,9 @@
 	Boot func() time.Duration
 	// Peers are the addresses of the replicas, by id, until the membership is known.
 	Peers map[uint64]string
+	// OnChange is called with each change of the membership that this replica proposes, and
+	// the error if it is refused. It may be nil.
+	OnChange func(raft.ChangeKind, error)
 }
 
 type proposal struct {
@@ -94,7 +97,8 @@
 	lastReadID     uint64
 	appliedIndex   uint64
 	members        []raft.Member
-	peersSet       bool
+	// peers are the addresses that the transport was given for the members.
+	peers map[uint64]string
 	// heardAt is when another replica's message last arrived, or when this one last asked
 	// whether it was removed.
 	heardAt time.Duration
@@ -115,6 +119,12 @@
 	// tickedAt is the time of the last tick, observedSince since when there has been no long
 	// gap between two.
 	tickedAt, observedSince time.Duration
+	// nextDelayReport is when changes that have to wait may be logged next.
+	nextDelayReport time.Duration
+	// refusal is why the last change that this replica tried was refused, refusedSince since
+	// when all have been.
+	refusal      error
+	refusedSince time.Duration
 	// requestedIDs are the ids that this replica has proposed for joining replicas, by the
 	// nonce of their request.
 	requestedIDs map[string]uint64
@@ -342,6 +352,7 @@
 	if r.leading && (!isLeader || r.term != s.Term) {
 		r.leading, r.leaseEnd = false, 0
 		clear(r.addedAt)
+		r.refusal = nil
 		r.options.Log.Info().Uint64("term", r.term).Msg("lost leadership")
 		r.failProposals()
 	}
@@ -359,10 +370,11 @@
 	if len(s.Newcomers) > 0 {
 		members = slices.Concat(members, s.Newcomers)
 	}
-	if len(members) == 0 || r.peersSet && slices.Equal(members, r.members) {
+	if len(members) == 0 || slices.Equal(members, r.members) {
 		return
 	}
-	r.peersSet, r.members = true, members
+	before := r.members
+	r.members = members
 	peers := map[uint64]string{}
 	if len(s.Membership.Members) == 0 {
 		maps.Copy(peers, r.options.Peers)
@@ -370,9 +382,23 @@
 	for _, m := range members {
 		peers[m.ID] = m.Address
 	}
-	r.options.Transport.SetPeers(peers)
+	if !maps.Equal(peers, r.peers) {
+		r.peers = peers
+		r.options.Transport.SetPeers(peers)
+	}
+	r.logMembers(s, before)
+}
+
+// logMembers logs the members, or only those whose attributes have changed if nothing else has.
+func (r *Replica) logMembers(s *raft.Status, before []raft.Member) {
+	if slices.EqualFunc(before, r.members, sameVoteAndAddress) {
+		isKnown := func(m raft.Member) bool { return slices.Contains(before, m) }
+		changed := slices.DeleteFunc(slices.Clone(r.members), isKnown)
+		r.options.Log.Info().Array("list", memberArray(changed)).Msg("member attributes changed")
+		return
+	}
 	r.options.Log.Info().Int("members", len(s.Membership.Members)).Int("voters", len(s.Membership.Voters())).
-		Int("newcomers", len(s.Newcomers)).Msg("membership changed")
+		Int("newcomers", len(s.Newcomers)).Array("list", memberArray(r.members)).Msg("membership changed")
 }
 
 // failProposals completes the pending proposals of a former leader with
