jobd: show the members of the log at /v1/members

What an operator could not see: who is a member, who votes and how long each has been silent. The internal API only named the addresses.

GET /v1/members of a job replica now responds with its id, term, the leader, whether it leads, the wanted number of voters, and each member with state, vote, planned successor and, on the leader, silence, match and the reason why a change waits. A follower responds with what the log says and leaves out what it can't measure.

Evidence: two of three replicas run on loopback; the leader shows the third one as silent for 2.5 s and more and says why it stays, the follower shows it as silent without a time.

--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"geraniumwall/jobd/memberapi"
 	"geraniumwall/relay"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/deliverypb"
@@ -55,6 +56,7 @@
 	mux.Handle(deliverypb.CarrierPathPrefix, deliverypb.NewCarrierServer(s.receiver))
 	mux.Handle(deliverypb.LeaderPathPrefix, deliverypb.NewLeaderServer(s))
 	mux.HandleFunc("GET "+relay.PathLeader, s.serveLeader)
+	mux.HandleFunc("GET "+memberapi.Path, s.serveMembers)
 	mux.HandleFunc("POST "+pathJoin, s.serveJoin)
 	mux.Handle(PathCallers+"/", s.requireLeader(http.StripPrefix(PathCallers, handlers.Callers)))
 	mux.Handle(pathControl+"/", s.requireLeader(http.StripPrefix(pathControl, handlers.Control)))
--- a/replicate/status.go
+++ b/replicate/status.go
@@ -12,26 +12,63 @@
 	// Self is set for this replica, Leader for the one that it takes for the leader.
 	Self   bool
 	Leader bool
-	// Answered, Silence and CaughtUp are as in raft.PeerStatus. Only a leader knows them.
+	// Answered, Match, Silence and CaughtUp are as in raft.PeerStatus. Only a leader knows them.
 	Answered bool
+	Match    uint64
 	Silence  time.Duration
 	CaughtUp bool
+	// Successor is the id of the member that is to take the place of this one, or 0. Only a
+	// leader knows of successors that depend on the time of the silence.
+	Successor uint64
+	// Waits is why a leader doesn't remove this member although it is silent, or doesn't
+	// promote it although fewer vote than fit, else empty.
+	Waits string
 }
 
-// Members returns the members of the log, ordered by id.
-func (r *Replica) Members() []MemberStatus {
+// MembershipStatus is what this replica knows of the members.
+type MembershipStatus struct {
+	ID   uint64
+	Term uint64
+	// Leader is the id of the leader, 0 if it is unknown. LeaderAddress is its address.
+	Leader        uint64
+	LeaderAddress string
+	// Leads is set if this replica leads and holds a valid lease.
+	Leads bool
+	// Measured is set if this replica is a leader in raft, so that it knows who answers.
+	Measured bool
+	// TargetVoters is the wanted number of voters.
+	TargetVoters int
+	// Members are ordered by id.
+	Members []MemberStatus
+}
+
+// Membership returns what this replica knows of the members.
+func (r *Replica) Membership() MembershipStatus {
 	s := r.node.Status()
-	peers := map[uint64]raft.PeerStatus{}
-	for _, p := range s.Peers {
-		peers[p.ID] = p
+	status := MembershipStatus{
+		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: r.LeaderAddress(), Leads: r.Leads(), Measured: s.Role == raft.RoleLeader,
+	}
+	// The leader decides, so its plan is the one to show.
+	planned := s
+	planned.ID = s.Leader
+	p := newMembershipPlan(planned, r.silence)
+	status.TargetVoters = targetVoters(p.replicas())
+	reasons := map[uint64]string{}
+	if status.Measured {
+		for _, d := range p.delays() {
+			reasons[d.member.ID] = d.reason
+		}
 	}
-	list := make([]MemberStatus, 0, len(s.Membership.Members))
 	for _, m := range s.Membership.Members {
-		p := peers[m.ID]
-		list = append(list, MemberStatus{
+		peer := p.peers[m.ID]
+		status.Members = append(status.Members, MemberStatus{
 			Member: m, Self: m.ID == s.ID, Leader: m.ID == s.Leader,
-			Answered: p.Answered, Silence: p.Silence, CaughtUp: p.CaughtUp,
+			Answered: peer.Answered, Match: peer.Match, Silence: peer.Silence, CaughtUp: peer.CaughtUp,
+			Successor: p.successors[m.ID].ID, Waits: reasons[m.ID],
 		})
 	}
-	return list
+	return status
 }
+
+// Members returns the members of the log, ordered by id.
+func (r *Replica) Members() []MemberStatus { return r.Membership().Members }
