jobd: metrics of the membership

What no metric showed: the number of voters, how many are wanted, how long a member has been silent, and how often the membership changes.

Evidence: the specs collect the metrics of a leader and a follower; a leader on loopback publishes the silence of a lost replica.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -21,6 +21,8 @@
 	maxOrderDelay = 1500 * time.Millisecond
 	// maintainInterval is the interval between updates of the carriers.
 	maintainInterval = 200 * time.Millisecond
+	// publishInterval is the interval at which the membership is published for the metrics.
+	publishInterval = 200 * time.Millisecond
 	// membershipInterval is the interval between changes of the membership. It bounds the time
 	// between the two steps of a replacement, in which fewer replicas vote.
 	membershipInterval = 50 * time.Millisecond
@@ -49,7 +51,9 @@
 	nextMaintainAt time.Duration
 	// nextMembershipAt is when the membership is looked at next.
 	nextMembershipAt time.Duration
-	nextPruneAt      time.Duration
+	// nextPublishAt is when the membership is next published for the metrics.
+	nextPublishAt time.Duration
+	nextPruneAt   time.Duration
 	// heldOrders are orders that wait until the leader's lease is confirmed. Without the
 	// lease another leader may already be active.
 	heldOrders []heldOrder
@@ -130,6 +134,16 @@
 func (m *manager) tick() {
 	m.replica.Tick()
 	m.runDue()
+	m.publishMembership()
+}
+
+// publishMembership publishes the membership for the metrics.
+func (m *manager) publishMembership() {
+	if now := m.now(); now >= m.nextPublishAt {
+		m.nextPublishAt = now + publishInterval
+		status := m.replica.Membership()
+		m.metrics.membership.Store(&status)
+	}
 }
 
 // runDue follows leadership changes and does all periodic and pending work.
--- a/jobd/members_test.go
+++ b/jobd/members_test.go
@@ -115,4 +115,8 @@
 		g.Expect(member.SilenceMS).To(BeNil())
 		g.Expect(member.Match).To(BeNil())
 	}
+
+	published := servers[leader].manager.metrics.membership.Load()
+	g.Expect(published.Measured).To(BeTrue())
+	g.Expect(published.Members[2].Silence).To(BeNumerically(">=", 2*time.Second))
 }
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strconv"
+	"sync/atomic"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"geraniumwall/jobs"
 	"geraniumwall/jobs/dispatch"
+	"geraniumwall/raft"
+	"geraniumwall/replicate"
 )
 
 // Metrics are the instruments of a job replica.
@@ -18,6 +23,10 @@
 	repairs  metric.Int64Counter
 	crashes  metric.Int64Counter
 	duration metric.Float64Histogram
+	changes  metric.Int64Counter
+	// membership is the latest state of the members. The control thread stores it and the
+	// callback of the gauges reads it.
+	membership atomic.Pointer[replicate.MembershipStatus]
 }
 
 // NewMetrics creates the instruments.
@@ -47,7 +56,57 @@
 	if err != nil {
 		return nil, fmt.Errorf("create the job duration histogram: %w", err)
 	}
-	return &Metrics{orders, ended, repairs, crashes, took}, nil
+	changes, err := meter.Int64Counter("geranium.replica.membership.changes", metric.WithUnit("{change}"),
+		metric.WithDescription("Changes of the membership that this replica has tried as the leader, by kind and outcome: proposed or refused."))
+	if err != nil {
+		return nil, fmt.Errorf("create the counter of membership changes: %w", err)
+	}
+	m := &Metrics{orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes}
+	return m, m.observeMembership(meter)
+}
+
+// observeMembership registers the gauges of the members.
+func (m *Metrics) observeMembership(meter metric.Meter) error {
+	members, err1 := meter.Int64ObservableGauge("geranium.replica.members", metric.WithUnit("{replica}"),
+		metric.WithDescription("Members of the log as this replica knows it, by role: voter or learner."))
+	target, err2 := meter.Int64ObservableGauge("geranium.replica.voters.target", metric.WithUnit("{replica}"),
+		metric.WithDescription("Wanted number of voters."))
+	silence, err3 := meter.Float64ObservableGauge("geranium.replica.silence", metric.WithUnit("s"),
+		metric.WithDescription("Time since another member last answered, by replica and address; on the leader only."))
+	_, err4 := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		status := m.membership.Load()
+		if status == nil {
+			return nil
+		}
+		voters := 0
+		for i := range status.Members {
+			member := &status.Members[i]
+			if !member.Learner {
+				voters++
+			}
+			if status.Measured && !member.Self {
+				o.ObserveFloat64(silence, member.Silence.Seconds(), metric.WithAttributes(
+					attribute.String("replica", strconv.FormatUint(member.ID, 10)), attribute.String("address", member.Address)))
+			}
+		}
+		o.ObserveInt64(members, int64(voters), metric.WithAttributes(attribute.String("role", "voter")))
+		o.ObserveInt64(members, int64(len(status.Members)-voters), metric.WithAttributes(attribute.String("role", "learner")))
+		o.ObserveInt64(target, int64(status.TargetVoters))
+		return nil
+	}, members, target, silence)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return fmt.Errorf("create the gauges of the membership: %w", err)
+	}
+	return nil
+}
+
+func (m *Metrics) recordMembershipChange(kind raft.ChangeKind, err error) {
+	outcome := "proposed"
+	if err != nil {
+		outcome = "refused"
+	}
+	m.changes.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("kind", kind.String()), attribute.String("outcome", outcome)))
 }
 
 func orderKind(o *dispatch.Order) string {
--- a/jobd/server.go
+++ b/jobd/server.go
@@ -98,6 +98,7 @@
 		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, client, nil, o.Removed),
 		Seed:      rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
 		Post:      s.postUrgent, Fatal: o.Fatal, Now: m.now, Boot: bootClock, Peers: o.Identity.Peers,
+		OnChange: metrics.recordMembershipChange,
 	})
 	if err != nil {
 		return nil, err
