geranium: job-members shows the members of the job replicas

`geranium job-members ADDRESS` asks one job replica at its peer address and prints the members as a table, or as JSON. It says when the replica does not lead, and prints "-" for what that replica can't know.

Evidence: the tour runs it against three processes.

--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -182,6 +182,10 @@
 			flags: changing.set,
 			run:   func(ctx context.Context, f *flag.FlagSet) error { return a.replica(ctx, f, &changing) },
 		},
+		&command{
+			app: a, name: "job-members", arguments: "ADDRESS", run: a.jobMembers,
+			synopsis: "show the members of the job replicas as the one with this peer address knows them",
+		},
 		&command{app: a, name: "completion", synopsis: "print the completion script for bash", run: a.completion},
 		&command{app: a, name: "version", synopsis: "print the version of this program", run: a.version},
 	}
@@ -236,6 +240,18 @@
 	})
 }
 
+func (a *app) jobMembers(ctx context.Context, f *flag.FlagSet) error {
+	address, err := one(f, "peer address of a job replica")
+	if err != nil {
+		return err
+	}
+	members, err := operator.JobMembers(ctx, address)
+	if err != nil {
+		return err
+	}
+	return a.print(members, func(w io.Writer) error { return operator.WriteJobMembers(w, members) })
+}
+
 func (a *app) drain(ctx context.Context, f *flag.FlagSet, undo bool) error {
 	worker, err := one(f, "worker")
 	if err != nil {
--- a/e2e/jobfleet_test.go
+++ b/e2e/jobfleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -264,6 +265,9 @@
 	}
 	for _, p := range f.processes() {
 		data, err := os.ReadFile(p.logFile)
+		if errors.Is(err, os.ErrNotExist) {
+			continue // the process was never started
+		}
 		if err != nil {
 			return "", err
 		}
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -134,6 +134,7 @@
 	tour.work()
 	tour.fleetCommands()
 	tour.stoppedReplica()
+	tour.jobMembers(t)
 	tour.exitCodes()
 	tour.keys()
 	tour.documentation()
@@ -226,6 +227,13 @@
 	}
 }
 
+// jobMembers checks that the members of job replicas show.
+func (t *tour) jobMembers(test *testing.T) {
+	f := startJobReplicas(test, t.WithT, 3)
+	t.Eventually(f.voters).WithTimeout(readyTimeout).Should(HaveLen(3))
+	t.Expect(t.both("job-members", f.peers[0].target)).To(And(ContainSubstring("target 3 voters"), ContainSubstring("answers")))
+}
+
 // drainSurvivesRestarts guards against a drain that only the schedulers remember,
 // and against a record of it from each of them.
 func (t *tour) drainSurvivesRestarts(worker string) {
--- /dev/null
+++ b/operator/jobmembers.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"geraniumwall/jobd/memberapi"
+	"geraniumwall/transport"
+)
+
+const (
+	// jobMembersTimeout limits a request to a job replica.
+	jobMembersTimeout = 2 * time.Second
+	maxMembersBytes   = 1 << 20
+)
+
+// JobMembers returns the members of the log as the job replica with the peer address knows them.
+func JobMembers(ctx context.Context, address string) (m memberapi.Membership, err error) {
+	timeoutCtx, cancel := context.WithTimeout(ctx, jobMembersTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(timeoutCtx, http.MethodGet, transport.URL(address)+memberapi.Path, nil)
+	if err != nil {
+		return m, fmt.Errorf("%q is no address of host and port: %w", address, err)
+	}
+	response, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return m, fmt.Errorf("ask the job replica: %w; compare the address with its peer_listen, or ask another one", err)
+	}
+	defer func() { err = errors.Join(err, response.Body.Close()) }()
+	if response.StatusCode != http.StatusOK {
+		return m, fmt.Errorf("the job replica at %s answered %s; ask again once it has started, or ask another one", address, response.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxMembersBytes)).Decode(&m); err != nil {
+		return m, fmt.Errorf("decode the members: %w", err)
+	}
+	return m, nil
+}
+
+// WriteJobMembers writes the members of the log of the job replicas as a table.
+func WriteJobMembers(w io.Writer, m memberapi.Membership) error {
+	_, err := fmt.Fprintf(w, "replica %d, log term %d, leader %d at %s, target %d voters\n",
+		m.Replica, m.Term, m.Leader, orText(m.LeaderAddress, "-"), m.TargetVoters)
+	if err != nil {
+		return err
+	}
+	if !m.Leads {
+		if _, err := fmt.Fprintln(w, "this replica does not lead: this is what it knows and may be old"); err != nil {
+			return err
+		}
+	}
+	rows := make([]string, 0, len(m.Members))
+	for i := range m.Members {
+		one := &m.Members[i]
+		rows = append(rows, row(one.ID, orText(one.Domain, "-"), one.Address, one.Voter, one.State, orDash(one.SilenceMS), orDash(one.Match),
+			orDash(one.CaughtUp), one.Surplus, one.Successor, orText(one.Waits, "-")))
+	}
+	return table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tSTATE\tSILENCE_MS\tMATCH\tCAUGHT_UP\tSURPLUS\tSUCCESSOR\tWAITS", rows)
+}
+
+// orDash returns a value that may be unknown as text.
+func orDash[T any](value *T) string {
+	if value == nil {
+		return "-"
+	}
+	return fmt.Sprint(*value)
+}
