replicate: don't name a silent member as its own successor

In a run of real processes the line "membership change waits" said of a silent member that one that had joined before takes its place after 30 s, when the only such member was itself. The explanation now leaves the member out. The new entry of the table fails without the change and passes with it.

--- a/replicate/explain.go
+++ b/replicate/explain.go
@@ -57,15 +57,15 @@
 		return "its successor is not promoted: " + p.whyNotPromoted(successor)
 	case replaced:
 		return "fewer would vote than fit the number of replicas, and no learner has caught up"
-	case p.hasFreeSurplus():
+	case p.hasFreeSurplus(m.ID):
 		return "no member has joined since it fell silent; one that had joined before takes its place after " + unannouncedSilence.String()
 	}
 	return "no member has joined that could take its place"
 }
 
-// hasFreeSurplus reports whether a surplus member replaces no other.
-func (p *membershipPlan) hasFreeSurplus() bool {
-	used := map[uint64]bool{}
+// hasFreeSurplus reports whether a surplus member other than the one with the id replaces none.
+func (p *membershipPlan) hasFreeSurplus(id uint64) bool {
+	used := map[uint64]bool{id: true}
 	for _, successor := range p.successors {
 		used[successor.ID] = true
 	}
--- a/replicate/explain_test.go
+++ b/replicate/explain_test.go
@@ -74,6 +74,8 @@
 		}, time.Second, []uint64{5}, map[uint64]string{
 			3: "promote: it is silent", 4: "promote: it stops", 5: "promote: it has not caught up",
 		}),
+		Entry("a silent member that is the only one that has joined", []raft.Member{{ID: 3}, {ID: 4, Surplus: true, SilentSinceID: 4, Learner: true}},
+			3*time.Second, nil, map[uint64]string{4: "remove: no member has joined that could take its place"}),
 		Entry("a learner that fits no more", []raft.Member{{ID: 3}, {ID: 4, Learner: true}}, time.Second, []uint64{4}, map[uint64]string{}),
 	)
 
