--- a/jobd/server.go
+++ b/jobd/server.go
@@ -101,6 +101,7 @@
 		Transport: replicate.NewHTTPTransport(o.Identity.ReplicaID, o.Settings.PeerListen, client, nil, func() { o.Removed(s.lastMembers()) }),
 		Seed:      rand.Uint64(), //nolint:gosec // election timeouts need no secrecy
 		Post:      s.postUrgent, Fatal: o.Fatal, Now: m.now, Boot: bootClock, Peers: o.Identity.Peers,
+		OnChange: metrics.recordMembershipChange,
 	})
 	if err != nil {
 		return nil, err
