relay: ask each replica who leads ten times a second at most

A process without a leader asks all known replicas at once. At 25 questions a second to each, the entry processes of a large fleet would load the replicas that elect a leader.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,9 @@
 	confirmTimeout = 250 * time.Millisecond
 	// retryInterval is the pause between attempts while no replica leads.
 	retryInterval = 40 * time.Millisecond
+	// askInterval is the time between two questions to one replica who leads. Each process asks
+	// all replicas, however many requests wait.
+	askInterval = 100 * time.Millisecond
 	// viewTimeout limits a request for the view of a replica.
 	viewTimeout      = 500 * time.Millisecond
 	maxResponseBytes = 16 << 20
@@ -174,7 +177,7 @@
 	return slices.Concat(known[first:], known[:first])
 }
 
-// ask asks a replica for its view, unless it was asked within retryInterval or has not answered
+// ask asks a replica for its view, unless it was asked within askInterval or has not answered
 // yet. It does not wait for the answer.
 func (r *Relay) ask(address string) {
 	if !r.startAsking(address) {
@@ -199,7 +202,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(r.asked, func(_ string, at time.Time) bool { return now.Sub(at) >= retryInterval })
+	maps.DeleteFunc(r.asked, func(_ string, at time.Time) bool { return now.Sub(at) >= askInterval })
 	if _, recent := r.asked[address]; recent || r.asking[address] || len(r.asking) >= maxAsked {
 		return false
 	}
