control: show how long each replica has been silent

Cause: geranium status showed a replica that is gone as answers for the first election timeout of a new leader, since raft counts every peer as active then, and never for how long a replica had been silent. An operator could not see that the voters that answer were no more than the quorum.

Change: ReplicaStatus has silence_ms; a replica that has not answered in this term is unknown until the election timeout is over. The table has SILENT_MS, and a line above it counts replicas, voters, answering voters and the quorum.

--- a/control/members_test.go
+++ b/control/members_test.go
@@ -69,6 +69,34 @@
 		Expect(status.GetConfirmed()).To(BeFalse())
 	})
 
+	// Guards against a status that shows a replica which is gone as one that answers, after a
+	// change of the leader too, and hides how long it has been silent.
+	It("shows which replicas are silent and for how long", func() {
+		c := newCluster(5, 0)
+		defer c.stop()
+		gone := c.leader().view.Load().status.ID%5 + 1
+		c.crash(gone)
+		of := func(id uint64) (shown *controlpb.ReplicaStatus) {
+			status, err := c.leader().Status(context.Background(), &controlpb.StatusRequest{})
+			Expect(err).NotTo(HaveOccurred())
+			for _, one := range status.GetReplicas() {
+				if one.GetId() == id {
+					shown = one
+				}
+			}
+			return shown
+		}
+		Eventually(func() string { return of(gone).GetState() }, "5s", "10ms").Should(Equal(stateSilent))
+		Expect(of(gone).GetSilenceMs()).To(BeNumerically(">=", raft.DefaultElectionTimeout.Milliseconds()))
+		former := c.leader().view.Load().status.ID
+		c.crash(former)
+		Eventually(func() uint64 { return c.leader().view.Load().status.ID }, "10s", "1ms").ShouldNot(Equal(former))
+		Expect(of(gone).GetState()).To(BeElementOf(stateUnknown, stateSilent))
+		Expect(of(former).GetState()).To(Equal(stateSilent))
+		Expect(of(former).GetSilenceMs()).To(BeNumerically(">=", raft.DefaultElectionTimeout.Milliseconds()))
+		Eventually(func() string { return of(gone).GetState() }, "5s", "10ms").Should(Equal(stateSilent))
+	})
+
 	// Guards against a removed replica that goes on asking for votes and serves an
 	// old configuration to processes that follow it.
 	It("tells a removed replica, which then asks and serves nothing more", func() {
--- a/control/serve_status.go
+++ b/control/serve_status.go
@@ -66,31 +66,46 @@
 	}, nil
 }
 
+// States of a replica as its leader sees it.
+const (
+	stateLeader  = "leader"
+	stateAnswers = "answers"
+	stateSilent  = "silent"
+	// stateUnknown is that of a replica that has not answered a new leader yet.
+	stateUnknown = "unknown"
+)
+
 func (r *replica) replicaStatus(n raft.Status) []*controlpb.ReplicaStatus {
 	match := map[uint64]uint64{n.ID: n.Last}
 	states := map[uint64]string{}
+	silence := map[uint64]int64{}
 	if n.Role == raft.RoleLeader {
-		states[n.ID] = "leader"
+		states[n.ID] = stateLeader
 	}
 	for _, p := range n.Peers {
 		match[p.ID] = p.Match
 		states[p.ID] = peerState(p)
+		silence[p.ID] = p.Silence.Milliseconds()
 	}
 	var list []*controlpb.ReplicaStatus
 	for _, m := range n.Membership.Members {
 		list = append(list, &controlpb.ReplicaStatus{
 			Id: m.ID, Address: m.Address, Domain: m.Domain, Voter: !m.Learner,
-			State: states[m.ID], MatchIndex: match[m.ID], Joined: r.machine.Joined(m.ID) || m.ID != n.ID && match[m.ID] > 0,
+			State: states[m.ID], SilenceMs: silence[m.ID],
+			MatchIndex: match[m.ID], Joined: r.machine.Joined(m.ID) || m.ID != n.ID && match[m.ID] > 0,
 		})
 	}
 	return list
 }
 
 func peerState(p raft.PeerStatus) string {
-	if p.Active {
-		return "answers"
+	switch {
+	case !p.Active:
+		return stateSilent
+	case !p.Answered:
+		return stateUnknown
 	}
-	return "silent"
+	return stateAnswers
 }
 
 func (r *replica) domainStatus() []*controlpb.DomainStatus {
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -15,6 +15,9 @@
 	tablePadding = 2
 	roleActive   = "active"
 	kindGateway  = "gateway"
+	// stateLeader and stateAnswers are the states of control replicas that run.
+	stateLeader  = "leader"
+	stateAnswers = "answers"
 	// seenRecently is above the long poll of 10 s of a process that follows the
 	// configuration, with the time until the leader hears of it: a live gateway was
 	// last seen 15.1 s ago after a partition.
@@ -152,16 +155,41 @@
 			return err
 		}
 	}
+	if err := writeQuorum(w, c.GetReplicas()); err != nil {
+		return err
+	}
 	rows := make([]string, 0, len(c.GetReplicas()))
 	for _, r := range c.GetReplicas() {
-		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex(), orText(r.GetState(), "-")))
+		rows = append(rows, row(r.GetId(), r.GetDomain(), r.GetAddress(), r.GetVoter(), r.GetMatchIndex(),
+			orText(r.GetState(), "-"), r.GetSilenceMs()))
 	}
-	if err := table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH\tSTATE", rows); err != nil {
+	if err := table(w, "REPLICA\tDOMAIN\tADDRESS\tVOTER\tMATCH\tSTATE\tSILENT_MS", rows); err != nil {
 		return err
 	}
 	return writeGateways(w, c.GetProcesses())
 }
 
+// writeQuorum writes how many voters are left before the log stops, as the leader sees
+// them. Without a leader nobody knows which ones answer.
+func writeQuorum(w io.Writer, replicas []*controlpb.ReplicaStatus) error {
+	voters, present, led := 0, 0, false
+	for _, r := range replicas {
+		led = led || r.GetState() == stateLeader
+		if r.GetVoter() {
+			voters++
+			if r.GetState() == stateLeader || r.GetState() == stateAnswers {
+				present++
+			}
+		}
+	}
+	answering := "-"
+	if led {
+		answering = fmt.Sprint(present)
+	}
+	_, err := fmt.Fprintf(w, "replicas %d, voters %d, answering voters %s, quorum %d\n", len(replicas), voters, answering, voters/2+1)
+	return err
+}
+
 // writeGateways writes when each gateway was last heard of. A gateway that stopped
 // stays in the list until the control replicas forget it.
 func writeGateways(w io.Writer, processes []*controlpb.ProcessStatus) error {
