control: let a later replica ask the replicas that run at its first start

Cause: a replica that is added later waits at its first start for the replicas of its settings. These were to be the first ones: when all of them had been replaced at other addresses it waited for ever, and its promotion was refused. With the replicas that run in their place its settings were refused, since the rule for the layout of the first replicas was applied to them.

Change: the rule holds for the first replicas only. The settings of a later one list the replicas that run, and its log says so while it waits. Nothing but the questions of its first start uses that list: its log begins empty.

--- a/control/binder_test.go
+++ b/control/binder_test.go
@@ -98,6 +98,20 @@
 		Expect(layout(true, "a", "a", "a")).To(Succeed())
 	})
 
+	// Guards against a later replica that can't be started, since the replicas that run and
+	// that it is to ask are too few for a first layout.
+	It("permit any replicas in the settings of a later one", func() {
+		s := &Settings{
+			Name: "n", Domain: "a", Listen: "127.0.0.1:1", DataDir: "d", ReplicaID: 6,
+			Replicas: []ReplicaAddress{{4, "127.0.0.1:2", "a"}, {5, "127.0.0.1:3", "b"}},
+		}
+		Expect(settings.Validate("test", s)).To(Succeed())
+		s.Replicas = s.Replicas[:1]
+		Expect(settings.Validate("test", s)).To(Succeed())
+		s.ReplicaID = 4
+		Expect(settings.Validate("test", s)).To(MatchError(ContainSubstring("state_may_be_lost")))
+	})
+
 	// Guards against a single replica that starts empty after the loss of its disk
 	// although nobody accepted that.
 	It("refuse a single replica unless they say that state may be lost", func() {
--- a/control/forming.go
+++ b/control/forming.go
@@ -84,8 +84,7 @@
 		}
 		if time.Since(logged) >= formLogging {
 			logged = time.Now()
-			log.Info().Int("answered", empty).Int("needed", needed).
-				Msg("first start: waiting for the other replicas; start them")
+			log.Info().Int("answered", empty).Int("needed", needed).Msg(waitingFor(s))
 		}
 		if err := sleep(ctx, formPause); err != nil {
 			return fmt.Errorf("first start: %w", err)
@@ -93,6 +92,14 @@
 	}
 }
 
+func waitingFor(s Settings) string {
+	if s.initial() {
+		return "first start: waiting for the other replicas; start them"
+	}
+	return "first start: waiting for a leader; if the replicas of the settings have been replaced, " +
+		"list there those that geranium status shows"
+}
+
 func inquire(ctx context.Context, c *http.Client, s Settings, other ReplicaAddress) finding {
 	self := s.ReplicaID
 	if other.ID == self {
--- a/control/run.go
+++ b/control/run.go
@@ -60,7 +60,7 @@
 // warnOfLoss is repeated at each start, so that a test system is not taken for one
 // that keeps its state.
 func warnOfLoss(s Settings, log zerolog.Logger) {
-	if len(s.Replicas) == 1 {
+	if len(s.Replicas) == 1 && s.initial() {
 		log.Warn().Msg("single control replica: tasks, configuration and audit trail are lost with its disk, " +
 			"and it starts empty without notice; list 3 or 5 replicas to keep them")
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -10,7 +10,7 @@
 	"geraniumwall/transport"
 )
 
-// ReplicaAddress names one of the first replicas.
+// ReplicaAddress names a replica.
 type ReplicaAddress struct {
 	ID uint64 `json:"id"`
 	// Address is the IP address and port of its server.
@@ -33,8 +33,10 @@
 	DataDir      string `json:"data_dir"`
 	// ReplicaID is never reused after the loss of a disk. A replica that is not
 	// in Replicas starts empty and waits until it is added.
-	ReplicaID uint64           `json:"replica_id"`
-	Replicas  []ReplicaAddress `json:"replicas"`
+	ReplicaID uint64 `json:"replica_id"`
+	// Replicas are the first replicas in the settings of each of these. A replica that is
+	// added later has those here that it asks at its first start.
+	Replicas []ReplicaAddress `json:"replicas"`
 	// SingleDomainOK permits a layout that the loss of one domain stops.
 	SingleDomainOK bool `json:"single_domain_ok"`
 	// TLS secures all traffic of the process; nil for none.
@@ -86,14 +88,17 @@
 	}
 }
 
-// checkLayout refuses replicas of which the loss of one domain would leave no
-// majority.
+// checkLayout refuses first replicas of which the loss of one domain would leave no
+// majority. Those that a later replica asks may be any.
 func (s *Settings) checkLayout(c *settings.Checker) {
+	if !s.initial() {
+		return
+	}
 	if len(s.Replicas) == 1 && !s.StateMayBeLost {
 		c.Add("replicas", "lists a single replica, which can't notice the loss of its disk and would start empty",
 			"list 3 or 5 replicas, or set state_may_be_lost for a test system")
 	}
-	if s.SingleDomainOK || len(s.Replicas) == 0 {
+	if s.SingleDomainOK {
 		return
 	}
 	if domain, stops := stoppingDomain(s.Replicas); stops {
