control: refuse the first start of a removed first replica

Cause: a leader's status that doesn't list a replica was taken for a first start. One of the first replicas that was removed then started without data from the first membership, in which it votes. Two of them can elect each other before a member tells them that they were removed: a second control plane without a configuration, under addresses that gateways list.

Change: a replica that its settings name as one of the first ends with an error that names the remedy when a confirmed leader doesn't list it, since the first replicas are members until they are removed.

Measured: TestRemovedReplica fails without the condition (finding 2, new, in place of 4, removed) and passes with it.

--- a/control/forming.go
+++ b/control/forming.go
@@ -38,6 +38,11 @@
 var errDiskLost = errors.New("the data directory is empty, but this replica has stored part of the log before; " +
 	"remove it from the membership and start it again under an id that was never used")
 
+// errRemoved keeps removed replicas from electing each other by the first membership, in
+// which they are voters.
+var errRemoved = errors.New("the data directory is empty, and this replica, one of the first by its settings, was removed from the membership; " +
+	"start it under an id that was never used, with the replicas that run as replicas of its settings, and add it")
+
 // finding is what another replica tells one that starts without data.
 type finding int
 
@@ -50,6 +55,8 @@
 	findingNew
 	// findingJoined: this replica's disk was lost.
 	findingJoined
+	// findingRemoved: the leader says that this replica, one of the first, is no member.
+	findingRemoved
 )
 
 func newStatusClient(keys *transport.Keys) *http.Client {
@@ -71,6 +78,8 @@
 			case other.ID == s.ReplicaID:
 			case ask == findingJoined:
 				return errDiskLost
+			case ask == findingRemoved:
+				return errRemoved
 			case ask == findingNew:
 				return nil
 			case ask == findingEmpty:
@@ -124,7 +133,7 @@
 		}
 	}
 	if status.GetLeader() == status.GetReplica() && status.GetLeader() != 0 {
-		return findingOfLeader(status)
+		return findingOfLeader(s, status)
 	}
 	if status.GetReplica() != other.ID {
 		return findingNone
@@ -134,16 +143,24 @@
 
 // findingOfLeader trusts a leader that has applied an entry of its term and that a
 // quorum has confirmed: one that is cut off may not know that this replica joined.
-func findingOfLeader(status *controlpb.StatusResponse) finding {
-	if !status.GetConfirmed() {
+func findingOfLeader(s Settings, status *controlpb.StatusResponse) finding {
+	leader := replicaIn(status, status.GetReplica())
+	switch {
+	case !status.GetConfirmed() || !leader.GetJoined():
 		return findingNone
+	case s.initial() && replicaIn(status, s.ReplicaID) == nil:
+		return findingRemoved
 	}
+	return findingNew
+}
+
+func replicaIn(status *controlpb.StatusResponse, id uint64) *controlpb.ReplicaStatus {
 	for _, r := range status.GetReplicas() {
-		if r.GetId() == status.GetReplica() && r.GetJoined() {
-			return findingNew
+		if r.GetId() == id {
+			return r
 		}
 	}
-	return findingNone
+	return nil
 }
 
 // askStatus asks a replica, or the leader that it names.
--- a/control/forming_test.go
+++ b/control/forming_test.go
@@ -52,6 +52,25 @@
 	g.Expect(inquire(t.Context(), http.DefaultClient, lostReplica, ReplicaAddress{ID: 1, Address: empty})).To(Equal(findingEmpty))
 }
 
+// TestRemovedReplica guards against two of the first replicas that were removed, start again
+// with empty disks and elect each other by the first membership: a second control plane
+// without a configuration.
+func TestRemovedReplica(t *testing.T) {
+	g := NewWithT(t)
+	first := []ReplicaAddress{{ID: 1}, {ID: 2}, {ID: 3}}
+	ask := func(id uint64, confirmed bool) finding {
+		leader := serveStatus(t, statusStub{status: &controlpb.StatusResponse{
+			Replica: 3, Leader: 3, Confirmed: confirmed, Replicas: []*controlpb.ReplicaStatus{
+				{Id: 3, Joined: true, MatchIndex: 9, Voter: true}, {Id: 4, Joined: true, MatchIndex: 9, Voter: true},
+			},
+		}})
+		return inquire(t.Context(), http.DefaultClient, Settings{ReplicaID: id, Replicas: first}, ReplicaAddress{ID: 3, Address: leader})
+	}
+	g.Expect(ask(1, true)).To(Equal(findingRemoved))
+	g.Expect(ask(1, false)).To(Equal(findingNone), "a leader that may be cut off")
+	g.Expect(ask(5, true)).To(Equal(findingNew))
+}
+
 // TestLostVoter guards against an added replica that loses its disk right after its
 // promotion, while no leader has recorded that it stored part of the log: it must
 // not start empty under an id that may have voted.
