control: remove silent voters before others that answer

Cause: the check of a membership change counted voters that are gone like those that run, so that the removal of one that runs passed while others were gone, and a further one could be promoted beside any number of them. In the first election timeout of a new leader those that are gone also counted as answering.

Change: while a voter has not answered the leader, in this term and within an election timeout, the removal of another one that may answer is refused, and so is a promotion to an odd number of voters. The refusal names the silent replica, its silence and the remedy. The removal of a silent voter or of a learner is never held up by it.

Not covered: such a removal within 0.5 s of the loss, when nothing has shown the silence yet.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,12 +101,17 @@
 }
 
 func newCluster(n uint64, loss float64) *cluster {
+	return newClusterIn(loss, strings.Repeat("d", int(n)))
+}
+
+// newClusterIn starts a replica in each of the domains, which are single letters.
+func newClusterIn(loss float64, domains string) *cluster {
 	c := &cluster{
 		random: rand.New(rand.NewPCG(1, 2)), loss: loss, cut: map[uint64]bool{},
 		servers: map[uint64]*Server{}, disks: map[uint64]*memoryDisk{},
 	}
-	for id := range n {
-		c.members = append(c.members, raft.Member{ID: id + 1, Address: string(rune('a' + id)), Domain: "d"})
+	for i, domain := range domains {
+		c.members = append(c.members, raft.Member{ID: uint64(i + 1), Address: string(rune('a' + i)), Domain: string(domain)})
 	}
 	for _, m := range c.members {
 		c.disks[m.ID] = &memoryDisk{stored: raft.Bootstrap(c.members)}
--- a/control/layout.go
+++ b/control/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"geraniumwall/raft"
 )
@@ -25,6 +26,36 @@
 		"add a replica in another domain first, or remove one of %q first", raft.ErrInvalidChange, domain, domain)
 }
 
+// checkSilent refuses, while a voter does not answer, to remove one that may answer, or to
+// promote a further one to an even number of voters. Otherwise replicas that are gone
+// would make up a growing part of the quorum until the log stops.
+func checkSilent(before raft.Membership, change raft.MemberChange, peers []raft.PeerStatus) error {
+	switch change.Kind {
+	case raft.RemoveMember:
+		if !before.IsVoter(change.Member.ID) {
+			return nil
+		}
+	case raft.PromoteLearner:
+		if len(before.Voters())%2 != 0 {
+			return nil
+		}
+	default:
+		return nil
+	}
+	for _, p := range peers {
+		if p.ID == change.Member.ID && !p.Active {
+			return nil
+		}
+	}
+	for _, p := range peers {
+		if p.ID != change.Member.ID && before.IsVoter(p.ID) && (!p.Active || !p.Answered) {
+			return fmt.Errorf("%w: replica %d has not answered the leader for %v; remove it first if it is gone for good, "+
+				"otherwise retry when geranium status shows that it answers", raft.ErrInvalidChange, p.ID, p.Silence.Round(time.Millisecond))
+		}
+	}
+	return nil
+}
+
 // votersAfter returns the voters after a change. A learner counts as the voter that
 // it is to become.
 func votersAfter(before raft.Membership, change raft.MemberChange) []ReplicaAddress {
--- a/control/members_test.go
+++ b/control/members_test.go
@@ -55,6 +55,72 @@
 		}
 	})
 
+	// Guards against replicas that are gone and count towards the quorum for good: while one
+	// does not answer, voters that do are removed, or further ones promoted.
+	It("removes a silent voter before one that answers, and promotes one voter at most beside it", func() {
+		const promote, remove = raft.PromoteLearner, raft.RemoveMember
+		for _, one := range []struct {
+			voters int
+			kind   raft.ChangeKind
+			id     uint64
+			silent uint64
+			want   bool
+		}{
+			{5, remove, 2, 4, false},
+			{5, remove, 4, 4, true},
+			{5, remove, 2, 0, true},
+			{4, remove, 2, 4, false},
+			{5, remove, 6, 4, true},
+			{3, promote, 4, 3, true},
+			{4, promote, 5, 3, false},
+			{4, promote, 5, 0, true},
+			{4, promote, 5, 5, true},
+		} {
+			m := raft.Membership{}
+			for id := uint64(1); id <= 6; id++ {
+				m.Members = append(m.Members, raft.Member{ID: id, Learner: int(id) > one.voters})
+			}
+			for _, active := range []bool{false, true} {
+				var peers []raft.PeerStatus
+				for id := uint64(2); id <= 6; id++ {
+					peers = append(peers, raft.PeerStatus{ID: id, Active: id != one.silent || active, Answered: id != one.silent})
+				}
+				err := checkSilent(m, raft.MemberChange{Kind: one.kind, Member: raft.Member{ID: one.id}}, peers)
+				Expect(err == nil).To(Equal(one.want), "%+v, new leader %v: %v", one, active, err)
+				if err != nil {
+					Expect(err).To(And(MatchError(raft.ErrInvalidChange), MatchError(ContainSubstring("remove it first"))))
+				}
+			}
+		}
+	})
+
+	// Guards against the removal of a replica that answers after which those that are gone
+	// leave no quorum.
+	It("goes on after the loss of two of five and a mistaken removal", func() {
+		c := newClusterIn(0, "abcde")
+		defer c.stop()
+		leader := c.leader()
+		id := leader.view.Load().status.ID
+		other := func(n uint64) uint64 { return (id+n-1)%5 + 1 }
+		change := func(kind string, id uint64) error {
+			_, err := leader.ChangeMembers(context.Background(), &controlpb.ChangeMembersRequest{Change: kind, Id: id})
+			return err
+		}
+		c.crash(other(1))
+		c.crash(other(2))
+		Eventually(func() int {
+			status, err := leader.Status(context.Background(), &controlpb.StatusRequest{})
+			Expect(err).NotTo(HaveOccurred())
+			return strings.Count(status.String(), stateSilent)
+		}, "5s", "20ms").Should(Equal(2))
+		Expect(kindOf(change("remove", other(3)))).To(Equal(kindMembership))
+		Eventually(func() error { return change("remove", other(1)) }, "5s").Should(Succeed())
+		Expect(change("remove", other(2))).To(Succeed())
+		c.crash(other(3))
+		_, err := submitOne(context.Background(), leader, "k1")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against a leader that shows an old state as the present one.
 	It("says whether a quorum confirmed the status", func() {
 		c := newCluster(3, 0)
--- a/control/replica.go
+++ b/control/replica.go
@@ -220,11 +220,9 @@
 }
 
 func (r *replica) changeMembers(m *changeMembers) {
-	if s := r.node.Status(); s.Role == raft.RoleLeader && !r.options.Settings.SingleDomainOK {
-		if err := checkChange(s.Membership, m.change, r.lost); err != nil {
-			m.done(nil, err)
-			return
-		}
+	if err := r.checkChange(m.change); err != nil {
+		m.done(nil, err)
+		return
 	}
 	position, err := r.node.ChangeMembers(m.change)
 	if err != nil {
@@ -234,6 +232,17 @@
 	r.await(position, m.done)
 }
 
+func (r *replica) checkChange(change raft.MemberChange) error {
+	s := r.node.Status()
+	if s.Role != raft.RoleLeader {
+		return nil
+	}
+	if err := checkSilent(s.Membership, change, s.Peers); err != nil || r.options.Settings.SingleDomainOK {
+		return err
+	}
+	return checkChange(s.Membership, change, r.lost)
+}
+
 // await registers a proposal. An earlier one at its index was removed from this
 // replica's log, but may still be in another's and be committed by it.
 func (r *replica) await(position raft.Position, done func(proto.Message, error)) {
