control: hand leadership over again when the successor is gone

Cause: a leader that stops picks a successor among the replicas that answered within the election timeout, once. If that one has just gone, the transfer is given up after 0.5 s, the leader leads on for the rest of 2 s and stops without a successor.

Change: the transfer is repeated while this replica leads and none is under way; after the election timeout the replica that is gone is no candidate any more.

Measured: the new test stops the likely successor and then hands over.

--- a/control/members_test.go
+++ b/control/members_test.go
@@ -121,6 +121,32 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a planned stop that hands over to a replica which has just gone and to no
+	// other one after it, so that an election has to take place.
+	It("hands leadership over to a replica that runs", func() {
+		c := newCluster(3, 0)
+		defer c.stop()
+		leader := c.leader()
+		id := leader.view.Load().status.ID
+		synced := func() bool {
+			for _, p := range leader.view.Load().status.Peers {
+				if p.Match != leader.view.Load().status.Last {
+					return false
+				}
+			}
+			return true
+		}
+		Eventually(synced, "5s", "10ms").Should(BeTrue())
+		Eventually(func() bool {
+			leader.send(&tick{})
+			return leader.view.Load().status.Successor() == max(id%3+1, (id+1)%3+1)
+		}, "5s", "10ms").Should(BeTrue())
+		c.crash(leader.view.Load().status.Successor())
+		leader.Transfer(context.Background())
+		Expect(leader.view.Load().status.Role).NotTo(Equal(raft.RoleLeader))
+		Expect(leader.view.Load().status.Leader).NotTo(BeZero())
+	})
+
 	// Guards against a leader that shows an old state as the present one.
 	It("says whether a quorum confirmed the status", func() {
 		c := newCluster(3, 0)
--- a/control/replica.go
+++ b/control/replica.go
@@ -322,10 +322,12 @@
 		"or add the host again under an id that was never used")
 }
 
-// transferLeadership hands over to the active voter with the most entries.
+// transferLeadership hands over to the active voter with the most entries, unless a
+// transfer is under way.
 func (r *replica) transferLeadership() {
-	successor := r.node.Status().Successor()
-	if successor == 0 {
+	s := r.node.Status()
+	successor := s.Successor()
+	if successor == 0 || s.Transferee != 0 || s.Role != raft.RoleLeader {
 		return
 	}
 	if err := r.node.Transfer(successor); err != nil {
--- a/control/server.go
+++ b/control/server.go
@@ -232,7 +232,6 @@
 	if s.view.Load().status.Role != raft.RoleLeader {
 		return
 	}
-	s.send(&transfer{})
 	t := time.NewTicker(transferPoll)
 	defer t.Stop()
 	for bounded.Err() == nil {
@@ -240,6 +239,8 @@
 		if v.status.Role != raft.RoleLeader && v.status.Leader != 0 {
 			return
 		}
+		// A transfer to a replica that has just gone is given up after an election timeout.
+		s.send(&transfer{})
 		select {
 		case <-bounded.Done():
 		case <-t.C:
