--- a/e2e/turnover_test.go
+++ b/e2e/turnover_test.go
@@ -132,13 +132,9 @@
 	name := controlName(id - 1)
 	n.f.reserve(name)
 	domain := n.domainOf(former)
-	var known []replica
-	for _, m := range n.members {
-		known = append(known, replica{ID: uint64(m), Address: n.f.addresses[controlName(m-1)], Domain: n.domainOf(m)})
-	}
 	p, err := newProcess(n.f.dir, "geranium-control", name, controlSettings{
 		Name: name, Domain: domain, Listen: n.f.addresses[name], Metrics: n.f.metrics(name),
-		DataDir: filepath.Join(n.f.dir, name), ReplicaID: uint64(id), Replicas: known,
+		DataDir: filepath.Join(n.f.dir, name), ReplicaID: uint64(id), Replicas: n.othersOf(id),
 	})
 	n.Expect(err).NotTo(HaveOccurred())
 	n.f.controls = append(n.f.controls, p)
@@ -149,6 +145,17 @@
 	n.members = append(n.members, id)
 }
 
+// othersOf returns the members besides a replica, for its settings.
+func (n *turnover) othersOf(id int) []replica {
+	var others []replica
+	for _, m := range n.members {
+		if m != id {
+			others = append(others, replica{ID: uint64(m), Address: n.f.addresses[controlName(m-1)], Domain: n.domainOf(m)})
+		}
+	}
+	return others
+}
+
 // domainOf returns the domain of a replica from its settings.
 func (n *turnover) domainOf(id int) string {
 	var s controlSettings
@@ -169,9 +176,19 @@
 	n.Expect(p.start()).To(Succeed())
 }
 
-// listMembers writes the addresses of the members into the settings of the gateways and
-// schedulers and restarts these one by one.
+// listMembers writes the members into the settings of the replicas that were added later,
+// and into those of the gateways and schedulers, and restarts the latter one by one.
 func (n *turnover) listMembers() {
+	for _, id := range n.members {
+		if id > len(n.f.controlDomains) {
+			var settings controlSettings
+			p := n.f.controls[id-1]
+			n.read(p, &settings)
+			settings.Replicas = n.othersOf(id)
+			_, err := newProcess(n.f.dir, p.binary, p.name, settings)
+			n.Expect(err).NotTo(HaveOccurred())
+		}
+	}
 	var addresses []string
 	for _, id := range n.members {
 		addresses = append(addresses, n.f.addresses[controlName(id-1)])
@@ -181,10 +198,9 @@
 			settings := map[string]any{}
 			n.read(p, &settings)
 			settings["control"] = addresses
-			changed, err := newProcess(n.f.dir, p.binary, p.name, settings)
+			_, err := newProcess(n.f.dir, p.binary, p.name, settings)
 			n.Expect(err).NotTo(HaveOccurred())
 			n.Expect(p.stop()).To(Succeed())
-			p.settings = changed.settings
 			n.Expect(p.start()).To(Succeed())
 		}
 	}
