replicate: hand leadership over again when the successor is gone

A leader that stops chose its successor among the voters that answered within the election timeout, once. If that one had just gone, the transfer was given up after 0.5 s and the leader stopped without a successor. The transfer is now repeated while the stopping replica leads, to a replica that does not stop itself.

--- a/replicate/orders_test.go
+++ b/replicate/orders_test.go
@@ -220,3 +220,23 @@
 		}
 	}
 })
+
+var _ = Describe("A leader that stops", func() {
+	// Guards against a stop that leaves no leader because the chosen successor has just gone.
+	It("hands leadership over again when the successor is gone", func() {
+		for seed := range uint64(powerSeeds) {
+			c := newPowerCluster(seed, 5, 0)
+			c.becomeComplete()
+			leader := c.leadingHost()
+			successor := leader.replica.Status().Successor()
+			for _, h := range c.hosts {
+				if h.id == successor {
+					h.powerOff()
+				}
+			}
+			leader.onControl(leader.life, func() { leader.replica.Leave() })
+			c.run(turnoverDrain)
+			Expect(c.leadingHost()).NotTo(BeIdenticalTo(leader), "seed %d", seed)
+		}
+	})
+})
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -166,6 +166,7 @@
 func (r *Replica) Tick() {
 	r.noteTick(r.options.Now())
 	r.node.Tick(r.options.Now())
+	r.repeatTransfer()
 	r.renewLease()
 	r.askIfRemoved()
 	r.processReady()
@@ -445,12 +446,28 @@
 	}
 }
 
-// Leave announces that the process stops and transfers the leadership.
+// Leave announces that the process stops and transfers the leadership. A transfer that is
+// given up, because the successor has just gone, is repeated while this replica leads.
 func (r *Replica) Leave() {
 	r.node.Leave()
 	r.Transfer()
 }
 
+// repeatTransfer transfers the leadership if this replica stops and leads all the same. Replicas
+// that stop at the same time don't pass it to and fro.
+func (r *Replica) repeatTransfer() {
+	s := r.node.Status()
+	if !s.Leaving || s.Role != raft.RoleLeader || s.Transferee != 0 {
+		return
+	}
+	successor := s.Successor()
+	for _, p := range s.Peers {
+		if p.ID == successor && !p.Leaving {
+			r.Transfer()
+		}
+	}
+}
+
 // Transfer transfers the leadership to the active voter with the most replicated
 // entries.
 func (r *Replica) Transfer() {
