replicate: promote the successor of a voter that stops first

The vote of a voter that stops was taken before another member had got it. With three voters two were left for that time, and a second host lost then would have stopped the log for good; while the one that stops still runs, one voter more takes nothing from the quorum. The entry of a planned stop expects the new order; the entries of a planned stop beside a silent voter and of four voters hold as before.

--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -137,14 +137,12 @@
 			continue
 		}
 		// An even number of voters tolerates no more failures than one less.
-		if len(voters)%2 == 0 && p.keepsQuorum(voters, m, p.answers) {
+		if len(voters)%2 == 0 && p.keepsQuorum(voters, m) {
 			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and an even number of members vote", true
 		}
-		if found && !p.keepsQuorum(voters, m, p.stays) {
-			return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "a voter stops that the quorum needs until another one votes", true
-		}
-		if found {
-			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and another member takes its place", true
+		// It still runs, so that one voter more takes nothing from the quorum.
+		if found && len(voters)%2 != 0 {
+			return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "it takes the place of a voter that stops", true
 		}
 	}
 	return raft.MemberChange{}, "", false
@@ -211,20 +209,20 @@
 	}), true
 }
 
-// keepsQuorum reports whether the voters besides one hold a quorum of those that count.
-// Without it the change that demotes the voter might never be committed.
-func (p *membershipPlan) keepsQuorum(voters []raft.Member, demoted raft.Member, counts func(raft.Member) bool) bool {
-	remaining, counted := 0, 0
+// keepsQuorum reports whether the voters besides one that answer hold a quorum. Without it the
+// change that demotes the voter might never be committed.
+func (p *membershipPlan) keepsQuorum(voters []raft.Member, demoted raft.Member) bool {
+	remaining, answering := 0, 0
 	for _, m := range voters {
 		if m.ID == demoted.ID {
 			continue
 		}
 		remaining++
-		if counts(m) {
-			counted++
+		if p.answers(m) {
+			answering++
 		}
 	}
-	return 2*counted > remaining
+	return 2*answering > remaining
 }
 
 // answers reports whether a member has answered this leader a moment ago.
@@ -232,15 +230,12 @@
 	return m.ID == p.self || m.SilentSinceID == 0 && isHeard(p.peers[m.ID])
 }
 
-// stays reports whether a member answers and has not announced that it stops.
-func (p *membershipPlan) stays(m raft.Member) bool { return p.answers(m) && !m.Leaving }
-
 // worstVoter returns the voter to demote next, which is not this replica and not needed for
 // the quorum: one that stops or is silent, else of the domain with the most voters, and the
 // youngest of these.
 func (p *membershipPlan) worstVoter(voters []raft.Member) (raft.Member, bool) {
 	candidates := slices.DeleteFunc(slices.Clone(voters), func(m raft.Member) bool {
-		return m.ID == p.self || !p.keepsQuorum(voters, m, p.answers)
+		return m.ID == p.self || !p.keepsQuorum(voters, m)
 	})
 	if len(candidates) == 0 {
 		return raft.Member{}, false
