replicate: let an added host that stops for good go without a successor

A host that joined a running system and was stopped again, with no other added host, stayed a member for good: of five voters four ran. It is removed after 30 s of silence now. A member that has not announced a stop, or that is not surplus, stays as before.

--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -15,7 +15,8 @@
 	// joined after it takes its place.
 	replacementSilence = 2500 * time.Millisecond
 	// unannouncedSilence is how long a member must have been silent until one that had joined
-	// before takes its place. A partition that heals sooner costs no member.
+	// before takes its place, or until it goes without a successor if it is surplus and has
+	// stopped. A partition that heals sooner, or a restart, costs no member.
 	unannouncedSilence = 30 * time.Second
 )
 
@@ -32,9 +33,9 @@
 //
 // A member that is silent is replaced by one that has joined since, and after a long silence by
 // a surplus member that runs. One that announces that it stops is replaced by any surplus
-// member. Only such a pair tells a replica that is gone from
-// one that is partitioned, which is never removed: it may return with entries that others
-// need.
+// member, and after a long silence by none if it is surplus itself. Only such a pair tells a
+// replica that is gone from one that is partitioned, which is never removed: it may return
+// with entries that others need.
 type membershipPlan struct {
 	self    uint64
 	members []raft.Member
@@ -62,6 +63,7 @@
 // first by replacedEarlier. The members are ordered by id, and each surplus member
 // that runs may replace all that those before it may, so that as many as possible are paired.
 func (p *membershipPlan) pair() {
+	used := map[uint64]bool{}
 	for _, successor := range p.members {
 		if !successor.Surplus {
 			continue
@@ -78,6 +80,21 @@
 		}
 		if lost != nil {
 			p.successors[lost.ID] = successor
+			used[successor.ID] = true
+		}
+	}
+	p.pairWithThemselves(used)
+}
+
+// pairWithThemselves lets the surplus members that have stopped for good, and that neither
+// replace another one nor are replaced, go without a successor: the system is then as large as
+// before they joined.
+func (p *membershipPlan) pairWithThemselves(used map[uint64]bool) {
+	for _, m := range p.members {
+		_, replaced := p.successors[m.ID]
+		stopped := m.Leaving && m.SilentSinceID != 0 && p.silence[m.ID] >= unannouncedSilence
+		if m.Surplus && stopped && !used[m.ID] && !replaced {
+			p.successors[m.ID] = m
 		}
 	}
 }
