replicate: move the vote of a silent member, keep its data longer

A host that restarts beside an added one was removed after 2.5 s and lost its data; a host that left unannounced after its successor had joined kept its vote for 30 s, though a learner had every entry.

A voter that has been silent for 2.5 s now loses its vote to a learner that has caught up, which can be undone. A member is removed after 2.5 s only if its successor has joined since it fell silent, else after 30 s.

--- a/replicate/explain.go
+++ b/replicate/explain.go
@@ -51,7 +51,9 @@
 func (p *membershipPlan) whyNotRemoved(m raft.Member, spare bool) string {
 	successor, replaced := p.successors[m.ID]
 	switch {
-	case replaced && (m.Learner || spare):
+	case replaced && !p.isGone(m):
+		return "its successor had joined before it fell silent; it is removed after " + unannouncedSilence.String()
+	case replaced && (m.Learner || spare || !successor.Learner):
 		return ""
 	case replaced && successor.Learner:
 		return "its successor is not promoted: " + p.whyNotPromoted(successor)
--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -11,8 +11,8 @@
 const (
 	// maxVoters is the largest number of voters. Further replicas stay learners.
 	maxVoters = 7
-	// replacementSilence is how long a member must have been silent until the member that
-	// joined after it takes its place.
+	// replacementSilence is how long a member must have been silent until a learner gets its
+	// vote, or until the member that has joined since takes its place.
 	replacementSilence = 2500 * time.Millisecond
 	// unannouncedSilence is how long a member must have been silent until one that had joined
 	// before takes its place, or until it goes without a successor if it is surplus and has
@@ -31,11 +31,11 @@
 // membership in the log and from the present silence of the members, so that each leader
 // goes on where the one before has stopped.
 //
-// A member that is silent is replaced by one that has joined since, and after a long silence by
-// a surplus member that runs. One that announces that it stops is replaced by any surplus
-// member, and after a long silence by none if it is surplus itself. Only such a pair tells a
-// replica that is gone from one that is partitioned, which is never removed: it may return
-// with entries that others need.
+// A voter that is silent or stops loses its vote to a learner that has caught up; it gets it
+// back if it returns and the number of replicas wants it. Its data is lost only with the
+// removal, which needs a successor: a surplus member that has joined since the member fell
+// silent or, after a long silence, one that had joined before. A replica that is partitioned
+// and has none is never removed. A surplus member that has stopped for good needs none.
 type membershipPlan struct {
 	self    uint64
 	members []raft.Member
@@ -59,26 +59,25 @@
 	return p
 }
 
-// pair gives each surplus member the silent one whose place it takes. Of several it is the
-// first by replacedEarlier. The members are ordered by id, and each surplus member
-// that runs may replace all that those before it may, so that as many as possible are paired.
+// pair gives each surplus member the silent or stopping one whose place it takes. Of several it
+// is the first by replacedEarlier. The members are ordered by id, and each surplus member that
+// runs may replace all that those before it may, so that as many as possible are paired.
 func (p *membershipPlan) pair() {
 	used := map[uint64]bool{}
 	for _, successor := range p.members {
 		if !successor.Surplus {
 			continue
 		}
-		var lost *raft.Member
-		for i := range p.members {
-			m := &p.members[i]
+		var lost raft.Member
+		for _, m := range p.members {
 			if _, paired := p.successors[m.ID]; paired || !p.mayReplace(successor, m) {
 				continue
 			}
-			if lost == nil || replacedEarlier(m, lost) {
+			if lost.ID == 0 || p.replacedEarlier(m, lost) {
 				lost = m
 			}
 		}
-		if lost != nil {
+		if lost.ID != 0 {
 			p.successors[lost.ID] = successor
 			used[successor.ID] = true
 		}
@@ -102,25 +101,31 @@
 // replacedEarlier reports whether a is replaced before b: the silent before those that still
 // answer, of these the surplus ones, whose successor can replace a further one, and of equal
 // ones the longest silent first.
-func replacedEarlier(a, b *raft.Member) bool {
-	if a.SilentSinceID == 0 || b.SilentSinceID == 0 {
+func (p *membershipPlan) replacedEarlier(a, b raft.Member) bool {
+	switch {
+	case a.SilentSinceID == 0 || b.SilentSinceID == 0:
 		return a.SilentSinceID != 0
-	}
-	if a.Surplus != b.Surplus {
+	case a.Surplus != b.Surplus:
 		return a.Surplus
+	case a.SilentSinceID != b.SilentSinceID:
+		return a.SilentSinceID < b.SilentSinceID
 	}
-	return a.SilentSinceID < b.SilentSinceID
+	return p.silence[a.ID] > p.silence[b.ID]
 }
 
 // mayReplace reports whether a surplus member can be the successor of another member.
-func (p *membershipPlan) mayReplace(successor raft.Member, m *raft.Member) bool {
+func (p *membershipPlan) mayReplace(successor, m raft.Member) bool {
 	if m.ID == successor.ID || m.ID == p.self {
 		return false
 	}
-	joinedSince := m.SilentSinceID != 0 && m.SilentSinceID < successor.ID
 	// One that had joined before and is silent too may be on the same side of a partition.
 	unannounced := m.SilentSinceID != 0 && successor.SilentSinceID == 0 && p.silence[m.ID] >= unannouncedSilence
-	return joinedSince || m.Leaving || unannounced
+	return joinedSince(successor, m) || m.Leaving || unannounced
+}
+
+// joinedSince reports whether a member has joined since another one fell silent.
+func joinedSince(successor, m raft.Member) bool {
+	return m.SilentSinceID != 0 && m.SilentSinceID < successor.ID
 }
 
 // next returns the next change and its reason.
@@ -130,25 +135,39 @@
 	if found && len(voters) < target {
 		return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "fewer vote than fit the number of replicas", true
 	}
-	// The vote is taken from one member before it is given to another: with one voter more, of
-	// which one is gone, a quorum would need every other one.
-	for _, m := range p.members {
-		if p.isGone(m) && (m.Learner || len(voters) > target || found || !p.successors[m.ID].Learner) {
-			return p.removal(m), "another member has taken its place", true
-		}
+	if m, found := p.removable(voters, target, found); found {
+		return p.removal(m), "another member has taken its place", true
 	}
-	if change, reason, found := p.nextForLeaving(voters, learner, found); found {
+	if change, reason, found := p.nextForAbsent(voters, learner, found); found {
 		return change, reason, true
 	}
-	if m, found := p.worstVoter(voters); found && len(voters) > target && !p.awaitsRemoval(voters) {
+	if m, found := p.worstVoter(voters); found && len(voters) > target {
 		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "more vote than fit the number of replicas", true
 	}
 	return raft.MemberChange{}, "", false
 }
 
-// nextForLeaving returns the next change on behalf of a voter that stops. The learner is the one
-// to promote next, if found.
-func (p *membershipPlan) nextForLeaving(voters []raft.Member, learner raft.Member, found bool) (raft.MemberChange, string, bool) {
+// removable returns a member that is gone. The vote is taken from a voter that is gone before
+// it is given to the learner that has caught up, if there is one: with one voter more, a quorum
+// would need every other one.
+func (p *membershipPlan) removable(voters []raft.Member, target int, caughtUp bool) (raft.Member, bool) {
+	for _, m := range p.members {
+		if p.isGone(m) && (m.Learner || len(voters) > target || caughtUp || !p.successors[m.ID].Learner) {
+			return m, true
+		}
+	}
+	return raft.Member{}, false
+}
+
+// nextForAbsent returns the next change on behalf of a voter that is silent or stops. Its vote
+// is moved to the learner, if one has caught up: unlike the removal of the member, that costs
+// no data if it returns.
+func (p *membershipPlan) nextForAbsent(voters []raft.Member, learner raft.Member, caughtUp bool) (raft.MemberChange, string, bool) {
+	for _, m := range voters {
+		if caughtUp && m.SilentSinceID != 0 && p.silence[m.ID] >= replacementSilence {
+			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it is silent and another member gets its vote", true
+		}
+	}
 	for _, m := range voters {
 		if !p.isLeaving(m) {
 			continue
@@ -158,7 +177,7 @@
 			return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "it stops and an even number of members vote", true
 		}
 		// It still runs, so that one voter more takes nothing from the quorum.
-		if found && len(voters)%2 != 0 {
+		if caughtUp && len(voters)%2 != 0 {
 			return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "it takes the place of a voter that stops", true
 		}
 	}
@@ -170,7 +189,7 @@
 func (p *membershipPlan) replicas() int {
 	count := 0
 	for _, m := range p.members {
-		if _, replaced := p.successors[m.ID]; !replaced || m.SilentSinceID == 0 {
+		if !p.isReplaced(m) {
 			count++
 		}
 	}
@@ -185,32 +204,32 @@
 	return raft.MemberChange{Kind: raft.RemoveMember, Member: m, Updates: []raft.Member{successor}}
 }
 
-// isGone reports whether a member has a successor and has been silent for so long that it is
-// removed.
+// isReplaced reports whether a member is silent and has a successor.
+func (p *membershipPlan) isReplaced(m raft.Member) bool {
+	_, paired := p.successors[m.ID]
+	return paired && m.SilentSinceID != 0
+}
+
+// isGone reports whether a replaced member has been silent for so long that it is removed. One
+// whose successor had joined before may be restarting.
 func (p *membershipPlan) isGone(m raft.Member) bool {
-	_, replaced := p.successors[m.ID]
-	return replaced && m.SilentSinceID != 0 && p.silence[m.ID] >= replacementSilence
+	needed := unannouncedSilence
+	if joinedSince(p.successors[m.ID], m) {
+		needed = replacementSilence
+	}
+	return p.isReplaced(m) && p.silence[m.ID] >= needed
 }
 
-// isLeaving reports whether a member that still runs has announced that it stops, and has a
-// successor.
+// isLeaving reports whether a member has announced that it stops, and has a successor.
 func (p *membershipPlan) isLeaving(m raft.Member) bool {
-	_, replaced := p.successors[m.ID]
-	return replaced && m.Leaving && m.ID != p.self
+	_, paired := p.successors[m.ID]
+	return paired && m.Leaving
 }
 
 func (p *membershipPlan) voters() []raft.Member {
 	return slices.DeleteFunc(slices.Clone(p.members), func(m raft.Member) bool { return m.Learner })
 }
 
-// awaitsRemoval reports whether a voter is about to be removed.
-func (p *membershipPlan) awaitsRemoval(voters []raft.Member) bool {
-	return slices.ContainsFunc(voters, func(m raft.Member) bool {
-		_, replaced := p.successors[m.ID]
-		return replaced && m.SilentSinceID != 0
-	})
-}
-
 // bestLearner returns the learner to promote next, if one has caught up: of the domain with
 // the fewest voters, and the oldest of these.
 func (p *membershipPlan) bestLearner(voters []raft.Member) (raft.Member, bool) {
