replicate: keep the silence of members and the age of a host in the log

A host that left unannounced after its successor had joined stayed a voter as long as the leader changed every 20 s, since each leader counted the 30 s anew: the leader now adds the seconds of silence to the log. A voter that was cut off was removed though no host had been added, because an added one had lost its disk and joined under a higher id: a member now keeps the id under which its host first joined. Both new specs fail without the change. The spec of the explanation stops at an exact time, since run() goes past the end by up to 250 ms.

--- a/raft/attributes_test.go
+++ b/raft/attributes_test.go
@@ -48,7 +48,7 @@
 	// decides without them.
 	It("keep the attributes of members when they are encoded", func() {
 		m := raft.Membership{HighestID: 7, Members: []raft.Member{
-			{ID: 3, Address: "a", Domain: "d", Leaving: true}, {ID: 5, SilentSinceID: 6}, {ID: 7, Learner: true, Surplus: true},
+			{ID: 3, Address: "a", Domain: "d", Leaving: true}, {ID: 5, SilentSinceID: 6, SilentSeconds: 9}, {ID: 7, Learner: true, Surplus: true, FirstID: 2},
 		}}
 		decoded, err := raft.DecodeMembership(raft.EncodeMembership(m))
 		Expect(err).NotTo(HaveOccurred())
--- a/raft/codec.go
+++ b/raft/codec.go
@@ -188,6 +188,8 @@
 			Leaving:       member.Leaving,
 			SilentSinceId: member.SilentSinceID,
 			Surplus:       member.Surplus,
+			SilentSeconds: member.SilentSeconds,
+			FirstId:       member.FirstID,
 		})
 	}
 	return out
@@ -204,6 +206,7 @@
 		m.Members = append(m.Members, Member{
 			ID: member.Id, Learner: member.Learner, Address: member.Address, Domain: member.Domain,
 			Leaving: member.Leaving, SilentSinceID: member.SilentSinceId, Surplus: member.Surplus,
+			SilentSeconds: member.SilentSeconds, FirstID: member.FirstId,
 		})
 	}
 	return m, nil
--- a/raft/types.go
+++ b/raft/types.go
@@ -51,6 +51,12 @@
 	// SilentSinceID is the highest id that had been granted when the member was last heard
 	// from, 0 while it answers. Members with higher ids have joined since then.
 	SilentSinceID uint64
+	// SilentSeconds is how long leaders have observed the member to be silent since then. They
+	// stop counting once that no longer matters.
+	SilentSeconds uint64
+	// FirstID is the id of the member that first joined at the address, if this one has joined
+	// there after the loss of its disk, otherwise 0.
+	FirstID uint64
 	// Surplus is true for a member that has joined a running system and not taken the place of
 	// another member yet.
 	Surplus bool
--- a/replicate/explain_test.go
+++ b/replicate/explain_test.go
@@ -90,7 +90,7 @@
 		}
 		lost := c.hosts[c.leadingHost().id%3]
 		c.depart(lost)
-		c.run(replacementSilence - 100*time.Millisecond)
+		c.runUntil(c.now + replacementSilence - 100*time.Millisecond)
 		Expect(logLines(log, "membership change waits")).To(BeEmpty())
 		c.run(9 * time.Second)
 		lines := logLines(log, "membership change waits")
--- a/replicate/join.go
+++ b/replicate/join.go
@@ -1,6 +1,7 @@
 package replicate
 
 import (
+	"cmp"
 	"errors"
 
 	"geraniumwall/raft"
@@ -32,7 +33,7 @@
 	change := raft.MemberChange{Kind: raft.AddLearner, Updates: r.silentAt(s)}
 	for _, m := range s.Membership.Members {
 		if m.Address == q.Address {
-			change.Replaces, member.Surplus = m.ID, m.Surplus
+			change.Replaces, member.Surplus, member.FirstID = m.ID, m.Surplus, cmp.Or(m.FirstID, m.ID)
 		}
 	}
 	change.Member = member
--- a/replicate/members.go
+++ b/replicate/members.go
@@ -14,6 +14,8 @@
 const (
 	// silenceNoticeTime is how long a member must have been silent until the log records it.
 	silenceNoticeTime = time.Second
+	// maxSilentSeconds is the longest silence that the log records. Nothing depends on more.
+	maxSilentSeconds = uint64(unannouncedSilence / time.Second)
 	// maxAnswerAge is how long ago a member may have answered to count as heard from. It is a
 	// few heartbeat intervals.
 	maxAnswerAge = 3 * raft.DefaultHeartbeatInterval
@@ -103,6 +105,9 @@
 		r.tryChange(raft.MemberChange{Kind: raft.UpdateMembers, Updates: updates}, "members fell silent, answer again or leave")
 		return
 	}
+	if r.countSilence(s) {
+		return
+	}
 	p := newMembershipPlan(s, r.silence)
 	if change, reason, found := p.next(); found {
 		r.tryChange(change, reason)
@@ -139,6 +144,37 @@
 	return min(p.Silence, now-r.observedSince)
 }
 
+// countSilence adds the seconds that silent members have been silent under this leader to the
+// log, so that the next leader goes on from there. It reports whether it tried a change. There
+// is no log line for it.
+func (r *Replica) countSilence(s raft.Status) bool {
+	var updates []raft.Member
+	for _, p := range s.Peers {
+		m, found := s.Membership.Find(p.ID)
+		if found && m.SilentSinceID != 0 && m.SilentSeconds < maxSilentSeconds && r.silentSecondPassed(m.ID, r.silence(p)) {
+			m.SilentSeconds++
+			updates = append(updates, m)
+		}
+	}
+	if len(updates) == 0 {
+		return false
+	}
+	_, err := r.node.ChangeMembers(raft.MemberChange{Kind: raft.UpdateMembers, Updates: updates})
+	r.processReady()
+	return err == nil
+}
+
+// silentSecondPassed reports whether a second of a member's silence has passed that this leader
+// has not counted yet.
+func (r *Replica) silentSecondPassed(member uint64, silence time.Duration) bool {
+	now := r.options.Now()
+	if now-max(r.countedAt[member], now-silence) < time.Second {
+		return false
+	}
+	r.countedAt[member] = now
+	return true
+}
+
 // isHeard reports whether a peer answers at present.
 func isHeard(p raft.PeerStatus) bool { return p.Answered && p.Silence < maxAnswerAge }
 
@@ -146,7 +182,7 @@
 func (r *Replica) observed(s raft.Status) []raft.Member {
 	var updates []raft.Member
 	if self, found := s.Membership.Find(s.ID); found && (self.SilentSinceID != 0 || self.Leaving != s.Leaving) {
-		self.SilentSinceID, self.Leaving = 0, s.Leaving
+		self.SilentSinceID, self.SilentSeconds, self.Leaving = 0, 0, s.Leaving
 		updates = append(updates, self)
 	}
 	for _, p := range s.Peers {
@@ -157,7 +193,7 @@
 		seen := m
 		switch silence := r.silence(p); {
 		case isHeard(p):
-			seen.SilentSinceID, seen.Leaving = 0, p.Leaving
+			seen.SilentSinceID, seen.SilentSeconds, seen.Leaving = 0, 0, p.Leaving
 		case m.SilentSinceID == 0 && silence >= silenceNoticeTime:
 			seen.SilentSinceID = r.highestIDBefore(s, m.ID, silence)
 		}
--- a/replicate/orders_test.go
+++ b/replicate/orders_test.go
@@ -240,3 +240,42 @@
 		}
 	})
 })
+
+var _ = Describe("A member that leaves unannounced", func() {
+	// Guards against a host that is gone and keeps its vote since each leader counts its silence anew.
+	It("is replaced though the leader changes again and again", func() {
+		c := newPowerCluster(1, 3, 1)
+		c.becomeComplete()
+		c.startSuccessor()
+		c.run(turnoverCatchUp)
+		c.depart(c.hosts[0])
+		for range 4 {
+			c.run(10 * time.Second)
+			leader := c.leadingHost()
+			leader.onControl(leader.life, func() { leader.replica.Transfer() })
+		}
+		c.run(turnoverCatchUp)
+		c.expectFitting()
+	})
+})
+
+var _ = Describe("A cut off voter", func() {
+	// Guards against a voter that is removed because an added host has lost its disk.
+	It("is no older than a host that joins again under a new id", func() {
+		c := newPowerCluster(1, 3, 1)
+		c.becomeComplete()
+		c.startSuccessor()
+		added := c.hosts[len(c.hosts)-1]
+		c.run(turnoverCatchUp)
+		cut := c.hosts[0]
+		c.group[cut.address] = 1
+		c.run(2 * time.Second)
+		added.powerOff()
+		added.loseDisk()
+		added.powerOn()
+		c.run(turnoverCatchUp)
+		clear(c.group)
+		c.becomeComplete()
+		Expect(cut.id).To(BeEquivalentTo(1))
+	})
+})
--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -40,7 +40,7 @@
 	self    uint64
 	members []raft.Member
 	peers   map[uint64]raft.PeerStatus
-	// silence is how long each peer has been silent.
+	// silence is how long each peer has been silent, by this leader and those before.
 	silence map[uint64]time.Duration
 	// successors are the members that take the place of others, by the id of the latter.
 	successors map[uint64]raft.Member
@@ -55,6 +55,12 @@
 		p.peers[peer.ID] = peer
 		p.silence[peer.ID] = silence(peer)
 	}
+	for _, m := range p.members {
+		// What earlier leaders have observed counts once this one has found the member silent.
+		if p.silence[m.ID] >= silenceNoticeTime {
+			p.silence[m.ID] = max(p.silence[m.ID], time.Duration(m.SilentSeconds)*time.Second) //nolint:gosec // bounded
+		}
+	}
 	p.pair()
 	return p
 }
@@ -125,7 +131,7 @@
 
 // joinedSince reports whether a member has joined since another one fell silent.
 func joinedSince(successor, m raft.Member) bool {
-	return m.SilentSinceID != 0 && m.SilentSinceID < successor.ID
+	return m.SilentSinceID != 0 && m.SilentSinceID < cmp.Or(successor.FirstID, successor.ID)
 }
 
 // next returns the next change and its reason.
@@ -204,10 +210,11 @@
 	return raft.MemberChange{Kind: raft.RemoveMember, Member: m, Updates: []raft.Member{successor}}
 }
 
-// isReplaced reports whether a member is silent and has a successor.
+// isReplaced reports whether a member is silent and its successor counts in its place. One whose
+// successor had joined before may be restarting.
 func (p *membershipPlan) isReplaced(m raft.Member) bool {
-	_, paired := p.successors[m.ID]
-	return paired && m.SilentSinceID != 0
+	successor, paired := p.successors[m.ID]
+	return paired && (joinedSince(successor, m) || m.SilentSinceID != 0 && p.silence[m.ID] >= replacementSilence)
 }
 
 // isGone reports whether a replaced member has been silent for so long that it is removed. One
--- a/replicate/replica.go
+++ b/replicate/replica.go
@@ -114,6 +114,8 @@
 	snapshotInProgress   bool
 	// leadingSince is when this replica last became leader.
 	leadingSince time.Duration
+	// countedAt is when this leader last counted a second of each member's silence.
+	countedAt map[uint64]time.Duration
 	// addedAt is when this leader added each member.
 	addedAt map[uint64]time.Duration
 	// tickedAt is the time of the last tick, observedSince since when there has been no long
@@ -142,7 +144,7 @@
 	}
 	r := &Replica{
 		options: o, node: node, proposals: map[uint64][]proposal{}, pendingReads: map[uint64]func(error){},
-		addedAt: map[uint64]time.Duration{}, requestedIDs: map[string]uint64{},
+		addedAt: map[uint64]time.Duration{}, countedAt: map[uint64]time.Duration{}, requestedIDs: map[string]uint64{},
 	}
 	if o.Stored.Snapshot.Index > 0 {
 		if err := o.Machine.Restore(o.Stored.Snapshot.Data); err != nil {
@@ -353,6 +355,7 @@
 	if r.leading && (!isLeader || r.term != s.Term) {
 		r.leading, r.leaseEnd = false, 0
 		clear(r.addedAt)
+		clear(r.countedAt)
 		r.refusal = nil
 		r.options.Log.Info().Uint64("term", r.term).Msg("lost leadership")
 		r.failProposals()
@@ -393,8 +396,16 @@
 // logMembers logs the members, or only those whose attributes have changed if nothing else has.
 func (r *Replica) logMembers(s *raft.Status, before []raft.Member) {
 	if slices.EqualFunc(before, r.members, sameVoteAndAddress) {
-		isKnown := func(m raft.Member) bool { return slices.Contains(before, m) }
+		isKnown := func(m raft.Member) bool {
+			return slices.ContainsFunc(before, func(other raft.Member) bool {
+				other.SilentSeconds = m.SilentSeconds
+				return other == m
+			})
+		}
 		changed := slices.DeleteFunc(slices.Clone(r.members), isKnown)
+		if len(changed) == 0 {
+			return
+		}
 		r.options.Log.Info().Array("list", memberArray(changed)).Msg("member attributes changed")
 		return
 	}
