--- a/relay/relay.go
+++ b/relay/relay.go
@@ -227,6 +227,10 @@
 	case r.leader == source || r.leader == "":
 		r.leader = leader
 	}
+	if r.leader == "" {
+		// The search for the next leader begins at once.
+		clear(r.asked)
+	}
 }
 
 func (r *Relay) recordLeader(address string) {
