--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -11,6 +11,9 @@
 const (
 	// maxVoters is the largest number of voters. Further replicas stay learners.
 	maxVoters = 7
+	// minVoters is the number of voters of which none is demoted: the loss of the disk of a
+	// single one would lose the log.
+	minVoters = 2
 	// replacementSilence is how long a member must have been silent until a learner gets its
 	// vote, or until the member that has joined since takes its place.
 	replacementSilence = 2500 * time.Millisecond
@@ -137,17 +140,17 @@
 // next returns the next change and its reason.
 func (p *membershipPlan) next() (raft.MemberChange, string, bool) {
 	voters, target := p.voters(), targetVoters(p.replicas())
-	learner, found := p.bestLearner(voters)
-	if found && len(voters) < target {
+	learner, caughtUp := p.bestLearner(voters)
+	if caughtUp && len(voters) < target {
 		return raft.MemberChange{Kind: raft.PromoteLearner, Member: learner}, "fewer vote than fit the number of replicas", true
 	}
-	if m, found := p.removable(voters, target, found); found {
+	if m, found := p.removable(voters, target, caughtUp); found {
 		return p.removal(m), "another member has taken its place", true
 	}
-	if change, reason, found := p.nextForAbsent(voters, learner, found); found {
+	if change, reason, found := p.nextForAbsent(voters, learner, caughtUp); found {
 		return change, reason, true
 	}
-	if m, found := p.worstVoter(voters); found && len(voters) > target {
+	if m, found := p.worstVoter(voters); found && len(voters) > max(target, minVoters) {
 		return raft.MemberChange{Kind: raft.DemoteVoter, Member: m}, "more vote than fit the number of replicas", true
 	}
 	return raft.MemberChange{}, "", false
