--- a/replicate/orders_test.go
+++ b/replicate/orders_test.go
@@ -183,10 +183,7 @@
 		}
 		c.expectFitting()
 	}
-	c.losePowerAndDisks(1)
-	c.runUntil(c.now + 3*time.Second)
-	c.recover()
-	c.becomeComplete()
+	c.surviveLostDisk()
 	return nil
 }
 
--- a/replicate/power_test.go
+++ b/replicate/power_test.go
@@ -349,44 +349,6 @@
 	})
 }
 
-// joinLater asks all replicas to join, until one grants an id.
-func (h *powerHost) joinLater() {
-	c, life := h.cluster, h.life
-	c.schedule(powerJoinInterval, func() {
-		if h.life != life || h.replica != nil {
-			return
-		}
-		h.joinLater()
-		for _, at := range c.hosts {
-			if at.replica != nil && c.group[at.address] == c.group[h.address] {
-				h.joinAt(at)
-			}
-		}
-	})
-}
-
-// joinAt asks one replica to join and starts with the id that it grants.
-func (h *powerHost) joinAt(at *powerHost) {
-	c, life, nonce := h.cluster, h.life, h.nonce
-	at.onControl(at.life, func() {
-		id, err := at.replica.RequestJoin(JoinRequest{Nonce: nonce, Address: h.address, FirstStart: h.firstStart})
-		if err != nil {
-			return
-		}
-		peers := map[uint64]string{}
-		for _, m := range at.replica.Status().Membership.Members {
-			peers[m.ID] = m.Address
-		}
-		c.schedule(c.randomTime(time.Millisecond, 20*time.Millisecond), func() {
-			if h.life == life && h.replica == nil {
-				h.id, h.stored, h.peers = id, raft.Stored{}, peers
-				c.counts["joined"]++
-				h.startReplica()
-			}
-		})
-	})
-}
-
 // propose proposes a command at each replica that takes it for itself to lead. The first
 // acknowledgement of a command calls onAcknowledged.
 func (c *powerCluster) propose(onAcknowledged func()) {
--- a/replicate/turnover_test.go
+++ b/replicate/turnover_test.go
@@ -155,6 +155,14 @@
 	}
 }
 
+// surviveLostDisk takes the power of all hosts with one disk, and requires that they recover.
+func (c *powerCluster) surviveLostDisk() {
+	c.losePowerAndDisks(1)
+	c.runUntil(c.now + 3*time.Second)
+	c.recover()
+	c.becomeComplete()
+}
+
 // runTurnover replaces every host once and takes the power of all hosts with one disk at the
 // end. It returns what a seed has broken.
 func runTurnover(seed uint64, founders, joining int, t turnover) (broken any) {
@@ -165,10 +173,7 @@
 		c.replace(t)
 		c.expectFitting()
 	}
-	c.losePowerAndDisks(1)
-	c.runUntil(c.now + 3*time.Second)
-	c.recover()
-	c.becomeComplete()
+	c.surviveLostDisk()
 	return nil
 }
 
