replicate, raft: one piece for what stood twice in the membership

The condition under which a member that is gone is removed stood in the plan and in its explanation, the set of members that replace others was computed in both, and raft refused the leader in two places; the message for a case that could no longer occur, Replica.Members and MemberStatus.Answered had no use. A comment of the turnover specs named the members where the voters are checked. No decision, bound or check changes.

--- a/raft/membership.go
+++ b/raft/membership.go
@@ -149,20 +149,28 @@
 	if _, found := current.Find(id); !found {
 		return current, fmt.Errorf("%w: replica %d is no member; see the status", ErrInvalidChange, id)
 	}
-	if id == n.config.ID {
-		return current, fmt.Errorf("%w: replica %d is the leader; transfer leadership first", ErrInvalidChange, id)
+	if err := n.refuseLeader(id); err != nil {
+		return current, err
 	}
 	return current.without(id), nil
 }
 
+// refuseLeader returns an error for the id of this replica, which leads.
+func (n *Node) refuseLeader(id uint64) error {
+	if id == n.config.ID {
+		return fmt.Errorf("%w: replica %d is the leader; transfer leadership first", ErrInvalidChange, id)
+	}
+	return nil
+}
+
 // demoted makes a voter a learner. The leader stays a voter.
 func (n *Node) demoted(member Member, found bool) (Membership, error) {
 	current := n.membership()
 	if !found || member.Learner {
 		return current, fmt.Errorf("%w: replica %d is no voter; see the status", ErrInvalidChange, member.ID)
 	}
-	if member.ID == n.config.ID {
-		return current, fmt.Errorf("%w: replica %d is the leader; transfer leadership first", ErrInvalidChange, member.ID)
+	if err := n.refuseLeader(member.ID); err != nil {
+		return current, err
 	}
 	member.Learner = true
 	return current.with(member), nil
--- a/replicate/explain.go
+++ b/replicate/explain.go
@@ -1,6 +1,7 @@
 package replicate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,12 +54,10 @@
 	switch {
 	case replaced && !p.isGone(m):
 		return "its successor had joined before it fell silent; it is removed after " + unannouncedSilence.String()
-	case replaced && (m.Learner || spare || !successor.Learner):
+	case replaced && p.canSpare(m, spare):
 		return ""
-	case replaced && successor.Learner:
-		return "its successor is not promoted: " + p.whyNotPromoted(successor)
 	case replaced:
-		return "fewer would vote than fit the number of replicas, and no learner has caught up"
+		return "its successor is not promoted: " + p.whyNotPromoted(successor)
 	case p.hasFreeSurplus(m.ID):
 		return "no member has joined since it fell silent; one that had joined before takes its place after " + unannouncedSilence.String()
 	}
@@ -67,16 +66,8 @@
 
 // hasFreeSurplus reports whether a surplus member other than the one with the id replaces none.
 func (p *membershipPlan) hasFreeSurplus(id uint64) bool {
-	used := map[uint64]bool{id: true}
-	for _, successor := range p.successors {
-		used[successor.ID] = true
-	}
-	for _, m := range p.members {
-		if m.Surplus && !used[m.ID] {
-			return true
-		}
-	}
-	return false
+	used := p.replacing()
+	return slices.ContainsFunc(p.members, func(m raft.Member) bool { return m.Surplus && m.ID != id && !used[m.ID] })
 }
 
 // whyNotPromoted returns why a learner is not promoted though fewer vote than fit, "" if it
--- a/replicate/plan.go
+++ b/replicate/plan.go
@@ -72,7 +72,6 @@
 // is the first by replacedEarlier. The members are ordered by id, and each surplus member that
 // runs may replace all that those before it may, so that as many as possible are paired.
 func (p *membershipPlan) pair() {
-	used := map[uint64]bool{}
 	for _, successor := range p.members {
 		if !successor.Surplus {
 			continue
@@ -88,16 +87,25 @@
 		}
 		if lost.ID != 0 {
 			p.successors[lost.ID] = successor
-			used[successor.ID] = true
 		}
 	}
-	p.pairWithThemselves(used)
+	p.pairWithThemselves()
+}
+
+// replacing returns the ids of the members that take the place of others.
+func (p *membershipPlan) replacing() map[uint64]bool {
+	ids := map[uint64]bool{}
+	for _, successor := range p.successors {
+		ids[successor.ID] = true
+	}
+	return ids
 }
 
 // pairWithThemselves lets the surplus members that have stopped for good, and that neither
 // replace another one nor are replaced, go without a successor: the system is then as large as
 // before they joined.
-func (p *membershipPlan) pairWithThemselves(used map[uint64]bool) {
+func (p *membershipPlan) pairWithThemselves() {
+	used := p.replacing()
 	for _, m := range p.members {
 		_, replaced := p.successors[m.ID]
 		stopped := m.Leaving && m.SilentSinceID != 0 && p.silence[m.ID] >= unannouncedSilence
@@ -160,14 +168,21 @@
 // it is given to the learner that has caught up, if there is one: with one voter more, a quorum
 // would need every other one.
 func (p *membershipPlan) removable(voters []raft.Member, target int, caughtUp bool) (raft.Member, bool) {
+	spare := caughtUp || len(voters) > target
 	for _, m := range p.members {
-		if p.isGone(m) && (m.Learner || len(voters) > target || caughtUp || !p.successors[m.ID].Learner) {
+		if p.isGone(m) && p.canSpare(m, spare) {
 			return m, true
 		}
 	}
 	return raft.Member{}, false
 }
 
+// canSpare reports whether a member that is gone can be removed. spare is set if the number of
+// voters permits to remove one.
+func (p *membershipPlan) canSpare(m raft.Member, spare bool) bool {
+	return m.Learner || spare || !p.successors[m.ID].Learner
+}
+
 // nextForAbsent returns the next change on behalf of a voter that is silent or stops. Its vote
 // is moved to the learner, if one has caught up: unlike the removal of the member, that costs
 // no data if it returns.
--- a/replicate/status.go
+++ b/replicate/status.go
@@ -12,8 +12,7 @@
 	// Self is set for this replica, Leader for the one that it takes for the leader.
 	Self   bool
 	Leader bool
-	// Answered, Match, Silence and CaughtUp are as in raft.PeerStatus. Only a leader knows them.
-	Answered bool
+	// Match, Silence and CaughtUp are as in raft.PeerStatus. Only a leader knows them.
 	Match    uint64
 	Silence  time.Duration
 	CaughtUp bool
@@ -63,12 +62,9 @@
 		peer := p.peers[m.ID]
 		status.Members = append(status.Members, MemberStatus{
 			Member: m, Self: m.ID == s.ID, Leader: m.ID == s.Leader,
-			Answered: peer.Answered, Match: peer.Match, Silence: peer.Silence, CaughtUp: peer.CaughtUp,
+			Match: peer.Match, Silence: peer.Silence, CaughtUp: peer.CaughtUp,
 			Successor: p.successors[m.ID].ID, Waits: reasons[m.ID],
 		})
 	}
 	return status
 }
-
-// Members returns the members of the log, ordered by id.
-func (r *Replica) Members() []MemberStatus { return r.Membership().Members }
--- a/replicate/turnover_test.go
+++ b/replicate/turnover_test.go
@@ -11,7 +11,7 @@
 
 const (
 	// turnoverCatchUp is the time after the start of a successor, or the departure of a host
-	// that is replaced as planned, from which on the members have to be the hosts that run.
+	// that is replaced as planned, from which on the voters have to be hosts that run.
 	turnoverCatchUp = 4 * time.Second
 	// turnoverMinGap and turnoverMaxGap limit the time between a departure and the start of
 	// the successor, or the reverse. A host that departs unannounced after its successor has
