Review: two overlapping losses leave the log without a quorum for good

A core machine freezes for 4 s and another one loses its disk 2.3 s later. No core machine leads any more.

--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -19,6 +19,7 @@
 	"crashes":    crashes,
 	"quarantine": quarantine,
 	"gang":       gang,
+	"quorum":     quorum,
 }
 
 // waitUntil sleeps until a time of the case.
