--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 )
 
@@ -12,14 +10,10 @@
 type caseFunc func(w *world, trouble bool) (broken int, err error)
 
 var cases = map[string]caseFunc{
-	"retired":    retired,
+	"quorum":     quorum,
 	"reserved":   reserved,
-	"kept":       kept,
 	"filler":     filler,
-	"crashes":    crashes,
 	"quarantine": quarantine,
-	"gang":       gang,
-	"quorum":     quorum,
 }
 
 // waitUntil sleeps until a time of the case.
@@ -120,13 +114,12 @@
 	return j
 }
 
-// traffic hands in a short job at a fixed interval until a time of the case. refused is
-// called with each that was refused.
-func (w *world) traffic(until, every time.Duration, next func() *job, refused func(*job)) (wait func() []*job) {
+// traffic hands in a short job at a fixed interval until a time of the case.
+func (w *world) traffic(until, every time.Duration, next func() *job) (wait func() []*job) {
 	result := newCollection()
 	go func() {
 		for w.since() < until && w.ctx.Err() == nil {
-			result.add(w, next(), refused)
+			result.add(w, next())
 			time.Sleep(every)
 		}
 		result.end()
@@ -146,15 +139,9 @@
 	return c
 }
 
-func (c *collection) add(w *world, j *job, refused func(*job)) {
+func (c *collection) add(w *world, j *job) {
 	c.open <- struct{}{}
-	go func() {
-		w.hand(j)
-		if j.outcome == "refused" && refused != nil {
-			refused(j)
-		}
-		c.jobs <- j
-	}()
+	go func() { c.jobs <- w.hand(j) }()
 }
 
 // end collects what was handed in.
@@ -168,50 +155,6 @@
 
 func (c *collection) wait() []*job { return <-c.done }
 
-// retired: the operator replaces routes by others, again and again, while requesters send to
-// the former until one of them is told that they are gone.
-func retired(w *world, trouble bool) (int, error) {
-	const changes, routesOfEach, gap = 300, 100, 200 * time.Millisecond
-	generation := func(i int) []route {
-		var list []route
-		for n := range routesOfEach {
-			list = append(list, newRoute(fmt.Sprintf("lohu%03dx%03d", i, n), 0, 250, 4))
-		}
-		return list
-	}
-	if err := w.start(48, 0, generation(0)...); err != nil {
-		return 0, err
-	}
-	var mu sync.Mutex
-	used, newest := generation(0), generation(0)
-	first := w.since()
-	wait := w.traffic(first+changes*gap, 75*time.Millisecond, func() *job {
-		mu.Lock()
-		defer mu.Unlock()
-		return newJob(used[rand.IntN(routesOfEach)], "done 400", phase{Count: 2, CPU: 1000, MemMB: 2000, EstimateMS: 400})
-	}, func(*job) {
-		mu.Lock()
-		defer mu.Unlock()
-		used = newest
-	})
-	if trouble {
-		for i := range changes {
-			w.waitUntil(first + time.Duration(i)*gap + time.Duration(rand.IntN(100))*time.Millisecond)
-			next := generation(i + 1)
-			if !w.configure(i+2, next...) {
-				return 0, fmt.Errorf("a configuration got no ack")
-			}
-			mu.Lock()
-			newest = next
-			mu.Unlock()
-		}
-	}
-	jobs := accepted(wait())
-	w.note("traffic ends: %d jobs were accepted", len(jobs))
-	time.Sleep(finishAfter)
-	return w.reportIdle(w.unfinished(jobs), 4*time.Second), nil
-}
-
 // reserved: two workers of kind b; a task that lasts loses its worker for good and finds no
 // room on the other one.
 func reserved(w *world, trouble bool) (int, error) {
@@ -233,10 +176,10 @@
 	begin := w.since()
 	wait := w.traffic(begin+15*time.Second, 1500*time.Millisecond, func() *job {
 		return newJob(short, "done 800", phase{Count: 1, CPU: 4000, MemMB: 6000, EstimateMS: 800, Constraints: "b"})
-	}, nil)
+	})
 	other := w.traffic(begin+15*time.Second, time.Second, func() *job {
 		return newJob(short, "done 800", phase{Count: 4, CPU: 3500, MemMB: 6000, EstimateMS: 800})
-	}, nil)
+	})
 	jobs := accepted(append(wait(), other()...))
 	w.note("traffic ends: %d short jobs were accepted", len(jobs))
 	time.Sleep(finishAfter)
@@ -265,36 +208,6 @@
 	return w.workers[slices.IndexFunc(w.workers, func(s *worker) bool { return s.id == id })]
 }
 
-// kept: two workers of kind b, of which one is lost for good. Then a job that lasts asks for
-// kind b, while short jobs come at a steady rate.
-func kept(w *world, trouble bool) (int, error) {
-	short, lasting := newRoute("lohu930", 0, 250, 4), newRoute("pule252", 0, 2500, 3)
-	if err := w.start(46, 2, short, lasting); err != nil {
-		return 0, err
-	}
-	end := w.since() + 50*time.Second
-	wait := w.traffic(end, 250*time.Millisecond, func() *job {
-		return newJob(short, "done 800", phase{Count: 6, CPU: 2300, MemMB: 4600, EstimateMS: 800})
-	}, nil)
-	time.Sleep(4 * time.Second)
-	task := phase{Count: 1, CPU: 6400, MemMB: 13000, EstimateMS: 500, Constraints: "b", LongRunning: true}
-	early := w.hand(newJob(lasting, "last", task))
-	time.Sleep(4 * time.Second)
-	if len(w.jobRuns(early)) != 1 {
-		return 0, fmt.Errorf("the first task that lasts has not started")
-	}
-	if trouble {
-		w.lose(w.workers[46+rand.IntN(2)].id)
-	}
-	time.Sleep(10 * time.Second)
-	late := w.hand(newJob(lasting, "last", task))
-	time.Sleep(10 * time.Second)
-	broken := w.reportIdle([]*job{late}, 15*time.Second)
-	jobs := accepted(wait())
-	w.note("traffic ends: %d short jobs were accepted; the late job is shown as %s", len(jobs), w.state(late))
-	return broken, nil
-}
-
 // filler: jobs whose tasks fill come at once; they ask for much memory.
 func filler(w *world, trouble bool) (int, error) {
 	short := newRoute("lohu930", 2, 1000, 4)
@@ -313,42 +226,6 @@
 	return w.reportIdle(w.unfinished(accepted(jobs)), 4*time.Second), nil
 }
 
-// crashes: jobs that last; an eighth of the workers crash for 2 s, every 4 s.
-func crashes(w *world, trouble bool) (int, error) {
-	lasting := newRoute("pule252", 0, 2500, 3)
-	if err := w.start(32, 16, lasting); err != nil {
-		return 0, err
-	}
-	var jobs []*job
-	for range 16 {
-		jobs = append(jobs, w.hand(newJob(lasting, "last", phase{Count: 6, CPU: 6400, MemMB: 13000, EstimateMS: 500, LongRunning: true})))
-	}
-	time.Sleep(4 * time.Second)
-	for range 10 {
-		if trouble {
-			for _, i := range rand.Perm(len(w.workers))[:6] {
-				w.workers[i].crashFor(2 * time.Second)
-			}
-		}
-		time.Sleep(4 * time.Second)
-	}
-	time.Sleep(4 * time.Second)
-	broken := 0
-	for _, j := range accepted(jobs) {
-		if state := w.state(j); state != "running" {
-			failed := 0
-			for _, r := range w.jobRuns(j) {
-				if r.how == "failed" {
-					failed++
-				}
-			}
-			w.note("BROKEN: job %s, whose tasks last, is shown as %s; %d of its runs have ended failed", j.id, state, failed)
-			broken++
-		}
-	}
-	return broken, nil
-}
-
 // quarantine: jobs that last on two workers of kind b; their tasks fail at times.
 func quarantine(w *world, trouble bool) (int, error) {
 	lasting := newRoute("pule252", 0, 2500, 3)
@@ -380,36 +257,3 @@
 	}
 	return broken, nil
 }
-
-// gang: gangs with checkpoints; one worker that runs a member of each crashes once, for 2 s.
-func gang(w *world, trouble bool) (int, error) {
-	short := newRoute("lohu930", 2, 1000, 4)
-	if err := w.start(48, 0, short); err != nil {
-		return 0, err
-	}
-	var jobs []*job
-	for range 3 {
-		jobs = append(jobs, w.hand(newJob(short, "done 5000", phase{
-			Count: 4, CPU: 3500, MemMB: 6000, EstimateMS: 5000, Gang: true, Checkpoints: true, PerWorker: 1})))
-	}
-	time.Sleep(2500 * time.Millisecond)
-	for _, j := range jobs {
-		time.Sleep(time.Duration(rand.IntN(500)) * time.Millisecond)
-		if runs := w.taskRuns(j, 0, rand.IntN(4)); trouble && len(runs) == 1 {
-			w.worker(runs[0].worker).crashFor(2 * time.Second)
-		}
-	}
-	time.Sleep(50 * time.Second)
-	broken := 0
-	for _, j := range w.unfinished(accepted(jobs)) {
-		alone := 0
-		for _, r := range w.jobRuns(j) {
-			if r.how == "alone" {
-				alone++
-			}
-		}
-		w.note("BROKEN: gang %s isn't done; %d of its runs have ended alone", j.id, alone)
-		broken++
-	}
-	return broken, nil
-}
--- a/review/_lab/worker.go
+++ b/review/_lab/worker.go
@@ -52,10 +52,6 @@
 	cpu, mem int
 	stopping bool
 	record   *runRecord
-	// gang is the run of the gang that the task belongs to, nil for other tasks, and saved the
-	// checkpoint.
-	gang  *gangRun
-	saved string
 }
 
 type end struct {
@@ -63,7 +59,6 @@
 	task    string
 	attempt int
 	how     string
-	saved   string
 }
 
 func (l *life) clock() int64 { return 1000 + time.Since(l.start).Milliseconds() }
@@ -113,8 +108,7 @@
 		s.mu.Unlock()
 		return
 	}
-	for task, r := range l.running {
-		r.leaveGang(task)
+	for _, r := range l.running {
 		s.endRecord(r, "crashed")
 	}
 	l.running = map[string]*run{}
@@ -123,21 +117,6 @@
 	_ = l.server.Close()
 }
 
-// crashFor ends the life and begins the next one after a time.
-func (s *worker) crashFor(down time.Duration) {
-	s.w.note("worker %s crashes", s.id)
-	s.crash()
-	time.AfterFunc(down, func() {
-		if s.w.ctx.Err() != nil {
-			return
-		}
-		s.w.note("worker %s is back", s.id)
-		if err := s.begin(); err != nil {
-			s.w.note("worker %s: %v", s.id, err)
-		}
-	})
-}
-
 func (s *worker) endRecord(r *run, how string) {
 	s.w.mu.Lock()
 	defer s.w.mu.Unlock()
@@ -164,7 +143,6 @@
 	DeadlineMS int64  `json:"deadline-ms"`
 	LastSeen   int64  `json:"last-seen"`
 	WaitMS     int64  `json:"wait-ms"`
-	Checkpoint string `json:"checkpoint"`
 }
 
 func (s *worker) serve(l *life, rw http.ResponseWriter, r *http.Request) {
@@ -192,10 +170,6 @@
 	if s.life != l {
 		panic(http.ErrAbortHandler)
 	}
-	if path == "/run-start" && !s.w.sameCheckpoint(o) {
-		s.w.note("%s is told to start %s run %d with the checkpoint %q, unlike other members of the gang", s.id, o.Task, o.Attempt, o.Checkpoint)
-		return http.StatusBadRequest, map[string]any{"clock-ms": l.clock()}
-	}
 	if o.Fence < l.fence {
 		return http.StatusConflict, map[string]any{"clock-ms": l.clock(), "reason": "fence"}
 	}
@@ -235,14 +209,10 @@
 	r := &run{attempt: o.Attempt, began: time.Now(), record: &runRecord{worker: s.id, attempt: o.Attempt, start: s.w.since()}}
 	r.cpu, r.mem = s.w.sizeOf(o.Task)
 	l.running[o.Task] = r
-	r.saved = o.Checkpoint
 	s.w.mu.Lock()
 	s.w.runs[o.Task] = append(s.w.runs[o.Task], r.record)
 	s.w.mu.Unlock()
-	s.w.note("%s starts %s run %d %s", s.id, o.Task, o.Attempt, o.Checkpoint)
-	if s.w.joinGang(s, l, o, r) {
-		return ""
-	}
+	s.w.note("%s starts %s run %d", s.id, o.Task, o.Attempt)
 	if n, _ := fmt.Sscanf(o.Spec, "done %d", &least); n == 1 {
 		r.length = time.Duration(least) * time.Millisecond
 		s.endLater(l, o.Task, r, r.length, "done")
@@ -272,11 +242,10 @@
 
 func (s *worker) end(l *life, task, how string) {
 	r := l.running[task]
-	r.leaveGang(task)
 	delete(l.running, task)
 	l.barred[task] = max(l.barred[task], r.attempt)
 	l.ends++
-	l.finished = append(l.finished, end{l.ends, task, r.attempt, how, r.savedNow()})
+	l.finished = append(l.finished, end{l.ends, task, r.attempt, how})
 	s.endRecord(r, how)
 	s.w.note("%s ends %s run %d %s", s.id, task, r.attempt, how)
 	close(l.changed)
@@ -312,10 +281,10 @@
 		} else if time.Since(r.began) < 500*time.Millisecond {
 			percent = 50
 		}
-		running = append(running, []any{task, r.attempt, r.savedNow(), percent, r.cpu})
+		running = append(running, []any{task, r.attempt, "", percent, r.cpu})
 	}
 	for _, f := range l.finished[:min(500, len(l.finished))] {
-		finished = append(finished, []any{f.number, f.task, f.attempt, f.how, f.saved})
+		finished = append(finished, []any{f.number, f.task, f.attempt, f.how, ""})
 	}
 	return http.StatusOK, map[string]any{"clock-ms": l.clock(), "born": l.born, "running": running, "finished": finished}
 }
--- a/review/_lab/world.go
+++ b/review/_lab/world.go
@@ -248,9 +248,6 @@
 	LongRunning bool   `json:"long-running,omitempty"`
 	Fills       bool   `json:"fills,omitempty"`
 	Image       string `json:"image,omitempty"`
-	Gang        bool   `json:"gang,omitempty"`
-	Checkpoints bool   `json:"checkpointing,omitempty"`
-	PerWorker   int    `json:"anti-affinity,omitempty"`
 }
 
 // job is a job as its requester knows it.
