jobs, jobd, platform: evacuation of a failure domain, the core

Cause: the operator's order to evacuate a failure domain was answered 404 by every process, so that work went on starting there.

--- a/jobd/api.go
+++ b/jobd/api.go
@@ -25,6 +25,10 @@
 	KindNoJob ErrorKind = "no_job"
 	// KindInvalid means that the request is invalid and fails again if it is repeated unchanged.
 	KindInvalid ErrorKind = "invalid"
+	// KindUnknownDomain means that no failure domain has the name.
+	KindUnknownDomain ErrorKind = "unknown_domain"
+	// KindUnsupported means that the deployment's settings do not ask for the function.
+	KindUnsupported ErrorKind = "unsupported"
 	// KindUnresolved means that the request may have been executed.
 	KindUnresolved ErrorKind = "unresolved"
 )
@@ -69,6 +73,11 @@
 	Configure(ctx context.Context, c jobs.Config) error
 	// Configuration returns the document of the active configuration as it was sent.
 	Configuration(ctx context.Context) ([]byte, error)
+	// Evacuate orders that no more tasks start in a failure domain. It returns once the order
+	// is committed. Repeating it changes nothing. operator may be empty.
+	Evacuate(ctx context.Context, domain, operator string) error
+	// EndEvacuation revokes the order.
+	EndEvacuation(ctx context.Context, domain, operator string) error
 }
 
 // WorkerClient sends orders to workers.
--- /dev/null
+++ b/jobd/evacuations.go
@@ -0,0 +1,79 @@
+package jobd
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"geraniumwall/jobs"
+)
+
+// maxDomainBytes bounds the name of a failure domain.
+const maxDomainBytes = 255
+
+var errNoEvacuations = &Error{
+	Kind: KindUnsupported, Text: "this deployment does not use evacuations; set evacuation_apply_ms on all replicas",
+}
+
+// Evacuate implements OperatorService.
+func (s *Server) Evacuate(ctx context.Context, domain, operator string) error {
+	return s.orderEvacuation(ctx, domain, func(at int64) jobs.Command {
+		return jobs.Command{Evacuate: &jobs.Evacuate{Domain: domain, By: operator, Replica: s.settings.Name, At: at}}
+	})
+}
+
+// EndEvacuation implements OperatorService.
+func (s *Server) EndEvacuation(ctx context.Context, domain, operator string) error {
+	return s.orderEvacuation(ctx, domain, func(at int64) jobs.Command {
+		return jobs.Command{EndEvacuation: &jobs.EndEvacuation{Domain: domain, By: operator, Replica: s.settings.Name, At: at}}
+	})
+}
+
+// orderEvacuation commits an order about a failure domain. The order of the log decides
+// between concurrent orders.
+func (s *Server) orderEvacuation(ctx context.Context, domain string, command func(at int64) jobs.Command) error {
+	if s.settings.EvacuationApplyMS == 0 {
+		return errNoEvacuations
+	}
+	_, err := callManager(ctx, s, func(m *manager, done func(struct{}, error)) {
+		finish := func(err error) { done(struct{}{}, err) }
+		if err := m.checkLeader(); err != nil {
+			finish(err)
+			return
+		}
+		if err := m.checkDomain(domain); err != nil {
+			finish(err)
+			return
+		}
+		m.propose(command(time.Now().UnixMilli()), func(r jobs.Result, ok bool) {
+			if ok {
+				m.log.Info().Str("domain", domain).Bool("evacuated", m.store.Evacuated(domain)).Bool("changed", r.Applied).
+					Uint64("term", m.term).Msg("evacuation order acknowledged")
+			}
+			finish(unresolvedUnless(ok))
+		})
+	})
+	return err
+}
+
+// checkDomain returns an error unless a failure domain is known by the settings, by a
+// worker or by an evacuation.
+func (m *manager) checkDomain(domain string) error {
+	if domain != "" && len(domain) <= maxDomainBytes && (slices.Contains(m.settings.Domains, domain) || m.store.KnowsDomain(domain)) {
+		return nil
+	}
+	return &Error{Kind: KindUnknownDomain, Text: fmt.Sprintf("there is no failure domain %.64q; the known ones are %s",
+		domain, strings.Join(m.knownDomains(), ", "))}
+}
+
+// knownDomains returns the failure domains of the settings and of the workers, sorted.
+func (m *manager) knownDomains() []string {
+	domains := slices.Clone(m.settings.Domains)
+	for _, w := range m.store.Workers() {
+		domains = append(domains, w.Domain)
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -95,6 +95,10 @@
 	case c.Configure != nil:
 		m.log.Info().Int64("version", c.Configure.Config.Version).Int("queues", len(c.Configure.Config.Queues)).
 			Msg("configuration activated")
+	case c.Evacuate != nil:
+		m.log.Info().Str("domain", c.Evacuate.Domain).Str("operator", c.Evacuate.By).Msg("failure domain evacuated")
+	case c.EndEvacuation != nil:
+		m.log.Info().Str("domain", c.EndEvacuation.Domain).Str("operator", c.EndEvacuation.By).Msg("evacuation revoked")
 	case c.End != nil && m.dispatcher != nil:
 		if j := m.store.Job(c.End.Task.Job); j != nil {
 			m.logEnd(j, c.End)
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -41,6 +41,12 @@
 	// nothing for so long gets no new tasks. With 0 it gets them for four heartbeat
 	// intervals.
 	CapacityGraceMS int64 `json:"capacity_grace_ms"`
+	// EvacuationApplyMS is the time within which the evacuation of a failure domain has to be
+	// in force, in milliseconds; 0 if the deployment does not use evacuations.
+	EvacuationApplyMS int64 `json:"evacuation_apply_ms"`
+	// Domains are the failure domains of the deployment. An operator may name one that has no
+	// worker yet only if it is listed.
+	Domains []string `json:"domains"`
 	// MinWorkersForCarriers is the number of workers from which on carriers, the other
 	// replicas, send the leader's orders to workers; 0 for never. In smaller fleets the
 	// leader calls the workers itself, since each replica in between is another point of
@@ -66,6 +72,9 @@
 	c.NotNegative("carry_from_workers", int64(s.MinWorkersForCarriers))
 	c.NotNegative("capacity_grace_ms", s.CapacityGraceMS)
 	c.NotNegative("max_open_files", s.MaxOpenFiles)
+	if s.EvacuationApplyMS != 0 {
+		c.Positive("evacuation_apply_ms", s.EvacuationApplyMS)
+	}
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
--- a/jobd/status.go
+++ b/jobd/status.go
@@ -56,7 +56,7 @@
 
 func workerFields(c *dispatch.WorkerCounts) *zerolog.Event {
 	return zerolog.Dict().Int("known", c.Known).Int("usable", c.Usable).Int("leaving", c.Leaving).
-		Int("unconfirmed", c.Unconfirmed).Int("unresponsive", c.Unresponsive).Int("silent", c.Silent).Int("quarantined", c.Quarantined).Int("unreadable_ends", c.UnreadableEnds)
+		Int("unconfirmed", c.Unconfirmed).Int("evacuated", c.Evacuated).Int("unresponsive", c.Unresponsive).Int("silent", c.Silent).Int("quarantined", c.Quarantined).Int("unreadable_ends", c.UnreadableEnds)
 }
 
 func attemptFields(c *dispatch.AttemptCounts) *zerolog.Event {
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -18,6 +18,9 @@
 	// leader registers each worker anew that it finds unregistered.
 	RegisterWorker *RegisterWorker `json:"reg,omitempty"`
 	RemoveWorker   *RemoveWorker   `json:"unreg,omitempty"`
+	// Evacuate and EndEvacuation are ignored by versions that do not know them.
+	Evacuate      *Evacuate      `json:"evac,omitempty"`
+	EndEvacuation *EndEvacuation `json:"unevac,omitempty"`
 }
 
 // Task returns the task that the command refers to, or the zero key if it does not
@@ -46,6 +49,10 @@
 		return c.End.At
 	case c.RegisterWorker != nil:
 		return c.RegisterWorker.At
+	case c.Evacuate != nil:
+		return c.Evacuate.At
+	case c.EndEvacuation != nil:
+		return c.EndEvacuation.At
 	}
 	return 0
 }
--- a/jobs/dispatch/audit.go
+++ b/jobs/dispatch/audit.go
@@ -205,6 +205,8 @@
 	switch {
 	case w.terminated || w.deregistered || w.Draining:
 		return "leaving"
+	case d.store.Evacuated(w.Domain):
+		return "evacuated"
 	case !w.fenceConfirmed:
 		return "not confirmed"
 	case w.unresponsive:
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -463,6 +463,8 @@
 		return "an earlier attempt succeeded"
 	case j == nil || j.State.Ended():
 		return "the job has ended"
+	case d.evacuationPrevents(j, a):
+		return "the failure domain is evacuated"
 	case !a.worker.holdsAll():
 		return "the capacity of the worker shrank"
 	case a.step.Gang && !d.gangFits(j, a):
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -28,7 +28,7 @@
 
 // WorkerCounts counts workers by state. Except for Known each worker counts once.
 type WorkerCounts struct {
-	Known, Usable, Leaving, Unconfirmed, Unresponsive, Silent, Quarantined, UnreadableEnds int
+	Known, Usable, Leaving, Evacuated, Unconfirmed, Unresponsive, Silent, Quarantined, UnreadableEnds int
 }
 
 // AttemptCounts counts attempts by the progress of their start.
@@ -135,6 +135,8 @@
 	switch d.unusableBecause(w) {
 	case "leaving":
 		s.Workers.Leaving++
+	case "evacuated":
+		s.Workers.Evacuated++
 	case "not confirmed":
 		s.Workers.Unconfirmed++
 	case "unresponsive":
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -16,7 +16,8 @@
 	boundTasks map[Incarnation]map[TaskKey]*Task
 	effects    []Effect
 	// workers are the registered workers, by id.
-	workers map[string]*Worker
+	workers     map[string]*Worker
+	evacuations evacuations
 	// lastCommandAt is the time of the latest command that tells its time, in Unix
 	// milliseconds.
 	lastCommandAt int64
@@ -31,7 +32,7 @@
 func NewStore() *Store {
 	return &Store{
 		jobs: map[string]*Job{}, boundTasks: map[Incarnation]map[TaskKey]*Task{}, workers: map[string]*Worker{},
-		expired: map[TaskKey]*Task{}, changed: map[string]bool{},
+		expired: map[TaskKey]*Task{}, changed: map[string]bool{}, evacuations: evacuations{inForce: map[string]Evacuation{}},
 	}
 }
 
@@ -68,6 +69,10 @@
 		return s.registerWorker(c.RegisterWorker)
 	case c.RemoveWorker != nil:
 		return s.removeWorker(c.RemoveWorker)
+	case c.Evacuate != nil:
+		return s.evacuate(c.Evacuate)
+	case c.EndEvacuation != nil:
+		return s.endEvacuation(c.EndEvacuation)
 	}
 	return Result{}
 }
@@ -323,11 +328,17 @@
 	Workers []*Worker `json:"workers,omitempty"`
 	// LastCommandAt is missing in snapshots of earlier versions.
 	LastCommandAt int64 `json:"last_command_at,omitempty"`
+	// Evacuations and EvacuationRecords are missing in snapshots of earlier versions.
+	Evacuations       []Evacuation       `json:"evacuations,omitempty"`
+	EvacuationRecords []EvacuationRecord `json:"evacuation_records,omitempty"`
 }
 
 // Snapshot serializes the whole state.
 func (s *Store) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(snapshot{s.config, s.order, s.effects, s.Workers(), s.lastCommandAt})
+	data, err := json.Marshal(snapshot{
+		Config: s.config, Jobs: s.order, Effects: s.effects, Workers: s.Workers(), LastCommandAt: s.lastCommandAt,
+		Evacuations: s.Evacuations(), EvacuationRecords: s.evacuations.records,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("encode the job state: %w", err)
 	}
@@ -342,6 +353,10 @@
 	}
 	s := NewStore()
 	s.config, s.effects, s.lastCommandAt = decoded.Config, decoded.Effects, decoded.LastCommandAt
+	for _, e := range decoded.Evacuations {
+		s.evacuations.inForce[e.Domain] = e
+	}
+	s.evacuations.records = decoded.EvacuationRecords
 	for _, w := range decoded.Workers {
 		s.workers[w.Worker] = w
 	}
