jobs, jobd, platform: tests of evacuations and the faults that they found

Cause: the core had no tests. While all domains were evacuated, stalled tasks and paused fillers were stopped in order to move, with nowhere to go.

--- a/jobd/evacuations.go
+++ b/jobd/evacuations.go
@@ -68,12 +68,16 @@
 		domain, strings.Join(m.knownDomains(), ", "))}
 }
 
-// knownDomains returns the failure domains of the settings and of the workers, sorted.
+// knownDomains returns the failure domains of the settings, of the workers and of the
+// evacuations, sorted.
 func (m *manager) knownDomains() []string {
 	domains := slices.Clone(m.settings.Domains)
 	for _, w := range m.store.Workers() {
 		domains = append(domains, w.Domain)
 	}
+	for _, e := range m.store.Evacuations() {
+		domains = append(domains, e.Domain)
+	}
 	slices.Sort(domains)
 	return slices.Compact(domains)
 }
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -75,6 +75,11 @@
 	if s.EvacuationApplyMS != 0 {
 		c.Positive("evacuation_apply_ms", s.EvacuationApplyMS)
 	}
+	for _, domain := range s.Domains {
+		if domain == "" || len(domain) > maxDomainBytes {
+			c.Add("domains", fmt.Sprintf("%.64q is empty or has over %d bytes", domain, maxDomainBytes), "list the names of the failure domains")
+		}
+	}
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
--- a/jobd/settings_test.go
+++ b/jobd/settings_test.go
@@ -23,7 +23,8 @@
 	values := map[string]string{
 		"node-id": "n", "zone": "z", "listen.control": "192.0.2.1:80", "ip": "192.0.2.1", "port-range.0": "7000", "port-range.1": "7001",
 		"bootstrap": "true", "data-dir": "/data", "heartbeat-ms": "1500", "bounds.hold-max-ms": "10000", "bounds.contact-ms": "3000",
-		"bounds.grace-s": "6", "limits.max-fds": "4324", "#seeds": "", "/seeds": "", ".": "192.0.2.1:80", "#,": "", ",": "",
+		"bounds.grace-s": "6", "limits.max-fds": "4324", "bounds.evacuate-ms": "5000", "#bounds.evacuate-ms": "", "/bounds.evacuate-ms": "", "#zones": "", "/zones": "", "@": "z",
+		"#seeds": "", "/seeds": "", ".": "192.0.2.1:80", "#,": "", ",": "",
 	}
 	document := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(field string) string {
 		value, known := values[field[2:len(field)-2]]
@@ -36,16 +37,27 @@
 	g.Expect(s.heartbeat()).To(Equal(1500 * time.Millisecond))
 	g.Expect(s.lease()).To(Equal(10 * time.Second))
 	g.Expect(s.MaxOpenFiles).To(Equal(int64(4324)))
+	g.Expect(s.EvacuationApplyMS).To(Equal(int64(5000)))
+	g.Expect(s.Domains).To(Equal([]string{"z"}))
+
+	without := regexp.MustCompile(`(?s)\{\{#bounds.evacuate-ms\}\}.*\{\{/bounds.evacuate-ms\}\}`).ReplaceAllString(string(template), "")
+	g.Expect(without).NotTo(ContainSubstring("zones"), "a deployment without the bound renders neither setting")
 }
 
-// Guards against a negative grace that lets no worker get tasks.
-func TestSettingsRefuseNegativeCapacityGrace(t *testing.T) {
+// Guards against a negative grace that lets no worker get tasks, and against settings of
+// evacuations that name no domain or no time.
+func TestSettingsRefuseImpossibleValues(t *testing.T) {
 	g := NewWithT(t)
 	s := Settings{
 		Name: "n", DataDir: "/data", Listen: "192.0.2.1:80", PeerListen: "192.0.2.1:7000", Seeds: []string{"192.0.2.1:7000"},
 		HeartbeatMS: 1500, LeaseMS: 10_000, ShutdownTimeoutMS: 6000,
 	}
 	g.Expect(settings.Validate("f", &s)).To(Succeed(), "0 is the default")
+	s.Domains = []string{"a", ""}
+	g.Expect(settings.Validate("f", &s)).To(MatchError(ContainSubstring("domains")))
+	s.Domains, s.EvacuationApplyMS = nil, -1
+	g.Expect(settings.Validate("f", &s)).To(MatchError(ContainSubstring("evacuation_apply_ms")))
+	s.EvacuationApplyMS = 0
 	s.CapacityGraceMS = -1
 	g.Expect(settings.Validate("f", &s)).To(MatchError(ContainSubstring("capacity_grace_ms")))
 }
--- a/jobs/dispatch/evacuation.go
+++ b/jobs/dispatch/evacuation.go
@@ -2,6 +2,15 @@
 
 import "geraniumwall/jobs"
 
+// reasonEvacuated is why the start of a bound attempt is cancelled after an evacuation.
+const reasonEvacuated = "the failure domain is evacuated"
+
+// allEvacuated reports whether the last plan had no usable worker outside of the evacuated
+// failure domains. What runs there must not be stopped in order to run elsewhere.
+func (d *Dispatcher) allEvacuated() bool {
+	return d.store.EvacuationCount() > 0 && d.planner.usable == 0
+}
+
 // evacuationPrevents reports whether a bound attempt must not start since its failure
 // domain was evacuated after it was planned. A gang starts as a whole or not at all, since
 // members that start alone would wait for the others in vain: once one member was ordered
--- a/jobs/dispatch/pace.go
+++ b/jobs/dispatch/pace.go
@@ -301,7 +301,7 @@
 		switch {
 		case settled && (d.maxEffect(w, f) < harmlessEffect || d.canResume(w, f)):
 			d.setTargetPace(w, f, fullPace)
-		case d.now-f.pausedAt > maxPauseDuration:
+		case d.now-f.pausedAt > maxPauseDuration && !d.allEvacuated():
 			d.addLogEvent("moving paused task", w, f, f.step.Image)
 			d.avoid(f.task, w.Worker)
 			d.requestStop(f)
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -433,6 +433,7 @@
 	}
 	w := a.worker
 	if reason := d.startBlocker(a); reason != "" {
+		d.activity.evacuatedStarts += boolToInt(reason == reasonEvacuated)
 		d.addLogEvent("start cancelled", w, a, reason)
 		a.setPhase(phaseVoid, d.now)
 		a.over = certainty{basis: basisStartNotSent}
@@ -464,7 +465,7 @@
 	case j == nil || j.State.Ended():
 		return "the job has ended"
 	case d.evacuationPrevents(j, a):
-		return "the failure domain is evacuated"
+		return reasonEvacuated
 	case !a.worker.holdsAll():
 		return "the capacity of the worker shrank"
 	case a.step.Gang && !d.gangFits(j, a):
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -82,6 +82,8 @@
 	boundToEnded map[jobs.TaskKey]int
 	// doneEnds are the successful ends on workers, by task.
 	doneEnds map[jobs.TaskKey][]*doneEnd
+	// evacuatedSince is when each evacuated domain was evacuated.
+	evacuatedSince map[string]time.Duration
 }
 
 // proposedBatch is a batch of commands that a leader has proposed together.
@@ -461,10 +463,13 @@
 
 // simWorker is a worker process and its later incarnations at the same address.
 type simWorker struct {
-	sim         *simulation
-	address     string
-	id          string
-	keepID      bool
+	sim     *simulation
+	address string
+	id      string
+	keepID  bool
+	domain  string
+	// coldUntil is until when the worker reports itself cold.
+	coldUntil   time.Duration
 	startedAtMS int64
 	bootedAt    time.Duration
 	clockRate   float64
@@ -627,7 +632,7 @@
 func (t *simWorker) heartbeat() Heartbeat {
 	t.sequence++
 	return Heartbeat{
-		Worker: t.id, HostPort: t.address, Service: "s", Capacity: t.capacity, ClockMS: t.clock(), StartedAtMS: t.startedAtMS,
+		Worker: t.id, HostPort: t.address, Service: "s", Domain: t.domain, Capacity: t.capacity, ClockMS: t.clock(), StartedAtMS: t.startedAtMS,
 		Sequence: t.sequence, Draining: t.draining, Remaining: 3 * time.Second,
 	}
 }
@@ -749,6 +754,7 @@
 	t.renew(s.Deadline)
 	step := t.sim.store.Job(s.Task.Job).Step(s.Task)
 	t.sim.checkStart(t, s, step)
+	t.sim.checkEvacuation(t, s, sentAt)
 	t.sim.checkCapacity(leader, t, o, step, sentAt)
 	t.sim.noteStart(s)
 	run := &simRun{attempt: s.Attempt, reserved: step.ReservedResources(), startedAt: t.sim.now}
@@ -863,6 +869,28 @@
 	}
 }
 
+// evacuate commits an order about a domain, and plans it for each leader by the log alone.
+func (sim *simulation) evacuate(domain string, evacuated bool) {
+	if !evacuated {
+		sim.store.Apply(jobs.Command{EndEvacuation: &jobs.EndEvacuation{Domain: domain, At: sim.unix()}})
+		delete(sim.evacuatedSince, domain)
+		return
+	}
+	sim.store.Apply(jobs.Command{Evacuate: &jobs.Evacuate{Domain: domain, At: sim.unix()}})
+	if _, repeated := sim.evacuatedSince[domain]; !repeated {
+		sim.evacuatedSince[domain] = sim.now
+	}
+}
+
+// checkEvacuation checks that no start is sent to a worker of an evacuated domain later than
+// maxEvacuationDelay after the order. An order is sent to its worker before the worker
+// executes it, which may be late.
+func (sim *simulation) checkEvacuation(t *simWorker, s *Start, sentAt time.Duration) {
+	if since, evacuated := sim.evacuatedSince[t.domain]; evacuated && sentAt-since > maxEvacuationDelay {
+		sim.violation("%v starts in %q, which is evacuated since %v, sent at %v", s.Task, t.domain, since, sentAt)
+	}
+}
+
 // checkStart checks the invariants when a worker starts a task.
 func (sim *simulation) checkStart(t *simWorker, s *Start, step *jobs.Step) {
 	sim.starts++
--- a/jobs/dispatch/slow_tasks.go
+++ b/jobs/dispatch/slow_tasks.go
@@ -27,7 +27,7 @@
 // stragglers that would finish sooner elsewhere. It handles workers that hang or slow
 // down while they report themselves healthy.
 func (d *Dispatcher) detectSlowTasks(w *worker) {
-	if w.Draining || w.deregistered {
+	if w.Draining || w.deregistered || d.allEvacuated() {
 		return
 	}
 	progressing, stalled := false, 0
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -24,8 +24,15 @@
 	// Plans is the number of plans.
 	Plans       int
 	Preemptions PreemptionCounts
+	// EvacuatedDomains is the number of evacuated failure domains, EvacuatedStarts that of the
+	// starts that were cancelled since their domain was evacuated after they were planned.
+	EvacuatedDomains, EvacuatedStarts int
 }
 
+// AllEvacuated reports whether the only usable workers are in evacuated failure domains, so
+// that all work waits.
+func (s *Status) AllEvacuated() bool { return s.Workers.Usable == 0 && s.Workers.Evacuated > 0 }
+
 // WorkerCounts counts workers by state. Except for Known each worker counts once.
 type WorkerCounts struct {
 	Known, Usable, Leaving, Evacuated, Unconfirmed, Unresponsive, Silent, Quarantined, UnreadableEnds int
@@ -87,6 +94,7 @@
 	holds              HoldCounts
 	plans              int
 	preemptions        PreemptionCounts
+	evacuatedStarts    int
 }
 
 // recordBegin records the delay of a job whose first task is bound.
@@ -117,7 +125,7 @@
 	recent := d.activity
 	d.activity = activity{}
 	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans,
-		Preemptions: recent.preemptions}
+		Preemptions: recent.preemptions, EvacuatedDomains: d.store.EvacuationCount(), EvacuatedStarts: recent.evacuatedStarts}
 	s.Attempts.Orphaned = len(d.orphans)
 	for _, w := range d.workers {
 		d.countWorker(w, &s)
--- a/jobs/evacuation.go
+++ b/jobs/evacuation.go
@@ -97,6 +97,9 @@
 	return list
 }
 
+// EvacuationCount returns the number of evacuations that are in force.
+func (s *Store) EvacuationCount() int { return len(s.evacuations.inForce) }
+
 // EvacuationRecords returns the newest audit records of evacuations, the oldest first. The
 // result must not be modified.
 func (s *Store) EvacuationRecords() []EvacuationRecord { return s.evacuations.records }
