jobd, operator, geranium: the product's interface to evacuations, metrics

Cause: only the platform's calls could order an evacuation, nobody could see what is in force, and neither a metric nor a log line showed it. Change: the internal API serves /v1/evacuations (404 without the setting, the leader's address from a follower); geranium evacuate, end-evacuation and evacuations follow a replica to the leader; gauges of evacuated domains and their workers, a counter of cancelled starts, a field of the status line, and a warning once per second while all work waits.

--- a/cmd/geranium/commands.go
+++ b/cmd/geranium/commands.go
@@ -186,6 +186,18 @@
 			app: a, name: "job-members", arguments: "ADDRESS", run: a.jobMembers,
 			synopsis: "show the members of the job replicas as the one with this peer address knows them",
 		},
+		&command{
+			app: a, name: "evacuate", arguments: "ADDRESS DOMAIN", synopsis: "start no more tasks of the job replicas in a failure domain",
+			run: func(ctx context.Context, f *flag.FlagSet) error { return a.evacuate(ctx, f, true) },
+		},
+		&command{
+			app: a, name: "end-evacuation", arguments: "ADDRESS DOMAIN", synopsis: "revoke the evacuation of a failure domain",
+			run: func(ctx context.Context, f *flag.FlagSet) error { return a.evacuate(ctx, f, false) },
+		},
+		&command{
+			app: a, name: "evacuations", arguments: "ADDRESS", run: a.evacuations,
+			synopsis: "show the evacuated failure domains, and who ordered and revoked evacuations",
+		},
 		&command{app: a, name: "completion", synopsis: "print the completion script for bash", run: a.completion},
 		&command{app: a, name: "version", synopsis: "print the version of this program", run: a.version},
 	}
@@ -252,6 +264,36 @@
 	return a.print(members, func(w io.Writer) error { return operator.WriteJobMembers(w, members) })
 }
 
+func (a *app) evacuate(ctx context.Context, f *flag.FlagSet, evacuated bool) error {
+	if f.NArg() != 2 {
+		return &usageError{"give the peer address of a job replica and one failure domain"}
+	}
+	order, err := operator.Evacuate(ctx, f.Arg(0), f.Arg(1), a.client.Operator, evacuated)
+	if err != nil {
+		return err
+	}
+	return a.print(order, func(w io.Writer) error {
+		state := "accepting work"
+		if order.Evacuated {
+			state = "evacuated"
+		}
+		_, err := fmt.Fprintf(w, "%s: %s\n", order.Domain, state)
+		return err
+	})
+}
+
+func (a *app) evacuations(ctx context.Context, f *flag.FlagSet) error {
+	address, err := one(f, "peer address of a job replica")
+	if err != nil {
+		return err
+	}
+	shown, err := operator.Evacuations(ctx, address)
+	if err != nil {
+		return err
+	}
+	return a.print(shown, func(w io.Writer) error { return operator.WriteEvacuations(w, shown) })
+}
+
 func (a *app) drain(ctx context.Context, f *flag.FlagSet, undo bool) error {
 	worker, err := one(f, "worker")
 	if err != nil {
--- a/jobd/evacuations.go
+++ b/jobd/evacuations.go
@@ -8,10 +8,14 @@
 	"time"
 
 	"geraniumwall/jobs"
+	"geraniumwall/jobs/dispatch"
 )
 
-// maxDomainBytes bounds the name of a failure domain.
-const maxDomainBytes = 255
+const (
+	// maxDomainBytes bounds the name of a failure domain, maxOperatorBytes that of an operator.
+	maxDomainBytes   = 255
+	maxOperatorBytes = 255
+)
 
 var errNoEvacuations = &Error{
 	Kind: KindUnsupported, Text: "this deployment does not use evacuations; set evacuation_apply_ms on all replicas",
@@ -81,3 +85,33 @@
 	slices.Sort(domains)
 	return slices.Compact(domains)
 }
+
+// publishEvacuations publishes the evacuations for the metrics.
+func (m *manager) publishEvacuations() {
+	if m.settings.EvacuationApplyMS == 0 {
+		return
+	}
+	counts := evacuationCounts{domains: m.store.EvacuationCount()}
+	if counts.domains > 0 {
+		workers := m.workersByDomain()
+		for _, e := range m.store.Evacuations() {
+			counts.workers += workers[e.Domain]
+		}
+	}
+	m.metrics.evacuation.Store(&counts)
+}
+
+// reportEvacuations counts the starts that were cancelled, and logs that all work waits. It is
+// called once per statusInterval.
+func (m *manager) reportEvacuations(s *dispatch.Status) {
+	m.metrics.evacuatedStarts.Add(context.Background(), int64(s.EvacuatedStarts))
+	if !s.AllEvacuated() {
+		return
+	}
+	tasks := 0
+	for i := range s.Queues {
+		tasks += s.Queues[i].Tasks
+	}
+	m.log.Warn().Int("domains", s.EvacuatedDomains).Int("workers", s.Workers.Evacuated).Int("waiting_tasks", tasks).
+		Msg("all failure domains with usable workers are evacuated; work waits until one evacuation is revoked")
+}
--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"geraniumwall/jobd/evacuationapi"
 	"geraniumwall/jobd/memberapi"
 	"geraniumwall/relay"
 	"geraniumwall/rpc/controlpb"
@@ -94,6 +95,9 @@
 	mux.Handle(deliverypb.LeaderPathPrefix, deliverypb.NewLeaderServer(s))
 	mux.HandleFunc("GET "+relay.PathLeader, s.serveLeader)
 	mux.HandleFunc("GET "+memberapi.Path, s.serveMembers)
+	evacuations := s.evacuationHandler()
+	mux.Handle(evacuationapi.Path, evacuations)
+	mux.Handle(evacuationapi.Path+"/", evacuations)
 	mux.HandleFunc("POST "+pathJoin, s.serveJoin)
 	mux.Handle(PathCallers+"/", s.requireLeader(http.StripPrefix(PathCallers, handlers.Callers)))
 	mux.Handle(pathControl+"/", s.requireLeader(http.StripPrefix(pathControl, handlers.Control)))
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -147,6 +147,7 @@
 		m.nextPublishAt = now + publishInterval
 		status := m.replica.Membership()
 		m.metrics.membership.Store(&status)
+		m.publishEvacuations()
 	}
 }
 
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -24,6 +24,10 @@
 	crashes  metric.Int64Counter
 	duration metric.Float64Histogram
 	changes  metric.Int64Counter
+	// evacuatedStarts counts starts that were cancelled because of an evacuation.
+	evacuatedStarts metric.Int64Counter
+	// evacuation is the latest state of the evacuations, nil if the deployment does not use them.
+	evacuation atomic.Pointer[evacuationCounts]
 	// membership is the latest state of the members. The control thread stores it and the
 	// callback of the gauges reads it.
 	membership atomic.Pointer[replicate.MembershipStatus]
@@ -62,7 +66,33 @@
 		return nil, fmt.Errorf("create the counter of membership changes: %w", err)
 	}
 	m := &Metrics{orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes}
-	return m, m.observeMembership(meter)
+	return m, errors.Join(m.observeMembership(meter), m.observeEvacuations(meter))
+}
+
+// evacuationCounts are the numbers of evacuated failure domains and of the registered workers
+// in them.
+type evacuationCounts struct{ domains, workers int }
+
+// observeEvacuations registers the instruments of the evacuations.
+func (m *Metrics) observeEvacuations(meter metric.Meter) error {
+	var err1 error
+	m.evacuatedStarts, err1 = meter.Int64Counter("geranium.jobs.evacuation.cancelled_starts", metric.WithUnit("{start}"),
+		metric.WithDescription("Starts that the leader has cancelled since their failure domain was evacuated after they were planned."))
+	domains, err2 := meter.Int64ObservableGauge("geranium.jobs.evacuation.domains", metric.WithUnit("{domain}"),
+		metric.WithDescription("Evacuated failure domains by the log."))
+	workers, err3 := meter.Int64ObservableGauge("geranium.jobs.evacuation.workers", metric.WithUnit("{worker}"),
+		metric.WithDescription("Registered workers in evacuated failure domains by the log."))
+	_, err4 := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		if counts := m.evacuation.Load(); counts != nil {
+			o.ObserveInt64(domains, int64(counts.domains))
+			o.ObserveInt64(workers, int64(counts.workers))
+		}
+		return nil
+	}, domains, workers)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return fmt.Errorf("create the instruments of the evacuations: %w", err)
+	}
+	return nil
 }
 
 // observeMembership registers the gauges of the members.
--- a/jobd/metrics_test.go
+++ b/jobd/metrics_test.go
@@ -1,16 +1,21 @@
 package jobd
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
+	"geraniumwall/jobs"
+	"geraniumwall/jobs/dispatch"
 	"geraniumwall/raft"
 	"geraniumwall/replicate"
 )
@@ -42,6 +47,34 @@
 	return values
 }
 
+// Guards against an evacuation that no metric shows, and against gauges of a deployment that does
+// not use evacuations.
+func TestEvacuationMetrics(t *testing.T) {
+	g := NewWithT(t)
+	reader := sdkmetric.NewManualReader()
+	metrics, err := NewMetrics(sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)).Meter("test"))
+	g.Expect(err).NotTo(HaveOccurred())
+	var lines bytes.Buffer
+	m := &manager{settings: &Settings{}, store: jobs.NewStore(), metrics: metrics, log: zerolog.New(&lines)}
+	for i, domain := range []string{"a", "a", "b"} {
+		m.store.Apply(jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: jobs.Worker{
+			Incarnation: jobs.Incarnation{Worker: fmt.Sprint("w", i)}, Domain: domain,
+		}}})
+	}
+	m.store.Apply(jobs.Command{Evacuate: &jobs.Evacuate{Domain: "a"}})
+	m.publishEvacuations()
+	g.Expect(valuesOf(t, reader)).To(BeEmpty())
+	m.settings.EvacuationApplyMS = 5000
+	m.publishEvacuations()
+	m.reportEvacuations(&dispatch.Status{EvacuatedStarts: 3, Workers: dispatch.WorkerCounts{Usable: 1, Evacuated: 2}})
+	g.Expect(lines.String()).To(BeEmpty())
+	m.reportEvacuations(&dispatch.Status{EvacuatedStarts: 1, Workers: dispatch.WorkerCounts{Evacuated: 2}, Queues: []dispatch.QueueStatus{{Tasks: 7}}})
+	g.Expect(lines.String()).To(And(ContainSubstring("work waits"), ContainSubstring(`"waiting_tasks":7`)))
+	g.Expect(valuesOf(t, reader)).To(Equal(map[string]float64{
+		"geranium.jobs.evacuation.domains ": 1, "geranium.jobs.evacuation.workers ": 2, "geranium.jobs.evacuation.cancelled_starts ": 4,
+	}))
+}
+
 // Guards against a loss of voters that no metric shows, and against a silence that a follower
 // reports without knowing it.
 func TestMembershipMetrics(t *testing.T) {
--- a/jobd/status.go
+++ b/jobd/status.go
@@ -34,6 +34,7 @@
 		return
 	}
 	s := m.dispatcher.TakeStatus()
+	m.reportEvacuations(&s)
 	measured := m.status
 	m.status = statusReport{nextAt: m.now() + statusInterval}
 	e := m.log.Info().Uint64("term", m.term).Bool("leads", m.replica.Leads()).
@@ -45,7 +46,9 @@
 		Dict("holds", zerolog.Dict().Int("in_flight", s.Holds.InFlight).Int("answered", s.Holds.Answered).
 			Int("expired", s.Holds.Expired).Int("failed", s.Holds.Failed)).
 		Dict("commit", delayFields(&s.Commit)).Dict("start_reply", delayFields(&s.StartReply)).
-		Dict("preemptions", preemptionFields(&s.Preemptions))
+		Dict("preemptions", preemptionFields(&s.Preemptions)).
+		Dict("evacuations", zerolog.Dict().Int("domains", s.EvacuatedDomains).Int("workers", s.Workers.Evacuated).
+			Int("cancelled_starts", s.EvacuatedStarts))
 	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
 }
 
