e2e: an evacuation with real processes

Cause: no test showed that an acknowledged order survives the processes. TestTour runs the three commands.

--- a/e2e/jobfleet_test.go
+++ b/e2e/jobfleet_test.go
@@ -132,6 +132,8 @@
 	control  []string
 	fronts   []string
 	workers  []*standin.Worker
+	// zones are the failure domains of the first workers; that of others is "a".
+	zones []string
 	// peers are the links to the replicas, orders those to the workers.
 	peers  []*link
 	orders []*link
@@ -189,7 +191,7 @@
 	p, err := newProcess(f.dir, "geranium-jobs", name, jobd.Settings{
 		Name: name, Domain: "a", Listen: f.controlAddress(i), PeerListen: peer, PeerBind: bind, Seeds: seeds, FirstStart: firstStart,
 		DataDir: dataDir, HeartbeatMS: jobBeat.Milliseconds(), LeaseMS: jobLease.Milliseconds(), ShutdownTimeoutMS: 3000,
-		MinWorkersForCarriers: carryFrom, CapacityGraceMS: (jobShrinkGrace - jobBeat).Milliseconds(),
+		MinWorkersForCarriers: carryFrom, CapacityGraceMS: (jobShrinkGrace - jobBeat).Milliseconds(), EvacuationApplyMS: evacuationBound.Milliseconds(), Domains: []string{"a", "b"},
 	})
 	if err != nil {
 		return err
@@ -219,8 +221,12 @@
 		return err
 	}
 	f.orders = append(f.orders, l)
+	zone := ""
+	if i < len(f.zones) {
+		zone = f.zones[i]
+	}
 	w := standin.NewWorker(standin.Settings{
-		ID: fmt.Sprintf("i-%d", i), Listen: bind, Address: address, Control: control, Service: "s", MilliCPU: jobWorkerCPU,
+		ID: fmt.Sprintf("i-%d", i), Listen: bind, Address: address, Control: control, Service: "s", MilliCPU: jobWorkerCPU, Zone: zone,
 		Beat: jobBeat, Lease: jobLease, ClockRate: 0.98 + 0.02*float64(i%3),
 		ShrinkGrace: jobShrinkGrace, StopTime: jobStopTime, Downtime: jobDowntime, RenewID: i%2 == 1,
 	}, f.record)
--- a/e2e/tour_test.go
+++ b/e2e/tour_test.go
@@ -232,6 +232,10 @@
 	f := startJobReplicas(test, t.WithT, 3)
 	t.Eventually(f.voters).WithTimeout(readyTimeout).Should(HaveLen(3))
 	t.Expect(t.both("job-members", f.peers[0].target)).To(And(ContainSubstring("target 3 voters"), ContainSubstring("answers")))
+	t.Expect(t.both("evacuate", f.peers[0].target, "a")).To(Equal("a: evacuated\n"))
+	t.Expect(t.both("evacuations", f.peers[1].target)).To(MatchRegexp(`(?m)^a +.* +0$`))
+	t.Expect(t.both("end-evacuation", f.peers[2].target, "a")).To(Equal("a: accepting work\n"))
+	t.run(exitFailure, "evacuate", f.peers[0].target, "unknown")
 }
 
 // drainSurvivesRestarts guards against a drain that only the schedulers remember,
