dispatch: short work of queues below their share goes before restarts

Cause: restarts of long-running tasks were bound before all other work and reserved up to a tenth of the workers, so that on a fleet that lost hosts the queue with the smallest use got nothing while the one that holds most of the fleet got all room that came free.

Nothing is kept idle.

--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -2,14 +2,24 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"time"
 
+	"geraniumwall/jobs/dispatch"
 	"geraniumwall/settings"
 )
 
+// minWeight and maxWeight bound the weight of a queue or workspace. A queue with weight 0
+// would never be below its share.
+const (
+	minWeight = 0.001
+	maxWeight = 1000
+)
+
 // Settings are the settings of a job replica.
 type Settings struct {
 	// Name is the name of the process, for logs.
@@ -49,10 +59,39 @@
 	// MaxOpenFiles is the limit of open files, sockets included, that the metrics show if the
 	// resource limit of the process is not lower; 0 for the resource limit.
 	MaxOpenFiles int64 `json:"max_open_files"`
+	// FairShares lets queues and workspaces below their share of the fleet go first; missing
+	// to ignore shares.
+	FairShares *FairShares `json:"fair_shares"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
 }
 
+// FairShares are the settings of shares.
+type FairShares struct {
+	// Weights are the weights of queues and workspaces by name. Others have weight 1.
+	Weights map[string]float64 `json:"weights"`
+}
+
+// check adds the problems of the settings.
+func (f *FairShares) check(c *settings.Checker) {
+	if f == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.Weights)) {
+		if weight := f.Weights[name]; weight < minWeight || weight > maxWeight {
+			c.Add("fair_shares.weights."+name, fmt.Sprintf("%v is out of range", weight), fmt.Sprintf("use a number from %v to %v", minWeight, maxWeight))
+		}
+	}
+}
+
+// options returns the settings for the dispatcher, nil without shares.
+func (f *FairShares) options() *dispatch.FairShares {
+	if f == nil {
+		return nil
+	}
+	return &dispatch.FairShares{Weights: f.Weights}
+}
+
 // Check implements settings.Checked.
 func (s *Settings) Check(c *settings.Checker) {
 	c.Required("name", s.Name)
@@ -66,6 +105,7 @@
 	c.NotNegative("carry_from_workers", int64(s.MinWorkersForCarriers))
 	c.NotNegative("capacity_grace_ms", s.CapacityGraceMS)
 	c.NotNegative("max_open_files", s.MaxOpenFiles)
+	s.FairShares.check(c)
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
--- a/jobs/dispatch/attempt.go
+++ b/jobs/dispatch/attempt.go
@@ -35,6 +35,7 @@
 	// a job that is pruned has ended.
 	job      *jobs.Job
 	record   *jobs.Task
+	queue    string
 	worker   *worker
 	reserved jobs.Resources
 	step     *jobs.Step
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -109,6 +109,8 @@
 	// PreviousLeaderLease is how long the previous leader may have remained active after
 	// this one took over.
 	PreviousLeaderLease time.Duration
+	// FairShares lets queues below their share of the fleet go first; nil ignores shares.
+	FairShares *FairShares
 }
 
 // Dispatcher holds the dispatch state of one leader. It is not safe for concurrent use.
@@ -219,8 +221,13 @@
 }
 
 func (d *Dispatcher) newAttempt(t *jobs.Task, step *jobs.Step, number int, p phase) *attempt {
+	j := d.store.Job(t.Key.Job)
+	queue := ""
+	if j != nil {
+		queue = j.Queue
+	}
 	return &attempt{
-		task: t.Key, number: number, job: d.store.Job(t.Key.Job), record: t, reserved: step.ReservedResources(), step: step, phase: p, checkpoint: t.Checkpoint,
+		task: t.Key, number: number, job: j, queue: queue, record: t, reserved: step.ReservedResources(), step: step, phase: p, checkpoint: t.Checkpoint,
 		phaseSince: d.now, progressAt: d.now, startedAt: d.now, appliedPace: fullPace, targetPace: fullPace, suspicion: suspicion(t),
 	}
 }
--- a/jobs/dispatch/load.go
+++ b/jobs/dispatch/load.go
@@ -24,6 +24,8 @@
 	serving          int
 	servingGroups    []servingGroup
 	fillers          []fillerUse
+	// queues holds what the tasks of each queue reserve.
+	queues []queueUse
 	// limitedSteps are the steps with MaxPerWorker.
 	limitedSteps []stepCount
 	// suspects are the attempts under whose task workers have crashed.
@@ -42,6 +44,12 @@
 	milliCPU int64
 }
 
+// queueUse is the capacity that the tasks of one queue reserve.
+type queueUse struct {
+	queue    string
+	reserved jobs.Resources
+}
+
 // stepCount is the number of tasks of one step.
 type stepCount struct {
 	step  jobs.TaskKey
@@ -61,12 +69,13 @@
 
 // reset empties the load and keeps the memory of its lists.
 func (l *load) reset() {
-	*l = load{servingGroups: l.servingGroups[:0], fillers: l.fillers[:0], limitedSteps: l.limitedSteps[:0], suspects: l.suspects[:0]}
+	*l = load{servingGroups: l.servingGroups[:0], fillers: l.fillers[:0], queues: l.queues[:0], limitedSteps: l.limitedSteps[:0], suspects: l.suspects[:0]}
 }
 
 func (l *load) add(a *attempt) {
 	l.attempts++
 	l.reserved = l.reserved.Add(a.reserved)
+	l.addQueue(a.queue, a.reserved)
 	l.expectedMilliCPU += expectedMilliCPU(a.step)
 	l.pendingStarts += boolToInt(a.startPending())
 	if a.step.LongRunning {
@@ -108,6 +117,16 @@
 	l.fillers = append(l.fillers, fillerUse{image, milliCPU})
 }
 
+func (l *load) addQueue(queue string, reserved jobs.Resources) {
+	for i := range l.queues {
+		if l.queues[i].queue == queue {
+			l.queues[i].reserved = l.queues[i].reserved.Add(reserved)
+			return
+		}
+	}
+	l.queues = append(l.queues, queueUse{queue, reserved})
+}
+
 func (l *load) addStep(step jobs.TaskKey) {
 	for i := range l.limitedSteps {
 		if l.limitedSteps[i].step == step {
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -79,6 +79,8 @@
 	// shortReserves is the capacity of each service that new long-running tasks leave free.
 	shortReserves map[string]*shortReserve
 	preemptor     preemptor
+	// fair holds the shares of the queues in the latest plan.
+	fair *fairPlan
 }
 
 type avoidance struct {
@@ -167,16 +169,22 @@
 	ranked := d.rankedJobs()
 	d.planSuspects(ranked, candidates)
 	d.reserveForShort(ranked, candidates)
-	d.planRestarts(ranked, candidates)
-	d.planClaims(candidates)
 	noFit, search := unplaceable{}, newRoomSearch(d, candidates)
+	d.planner.fair = d.newFairPlan(ranked, candidates)
+	d.planRestarts(ranked, candidates, &noFit)
+	d.planClaims(candidates)
 	var overdue []*waitingJob
-	for _, wj := range ranked {
+	for i, wj := range ranked {
+		if i > 0 && startsGroup(ranked, i) {
+			d.planBelowShare(ranked[i:], candidates, &noFit)
+		}
 		if wj.class == classOverdue && d.planner.overdueTokens < 1 {
 			overdue = append(overdue, wj)
 			continue
 		}
-		d.planJob(wj, candidates, &noFit)
+		if !wj.planned {
+			d.planJob(wj, candidates, &noFit)
+		}
 		d.preemptFor(wj, search)
 	}
 	for _, wj := range overdue {
@@ -255,6 +263,9 @@
 			d.addBlocked(step, len(waiting)-i)
 			return true
 		}
+		if d.planner.fair.usedUp(wj) {
+			return true
+		}
 		c := d.chooseFromShortlist(wj, step, t, candidates, &list)
 		if c == nil {
 			d.addBlocked(step, len(waiting)-i)
@@ -414,6 +425,7 @@
 		d.addSuspect(c, a)
 	}
 	w.addAttempt(a)
+	d.planner.fair.charge(a)
 	d.proposedBinds[t.Key] = a
 	d.recordBinding(t, step)
 	command := jobs.Bind{Task: t.Key, Attempt: number, On: w.incarnation(), At: d.unixMS}
--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -38,6 +38,8 @@
 	waitingSince int64
 	// besideIsolated is set if the tasks may be placed beside a task that is to run alone.
 	besideIsolated bool
+	// planned is set once all tasks of the job that can be bound in this plan are bound.
+	planned bool
 }
 
 // jobClass orders jobs of one tier and priority. Short jobs come before new long-running
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -82,6 +82,8 @@
 	boundToEnded map[jobs.TaskKey]int
 	// doneEnds are the successful ends on workers, by task.
 	doneEnds map[jobs.TaskKey][]*doneEnd
+	// fairShares are the settings of the shares of queues.
+	fairShares *FairShares
 }
 
 // proposedBatch is a batch of commands that a leader has proposed together.
@@ -158,7 +160,7 @@
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
 	options := Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, CapacityGrace: testCapacityGrace,
-		PreviousLeaderLease: testPreviousLeaderLease}
+		PreviousLeaderLease: testPreviousLeaderLease, FairShares: sim.fairShares}
 	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
 	sim.leaders = append(sim.leaders, d)
 	sim.registered[d] = map[jobs.Incarnation]jobs.Resources{}
