--- a/jobs/dispatch/fair.go
+++ b/jobs/dispatch/fair.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"geraniumwall/jobs"
@@ -8,8 +10,8 @@
 )
 
 // restartPatience is how long a restart of a queue above its share gives way to queues
-// below theirs before a worker may be reserved for it all the same. It keeps a large task
-// from waiting forever where pieces too small for it come free all the time.
+// below theirs. It keeps a large task from waiting forever where pieces too small for it
+// come free all the time and are taken at once.
 const restartPatience = 20 * time.Second
 
 // FairShares are the settings of the shares of queues and workspaces.
@@ -21,47 +23,63 @@
 // nil without FairShares.
 type fairPlan struct {
 	ledgers map[string]*shares.Ledger
-	// largest holds the largest amount of each resource on one worker of a service.
-	largest map[string]jobs.Resources
+	fleets  map[string]*fleet
 	// limited is set while queues get no more than their share.
 	limited bool
 }
 
+// fleet is the capacity of the usable workers of a service, and the largest amount of each
+// resource on one of them.
+type fleet struct{ capacity, largest jobs.Resources }
+
 // newFairPlan sums up what the queues hold on usable workers. A queue takes part if it
 // holds something or has a waiting job whose result still has a value.
 func (d *Dispatcher) newFairPlan(ranked []*waitingJob, candidates []*candidate) *fairPlan {
 	if d.options.FairShares == nil {
 		return nil
 	}
-	used := map[string]jobs.Resources{}
-	capacity := map[string]jobs.Resources{}
-	f := &fairPlan{ledgers: map[string]*shares.Ledger{}, largest: map[string]jobs.Resources{}}
+	var used queueUses
+	f := &fairPlan{ledgers: map[string]*shares.Ledger{}, fleets: map[string]*fleet{}}
+	var current *fleet
+	service := ""
 	for _, c := range candidates {
-		service := c.worker.Service
-		capacity[service] = capacity[service].Add(c.capacity)
-		f.largest[service] = largestOf(f.largest[service], c.capacity)
-		for _, u := range c.worker.currentLoad().queues {
-			used[u.queue] = used[u.queue].Add(u.reserved)
+		if current == nil || c.worker.Service != service {
+			service = c.worker.Service
+			current = f.fleet(service)
+		}
+		current.capacity = current.capacity.Add(c.capacity)
+		current.largest = largestOf(current.largest, c.capacity)
+		queues := c.worker.currentLoad().queues
+		for i := range queues {
+			used.add(queues[i].queue, queues[i].reserved)
 		}
 	}
 	for _, wj := range ranked {
 		wj.planned = false
-		if _, known := used[wj.job.Queue]; !known && wj.tier != tierExpired {
-			used[wj.job.Queue] = jobs.Resources{}
+		if wj.tier != tierExpired {
+			used.add(wj.job.Queue, jobs.Resources{})
 		}
 	}
 	queues := map[string][]shares.Queue{}
-	for name, held := range used {
-		if q := d.store.Config().Queue(name); q != nil {
-			queues[q.Service] = append(queues[q.Service], shares.Queue{Name: name, Workspace: q.Host, Used: held})
+	for _, u := range used {
+		if q := d.store.Config().Queue(u.queue); q != nil {
+			queues[q.Service] = append(queues[q.Service], shares.Queue{Name: u.queue, Workspace: q.Host, Used: u.reserved})
 		}
 	}
 	for service, list := range queues {
-		f.ledgers[service] = shares.New(capacity[service], d.options.FairShares.Weights, list)
+		f.ledgers[service] = shares.New(f.fleet(service).capacity, d.options.FairShares.Weights, list)
 	}
 	return f
 }
 
+// fleet returns the workers of a service.
+func (f *fairPlan) fleet(service string) *fleet {
+	if f.fleets[service] == nil {
+		f.fleets[service] = &fleet{}
+	}
+	return f.fleets[service]
+}
+
 // largestOf returns the larger of two amounts of each resource.
 func largestOf(a, b jobs.Resources) jobs.Resources {
 	return jobs.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPUs: max(a.GPUs, b.GPUs)}
@@ -74,9 +92,10 @@
 }
 
 // givesWay reports whether a restart comes after the short jobs of queues below their
-// share, since its own queue has borrowed capacity.
-func (f *fairPlan) givesWay(r restart) bool {
-	if f == nil {
+// share, since its own queue has borrowed capacity and it has not waited for
+// restartPatience yet.
+func (f *fairPlan) givesWay(r restart, unix int64) bool {
+	if f == nil || unix-r.task.EndedAt >= restartPatience.Milliseconds() {
 		return false
 	}
 	l := f.ledgers[r.job.service]
@@ -97,6 +116,28 @@
 	}
 }
 
+// QueueShare is the share of a queue and what it holds, as parts of the usable capacity of
+// its service.
+type QueueShare struct {
+	Queue       string
+	Share, Used float64
+}
+
+// status returns the shares of all queues.
+func (f *fairPlan) status() []QueueShare {
+	if f == nil {
+		return nil
+	}
+	var list []QueueShare
+	for _, l := range f.ledgers {
+		for _, queue := range l.Queues() {
+			list = append(list, QueueShare{queue, l.Share(queue), l.Used(queue)})
+		}
+	}
+	slices.SortFunc(list, func(a, b QueueShare) int { return cmp.Compare(a.Queue, b.Queue) })
+	return list
+}
+
 // planBelowShare binds the short jobs of the first tier and priority in the list whose
 // queue is below its share, up to that share. It reports whether such a job still waits
 // for room that other work occupies.
@@ -156,7 +197,7 @@
 // couldRun reports whether some worker could run a task if it were empty.
 func (d *Dispatcher) couldRun(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate) bool {
 	request := step.ReservedResources()
-	if !request.FitsIn(d.planner.fair.largest[wj.service]) {
+	if !request.FitsIn(d.planner.fair.fleet(wj.service).largest) {
 		return false
 	}
 	for _, c := range candidates {
--- a/jobs/dispatch/load.go
+++ b/jobs/dispatch/load.go
@@ -25,7 +25,7 @@
 	servingGroups    []servingGroup
 	fillers          []fillerUse
 	// queues holds what the tasks of each queue reserve.
-	queues []queueUse
+	queues queueUses
 	// limitedSteps are the steps with MaxPerWorker.
 	limitedSteps []stepCount
 	// suspects are the attempts under whose task workers have crashed.
@@ -75,7 +75,7 @@
 func (l *load) add(a *attempt) {
 	l.attempts++
 	l.reserved = l.reserved.Add(a.reserved)
-	l.addQueue(a.queue, a.reserved)
+	l.queues.add(a.queue, a.reserved)
 	l.expectedMilliCPU += expectedMilliCPU(a.step)
 	l.pendingStarts += boolToInt(a.startPending())
 	if a.step.LongRunning {
@@ -117,14 +117,19 @@
 	l.fillers = append(l.fillers, fillerUse{image, milliCPU})
 }
 
-func (l *load) addQueue(queue string, reserved jobs.Resources) {
-	for i := range l.queues {
-		if l.queues[i].queue == queue {
-			l.queues[i].reserved = l.queues[i].reserved.Add(reserved)
+// queueUses holds an entry for each queue. There are so few that a search is faster than a
+// map.
+type queueUses []queueUse
+
+func (u *queueUses) add(queue string, reserved jobs.Resources) {
+	list := *u
+	for i := range list {
+		if list[i].queue == queue {
+			list[i].reserved = list[i].reserved.Add(reserved)
 			return
 		}
 	}
-	l.queues = append(l.queues, queueUse{queue, reserved})
+	*u = append(list, queueUse{queue, reserved})
 }
 
 func (l *load) addStep(step jobs.TaskKey) {
--- a/jobs/dispatch/restart.go
+++ b/jobs/dispatch/restart.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"geraniumwall/jobs"
 )
@@ -22,35 +21,33 @@
 // planRestarts binds overdue restarts before all other tasks, the longest wait first, and
 // reserves a worker for each that fits nowhere. Without it, smaller and shorter tasks
 // would take all capacity that comes free, and a large task would not run again. Restarts
-// of queues above their share come after the short jobs of queues below theirs, and
-// reserve no worker for restartPatience while such a job waits for room.
+// that give way come after the short jobs of queues below their share, and reserve no
+// worker while such a job waits for room.
 func (d *Dispatcher) planRestarts(ranked []*waitingJob, candidates []*candidate, noFit *unplaceable) {
 	var first, later []restart
 	for _, r := range d.overdueRestarts(ranked) {
-		if d.planner.fair.givesWay(r) {
+		if d.planner.fair.givesWay(r, d.unixMS) {
 			later = append(later, r)
 		} else {
 			first = append(first, r)
 		}
 	}
-	reservations := d.bindRestarts(first, candidates, max(1, len(candidates)/workersPerRestart), 0)
-	patience := time.Duration(0)
+	reservations := d.bindRestarts(first, candidates, max(1, len(candidates)/workersPerRestart))
 	if d.planBelowShare(ranked, candidates, noFit) {
-		patience = restartPatience
+		reservations = 0
 	}
-	d.bindRestarts(later, candidates, reservations, patience)
+	d.bindRestarts(later, candidates, reservations)
 }
 
 // bindRestarts binds restarts. It reserves up to the given number of workers for those that
-// fit nowhere and have waited for the given time, and returns the reservations left.
-func (d *Dispatcher) bindRestarts(list []restart, candidates []*candidate, reservations int, patience time.Duration) int {
+// fit nowhere, and returns the reservations left.
+func (d *Dispatcher) bindRestarts(list []restart, candidates []*candidate, reservations int) int {
 	for _, r := range list {
 		if best := d.choose(r.job, r.step, r.task, candidates, nil); best != nil {
 			d.bind(r.task, r.step, best, r.task.Attempt+1)
 			continue
 		}
-		waited := time.Duration(d.unixMS-r.task.EndedAt) * time.Millisecond
-		if reservations > 0 && waited >= patience && d.reserveForRestart(r, candidates) {
+		if reservations > 0 && d.reserveForRestart(r, candidates) {
 			reservations--
 		}
 	}
--- a/jobs/dispatch/shares/shares.go
+++ b/jobs/dispatch/shares/shares.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// Queues returns the names of the queues.
+func (l *Ledger) Queues() []string {
+	names := make([]string, 0, len(l.queues))
+	for name := range l.queues {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Share returns the share of a queue, as a part of the capacity. It is 0 for a queue
 // without work.
 func (l *Ledger) Share(queue string) float64 {
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -24,6 +24,9 @@
 	// Plans is the number of plans.
 	Plans       int
 	Preemptions PreemptionCounts
+	// Shares holds an entry for each queue that took part in the latest plan, in the order of
+	// their names. It is empty without FairShares.
+	Shares []QueueShare
 }
 
 // WorkerCounts counts workers by state. Except for Known each worker counts once.
@@ -123,6 +126,7 @@
 		d.countWorker(w, &s)
 	}
 	s.Queues = d.queueStatus(recent.begin)
+	s.Shares = d.planner.fair.status()
 	return s
 }
 
