--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -27,6 +27,9 @@
 	// EvacuatedDomains is the number of evacuated failure domains, EvacuatedStarts that of the
 	// starts that were cancelled since their domain was evacuated after they were planned.
 	EvacuatedDomains, EvacuatedStarts int
+	// Shares holds an entry for each queue that took part in the latest plan, in the order of
+	// their names. It is empty without FairShares.
+	Shares []QueueShare
 }
 
 // AllEvacuated reports whether the only usable workers are in evacuated failure domains, so
@@ -131,6 +134,7 @@
 		d.countWorker(w, &s)
 	}
 	s.Queues = d.queueStatus(recent.begin)
+	s.Shares = d.planner.fair.status()
 	return s
 }
 
