dispatch: restarts that find no room cost one look at the fleet

Cause: each overdue restart looked at every worker twice in each plan, once for room and once for a worker to reserve, also after an equal or smaller request had found nothing.

Change: planRestarts skips requests that are not smaller than one that found nothing. Room and reservations only shrink during a plan, so the result is the same. Tasks with a limit for each worker count if no worker of the service has room at all. The leader's status line has `examined`, the number of times that the plans of a second looked at a worker.

The simulation finds workers by a map, takes the options of its leaders from a field, and can split commands into entries of the log.

--- a/jobd/status.go
+++ b/jobd/status.go
@@ -38,7 +38,7 @@
 	m.status = statusReport{nextAt: m.now() + statusInterval}
 	e := m.log.Info().Uint64("term", m.term).Bool("leads", m.replica.Leads()).
 		Int64("lag_ms", measured.lag.Milliseconds()).Int64("busy_ms", measured.busy.Milliseconds()).
-		Int64("longest_ms", measured.longest.Milliseconds()).Int("events", measured.events).Int("plans", s.Plans).
+		Int64("longest_ms", measured.longest.Milliseconds()).Int("events", measured.events).Int("plans", s.Plans).Int("examined", s.Examined).
 		Int("proposals_queued", len(m.proposals.queued)).Int("proposals_in_flight", m.proposals.inFlight).
 		Int("orders_held", len(m.heldOrders)).Int64("free_millicpu", s.FreeMilliCPU).
 		Dict("carriers", carrierFields(m)).Dict("workers", workerFields(&s.Workers)).Dict("attempts", attemptFields(&s.Attempts)).
--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -15,7 +15,7 @@
 // worker on which they disturb no serving task. The minimum time between two plans is
 // planDelayPerWorker for each worker.
 func BenchmarkPlan(b *testing.B) {
-	for _, workers := range []int{50, 350, 500, 1100, 2000} {
+	for _, workers := range []int{50, 350, 500, 1100, 2000, 3000} {
 		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) { benchmarkPlan(b, workers) })
 	}
 }
--- a/jobs/dispatch/choose.go
+++ b/jobs/dispatch/choose.go
@@ -75,6 +75,7 @@
 	var best *candidate
 	var bestScore float64
 	request := step.ReservedResources()
+	d.activity.examined += len(candidates)
 	for _, c := range candidates {
 		if !c.hasRoom(step, &request) || !d.accepts(wj, step, t, c, gangCounts) {
 			continue
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -322,6 +322,7 @@
 func (d *Dispatcher) largestShare(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate, admissible func(*candidate) bool) *candidate {
 	var best *candidate
 	var bestRatio float64
+	d.activity.examined += len(candidates)
 	for _, c := range candidates {
 		if c.reserved != notReserved || c.worker.Service != wj.service {
 			continue
--- a/jobs/dispatch/random_test.go
+++ b/jobs/dispatch/random_test.go
@@ -38,7 +38,10 @@
 		deadly: map[jobs.TaskKey]bool{}, crashesUnder: map[jobs.TaskKey]int{}, startsAfterCrashes: map[jobs.TaskKey]int{},
 		possibleCrashes: map[jobs.TaskKey]int{}, stoppedEnds: map[jobs.TaskKey]int{}, registered: map[*Dispatcher]map[jobs.Incarnation]jobs.Resources{},
 		stalledUntil: map[*Dispatcher]time.Duration{}, doneEnds: map[jobs.TaskKey][]*doneEnd{},
-		boundToEnded: map[jobs.TaskKey]int{},
+		boundToEnded: map[jobs.TaskKey]int{}, byAddress: map[string]*simWorker{},
+		options: Options{
+			WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, CapacityGrace: testCapacityGrace, PreviousLeaderLease: testPreviousLeaderLease,
+		},
 	}
 	sim.store.Apply(jobs.Command{Configure: &jobs.Configure{Config: jobs.Config{
 		Version: 1, Queues: []jobs.Queue{{Name: "q", Service: "s", MaxAttempts: 1000, Stretch: 2, LatencyObjective: 1000}},
--- a/jobs/dispatch/restart.go
+++ b/jobs/dispatch/restart.go
@@ -18,18 +18,47 @@
 	task *jobs.Task
 }
 
+// fitsAnywhere reports whether the task may run on every worker of its service.
+func (r *restart) fitsAnywhere() bool { return r.step.RequiredLabel == "" && r.step.MaxPerWorker == 0 }
+
+// anyWithRoom reports whether the given room on any worker of the service holds the task, even
+// if the worker may not run it.
+func (r *restart) anyWithRoom(candidates []*candidate, room func(*candidate) jobs.Resources) bool {
+	request := r.step.ReservedResources()
+	return slices.ContainsFunc(candidates, func(c *candidate) bool {
+		return c.worker.Service == r.job.service && request.FitsIn(room(c))
+	})
+}
+
 // planRestarts binds overdue restarts before all other tasks, the longest wait first, and
 // reserves a worker for each that fits nowhere. Without it, smaller and shorter tasks
-// would take all capacity that comes free, and a large task would not run again.
+// would take all capacity that comes free, and a large task would not run again. Requests
+// that are not smaller than one that found nothing are skipped: after the loss of a failure
+// domain thousands of restarts wait, and each would examine every worker. Room and
+// reservations only shrink during a plan, so the skipped ones would find nothing either.
 func (d *Dispatcher) planRestarts(ranked []*waitingJob, candidates []*candidate) {
 	reserved := 0
+	noFit, noReservation := unplaceable{}, unplaceable{}
 	for _, r := range d.overdueRestarts(ranked) {
-		if best := d.choose(r.job, r.step, r.task, candidates, nil); best != nil {
-			d.bind(r.task, r.step, best, r.task.Attempt+1)
+		request := newUnplaceableRequest(r.job.service, r.step, r.task)
+		request.besideIsolated = r.job.besideIsolated
+		if !noFit.covers(request) {
+			if best := d.choose(r.job, r.step, r.task, candidates, nil); best != nil {
+				d.bind(r.task, r.step, best, r.task.Attempt+1)
+				continue
+			}
+			if r.fitsAnywhere() || !r.anyWithRoom(candidates, func(c *candidate) jobs.Resources { return c.free }) {
+				noFit.add(request)
+			}
+		}
+		if reserved >= max(1, len(candidates)/workersPerRestart) || noReservation.covers(request) {
 			continue
 		}
-		if reserved < max(1, len(candidates)/workersPerRestart) && d.reserveForRestart(r, candidates) {
+		switch {
+		case d.reserveForRestart(r, candidates):
 			reserved++
+		case r.fitsAnywhere() || !r.anyWithRoom(candidates, func(c *candidate) jobs.Resources { return c.freeAfterShort }):
+			noReservation.add(request)
 		}
 	}
 }
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -82,6 +82,33 @@
 	boundToEnded map[jobs.TaskKey]int
 	// doneEnds are the successful ends on workers, by task.
 	doneEnds map[jobs.TaskKey][]*doneEnd
+	// byAddress holds the workers by their first addresses, since a search through a large
+	// fleet for each order takes long.
+	byAddress map[string]*simWorker
+	// options are those of the leaders.
+	options Options
+	// observe, if set, is called with each step of a task from the end of one attempt to the
+	// next.
+	observe func(step string, key jobs.TaskKey)
+	// entries, if set, limits the entries of the log.
+	entries *simEntries
+}
+
+// simEntries models the group commit of the leader: at most size commands share an entry, and
+// an entry is proposed an interval after the one before.
+type simEntries struct {
+	size     int
+	interval time.Duration
+	queued   []Proposal
+	// nextAt is when the next entry may be proposed.
+	nextAt    time.Duration
+	scheduled bool
+}
+
+func (sim *simulation) observeStep(step string, key jobs.TaskKey) {
+	if sim.observe != nil {
+		sim.observe(step, key)
+	}
 }
 
 // proposedBatch is a batch of commands that a leader has proposed together.
@@ -157,9 +184,7 @@
 	for _, previous := range sim.leaders {
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
-	options := Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, CapacityGrace: testCapacityGrace,
-		PreviousLeaderLease: testPreviousLeaderLease}
-	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
+	d := New(sim.options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
 	sim.leaders = append(sim.leaders, d)
 	sim.registered[d] = map[jobs.Incarnation]jobs.Resources{}
 	for _, w := range sim.store.Workers() {
@@ -196,13 +221,26 @@
 }
 
 func (sim *simulation) apply(c jobs.Command) jobs.Result {
+	current := c.End != nil && sim.isCurrent(c.End)
 	result := sim.store.Apply(c)
+	switch {
+	case c.Bind != nil && result.Applied:
+		sim.observeStep("committed", c.Bind.Task)
+	case current && result.Applied:
+		sim.observeStep("ended", c.End.Task)
+	}
 	if c.Bind != nil && result.Applied && !sim.isUp(c.Bind.On) {
 		sim.boundToEnded[c.Bind.Task]++
 	}
 	return result
 }
 
+// isCurrent reports whether an end is that of the attempt to which its task is bound.
+func (sim *simulation) isCurrent(c *jobs.End) bool {
+	j := sim.store.Job(c.Task.Job)
+	return j != nil && j.Task(c.Task).BoundTo != nil && j.Task(c.Task).Attempt == c.Attempt
+}
+
 func (sim *simulation) isUp(on jobs.Incarnation) bool {
 	return slices.ContainsFunc(sim.workers, func(t *simWorker) bool {
 		return t.up && t.id == on.Worker && t.startedAtMS == on.StartedAtMS
@@ -249,18 +287,58 @@
 			sim.violation("the audit had to repair: %+v", logEvents[i])
 		}
 	}
-	if len(commands) > 0 {
-		// Commands are committed in the order in which they were proposed.
-		sim.committedUntil = max(sim.committedUntil, sim.now+5*time.Millisecond+sim.commitDelay)
-		batch := &proposedBatch{d, commands}
-		sim.proposed = append(sim.proposed, batch)
-		sim.schedule(sim.committedUntil-sim.now, func() { sim.onControl(d, func() { sim.commit(batch) }) })
+	for i := range commands {
+		if b := commands[i].Command.Bind; b != nil {
+			sim.observeStep("bound", b.Task)
+		}
+	}
+	if len(commands) > 0 && sim.entries == nil {
+		sim.propose(d, commands)
+	}
+	if sim.entries != nil {
+		sim.entries.queued = append(sim.entries.queued, commands...)
+		sim.proposeEntries(d)
 	}
 	for _, o := range orders {
+		if o.Start != nil {
+			sim.observeStep("ordered", o.Start.Task)
+		}
 		sim.sendOrder(d, o)
 	}
 }
 
+// propose proposes commands as one entry. Entries are committed in the order in which they
+// were proposed.
+func (sim *simulation) propose(d *Dispatcher, commands []Proposal) {
+	sim.committedUntil = max(sim.committedUntil, sim.now+5*time.Millisecond+sim.commitDelay)
+	batch := &proposedBatch{d, commands}
+	sim.proposed = append(sim.proposed, batch)
+	sim.schedule(sim.committedUntil-sim.now, func() { sim.onControl(d, func() { sim.commit(batch) }) })
+}
+
+// proposeEntries proposes the queued commands of the newest leader in entries of limited size.
+func (sim *simulation) proposeEntries(d *Dispatcher) {
+	e := sim.entries
+	if len(e.queued) == 0 || e.scheduled {
+		return
+	}
+	if wait := e.nextAt - sim.now; wait > 0 {
+		e.scheduled = true
+		sim.schedule(wait, func() {
+			e.scheduled = false
+			if d == sim.current() {
+				sim.proposeEntries(d)
+			}
+		})
+		return
+	}
+	n := min(len(e.queued), e.size)
+	e.nextAt = sim.now + e.interval
+	sim.propose(d, e.queued[:n:n])
+	e.queued = e.queued[n:]
+	sim.proposeEntries(d)
+}
+
 func (sim *simulation) commit(batch *proposedBatch) {
 	d := batch.leader
 	sim.proposed = slices.DeleteFunc(sim.proposed, func(b *proposedBatch) bool { return b == batch })
@@ -299,6 +377,9 @@
 		return
 	}
 	r.Order, r.SentAt, r.ReceivedAt = o, sent, sim.now
+	if o.Start != nil {
+		sim.observeStep("answered: "+fmt.Sprint(r.Status), o.Start.Task)
+	}
 	leader.Advance(sim.now, sim.unix())
 	leader.HandleReply(r)
 	sim.carryOut(leader)
@@ -443,6 +524,9 @@
 
 // workerAt returns the worker at an address, or nil if nothing listens there.
 func (sim *simulation) workerAt(address string) *simWorker {
+	if t := sim.byAddress[address]; t != nil && t.address == address {
+		return t
+	}
 	for _, t := range sim.workers {
 		if t.address == address {
 			return t
@@ -593,8 +677,9 @@
 func (sim *simulation) addWorker(capacity jobs.Resources, keepsID bool) *simWorker {
 	t := &simWorker{sim: sim, address: fmt.Sprintf("w%d:1", len(sim.workers)), capacity: capacity, keepID: keepsID}
 	sim.workers = append(sim.workers, t)
+	sim.byAddress[t.address] = t
 	t.boot()
-	sim.schedule(time.Duration(sim.rng.Int64N(int64(testHeartbeatInterval))), t.sendHeartbeat)
+	sim.schedule(time.Duration(sim.rng.Int64N(int64(sim.options.HeartbeatInterval))), t.sendHeartbeat)
 	return t
 }
 
@@ -619,7 +704,7 @@
 }
 
 func (t *simWorker) sendHeartbeat() {
-	t.sim.schedule(testHeartbeatInterval, t.sendHeartbeat)
+	t.sim.schedule(t.sim.options.HeartbeatInterval, t.sendHeartbeat)
 	t.report()
 }
 
@@ -711,7 +796,7 @@
 
 func (t *simWorker) renew(deadline int64) {
 	if deadline > 0 {
-		t.lease = max(t.lease, min(deadline, t.clock()+testLease.Milliseconds()))
+		t.lease = max(t.lease, min(deadline, t.clock()+t.sim.options.WorkerLease.Milliseconds()))
 	}
 }
 
@@ -753,6 +838,7 @@
 	t.sim.noteStart(s)
 	run := &simRun{attempt: s.Attempt, reserved: step.ReservedResources(), startedAt: t.sim.now}
 	t.running[s.Task] = run
+	t.sim.observeStep("at work", s.Task)
 	if !step.LongRunning {
 		run.resume(step, s.Checkpoint, t.sim.durationFactor())
 		t.sim.schedule(run.duration-run.saved, func() { t.complete(s.Task, run) })
@@ -908,7 +994,7 @@
 	if o.target.StartedAtMS < t.startedAtMS {
 		first = 0
 	}
-	capacity := t.capacitySince(sentAt-testCapacityGrace-testHeartbeatInterval, first)
+	capacity := t.capacitySince(sentAt-sim.options.CapacityGrace-sim.options.HeartbeatInterval, first)
 	if sentAt-leader.leaderSince < testTakeover {
 		incarnation := jobs.Incarnation{Worker: t.id, StartedAtMS: o.target.StartedAtMS}
 		capacity = maxResources(capacity, sim.registered[leader][incarnation])
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -21,8 +21,10 @@
 	// its commit to the worker's answer.
 	Commit, StartReply DelayStats
 	Holds              HoldCounts
-	// Plans is the number of plans.
+	// Plans is the number of plans, Examined the number of times that they have looked at a
+	// worker for a task that waits.
 	Plans       int
+	Examined    int
 	Preemptions PreemptionCounts
 }
 
@@ -85,7 +87,7 @@
 	begin              map[queueKind]*DelayStats
 	commit, startReply DelayStats
 	holds              HoldCounts
-	plans              int
+	plans, examined    int
 	preemptions        PreemptionCounts
 }
 
@@ -116,7 +118,7 @@
 func (d *Dispatcher) TakeStatus() Status {
 	recent := d.activity
 	d.activity = activity{}
-	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans,
+	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans, Examined: recent.examined,
 		Preemptions: recent.preemptions}
 	s.Attempts.Orphaned = len(d.orphans)
 	for _, w := range d.workers {
