--- a/jobs/dispatch/restart.go
+++ b/jobs/dispatch/restart.go
@@ -18,6 +18,18 @@
 	task *jobs.Task
 }
 
+// fitsAnywhere reports whether the task may run on every worker of its service.
+func (r *restart) fitsAnywhere() bool { return r.step.RequiredLabel == "" && r.step.MaxPerWorker == 0 }
+
+// anyWithRoom reports whether the given room on any worker of the service holds the task, even
+// if the worker may not run it.
+func (r *restart) anyWithRoom(candidates []*candidate, room func(*candidate) jobs.Resources) bool {
+	request := r.step.ReservedResources()
+	return slices.ContainsFunc(candidates, func(c *candidate) bool {
+		return c.worker.Service == r.job.service && request.FitsIn(room(c))
+	})
+}
+
 // planRestarts binds overdue restarts before all other tasks, the longest wait first, and
 // reserves a worker for each that fits nowhere. Without it, smaller and shorter tasks
 // would take all capacity that comes free, and a large task would not run again. Restarts
@@ -32,26 +44,50 @@
 			first = append(first, r)
 		}
 	}
-	reservations := d.bindRestarts(first, candidates, max(1, len(candidates)/workersPerRestart))
+	pass := restartPass{candidates: candidates, reservations: max(1, len(candidates)/workersPerRestart)}
+	d.bindRestarts(first, &pass)
 	if d.planBelowShare(ranked, candidates, noFit) {
-		reservations = 0
+		pass.reservations = 0
 	}
-	d.bindRestarts(later, candidates, reservations)
+	d.bindRestarts(later, &pass)
 }
 
-// bindRestarts binds restarts. It reserves up to the given number of workers for those that
-// fit nowhere, and returns the reservations left.
-func (d *Dispatcher) bindRestarts(list []restart, candidates []*candidate, reservations int) int {
+// restartPass is the state of binding the restarts in one plan.
+type restartPass struct {
+	candidates []*candidate
+	// reservations is the number of workers that may still be reserved.
+	reservations int
+	// noFit and noReservation are the requests that found no room and no worker to reserve.
+	// Those that are not smaller are skipped: after the loss of a failure domain thousands of
+	// restarts wait, and each would examine every worker. Room and reservations only shrink
+	// during a plan, so the skipped ones would find nothing either.
+	noFit, noReservation unplaceable
+}
+
+// bindRestarts binds restarts, and reserves a worker for those that fit nowhere.
+func (d *Dispatcher) bindRestarts(list []restart, pass *restartPass) {
 	for _, r := range list {
-		if best := d.choose(r.job, r.step, r.task, candidates, nil); best != nil {
-			d.bind(r.task, r.step, best, r.task.Attempt+1)
+		request := newUnplaceableRequest(r.job.service, r.step, r.task)
+		request.besideIsolated = r.job.besideIsolated
+		if !pass.noFit.covers(request) {
+			if best := d.choose(r.job, r.step, r.task, pass.candidates, nil); best != nil {
+				d.bind(r.task, r.step, best, r.task.Attempt+1)
+				continue
+			}
+			if r.fitsAnywhere() || !r.anyWithRoom(pass.candidates, func(c *candidate) jobs.Resources { return c.free }) {
+				pass.noFit.add(request)
+			}
+		}
+		if pass.reservations <= 0 || pass.noReservation.covers(request) {
 			continue
 		}
-		if reservations > 0 && d.reserveForRestart(r, candidates) {
-			reservations--
+		switch {
+		case d.reserveForRestart(r, pass.candidates):
+			pass.reservations--
+		case r.fitsAnywhere() || !r.anyWithRoom(pass.candidates, func(c *candidate) jobs.Resources { return c.freeAfterShort }):
+			pass.noReservation.add(request)
 		}
 	}
-	return reservations
 }
 
 // overdueRestarts returns the long-running tasks, other than gangs, that lost their worker
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -21,8 +21,10 @@
 	// its commit to the worker's answer.
 	Commit, StartReply DelayStats
 	Holds              HoldCounts
-	// Plans is the number of plans.
+	// Plans is the number of plans, Examined the number of times that they have looked at a
+	// worker for a task that waits.
 	Plans       int
+	Examined    int
 	Preemptions PreemptionCounts
 	// EvacuatedDomains is the number of evacuated failure domains, EvacuatedStarts that of the
 	// starts that were cancelled since their domain was evacuated after they were planned.
@@ -95,7 +97,7 @@
 	begin              map[queueKind]*DelayStats
 	commit, startReply DelayStats
 	holds              HoldCounts
-	plans              int
+	plans, examined    int
 	preemptions        PreemptionCounts
 	evacuatedStarts    int
 }
@@ -127,7 +129,7 @@
 func (d *Dispatcher) TakeStatus() Status {
 	recent := d.activity
 	d.activity = activity{}
-	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans,
+	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans, Examined: recent.examined,
 		Preemptions: recent.preemptions, EvacuatedDomains: d.store.EvacuationCount(), EvacuatedStarts: recent.evacuatedStarts}
 	s.Attempts.Orphaned = len(d.orphans)
 	for _, w := range d.workers {
