jobs/dispatch, platform: load by degrees for workers that report themselves cold

Cause: a worker that is slow after its start got a full share of the load at once, among them the workers of a domain whose evacuation is revoked. Change: cold-left-ms of the heartbeat is decoded as Heartbeat.ColdLeft; where the deployment uses evacuations the score of a cold worker falls by 2 beyond the share of its CPU that it should have by now, from an eighth to all of it. Work never waits for it.

--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -109,6 +109,8 @@
 	// PreviousLeaderLease is how long the previous leader may have remained active after
 	// this one took over.
 	PreviousLeaderLease time.Duration
+	// WarmUp gives workers that report themselves cold load by degrees.
+	WarmUp bool
 }
 
 // Dispatcher holds the dispatch state of one leader. It is not safe for concurrent use.
--- a/jobs/dispatch/orders.go
+++ b/jobs/dispatch/orders.go
@@ -161,8 +161,11 @@
 	Draining bool
 	// Remaining is the minimum time until a draining worker shuts down.
 	Remaining time.Duration
-	Capacity  jobs.Resources
-	Labels    []string
+	// ColdLeft is how much longer the worker remains slow after its start, 0 if it is warm or
+	// reports none.
+	ColdLeft time.Duration
+	Capacity jobs.Resources
+	Labels   []string
 	// ClockMS and StartedAtMS have the meaning of the fields of Reply.
 	ClockMS     int64
 	StartedAtMS int64
--- a/jobs/dispatch/report.go
+++ b/jobs/dispatch/report.go
@@ -12,6 +12,7 @@
 // setReport replaces the known heartbeat of a worker.
 func (w *worker) setReport(h Heartbeat, now time.Duration) {
 	w.Heartbeat, w.heartbeatAt, w.identityClaim = h, now, nil
+	w.coldSpan = max(w.coldSpan, h.ColdLeft)
 	if w.reportClock == unknownClock && h.ClockMS != 0 {
 		w.reportClock = h.ClockMS
 	} else if w.reportClock != unknownClock {
--- a/jobs/dispatch/score.go
+++ b/jobs/dispatch/score.go
@@ -149,6 +149,9 @@
 	if avoided, ok := d.planner.avoided[t.Key]; ok && avoided.worker == c.worker.Worker {
 		score -= avoidPenalty
 	}
+	if d.overColdShare(step, c) {
+		score -= coldPenalty
+	}
 	if c.suspects > 0 || t.Crashes > 0 {
 		score -= c.suspectPenalty(t)
 	}
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -633,7 +633,7 @@
 	t.sequence++
 	return Heartbeat{
 		Worker: t.id, HostPort: t.address, Service: "s", Domain: t.domain, Capacity: t.capacity, ClockMS: t.clock(), StartedAtMS: t.startedAtMS,
-		Sequence: t.sequence, Draining: t.draining, Remaining: 3 * time.Second,
+		Sequence: t.sequence, Draining: t.draining, Remaining: 3 * time.Second, ColdLeft: max(0, t.coldUntil-t.sim.now),
 	}
 }
 
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -14,6 +14,8 @@
 	// each incarnation, since orders for an earlier one of the same id may still arrive.
 	fence       int64
 	heartbeatAt time.Duration
+	// coldSpan is the longest ColdLeft that the incarnation has reported.
+	coldSpan time.Duration
 	// reportClock is a reading of the worker's clock that is not older than the known
 	// heartbeat, unknownClock if there is none. A heartbeat beyond it is newer whatever its
 	// sequence.
