jobs/dispatch, jobd: windows of preemptions and of log lines slide

Cause: the lines about tasks were counted in fixed seconds, and preemptions by a token bucket with the rate of a second as its burst: around a border, or after a pause, twice the limit fell into one second. Change: both count what happened in the last second. The test of preemptions demanded about twice the rate in the first second; it now allows the rate alone in any second and demands that it is used, which is stricter.

--- a/jobd/loglimit.go
+++ b/jobd/loglimit.go
@@ -6,9 +6,12 @@
 	"github.com/rs/zerolog"
 )
 
-// maxTaskLogLinesPerSecond limits the log lines about single tasks, so that the volume of
-// the logs does not grow with the load.
-const maxTaskLogLinesPerSecond = 600
+const (
+	// maxTaskLogLinesPerSecond limits the log lines about single tasks in any interval of
+	// logWindow, so that the volume of the logs does not grow with the load.
+	maxTaskLogLinesPerSecond = 600
+	logWindow                = time.Second
+)
 
 // repeatedAttempt is the number of an attempt from which on its lines have a limit of their
 // own, so that the many lines about first attempts don't displace them.
@@ -16,19 +19,33 @@
 
 // logLimiter limits the rate of log lines and reports how many were dropped.
 type logLimiter struct {
-	windowStart time.Duration
-	used        int
+	// written holds the times of the last lines in a ring, of which next is the oldest one.
+	written []time.Duration
+	next    int
+	// dropped counts the lines that were dropped since droppedSince.
+	dropped      int
+	droppedSince time.Duration
 }
 
-// allow reports whether one more line may be written. It logs the number of lines that
-// were dropped in the previous window.
+// allow reports whether one more line may be written. It logs the number of lines that were
+// dropped once per logWindow.
 func (l *logLimiter) allow(now time.Duration, log *zerolog.Logger) bool {
-	if now-l.windowStart >= time.Second {
-		if dropped := l.used - maxTaskLogLinesPerSecond; dropped > 0 {
-			log.Warn().Int("lines", dropped).Msg("log lines about tasks were dropped")
+	if l.dropped > 0 && now-l.droppedSince >= logWindow {
+		log.Warn().Int("lines", l.dropped).Msg("log lines about tasks were dropped")
+		l.dropped = 0
+	}
+	if len(l.written) < maxTaskLogLinesPerSecond {
+		l.written = append(l.written, now)
+		return true
+	}
+	if now-l.written[l.next] < logWindow {
+		if l.dropped == 0 {
+			l.droppedSince = now
 		}
-		l.windowStart, l.used = now, 0
+		l.dropped++
+		return false
 	}
-	l.used++
-	return l.used <= maxTaskLogLinesPerSecond
+	l.written[l.next] = now
+	l.next = (l.next + 1) % len(l.written)
+	return true
 }
--- a/jobd/loglimit_test.go
+++ b/jobd/loglimit_test.go
@@ -31,6 +31,23 @@
 	g.Expect(out.String()).To(ContainSubstring(`"lines":600`))
 }
 
+// Guards against twice the lines within a second around the border of two fixed windows.
+func TestLogLimiterSlides(t *testing.T) {
+	g := NewWithT(t)
+	log := zerolog.Nop()
+	var l logLimiter
+	var written []time.Duration
+	for now := 100 * time.Millisecond; now < 5*time.Second; now += 800 * time.Microsecond {
+		if l.allow(now, &log) {
+			written = append(written, now)
+		}
+	}
+	for i := maxTaskLogLinesPerSecond; i < len(written); i++ {
+		g.Expect(written[i] - written[i-maxTaskLogLinesPerSecond]).To(BeNumerically(">=", time.Second))
+	}
+	g.Expect(len(written)).To(BeNumerically(">", 4*maxTaskLogLinesPerSecond))
+}
+
 // Guards against tasks that are bound again and again, or whose check has failed, without a
 // line in the log.
 func TestLogKeepsLinesOfRepeatedAttempts(t *testing.T) {
--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -325,7 +325,7 @@
 			c.claims, c.claimed = nil, jobs.Resources{}
 		}
 		p.init()
-		p.claims, p.tokens = nil, 1000
+		p.claims, p.recent = nil, nil
 		search := newRoomSearch(d, candidates)
 		for _, wj := range ranked {
 			d.preemptFor(wj, search)
--- a/jobs/dispatch/preempt.go
+++ b/jobs/dispatch/preempt.go
@@ -23,10 +23,11 @@
 	// maxPreemptions the number of its preemptions by one leader.
 	preemptionCooldown = 5 * time.Second
 	maxPreemptions     = 2
-	// preemptionsPerWorker times the number of workers is the number of preemptions in each
-	// second, and in one plan after a pause. minPreemptionBurst is its lower bound.
+	// preemptionsPerWorker times the number of workers bounds the preemptions in any interval of
+	// preemptionWindow. minPreemptionBurst is the lower bound of that.
 	preemptionsPerWorker = 0.2
 	minPreemptionBurst   = 4
+	preemptionWindow     = time.Second
 	// claimTimeout is how long the room on a worker is kept for a task.
 	claimTimeout = 1200 * time.Millisecond
 	// maxPreemptingSteps bounds the steps for which one plan looks for room, and
@@ -59,10 +60,10 @@
 	claims []*claim
 	// perStep is the number of claims of each step.
 	perStep map[jobs.TaskKey]int
-	// tokens is a token bucket: each preemption takes one token. It was last refilled at
-	// refilledAt.
-	tokens     float64
-	refilledAt time.Duration
+	// recent are the times of the preemptions in the last preemptionWindow, left is how many
+	// more are allowed now.
+	recent []time.Duration
+	left   int
 	// preempted are the preemptions of tasks whose jobs are active.
 	preempted map[jobs.TaskKey]preemption
 	// nextWorker is the index of the first candidate that the next search examines.
@@ -97,11 +98,10 @@
 	}
 }
 
-// refill adds the tokens for the time since the last refill.
+// refill drops the preemptions that have left the window.
 func (p *preemptor) refill(workers int, now time.Duration) {
-	maxTokens := max(minPreemptionBurst, preemptionsPerWorker*float64(workers))
-	p.tokens = min(maxTokens, p.tokens+maxTokens*(now-p.refilledAt).Seconds())
-	p.refilledAt = now
+	p.recent = slices.DeleteFunc(p.recent, func(at time.Duration) bool { return now-at >= preemptionWindow })
+	p.left = max(0, max(minPreemptionBurst, int(preemptionsPerWorker*float64(workers)))-len(p.recent))
 }
 
 // planClaims binds tasks to the room that was claimed for them. It keeps other tasks from
@@ -243,7 +243,8 @@
 // from its checkpoint.
 func (d *Dispatcher) preemptAttempt(w *worker, a *attempt, beneficiary jobs.TaskKey) {
 	p := &d.planner.preemptor
-	p.tokens--
+	p.left--
+	p.recent = append(p.recent, d.now)
 	p.preempted[a.task] = preemption{p.preempted[a.task].count + 1, d.now}
 	d.activity.preemptions.Preempted++
 	d.addLogEvent("task preempted", w, a, fmt.Sprintf("for step %v, at %d%%, loses %v of work", beneficiary, a.percent, d.lostWork(a)))
@@ -395,7 +396,7 @@
 		return nil
 	}
 	for _, r := range s.rooms {
-		if float64(r.stops) <= p.tokens && (best == nil || r.cost < best.cost) {
+		if r.stops <= p.left && (best == nil || r.cost < best.cost) {
 			best = r
 		}
 	}
--- a/jobs/dispatch/preempt_test.go
+++ b/jobs/dispatch/preempt_test.go
@@ -330,8 +330,9 @@
 		Expect(task.EndedAt-unixStart).To(BeNumerically("<", 24_000), "15 s of work, two urgent tasks and two restores")
 	})
 
-	// Guards against a wide job that makes the leader stop a large part of the fleet at once.
-	It("bounds the preemptions in each second", func() {
+	// Guards against a wide job that makes the leader stop a large part of the fleet at once, or at
+	// the border between two seconds.
+	It("bounds the preemptions in any second", func() {
 		const workers = 30
 		sim := preemptionSimulation(7)
 		sim.durationSpread = 0
@@ -347,9 +348,18 @@
 		wide := oneTask(3000, 3000)
 		wide.Steps[0].Count = workers
 		sim.submitUrgent("wide", wide)
-		sim.runUntil(5 * time.Second)
+		var totals []int
+		for total := 0; sim.now < 5500*time.Millisecond; {
+			sim.runUntil(sim.now + testTick)
+			total += sim.current().TakeStatus().Preemptions.Preempted
+			totals = append(totals, total)
+		}
 		Expect(sim.violations).To(BeEmpty())
-		Expect(sim.current().TakeStatus().Preemptions.Preempted).To(BeNumerically("~", 2*preemptionsPerWorker*workers, 2))
+		second := int(preemptionWindow/testTick) - 1
+		for i := second; i < len(totals); i++ {
+			Expect(totals[i]-totals[i-second]).To(BeNumerically("<=", preemptionsPerWorker*workers), "%v", i)
+		}
+		Expect(totals[len(totals)-1]).To(BeNumerically(">=", 1.5*preemptionsPerWorker*workers))
 	})
 
 	// Guards against late and expired jobs that stand in front of work that is still in time.
