--- a/e2e/jobevacuation_test.go
+++ b/e2e/jobevacuation_test.go
@@ -49,12 +49,13 @@
 }
 
 // Guards against work that starts in an evacuated domain after the leader was killed right after
-// the order, under a former leader that resumes, or after all replicas were killed, and against a
-// domain that stays evacuated once the order is revoked.
+// the order, under a former leader that resumes, or after all replicas were killed and one joins
+// anew, and against a domain that stays evacuated once the order is revoked. Other replicas carry
+// the orders of the leader.
 func TestEvacuatedDomainGetsNoTasks(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f, err := newJobFleet(t.TempDir(), 3, 2, 0, 0)
+	f, err := newJobFleet(t.TempDir(), 3, 2, 0, 1)
 	g.Expect(err).NotTo(HaveOccurred())
 	f.zones = []string{"a", "b", "a", "b"}
 	for i := range f.zones {
@@ -90,12 +91,7 @@
 	s.pass(g, pausedLeader)
 	paused.thaw()
 	s.pass(g, time.Second)
-	s.note("kill all replicas")
-	for _, r := range f.replicas {
-		r.expectFault(restartPause)
-		r.kill()
-		r.startAt = time.Now().Add(restartPause)
-	}
+	s.killAllAndLoseDisk(g, f.replicas[0])
 	s.pass(g, max(time.Second, time.Until(acknowledged.Add(evacuationBound))))
 	restarted := time.Now()
 	started("b", restarted)
--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -193,6 +193,8 @@
 		status := http.StatusServiceUnavailable
 		if errors.Is(err, relay.ErrUnresolved) {
 			status = http.StatusGatewayTimeout
+		} else {
+			w.Header().Set("Retry-After", "1")
 		}
 		http.Error(w, strings.TrimSpace(err.Error()), status)
 		return
--- a/jobs/dispatch/evacuation_test.go
+++ b/jobs/dispatch/evacuation_test.go
@@ -147,6 +147,26 @@
 		Expect(sim.violations).To(BeEmpty())
 	}, Entry("of single tasks", false), Entry("of a gang", true))
 
+	// Guards against a part of a gang that waits for the others in vain, since the bindings of its
+	// members were committed in entries before and after the order.
+	It("starts a gang as a whole or not at all", func() {
+		sim := fleet(newSimulation(7))
+		sim.commitDelay = 300 * time.Millisecond
+		sim.submit("j", jobs.Spec{Steps: []jobs.Step{{Count: 2, MaxPerWorker: 1, Gang: true, Request: small, EstimateMS: 60_000}}})
+		sim.runUntil(2100 * time.Millisecond)
+		d, j := sim.current(), sim.store.Job("j")
+		first, second := d.proposedBinds[jobs.TaskKey{Job: "j"}], d.proposedBinds[jobs.TaskKey{Job: "j", Index: 1}]
+		Expect(d.evacuationPrevents(j, second)).To(BeFalse())
+		sim.evacuate(first.worker.Domain, true)
+		Expect(d.evacuationPrevents(j, second)).To(BeTrue(), "whichever domain the second one is in")
+		for _, p := range []phase{phaseOrdered, phaseStarted, phaseUncertain} {
+			first.phase = p
+			Expect(d.evacuationPrevents(j, second)).To(BeFalse())
+		}
+		first.phase = phaseVoid
+		Expect(d.evacuationPrevents(j, second)).To(BeTrue())
+	})
+
 	// Guards against a start that was not answered and is sent again in the domain.
 	It("starts a task elsewhere whose start in the domain was not answered", func() {
 		sim := fleet(newSimulation(7))
