--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -111,6 +111,8 @@
 	PreviousLeaderLease time.Duration
 	// FairShares lets queues below their share of the fleet go first; nil ignores shares.
 	FairShares *FairShares
+	// WarmUp gives workers that report themselves cold load by degrees.
+	WarmUp bool
 }
 
 // Dispatcher holds the dispatch state of one leader. It is not safe for concurrent use.
