dispatch: tasks wait for the rack of their data while it saves time

Data on a rack was a fixed bonus of the score, SameRack was ignored, and no task waited for a place, whatever it would save. With Options.RemoteSlowdown above 1 the plan compares the expected end in the preferred rack with the one elsewhere (package locality). The option is not set yet, so nothing changes: go test ./jobs/dispatch passes.

--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"geraniumwall/jobs"
+	"geraniumwall/jobs/dispatch/locality"
 )
 
 // candidate is a worker with its free capacity during one plan.
@@ -44,6 +45,9 @@
 	// idleMilliCPU is the CPU time that the tasks on the worker are expected to leave for
 	// fillers, in millicores.
 	idleMilliCPU float64
+	// room is the expected free capacity over time, nil until a task considers to wait for
+	// the rack of the worker.
+	room *locality.Worker
 }
 
 func (d *Dispatcher) candidates() []*candidate {
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -109,6 +109,9 @@
 	// PreviousLeaderLease is how long the previous leader may have remained active after
 	// this one took over.
 	PreviousLeaderLease time.Duration
+	// RemoteSlowdown is the ratio of the duration of a task away from its data or its group to
+	// that near them. Tasks wait for a preferred place if it is above 1.
+	RemoteSlowdown float64
 }
 
 // Dispatcher holds the dispatch state of one leader. It is not safe for concurrent use.
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -79,6 +79,7 @@
 	// shortReserves is the capacity of each service that new long-running tasks leave free.
 	shortReserves map[string]*shortReserve
 	preemptor     preemptor
+	places        places
 }
 
 type avoidance struct {
@@ -95,6 +96,7 @@
 	p.lapses = map[jobs.TaskKey]lapse{}
 	p.shortReserves = map[string]*shortReserve{}
 	p.preemptor.init()
+	p.places.init()
 	p.isolationSince = map[jobs.TaskKey]time.Duration{}
 	for _, j := range store.Jobs() {
 		p.waiting[j.ID] = nil
@@ -111,6 +113,7 @@
 // leaseExpiredTasks, lapses, isolationSince and the preemptor.
 func (d *Dispatcher) prunePlannerState() {
 	d.planner.preemptor.prune(d.store)
+	d.prunePlaceWaits()
 	for key := range d.planner.leaseExpiredTasks {
 		if j := d.store.Job(key.Job); j == nil || j.State.Ended() {
 			delete(d.planner.leaseExpiredTasks, key)
@@ -160,6 +163,7 @@
 	d.planner.blockedMilliCPU = 0
 	d.planner.reservations = 0
 	candidates := d.candidates()
+	d.planner.places.beginPlan(candidates)
 	if len(candidates) == 0 {
 		return
 	}
@@ -264,6 +268,10 @@
 			}
 			return true
 		}
+		if d.waitsForPlace(wj, step, t, c) {
+			held = true
+			continue
+		}
 		if wj.class == classOverdue {
 			d.planner.overdueTokens = max(0, d.planner.overdueTokens-1)
 		}
@@ -273,8 +281,8 @@
 }
 
 // waitingTasks returns the tasks of a step that wait for a worker. held reports whether
-// there are others: those that are to run alone, which planSuspects binds, and those that
-// wait for the list of the worker of an expired attempt.
+// there are others: those that are to run alone, which planSuspects binds, those that wait
+// for the list of the worker of an expired attempt, and those that wait for a preferred place.
 func (d *Dispatcher) waitingTasks(step *jobs.Step, tasks []jobs.Task) (waiting []*jobs.Task, held bool) {
 	for i := range tasks {
 		t := &tasks[i]
@@ -284,6 +292,8 @@
 			held = true
 		case len(d.planner.lapses) > 0 && d.awaitsList(t.Key):
 			held = true
+		case d.planner.places.deferred[t.Key]:
+			held = true
 		default:
 			waiting = append(waiting, t)
 		}
@@ -364,27 +374,37 @@
 			return true
 		}
 	}
+	chosen := d.placeGang(wj, step, waiting, candidates)
+	if chosen == nil {
+		return true
+	}
+	for i, t := range waiting {
+		d.bind(t, step, chosen[i], number)
+	}
+	return false
+}
+
+// fitGang returns a worker for each task of a gang, or nil if some of them find none.
+func (d *Dispatcher) fitGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, candidates []*candidate) []*candidate {
 	taken := map[*candidate]int{}
+	defer func() {
+		for c, tasks := range taken {
+			for range tasks {
+				c.free = c.free.Add(step.ReservedResources())
+			}
+		}
+	}()
 	var chosen []*candidate
 	for _, t := range waiting {
 		c := d.choose(wj, step, t, candidates, taken)
 		if c == nil {
-			for c, tasks := range taken {
-				for range tasks {
-					c.free = c.free.Add(step.ReservedResources())
-				}
-			}
-			return true
+			return nil
 		}
 		c.free = c.free.Sub(step.ReservedResources())
 		taken[c]++
 		chosen = append(chosen, c)
 	}
-	for i, t := range waiting {
-		chosen[i].free = chosen[i].free.Add(step.ReservedResources())
-		d.bind(t, step, chosen[i], number)
-	}
-	return false
+	return chosen
 }
 
 // hasPendingRecord reports whether a binding or a late end of the task is not committed
@@ -409,6 +429,7 @@
 	delete(d.planner.leaseExpiredTasks, t.Key)
 	delete(d.planner.lapses, t.Key)
 	delete(d.planner.isolationSince, t.Key)
+	d.recordPlace(t, step, c)
 	a := d.newAttempt(t, step, number, phaseProposed)
 	if a.suspicion > 0 {
 		d.addSuspect(c, a)
--- a/jobs/dispatch/preempt.go
+++ b/jobs/dispatch/preempt.go
@@ -159,6 +159,9 @@
 	c.claimed = c.claimed.Add(cl.request)
 	c.claims = append(c.claims, cl)
 	c.free = c.free.Sub(minResources(cl.request, c.free))
+	if c.room != nil {
+		c.room.Claim(cl.request)
+	}
 }
 
 // minResources returns the smaller of two amounts of each resource, but no negative one.
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumwall/jobs"
+	"geraniumwall/jobs/dispatch/locality"
 )
 
 // simulation simulates workers, a log and successive leaders in virtual time, and checks
@@ -82,6 +83,14 @@
 	boundToEnded map[jobs.TaskKey]int
 	// doneEnds are the successful ends on workers, by task.
 	doneEnds map[jobs.TaskKey][]*doneEnd
+	// remoteSlowdown is the setting of the leaders, and placeRule replaces their decision about
+	// preferred places.
+	remoteSlowdown float64
+	placeRule      func(locality.Input) locality.Decision
+	// slowdown is the ratio of the duration of a run away from its data to that near them, 0
+	// for 1. workFactor returns the ratio of the duration of a task to the declared one.
+	slowdown   float64
+	workFactor func(key jobs.TaskKey) float64
 }
 
 // proposedBatch is a batch of commands that a leader has proposed together.
@@ -158,8 +167,11 @@
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
 	options := Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, CapacityGrace: testCapacityGrace,
-		PreviousLeaderLease: testPreviousLeaderLease}
+		PreviousLeaderLease: testPreviousLeaderLease, RemoteSlowdown: sim.remoteSlowdown}
 	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
+	if sim.placeRule != nil {
+		d.planner.places.decide = sim.placeRule
+	}
 	sim.leaders = append(sim.leaders, d)
 	sim.registered[d] = map[jobs.Incarnation]jobs.Resources{}
 	for _, w := range sim.store.Workers() {
@@ -501,6 +513,8 @@
 	usage func(key jobs.TaskKey) float64
 	// garbleLists changes the lists in a reply on their way to the leader.
 	garbleLists func(r *Reply)
+	// rack is the rack that the worker reports, empty for none.
+	rack string
 }
 
 // capacityChange is a capacity and the time from which on it is in force.
@@ -626,7 +640,12 @@
 // heartbeat returns a new heartbeat.
 func (t *simWorker) heartbeat() Heartbeat {
 	t.sequence++
+	var labels []string
+	if t.rack != "" {
+		labels = []string{"general", t.rack}
+	}
 	return Heartbeat{
+		Labels: labels,
 		Worker: t.id, HostPort: t.address, Service: "s", Capacity: t.capacity, ClockMS: t.clock(), StartedAtMS: t.startedAtMS,
 		Sequence: t.sequence, Draining: t.draining, Remaining: 3 * time.Second,
 	}
@@ -754,7 +773,7 @@
 	run := &simRun{attempt: s.Attempt, reserved: step.ReservedResources(), startedAt: t.sim.now}
 	t.running[s.Task] = run
 	if !step.LongRunning {
-		run.resume(step, s.Checkpoint, t.sim.durationFactor())
+		run.resume(step, s.Checkpoint, t.sim.durationFactor()*t.placeFactor(s.Task, step))
 		t.sim.schedule(run.duration-run.saved, func() { t.complete(s.Task, run) })
 	}
 	if t.sim.deadly[s.Task] {
@@ -763,6 +782,18 @@
 	return Accepted, ""
 }
 
+// placeFactor returns the ratio of the duration of a task on this worker to the declared one.
+func (t *simWorker) placeFactor(key jobs.TaskKey, step *jobs.Step) float64 {
+	factor := 1.0
+	if t.sim.workFactor != nil {
+		factor = t.sim.workFactor(key)
+	}
+	if t.sim.slowdown > 0 && step.DataRack != "" && step.DataRack != t.rack {
+		factor *= t.sim.slowdown
+	}
+	return factor
+}
+
 // complete ends a run when its work is done, or later if the worker hangs.
 func (t *simWorker) complete(key jobs.TaskKey, run *simRun) {
 	switch {
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -24,6 +24,8 @@
 	// Plans is the number of plans.
 	Plans       int
 	Preemptions PreemptionCounts
+	// PlaceWaits counts the waits for preferred places. Their tasks are in no queue of Queues.
+	PlaceWaits PlaceWaitCounts
 }
 
 // WorkerCounts counts workers by state. Except for Known each worker counts once.
@@ -119,6 +121,7 @@
 	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans,
 		Preemptions: recent.preemptions}
 	s.Attempts.Orphaned = len(d.orphans)
+	s.PlaceWaits = d.planner.places.takeCounts()
 	for _, w := range d.workers {
 		d.countWorker(w, &s)
 	}
@@ -231,7 +234,8 @@
 	return step, task
 }
 
-// eachWaiting calls f with each task of a job that waits for a worker.
+// eachWaiting calls f with each task of a job that waits for a worker, other than those that
+// wait for a preferred place.
 func (d *Dispatcher) eachWaiting(j *jobs.Job, f func(*jobs.Step, *jobs.Task)) {
 	for o := range j.Runs {
 		if j.Spec.Due(o) > d.unixMS {
@@ -243,7 +247,7 @@
 			}
 			tasks := j.StepTasks(o, s)
 			for i := range tasks {
-				if t := &tasks[i]; !t.Done && t.BoundTo == nil && !d.hasPendingRecord(t) {
+				if t := &tasks[i]; !t.Done && t.BoundTo == nil && !d.hasPendingRecord(t) && !d.planner.places.deferred[t.Key] {
 					f(&j.Spec.Steps[s], t)
 				}
 			}
