jobd: setting remote_slowdown, counters of waits for places

The leader had no setting for the slowdown away from the data. It is taken from the platform's far-factor where that exists; 0 and 1 keep the previous behavior. The status line and three counters show the waits. The recorder of the metrics page also lists float counters, so that it shows the third one. go test ./jobd ./platform ./daemon passes.

--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -48,6 +48,12 @@
 	return r.Meter.Int64Counter(name, o...)
 }
 
+func (r recorder) Float64Counter(name string, o ...metric.Float64CounterOption) (metric.Float64Counter, error) {
+	c := metric.NewFloat64CounterConfig(o...)
+	r.add(name, "counter", c.Unit(), c.Description())
+	return r.Meter.Float64Counter(name, o...)
+}
+
 func (r recorder) Int64Histogram(name string, o ...metric.Int64HistogramOption) (metric.Int64Histogram, error) {
 	c := metric.NewInt64HistogramConfig(o...)
 	r.add(name, "histogram", c.Unit(), c.Description())
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -193,6 +193,7 @@
 		m.orderCtx, m.cancelOrders = context.WithCancel(context.Background())
 		options := dispatch.Options{
 			WorkerLease: m.settings.lease(), HeartbeatInterval: m.settings.heartbeat(), CapacityGrace: m.settings.capacityGrace(),
+			RemoteSlowdown:      m.settings.RemoteSlowdown,
 			PreviousLeaderLease: replicate.LeaseTerm(),
 		}
 		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now(), time.Now().UnixMilli()) //nolint:gosec // terms stay far below the limit
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -24,6 +24,7 @@
 	crashes  metric.Int64Counter
 	duration metric.Float64Histogram
 	changes  metric.Int64Counter
+	places   placeMetrics
 	// membership is the latest state of the members. The control thread stores it and the
 	// callback of the gauges reads it.
 	membership atomic.Pointer[replicate.MembershipStatus]
@@ -61,7 +62,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("create the counter of membership changes: %w", err)
 	}
-	m := &Metrics{orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes}
+	places, err := newPlaceMetrics(meter)
+	if err != nil {
+		return nil, err
+	}
+	m := &Metrics{places: places, orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes}
 	return m, m.observeMembership(meter)
 }
 
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -10,6 +10,10 @@
 	"geraniumwall/settings"
 )
 
+// maxRemoteSlowdown bounds the ratio of the setting remote_slowdown. Durations of jobs times
+// this ratio stay in the range of a time.Duration.
+const maxRemoteSlowdown = 100
+
 // Settings are the settings of a job replica.
 type Settings struct {
 	// Name is the name of the process, for logs.
@@ -41,6 +45,10 @@
 	// nothing for so long gets no new tasks. With 0 it gets them for four heartbeat
 	// intervals.
 	CapacityGraceMS int64 `json:"capacity_grace_ms"`
+	// RemoteSlowdown is the ratio of the duration of a task away from its data or its group to
+	// that near them. Above 1 tasks wait for a place near them while the wait is worthwhile;
+	// with 0 and 1 they don't.
+	RemoteSlowdown float64 `json:"remote_slowdown"`
 	// MinWorkersForCarriers is the number of workers from which on carriers, the other
 	// replicas, send the leader's orders to workers; 0 for never. In smaller fleets the
 	// leader calls the workers itself, since each replica in between is another point of
@@ -66,6 +74,10 @@
 	c.NotNegative("carry_from_workers", int64(s.MinWorkersForCarriers))
 	c.NotNegative("capacity_grace_ms", s.CapacityGraceMS)
 	c.NotNegative("max_open_files", s.MaxOpenFiles)
+	if s.RemoteSlowdown != 0 && (s.RemoteSlowdown < 1 || s.RemoteSlowdown > maxRemoteSlowdown) {
+		c.Add("remote_slowdown", fmt.Sprintf("%g is not a ratio from 1 to %d", s.RemoteSlowdown, maxRemoteSlowdown),
+			"use a ratio such as 1.5, or 0 so that no task waits for a place")
+	}
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
--- a/jobd/settings_test.go
+++ b/jobd/settings_test.go
@@ -23,7 +23,7 @@
 	values := map[string]string{
 		"node-id": "n", "zone": "z", "listen.control": "192.0.2.1:80", "ip": "192.0.2.1", "port-range.0": "7000", "port-range.1": "7001",
 		"bootstrap": "true", "data-dir": "/data", "heartbeat-ms": "1500", "bounds.hold-max-ms": "10000", "bounds.contact-ms": "3000",
-		"bounds.grace-s": "6", "limits.max-fds": "4324", "#seeds": "", "/seeds": "", ".": "192.0.2.1:80", "#,": "", ",": "",
+		"bounds.grace-s": "6", "limits.max-fds": "4324", "#bounds.far-factor": "", "bounds.far-factor": "1.6", "/bounds.far-factor": "", "#seeds": "", "/seeds": "", ".": "192.0.2.1:80", "#,": "", ",": "",
 	}
 	document := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(field string) string {
 		value, known := values[field[2:len(field)-2]]
@@ -36,6 +36,24 @@
 	g.Expect(s.heartbeat()).To(Equal(1500 * time.Millisecond))
 	g.Expect(s.lease()).To(Equal(10 * time.Second))
 	g.Expect(s.MaxOpenFiles).To(Equal(int64(4324)))
+	g.Expect(s.RemoteSlowdown).To(Equal(1.6))
+}
+
+// Guards against a slowdown that makes remote places look faster, or times overflow.
+func TestSettingsRefuseRemoteSlowdown(t *testing.T) {
+	g := NewWithT(t)
+	s := Settings{
+		Name: "n", DataDir: "/data", Listen: "192.0.2.1:80", PeerListen: "192.0.2.1:7000", Seeds: []string{"192.0.2.1:7000"},
+		HeartbeatMS: 1500, LeaseMS: 10_000, ShutdownTimeoutMS: 6000,
+	}
+	for _, allowed := range []float64{0, 1, 1.5, 100} {
+		s.RemoteSlowdown = allowed
+		g.Expect(settings.Validate("f", &s)).To(Succeed(), "%g", allowed)
+	}
+	for _, refused := range []float64{-1, 0.5, 0.999, 100.5, 1e300} {
+		s.RemoteSlowdown = refused
+		g.Expect(settings.Validate("f", &s)).To(MatchError(ContainSubstring("remote_slowdown")), "%g", refused)
+	}
 }
 
 // Guards against a negative grace that lets no worker get tasks.
--- a/jobd/status.go
+++ b/jobd/status.go
@@ -46,6 +46,10 @@
 			Int("expired", s.Holds.Expired).Int("failed", s.Holds.Failed)).
 		Dict("commit", delayFields(&s.Commit)).Dict("start_reply", delayFields(&s.StartReply)).
 		Dict("preemptions", preemptionFields(&s.Preemptions))
+	if m.settings.RemoteSlowdown > 1 {
+		e.Dict("place_waits", placeFields(&s.PlaceWaits))
+		m.metrics.places.record(&s.PlaceWaits)
+	}
 	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
 }
 
