--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -28,6 +28,7 @@
 	evacuatedStarts metric.Int64Counter
 	// evacuation is the latest state of the evacuations, nil if the deployment does not use them.
 	evacuation atomic.Pointer[evacuationCounts]
+	places     placeMetrics
 	// membership is the latest state of the members. The control thread stores it and the
 	// callback of the gauges reads it.
 	membership atomic.Pointer[replicate.MembershipStatus]
@@ -65,7 +66,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("create the counter of membership changes: %w", err)
 	}
-	m := &Metrics{orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes}
+	places, err := newPlaceMetrics(meter)
+	if err != nil {
+		return nil, err
+	}
+	m := &Metrics{places: places, orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes}
 	return m, errors.Join(m.observeMembership(meter), m.observeEvacuations(meter))
 }
 
--- a/jobd/status.go
+++ b/jobd/status.go
@@ -49,6 +49,10 @@
 		Dict("preemptions", preemptionFields(&s.Preemptions)).
 		Dict("evacuations", zerolog.Dict().Int("domains", s.EvacuatedDomains).Int("workers", s.Workers.Evacuated).
 			Int("cancelled_starts", s.EvacuatedStarts))
+	if m.settings.RemoteSlowdown > 1 {
+		e.Dict("place_waits", placeFields(&s.PlaceWaits))
+		m.metrics.places.record(&s.PlaceWaits)
+	}
 	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
 }
 
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -113,6 +113,9 @@
 	FairShares *FairShares
 	// WarmUp gives workers that report themselves cold load by degrees.
 	WarmUp bool
+	// RemoteSlowdown is the ratio of the duration of a task away from its data or its group to
+	// that near them. Tasks wait for a preferred place if it is above 1.
+	RemoteSlowdown float64
 }
 
 // Dispatcher holds the dispatch state of one leader. It is not safe for concurrent use.
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -32,6 +32,8 @@
 	// Shares holds an entry for each queue that took part in the latest plan, in the order of
 	// their names. It is empty without FairShares.
 	Shares []QueueShare
+	// PlaceWaits counts the waits for preferred places. Their tasks are in no queue of Queues.
+	PlaceWaits PlaceWaitCounts
 }
 
 // AllEvacuated reports whether the only usable workers are in evacuated failure domains, so
@@ -132,6 +134,7 @@
 	s := Status{Commit: recent.commit, StartReply: recent.startReply, Holds: recent.holds, Plans: recent.plans, Examined: recent.examined,
 		Preemptions: recent.preemptions, EvacuatedDomains: d.store.EvacuationCount(), EvacuatedStarts: recent.evacuatedStarts}
 	s.Attempts.Orphaned = len(d.orphans)
+	s.PlaceWaits = d.planner.places.takeCounts()
 	for _, w := range d.workers {
 		d.countWorker(w, &s)
 	}
@@ -247,7 +250,8 @@
 	return step, task
 }
 
-// eachWaiting calls f with each task of a job that waits for a worker.
+// eachWaiting calls f with each task of a job that waits for a worker, other than those that
+// wait for a preferred place.
 func (d *Dispatcher) eachWaiting(j *jobs.Job, f func(*jobs.Step, *jobs.Task)) {
 	for o := range j.Runs {
 		if j.Spec.Due(o) > d.unixMS {
@@ -259,7 +263,7 @@
 			}
 			tasks := j.StepTasks(o, s)
 			for i := range tasks {
-				if t := &tasks[i]; !t.Done && t.BoundTo == nil && !d.hasPendingRecord(t) {
+				if t := &tasks[i]; !t.Done && t.BoundTo == nil && !d.hasPendingRecord(t) && !d.planner.places.deferred[t.Key] {
 					f(&j.Spec.Steps[s], t)
 				}
 			}
