jobs/dispatch, platform: cold workers count only beside a warm majority

Cause: right after the start of a whole fleet every worker is cold. The lower score beyond the share would then spread serving tasks that are better packed. Change: the share does not count while more than half of the usable workers are cold.

--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -54,13 +54,14 @@
 			states = append(states, d.newCandidate(w))
 		}
 	}
-	d.planner.nonServing, d.planner.usable, d.planner.isolated = 0, len(states), 0
+	d.planner.nonServing, d.planner.usable, d.planner.isolated, d.planner.cold = 0, len(states), 0, 0
 	list := make([]*candidate, len(states))
 	for i := range states {
 		c := &states[i]
 		list[i] = c
 		d.planner.nonServing += boolToInt(c.servingTasks == 0)
 		d.planner.isolated += boolToInt(c.isolated)
+		d.planner.cold += boolToInt(c.worker.coldLeft(d.now) > 0)
 	}
 	return list
 }
--- a/jobs/dispatch/cold.go
+++ b/jobs/dispatch/cold.go
@@ -21,9 +21,11 @@
 }
 
 // overColdShare reports whether a task would load a cold worker beyond the share of its CPU
-// that it should have by now. A worker without tasks always gets one.
+// that it should have by now. A worker without tasks always gets one. While most workers are
+// cold, as after the start of the whole fleet, the share does not count: there are not enough
+// others, and it would spread serving tasks that are better packed on few workers.
 func (d *Dispatcher) overColdShare(step *jobs.Step, c *candidate) bool {
-	if !d.options.WarmUp || c.worker.ColdLeft == 0 || c.tasks == 0 {
+	if !d.options.WarmUp || c.worker.ColdLeft == 0 || c.tasks == 0 || 2*d.planner.cold > d.planner.usable {
 		return false
 	}
 	left := c.worker.coldLeft(d.now)
--- a/jobs/dispatch/cold_test.go
+++ b/jobs/dispatch/cold_test.go
@@ -52,6 +52,16 @@
 		Expect(sim.workers[0].running).To(HaveLen(16))
 	})
 
+	// Guards against a placement that changes for a whole fleet that has just started.
+	It("is loaded as others while most of them are cold", func() {
+		sim := begin(true, 1)
+		sim.addWorker(jobs.Resources{MilliCPU: 16_000, MemoryMB: 1000}, true).coldUntil = 2*time.Second + span
+		sim.runUntil(3200 * time.Millisecond)
+		submit(sim, "first", 24)
+		Expect(len(sim.workers[1].running)).To(BeNumerically(">=", 4))
+		Expect(len(sim.workers[2].running)).To(BeNumerically(">=", 4))
+	})
+
 	// Guards against another placement in deployments that do not ask for it.
 	It("is loaded as others without the setting", func() {
 		sim := begin(false, 1)
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -57,6 +57,8 @@
 	// usable workers.
 	nonServing int
 	usable     int
+	// cold is the number of usable workers that report themselves cold.
+	cold int
 	// isolationSince is the time since which each task that is to run alone waits.
 	isolationSince map[jobs.TaskKey]time.Duration
 	// isolated is the number of usable workers with a task that is to run alone.
