dispatch, jobd: jobs that can't end before they are worthless are refused

Cause: work was accepted that the fleet can't finish in time, and its callers were the last to learn it.

Change: the package admission measures, by queue and size class, the work that starts per second while jobs of the class wait, and the late part of it. A short job is refused with 429 and Retry-After, before anything is proposed, if neither the work that can still meet its objective nor the late work before it leaves it enough time and no usable worker has room for its largest task. Setting admission, which the platform's template does not enable. Jobs in the log or on their way there are not refused; a new leader admits all until it has measured a second of waiting. Gauges of the shares, a counter and a log line of refusals, docs.

--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -45,6 +45,9 @@
 	// repeatLogs limits the lines about repeated attempts.
 	repeatLogs logLimiter
 	status     statusReport
+	// refusalLogs limits the lines about refused submissions.
+	refusalLogs logLimiter
+	unsettled   unsettledSubmissions
 
 	// proposals are the commands for the log while this replica leads.
 	proposals      *proposalQueue
@@ -186,6 +189,7 @@
 		m.cancelOrders()
 		m.proposals.fail()
 		m.proposals = nil
+		m.metrics.shares.Store(nil)
 		m.log.Info().Uint64("term", m.term).Msg("dispatch stopped")
 	}
 	if m.dispatcher == nil && leading {
@@ -194,10 +198,12 @@
 		options := dispatch.Options{
 			WorkerLease: m.settings.lease(), HeartbeatInterval: m.settings.heartbeat(), CapacityGrace: m.settings.capacityGrace(),
 			PreviousLeaderLease: replicate.LeaseTerm(), FairShares: m.settings.FairShares.options(),
+			Admission: m.settings.Admission.enabled(),
 		}
 		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now(), time.Now().UnixMilli()) //nolint:gosec // terms stay far below the limit
 		m.sender = m.newSender()
 		m.proposals = m.newProposalQueue()
+		m.unsettled = unsettledSubmissions{}
 		m.status.nextAt = m.now() + statusInterval
 		m.log.Info().Uint64("term", term).Msg("dispatch started")
 	}
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -27,6 +27,9 @@
 	// membership is the latest state of the members. The control thread stores it and the
 	// callback of the gauges reads it.
 	membership atomic.Pointer[replicate.MembershipStatus]
+	refused    metric.Int64Counter
+	// shares are the shares of the queues in a recent plan of this leader, nil on others.
+	shares atomic.Pointer[[]dispatch.QueueShare]
 }
 
 // NewMetrics creates the instruments.
@@ -61,8 +64,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("create the counter of membership changes: %w", err)
 	}
-	m := &Metrics{orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes}
-	return m, m.observeMembership(meter)
+	refused, err := meter.Int64Counter("geranium.jobs.refused", metric.WithUnit("{job}"),
+		metric.WithDescription("Submissions refused since the job could not end before its result is worthless, by queue."))
+	if err != nil {
+		return nil, fmt.Errorf("create the refusal counter: %w", err)
+	}
+	m := &Metrics{orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes, refused: refused}
+	return m, errors.Join(m.observeMembership(meter), m.observeShares(meter))
 }
 
 // observeMembership registers the gauges of the members.
@@ -100,6 +108,34 @@
 	return nil
 }
 
+// observeShares registers the gauges of the shares of queues.
+func (m *Metrics) observeShares(meter metric.Meter) error {
+	share, err1 := meter.Float64ObservableGauge("geranium.jobs.queue.share", metric.WithUnit("1"),
+		metric.WithDescription("Part of the usable capacity to which a queue with work is entitled, by queue; on the leader only."))
+	used, err2 := meter.Float64ObservableGauge("geranium.jobs.queue.used", metric.WithUnit("1"),
+		metric.WithDescription("Part of the usable capacity that a queue holds of its dominant resource, by queue; on the leader only."))
+	_, err3 := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		queues := m.shares.Load()
+		if queues == nil {
+			return nil
+		}
+		for i := range *queues {
+			q := &(*queues)[i]
+			o.ObserveFloat64(share, q.Share, metric.WithAttributes(attribute.String("queue", q.Queue)))
+			o.ObserveFloat64(used, q.Used, metric.WithAttributes(attribute.String("queue", q.Queue)))
+		}
+		return nil
+	}, share, used)
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return fmt.Errorf("create the gauges of the shares: %w", err)
+	}
+	return nil
+}
+
+func (m *Metrics) recordRefusal(queue string) {
+	m.refused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("queue", queue)))
+}
+
 func (m *Metrics) recordMembershipChange(kind raft.ChangeKind, err error) {
 	outcome := "proposed"
 	if err != nil {
--- a/jobd/service.go
+++ b/jobd/service.go
@@ -125,8 +125,14 @@
 			finish(err)
 			return
 		}
+		if err := m.refuse(id, q, &spec); err != nil {
+			finish(err)
+			return
+		}
 		command := jobs.Submit{ID: id, Queue: q.Name, Spec: spec, At: time.Now().UnixMilli()}
+		m.unsettled.add(id)
 		m.propose(jobs.Command{Submit: &command}, func(r jobs.Result, ok bool) {
+			m.unsettled.settle(id, ok)
 			if !ok {
 				finish(errUnresolved)
 				return
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -62,6 +62,8 @@
 	// FairShares lets queues and workspaces below their share of the fleet go first; missing
 	// to ignore shares.
 	FairShares *FairShares `json:"fair_shares"`
+	// Admission refuses jobs that can't end in time; missing to accept all.
+	Admission *Admission `json:"admission"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
 }
@@ -72,6 +74,13 @@
 	Weights map[string]float64 `json:"weights"`
 }
 
+// Admission are the settings of admission.
+type Admission struct {
+	Enabled bool `json:"enabled"`
+}
+
+func (a *Admission) enabled() bool { return a != nil && a.Enabled }
+
 // check adds the problems of the settings.
 func (f *FairShares) check(c *settings.Checker) {
 	if f == nil {
--- a/jobd/status.go
+++ b/jobd/status.go
@@ -46,6 +46,10 @@
 			Int("expired", s.Holds.Expired).Int("failed", s.Holds.Failed)).
 		Dict("commit", delayFields(&s.Commit)).Dict("start_reply", delayFields(&s.StartReply)).
 		Dict("preemptions", preemptionFields(&s.Preemptions))
+	if len(s.Shares) > 0 {
+		e = e.Array("shares", shareArray(s.Shares))
+	}
+	m.metrics.shares.Store(&s.Shares)
 	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
 }
 
@@ -81,3 +85,12 @@
 	}
 	return list
 }
+
+func shareArray(queues []dispatch.QueueShare) *zerolog.Array {
+	list := zerolog.Arr()
+	for i := range queues {
+		q := &queues[i]
+		list.Dict(zerolog.Dict().Str("queue", q.Queue).Float64("share", q.Share).Float64("used", q.Used))
+	}
+	return list
+}
--- a/jobs/dispatch/bench_test.go
+++ b/jobs/dispatch/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumwall/jobs"
+	"geraniumwall/jobs/dispatch/admission"
 	"geraniumwall/policy/interference"
 )
 
@@ -121,7 +122,7 @@
 func BenchmarkFullFleet(b *testing.B) {
 	d, sim := fullFleet()
 	changed := slices.Sorted(maps.Keys(d.workers))[:changedWorkers]
-	b.Run("plan", func(b *testing.B) {
+	plan := func(b *testing.B) {
 		b.ReportAllocs()
 		for range b.N {
 			d.planner.dirty, d.planner.nextPlanAt = true, 0
@@ -131,6 +132,19 @@
 			d.changeAttempts(changed)
 			d.Plan()
 		}
+	}
+	b.Run("plan", plan)
+	d.options.FairShares = &FairShares{}
+	b.Run("plan with shares", plan)
+	d.options.FairShares = nil
+	b.Run("observation for admission", func(b *testing.B) {
+		b.ReportAllocs()
+		d.admission = &admissionState{controller: admission.New(d.now)}
+		for range b.N {
+			d.admission.observeAt = 0
+			d.observeAdmission()
+		}
+		d.admission = nil
 	})
 	b.Run("candidates", func(b *testing.B) {
 		b.ReportAllocs()
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -111,6 +111,8 @@
 	PreviousLeaderLease time.Duration
 	// FairShares lets queues below their share of the fleet go first; nil ignores shares.
 	FairShares *FairShares
+	// Admission makes Admit refuse jobs that can't end in time.
+	Admission bool
 }
 
 // Dispatcher holds the dispatch state of one leader. It is not safe for concurrent use.
@@ -141,6 +143,7 @@
 	// nextAuditAt is the time of the next audit.
 	nextAuditAt time.Duration
 	planner     planner
+	admission   *admissionState
 	trace       trace
 	// activity is what the next status reports besides the present state.
 	activity activity
@@ -202,6 +205,7 @@
 		effectCache: map[imagePair]float64{}, fillerImages: map[string]bool{},
 	}
 	d.planner.init(store)
+	d.admission = d.newAdmission()
 	d.loadEffects(store.Effects())
 	store.BoundWorkers(func(worker jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
 		for _, t := range tasks {
@@ -299,6 +303,7 @@
 		d.prunePlannerState()
 	}
 	d.Plan()
+	d.observeAdmission()
 	d.consolidate()
 }
 
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -428,6 +428,7 @@
 	d.planner.fair.charge(a)
 	d.proposedBinds[t.Key] = a
 	d.recordBinding(t, step)
+	d.countStart(t, step)
 	command := jobs.Bind{Task: t.Key, Attempt: number, On: w.incarnation(), At: d.unixMS}
 	d.commands = append(d.commands, Proposal{jobs.Command{Bind: &command}, func(result jobs.Result, ok bool) {
 		d.handleBound(a, result.Applied, ok)
--- a/jobs/dispatch/rank.go
+++ b/jobs/dispatch/rank.go
@@ -135,7 +135,7 @@
 	if due := j.Spec.Due(0); due > start {
 		start = due
 	}
-	objective := int64(q.Stretch*float64(criticalPath(&j.Spec))) + q.LatencyObjective
+	objective := objectiveOf(q, criticalPath(&j.Spec))
 	wj := &waitingJob{
 		job: j, priority: q.Priority, service: q.Service, objectiveAt: start + objective, expiresAt: start + expiryFactor*objective,
 		remaining: int64(minEstimateRatio * float64(remainingCriticalPath(j))),
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -84,6 +84,8 @@
 	doneEnds map[jobs.TaskKey][]*doneEnd
 	// fairShares are the settings of the shares of queues.
 	fairShares *FairShares
+	// admission makes leaders refuse jobs.
+	admission bool
 }
 
 // proposedBatch is a batch of commands that a leader has proposed together.
@@ -160,7 +162,7 @@
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
 	options := Options{WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, CapacityGrace: testCapacityGrace,
-		PreviousLeaderLease: testPreviousLeaderLease, FairShares: sim.fairShares}
+		PreviousLeaderLease: testPreviousLeaderLease, FairShares: sim.fairShares, Admission: sim.admission}
 	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
 	sim.leaders = append(sim.leaders, d)
 	sim.registered[d] = map[jobs.Incarnation]jobs.Resources{}
