--- a/jobd/settings_test.go
+++ b/jobd/settings_test.go
@@ -36,6 +36,8 @@
 	g.Expect(s.heartbeat()).To(Equal(1500 * time.Millisecond))
 	g.Expect(s.lease()).To(Equal(10 * time.Second))
 	g.Expect(s.MaxOpenFiles).To(Equal(int64(4324)))
+	g.Expect(s.FairShares.options()).NotTo(BeNil())
+	g.Expect(s.Admission.enabled()).To(BeFalse())
 }
 
 // Guards against a negative grace that lets no worker get tasks.
