admission: test that the rate counts only while jobs wait

Cause: two mutations of that rule passed all tests. Change: one test. Result: it passes (-race) and fails with either mutation; no product code changed.

--- a/jobs/dispatch/admission/admission_test.go
+++ b/jobs/dispatch/admission/admission_test.go
@@ -97,3 +97,22 @@
 	g.Expect(d.Admitted).To(BeFalse(), "nothing starts at all")
 	g.Expect(d.RetryAfter).To(Equal(30 * time.Second))
 }
+
+// Guards against the rate of arrivals on a fleet with room that is taken for what the fleet
+// can do, and against refusals by a rate that was measured in an overload that is over.
+func TestRateCountsOnlyWhileJobsWait(t *testing.T) {
+	g := NewWithT(t)
+	c, now := admission.New(0), time.Duration(0)
+	for range 50 {
+		now += 200 * time.Millisecond
+		c.Started(urgent, 1e4, false, now)
+		c.Observe(now, nil)
+	}
+	c.Observe(now, map[admission.Class]admission.Load{urgent: {OnTime: 50e6, Backlogged: true}})
+	g.Expect(c.Decide(now, job, full).Admitted).To(BeTrue(), "a burst after a quiet time")
+
+	c, now = measured(g, 50e6, false)
+	g.Expect(c.Decide(now, job, full).Admitted).To(BeFalse())
+	c.Observe(now, map[admission.Class]admission.Load{urgent: {OnTime: 50e6}})
+	g.Expect(c.Decide(now, job, full).Admitted).To(BeTrue(), "no job has waited for room")
+}
