--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -48,6 +48,9 @@
 	// repeatLogs limits the lines about repeated attempts.
 	repeatLogs logLimiter
 	status     statusReport
+	// refusalLogs limits the lines about refused submissions.
+	refusalLogs logLimiter
+	unsettled   unsettledSubmissions
 
 	// proposals are the commands for the log while this replica leads.
 	proposals      *proposalQueue
@@ -197,6 +200,7 @@
 		m.cancelOrders()
 		m.proposals.fail()
 		m.proposals = nil
+		m.metrics.shares.Store(nil)
 		m.log.Info().Uint64("term", m.term).Msg("dispatch stopped")
 	}
 	if m.dispatcher == nil && leading {
@@ -205,11 +209,12 @@
 		options := dispatch.Options{
 			WorkerLease: m.settings.lease(), HeartbeatInterval: m.settings.heartbeat(), CapacityGrace: m.settings.capacityGrace(),
 			PreviousLeaderLease: replicate.LeaseTerm(), FairShares: m.settings.FairShares.options(), WarmUp: m.settings.EvacuationApplyMS > 0,
-			RemoteSlowdown: m.settings.RemoteSlowdown,
+			RemoteSlowdown: m.settings.RemoteSlowdown, Admission: m.settings.Admission.enabled(),
 		}
 		m.dispatcher = dispatch.New(options, m.store, int64(term), m.now(), time.Now().UnixMilli()) //nolint:gosec // terms stay far below the limit
 		m.sender = m.newSender()
 		m.proposals = m.newProposalQueue()
+		m.unsettled = unsettledSubmissions{}
 		m.status.nextAt = m.now() + statusInterval
 		m.log.Info().Uint64("term", term).Msg("dispatch started")
 	}
--- a/jobd/settings_test.go
+++ b/jobd/settings_test.go
@@ -43,6 +43,8 @@
 	without := regexp.MustCompile(`(?s)\{\{#bounds.evacuate-ms\}\}.*\{\{/bounds.evacuate-ms\}\}`).ReplaceAllString(string(template), "")
 	g.Expect(without).NotTo(ContainSubstring("zones"), "a deployment without the bound renders neither setting")
 	g.Expect(s.RemoteSlowdown).To(Equal(1.6))
+	g.Expect(s.FairShares.options()).NotTo(BeNil())
+	g.Expect(s.Admission.enabled()).To(BeFalse())
 }
 
 // Guards against a slowdown that makes remote places look faster, or times overflow.
--- a/jobd/status.go
+++ b/jobd/status.go
@@ -53,6 +53,10 @@
 		e.Dict("place_waits", placeFields(&s.PlaceWaits))
 		m.metrics.places.record(&s.PlaceWaits)
 	}
+	if len(s.Shares) > 0 {
+		e = e.Array("shares", shareArray(s.Shares))
+	}
+	m.metrics.shares.Store(&s.Shares)
 	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
 }
 
@@ -88,3 +92,12 @@
 	}
 	return list
 }
+
+func shareArray(queues []dispatch.QueueShare) *zerolog.Array {
+	list := zerolog.Arr()
+	for i := range queues {
+		q := &queues[i]
+		list.Dict(zerolog.Dict().Str("queue", q.Queue).Float64("share", q.Share).Float64("used", q.Used))
+	}
+	return list
+}
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -116,6 +116,8 @@
 	// RemoteSlowdown is the ratio of the duration of a task away from its data or its group to
 	// that near them. Tasks wait for a preferred place if it is above 1.
 	RemoteSlowdown float64
+	// Admission makes Admit refuse jobs that can't end in time.
+	Admission bool
 }
 
 // Dispatcher holds the dispatch state of one leader. It is not safe for concurrent use.
@@ -146,6 +148,7 @@
 	// nextAuditAt is the time of the next audit.
 	nextAuditAt time.Duration
 	planner     planner
+	admission   *admissionState
 	trace       trace
 	// activity is what the next status reports besides the present state.
 	activity activity
@@ -207,6 +210,7 @@
 		effectCache: map[imagePair]float64{}, fillerImages: map[string]bool{},
 	}
 	d.planner.init(store)
+	d.admission = d.newAdmission()
 	d.loadEffects(store.Effects())
 	store.BoundWorkers(func(worker jobs.Incarnation, tasks map[jobs.TaskKey]*jobs.Task) {
 		for _, t := range tasks {
@@ -304,6 +308,7 @@
 		d.prunePlannerState()
 	}
 	d.Plan()
+	d.observeAdmission()
 	d.consolidate()
 }
 
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -95,6 +95,8 @@
 	// observe, if set, is called with each step of a task from the end of one attempt to the
 	// next.
 	observe func(step string, key jobs.TaskKey)
+	// admission makes leaders refuse jobs.
+	admission bool
 	// entries, if set, limits the entries of the log.
 	entries *simEntries
 	// remoteSlowdown is the setting of the leaders, and placeRule replaces their decision about
@@ -200,7 +202,7 @@
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
 	options := sim.options
-	options.FairShares, options.RemoteSlowdown = sim.fairShares, sim.remoteSlowdown
+	options.FairShares, options.RemoteSlowdown, options.Admission = sim.fairShares, sim.remoteSlowdown, sim.admission
 	d := New(options, sim.store, int64(len(sim.leaders)+1), sim.now, sim.unix())
 	if sim.placeRule != nil {
 		d.planner.places.decide = sim.placeRule
