--- a/jobd/metrics_test.go
+++ b/jobd/metrics_test.go
@@ -32,6 +32,10 @@
 				for _, p := range data.DataPoints {
 					values[key(m.Name, p.Attributes)] = p.Value
 				}
+			case metricdata.Sum[float64]:
+				for _, p := range data.DataPoints {
+					values[key(m.Name, p.Attributes)] = p.Value
+				}
 			case metricdata.Sum[int64]:
 				for _, p := range data.DataPoints {
 					values[key(m.Name, p.Attributes)] = float64(p.Value)
