dispatch: tasks that are to run alone cost one look at a fleet without room

Cause: each waiting task under which two workers have crashed looked at every worker up to four times in each plan, as restarts did. After two losses of whole domains such tasks are many.

Change: planSuspects skips requests that are not smaller than one for which no worker has room, and reservations likewise. The result is the same, since room and reservations only shrink during a plan.

--- a/jobs/dispatch/large_fleet_test.go
+++ b/jobs/dispatch/large_fleet_test.go
@@ -177,23 +177,47 @@
 
 // Guards against plans whose cost grows with the square of the fleet: each of thousands of
 // tasks that wait after a loss would examine every worker, and the control thread would be
-// busy for longer than the leader's lease lasts.
+// busy for longer than the leader's lease lasts. Tasks under which two workers have crashed
+// are planned apart.
 func TestLargeFleetPlanCost(t *testing.T) {
-	g := NewWithT(t)
-	f := newLargeFleet(1000, 0.88)
-	d := f.startLeader()
-	f.runUntil(12 * time.Second)
-	f.loseThird(false, time.Hour)
-	f.runUntil(f.now + 14*time.Second)
-	d.TakeStatus()
-	f.runUntil(f.now + time.Second)
-	s := d.TakeStatus()
-	waiting := 0
-	for _, q := range s.Queues {
-		waiting += q.Tasks
+	for _, crashes := range []int{0, 2} {
+		t.Run(fmt.Sprint("crashes: ", crashes), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newLargeFleet(1000, 0.88)
+			d := f.startLeader()
+			f.runUntil(12 * time.Second)
+			f.loseThird(false, time.Hour)
+			f.runUntil(f.now + 14*time.Second)
+			for range crashes {
+				f.crashWaiting()
+			}
+			f.runUntil(f.now + 3*time.Second)
+			d.TakeStatus()
+			f.runUntil(f.now + time.Second)
+			g.Expect(f.violations).To(BeEmpty())
+			s := d.TakeStatus()
+			waiting := 0
+			for _, q := range s.Queues {
+				waiting += q.Tasks
+			}
+			g.Expect(waiting).To(BeNumerically(">", 1000))
+			g.Expect(s.Plans).To(BeNumerically(">", 1))
+			t.Logf("%d tasks wait, each plan looks at each of the workers %.1f times", waiting, float64(s.Examined)/float64(s.Plans)/float64(s.Workers.Usable))
+			g.Expect(s.Examined / s.Plans / s.Workers.Usable).To(BeNumerically("<", waiting/10))
+		})
+	}
+}
+
+// crashWaiting lets a worker crash under each long-running task that waits to run again.
+func (f *largeFleet) crashWaiting() {
+	on := jobs.Incarnation{Worker: "gone", StartedAtMS: 1}
+	for _, j := range f.store.Jobs() {
+		j.Tasks(func(t *jobs.Task) {
+			if t.BoundTo == nil && t.Attempt > 0 {
+				attempt := t.Attempt + 1
+				f.store.Apply(jobs.Command{Bind: &jobs.Bind{Task: t.Key, Attempt: attempt, On: on, At: f.unix()}})
+				f.store.Apply(jobs.Command{End: &jobs.End{Task: t.Key, Attempt: attempt, Outcome: jobs.OutcomeCrashed, At: f.unix()}})
+			}
+		})
 	}
-	g.Expect(waiting).To(BeNumerically(">", 1000))
-	g.Expect(s.Plans).To(BeNumerically(">", 1))
-	t.Logf("%d tasks wait, each plan looks at each of the workers %.1f times", waiting, float64(s.Examined)/float64(s.Plans)/float64(s.Workers.Usable))
-	g.Expect(s.Examined / s.Plans / s.Workers.Usable).To(BeNumerically("<", waiting/10))
 }
--- a/jobs/dispatch/suspects.go
+++ b/jobs/dispatch/suspects.go
@@ -85,21 +85,37 @@
 }
 
 // planSuspects binds the tasks that are to run alone, and reserves a worker for each that
-// finds none. For a limited time all others stay off that worker, so that it empties.
+// finds none. For a limited time all others stay off that worker, so that it empties. Like
+// planRestarts it skips requests that are not smaller than one for which no worker has room.
 func (d *Dispatcher) planSuspects(ranked []*waitingJob, candidates []*candidate) {
 	reserved := 0
+	noRoom, noReservation := unplaceable{}, unplaceable{}
 	for _, wj := range ranked {
 		if wj.job.MaxCrashes() == 0 {
 			continue
 		}
 		for _, t := range d.waitingSuspects(wj.job) {
 			step := wj.job.Step(t.Key)
-			if c := d.chooseForSuspect(wj, step, t, candidates); c != nil {
-				d.bind(t, step, c, t.Attempt+1)
+			request := newUnplaceableRequest(wj.service, step, t)
+			suspect := restart{wj, step, t}
+			d.isolationWait(t.Key)
+			if !noRoom.covers(request) {
+				if c := d.chooseForSuspect(wj, step, t, candidates); c != nil {
+					d.bind(t, step, c, t.Attempt+1)
+					continue
+				}
+				if !suspect.anyWithRoom(candidates, func(c *candidate) jobs.Resources { return c.free }) {
+					noRoom.add(request)
+				}
+			}
+			if reserved >= max(1, len(candidates)/workersPerRestart) || noReservation.covers(request) {
 				continue
 			}
-			if reserved < max(1, len(candidates)/workersPerRestart) && d.reserveForSuspect(wj, step, t, candidates) {
+			switch {
+			case d.reserveForSuspect(wj, step, t, candidates):
 				reserved++
+			case !suspect.anyWithRoom(candidates, (*candidate).reservableForSuspect):
+				noReservation.add(request)
 			}
 		}
 	}
@@ -148,6 +164,7 @@
 // waited for long it returns the worker with the least reserved CPU.
 func (d *Dispatcher) chooseForSuspect(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate) *candidate {
 	var vacant []*candidate
+	d.activity.examined += len(candidates)
 	for _, c := range candidates {
 		if c.tasks == 0 {
 			vacant = append(vacant, c)
@@ -161,6 +178,7 @@
 	relaxed := *wj
 	relaxed.besideIsolated = waited >= waits.suspect
 	var best *candidate
+	d.activity.examined += len(candidates)
 	for _, c := range candidates {
 		if d.eligible(&relaxed, step, t, c, nil) && (best == nil || c.lessUsed(best)) {
 			best = c
@@ -185,6 +203,7 @@
 // long-running tasks.
 func (d *Dispatcher) reserveForSuspect(wj *waitingJob, step *jobs.Step, t *jobs.Task, candidates []*candidate) bool {
 	var best *candidate
+	d.activity.examined += len(candidates)
 	for _, c := range candidates {
 		if c.worker.Service != wj.service || c.reserved != notReserved || c.isolated || c.runsLongRunning() ||
 			!c.worker.hasLabel(step.RequiredLabel) || !step.ReservedResources().FitsIn(c.worker.Capacity) ||
@@ -202,6 +221,15 @@
 	return true
 }
 
+// reservableForSuspect returns the room that a reservation of the worker can give to a task
+// that is to run alone.
+func (c *candidate) reservableForSuspect() jobs.Resources {
+	if c.runsLongRunning() {
+		return c.freeAfterShort
+	}
+	return c.worker.Capacity
+}
+
 func (c *candidate) runsLongRunning() bool { return c.worker.currentLoad().longRunning > 0 }
 
 // allowBesideIsolated lets jobs that have waited be placed beside tasks that are to run
