dispatch: restarts come longest wait first if they need several entries

Cause: the commands of one step are sorted by task. If they don't fit in one entry of the log, which holds 512, a restart that has waited longest was committed with the last entry if its job sorts last, 0.1 s for each entry at 40 replicas.

Change: beyond one entry the bindings of long-running tasks that have run before come after the other commands, the longest wait first. Smaller sets share an entry and keep their order.

Measured: TestRestartsInOrderOfWait fails on the former code.

--- a/jobd/proposals.go
+++ b/jobd/proposals.go
@@ -17,7 +17,7 @@
 	// between two entries. It limits the messages that a loaded leader sends.
 	proposalIntervalPerReplica = 2500 * time.Microsecond
 	// maxBatchCommands limits the commands in one entry.
-	maxBatchCommands = 512
+	maxBatchCommands = dispatch.MaxEntryCommands
 )
 
 // replicatedLog is the log that a proposalQueue appends to.
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -244,6 +244,9 @@
 	c, o, e := d.commands, d.orders, d.logEvents
 	d.commands, d.orders, d.logEvents = nil, nil, nil
 	slices.SortStableFunc(c, func(a, b Proposal) int { return compareTasks(a.Command.Task(), b.Command.Task()) })
+	if len(c) > MaxEntryCommands {
+		d.sortRestarts(c)
+	}
 	slices.SortStableFunc(o, func(a, b Order) int {
 		return cmp.Or(cmp.Compare(a.To.Worker, b.To.Worker), compareTasks(a.task(), b.task()))
 	})
--- a/jobs/dispatch/large_fleet_test.go
+++ b/jobs/dispatch/large_fleet_test.go
@@ -221,3 +221,31 @@
 		})
 	}
 }
+
+// Guards against a task that waits longest and whose binding is committed with the last of
+// several entries, because its job sorts last by its id.
+func TestRestartsInOrderOfWait(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(1)
+	const tasks = MaxEntryCommands + 100
+	d := New(sim.options, sim.store, 1, 0, sim.unix())
+	bindAll := func() []Proposal {
+		for i := range tasks {
+			bind := jobs.Bind{Task: jobs.TaskKey{Job: fmt.Sprintf("job-%04d", i)}, Attempt: 2}
+			d.commands = append(d.commands, Proposal{jobs.Command{Bind: &bind}, nil})
+		}
+		commands, _, _ := d.TakeOutput()
+		return commands
+	}
+	for i := range tasks {
+		id := fmt.Sprintf("job-%04d", i)
+		sim.submit(id, jobs.Spec{Steps: []jobs.Step{{Count: 1, LongRunning: i != tasks-2}}})
+		sim.now = time.Duration(tasks-i) * time.Second
+		sim.loseFirstTask(id)
+	}
+	commands := bindAll()
+	g.Expect(commands).To(HaveLen(tasks))
+	g.Expect(commands[0].Command.Bind.Task.Job).To(Equal(fmt.Sprintf("job-%04d", tasks-2)), "a short task")
+	g.Expect(commands[1].Command.Bind.Task.Job).To(Equal(fmt.Sprintf("job-%04d", tasks-1)), "the longest wait")
+	g.Expect(commands[tasks-1].Command.Bind.Task.Job).To(Equal("job-0000"), "the shortest wait")
+}
--- a/jobs/dispatch/restart.go
+++ b/jobs/dispatch/restart.go
@@ -11,6 +11,27 @@
 // restart.
 const workersPerRestart = 10
 
+// MaxEntryCommands is the number of commands that one entry of the log can hold.
+const MaxEntryCommands = 512
+
+// sortRestarts moves the bindings of long-running tasks that have run before to the end, the
+// longest wait first. The commands don't fit in one entry, and each further one takes an
+// interval of the log.
+func (d *Dispatcher) sortRestarts(commands []Proposal) {
+	waitingSince := func(p *Proposal) int64 {
+		b := p.Command.Bind
+		if b == nil {
+			return 0
+		}
+		j := d.store.Job(b.Task.Job)
+		if t := j.Task(b.Task); j.Step(b.Task).LongRunning && t.Attempt > 0 {
+			return t.EndedAt
+		}
+		return 0
+	}
+	slices.SortStableFunc(commands, func(a, b Proposal) int { return cmp.Compare(waitingSince(&a), waitingSince(&b)) })
+}
+
 // restart is a long-running task that has run before and waits to run again.
 type restart struct {
 	job  *waitingJob
