--- a/cmd/geranium-gateway/settings.go
+++ b/cmd/geranium-gateway/settings.go
@@ -40,6 +40,11 @@
 	PlainListen string `json:"plain_listen,omitempty"`
 	// Membership may be omitted; the gateway then knows the schedulers listed here only.
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
+	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
+	// for what the process sees.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// Intake limits what clients may send.
+	Intake transport.IntakeSettings `json:"intake,omitzero"`
 }
 
 func defaultSettings() *settingsFile {
@@ -67,6 +72,7 @@
 	}
 	c.Addresses("control", s.Control)
 	s.Membership.Check(c)
+	s.Intake.Check(c, s.MemoryMB)
 	if len(s.Schedulers) == 0 {
 		c.Add("schedulers", "is empty", "list the schedulers of the own domain and of the others")
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -44,6 +44,11 @@
 	// Membership may be omitted; the other processes then need this replica in
 	// their settings.
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
+	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
+	// for what the process sees.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// Intake limits what clients may send.
+	Intake transport.IntakeSettings `json:"intake,omitzero"`
 	// StateMayBeLost permits a single replica. Nothing else remembers its log, so it
 	// starts empty after the loss of its disk instead of refusing to start.
 	StateMayBeLost bool `json:"state_may_be_lost"`
@@ -61,6 +66,7 @@
 	daemon.CheckOTLP(c, s.OTLPEndpoint)
 	s.TLS.Check(c, "tls")
 	s.Membership.Check(c)
+	s.Intake.Check(c, s.MemoryMB)
 	if s.ReplicaID == 0 {
 		c.Add("replica_id", "is 0", "give each replica its own positive id")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,11 @@
 	Seeds []string `json:"seeds"`
 	// MaxOpenFiles is as in the settings of a job replica.
 	MaxOpenFiles int64 `json:"max_open_files"`
+	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
+	// for what the process sees.
+	MemoryMB int64 `json:"memory_mb"`
+	// Intake limits what clients may send.
+	Intake transport.IntakeSettings `json:"intake"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
 }
@@ -83,6 +88,7 @@
 	c.Addresses("seeds", s.Seeds)
 	c.Positive("stop_within_ms", s.ShutdownTimeoutMS)
 	c.NotNegative("max_open_files", s.MaxOpenFiles)
+	s.Intake.Check(c, s.MemoryMB)
 	if s.MetricsListen != "" {
 		c.Address("metrics_listen", s.MetricsListen)
 	}
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // Settings are the settings of a job replica.
@@ -49,6 +50,11 @@
 	// MaxOpenFiles is the limit of open files, sockets included, that the metrics show if the
 	// resource limit of the process is not lower; 0 for the resource limit.
 	MaxOpenFiles int64 `json:"max_open_files"`
+	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
+	// for what the process sees.
+	MemoryMB int64 `json:"memory_mb"`
+	// Intake limits what clients may send.
+	Intake transport.IntakeSettings `json:"intake"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
 }
@@ -66,6 +72,7 @@
 	c.NotNegative("carry_from_workers", int64(s.MinWorkersForCarriers))
 	c.NotNegative("capacity_grace_ms", s.CapacityGraceMS)
 	c.NotNegative("max_open_files", s.MaxOpenFiles)
+	s.Intake.Check(c, s.MemoryMB)
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
--- a/jobd/settings_test.go
+++ b/jobd/settings_test.go
@@ -23,7 +23,7 @@
 	values := map[string]string{
 		"node-id": "n", "zone": "z", "listen.control": "192.0.2.1:80", "ip": "192.0.2.1", "port-range.0": "7000", "port-range.1": "7001",
 		"bootstrap": "true", "data-dir": "/data", "heartbeat-ms": "1500", "bounds.hold-max-ms": "10000", "bounds.contact-ms": "3000",
-		"bounds.grace-s": "6", "limits.max-fds": "4324", "#seeds": "", "/seeds": "", ".": "192.0.2.1:80", "#,": "", ",": "",
+		"bounds.grace-s": "6", "limits.max-fds": "4324", "limits.memory-mb": "408", "#seeds": "", "/seeds": "", ".": "192.0.2.1:80", "#,": "", ",": "",
 	}
 	document := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(field string) string {
 		value, known := values[field[2:len(field)-2]]
@@ -36,6 +36,7 @@
 	g.Expect(s.heartbeat()).To(Equal(1500 * time.Millisecond))
 	g.Expect(s.lease()).To(Equal(10 * time.Second))
 	g.Expect(s.MaxOpenFiles).To(Equal(int64(4324)))
+	g.Expect(s.MemoryMB).To(Equal(int64(408)))
 }
 
 // Guards against a negative grace that lets no worker get tasks.
--- a/schedulerd/settings.go
+++ b/schedulerd/settings.go
@@ -31,6 +31,11 @@
 	TLS *transport.Settings `json:"tls,omitempty"`
 	// Membership may be omitted; gateways then need this scheduler in their settings.
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
+	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
+	// for what the process sees.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// Intake limits what clients may send.
+	Intake transport.IntakeSettings `json:"intake,omitzero"`
 }
 
 // Defaults returns the settings that apply where the file sets none.
@@ -50,6 +55,7 @@
 	s.TLS.Check(c, "tls")
 	c.Addresses("control", s.Control)
 	s.Membership.Check(c)
+	s.Intake.Check(c, s.MemoryMB)
 	if s.Peer == nil {
 		return
 	}
