intake: bound what clients make a process hold

Cause: heads up to 1 MB, bodies up to the limits of the handlers and any number of connections were held, whatever the memory of the host.

Change: package transport takes room from a budget (a share of memory_mb for each port) before the bytes of a head are parsed and those of a body are read, and gives it back when the request or the connection ends. All listeners share it through daemon.Listen. A quarter of each budget is kept for small requests; stalled bodies are given up first; refusals are 413, 431, 408, 429 or 503 with Retry-After and close the connection without reading on. Connections count by address and in all; each port keeps a part. HTTP/2 has smaller streams, frames and receive windows on ports for clients. Relayed requests have room apart from messages of the log. The limits of the configuration reach the entry by the leader's answer to /v1/leader. A gateway keeps an eighth of its body memory for bodies up to 64 KiB.

--- a/cmd/geranium-gateway/main.go
+++ b/cmd/geranium-gateway/main.go
@@ -34,6 +34,14 @@
 	memoryLimitByte = 256 << 20
 )
 
+// callersMemoryShare is the part of the memory of the host for requests in progress on one of
+// the two ports for callers.
+const callersMemoryShare = 0.2
+
+func callersPort(purpose string) transport.PortOptions {
+	return transport.PortOptions{Purpose: purpose, Share: callersMemoryShare, Clients: true}
+}
+
 func main() {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimitByte)
@@ -44,10 +52,14 @@
 }
 
 func run(ctx context.Context, s *settingsFile, log zerolog.Logger) error {
-	_, err := daemon.ServeMetrics(ctx, s.MetricsListen, daemon.WithOTLP(s.OTLPEndpoint))
+	in := transport.NewIntake(s.Intake, s.MemoryMB, log)
+	_, err := daemon.ServeMetrics(in.On(ctx, transport.MetricsPort), s.MetricsListen, daemon.WithOTLP(s.OTLPEndpoint))
 	if err != nil {
 		return err
 	}
+	if err := in.Observe(otel.Meter(gateway.MeterName)); err != nil {
+		return err
+	}
 	keys, err := daemon.Keys(s.TLS, log)
 	if err != nil {
 		return err
@@ -64,11 +76,11 @@
 		return err
 	}
 	// Callers need no certificate, so it is demanded for the operators' paths only.
-	server, err := daemon.ListenSecure(ctx, s.Listen, g.Handler(), keys, transport.ClientsOptional)
+	server, err := daemon.ListenSecure(in.On(ctx, callersPort("callers")), s.Listen, g.Handler(), keys, transport.ClientsOptional)
 	if err != nil {
 		return err
 	}
-	plain, err := s.listenPlain(ctx, g)
+	plain, err := s.listenPlain(in.On(ctx, callersPort("plain_callers")), g)
 	if err != nil {
 		return err
 	}
--- a/cmd/geranium-scheduler/main.go
+++ b/cmd/geranium-scheduler/main.go
@@ -11,12 +11,14 @@
 	_ "geraniumwall/daemon/ignorehup"
 	"geraniumwall/policy/engine"
 	"geraniumwall/schedulerd"
+	"geraniumwall/transport"
 )
 
 func main() {
 	settings := schedulerd.Defaults()
 	daemon.Main("geranium-scheduler", settings, func(ctx context.Context, log zerolog.Logger) error {
-		if _, err := daemon.ServeMetrics(ctx, settings.MetricsListen, daemon.WithOTLP(settings.OTLPEndpoint)); err != nil {
+		in := transport.NewIntake(settings.Intake, settings.MemoryMB, log)
+		if _, err := daemon.ServeMetrics(in.On(ctx, transport.MetricsPort), settings.MetricsListen, daemon.WithOTLP(settings.OTLPEndpoint)); err != nil {
 			return err
 		}
 		server, err := schedulerd.New(settings, log, engine.New(rand.Uint64())) //nolint:gosec // spreading needs no secrecy
--- a/control/run.go
+++ b/control/run.go
@@ -30,10 +30,17 @@
 	meterName    = "geraniumwall/control"
 )
 
+// internalPort serves gateways, schedulers and the other replicas.
+var internalPort = transport.PortOptions{Purpose: "internal", Share: 0.25}
+
 // Run runs a replica until ctx is over; it then hands leadership over, ends the
 // requests in progress and stops.
 func Run(ctx context.Context, s Settings, log zerolog.Logger) error {
-	if _, err := daemon.ServeMetrics(ctx, s.MetricsListen, daemon.WithOTLP(s.OTLPEndpoint)); err != nil {
+	in := transport.NewIntake(s.Intake, s.MemoryMB, log)
+	if _, err := daemon.ServeMetrics(in.On(ctx, transport.MetricsPort), s.MetricsListen, daemon.WithOTLP(s.OTLPEndpoint)); err != nil {
+		return err
+	}
+	if err := in.Observe(otel.Meter(meterName)); err != nil {
 		return err
 	}
 	keys, err := daemon.Keys(s.TLS, log)
@@ -42,7 +49,7 @@
 	}
 	handler := &daemon.SwitchHandler{}
 	handler.Set(formingHandler(s))
-	server, err := daemon.ListenSecure(ctx, s.Listen, keys.Admit(admitted, handler), keys, transport.ClientsRequired)
+	server, err := daemon.ListenSecure(in.On(ctx, internalPort), s.Listen, keys.Admit(admitted, handler), keys, transport.ClientsRequired)
 	if err != nil {
 		return err
 	}
--- a/daemon/conn.go
+++ b/daemon/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"geraniumwall/transport"
 )
 
 // stallTimeout is the time without a further byte after which an incomplete request no
@@ -39,12 +41,20 @@
 	*net.TCPConn
 	owner *connections
 	key   connKey
+	// account counts what the connection holds; nil for no limits.
+	account *transport.Connection
 
 	mu       sync.Mutex
 	phase    phase
 	prefix   []byte // the first bytes, up to the length of http2Prefix
 	http2    bool
 	lastByte time.Time
+	// headAt is when the first byte of the present head was read.
+	headAt time.Time
+	// idleSince is when the connection was accepted or its last request answered.
+	idleSince time.Time
+	// active is set while a request is in progress, also with HTTP/2.
+	active bool
 	// readAhead is set if bytes have been read since the last write. After a response they
 	// belong to the next request: net/http reads on while a handler runs.
 	readAhead bool
@@ -61,12 +71,15 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readExpired(p, err)
 	}
-	if n > 0 {
-		c.received(p[:n])
+	if n > 0 && !c.received(p[:n]) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errRefused}
 	}
 	return n, err
 }
 
+// errRefused ends a connection whose client was refused before its request was parsed.
+var errRefused = errors.New("the client keeps to no limits")
+
 // readExpired reads what has arrived after the deadline has expired. Without any bytes it
 // returns io.EOF if the connection is ending, and timeout otherwise.
 func (c *conn) readExpired(p []byte, timeout error) (int, error) {
@@ -102,8 +115,42 @@
 	return max(n, 0), errors.Join(err, readErr)
 }
 
-// received notes that bytes have been read.
-func (c *conn) received(p []byte) {
+// received notes that bytes have been read. It returns false, and closes the connection, if
+// there is no room for them.
+func (c *conn) received(p []byte) bool {
+	head := c.note(p)
+	switch {
+	case c.isHTTP2():
+		if c.account.UseHTTP2() {
+			return true
+		}
+	case !head:
+		return true
+	default:
+		answer := c.account.Received(p)
+		if answer == nil {
+			return true
+		}
+		if c.plain() {
+			_, _ = c.TCPConn.Write(answer)
+		}
+	}
+	_ = c.Close()
+	return false
+}
+
+// plain reports whether the client sends HTTP without TLS.
+func (c *conn) plain() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.prefix) > 0 && c.prefix[0] != tlsHandshake
+}
+
+// tlsHandshake is the first byte of a connection with TLS.
+const tlsHandshake = 22
+
+// note notes bytes that have been read and reports whether they belong to a head.
+func (c *conn) note(p []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastByte, c.readAhead = time.Now(), true
@@ -113,8 +160,10 @@
 	}
 	if c.phase == phaseWaiting {
 		c.phase = phaseReading
+		c.headAt = c.lastByte
 	}
 	c.keepOpen()
+	return c.phase == phaseReading
 }
 
 // keepOpen takes back the end of the connection, since a request has arrived. mu is held.
@@ -144,6 +193,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.owner.remove(c)
+	c.account.Close()
 	return c.TCPConn.Close()
 }
 
@@ -159,18 +209,56 @@
 func (c *conn) serve(http2 bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseServing
+	c.phase, c.active = phaseServing, true
 	c.http2 = c.http2 || http2
 	c.keepOpen()
 }
 
 // finish notes that a request has been answered.
 func (c *conn) finish() {
+	c.account.Finish()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseWaiting
+	c.phase, c.active = phaseWaiting, false
+	c.idleSince = time.Now()
 	if c.readAhead {
-		c.phase = phaseReading
+		c.phase, c.headAt = phaseReading, c.idleSince
+	}
+}
+
+// idle returns how long the connection has been without a request.
+func (c *conn) idle(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active || c.ending || (c.phase != phaseWaiting && !c.http2) {
+		return 0
+	}
+	return min(now.Sub(c.idleSince), now.Sub(c.lastByte))
+}
+
+// abandon closes an idle connection to make room.
+func (c *conn) abandon() {
+	if c.isHTTP2() {
+		_ = c.Close()
+		return
+	}
+	c.end(time.Now())
+}
+
+// endLate closes the connection if its head is late or it has been idle for too long.
+func (c *conn) endLate(now time.Time, head, idle time.Duration) {
+	c.mu.Lock()
+	late := head > 0 && c.phase == phaseReading && !c.http2 && now.Sub(c.headAt) > head
+	c.mu.Unlock()
+	switch {
+	case late:
+		if answer := c.account.Late(); c.plain() {
+			_, _ = c.TCPConn.Write(answer)
+		}
+		_ = c.Close()
+	case idle > 0 && c.idle(now) > idle:
+		// An HTTP/2 connection can't be closed without the risk of losing a request.
+		c.end(now)
 	}
 }
 
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -32,8 +32,8 @@
 
 func newConnections() *connections { return &connections{open: map[connKey]*conn{}} }
 
-func (cs *connections) add(tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp, owner: cs, key: keyOf(tcp)}
+func (cs *connections) add(tcp *net.TCPConn, account *transport.Connection) *conn {
+	c := &conn{TCPConn: tcp, owner: cs, key: keyOf(tcp), account: account, idleSince: time.Now()}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.open[c.key] = c
@@ -90,6 +90,44 @@
 	return open, reading
 }
 
+const (
+	// idleSample bounds the connections among which the longest idle one is looked for, so
+	// that many new connections cost little.
+	idleSample = 64
+	// minIdleTime is how long a connection is without a request before it may be closed to
+	// make room for another one.
+	minIdleTime = time.Second
+)
+
+// closeIdle closes a connection that has been without a request for long, and reports whether
+// there was one.
+func (cs *connections) closeIdle(now time.Time) bool {
+	var longest *conn
+	seen, most := 0, minIdleTime
+	cs.mu.Lock()
+	for _, c := range cs.open {
+		if idle := c.idle(now); idle > most {
+			longest, most = c, idle
+		}
+		if seen++; seen == idleSample {
+			break
+		}
+	}
+	cs.mu.Unlock()
+	if longest != nil {
+		longest.abandon()
+	}
+	return longest != nil
+}
+
+// closeLate closes the connections whose head takes longer than head and those that are idle
+// for longer than idle. 0 stands for no limit.
+func (cs *connections) closeLate(now time.Time, head, idle time.Duration) {
+	for _, c := range cs.list() {
+		c.endLate(now, head, idle)
+	}
+}
+
 func (cs *connections) number() int {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -6,6 +6,9 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
+
+	"geraniumwall/transport"
 )
 
 // listener accepts connections that a drain can end. After stop it still returns those
@@ -13,6 +16,8 @@
 type listener struct {
 	*net.TCPListener
 	conns *connections
+	// port limits the clients; nil for no limits.
+	port *transport.Port
 
 	mu      sync.Mutex
 	stopped bool
@@ -22,8 +27,10 @@
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	tcp, err := l.AcceptTCP()
-	if err == nil {
-		return l.conns.add(tcp), nil
+	for ; err == nil; tcp, err = l.AcceptTCP() {
+		if c := l.admit(tcp); c != nil {
+			return c, nil
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -38,6 +45,19 @@
 	return next, nil
 }
 
+// admit returns the connection if the port has room for it, and closes it otherwise. The
+// connection that has been idle for longest gives way to it.
+func (l *listener) admit(tcp *net.TCPConn) *conn {
+	makesRoom := l.port.Full() && l.conns.closeIdle(time.Now())
+	account, answer := l.port.Accept(addrPort(tcp.RemoteAddr()), makesRoom)
+	if answer != nil {
+		_, _ = tcp.Write(answer)
+		_ = tcp.Close()
+		return nil
+	}
+	return l.conns.add(tcp, account)
+}
+
 // Stopped reports whether Accept returns only connections that are open already.
 func (l *listener) Stopped() bool {
 	l.mu.Lock()
@@ -61,7 +81,9 @@
 	})
 	for _, fd := range waiting {
 		if tcp := tcpConn(fd); tcp != nil {
-			l.rest = append(l.rest, l.conns.add(tcp))
+			if c := l.admit(tcp); c != nil {
+				l.rest = append(l.rest, c)
+			}
 		}
 	}
 	if closeErr := l.Close(); err == nil {
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -72,6 +72,12 @@
 	return r.Meter.Float64ObservableGauge(name, o...)
 }
 
+func (r recorder) Int64ObservableCounter(name string, o ...metric.Int64ObservableCounterOption) (metric.Int64ObservableCounter, error) {
+	c := metric.NewInt64ObservableCounterConfig(o...)
+	r.add(name, "counter", c.Unit(), c.Description())
+	return r.Meter.Int64ObservableCounter(name, o...)
+}
+
 type recordingProvider struct {
 	noop.MeterProvider
 	recorder
@@ -86,8 +92,10 @@
 	make(r)
 	_, err := daemon.NewDrainMetrics(r)
 	Expect(err).NotTo(HaveOccurred())
+	Expect(transport.NewIntake(transport.IntakeSettings{}, 0, zerolog.Nop()).Observe(r)).To(Succeed())
 	slices.Sort(*r.rows)
-	return *r.rows
+	// A scheduler makes the instruments of its intake itself.
+	return slices.Compact(*r.rows)
 }
 
 func controlInstruments(m metric.Meter) {
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"geraniumwall/transport"
 )
@@ -38,7 +41,8 @@
 }
 
 func listen(ctx context.Context, address string, server *http.Server) (*Server, error) {
-	var lc net.ListenConfig
+	port := transport.PortOf(ctx)
+	lc := net.ListenConfig{Control: receiveBuffer(port.ReceiveBuffer())}
 	tcp, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; choose a free address in the settings", address, err)
@@ -46,13 +50,56 @@
 	s := &Server{
 		http: server, address: tcp.Addr(), conns: newConnections(), requests: newRequests(), failed: make(chan error, 1), served: make(chan struct{}),
 	}
-	s.bound = &listener{TCPListener: tcp.(*net.TCPListener), conns: s.conns}
+	s.bound = &listener{TCPListener: tcp.(*net.TCPListener), conns: s.conns, port: port}
+	port.Configure(server)
 	s.listener = transport.LimitListener(ctx, s.bound, server)
 	server.Handler = s.requests.track(server.Handler)
 	server.ConnState = s.conns.stateChanged
 	return s, nil
 }
 
+// ethernetSegment is the largest segment on Ethernet. Loopback has segments of 64 KB: a window
+// that is smaller than one opens only when the buffer is empty, and a client that has filled it
+// once may then wait for tens of seconds.
+const ethernetSegment = 1460
+
+// receiveBuffer returns a function that sets the receive buffer of a listening socket, which
+// its connections inherit; 0 keeps the default. It has to be set before a connection is made:
+// clients then know the window from the start and don't wait to fill a larger one.
+func receiveBuffer(bytes int) func(network, address string, c syscall.RawConn) error {
+	if bytes == 0 {
+		return nil
+	}
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		controlErr := c.Control(func(fd uintptr) {
+			err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes),
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment))
+		})
+		return errors.Join(err, controlErr)
+	}
+}
+
+// lateInterval is the interval of the search for connections that are late or idle.
+const lateInterval = 500 * time.Millisecond
+
+// closeLate puts the time limits of the port in force until the last connection is accepted.
+func (s *Server) closeLate() {
+	t := time.NewTicker(lateInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.served:
+			return
+		case now := <-t.C:
+			head, idle := s.bound.port.HeaderTimeout(), s.bound.port.IdleTimeout()
+			if head > 0 || idle > 0 {
+				s.conns.closeLate(now, head, idle)
+			}
+		}
+	}
+}
+
 // Address returns the bound address.
 func (s *Server) Address() string { return s.address.String() }
 
@@ -63,6 +110,7 @@
 		return
 	}
 	s.started.Store(true)
+	go s.closeLate()
 	go func() {
 		defer close(s.served)
 		if err := s.serve(); !s.draining.Load() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,7 +50,10 @@
 	callerShare  = 0.5
 	replicaShare = 0.1
 	checkShare   = 0.1
-	meterName    = "geraniumwall/entry"
+	// Shares of the memory of the host for requests in progress.
+	callerMemoryShare = 0.35
+	checkMemoryShare  = 0.02
+	meterName         = "geraniumwall/entry"
 )
 
 // Settings are the settings of an entry process.
@@ -100,6 +103,7 @@
 
 type process struct {
 	log      zerolog.Logger
+	intake   *transport.Intake
 	relay    *relay.Relay
 	deadline Deadline
 	stopping atomic.Bool
@@ -110,7 +114,11 @@
 // Run serves callers until ctx is done and then drains. reload delivers changed
 // settings.
 func Run(ctx context.Context, s *Settings, reload <-chan *Settings, deadline Deadline, log zerolog.Logger) error {
-	if _, err := daemon.ServeMetrics(ctx, s.MetricsListen); err != nil {
+	in := transport.NewIntake(s.Intake, s.MemoryMB, log)
+	if _, err := daemon.ServeMetrics(in.On(ctx, transport.MetricsPort), s.MetricsListen); err != nil {
+		return err
+	}
+	if err := in.Observe(otel.Meter(meterName)); err != nil {
 		return err
 	}
 	m, err := NewMetrics(otel.Meter(meterName))
@@ -125,12 +133,16 @@
 	if err := budget.Observe(otel.Meter(meterName)); err != nil {
 		return err
 	}
-	p := &process{log: log, relay: relay.New(seeds, budget.Pool("replicas", replicaShare)), deadline: deadline, metrics: m}
-	callers, err := daemon.Listen(transport.WithPool(ctx, budget.Pool("callers", callerShare)), s.Listen, http.HandlerFunc(p.serve))
+	p := &process{log: log, intake: in, relay: relay.New(seeds, budget.Pool("replicas", replicaShare)), deadline: deadline, metrics: m}
+	callerCtx := in.On(transport.WithPool(ctx, budget.Pool("callers", callerShare)),
+		transport.PortOptions{Purpose: "callers", Share: callerMemoryShare, Clients: true})
+	callers, err := daemon.Listen(callerCtx, s.Listen, http.HandlerFunc(p.serve))
 	if err != nil {
 		return err
 	}
-	checks, err := daemon.Listen(transport.WithPool(ctx, budget.Pool("checks", checkShare)), s.ReadyListen, http.HandlerFunc(p.serveReady))
+	checkCtx := in.On(transport.WithPool(ctx, budget.Pool("checks", checkShare)),
+		transport.PortOptions{Purpose: "checks", Share: checkMemoryShare, Clients: true})
+	checks, err := daemon.Listen(checkCtx, s.ReadyListen, http.HandlerFunc(p.serveReady))
 	if err != nil {
 		return err
 	}
@@ -168,6 +180,7 @@
 	defer t.Stop()
 	for {
 		p.relay.Refresh(ctx)
+		p.intake.SetLimits(p.relay.Limits())
 		p.updateReady()
 		select {
 		case <-ctx.Done():
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"geraniumwall/transport"
 )
 
 // bufferLimit is the size up to which bodies are held in memory, so that an
@@ -16,6 +18,22 @@
 // bufferedMost bounds the memory of all request bodies together.
 const bufferedMost = 128 << 20
 
+// smallReserve is the part of bufferedMost that is kept for bodies up to bufferLimit.
+const smallReserve = bufferedMost / 8
+
+// takeBuffer takes memory for a body and reports whether there was enough.
+func (g *Gateway) takeBuffer(n int64) bool {
+	if n <= bufferLimit {
+		return g.buffers.TryAcquire(n)
+	}
+	most := min(n+smallReserve, bufferedMost)
+	if !g.buffers.TryAcquire(most) {
+		return false
+	}
+	g.buffers.Release(most - n)
+	return true
+}
+
 // requestBody is the body of a caller's request: held in memory, or a stream of
 // known length that can be sent once.
 type requestBody struct {
@@ -54,6 +72,7 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(left))
 	if stream && r.ContentLength > bufferLimit {
+		transport.PassOn(r.Body)
 		return requestBody{stream: r.Body, length: r.ContentLength}, nil
 	}
 	data, err := readAll(io.LimitReader(r.Body, limit+1), r.ContentLength)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -83,7 +83,7 @@
 		return nil, p
 	}
 	c.reserved = bufferSize(r, s.MaxBodyBytes, s.Idempotent)
-	if !g.buffers.TryAcquire(c.reserved) {
+	if !g.takeBuffer(c.reserved) {
 		return nil, notRun(http.StatusServiceUnavailable, typeOverloaded, "The gateway holds too many bodies",
 			"retry after the time in Retry-After").after(defaultRetryAfter)
 	}
--- a/jobd/handlers.go
+++ b/jobd/handlers.go
@@ -15,6 +15,7 @@
 	"geraniumwall/relay"
 	"geraniumwall/rpc/controlpb"
 	"geraniumwall/rpc/deliverypb"
+	"geraniumwall/transport"
 )
 
 // Path prefixes of requests that other processes forward to the leader.
@@ -104,6 +105,11 @@
 func (s *Server) clusterView(ctx context.Context) (relay.ClusterView, error) {
 	return callManager(ctx, s, func(m *manager, done func(relay.ClusterView, error)) {
 		v := relay.ClusterView{Leader: m.replica.LeaderAddress(), IsLeader: m.checkLeader() == nil}
+		if c := m.store.Config(); v.IsLeader && c != nil {
+			v.Limits = &transport.Limits{
+				MaxHeaderBytes: c.MaxHeaderBytes, MaxBodyBytes: c.MaxBodyBytes, HeaderTimeoutMS: c.HeaderTimeoutMS, IdleTimeoutMS: c.IdleTimeoutMS,
+			}
+		}
 		for _, member := range m.replica.Status().Membership.Members {
 			v.Members = append(v.Members, member.Address)
 		}
--- a/jobd/run.go
+++ b/jobd/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
 
 	"geraniumwall/daemon"
 	"geraniumwall/raft"
@@ -19,6 +20,14 @@
 // next start joins again.
 var errRetired = errors.New("this replica was removed from the membership while it was offline; the next start deletes its data and joins under a new id")
 
+// The shares of the memory of the host for requests in progress leave most of it to the
+// state, the log and the connections. Requests of callers that entry processes relay use no
+// room of the messages of the log.
+var (
+	internalPort = transport.PortOptions{Purpose: "internal", Share: 0.2, RelayedPrefix: PathCallers + "/"}
+	controlPort  = transport.PortOptions{Purpose: "control", Share: 0.15, Clients: true}
+)
+
 // NewWorkerClient creates the client of workers, which takes its connections from pool.
 type NewWorkerClient func(pool *transport.Pool) WorkerClient
 
@@ -28,7 +37,11 @@
 // Run runs a job replica until ctx is done. It then transfers leadership, waits for the
 // requests in progress and stops.
 func Run(ctx context.Context, s *Settings, newWorkers NewWorkerClient, adapter Adapter, log zerolog.Logger) error {
-	if _, err := daemon.ServeMetrics(ctx, s.MetricsListen); err != nil {
+	in := transport.NewIntake(s.Intake, s.MemoryMB, log)
+	if _, err := daemon.ServeMetrics(in.On(ctx, transport.MetricsPort), s.MetricsListen); err != nil {
+		return err
+	}
+	if err := in.Observe(otel.Meter(meterName)); err != nil {
 		return err
 	}
 	pools, err := newConnections(s, log)
@@ -39,11 +52,11 @@
 	learned := make(chan string, learnedQueueLength)
 	peerHandler.Set(startingPeerHandler(learned))
 	controlHandler.Set(startingHandler)
-	peers, err := daemon.Listen(transport.WithPool(ctx, pools.internal), cmp.Or(s.PeerBind, s.PeerListen), peerHandler)
+	peers, err := daemon.Listen(in.On(transport.WithPool(ctx, pools.internal), internalPort), cmp.Or(s.PeerBind, s.PeerListen), peerHandler)
 	if err != nil {
 		return err
 	}
-	control, err := daemon.Listen(transport.WithPool(ctx, pools.control), s.Listen, controlHandler)
+	control, err := daemon.Listen(in.On(transport.WithPool(ctx, pools.control), controlPort), s.Listen, controlHandler)
 	if err != nil {
 		return err
 	}
--- a/jobs/config.go
+++ b/jobs/config.go
@@ -26,6 +26,11 @@
 	Queues  []Queue `json:"queues"`
 	// MaxBodyBytes limits the body of a submission; 0 selects the default limit.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxHeaderBytes, HeaderTimeoutMS and IdleTimeoutMS limit the heads and the idle time of
+	// callers' connections; 0 for no limit.
+	MaxHeaderBytes  int64 `json:"max_header_bytes,omitempty"`
+	HeaderTimeoutMS int64 `json:"header_timeout_ms,omitempty"`
+	IdleTimeoutMS   int64 `json:"idle_timeout_ms,omitempty"`
 	// Retired are queues that are no longer configured but still have active jobs.
 	Retired []Queue `json:"retired,omitempty"`
 	// Document is the configuration as the operator sent it, kept for reads.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -66,6 +66,8 @@
 	Members []string `json:"members"`
 	// IsLeader is set if the responding replica is the leader and can serve requests.
 	IsLeader bool `json:"leads"`
+	// Limits are the limits of the configuration for callers; nil if the replica doesn't lead.
+	Limits *transport.Limits `json:"limits,omitempty"`
 }
 
 // Request is a request to forward to the leader.
@@ -105,6 +107,15 @@
 	found chan struct{}
 	// lastContact is the time of the last response of a leader.
 	lastContact time.Time
+	// limits are those that a leader has named last.
+	limits transport.Limits
+}
+
+// Limits returns the limits for callers that a leader has named last.
+func (r *Relay) Limits() transport.Limits {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limits
 }
 
 // New returns a relay that looks for the leader at the seeds. Its connections count in pool,
@@ -315,6 +326,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if view.IsLeader && view.Limits != nil && view.Limits.Valid() {
+		r.limits = *view.Limits
+	}
 	if len(view.Members) == 0 || len(view.Members) > maxMembers {
 		return
 	}
--- a/schedulerd/server.go
+++ b/schedulerd/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
 
 	"geraniumwall/control/client"
 	"geraniumwall/daemon"
@@ -36,6 +37,9 @@
 	maxRefusalsLoggedPerSecond = 5
 )
 
+// internalPort serves workers, gateways and the other scheduler.
+var internalPort = transport.PortOptions{Purpose: "internal", Share: 0.25}
+
 // Server is a scheduler process.
 type Server struct {
 	settings     *Settings
@@ -65,7 +69,12 @@
 	s := &Server{settings: settings, log: log, ctx: ctx, cancel: cancel}
 	mux := http.NewServeMux()
 	handler := keys.Admit(accessRules, protocol.Handler(mux))
-	s.http, err = daemon.ListenSecure(ctx, settings.Listen, handler, keys, transport.ClientsRequired)
+	in := transport.NewIntake(settings.Intake, settings.MemoryMB, log)
+	if err := in.Observe(otel.Meter(meterName)); err != nil {
+		cancel()
+		return nil, err
+	}
+	s.http, err = daemon.ListenSecure(in.On(ctx, internalPort), settings.Listen, handler, keys, transport.ClientsRequired)
 	if err != nil {
 		cancel()
 		return nil, err
--- /dev/null
+++ b/transport/intakebody.go
@@ -0,0 +1,317 @@
+package transport
+
+import (
+	"cmp"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// bodyFactor is the memory of a body that is read into a buffer that grows by copying.
+	bodyFactor = 2
+	// http2RequestCharge is what net/http holds for a request on an HTTP/2 connection beside
+	// its head and body, and fieldCharge what a field of its head needs beside its bytes.
+	http2RequestCharge = 12 << 10
+	fieldCharge        = lineCharge
+)
+
+// longPast is a deadline that has expired.
+var longPast = time.Unix(1, 0)
+
+// account is what a request with a body holds.
+type account struct {
+	port    *Port
+	room    *room
+	address string
+	control *http.ResponseController
+	started time.Time
+	// held was taken from the room; received counts the bytes of the body, and lastAt is the
+	// time of the last of them, as a duration since processStart.
+	held, received, lastAt atomic.Int64
+	// streamed is set if the bytes are passed on and not kept.
+	streamed atomic.Bool
+
+	mu   sync.Mutex
+	why  reason
+	done bool
+}
+
+// limitBodies returns middleware that limits the bodies of requests.
+func (p *Port) limitBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		a := &account{port: p, room: p.roomOf(r), address: r.RemoteAddr, control: http.NewResponseController(w), started: time.Now()}
+		a.lastAt.Store(int64(sinceStart()))
+		defer a.end()
+		refusing := &refusingWriter{ResponseWriter: w, account: a, http1: r.ProtoMajor == 1}
+		if limit := p.maxBody(); limit > 0 && r.ContentLength > limit {
+			a.giveUp(reasonLarge)
+		} else if r.ProtoMajor > 1 && !a.takeHead(r) {
+			a.giveUp(reasonRoom)
+		}
+		if a.refused() != reasonNone {
+			http.Error(refusing, (&refusal{a.why}).Error(), a.why.status())
+			return
+		}
+		if r.ContentLength != 0 {
+			p.begin(a)
+			r.Body = &limitedBody{ReadCloser: r.Body, account: a}
+		}
+		next.ServeHTTP(refusing, r)
+		refusing.stopReading()
+	})
+}
+
+// roomOf returns the room that a request uses.
+func (p *Port) roomOf(r *http.Request) *room {
+	if p.relayed != nil && strings.HasPrefix(r.URL.Path, p.RelayedPrefix) {
+		return p.relayed
+	}
+	return p.main
+}
+
+// takeHead takes room for a request of HTTP/2 and its head.
+func (a *account) takeHead(r *http.Request) bool {
+	n := int64(http2RequestCharge)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += headFactor*int64(len(name)+len(value)) + fieldCharge
+		}
+	}
+	if !a.room.take(n, 0) {
+		return false
+	}
+	a.held.Add(n)
+	return true
+}
+
+// begin lists the body as one in progress, and starts to look for late ones with the first.
+func (p *Port) begin(a *account) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bodies[a] = struct{}{}
+	if !p.sweeping {
+		p.sweeping = true
+		go p.sweep()
+	}
+}
+
+// sweep gives late bodies up while there are bodies.
+func (p *Port) sweep() {
+	for {
+		time.Sleep(sweepInterval)
+		p.mu.Lock()
+		var late []*account
+		for a := range p.bodies {
+			if a.late() != reasonNone {
+				late = append(late, a)
+			}
+		}
+		p.sweeping = len(p.bodies) > 0
+		goOn := p.sweeping
+		p.mu.Unlock()
+		if !goOn {
+			return
+		}
+		for _, a := range late {
+			a.giveUp(a.late())
+		}
+	}
+}
+
+// late returns why a body takes too long, if it does.
+func (a *account) late() reason {
+	s := &a.port.intake.settings
+	idleLimit := millisecondsOr(s.BodyIdleTimeoutMS, defaultBodyIdleTimeout)
+	took, idle := time.Since(a.started), a.idle()
+	switch {
+	case idle > idleLimit:
+		return reasonStalled
+	case took > millisecondsOr(s.BodyTimeoutMS, defaultBodyTimeout):
+		return reasonLate
+	case s.MinBodyRate > 0 && took > idleLimit && float64(a.received.Load()) < float64(s.MinBodyRate)*took.Seconds():
+		return reasonSlow
+	}
+	return reasonNone
+}
+
+func millisecondsOr(ms int64, fallback time.Duration) time.Duration {
+	return cmp.Or(time.Duration(ms)*time.Millisecond, fallback)
+}
+
+// idle returns the time since the last byte of the body.
+func (a *account) idle() time.Duration { return sinceStart() - time.Duration(a.lastAt.Load()) }
+
+// abortStalled gives up the body with the least progress among those that have stalled, and
+// reports whether there was one.
+func (p *Port) abortStalled() bool {
+	var least *account
+	p.mu.Lock()
+	for a := range p.bodies {
+		if a.idle() > stallTime && a.refused() == reasonNone && (least == nil || a.received.Load() < least.received.Load()) {
+			least = a
+		}
+	}
+	p.mu.Unlock()
+	if least == nil {
+		return false
+	}
+	least.giveUp(reasonStalled)
+	return true
+}
+
+// giveUp makes the reads of the body fail.
+func (a *account) giveUp(why reason) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.done || a.why != reasonNone {
+		return
+	}
+	a.why = why
+	_ = a.control.SetReadDeadline(longPast)
+	a.port.refuse(why, a.address)
+}
+
+func (a *account) refused() reason {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.why
+}
+
+// complete notes that the body was read whole or is read no more.
+func (a *account) complete() {
+	a.port.mu.Lock()
+	delete(a.port.bodies, a)
+	a.port.mu.Unlock()
+	a.mu.Lock()
+	a.done = true
+	a.mu.Unlock()
+}
+
+// end gives back all that the request holds.
+func (a *account) end() {
+	a.complete()
+	a.room.giveBack(a.held.Swap(0))
+}
+
+// takeBody takes room for n bytes of the body and waits a little for it.
+func (a *account) takeBody(n int64) reason {
+	n *= bodyFactor
+	if a.streamed.Load() {
+		a.room.giveBack(a.held.Swap(0))
+	}
+	for end := time.Now().Add(roomTimeout); !a.room.take(n, a.held.Load()); {
+		a.port.abortStalled()
+		a.lastAt.Store(int64(sinceStart()))
+		if time.Now().After(end) {
+			a.giveUp(reasonRoom)
+		}
+		if why := a.refused(); why != reasonNone {
+			return why
+		}
+		time.Sleep(roomRetry)
+	}
+	a.held.Add(n)
+	return reasonNone
+}
+
+// limitedBody is the body of a request. It takes room before it reads.
+type limitedBody struct {
+	io.ReadCloser
+	account *account
+}
+
+// maxBodyRead bounds the room that one read takes before the bytes have arrived.
+const maxBodyRead = 8 << 10
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	a := b.account
+	why := a.refused()
+	if why == reasonNone {
+		p = p[:min(len(p), maxBodyRead)]
+		why = a.takeBody(int64(len(p)))
+	}
+	if why != reasonNone {
+		return 0, &refusal{why}
+	}
+	n, err := b.ReadCloser.Read(p)
+	a.untake(int64(len(p) - n))
+	if n > 0 {
+		a.lastAt.Store(int64(sinceStart()))
+	}
+	received := a.received.Add(int64(n))
+	if limit := a.port.maxBody(); limit > 0 && received > limit {
+		a.giveUp(reasonLarge)
+	}
+	if why := a.refused(); why != reasonNone {
+		return 0, &refusal{why}
+	}
+	if err != nil {
+		a.complete()
+	}
+	return n, err
+}
+
+func (a *account) untake(n int64) {
+	a.held.Add(-n * bodyFactor)
+	a.room.giveBack(n * bodyFactor)
+}
+
+// PassOn notes that the bytes of a request's body are passed on as they arrive and not kept.
+func PassOn(body io.Reader) {
+	if b, ok := body.(*limitedBody); ok {
+		b.account.streamed.Store(true)
+	}
+}
+
+// refusingWriter answers a request whose body was given up with the status of the reason.
+type refusingWriter struct {
+	http.ResponseWriter
+	account *account
+	http1   bool
+}
+
+// Unwrap serves http.ResponseController.
+func (w *refusingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter. An answer to a body that is passed on stands:
+// the request may have been carried out.
+func (w *refusingWriter) WriteHeader(status int) {
+	why := w.account.refused()
+	if why != reasonNone && status >= http.StatusBadRequest && !w.account.streamed.Load() {
+		status = why.status()
+		w.Header().Set("Retry-After", refusedRetryAfter)
+		w.Header().Set("Geranium-Outcome", "not_run")
+		if w.http1 {
+			w.Header().Set("Connection", "close")
+		}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Flush implements http.Flusher.
+func (w *refusingWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
+
+// stopReading bounds the time that net/http spends on the rest of a body that the handler
+// has not read: none if it was given up.
+func (w *refusingWriter) stopReading() {
+	a := w.account
+	a.mu.Lock()
+	why, done := a.why, a.done
+	a.mu.Unlock()
+	switch {
+	case !w.http1:
+	case why != reasonNone:
+		_ = a.control.SetReadDeadline(longPast)
+	case !done:
+		_ = a.control.SetReadDeadline(time.Now().Add(millisecondsOr(a.port.intake.settings.BodyIdleTimeoutMS, defaultBodyIdleTimeout)))
+	}
+}
--- a/transport/intakesettings.go
+++ b/transport/intakesettings.go
@@ -23,6 +23,9 @@
 	MaxConnectionsPerAddress int64 `json:"max_connections_per_address"`
 	// MaxStreams limits the concurrent requests on one HTTP/2 connection of a client.
 	MaxStreams int64 `json:"max_streams"`
+	// ReceiveBufferBytes is the size of the kernel's receive buffer of a client's connection; 0
+	// for the kernel's default.
+	ReceiveBufferBytes int64 `json:"receive_buffer_bytes"`
 }
 
 // minHeaderBytes is the least limit of a head: what an ordinary request needs.
@@ -39,6 +42,7 @@
 	c.NotNegative("intake.max_connections", s.MaxConnections)
 	c.NotNegative("intake.max_connections_per_address", s.MaxConnectionsPerAddress)
 	c.NotNegative("intake.max_streams", s.MaxStreams)
+	c.NotNegative("intake.receive_buffer_bytes", s.ReceiveBufferBytes)
 	if s.MaxHeaderBytes != 0 && s.MaxHeaderBytes < minHeaderBytes {
 		c.Add("intake.max_header_bytes", "is below 1024", "use 0 for the default or at least 1024")
 	}
