--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -11,6 +11,7 @@
 
 	"geraniumwall/jobs/dispatch"
 	"geraniumwall/settings"
+	"geraniumwall/transport"
 )
 
 // minWeight and maxWeight bound the weight of a queue or workspace. A queue with weight 0
@@ -82,6 +83,11 @@
 	FairShares *FairShares `json:"fair_shares"`
 	// Admission refuses jobs that can't end in time; missing to accept all.
 	Admission *Admission `json:"admission"`
+	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
+	// for what the process sees.
+	MemoryMB int64 `json:"memory_mb"`
+	// Intake limits what clients may send.
+	Intake transport.IntakeSettings `json:"intake"`
 	// ShutdownTimeoutMS limits the duration of a graceful shutdown, in milliseconds.
 	ShutdownTimeoutMS int64 `json:"stop_within_ms"`
 }
@@ -146,6 +152,7 @@
 		c.Add("remote_slowdown", fmt.Sprintf("%g is not a ratio from 1 to %d", s.RemoteSlowdown, maxRemoteSlowdown),
 			"use a ratio such as 1.5, or 0 so that no task waits for a place")
 	}
+	s.Intake.Check(c, s.MemoryMB)
 	if s.PeerBind != "" {
 		c.Address("peer_bind", s.PeerBind)
 	}
--- a/jobd/settings_test.go
+++ b/jobd/settings_test.go
@@ -23,7 +23,7 @@
 	values := map[string]string{
 		"node-id": "n", "zone": "z", "listen.control": "192.0.2.1:80", "ip": "192.0.2.1", "port-range.0": "7000", "port-range.1": "7001",
 		"bootstrap": "true", "data-dir": "/data", "heartbeat-ms": "1500", "bounds.hold-max-ms": "10000", "bounds.contact-ms": "3000",
-		"bounds.grace-s": "6", "limits.max-fds": "4324", "bounds.evacuate-ms": "5000", "#bounds.evacuate-ms": "", "/bounds.evacuate-ms": "", "#zones": "", "/zones": "", "@": "z",
+		"bounds.grace-s": "6", "limits.max-fds": "4324", "limits.memory-mb": "408", "bounds.evacuate-ms": "5000", "#bounds.evacuate-ms": "", "/bounds.evacuate-ms": "", "#zones": "", "/zones": "", "@": "z",
 		"#bounds.far-factor": "", "bounds.far-factor": "1.6", "/bounds.far-factor": "", "#seeds": "", "/seeds": "", ".": "192.0.2.1:80", "#,": "", ",": "",
 	}
 	document := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(field string) string {
@@ -45,6 +45,7 @@
 	g.Expect(s.RemoteSlowdown).To(Equal(1.6))
 	g.Expect(s.FairShares.options()).NotTo(BeNil())
 	g.Expect(s.Admission.enabled()).To(BeFalse())
+	g.Expect(s.MemoryMB).To(Equal(int64(408)))
 }
 
 // Guards against a slowdown that makes remote places look faster, or times overflow.
