--- a/relay/odd_view_test.go
+++ b/relay/odd_view_test.go
@@ -53,3 +53,18 @@
 		}
 	}
 })
+
+var _ = Describe("Relay with limits", func() {
+	// Guards against limits of a configuration that don't reach the process, and against odd
+	// ones that would refuse every caller.
+	It("takes the limits that a leader names, unless they are odd", func() {
+		leader := newFakeReplica()
+		leader.rawView = fmt.Sprintf(`{"leader":%q,"leads":true,"limits":{"max_header_bytes":16384,"max_body_bytes":100}}`, leader.address())
+		r := relay.New([]string{leader.address()}, nil)
+		r.Refresh(withTimeout(5 * time.Second))
+		Eventually(func() int64 { r.Refresh(withTimeout(time.Second)); return r.Limits().MaxBodyBytes }).Should(BeEquivalentTo(100))
+		leader.rawView = fmt.Sprintf(`{"leader":%q,"leads":true,"limits":{"max_header_bytes":1,"max_body_bytes":-1}}`, leader.address())
+		r.Refresh(withTimeout(time.Second))
+		Expect(r.Limits().MaxHeaderBytes).To(BeEquivalentTo(16_384))
+	})
+})
