dispatch: admission counts no room of an evacuated failure domain

Cause: admission looked at usable workers, which include those of evacuated domains, so that it accepted jobs for room that nothing may use. Change: one check, mayGetTasks, serves the plans and admission. Result: the new test fails with the former check and passes.

--- a/jobs/dispatch/admit.go
+++ b/jobs/dispatch/admit.go
@@ -85,7 +85,7 @@
 	step := largestStep(spec)
 	request := step.ReservedResources()
 	for _, w := range d.workers {
-		if w.Service == service && w.hasLabel(step.RequiredLabel) && w.usable(d.now) && request.FitsIn(w.free()) {
+		if w.Service == service && w.hasLabel(step.RequiredLabel) && d.mayGetTasks(w) && request.FitsIn(w.free()) {
 			return true
 		}
 	}
--- a/jobs/dispatch/candidate.go
+++ b/jobs/dispatch/candidate.go
@@ -54,7 +54,7 @@
 	clear(d.planner.similar)
 	states := make([]candidate, 0, len(d.workers))
 	for _, w := range d.workersByID() {
-		if w.usable(d.now) && !d.store.Evacuated(w.Domain) {
+		if d.mayGetTasks(w) {
 			states = append(states, d.newCandidate(w))
 		}
 	}
--- a/jobs/dispatch/evacuation.go
+++ b/jobs/dispatch/evacuation.go
@@ -5,6 +5,11 @@
 // reasonEvacuated is why the start of a bound attempt is cancelled after an evacuation.
 const reasonEvacuated = "the failure domain is evacuated"
 
+// mayGetTasks reports whether a worker is usable and outside of the evacuated failure domains.
+func (d *Dispatcher) mayGetTasks(w *worker) bool {
+	return w.usable(d.now) && !d.store.Evacuated(w.Domain)
+}
+
 // allEvacuated reports whether the last plan had no usable worker outside of the evacuated
 // failure domains. What runs there must not be stopped in order to run elsewhere.
 func (d *Dispatcher) allEvacuated() bool {
--- a/jobs/dispatch/evacuation_test.go
+++ b/jobs/dispatch/evacuation_test.go
@@ -91,6 +91,19 @@
 		}),
 	)
 
+	// Guards against an admission that takes idle workers of the evacuated domain for room.
+	It("counts no room of the domain for admission", func() {
+		sim := fleet(newSimulation(7))
+		large := jobs.Spec{Steps: []jobs.Step{{Count: 2, Request: fullCapacity, EstimateMS: 60_000}}}
+		sim.evacuate("a", true)
+		sim.submit("fills-b", large)
+		sim.runUntil(4 * time.Second)
+		Expect(runningIn(sim, "b")).To(Equal(2))
+		Expect(sim.current().hasFreeWorker("s", &large)).To(BeFalse())
+		sim.evacuate("a", false)
+		Expect(sim.current().hasFreeWorker("s", &large)).To(BeTrue())
+	})
+
 	// Guards against room of the evacuated domain in a claim, a reservation, a move or the reserve
 	// for short tasks: all of them choose among the candidates.
 	It("has no candidate in the domain, and drops the claims there", func() {
