jobd, dispatch: batches keep how long a worker stays cold; plainer names

Change: the message carries it, and a test that sets every field compares both ends. restartPatience is named maxRestartDelay, and the result of planBelowShare waits. Result: the test fails without the field and passes.

--- a/jobd/heartbeats.go
+++ b/jobd/heartbeats.go
@@ -40,6 +40,7 @@
 	Domain      string         `json:"domain,omitempty"`
 	Draining    bool           `json:"draining,omitempty"`
 	RemainingMS int64          `json:"remaining_ms,omitempty"`
+	ColdLeftMS  int64          `json:"cold_left_ms,omitempty"`
 	Capacity    jobs.Resources `json:"capacity"`
 	Labels      []string       `json:"labels,omitempty"`
 	ClockMS     int64          `json:"clock_ms,omitempty"`
@@ -59,6 +60,7 @@
 func encodeHeartbeat(h *dispatch.Heartbeat) heartbeatMessage {
 	return heartbeatMessage{
 		Worker: h.Worker, HostPort: h.HostPort, Service: h.Service, Domain: h.Domain, Draining: h.Draining, RemainingMS: h.Remaining.Milliseconds(),
+		ColdLeftMS: h.ColdLeft.Milliseconds(),
 		Capacity: h.Capacity, Labels: h.Labels, ClockMS: h.ClockMS, StartedAtMS: h.StartedAtMS, Sequence: h.Sequence,
 	}
 }
@@ -66,7 +68,7 @@
 func (m *heartbeatMessage) decode() dispatch.Heartbeat {
 	return dispatch.Heartbeat{
 		Worker: m.Worker, HostPort: m.HostPort, Service: m.Service, Domain: m.Domain, Draining: m.Draining,
-		Remaining: time.Duration(m.RemainingMS) * time.Millisecond, Capacity: m.Capacity, Labels: m.Labels,
+		Remaining: time.Duration(m.RemainingMS) * time.Millisecond, ColdLeft: time.Duration(m.ColdLeftMS) * time.Millisecond, Capacity: m.Capacity, Labels: m.Labels,
 		ClockMS: m.ClockMS, StartedAtMS: m.StartedAtMS, Sequence: m.Sequence,
 	}
 }
--- a/jobd/heartbeats_test.go
+++ b/jobd/heartbeats_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -112,3 +113,19 @@
 	g.Expect(json.Unmarshal(data, &m)).To(Succeed())
 	g.Expect(m.decode()).To(Equal(h))
 }
+
+// Guards against a field of a heartbeat that is lost on its way through a batch.
+func TestBatchedHeartbeatKeepsAllFields(t *testing.T) {
+	g := NewWithT(t)
+	h := dispatch.Heartbeat{
+		Worker: "i-1", HostPort: "192.0.2.1:80", Service: "s", Domain: "a", Draining: true, Remaining: 3 * time.Second,
+		ColdLeft: 2 * time.Second, Capacity: jobs.Resources{MilliCPU: 1, MemoryMB: 2, GPUs: 3}, Labels: []string{"r1"},
+		ClockMS: 4, StartedAtMS: 5, Sequence: 6,
+	}
+	value := reflect.ValueOf(h)
+	for i := range value.NumField() {
+		g.Expect(value.Field(i).IsZero()).To(BeFalse(), "set %s in this test", value.Type().Field(i).Name)
+	}
+	m := encodeHeartbeat(&h)
+	g.Expect(m.decode()).To(Equal(h))
+}
--- a/jobs/dispatch/fair.go
+++ b/jobs/dispatch/fair.go
@@ -9,10 +9,10 @@
 	"geraniumwall/jobs/dispatch/shares"
 )
 
-// restartPatience is how long a restart of a queue above its share gives way to queues
+// maxRestartDelay is how long a restart of a queue above its share gives way to queues
 // below theirs. It keeps a large task from waiting forever where pieces too small for it
 // come free all the time and are taken at once.
-const restartPatience = 20 * time.Second
+const maxRestartDelay = 20 * time.Second
 
 // FairShares are the settings of the shares of queues and workspaces.
 type FairShares struct {
@@ -93,9 +93,9 @@
 
 // givesWay reports whether a restart comes after the short jobs of queues below their
 // share, since its own queue has borrowed capacity and it has not waited for
-// restartPatience yet.
+// maxRestartDelay yet.
 func (f *fairPlan) givesWay(r restart, unix int64) bool {
-	if f == nil || unix-r.task.EndedAt >= restartPatience.Milliseconds() {
+	if f == nil || unix-r.task.EndedAt >= maxRestartDelay.Milliseconds() {
 		return false
 	}
 	l := f.ledgers[r.job.service]
@@ -141,7 +141,7 @@
 // planBelowShare binds the short jobs of the first tier and priority in the list whose
 // queue is below its share, up to that share. It reports whether such a job still waits
 // for room that other work occupies.
-func (d *Dispatcher) planBelowShare(ranked []*waitingJob, candidates []*candidate, noFit *unplaceable) (deprived bool) {
+func (d *Dispatcher) planBelowShare(ranked []*waitingJob, candidates []*candidate, noFit *unplaceable) (waits bool) {
 	f := d.planner.fair
 	if f == nil {
 		return false
@@ -158,9 +158,9 @@
 		d.planJob(wj, candidates, noFit)
 		// A job whose queue has used up its share is planned again with the others.
 		wj.planned = f.below(wj)
-		deprived = deprived || wj.planned && d.waitsForRoom(wj, candidates)
+		waits = waits || wj.planned && d.waitsForRoom(wj, candidates)
 	}
-	return deprived
+	return waits
 }
 
 // startsGroup reports whether a job in the order of planning has another tier or priority
