--- a/jobd/heartbeats.go
+++ b/jobd/heartbeats.go
@@ -61,7 +61,7 @@
 	return heartbeatMessage{
 		Worker: h.Worker, HostPort: h.HostPort, Service: h.Service, Domain: h.Domain, Draining: h.Draining, RemainingMS: h.Remaining.Milliseconds(),
 		ColdLeftMS: h.ColdLeft.Milliseconds(),
-		Capacity: h.Capacity, Labels: h.Labels, ClockMS: h.ClockMS, StartedAtMS: h.StartedAtMS, Sequence: h.Sequence,
+		Capacity:   h.Capacity, Labels: h.Labels, ClockMS: h.ClockMS, StartedAtMS: h.StartedAtMS, Sequence: h.Sequence,
 	}
 }
 
