--- a/e2e/intake_test.go
+++ b/e2e/intake_test.go
@@ -77,22 +77,24 @@
 	return 0, fmt.Errorf("%s: no %s", p.name, field)
 }
 
-func (p *process) openFiles() int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
+func openFiles(pid int) int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	if err != nil {
 		return 0
 	}
 	return len(entries)
 }
 
-// watchFiles returns a function that ends the watch and returns the most open descriptors.
-func (p *process) watchFiles() func() int {
-	ctx, stop := context.WithCancel(context.Background())
+// watchFiles returns a function that ends the watch and returns the most open descriptors. The
+// watch ends with the test too, which may have killed the process by then.
+func (p *process) watchFiles(t *testing.T) func() int {
+	ctx, stop := context.WithCancel(t.Context())
+	pid := p.command.Process.Pid
 	most := make(chan int, 1)
 	go func() {
 		n := 0
 		for ctx.Err() == nil {
-			n = max(n, p.openFiles())
+			n = max(n, openFiles(pid))
 			time.Sleep(20 * time.Millisecond)
 		}
 		most <- n
@@ -114,7 +116,7 @@
 				}
 				return what
 			}).WithTimeout(intakeWait).WithPolling(100*time.Millisecond).Should(BeEmpty(), "before the crowd")
-			files := tg.watchFiles()
+			files := tg.watchFiles(t)
 			defer tg.crowd.close()
 			tg.crowd.play(form)
 			g.Expect(tg.exit.done).NotTo(BeClosed(), "the process has ended")
