transport: a body that is given up and the search for stalled ones don't wait for each other

Cause: giveUp held the lock of an account while its log line took that of the port, and abortStalled took them the other way round. Change: the reason of a refusal is read without the lock, and the line is logged after it is released.

--- a/transport/intakebody.go
+++ b/transport/intakebody.go
@@ -35,8 +35,11 @@
 	// streamed is set if the bytes are passed on and not kept.
 	streamed atomic.Bool
 
-	mu   sync.Mutex
-	why  reason
+	// why is the reason of a refusal. It is read without mu, so that port.mu is never held while
+	// mu is waited for.
+	why atomic.Int32
+	mu  sync.Mutex
+	// done is set once the body is read no more.
 	done bool
 }
 
@@ -57,7 +60,7 @@
 			a.giveUp(reasonRoom)
 		}
 		if a.refused() != reasonNone {
-			http.Error(refusing, (&refusal{a.why}).Error(), a.why.status())
+			http.Error(refusing, (&refusal{a.refused()}).Error(), a.refused().status())
 			return
 		}
 		if r.ContentLength != 0 {
@@ -169,22 +172,26 @@
 
 // giveUp makes the reads of the body fail.
 func (a *account) giveUp(why reason) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.done || a.why != reasonNone {
-		return
+	if a.markRefused(why) {
+		a.port.refuse(why, a.address)
 	}
-	a.why = why
-	_ = a.control.SetReadDeadline(longPast)
-	a.port.refuse(why, a.address)
 }
 
-func (a *account) refused() reason {
+// markRefused ends the reads of a body that is still being read. mu is released before the
+// refusal is logged, since the log line takes port.mu for the bodies in progress.
+func (a *account) markRefused(why reason) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.why
+	if a.done || a.refused() != reasonNone {
+		return false
+	}
+	a.why.Store(int32(why))
+	_ = a.control.SetReadDeadline(longPast)
+	return true
 }
 
+func (a *account) refused() reason { return reason(a.why.Load()) }
+
 // complete notes that the body was read whole or is read no more.
 func (a *account) complete() {
 	a.port.mu.Lock()
@@ -305,7 +312,7 @@
 func (w *refusingWriter) stopReading() {
 	a := w.account
 	a.mu.Lock()
-	why, done := a.why, a.done
+	why, done := a.refused(), a.done
 	a.mu.Unlock()
 	switch {
 	case !w.http1:
