entry: the leader alone enforces the configured size of a body

Change: only the limits for heads and times are taken over at the entry; the budget of bytes bounds what bodies take.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,7 +180,11 @@
 	defer t.Stop()
 	for {
 		p.relay.Refresh(ctx)
-		p.intake.SetLimits(p.relay.Limits())
+		// The leader enforces the configured size of a body. This process may know an older
+		// limit for up to refreshInterval, and would refuse what a new configuration allows.
+		limits := p.relay.Limits()
+		limits.MaxBodyBytes = 0
+		p.intake.SetLimits(limits)
 		p.updateReady()
 		select {
 		case <-ctx.Done():
