--- a/jobd/api.go
+++ b/jobd/api.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"time"
 
 	"geraniumwall/jobs"
@@ -41,6 +43,13 @@
 	RetryAfter time.Duration
 }
 
+// SetRetryAfter sets the header Retry-After, in whole seconds rounded up, if there is advice.
+func (e *Error) SetRetryAfter(header http.Header) {
+	if e.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
+	}
+}
+
 // Error returns the text.
 func (e *Error) Error() string { return e.Text }
 
--- a/jobd/evacuations.go
+++ b/jobd/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -76,9 +77,7 @@
 // evacuations, sorted.
 func (m *manager) knownDomains() []string {
 	domains := slices.Clone(m.settings.Domains)
-	for _, w := range m.store.Workers() {
-		domains = append(domains, w.Domain)
-	}
+	domains = slices.AppendSeq(domains, maps.Keys(m.store.WorkersByDomain()))
 	for _, e := range m.store.Evacuations() {
 		domains = append(domains, e.Domain)
 	}
@@ -93,7 +92,7 @@
 	}
 	counts := evacuationCounts{domains: m.store.EvacuationCount()}
 	if counts.domains > 0 {
-		workers := m.workersByDomain()
+		workers := m.store.WorkersByDomain()
 		for _, e := range m.store.Evacuations() {
 			counts.workers += workers[e.Domain]
 		}
--- a/jobd/evacuationserve.go
+++ b/jobd/evacuationserve.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
-	"time"
 
 	"geraniumwall/jobd/evacuationapi"
 )
@@ -68,7 +66,7 @@
 
 func (m *manager) shownEvacuations() evacuationapi.Evacuations {
 	shown := evacuationapi.Evacuations{Replica: m.settings.Name, InForce: []evacuationapi.Evacuation{}, Records: []evacuationapi.Record{}}
-	workers := m.workersByDomain()
+	workers := m.store.WorkersByDomain()
 	for _, e := range m.store.Evacuations() {
 		shown.InForce = append(shown.InForce, evacuationapi.Evacuation{
 			Domain: e.Domain, Operator: e.By, SinceMS: e.Since, Workers: workers[e.Domain],
@@ -82,23 +80,12 @@
 	return shown
 }
 
-// workersByDomain counts the registered workers.
-func (m *manager) workersByDomain() map[string]int {
-	counts := map[string]int{}
-	for _, w := range m.store.Workers() {
-		counts[w.Domain]++
-	}
-	return counts
-}
-
 // writeOperatorError answers a request of the internal API that has failed.
 func writeOperatorError(w http.ResponseWriter, err error) {
 	status := http.StatusGatewayTimeout
 	var e *Error
 	if errors.As(err, &e) {
-		if e.RetryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
-		}
+		e.SetRetryAfter(w.Header())
 		switch e.Kind {
 		case KindNotRun:
 			status = http.StatusServiceUnavailable
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -68,6 +68,15 @@
 // Worker returns the registration of a worker id, or nil. The result must not be modified.
 func (s *Store) Worker(id string) *Worker { return s.workers[id] }
 
+// WorkersByDomain returns the number of registered workers in each failure domain.
+func (s *Store) WorkersByDomain() map[string]int {
+	counts := map[string]int{}
+	for _, w := range s.workers {
+		counts[w.Domain]++
+	}
+	return counts
+}
+
 // Workers returns the registered workers, sorted by id. The result must not be modified.
 func (s *Store) Workers() []*Worker {
 	list := make([]*Worker, 0, len(s.workers))
