daemon, transport: bytes that were not read have a bound

What callers saw: beside a crowd of clients with large bodies an entry process or a replica is ended by its host, which counts bytes that have arrived and were not read. Cause: the kernel accepts 128 KB for each connection, also before it is accepted, and more when the process has read fast for a while. Nothing bounded the sum, and a slow process reads less than arrives. receive_buffer_bytes was off by default, and not applied to the internal port. Change: the receive buffer of a listening socket follows from memory and connections, at most 512 connections wait to be accepted, and connections with large bodies get a larger buffer while there is room.

--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -48,14 +49,35 @@
 	}
 }
 
+// of returns the connection that a server serves, nil if it is closed.
+func (cs *connections) of(served net.Conn) *conn {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.open[keyOf(served)]
+}
+
+// connContext is a hook of http.Server.
+type connContext = func(ctx context.Context, served net.Conn) context.Context
+
+// withAccount returns the ConnContext hook of the server, which passes on what next adds.
+func (cs *connections) withAccount(next connContext) connContext {
+	return func(ctx context.Context, served net.Conn) context.Context {
+		if c := cs.of(served); c != nil {
+			ctx = transport.WithConnection(ctx, c.account)
+		}
+		if next != nil {
+			ctx = next(ctx, served)
+		}
+		return ctx
+	}
+}
+
 // stateChanged is the ConnState hook of the server.
 func (cs *connections) stateChanged(served net.Conn, state http.ConnState) {
 	if state != http.StateActive && state != http.StateIdle {
 		return
 	}
-	cs.mu.Lock()
-	c := cs.open[keyOf(served)]
-	cs.mu.Unlock()
+	c := cs.of(served)
 	if c == nil {
 		return
 	}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -49,7 +49,7 @@
 // connection that has been idle for longest gives way to it.
 func (l *listener) admit(tcp *net.TCPConn) *conn {
 	makesRoom := l.port.Full() && l.conns.closeIdle(time.Now())
-	account, answer := l.port.Accept(addrPort(tcp.RemoteAddr()), makesRoom)
+	account, answer := l.port.Accept(addrPort(tcp.RemoteAddr()), tcp, makesRoom)
 	if answer != nil {
 		_, _ = tcp.Write(answer)
 		_ = tcp.Close()
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -50,36 +50,41 @@
 	s := &Server{
 		http: server, address: tcp.Addr(), conns: newConnections(), requests: newRequests(), failed: make(chan error, 1), served: make(chan struct{}),
 	}
+	if err := limitBacklog(tcp.(*net.TCPListener), port.Backlog()); err != nil {
+		return nil, fmt.Errorf("listen on %s: limit the connections that wait: %w", address, err)
+	}
 	s.bound = &listener{TCPListener: tcp.(*net.TCPListener), conns: s.conns, port: port}
 	port.Configure(server)
 	s.listener = transport.LimitListener(ctx, s.bound, server)
 	server.Handler = s.requests.track(server.Handler)
 	server.ConnState = s.conns.stateChanged
+	server.ConnContext = s.conns.withAccount(server.ConnContext)
 	return s, nil
 }
 
-// ethernetSegment is the largest segment on Ethernet. Loopback has segments of 64 KB: a window
-// that is smaller than one opens only when the buffer is empty, and a client that has filled it
-// once may then wait for tens of seconds.
-const ethernetSegment = 1460
-
 // receiveBuffer returns a function that sets the receive buffer of a listening socket, which
-// its connections inherit; 0 keeps the default. It has to be set before a connection is made:
-// clients then know the window from the start and don't wait to fill a larger one.
+// its connections inherit. It has to be set before a connection is made: clients then know the
+// window from the start. A host that does not support it keeps its own size.
 func receiveBuffer(bytes int) func(network, address string, c syscall.RawConn) error {
-	if bytes == 0 {
-		return nil
-	}
 	return func(_, _ string, c syscall.RawConn) error {
-		var err error
-		controlErr := c.Control(func(fd uintptr) {
-			err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes),
-				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment))
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
 		})
-		return errors.Join(err, controlErr)
 	}
 }
 
+// limitBacklog limits the connections that wait to be accepted: what they have sent is not
+// read either.
+func limitBacklog(l *net.TCPListener, connections int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), connections) })
+	return errors.Join(err, listenErr)
+}
+
 // lateInterval is the interval of the search for connections that are late or idle.
 const lateInterval = 500 * time.Millisecond
 
--- a/e2e/intake_test.go
+++ b/e2e/intake_test.go
@@ -45,8 +45,19 @@
 	ordinary func() (string, bool)
 }
 
-// limit adds the limits to the settings of a process that has not been started.
-func (p *process) limit() error {
+// expectAnswer waits until an ordinary request is answered.
+func (tg *target) expectAnswer(g *WithT, when string) {
+	g.Eventually(func() string {
+		what, ok := tg.ordinary()
+		if ok {
+			return ""
+		}
+		return what
+	}).WithTimeout(intakeWait).WithPolling(100*time.Millisecond).Should(BeEmpty(), when)
+}
+
+// limit adds the limits and memory_mb to the settings of a process that has not been started.
+func (p *process) limit(memoryMB int) error {
 	data, err := os.ReadFile(p.settings)
 	if err != nil {
 		return err
@@ -55,7 +66,7 @@
 	if err := json.Unmarshal(data, &document); err != nil {
 		return err
 	}
-	document["memory_mb"], document["intake"] = intakeMemoryMB, intakeLimits
+	document["memory_mb"], document["intake"] = memoryMB, intakeLimits
 	if data, err = json.Marshal(document); err != nil {
 		return err
 	}
@@ -109,24 +120,12 @@
 			g := NewWithT(t)
 			tg, stop := start(g, t.TempDir())
 			defer stop()
-			g.Eventually(func() string {
-				what, ok := tg.ordinary()
-				if ok {
-					return ""
-				}
-				return what
-			}).WithTimeout(intakeWait).WithPolling(100*time.Millisecond).Should(BeEmpty(), "before the crowd")
+			tg.expectAnswer(g, "before the crowd")
 			files := tg.watchFiles(t)
 			defer tg.crowd.close()
 			tg.crowd.play(form)
 			g.Expect(tg.exit.done).NotTo(BeClosed(), "the process has ended")
-			g.Eventually(func() string {
-				what, ok := tg.ordinary()
-				if ok {
-					return ""
-				}
-				return what
-			}).WithTimeout(intakeWait).WithPolling(100*time.Millisecond).Should(BeEmpty(), "beside the crowd")
+			tg.expectAnswer(g, "beside the crowd")
 			peak, err := tg.memory("VmHWM")
 			g.Expect(err).NotTo(HaveOccurred())
 			resident, err := tg.memory("VmRSS")
@@ -144,11 +143,11 @@
 var plainCaller = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // startLimitedJobs starts a replica and an entry process with low limits.
-func startLimitedJobs(g *WithT, dir string) *jobFleet {
+func startLimitedJobs(g *WithT, dir string, memoryMB int) *jobFleet {
 	f, err := newJobFleet(dir, 1, 1, 0, 0)
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, p := range f.processes() {
-		g.Expect(p.limit()).To(Succeed())
+		g.Expect(p.limit(memoryMB)).To(Succeed())
 		g.Expect(p.start()).To(Succeed())
 	}
 	g.Eventually(func() int {
@@ -176,7 +175,7 @@
 
 func TestIntakeOfEntry(t *testing.T) {
 	withstand(t, func(g *WithT, dir string) (target, func()) {
-		f := startLimitedJobs(g, dir)
+		f := startLimitedJobs(g, dir, intakeMemoryMB)
 		return target{
 			process:  f.entries[0].process,
 			crowd:    crowd{address: f.fronts[0], method: http.MethodPost, path: "/p/0000000000000001", host: "h"},
@@ -188,7 +187,7 @@
 // The port for workers and operators.
 func TestIntakeOfReplicaControl(t *testing.T) {
 	withstand(t, func(g *WithT, dir string) (target, func()) {
-		f := startLimitedJobs(g, dir)
+		f := startLimitedJobs(g, dir, intakeMemoryMB)
 		return target{
 			process:  f.replicas[0].process,
 			crowd:    crowd{address: f.control[0], method: http.MethodPut, path: "/config", host: "h"},
@@ -200,7 +199,7 @@
 // The internal port, where entry processes relay the requests of callers.
 func TestIntakeOfReplicaInternal(t *testing.T) {
 	withstand(t, func(g *WithT, dir string) (target, func()) {
-		f := startLimitedJobs(g, dir)
+		f := startLimitedJobs(g, dir, intakeMemoryMB)
 		bind := f.peers[0].target
 		return target{
 			process:  f.replicas[0].process,
@@ -218,7 +217,7 @@
 		})
 		g.Expect(err).NotTo(HaveOccurred())
 		p := f.gateways["bern-a"][0]
-		g.Expect(p.limit()).To(Succeed())
+		g.Expect(p.limit(intakeMemoryMB)).To(Succeed())
 		ctx, cancel := context.WithTimeout(context.Background(), intakeWait)
 		g.Expect(f.start(ctx)).To(Succeed())
 		g.Expect(f.applyExample()).To(Succeed())
--- a/e2e/intakecrowd_test.go
+++ b/e2e/intakecrowd_test.go
@@ -115,6 +115,17 @@
 		send(c.head("Transfer-Encoding: chunked\r\n"))
 		repeat(send, 40, strings.Repeat("1\r\nx\r\n", 1000))
 	})},
+	{"bodies announced over the limit", crowdSize, write(func(c *crowd, send func(string) bool) {
+		send(c.head("Content-Length: 1000000000\r\n"))
+		repeat(send, 100, strings.Repeat("x", 100_000))
+	})},
+	{"bodies over the limit that are just sent", crowdSize, write(func(c *crowd, send func(string) bool) {
+		send(c.head("Transfer-Encoding: chunked\r\n"))
+		repeat(send, 40, fmt.Sprintf("%x\r\n%s\r\n", crowdBody, strings.Repeat("x", crowdBody)))
+	})},
+	{"bodies that do not wait for 100 Continue", crowdSize, write(func(c *crowd, send func(string) bool) {
+		send(c.head(fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n", crowdBody)) + strings.Repeat("x", crowdBody-crowdMissing))
+	})},
 	{"heads over the limit", crowdSize, write(func(c *crowd, send func(string) bool) {
 		send(c.head("X-Long: " + strings.Repeat("x", 900_000) + "\r\n"))
 	})},
--- a/transport/intake.go
+++ b/transport/intake.go
@@ -134,8 +134,10 @@
 	log      zerolog.Logger
 	// maxConnections and connectionRoom limit the connections of all ports.
 	maxConnections, connectionRoom int64
-	limits                         atomic.Pointer[Limits]
-	refused                        [reasons]atomic.Int64
+	// receiveBuffer is SO_RCVBUF of new connections in bytes.
+	receiveBuffer int
+	limits        atomic.Pointer[Limits]
+	refused       [reasons]atomic.Int64
 
 	mu              sync.Mutex
 	ports           []*Port
@@ -158,6 +160,7 @@
 	}
 	in.connectionRoom = int64(float64(in.memory) * connectionShare)
 	in.maxConnections = cmp.Or(s.MaxConnections, min(in.connectionRoom/connectionCharge, maxAccepted()))
+	in.receiveBuffer = cmp.Or(int(s.ReceiveBufferBytes), receiveBufferFor(in.memory, in.maxConnections))
 	if s.MaxConnectionsPerAddress != 0 {
 		in.byAddress = map[netip.Addr]int64{}
 	}
@@ -219,6 +222,8 @@
 	intake *Intake
 	// main is the room for requests, relayed that for requests that are relayed.
 	main, relayed *room
+	// largeBuffers is the room for large receive buffers.
+	largeBuffers *room
 	// open counts the connections; guarded by intake.mu.
 	open int64
 
@@ -232,7 +237,7 @@
 // Port adds a port.
 func (in *Intake) Port(o PortOptions) *Port {
 	bytes := max(int64(float64(in.memory)*o.Share), minRoom)
-	p := &Port{PortOptions: o, intake: in, main: &room{limit: bytes}, bodies: map[*account]struct{}{}}
+	p := &Port{PortOptions: o, intake: in, main: &room{limit: bytes}, largeBuffers: &room{limit: bytes / largeBufferPart}, bodies: map[*account]struct{}{}}
 	if o.RelayedPrefix != "" {
 		p.main.limit /= 2
 		p.relayed = &room{limit: p.main.limit}
@@ -279,14 +284,6 @@
 	server.Handler = p.limitBodies(server.Handler)
 }
 
-// ReceiveBuffer returns the size of the kernel's receive buffers, 0 for the default.
-func (p *Port) ReceiveBuffer() int {
-	if p.Clients {
-		return int(p.intake.settings.ReceiveBufferBytes)
-	}
-	return 0
-}
-
 func stricter(a, b int64) int64 {
 	if a == 0 || b == 0 {
 		return max(a, b)
@@ -333,6 +330,11 @@
 	if held+n > smallCharge {
 		limit -= limit / reservedPart
 	}
+	return r.takeUpTo(limit, n)
+}
+
+// takeUpTo takes n bytes if no more than limit are used then, and reports whether it has.
+func (r *room) takeUpTo(limit, n int64) bool {
 	for {
 		used := r.used.Load()
 		if used+n > limit {
--- a/transport/intakebody.go
+++ b/transport/intakebody.go
@@ -27,8 +27,10 @@
 	port    *Port
 	room    *room
 	address string
-	control *http.ResponseController
-	started time.Time
+	// connection is nil for a request of HTTP/2.
+	connection *Connection
+	control    *http.ResponseController
+	started    time.Time
 	// held was taken from the room; received counts the bytes of the body, and lastAt is the
 	// time of the last of them, as a duration since processStart.
 	held, received, lastAt atomic.Int64
@@ -52,6 +54,9 @@
 		}
 		a := &account{port: p, room: p.roomOf(r), address: r.RemoteAddr, control: http.NewResponseController(w), started: time.Now()}
 		a.lastAt.Store(int64(sinceStart()))
+		if r.ProtoMajor == 1 {
+			a.connection = connectionOf(r)
+		}
 		defer a.end()
 		refusing := &refusingWriter{ResponseWriter: w, account: a, http1: r.ProtoMajor == 1}
 		if limit := p.maxBody(); limit > 0 && r.ContentLength > limit {
@@ -65,6 +70,9 @@
 		}
 		if r.ContentLength != 0 {
 			p.begin(a)
+			if r.ContentLength < 0 || r.ContentLength > int64(p.ReceiveBuffer()) {
+				a.connection.useLargeBuffer()
+			}
 			r.Body = &limitedBody{ReadCloser: r.Body, account: a}
 		}
 		next.ServeHTTP(refusing, r)
--- a/transport/intakeconn.go
+++ b/transport/intakeconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -22,17 +23,19 @@
 type Connection struct {
 	port    *Port
 	address netip.Addr
+	buffer  readBuffer
 
 	mu sync.Mutex
 	// head counts the bytes of the present head, held what was taken for it and charge what
-	// was taken for the connection itself.
-	head, held, charge int64
-	http2, closed      bool
+	// was taken for the connection itself. bufferCharge was taken for a large receive buffer.
+	head, held, charge, bufferCharge int64
+	http2, closed                    bool
 }
 
 // Accept takes room for a connection. Without room it returns the answer to send before the
 // connection is closed. replaces is set if another connection is about to be closed for it.
-func (p *Port) Accept(remote netip.AddrPort, replaces bool) (c *Connection, answer []byte) {
+// buffer is the receive buffer of the connection.
+func (p *Port) Accept(remote netip.AddrPort, buffer readBuffer, replaces bool) (c *Connection, answer []byte) {
 	if p == nil {
 		return nil, nil
 	}
@@ -41,7 +44,7 @@
 		p.refuse(why, address.String())
 		return nil, why.rawAnswer()
 	}
-	return &Connection{port: p, address: address, charge: connectionCharge}, nil
+	return &Connection{port: p, address: address, buffer: buffer, charge: connectionCharge}, nil
 }
 
 // Full reports whether one more connection would be refused for the number of all.
@@ -128,6 +131,7 @@
 	}
 	c.http2 = true
 	c.giveBack()
+	c.growBuffer()
 	in := c.port.intake
 	in.mu.Lock()
 	more := int64(http2ConnectionCharge - connectionCharge)
@@ -143,6 +147,20 @@
 	return fits
 }
 
+// accountKey is the context key of the *Connection that a request came on.
+type accountKey struct{}
+
+// WithConnection returns a context for the requests of a connection.
+func WithConnection(ctx context.Context, c *Connection) context.Context {
+	return context.WithValue(ctx, accountKey{}, c)
+}
+
+// connectionOf returns the connection that a request came on, nil if it is not known.
+func connectionOf(r *http.Request) *Connection {
+	c, _ := r.Context().Value(accountKey{}).(*Connection)
+	return c
+}
+
 // Finish gives back what the head of an answered request holds.
 func (c *Connection) Finish() {
 	if c == nil {
@@ -170,6 +188,7 @@
 	}
 	c.closed = true
 	c.giveBack()
+	c.port.largeBuffers.giveBack(c.bufferCharge)
 	in := c.port.intake
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/transport/intakesettings.go
+++ b/transport/intakesettings.go
@@ -23,8 +23,8 @@
 	MaxConnectionsPerAddress int64 `json:"max_connections_per_address"`
 	// MaxStreams limits the concurrent requests on one HTTP/2 connection of a client.
 	MaxStreams int64 `json:"max_streams"`
-	// ReceiveBufferBytes is the size of the kernel's receive buffer of a client's connection; 0
-	// for the kernel's default.
+	// ReceiveBufferBytes is the kernel's receive buffer of a new connection (SO_RCVBUF); 0 for
+	// one that follows from the memory of the host and the number of connections.
 	ReceiveBufferBytes int64 `json:"receive_buffer_bytes"`
 }
 
