transport: a process without memory_mb counts with 1,024 MB at most

Cause: without the setting the budgets were shares of the whole memory of the host. Evidence: TestUnreadWithoutMemoryMB, 280 clients, bound 1,024 MB: 1,661 MB on. Change: the default is what the process sees, 1,024 MB at most: 500 bodies of 262,144 bytes at a time on a port for callers. The collector gets no limit from the default, since a core may hold more state than that.

--- a/cmd/geranium-gateway/settings.go
+++ b/cmd/geranium-gateway/settings.go
@@ -41,7 +41,7 @@
 	// Membership may be omitted; the gateway then knows the schedulers listed here only.
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
-	// for what the process sees.
+	// for what the process sees, 1024 at most.
 	MemoryMB int64 `json:"memory_mb,omitempty"`
 	// Intake limits what clients may send.
 	Intake transport.IntakeSettings `json:"intake,omitzero"`
--- a/e2e/unread_test.go
+++ b/e2e/unread_test.go
@@ -193,3 +193,34 @@
 		}, f.killAll
 	})
 }
+
+const (
+	// defaultMemoryMB is the memory that a process without memory_mb counts with.
+	defaultMemoryMB  = 1024
+	defaultCrowdSize = 280
+)
+
+// Guards against a process without memory_mb that lets clients use a large host whole.
+func TestUnreadWithoutMemoryMB(t *testing.T) {
+	g := NewWithT(t)
+	f := startLimitedJobs(g, t.TempDir(), 0)
+	defer f.killAll()
+	tg := target{
+		process:  f.entries[0].process,
+		crowd:    crowd{address: f.fronts[0], method: http.MethodPost, path: "/p/0000000000000001", host: "h"},
+		ordinary: answered(http.StatusOK, http.MethodGet, "http://"+f.fronts[0]+"/p/", "h"),
+	}
+	tg.expectAnswer(g, "before the crowd")
+	key, err := socketKey(tg.crowd.address)
+	g.Expect(err).NotTo(HaveOccurred())
+	held := tg.watchHeld(key)
+	defer tg.crowd.close()
+	tg.crowd.play(crowdForm{"bodies of 4 MB that stop short", defaultCrowdSize, write(func(c *crowd, send func(string) bool) {
+		send(c.head("Content-Length: 4000000\r\n") + strings.Repeat("x", 4_000_000-crowdMissing))
+	})})
+	tg.expectAnswer(g, "beside the crowd")
+	most, unread := held()
+	t.Logf("held %.0f MB of %d, unread %.0f MB of them", most, defaultMemoryMB, unread)
+	g.Expect(tg.exit.done).NotTo(BeClosed(), "the process has ended")
+	g.Expect(most).To(BeNumerically("<=", defaultMemoryMB), "resident and unread memory in MB")
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,7 @@
 	// MaxOpenFiles is as in the settings of a job replica.
 	MaxOpenFiles int64 `json:"max_open_files"`
 	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
-	// for what the process sees.
+	// for what the process sees, 1024 at most.
 	MemoryMB int64 `json:"memory_mb"`
 	// Intake limits what clients may send.
 	Intake transport.IntakeSettings `json:"intake"`
--- a/jobd/settings.go
+++ b/jobd/settings.go
@@ -84,7 +84,7 @@
 	// Admission refuses jobs that can't end in time; missing to accept all.
 	Admission *Admission `json:"admission"`
 	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
-	// for what the process sees.
+	// for what the process sees, 1024 at most.
 	MemoryMB int64 `json:"memory_mb"`
 	// Intake limits what clients may send.
 	Intake transport.IntakeSettings `json:"intake"`
--- a/schedulerd/settings.go
+++ b/schedulerd/settings.go
@@ -32,7 +32,7 @@
 	// Membership may be omitted; gateways then need this scheduler in their settings.
 	Membership *gossip.JoinSettings `json:"membership,omitempty"`
 	// MemoryMB is the memory of the host in MB, from which the room for requests is derived; 0
-	// for what the process sees.
+	// for what the process sees, 1024 at most.
 	MemoryMB int64 `json:"memory_mb,omitempty"`
 	// Intake limits what clients may send.
 	Intake transport.IntakeSettings `json:"intake,omitzero"`
--- a/transport/intake.go
+++ b/transport/intake.go
@@ -58,6 +58,10 @@
 	// maxLoggedAddresses bounds the addresses in a log line.
 	maxLoggedAddresses = 3
 
+	// defaultMemory is the memory from which limits are derived if the settings name none. It
+	// holds 500 of the largest requests of callers at a time.
+	defaultMemory = 1 << 30
+
 	defaultMaxHeaderBytes  = 32 << 10
 	defaultBodyTimeout     = 2 * time.Minute
 	defaultBodyIdleTimeout = 30 * time.Second
@@ -153,11 +157,11 @@
 }
 
 // NewIntake returns the intake of a process on a host with the given memory; 0 for what the
-// process sees.
+// process sees, defaultMemory at most.
 func NewIntake(s IntakeSettings, memoryMB int64, log zerolog.Logger) *Intake {
 	in := &Intake{settings: s, memory: memoryMB << 20, log: log, turns: turns{free: runtime.GOMAXPROCS(0)}}
 	if memoryMB == 0 {
-		in.memory = visibleMemory()
+		in.memory = min(visibleMemory(), defaultMemory)
 	} else {
 		debug.SetMemoryLimit(int64(float64(in.memory) * heapShare))
 	}
