--- a/e2e/intake_test.go
+++ b/e2e/intake_test.go
@@ -74,7 +74,9 @@
 }
 
 // memory returns a value of /proc/PID/status in MB.
-func (p *process) memory(field string) (float64, error) { return memoryOf(p.command.Process.Pid, field) }
+func (p *process) memory(field string) (float64, error) {
+	return memoryOf(p.command.Process.Pid, field)
+}
 
 func memoryOf(pid int, field string) (float64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
