transport: clients with connections don't keep out the others

Cause: a connection gave way to a new one only when it had been idle for a second, and such connections never are. Change: for a second after a connection was refused for the number of all, each response of HTTP/1.1 closes its connection, as for the shortage of descriptors. Requests that were sent ahead are dropped unread, which HTTP permits, and their clients connect again.

--- a/daemon/intake_test.go
+++ b/daemon/intake_test.go
@@ -238,4 +238,24 @@
 		time.Sleep(1100 * time.Millisecond)
 		servesSmall(s)
 	})
+
+	// Guards against clients that keep all connections busy with requests whose answers they
+	// don't wait for: nobody else is let in.
+	It("lets others in beside requests in a row that nobody waits for", func() {
+		s, _ := limited(transport.IntakeSettings{MaxConnections: 20})
+		for range 20 {
+			c := dial(s)
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			go func() {
+				for err := error(nil); err == nil; {
+					_, err = io.WriteString(c, strings.Repeat(getRequest, 50))
+				}
+			}()
+		}
+		Eventually(func() int {
+			c := dial(s)
+			_, _ = io.WriteString(c, getRequest)
+			return readResponse(c).StatusCode
+		}).WithTimeout(20 * time.Second).Should(Equal(http.StatusOK))
+	})
 })
--- a/transport/intake.go
+++ b/transport/intake.go
@@ -239,6 +239,9 @@
 	largeBuffers *room
 	// open counts the connections; guarded by intake.mu.
 	open int64
+	// fullAt is when a connection was last refused for the number of all, as a duration since
+	// processStart; 0 for never.
+	fullAt atomic.Int64
 
 	mu sync.Mutex
 	// bodies are the requests whose body is being read.
--- a/transport/intakebody.go
+++ b/transport/intakebody.go
@@ -51,6 +51,10 @@
 // limitBodies returns middleware that limits the bodies of requests.
 func (p *Port) limitBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && p.crowded() {
+			// Clients that have a connection must not keep out the others for good.
+			w.Header().Set("Connection", "close")
+		}
 		if r.ProtoMajor == 1 && r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
--- a/transport/intakeconn.go
+++ b/transport/intakeconn.go
@@ -77,11 +77,15 @@
 	return p.open >= max(free, guaranteed, 1) || (in.connectionBytes+connectionCharge > in.connectionRoom && p.open >= guaranteed)
 }
 
+// crowded reports whether a connection was refused recently for the number of all.
+func (p *Port) crowded() bool { return recently(&p.fullAt) }
+
 func (p *Port) admit(address netip.Addr, replaces bool) reason {
 	in := p.intake
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if !replaces && p.full() {
+		p.fullAt.Store(int64(sinceStart()))
 		return reasonConnections
 	}
 	if in.byAddress != nil && p.Clients {
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -129,9 +129,13 @@
 }
 
 // crowded reports whether the pool was full until recently.
-func (l *limitedListener) crowded() bool {
-	full := time.Duration(l.fullAt.Load())
-	return full != 0 && sinceStart()-full < rotationTime
+func (l *limitedListener) crowded() bool { return recently(&l.fullAt) }
+
+// recently reports whether the time at, a duration since processStart or 0 for never, is less
+// than rotationTime ago.
+func recently(at *atomic.Int64) bool {
+	t := time.Duration(at.Load())
+	return t != 0 && sinceStart()-t < rotationTime
 }
 
 // acceptedConn is a connection that was accepted.
