daemon: connections whose answers are not read are closed

What callers saw: 503 "too many connections" for as long as as many clients as a process has connections don't read their answers. Cause: a write had no time limit, so that the handler and the connection stayed for good. An earlier deadline of the server counts as before.

--- a/daemon/conn.go
+++ b/daemon/conn.go
@@ -60,6 +60,8 @@
 	readAhead bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
+	// writeDeadline is the write deadline that the server has set.
+	writeDeadline time.Time
 	// ending is set once the connection is to be closed before its next request.
 	ending bool
 }
@@ -187,6 +189,14 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
 // SetDeadline implements net.Conn.
 func (c *conn) SetDeadline(t time.Time) error {
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
@@ -199,12 +209,34 @@
 	return c.TCPConn.Close()
 }
 
-// Write implements net.Conn.
+// maxWrite is how many bytes a client has to take within the timeout of an answer.
+const maxWrite = 64 << 10
+
+// Write implements net.Conn. It fails if the client takes nothing for too long.
 func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+maxWrite)]
+		c.beginWrite()
+		n, err := c.TCPConn.Write(piece)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// beginWrite sets the deadline of a write: that of the server, or the timeout of the port if it
+// is earlier.
+func (c *conn) beginWrite() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.readAhead = false
-	c.mu.Unlock()
-	return c.TCPConn.Write(p)
+	deadline := time.Now().Add(c.owner.answerTimeout)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	_ = c.TCPConn.SetWriteDeadline(deadline)
 }
 
 // serve notes that a request is in progress.
--- a/daemon/conn_test.go
+++ b/daemon/conn_test.go
@@ -14,7 +14,7 @@
 func connPair() (*conn, net.Conn) {
 	bound, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	Expect(err).NotTo(HaveOccurred())
-	l := &listener{TCPListener: bound, conns: newConnections()}
+	l := &listener{TCPListener: bound, conns: newConnections(time.Minute)}
 	defer l.Close()
 	client, err := net.Dial("tcp", bound.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -27,11 +27,17 @@
 
 // connections are the open connections of a server.
 type connections struct {
+	// answerTimeout is the time after which a connection is closed whose client takes nothing of
+	// an answer.
+	answerTimeout time.Duration
+
 	mu   sync.Mutex
 	open map[connKey]*conn
 }
 
-func newConnections() *connections { return &connections{open: map[connKey]*conn{}} }
+func newConnections(answerTimeout time.Duration) *connections {
+	return &connections{answerTimeout: answerTimeout, open: map[connKey]*conn{}}
+}
 
 func (cs *connections) add(tcp *net.TCPConn, account *transport.Connection) *conn {
 	c := &conn{TCPConn: tcp, owner: cs, key: keyOf(tcp), account: account, idleSince: time.Now()}
--- a/daemon/intake_test.go
+++ b/daemon/intake_test.go
@@ -258,4 +258,24 @@
 			return readResponse(c).StatusCode
 		}).WithTimeout(20 * time.Second).Should(Equal(http.StatusOK))
 	})
+
+	// Guards against clients that hold connections and handlers by not reading their answers.
+	It("closes connections whose answers are not read", func() {
+		const answerBytes = 16 << 20
+		s, _ := limitedTo(transport.IntakeSettings{MaxConnections: 3, BodyIdleTimeoutMS: 300},
+			transport.PortOptions{Purpose: "callers", Share: 0.01, Clients: true},
+			func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/large" {
+					_, _ = w.Write(make([]byte, answerBytes))
+				}
+			})
+		for range 3 {
+			write(dial(s), "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		}
+		Eventually(func() int {
+			c := dial(s)
+			_, _ = io.WriteString(c, getRequest)
+			return readResponse(c).StatusCode
+		}).WithTimeout(20 * time.Second).Should(Equal(http.StatusOK))
+	})
 })
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -48,7 +48,7 @@
 		return nil, fmt.Errorf("listen on %s: %w; choose a free address in the settings", address, err)
 	}
 	s := &Server{
-		http: server, address: tcp.Addr(), conns: newConnections(), requests: newRequests(), failed: make(chan error, 1), served: make(chan struct{}),
+		http: server, address: tcp.Addr(), conns: newConnections(port.AnswerTimeout()), requests: newRequests(), failed: make(chan error, 1), served: make(chan struct{}),
 	}
 	if err := limitBacklog(tcp.(*net.TCPListener), port.Backlog()); err != nil {
 		return nil, fmt.Errorf("listen on %s: limit the connections that wait: %w", address, err)
--- a/transport/intake.go
+++ b/transport/intake.go
@@ -329,6 +329,12 @@
 // IdleTimeout returns the time after which an idle connection is closed, 0 for never.
 func (p *Port) IdleTimeout() time.Duration { return withGrace(p.intake.limits.Load().IdleTimeoutMS) }
 
+// AnswerTimeout returns the time after which a connection is closed whose client takes nothing
+// of an answer.
+func (p *Port) AnswerTimeout() time.Duration {
+	return millisecondsOr(p.intake.settings.BodyIdleTimeoutMS, defaultBodyIdleTimeout)
+}
+
 func withGrace(ms int64) time.Duration {
 	if ms <= 0 {
 		return 0
--- a/transport/intakesettings.go
+++ b/transport/intakesettings.go
@@ -12,7 +12,8 @@
 	HeaderTimeoutMS int64 `json:"header_timeout_ms"`
 	// BodyTimeoutMS limits the time for the body of a request.
 	BodyTimeoutMS int64 `json:"body_timeout_ms"`
-	// BodyIdleTimeoutMS is the time without a byte after which a body is given up.
+	// BodyIdleTimeoutMS is the time without a byte after which a body is given up, and the
+	// connection of a client that takes nothing of an answer closed.
 	BodyIdleTimeoutMS int64 `json:"body_idle_timeout_ms"`
 	// MinBodyRate is the least rate of a body in bytes per second, once it has taken longer
 	// than BodyIdleTimeoutMS.
