transport: a turn whose body has ended is given back

What callers saw: nothing yet; a client that sends the next request right behind a large body could keep a turn while its request waits for a leader, so that other large bodies waited. Cause: the body may end while later bytes of its connection wait for a turn; the turn then belonged to no body. Change: a connection that gets a turn looks again whether the body is still read. Evidence: TestTurnsAreGivenBack with a body that ends while it waits: 7 of 8 turns free before, 8 after.

--- a/transport/intaketurns.go
+++ b/transport/intaketurns.go
@@ -87,6 +87,10 @@
 	defer body.endWait()
 	c.port.intake.turns.take(received)
 	c.hasTurn.Store(true)
+	if c.body.Load() != body {
+		// The body ended while the bytes, which belong to a later request, waited.
+		c.EndTurn()
+	}
 }
 
 // EndTurn ends the turn of the connection if it has one: all that it has read is processed.
--- a/transport/intaketurns_test.go
+++ b/transport/intaketurns_test.go
@@ -78,6 +78,22 @@
 		}
 	}
 	g.Expect(in.turns.free).To(Equal(runtime.GOMAXPROCS(0)))
+
+	var busy []*Connection
+	for range runtime.GOMAXPROCS(0) {
+		c := bodyOn(p)
+		c.BodyReceived(2 * freeBodyBytes)
+		busy = append(busy, c)
+	}
+	c := bodyOn(p)
+	done := receive(c, 2*freeBodyBytes)
+	g.Eventually(waitingForTurns(in)).Should(Equal(1))
+	c.endBody()
+	for _, other := range busy {
+		other.EndTurn()
+	}
+	g.Eventually(done).Should(BeClosed(), "a body that ended while it waited")
+	g.Expect(in.turns.free).To(Equal(runtime.GOMAXPROCS(0)))
 }
 
 // Guards against receive buffers that together exceed their share of the memory, or that are
