daemon, transport: pipelined requests are served few at a time

Cause: the small requests of such clients got as much time as those of others, up to 3,300 at a time, and each step of the ordinary request waited for all of them. Change: a connection on which most requests are pipelined waits for a turn before each, four at a time for each processor, the one with the fewest first. Evidence: daemon spec "serves few pipelined requests at a time", 200 clients, 8 processors: 200 in the handler at a time without the turns, bound 32; passes with them.

--- a/daemon/conn.go
+++ b/daemon/conn.go
@@ -58,6 +58,8 @@
 	// readAhead is set if bytes have been read since the last write. After a response they
 	// belong to the next request: net/http reads on while a handler runs.
 	readAhead bool
+	// early is set if bytes of the present request were read before the last one was answered.
+	early bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
 	// writeDeadline is the write deadline that the server has set.
@@ -239,23 +241,37 @@
 	_ = c.TCPConn.SetWriteDeadline(deadline)
 }
 
-// serve notes that a request is in progress.
+// serve notes that a request is in progress. It waits if the client keeps sending requests
+// without waiting for the answers.
 func (c *conn) serve(http2 bool) {
+	pipelined := c.beginRequest(http2)
+	if !c.isHTTP2() {
+		c.account.BeginRequest(pipelined)
+	}
+}
+
+// beginRequest notes that a request is in progress and reports whether it is pipelined: its
+// first bytes were read before the last request was answered.
+func (c *conn) beginRequest(http2 bool) (pipelined bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	pipelined = c.early || c.phase == phaseWaiting
 	c.phase, c.active = phaseServing, true
 	c.http2 = c.http2 || http2
 	c.keepOpen()
+	return pipelined
 }
 
 // finish notes that a request has been answered.
 func (c *conn) finish() {
 	c.account.Finish()
+	c.account.EndRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.active = phaseWaiting, false
 	c.idleSince = time.Now()
-	if c.readAhead {
+	c.early = c.readAhead
+	if c.early {
 		c.phase, c.headAt = phaseReading, c.idleSince
 	}
 }
--- a/daemon/intake_test.go
+++ b/daemon/intake_test.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -278,4 +281,43 @@
 			return readResponse(c).StatusCode
 		}).WithTimeout(20 * time.Second).Should(Equal(http.StatusOK))
 	})
+
+	// Guards against requests in a row that nobody waits for and that take all the time of a
+	// process: few of them are served at a time.
+	It("serves few pipelined requests at a time", func() {
+		const clients = 200
+		padding := strings.Repeat("x", 900)
+		var serving, most atomic.Int64
+		var served [clients]atomic.Int64
+		s, _ := limitedTo(transport.IntakeSettings{}, transport.PortOptions{Purpose: "callers", Share: 0.01, Clients: true},
+			func(_ http.ResponseWriter, r *http.Request) {
+				client, err := strconv.Atoi(r.Header.Get("Client"))
+				if err != nil || served[client].Add(1) < 50 {
+					return
+				}
+				now := serving.Add(1)
+				defer serving.Add(-1)
+				for most.Load() < now && !most.CompareAndSwap(most.Load(), now) {
+				}
+				time.Sleep(5 * time.Millisecond)
+			})
+		for i := range clients {
+			c := dial(s)
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			go func() {
+				_, _ = io.WriteString(c, strings.Repeat(fmt.Sprintf("GET /r HTTP/1.1\r\nHost: h\r\nClient: %d\r\nX-Long: %s\r\n\r\n", i, padding), 200))
+			}()
+		}
+		Eventually(func() bool {
+			done := 0
+			for i := range served {
+				if served[i].Load() >= 100 {
+					done++
+				}
+			}
+			return done == clients
+		}).WithTimeout(60 * time.Second).Should(BeTrue())
+		Expect(most.Load()).To(BeNumerically("<=", 4*runtime.GOMAXPROCS(0)))
+		servesSmall(s)
+	})
 })
--- a/transport/intake.go
+++ b/transport/intake.go
@@ -146,9 +146,10 @@
 	maxConnections, connectionRoom int64
 	// receiveBuffer is SO_RCVBUF of new connections in bytes.
 	receiveBuffer int
-	turns         turns
-	limits        atomic.Pointer[Limits]
-	refused       [reasons]atomic.Int64
+	// turns are those of large bodies, pipelined those of pipelined requests.
+	turns, pipelined turns
+	limits           atomic.Pointer[Limits]
+	refused          [reasons]atomic.Int64
 
 	mu              sync.Mutex
 	ports           []*Port
@@ -167,7 +168,11 @@
 	if memoryMB == 0 {
 		memory = min(visibleMemory(), defaultMemory)
 	}
-	in := &Intake{settings: s, memory: max(memory-programMemory, memory/2), log: log, turns: turns{free: runtime.GOMAXPROCS(0)}}
+	processors := runtime.GOMAXPROCS(0)
+	in := &Intake{
+		settings: s, memory: max(memory-programMemory, memory/2), log: log,
+		turns: turns{free: processors}, pipelined: turns{free: pipelinedPerProcessor * processors},
+	}
 	if memoryMB != 0 {
 		debug.SetMemoryLimit(int64(float64(in.memory) * heapShare))
 	}
--- a/transport/intakeconn.go
+++ b/transport/intakeconn.go
@@ -31,6 +31,10 @@
 	body      atomic.Pointer[account]
 	bodyBytes atomic.Int64
 	hasTurn   atomic.Bool
+	// pipelined is how many more requests were pipelined than not; only the goroutine that serves
+	// the connection uses it. hasPipelinedTurn is set while a request has a turn for that.
+	pipelined        int64
+	hasPipelinedTurn atomic.Bool
 
 	mu sync.Mutex
 	// head counts the bytes of the present head, held what was taken for it and charge what
@@ -193,6 +197,7 @@
 		return
 	}
 	c.EndTurn()
+	c.EndRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
--- a/transport/intaketurns.go
+++ b/transport/intaketurns.go
@@ -5,8 +5,13 @@
 	"sync"
 )
 
-// freeBodyBytes is what a request may send without waiting for a turn, in bytes on the wire.
-const freeBodyBytes = 8 << 10
+const (
+	// freeBodyBytes is what a request may send without waiting for a turn, in bytes on the wire.
+	freeBodyBytes = 8 << 10
+	// pipelinedPerProcessor is how many pipelined requests are served at a time for each
+	// processor. Most of them wait for a leader or an upstream.
+	pipelinedPerProcessor = 4
+)
 
 // turns lets few connections at a time have the bytes of large bodies processed: the one that
 // has sent least first. All other requests find an idle processor soon, however many clients
@@ -20,7 +25,7 @@
 
 // turnRequest is a connection that waits for a turn.
 type turnRequest struct {
-	// received is what the connection has sent of its request, in bytes.
+	// received is what the connection has sent: bytes of its request, or pipelined requests.
 	received int64
 	granted  chan struct{}
 }
@@ -100,6 +105,32 @@
 	}
 }
 
+// BeginRequest notes that a request begins; pipelined is set if it had arrived before the last
+// one was answered. A connection on which most requests are pipelined waits for a turn, the one
+// with the fewest first. The turn lasts until the request is answered. Ordinary clients wait for each answer and so find a
+// process that is not busy.
+func (c *Connection) BeginRequest(pipelined bool) {
+	switch {
+	case c == nil:
+		return
+	case pipelined:
+		c.pipelined++
+	case c.pipelined > 0:
+		c.pipelined--
+	}
+	if c.pipelined > 0 {
+		c.port.intake.pipelined.take(c.pipelined)
+		c.hasPipelinedTurn.Store(true)
+	}
+}
+
+// EndRequest ends the turn of a request that has been answered.
+func (c *Connection) EndRequest() {
+	if c != nil && c.hasPipelinedTurn.Swap(false) {
+		c.port.intake.pipelined.giveBack()
+	}
+}
+
 // beginBody notes that the body of a request is going to be read.
 func (c *Connection) beginBody(a *account) {
 	if c == nil {
