--- a/transport/intake.go
+++ b/transport/intake.go
@@ -304,7 +304,7 @@
 			MaxReceiveBufferPerConnection: clientHTTP2Buffer, MaxReceiveBufferPerStream: clientHTTP2Buffer,
 		}
 	}
-	server.Handler = p.limitBodies(server.Handler)
+	server.Handler = p.rotateConnections(p.limitBodies(server.Handler))
 }
 
 func stricter(a, b int64) int64 {
--- a/transport/intakeconn.go
+++ b/transport/intakeconn.go
@@ -81,6 +81,17 @@
 	return p.open >= max(free, guaranteed, 1) || (in.connectionBytes+connectionCharge > in.connectionRoom && p.open >= guaranteed)
 }
 
+// rotateConnections returns middleware that closes connections with their responses while the
+// port is crowded, so that the clients that have one don't keep out the others.
+func (p *Port) rotateConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && p.crowded() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // crowded reports whether a connection was refused recently for the number of all.
 func (p *Port) crowded() bool { return recently(&p.fullAt) }
 
--- a/transport/intaketurns.go
+++ b/transport/intaketurns.go
@@ -13,10 +13,13 @@
 	pipelinedPerProcessor = 4
 )
 
-// turns lets few connections at a time have the bytes of large bodies processed: the one that
-// has sent least first. All other requests find an idle processor soon, however many clients
-// send large bodies. A turn lasts from the arrival of bytes until they have been parsed; nothing
-// waits for the network while it has one.
+// turns limits how many connections do a kind of work at a time. Of those that wait, the one that
+// has caused least of that work so far is the next. Requests that need no turn so find an idle
+// processor soon, however many clients cause such work. A process has two kinds:
+//
+//   - bytes of large bodies, from their arrival until they are parsed. Nothing waits for the
+//     network, for room or for a leader during such a turn.
+//   - pipelined requests, until they are answered.
 type turns struct {
 	mu      sync.Mutex
 	free    int
@@ -25,20 +28,20 @@
 
 // turnRequest is a connection that waits for a turn.
 type turnRequest struct {
-	// received is what the connection has sent: bytes of its request, or pipelined requests.
-	received int64
-	granted  chan struct{}
+	// caused is how much of the work the connection has caused: bytes or requests.
+	caused  int64
+	granted chan struct{}
 }
 
 // take waits for a turn.
-func (t *turns) take(received int64) {
+func (t *turns) take(caused int64) {
 	t.mu.Lock()
 	if t.free > 0 {
 		t.free--
 		t.mu.Unlock()
 		return
 	}
-	r := &turnRequest{received: received, granted: make(chan struct{})}
+	r := &turnRequest{caused: caused, granted: make(chan struct{})}
 	heap.Push(&t.waiting, r)
 	t.mu.Unlock()
 	<-r.granted
@@ -55,11 +58,11 @@
 	close(heap.Pop(&t.waiting).(*turnRequest).granted)
 }
 
-// turnQueue implements heap.Interface: the request that has received least is the first.
+// turnQueue implements heap.Interface: the connection that has caused least is the first.
 type turnQueue []*turnRequest
 
 func (q turnQueue) Len() int           { return len(q) }
-func (q turnQueue) Less(i, j int) bool { return q[i].received < q[j].received }
+func (q turnQueue) Less(i, j int) bool { return q[i].caused < q[j].caused }
 func (q turnQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
 
 // Push implements heap.Interface.
