--- a/transport/intake.go
+++ b/transport/intake.go
@@ -336,9 +336,7 @@
 
 // AnswerTimeout returns the time after which a connection is closed whose client takes nothing
 // of an answer.
-func (p *Port) AnswerTimeout() time.Duration {
-	return millisecondsOr(p.intake.settings.BodyIdleTimeoutMS, defaultBodyIdleTimeout)
-}
+func (p *Port) AnswerTimeout() time.Duration { return p.intake.settings.bodyIdleTimeout() }
 
 func withGrace(ms int64) time.Duration {
 	if ms <= 0 {
--- a/transport/intakebody.go
+++ b/transport/intakebody.go
@@ -275,6 +275,6 @@
 	case why != reasonNone:
 		_ = a.control.SetReadDeadline(longPast)
 	case !done:
-		_ = a.control.SetReadDeadline(time.Now().Add(millisecondsOr(a.port.intake.settings.BodyIdleTimeoutMS, defaultBodyIdleTimeout)))
+		_ = a.control.SetReadDeadline(time.Now().Add(a.port.intake.settings.bodyIdleTimeout()))
 	}
 }
--- a/transport/intakesettings.go
+++ b/transport/intakesettings.go
@@ -1,6 +1,10 @@
 package transport
 
-import "geraniumwall/settings"
+import (
+	"time"
+
+	"geraniumwall/settings"
+)
 
 // IntakeSettings limits what clients may send. 0 selects the default of each limit.
 type IntakeSettings struct {
@@ -32,6 +36,11 @@
 // minHeaderBytes is the least limit of a head: what an ordinary request needs.
 const minHeaderBytes = 1024
 
+// bodyIdleTimeout returns the time without a byte after which a body or an answer is given up.
+func (s *IntakeSettings) bodyIdleTimeout() time.Duration {
+	return millisecondsOr(s.BodyIdleTimeoutMS, defaultBodyIdleTimeout)
+}
+
 // Check reports the problems of the settings; memoryMB is the setting memory_mb.
 func (s *IntakeSettings) Check(c *settings.Checker, memoryMB int64) {
 	c.NotNegative("memory_mb", memoryMB)
--- a/transport/intakesweep.go
+++ b/transport/intakesweep.go
@@ -47,7 +47,7 @@
 // late returns why a body takes too long, if it does.
 func (a *account) late() reason {
 	s := &a.port.intake.settings
-	idleLimit := millisecondsOr(s.BodyIdleTimeoutMS, defaultBodyIdleTimeout)
+	idleLimit := s.bodyIdleTimeout()
 	took, idle := time.Since(a.started), a.idle()
 	switch {
 	case idle > idleLimit:
