--- a/review/_lab3/fleet.go
+++ b/review/_lab3/fleet.go
@@ -26,7 +26,6 @@
 	stopWithin  = 400 * time.Millisecond
 	visible     = 3 * time.Second
 	finishAfter = 14 * time.Second
-	applyWithin = 2 * time.Second
 	gangTimeout = 3 * time.Second
 	callWithin  = time.Second
 )
--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -24,7 +24,12 @@
 	trouble bool
 }
 
-var cases = map[string]func(*lab) (int, error){"dropped-queue": droppedQueue, "sound-job-failed": soundJobFailed, "pending": pending, "gang": gang, "quarantine": quarantine, "split-gang": splitGang, "chaos": chaos}
+var cases = map[string]func(*lab) (int, error){
+	"split-gang": splitGang,
+	"pending":    pending,
+	"chaos":      chaos,
+	"core-loss":  coreLoss,
+}
 
 func main() { os.Exit(runCase()) }
 
@@ -90,10 +95,7 @@
 }
 
 // workers starts stand-in workers of kind "a" and waits until the system uses them.
-func (l *lab) workers(count, cpu int) error { return l.workersOf(count, cpu, nil) }
-
-// workersOf is workers with a kind for each.
-func (l *lab) workersOf(count, cpu int, kind func(i int) string) error {
+func (l *lab) workers(count, cpu int) error {
 	var hosts []string
 	for i := range count {
 		hosts = append(hosts, l.host(100+i))
@@ -104,9 +106,6 @@
 	}
 	for i := range count {
 		w := l.farm.add(fmt.Sprintf("%s:%d", hosts[i], ports[0]), zones[i%4], cpu, 128000)
-		if kind != nil {
-			w.kind = kind(i)
-		}
 		if err := w.up(); err != nil {
 			return err
 		}
--- a/review/_lab3/worker.go
+++ b/review/_lab3/worker.go
@@ -33,9 +33,6 @@
 	gangs map[string]*gangRun
 	// onStart is called with each start that was carried out.
 	onStart func(w *worker, o *order)
-	alone   []aloneRun
-	// endedAt is when the last run of each task ended that does not run now.
-	endedAt map[string]time.Time
 	// breaches are the rules that the stand-ins saw broken, by the checks of the search.
 	breaches []string
 	noted    map[string]bool
@@ -56,19 +53,11 @@
 	times      int
 	apart      int
 	fails      bool
-	// failsAfter is the mean time after which a task that lasts fails, 0 for never.
-	failsAfter time.Duration
 	cancelled  time.Time
 }
 
 func newFarm(rec *recorder, control []string) *farm {
-	return &farm{rec: rec, control: control, starts: map[string]int{}, ends: map[string]map[string]int{}, jobs: map[string]job{}, gangs: map[string]*gangRun{}, noted: map[string]bool{}, endedAt: map[string]time.Time{}}
-}
-
-// aloneRun is a run that ended since the others of its gang did not come.
-type aloneRun struct {
-	text  string
-	began time.Time
+	return &farm{rec: rec, control: control, starts: map[string]int{}, ends: map[string]map[string]int{}, jobs: map[string]job{}, gangs: map[string]*gangRun{}, noted: map[string]bool{}}
 }
 
 // gangRun is one run of a gang: its members share the attempt and the checkpoint.
@@ -420,7 +409,6 @@
 	r := &run{life: l, task: o.Task, attempt: o.Attempt, spec: o.Spec, began: time.Now(), saved: o.Checkpoint, base: progressOf(o.Checkpoint), checkpoint: j.checkpoint}
 	l.check(o, j)
 	l.running[o.Task] = r
-	delete(f.endedAt, o.Task)
 	if f.onStart != nil {
 		f.onStart(l.w, o)
 	}
@@ -429,10 +417,6 @@
 	switch {
 	case j.gang:
 		l.joinGang(r, j, work)
-	case r.lasts && j.failsAfter > 0:
-		// Uniform between half and three halves of the mean.
-		after := j.failsAfter/2 + time.Duration(rand.Int63n(int64(j.failsAfter)))
-		r.timer = time.AfterFunc(after, func() { l.finishLater(r, "failed") })
 	case !r.lasts:
 		how := "done"
 		if j.fails && rand.Intn(2) == 0 {
@@ -465,7 +449,6 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if l.running[r.task] == r && g.began.IsZero() {
-			f.alone = append(f.alone, aloneRun{fmt.Sprintf("run %d of %s", r.attempt, r.task), r.began})
 			delete(g.members, r.task)
 			l.finish(r, "alone")
 		}
@@ -521,7 +504,6 @@
 		r.save(how == "stopped")
 	}
 	delete(l.running, r.task)
-	l.w.farm.endedAt[r.task] = time.Now()
 	l.barred[r.task] = max(l.barred[r.task], r.attempt)
 	l.ends++
 	saved := r.saved
