--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 # review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lab3 ] && [ -x target/geranium-jobs ] && [ -x target/geranium-entry ] || exit 2
-exec target/lab3 split-gang review/12
+exec target/lab3 pending review/12
