jobs: a job has started once a worker has begun a task, not once one is bound

For 30 s each node told that no job is pending and that the jobs are running, while no worker had begun any.

Cause: Store.bind set the job to running when the binding was committed, before the start was sent, and nothing took that back.

Change: Job.StartedAt and the state running are set by the new command RecordStarts, or by an end that only a worker reports. The leader proposes it for jobs of which a worker has accepted a start or lists an attempt, for all of them at most every 200 ms, and ahead of an end that lets the worker forget the attempt.

The new tests failed on: jobs "counts jobs without a started task" (1 in place of 2), five specs of jobs/dispatch (state running at once: dark worker, gang, one new leader, many, refused connection) and e2e TestJobsOfADarkWorkerArePending (1 in place of 4). The simulations of jobs/dispatch take a job that is running before a worker has begun it for a violation; the whole suite passes with it.

Tests that were changed: "counts jobs without a started task" took a binding for a start, which was the fault; it checks both now. crash_test records the start of the runs under which workers crash, so that its checks for a running job stay as they were.

--- /dev/null
+++ b/e2e/jobpending_test.go
@@ -0,0 +1,105 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"geraniumwall/platform/standin"
+)
+
+const (
+	// pendingJobs are accepted right after a worker has gone dark. All of them fit on it.
+	pendingJobs = 4
+	// pendingWatch is how long the answers are read while the worker is dark, which is longer
+	// than its lease. pendingKill is when the leader is killed in that time, and pendingDown
+	// how long it is away.
+	pendingWatch = 9 * time.Second
+	pendingKill  = 3 * time.Second
+	pendingDown  = time.Second
+	// pendingAnswers is the least number of answers that have to come in that time.
+	pendingAnswers = 15
+	// pendingBegin bounds the time until the jobs begin once the worker is back.
+	pendingBegin = 10 * time.Second
+)
+
+// pendingCount asks for the number of pending jobs of the queue.
+func (c *jobCaller) pendingCount() (count int, ok bool) {
+	status, body := c.call(http.MethodGet, "", "")
+	var shown struct {
+		Pending *int `json:"pending"`
+	}
+	if status != http.StatusOK || json.Unmarshal([]byte(body), &shown) != nil || shown.Pending == nil {
+		return 0, false
+	}
+	return *shown.Pending, true
+}
+
+// shownState asks for the state of a job, "" if there is no answer.
+func (c *jobCaller) shownState(id string) string {
+	status, body := c.call(http.MethodGet, id, "")
+	var shown struct {
+		State string `json:"state"`
+	}
+	if status != http.StatusOK || json.Unmarshal([]byte(body), &shown) != nil {
+		return ""
+	}
+	return shown.State
+}
+
+// Guards against accepted jobs that count as started, and are shown as running, while they
+// are bound to a worker which has gone dark: for the leader that bound them and for the next.
+func TestJobsOfADarkWorkerArePending(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s, _ := newSoak(t, g, 1, 3, 2, 0)
+	c := newJobCaller(s.f, 1, 0)
+	full := standin.Step{Count: 1, MilliCPU: jobWorkerCPU, Lasting: true}
+	g.Expect(c.submit(lastingJob, kindKept, c.offer(lastingJob, standin.Payload{}, []standin.Step{full}))).To(BeTrue())
+	s.await(g, "a full worker", lastingWithin, func() bool { return len(s.f.record.Idle(c.kept())) == 0 })
+	dark := 0
+	if s.f.workers[0].InUse() > 0 {
+		dark = 1
+	}
+	s.f.orders[dark].there.cut.Store(true)
+	s.f.orders[dark].back.cut.Store(true)
+	s.f.workers[dark].Crash()
+
+	var ids []string
+	for i := range pendingJobs {
+		id := fmt.Sprintf("00000000000000b%d", i)
+		ids = append(ids, id)
+		steps := []standin.Step{{Count: 1, MilliCPU: jobWorkerCPU / pendingJobs}}
+		g.Expect(c.submit(id, kindShort, c.offer(id, standin.Payload{After: time.Second}, steps))).To(BeTrue())
+	}
+	begin, killed, answers := time.Now(), false, 0
+	s.await(g, "the end of the watch", 2*pendingWatch, func() bool {
+		if !killed && time.Since(begin) >= pendingKill {
+			killed = true
+			leader := s.f.leader()
+			g.Expect(leader).NotTo(BeNil())
+			leader.expectFault(pendingDown)
+			leader.kill()
+			leader.startAt = time.Now().Add(pendingDown)
+		}
+		if count, ok := c.pendingCount(); ok {
+			answers++
+			g.Expect(count).To(Equal(pendingJobs), "pending %v after the last job was accepted", time.Since(begin))
+		}
+		g.Expect(c.shownState(ids[0])).To(BeElementOf("", "queued"))
+		return time.Since(begin) >= pendingWatch
+	})
+	g.Expect(answers).To(BeNumerically(">=", pendingAnswers))
+
+	s.heal()
+	s.await(g, "the start of all jobs", pendingBegin, func() bool {
+		count, ok := c.pendingCount()
+		return ok && count == 0
+	})
+	s.awaitEnds(g, c)
+	g.Expect(s.f.record.Broken()).To(BeEmpty(), s.history())
+}
--- a/jobd/manager.go
+++ b/jobd/manager.go
@@ -107,6 +107,8 @@
 		m.log.Info().Str("domain", c.Evacuate.Domain).Str("operator", c.Evacuate.By).Msg("failure domain evacuated")
 	case c.EndEvacuation != nil:
 		m.log.Info().Str("domain", c.EndEvacuation.Domain).Str("operator", c.EndEvacuation.By).Msg("evacuation revoked")
+	case c.RecordStarts != nil && m.dispatcher != nil:
+		m.logStarts(c.RecordStarts)
 	case c.End != nil && m.dispatcher != nil:
 		if j := m.store.Job(c.End.Task.Job); j != nil {
 			m.logEnd(j, c.End)
@@ -114,6 +116,15 @@
 	}
 }
 
+// logStarts logs the jobs that were not known to have started.
+func (m *manager) logStarts(c *jobs.RecordStarts) {
+	for _, id := range c.Jobs {
+		if j := m.store.Job(id); j != nil && j.StartedAt == c.At {
+			m.log.Info().Str("job", id).Int64("took_ms", j.StartedAt-j.AcceptedAt).Msg("job started")
+		}
+	}
+}
+
 // logEnd logs the end of a job with the attempt that ended it.
 func (m *manager) logEnd(j *jobs.Job, c *jobs.End) {
 	if c.Outcome == jobs.OutcomeCrashed {
@@ -201,6 +212,7 @@
 		m.proposals.fail()
 		m.proposals = nil
 		m.metrics.shares.Store(nil)
+		m.metrics.pending.Store(nil)
 		m.log.Info().Uint64("term", m.term).Msg("dispatch stopped")
 	}
 	if m.dispatcher == nil && leading {
--- a/jobd/metrics.go
+++ b/jobd/metrics.go
@@ -38,6 +38,9 @@
 	refused    metric.Int64Counter
 	// shares are the shares of the queues in a recent plan of this leader, nil on others.
 	shares atomic.Pointer[[]dispatch.QueueShare]
+	// pending are the pending jobs of the queues that have some by a recent count of this
+	// leader, nil on others.
+	pending atomic.Pointer[map[string]int]
 }
 
 // NewMetrics creates the instruments.
@@ -91,7 +94,7 @@
 	m := &Metrics{
 		places: places, batched: batched, batches: batches, refused: refused, orders: orders, ended: ended, repairs: repairs, crashes: crashes, duration: took, changes: changes,
 	}
-	return m, errors.Join(m.observeMembership(meter), m.observeEvacuations(meter), m.observeShares(meter))
+	return m, errors.Join(m.observeMembership(meter), m.observeEvacuations(meter), m.observeShares(meter), m.observePending(meter))
 }
 
 // evacuationCounts are the numbers of evacuated failure domains and of the registered workers
@@ -179,6 +182,26 @@
 	return nil
 }
 
+// observePending registers the gauge of the pending jobs.
+func (m *Metrics) observePending(meter metric.Meter) error {
+	pending, err1 := meter.Int64ObservableGauge("geranium.jobs.pending", metric.WithUnit("{job}"),
+		metric.WithDescription("Accepted jobs of which no worker is known to have begun a task, by queue that has some; on the leader only."))
+	_, err2 := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		queues := m.pending.Load()
+		if queues == nil {
+			return nil
+		}
+		for queue, count := range *queues {
+			o.ObserveInt64(pending, int64(count), metric.WithAttributes(attribute.String("queue", queue)))
+		}
+		return nil
+	}, pending)
+	if err := errors.Join(err1, err2); err != nil {
+		return fmt.Errorf("create the gauge of the pending jobs: %w", err)
+	}
+	return nil
+}
+
 func (m *Metrics) recordRefusal(queue string) {
 	m.refused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("queue", queue)))
 }
--- a/jobd/metrics_test.go
+++ b/jobd/metrics_test.go
@@ -115,3 +115,24 @@
 	m.membership.Store(&follower)
 	g.Expect(valuesOf(t, reader)).To(Equal(common))
 }
+
+// Guards against pending jobs that no metric shows, and against the count of a former leader.
+func TestPendingMetric(t *testing.T) {
+	g := NewWithT(t)
+	reader := sdkmetric.NewManualReader()
+	metrics, err := NewMetrics(sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)).Meter("test"))
+	g.Expect(err).NotTo(HaveOccurred())
+	store := jobs.NewStore()
+	key := jobs.TaskKey{Job: "bound"}
+	for _, c := range []jobs.Command{
+		{Submit: &jobs.Submit{ID: key.Job, Queue: "q", Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1}}}, At: 1}},
+		{Bind: &jobs.Bind{Task: key, Attempt: 1, At: 2}},
+	} {
+		g.Expect(store.Apply(c).Applied).To(BeTrue())
+	}
+	m := &manager{store: store, metrics: metrics}
+	g.Expect(m.countPending()).To(Equal(1))
+	g.Expect(valuesOf(t, reader)).To(HaveKeyWithValue("geranium.jobs.pending queue=q", 1.0))
+	metrics.pending.Store(nil)
+	g.Expect(valuesOf(t, reader)).NotTo(HaveKey("geranium.jobs.pending queue=q"))
+}
--- a/jobd/status.go
+++ b/jobd/status.go
@@ -41,7 +41,7 @@
 		Int64("lag_ms", measured.lag.Milliseconds()).Int64("busy_ms", measured.busy.Milliseconds()).
 		Int64("longest_ms", measured.longest.Milliseconds()).Int("events", measured.events).Int("plans", s.Plans).Int("examined", s.Examined).
 		Int("proposals_queued", len(m.proposals.queued)).Int("proposals_in_flight", m.proposals.inFlight).
-		Int("orders_held", len(m.heldOrders)).Int64("free_millicpu", s.FreeMilliCPU).
+		Int("pending", m.countPending()).Int("orders_held", len(m.heldOrders)).Int64("free_millicpu", s.FreeMilliCPU).
 		Dict("carriers", carrierFields(m)).Dict("workers", workerFields(&s.Workers)).Dict("attempts", attemptFields(&s.Attempts)).
 		Dict("holds", zerolog.Dict().Int("in_flight", s.Holds.InFlight).Int("answered", s.Holds.Answered).
 			Int("expired", s.Holds.Expired).Int("failed", s.Holds.Failed)).
@@ -60,6 +60,18 @@
 	e.Array("queues", queueArray(s.Queues)).Msg("dispatch status")
 }
 
+// countPending publishes the pending jobs of each queue for the metrics and returns their
+// number.
+func (m *manager) countPending() int {
+	pending := m.store.PendingByQueue()
+	m.metrics.pending.Store(&pending)
+	total := 0
+	for _, count := range pending {
+		total += count
+	}
+	return total
+}
+
 func carrierFields(m *manager) *zerolog.Event {
 	queued, delivered := m.sender.Pending()
 	return zerolog.Dict().Int("available", m.sender.Available()).Int("queued", queued).Int("delivered", delivered).Int("largest_share", m.sender.LargestShare())
@@ -88,7 +100,7 @@
 	for i := range queues {
 		q := &queues[i]
 		list.Dict(zerolog.Dict().Int("priority", q.Priority).Bool("long_running", q.LongRunning).Int("jobs", q.Jobs).
-			Int("late", q.Late).Int("expired", q.Expired).Int("tasks", q.Tasks).Str("blocked", q.Blocked).Dict("begin", delayFields(&q.Begin)))
+			Int("late", q.Late).Int("expired", q.Expired).Int("tasks", q.Tasks).Str("blocked", q.Blocked).Dict("first_binding", delayFields(&q.FirstBinding)))
 	}
 	return list
 }
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -18,6 +18,9 @@
 	// leader registers each worker anew that it finds unregistered.
 	RegisterWorker *RegisterWorker `json:"reg,omitempty"`
 	RemoveWorker   *RemoveWorker   `json:"unreg,omitempty"`
+	// RecordStarts is ignored by versions that do not know it: they take jobs for started once
+	// a task is bound.
+	RecordStarts *RecordStarts `json:"began,omitempty"`
 	// Evacuate and EndEvacuation are ignored by versions that do not know them.
 	Evacuate      *Evacuate      `json:"evac,omitempty"`
 	EndEvacuation *EndEvacuation `json:"unevac,omitempty"`
@@ -47,6 +50,8 @@
 		return c.Bind.At
 	case c.End != nil:
 		return c.End.At
+	case c.RecordStarts != nil:
+		return c.RecordStarts.At
 	case c.RegisterWorker != nil:
 		return c.RegisterWorker.At
 	case c.Evacuate != nil:
@@ -99,6 +104,13 @@
 	Sole bool `json:"sole,omitempty"`
 }
 
+// RecordStarts records that workers have begun tasks of jobs, for those that were not known to
+// have started.
+type RecordStarts struct {
+	Jobs []string `json:"ids"`
+	At   int64    `json:"at"`
+}
+
 // Effect is the slowdown that one core of a filler image causes to a serving image:
 // at 0.1 the same work takes 10% longer. Earlier versions recorded logarithms of tail
 // latencies under "v"; that field is ignored.
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -25,6 +25,7 @@
 	}
 	run := func(k jobs.TaskKey, attempt int, from int64, end jobs.End) {
 		Expect(s.Apply(jobs.Command{Bind: &jobs.Bind{Task: k, Attempt: attempt, On: worker, At: from}}).Applied).To(BeTrue())
+		s.Apply(startedCommand(k.Job))
 		end.Task, end.Attempt = k, attempt
 		Expect(s.Apply(jobs.Command{End: &end}).Applied).To(BeTrue())
 	}
--- a/jobs/dispatch/admit.go
+++ b/jobs/dispatch/admit.go
@@ -137,7 +137,7 @@
 			load.OnTime += waiting
 		}
 		since := max(wj.job.AcceptedAt, wj.job.Spec.Due(0))
-		load.Backlogged = load.Backlogged || !wj.job.Started && d.unixMS-since >= backlogAfter.Milliseconds()
+		load.Backlogged = load.Backlogged || !wj.job.HasStarted() && d.unixMS-since >= backlogAfter.Milliseconds()
 		loads[key] = load
 	}
 	d.admission.controller.Observe(d.now, loads)
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -145,6 +145,7 @@
 	proposedLateEnds map[jobs.TaskKey]bool
 	// rejectedEnds propose the ends again that were not committed.
 	rejectedEnds []func()
+	firstStarts  firstStarts
 	// nextAuditAt is the time of the next audit.
 	nextAuditAt time.Duration
 	planner     planner
@@ -207,7 +208,7 @@
 		options: options, store: store, fence: term * incarnationsPerTerm, leaderSince: now, now: now, unixMS: unix,
 		workers: map[string]*worker{}, incarnations: map[string]int64{}, orphans: map[jobs.TaskKey]*attempt{}, orphansOf: map[string][]jobs.TaskKey{},
 		proposedBinds: map[jobs.TaskKey]*attempt{}, proposedLateEnds: map[jobs.TaskKey]bool{}, listed: map[attemptKey]bool{}, model: interference.NewContention(),
-		effectCache: map[imagePair]float64{}, fillerImages: map[string]bool{},
+		effectCache: map[imagePair]float64{}, fillerImages: map[string]bool{}, firstStarts: newFirstStarts(),
 	}
 	d.planner.init(store)
 	d.admission = d.newAdmission()
@@ -303,6 +304,7 @@
 	}
 	d.retryRejectedEnds()
 	d.expireOrphans()
+	d.recordStarts()
 	d.recordEffects()
 	d.audit()
 	if d.now >= d.planner.replanAt {
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -69,6 +69,7 @@
 		return
 	}
 	a.endProposed = true
+	d.recordStartBeforeEnd(a)
 	d.traceAttempt(attemptEnded, a, outcome, a.over)
 	if a.worker != nil && a.step.Filler {
 		a.worker.colocation.fillersChangedAt = d.now
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -23,6 +23,7 @@
 		if f.Number <= w.lastAcked {
 			continue
 		}
+		d.noteStart(f.Task, f.Attempt)
 		a := d.listedAttempt(w, f.Task, f.Attempt)
 		switch {
 		case a != nil && a.endProposed, a == nil && d.mustDeferEnd(f):
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -188,6 +188,7 @@
 
 // handleRunning records that a worker lists an attempt as running.
 func (d *Dispatcher) handleRunning(w *worker, r *RunningTask) {
+	d.noteStart(r.Task, r.Attempt)
 	a := d.listedAttempt(w, r.Task, r.Attempt)
 	if a == nil {
 		d.handleUnexpected(w, r)
@@ -259,6 +260,9 @@
 }
 
 func (d *Dispatcher) handleStartReply(w *worker, r Reply) {
+	if r.Status == Accepted {
+		d.noteStart(r.Order.Start.Task, r.Order.Start.Attempt)
+	}
 	a := w.attempts[r.Order.Start.Task]
 	if a == nil || a.number != r.Order.Start.Attempt || !a.awaitsReply(&r) {
 		return
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -81,6 +81,8 @@
 	inheritProposals bool
 	// boundToEnded counts the bindings to incarnations that had ended already.
 	boundToEnded map[jobs.TaskKey]int
+	// begun are the jobs of which a worker has begun a task.
+	begun map[string]bool
 	// doneEnds are the successful ends on workers, by task.
 	doneEnds map[jobs.TaskKey][]*doneEnd
 	// evacuatedSince is when each evacuated domain was evacuated.
@@ -251,12 +253,27 @@
 	case current && result.Applied:
 		sim.observeStep("ended", c.End.Task)
 	}
+	sim.checkStates(&c)
 	if c.Bind != nil && result.Applied && !sim.isUp(c.Bind.On) {
 		sim.boundToEnded[c.Bind.Task]++
 	}
 	return result
 }
 
+// checkStates checks that no job of a command is shown as running before a worker has begun one
+// of its tasks.
+func (sim *simulation) checkStates(c *jobs.Command) {
+	ids := []string{c.Task().Job}
+	if c.RecordStarts != nil {
+		ids = c.RecordStarts.Jobs
+	}
+	for _, id := range ids {
+		if j := sim.store.Job(id); j != nil && j.State == jobs.Running && !sim.begun[id] {
+			sim.violation("job %s is shown as running, but no worker has begun it", id)
+		}
+	}
+}
+
 // isCurrent reports whether an end is that of the attempt to which its task is bound.
 func (sim *simulation) isCurrent(c *jobs.End) bool {
 	j := sim.store.Job(c.Task.Job)
@@ -990,6 +1007,7 @@
 
 // noteStart checks that a task does not start after an acknowledged end.
 func (sim *simulation) noteStart(s *Start) {
+	sim.begun[s.Task.Job] = true
 	for _, e := range sim.doneEnds[s.Task] {
 		e.startedAgain = true
 		if e.acknowledged {
--- a/jobs/dispatch/status.go
+++ b/jobs/dispatch/status.go
@@ -58,9 +58,9 @@
 	// those which can't meet their objective any more or have no value.
 	Jobs, Late, Expired int
 	Tasks               int
-	// Begin is the time from the acceptance of a job to the first binding of each task
-	// that waits for no other step.
-	Begin DelayStats
+	// FirstBinding is the time from the acceptance of a job to the first binding of each
+	// task that waits for no other step. The worker may begin the task later, or never.
+	FirstBinding DelayStats
 	// Blocked counts the workers by what keeps the task that has waited longest from them,
 	// "" if none waits.
 	Blocked string
@@ -96,7 +96,7 @@
 
 // activity accumulates what the next summary reports besides the present state.
 type activity struct {
-	begin              map[queueKind]*DelayStats
+	firstBinding       map[queueKind]*DelayStats
 	commit, startReply DelayStats
 	holds              HoldCounts
 	plans, examined    int
@@ -104,15 +104,15 @@
 	evacuatedStarts    int
 }
 
-// recordBegin records the delay of a job whose first task is bound.
-func (a *activity) recordBegin(kind queueKind, delay time.Duration) {
-	if a.begin == nil {
-		a.begin = map[queueKind]*DelayStats{}
+// recordFirstBinding records the delay of the first binding of a task.
+func (a *activity) recordFirstBinding(kind queueKind, delay time.Duration) {
+	if a.firstBinding == nil {
+		a.firstBinding = map[queueKind]*DelayStats{}
 	}
-	if a.begin[kind] == nil {
-		a.begin[kind] = &DelayStats{}
+	if a.firstBinding[kind] == nil {
+		a.firstBinding[kind] = &DelayStats{}
 	}
-	a.begin[kind].add(delay)
+	a.firstBinding[kind].add(delay)
 }
 
 func (a *activity) recordHoldReply(status ReplyStatus) {
@@ -138,7 +138,7 @@
 	for _, w := range d.workers {
 		d.countWorker(w, &s)
 	}
-	s.Queues = d.queueStatus(recent.begin)
+	s.Queues = d.queueStatus(recent.firstBinding)
 	s.Shares = d.planner.fair.status()
 	return s
 }
@@ -188,7 +188,7 @@
 }
 
 // queueStatus counts the waiting jobs and tasks, by priority.
-func (d *Dispatcher) queueStatus(begin map[queueKind]*DelayStats) []QueueStatus {
+func (d *Dispatcher) queueStatus(firstBinding map[queueKind]*DelayStats) []QueueStatus {
 	queues := map[queueKind]*QueueStatus{}
 	at := func(kind queueKind) *QueueStatus {
 		if queues[kind] == nil {
@@ -196,8 +196,8 @@
 		}
 		return queues[kind]
 	}
-	for kind, delays := range begin {
-		at(kind).Begin = *delays
+	for kind, delays := range firstBinding {
+		at(kind).FirstBinding = *delays
 	}
 	for _, wj := range d.planner.waiting {
 		if wj == nil || wj.service == "" {
@@ -281,5 +281,5 @@
 	}
 	since := max(j.AcceptedAt, j.Spec.Due(t.Key.Occurrence))
 	delay := time.Duration(d.unixMS-since) * time.Millisecond
-	d.activity.recordBegin(queueKind{q.Priority, step.LongRunning}, delay)
+	d.activity.recordFirstBinding(queueKind{q.Priority, step.LongRunning}, delay)
 }
--- a/jobs/dispatch/status_test.go
+++ b/jobs/dispatch/status_test.go
@@ -29,7 +29,7 @@
 		Expect(s.Queues).To(HaveLen(1))
 		Expect(s.Queues[0].Jobs).To(Equal(1))
 		Expect(s.Queues[0].Tasks).To(Equal(4))
-		Expect(s.Queues[0].Begin.Count).To(Equal(6))
+		Expect(s.Queues[0].FirstBinding.Count).To(Equal(6))
 		Expect(s.Queues[0].Blocked).To(Equal("map[no CPU:3]"))
 		Expect(s.Commit.Count).To(Equal(6))
 		Expect(s.Commit.Mean()).To(BeNumerically(">=", 5*time.Millisecond), "a commit takes as long in the simulation")
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -113,7 +113,9 @@
 
 // Job states.
 const (
-	Queued    State = "queued"
+	// Queued jobs are accepted. Their tasks may be bound, but none is known to have started.
+	Queued State = "queued"
+	// Running jobs have started, and stay so while all of their tasks wait to run again.
 	Running   State = "running"
 	Done      State = "done"
 	Failed    State = "failed"
@@ -212,11 +214,13 @@
 	// AcceptedAt is the time of the submission in Unix milliseconds.
 	AcceptedAt int64 `json:"at"`
 	State      State `json:"state"`
+	// StartedAt is when a worker was first known to have begun a task, in Unix milliseconds, 0
+	// before. It is missing in snapshots of earlier versions.
+	StartedAt int64 `json:"started_at,omitempty"`
 	// EndedAt is the time of the end in Unix milliseconds, 0 while the job is active.
 	EndedAt int64 `json:"end,omitempty"`
 	// Unsubmitted is set for a job that was cancelled before its submission arrived.
 	Unsubmitted   bool  `json:"unsubmitted,omitempty"`
-	Started       bool  `json:"started,omitempty"`
 	Runs          []run `json:"runs,omitempty"`
 	runsRemaining int
 	// maxCrashes is an upper bound of Task.Crashes.
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -60,6 +60,8 @@
 		return s.bind(c.Bind)
 	case c.End != nil:
 		return s.end(c.End)
+	case c.RecordStarts != nil:
+		return s.recordStarts(c.RecordStarts)
 	case c.RecordEffects != nil:
 		s.effects = c.RecordEffects.Effects
 		return Result{Applied: true}
@@ -143,7 +145,6 @@
 	}
 	worker := c.On
 	t.Attempt, t.BoundTo, t.BoundAt = c.Attempt, &worker, c.At
-	j.State, j.Started = Running, true
 	s.addBound(t)
 	return Result{Applied: true}
 }
@@ -209,6 +210,9 @@
 // applyOutcome updates a task and its job with the outcome of an attempt.
 func (s *Store) applyOutcome(j *Job, t *Task, c *End) {
 	step := j.Step(t.Key)
+	if c.Outcome.provesStart() {
+		j.markStarted(c.At)
+	}
 	switch {
 	case c.Outcome == OutcomeCrashed:
 		s.countCrash(j, t, c)
@@ -309,17 +313,6 @@
 	return changed
 }
 
-// Pending returns the number of accepted jobs of a queue without a started task.
-func (s *Store) Pending(queue string) int {
-	pending := 0
-	for _, j := range s.order {
-		if j.Queue == queue && j.State == Queued && !j.Unsubmitted {
-			pending++
-		}
-	}
-	return pending
-}
-
 // snapshot is the serialized form of a Store.
 type snapshot struct {
 	Config  *Config   `json:"config"`
@@ -363,6 +356,7 @@
 	for _, j := range decoded.Jobs {
 		s.insert(j)
 		j.countRemainingRuns()
+		j.correctStart()
 		j.Tasks(func(t *Task) {
 			if t.BoundTo != nil {
 				s.addBound(t)
--- a/jobs/store_test.go
+++ b/jobs/store_test.go
@@ -29,6 +29,10 @@
 	return jobs.Command{End: &jobs.End{Task: k, Attempt: attempt, Outcome: outcome, At: 3}}
 }
 
+func startedCommand(ids ...string) jobs.Command {
+	return jobs.Command{RecordStarts: &jobs.RecordStarts{Jobs: ids, At: 2}}
+}
+
 func cancelCommand(id string) jobs.Command { return jobs.Command{Cancel: &jobs.Cancel{ID: id, At: 4}} }
 
 var _ = Describe("Store", func() {
@@ -156,14 +160,60 @@
 		Expect(s.Config().Queue("q")).NotTo(BeNil())
 	})
 
-	// Guards against a count of pending jobs that includes started or cancelled ones.
+	// Guards against jobs that count as started once a task is bound: its worker may never begin
+	// it.
 	It("counts jobs without a started task", func() {
 		s.Apply(submitCommand("a", twoStepSpec()))
 		s.Apply(submitCommand("b", twoStepSpec()))
 		s.Apply(submitCommand("c", twoStepSpec()))
 		s.Apply(bindCommand(first, 1))
 		s.Apply(cancelCommand("c"))
+		Expect(s.Pending("q")).To(Equal(2))
+		Expect(s.Job("a").State).To(Equal(jobs.Queued))
+		s.Apply(endCommand(first, 1, jobs.OutcomeLost))
+		Expect(s.Pending("q")).To(Equal(2))
+		s.Apply(bindCommand(first, 2))
+		Expect(s.Apply(startedCommand("a", "c", "unknown")).Applied).To(BeTrue())
+		Expect(s.Apply(startedCommand("a")).Applied).To(BeFalse())
 		Expect(s.Pending("q")).To(Equal(1))
+		Expect(s.PendingByQueue()).To(Equal(map[string]int{"q": 1}))
+		Expect(s.Job("a").State).To(Equal(jobs.Running))
+		Expect(s.Job("c").State).To(Equal(jobs.Cancelled))
+		s.Apply(endCommand(first, 2, jobs.OutcomeStopped))
+		Expect(s.Pending("q")).To(Equal(1), "a job that was evicted has started all the same")
+	})
+
+	// Guards against a job that counts as pending although a worker has reported an end of it.
+	It("takes an end that only a worker reports for a start", func() {
+		for outcome, proves := range map[jobs.Outcome]bool{
+			jobs.OutcomeDone: true, jobs.OutcomeFailed: true, jobs.OutcomeStopped: true, jobs.OutcomeGangMemberEnded: true,
+			jobs.OutcomeGangIncomplete: true, jobs.OutcomeLeaseExpired: false, jobs.OutcomeLost: false, jobs.OutcomeCrashed: false,
+		} {
+			id := "job-" + string(outcome)
+			key := jobs.TaskKey{Job: id}
+			s.Apply(submitCommand(id, twoStepSpec()))
+			s.Apply(bindCommand(key, 1))
+			s.Apply(endCommand(key, 1, outcome))
+			Expect(s.Job(id).HasStarted()).To(Equal(proves), string(outcome))
+		}
+	})
+
+	// Guards against a snapshot of an earlier version that can't be read, or whose jobs count
+	// as started for good because a task was bound.
+	It("corrects the states in a snapshot of an earlier version", func() {
+		job := func(id, task string) string {
+			return `{"id":"` + id + `","queue":"q","spec":{"payload":"p","steps":[{"count":1}]},"at":1,"state":"running","started":true,` +
+				`"runs":[{"steps":[{"tasks":[{"k":{"j":"` + id + `"},"a":1,"on":{"w":"w1","b":10},"ba":7` + task + `}],"left":1}]}]}`
+		}
+		restored, err := jobs.Restore([]byte(`{"config":{"version":1,"queues":[{"name":"q"}]},"jobs":[` +
+			job("bound", "") + "," + job("failed", `,"f":1`) + "," + job("saved", `,"c":"x"`) + `]}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.Pending("q")).To(Equal(1))
+		Expect(restored.Job("bound").State).To(Equal(jobs.Queued))
+		Expect(restored.Job("failed").State).To(Equal(jobs.Running))
+		Expect(restored.Job("saved").StartedAt).To(BeEquivalentTo(7))
+		Expect(restored.Apply(startedCommand("bound")).Applied).To(BeTrue(), "its worker lists the task")
+		Expect(restored.Pending("q")).To(BeZero())
 	})
 
 	// Guards against state that a replica loses when it restores a snapshot.
@@ -171,6 +221,8 @@
 		s.Apply(submitCommand("a", twoStepSpec()))
 		completeTask(first)
 		s.Apply(bindCommand(second, 1))
+		s.Apply(submitCommand("b", twoStepSpec()))
+		s.Apply(startedCommand("b"))
 		s.Apply(cancelCommand("z"))
 		s.Apply(jobs.Command{RecordEffects: &jobs.RecordEffects{Effects: []jobs.Effect{{Serving: "s", Filler: "f", Slowdown: 0.5}}}})
 		data, err := s.Snapshot()
@@ -178,6 +230,7 @@
 		restored, err := jobs.Restore(data)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(restored.Snapshot()).To(Equal(data))
+		Expect(restored.Job("b").State).To(Equal(jobs.Running))
 		Expect(restored.BoundTo(worker)).To(HaveKey(second))
 		Expect(restored.Effects()).To(HaveLen(1))
 		restored.Apply(endCommand(second, 1, jobs.OutcomeDone))
