e2e: pending jobs of a dark worker also after all replicas were killed

The log has to know that a job has not started, not the leader's memory. The test now kills the leader and then all replicas while it reads the answers.

--- a/e2e/jobpending_test.go
+++ b/e2e/jobpending_test.go
@@ -16,11 +16,11 @@
 	// pendingJobs are accepted right after a worker has gone dark. All of them fit on it.
 	pendingJobs = 4
 	// pendingWatch is how long the answers are read while the worker is dark, which is longer
-	// than its lease. pendingKill is when the leader is killed in that time, and pendingDown
-	// how long it is away.
-	pendingWatch = 9 * time.Second
-	pendingKill  = 3 * time.Second
-	pendingDown  = time.Second
+	// than its lease. In that time the leader is killed at pendingKill, and all replicas are at
+	// pendingKillAll.
+	pendingWatch   = 9 * time.Second
+	pendingKill    = 2 * time.Second
+	pendingKillAll = 5 * time.Second
 	// pendingAnswers is the least number of answers that have to come in that time.
 	pendingAnswers = 15
 	// pendingBegin bounds the time until the jobs begin once the worker is back.
@@ -52,7 +52,8 @@
 }
 
 // Guards against accepted jobs that count as started, and are shown as running, while they
-// are bound to a worker which has gone dark: for the leader that bound them and for the next.
+// are bound to a worker which has gone dark: for the leader that bound them, for the next, and
+// after all replicas were killed.
 func TestJobsOfADarkWorkerArePending(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -76,16 +77,16 @@
 		steps := []standin.Step{{Count: 1, MilliCPU: jobWorkerCPU / pendingJobs}}
 		g.Expect(c.submit(id, kindShort, c.offer(id, standin.Payload{After: time.Second}, steps))).To(BeTrue())
 	}
-	begin, killed, answers := time.Now(), false, 0
-	s.await(g, "the end of the watch", 2*pendingWatch, func() bool {
-		if !killed && time.Since(begin) >= pendingKill {
-			killed = true
-			leader := s.f.leader()
-			g.Expect(leader).NotTo(BeNil())
-			leader.expectFault(pendingDown)
-			leader.kill()
-			leader.startAt = time.Now().Add(pendingDown)
+	s.after(pendingKill, func() { g.Expect(s.killLeader()).To(BeTrue()) })
+	s.after(pendingKillAll, func() {
+		s.note("kill all replicas")
+		for _, r := range s.f.replicas {
+			r.kill()
+			r.startAt = time.Now().Add(restartPause)
 		}
+	})
+	begin, answers := time.Now(), 0
+	s.await(g, "the end of the watch", 2*pendingWatch, func() bool {
 		if count, ok := c.pendingCount(); ok {
 			answers++
 			g.Expect(count).To(Equal(pendingJobs), "pending %v after the last job was accepted", time.Since(begin))
