jobs/dispatch: the bindings of a gang are in the log as a whole or not at all

Cause: an entry of the log held 512 commands, so that its end may cut the bindings of a gang in half. A leader that ends between the two entries leaves members whose attempt has a number of its own; planGang left such a gang alone for good. A burst of small gangs reaches it as well as one large job.

Change: commands of one gang are one decision (Proposal.Joined), which EntryLen never parts, whatever its size. A member whose binding is refused while the others' apply cancels the start of all.

The simulation now applies a whole entry before it reports the results, as the programs do, parts entries by the same function, and drops the queue of a former leader.

--- a/jobd/proposals.go
+++ b/jobd/proposals.go
@@ -16,7 +16,7 @@
 	// proposalIntervalPerReplica times the number of replicas is the minimum interval
 	// between two entries. It limits the messages that a loaded leader sends.
 	proposalIntervalPerReplica = 2500 * time.Microsecond
-	// maxBatchCommands limits the commands in one entry.
+	// maxBatchCommands limits the commands in one entry, but for one larger decision.
 	maxBatchCommands = dispatch.MaxEntryCommands
 )
 
@@ -77,7 +77,7 @@
 	}
 	for len(q.queued) > 0 && q.inFlight < maxProposalsInFlight && q.now() >= q.nextProposalAt {
 		q.nextProposalAt = q.now() + q.interval()
-		n := min(len(q.queued), maxBatchCommands)
+		n := dispatch.EntryLen(q.queued, maxBatchCommands)
 		batch := q.queued[:n:n]
 		q.queued = q.queued[n:]
 		if !q.propose(batch) {
--- a/jobd/proposals_test.go
+++ b/jobd/proposals_test.go
@@ -124,3 +124,29 @@
 	g.Expect(l.sizes).To(Equal([]int{maxBatchCommands, 10}))
 	g.Expect(*o).To(Equal(outcome{applied: maxBatchCommands + 10}))
 }
+
+// Guards against a decision that the end of an entry cuts in half: a leader that ends between
+// the two entries leaves the first half behind.
+func TestDecisionsShareAnEntry(t *testing.T) {
+	g := NewWithT(t)
+	l, now, o := &fakeLog{}, time.Second, &outcome{}
+	q := newTestQueue(l, &now)
+	addDecision := func(commands int) {
+		for i := range commands {
+			p := o.proposal()
+			p.Joined = i > 0
+			q.add(p)
+		}
+	}
+	addDecision(maxBatchCommands - 2)
+	addDecision(5)
+	addDecision(maxBatchCommands + 7)
+	addDecision(1)
+	for range 4 {
+		q.flush()
+		l.commit(nil)
+		now += 10 * time.Millisecond
+	}
+	g.Expect(l.sizes).To(Equal([]int{maxBatchCommands - 2, 5, maxBatchCommands + 7, 1}))
+	g.Expect(o.failed).To(BeZero())
+}
--- a/jobs/dispatch/crash.go
+++ b/jobs/dispatch/crash.go
@@ -186,7 +186,7 @@
 	}
 	d.proposedLateEnds[key] = true
 	command := jobs.End{Task: key, Attempt: e.Attempt, Outcome: outcome, At: d.unixMS}
-	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
+	d.propose(jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
 		delete(d.proposedLateEnds, key)
 		d.planner.waiting[key.Job] = nil
 		d.planner.dirty = true
@@ -197,7 +197,7 @@
 			d.updateSuspicion(j.Task(key))
 		}
 		d.handleCrashRecorded(&command)
-	}})
+	})
 }
 
 // updateSuspicion updates the current attempt of a task.
--- a/jobs/dispatch/dispatcher.go
+++ b/jobs/dispatch/dispatcher.go
@@ -177,7 +177,10 @@
 // Proposal is a command for the replicated log. The caller must call OnResult with the
 // result once the command is applied, or with ok false if it may not have been applied.
 type Proposal struct {
-	Command  jobs.Command
+	Command jobs.Command
+	// Joined is set if the command belongs to the same decision as the one before it: both
+	// must be in one entry of the log. OnResult is called after the whole entry is applied.
+	Joined   bool
 	OnResult func(result jobs.Result, ok bool)
 }
 
@@ -264,6 +267,7 @@
 	if len(c) > MaxEntryCommands {
 		d.sortRestarts(c)
 	}
+	d.joinGangs(c)
 	slices.SortStableFunc(o, func(a, b Order) int {
 		return cmp.Or(cmp.Compare(a.To.Worker, b.To.Worker), compareTasks(a.task(), b.task()))
 	})
--- a/jobs/dispatch/effects.go
+++ b/jobs/dispatch/effects.go
@@ -55,7 +55,7 @@
 	}
 	d.recordedEffects = learned
 	command := jobs.Command{RecordEffects: &jobs.RecordEffects{Effects: sortedEffects(learned)}}
-	d.commands = append(d.commands, Proposal{command, func(jobs.Result, bool) {}})
+	d.propose(command, func(jobs.Result, bool) {})
 }
 
 // serving returns the images and the jobs of the serving tasks.
--- a/jobs/dispatch/end.go
+++ b/jobs/dispatch/end.go
@@ -81,7 +81,7 @@
 		checkpoint = a.checkpoint
 	}
 	command := jobs.End{Task: a.task, Attempt: a.number, Outcome: outcome, Checkpoint: checkpoint, At: d.unixMS, Sole: a.sole}
-	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
+	d.propose(jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
 		a.endProposed = false
 		if !ok {
 			d.rejectedEnds = append(d.rejectedEnds, func() { d.proposeEnd(a, outcome, checkpoint, onRecorded) })
@@ -93,7 +93,7 @@
 		}
 		d.handleCrashRecorded(&command)
 		onRecorded()
-	}})
+	})
 }
 
 // retryRejectedEnds proposes the ends again that were not committed. No other event may
--- a/jobs/dispatch/finished.go
+++ b/jobs/dispatch/finished.go
@@ -217,12 +217,12 @@
 	d.traceListed(attemptEnded, w, f, basisListedLate)
 	d.checkLateEnd(w, f)
 	command := jobs.End{Task: f.Task, Attempt: f.Attempt, Outcome: f.Outcome, At: d.unixMS}
-	d.commands = append(d.commands, Proposal{jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
+	d.propose(jobs.Command{End: &command}, func(_ jobs.Result, ok bool) {
 		delete(d.proposedLateEnds, f.Task)
 		d.planner.waiting[f.Task.Job] = nil
 		d.planner.dirty = true
 		if ok {
 			onRecorded()
 		}
-	}})
+	})
 }
--- a/jobs/dispatch/first_start.go
+++ b/jobs/dispatch/first_start.go
@@ -75,12 +75,12 @@
 		d.firstStarts.proposed[id] = true
 	}
 	command := jobs.Command{RecordStarts: &jobs.RecordStarts{Jobs: ids, At: d.unixMS}}
-	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) {
+	d.propose(command, func(_ jobs.Result, ok bool) {
 		for _, id := range ids {
 			delete(d.firstStarts.proposed, id)
 			if j := d.store.Job(id); !ok && j != nil && j.AwaitsStart() {
 				d.firstStarts.known[id] = true
 			}
 		}
-	}})
+	})
 }
--- a/jobs/dispatch/large_fleet_test.go
+++ b/jobs/dispatch/large_fleet_test.go
@@ -232,7 +232,7 @@
 	bindAll := func() []Proposal {
 		for i := range tasks {
 			bind := jobs.Bind{Task: jobs.TaskKey{Job: fmt.Sprintf("job-%04d", i)}, Attempt: 2}
-			d.commands = append(d.commands, Proposal{jobs.Command{Bind: &bind}, nil})
+			d.commands = append(d.commands, Proposal{Command: jobs.Command{Bind: &bind}})
 		}
 		commands, _, _ := d.TakeOutput()
 		return commands
--- a/jobs/dispatch/plan.go
+++ b/jobs/dispatch/plan.go
@@ -376,28 +376,6 @@
 	return float64(free) / float64(max(1, requested))
 }
 
-// planGang binds all tasks of a gang or none of them. It reports whether they still wait.
-func (d *Dispatcher) planGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, size int, candidates []*candidate) bool {
-	if len(waiting) < size {
-		return true
-	}
-	number := 0
-	for _, t := range waiting {
-		number = max(number, t.Attempt+1)
-		if t.Attempt != waiting[0].Attempt {
-			return true
-		}
-	}
-	chosen := d.placeGang(wj, step, waiting, candidates)
-	if chosen == nil {
-		return true
-	}
-	for i, t := range waiting {
-		d.bind(t, step, chosen[i], number)
-	}
-	return false
-}
-
 // fitGang returns a worker for each task of a gang, or nil if some of them find none.
 func (d *Dispatcher) fitGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, candidates []*candidate) []*candidate {
 	taken := map[*candidate]int{}
@@ -454,9 +432,9 @@
 	d.recordBinding(t, step)
 	d.countStart(t, step)
 	command := jobs.Bind{Task: t.Key, Attempt: number, On: w.incarnation(), At: d.unixMS}
-	d.commands = append(d.commands, Proposal{jobs.Command{Bind: &command}, func(result jobs.Result, ok bool) {
+	d.propose(jobs.Command{Bind: &command}, func(result jobs.Result, ok bool) {
 		d.handleBound(a, result.Applied, ok)
-	}})
+	})
 }
 
 // handleBound sends the start of an attempt whose binding is committed. After any other
@@ -505,21 +483,10 @@
 		return reasonEvacuated
 	case !a.worker.holdsAll():
 		return "the capacity of the worker shrank"
+	case a.step.Gang && !d.gangBound(j, a):
+		return "another member of the gang is not bound with it"
 	case a.step.Gang && !d.gangFits(j, a):
 		return "the capacity of the worker of another gang member shrank"
 	}
 	return ""
 }
-
-// gangFits reports whether the workers of all members of an attempt's gang can hold them.
-// Members that start alone would wait for the others in vain.
-func (d *Dispatcher) gangFits(j *jobs.Job, a *attempt) bool {
-	tasks := j.StepTasks(a.task.Occurrence, a.task.Step)
-	for i := range tasks {
-		member := d.currentAttempt(tasks[i].Key)
-		if member != nil && member.number == a.number && member.worker != nil && !member.worker.holdsAll() {
-			return false
-		}
-	}
-	return true
-}
--- a/jobs/dispatch/registry.go
+++ b/jobs/dispatch/registry.go
@@ -74,7 +74,7 @@
 	}
 	w.registration.proposed = true
 	command := jobs.Command{RegisterWorker: &jobs.RegisterWorker{Worker: *record, At: d.unixMS}}
-	d.commands = append(d.commands, Proposal{command, func(result jobs.Result, ok bool) {
+	d.propose(command, func(result jobs.Result, ok bool) {
 		w.registration.proposed = false
 		// The log refuses a record if it has one of a later start time.
 		if !ok || !result.Applied || w.terminated || w.deregistered {
@@ -82,7 +82,7 @@
 			return
 		}
 		d.register(w)
-	}})
+	})
 }
 
 // replaceLater proposes to remove the record of a later incarnation under the id of a worker:
@@ -98,7 +98,7 @@
 	}
 	d.addLogEvent("untrue registration replaced", w, nil, recorded.HostPort)
 	command := jobs.Command{RemoveWorker: &jobs.RemoveWorker{Worker: recorded.Incarnation}}
-	d.commands = append(d.commands, Proposal{command, func(jobs.Result, bool) {}})
+	d.propose(command, func(jobs.Result, bool) {})
 	return true
 }
 
@@ -143,7 +143,7 @@
 		return
 	}
 	command := jobs.Command{RemoveWorker: &jobs.RemoveWorker{Worker: w.incarnation()}}
-	d.commands = append(d.commands, Proposal{command, func(_ jobs.Result, ok bool) { done(ok) }})
+	d.propose(command, func(_ jobs.Result, ok bool) { done(ok) })
 }
 
 // observeClock records a reading of a worker's clock.
--- a/jobs/dispatch/restart.go
+++ b/jobs/dispatch/restart.go
@@ -11,9 +11,6 @@
 // restart.
 const workersPerRestart = 10
 
-// MaxEntryCommands is the number of commands that one entry of the log can hold.
-const MaxEntryCommands = 512
-
 // sortRestarts moves the bindings of long-running tasks that have run before to the end, the
 // longest wait first. The commands don't fit in one entry, and each further one takes an
 // interval of the log.
@@ -24,14 +21,28 @@
 			return 0
 		}
 		j := d.store.Job(b.Task.Job)
-		if t := j.Task(b.Task); j.Step(b.Task).LongRunning && t.Attempt > 0 {
-			return t.EndedAt
+		step := j.Step(b.Task)
+		if !step.LongRunning || j.Task(b.Task).Attempt == 0 {
+			return 0
+		}
+		if step.Gang {
+			// All members share an entry, so they stay next to each other.
+			return earliestEnd(j.StepTasks(b.Task.Occurrence, b.Task.Step))
 		}
-		return 0
+		return j.Task(b.Task).EndedAt
 	}
 	slices.SortStableFunc(commands, func(a, b Proposal) int { return cmp.Compare(waitingSince(&a), waitingSince(&b)) })
 }
 
+// earliestEnd returns the earliest time at which the latest attempt of a task ended.
+func earliestEnd(tasks []jobs.Task) int64 {
+	earliest := tasks[0].EndedAt
+	for i := range tasks {
+		earliest = min(earliest, tasks[i].EndedAt)
+	}
+	return earliest
+}
+
 // restart is a long-running task that has run before and waits to run again.
 type restart struct {
 	job  *waitingJob
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -200,6 +200,10 @@
 func (sim *simulation) startLeader() *Dispatcher {
 	sim.copyStore()
 	sim.commitInherited()
+	if sim.entries != nil {
+		// The queue of the former leader ends with its term.
+		sim.entries.queued = nil
+	}
 	for _, previous := range sim.leaders {
 		sim.schedule(time.Duration(sim.rng.Int64N(int64(testPreviousLeaderLease))), func() { sim.depose(previous) })
 	}
@@ -371,7 +375,7 @@
 		})
 		return
 	}
-	n := min(len(e.queued), e.size)
+	n := EntryLen(e.queued, e.size)
 	e.nextAt = sim.now + e.interval
 	sim.propose(d, e.queued[:n:n])
 	e.queued = e.queued[n:]
@@ -386,12 +390,15 @@
 	}
 	d.Advance(sim.now, sim.unix())
 	rejected := sim.rejectRate > 0 && sim.rng.Float64() < sim.rejectRate
-	for _, p := range batch.commands {
-		if rejected || d != sim.current() {
-			p.OnResult(jobs.Result{}, false)
-			continue
+	applied := !rejected && d == sim.current()
+	results := make([]jobs.Result, len(batch.commands))
+	for i := range batch.commands {
+		if applied {
+			results[i] = sim.apply(batch.commands[i].Command)
 		}
-		p.OnResult(sim.apply(p.Command), true)
+	}
+	for i, p := range batch.commands {
+		p.OnResult(results[i], applied)
 	}
 	sim.carryOut(d)
 }
