jobs/dispatch: simulated gangs work, end and break together; a log cut anywhere

Change: members of a simulated gang work once all are there, end together, end as "broken" with the first that leaves and as "alone" after 3 s without the others. A former leader's commands no longer get into the entries of the next one.

--- a/jobs/dispatch/random_test.go
+++ b/jobs/dispatch/random_test.go
@@ -37,7 +37,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), store: jobs.NewStore(), deposed: map[*Dispatcher]bool{}, failedEnds: map[jobs.TaskKey]int{}, //nolint:gosec // a simulation
 		deadly: map[jobs.TaskKey]bool{}, crashesUnder: map[jobs.TaskKey]int{}, startsAfterCrashes: map[jobs.TaskKey]int{},
 		possibleCrashes: map[jobs.TaskKey]int{}, stoppedEnds: map[jobs.TaskKey]int{}, registered: map[*Dispatcher]map[jobs.Incarnation]jobs.Resources{},
-		stalledUntil: map[*Dispatcher]time.Duration{}, doneEnds: map[jobs.TaskKey][]*doneEnd{}, begun: map[string]bool{},
+		stalledUntil: map[*Dispatcher]time.Duration{}, doneEnds: map[jobs.TaskKey][]*doneEnd{}, begun: map[string]bool{}, gangs: map[gangAttempt]*simGang{},
 		boundToEnded: map[jobs.TaskKey]int{}, evacuatedSince: map[string]time.Duration{}, byAddress: map[string]*simWorker{},
 		options: Options{
 			WorkerLease: testLease, HeartbeatInterval: testHeartbeatInterval, CapacityGrace: testCapacityGrace, PreviousLeaderLease: testPreviousLeaderLease,
--- a/jobs/dispatch/simulation_test.go
+++ b/jobs/dispatch/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -81,6 +82,8 @@
 	inheritProposals bool
 	// boundToEnded counts the bindings to incarnations that had ended already.
 	boundToEnded map[jobs.TaskKey]int
+	// gangs are the attempts of gangs on workers.
+	gangs map[gangAttempt]*simGang
 	// begun are the jobs of which a worker has begun a task.
 	begun map[string]bool
 	// doneEnds are the successful ends on workers, by task.
@@ -335,10 +338,9 @@
 			sim.observeStep("bound", b.Task)
 		}
 	}
-	if len(commands) > 0 && sim.entries == nil {
+	if sim.entries == nil || d != sim.current() {
 		sim.propose(d, commands)
-	}
-	if sim.entries != nil {
+	} else {
 		sim.entries.queued = append(sim.entries.queued, commands...)
 		sim.proposeEntries(d)
 	}
@@ -353,6 +355,9 @@
 // propose proposes commands as one entry. Entries are committed in the order in which they
 // were proposed.
 func (sim *simulation) propose(d *Dispatcher, commands []Proposal) {
+	if len(commands) == 0 {
+		return
+	}
 	sim.committedUntil = max(sim.committedUntil, sim.now+5*time.Millisecond+sim.commitDelay)
 	batch := &proposedBatch{d, commands}
 	sim.proposed = append(sim.proposed, batch)
@@ -678,6 +683,8 @@
 	checkpointed bool
 	saved        time.Duration
 	stopping     bool
+	// gang is the gang of the run, nil for a run of its own.
+	gang *simGang
 }
 
 // simRestoreTime is how long a run takes to resume from a checkpoint.
@@ -811,7 +818,13 @@
 	}
 	t.countCrash()
 	t.up = false
+	lost := t.running
 	t.running = map[jobs.TaskKey]*simRun{}
+	for _, key := range slices.SortedFunc(maps.Keys(lost), compareTasks) {
+		if run := lost[key]; run.gang != nil {
+			run.gang.leaveGang(run)
+		}
+	}
 	t.sim.schedule(downtime, t.boot)
 }
 
@@ -898,6 +911,11 @@
 	t.sim.observeStep("at work", s.Task)
 	if !step.LongRunning {
 		run.resume(step, s.Checkpoint, t.sim.durationFactor()*t.placeFactor(s.Task, step))
+	}
+	switch {
+	case step.Gang:
+		t.joinGang(s.Task, run, step)
+	case !step.LongRunning:
 		t.sim.schedule(run.duration-run.saved, func() { t.complete(s.Task, run) })
 	}
 	if t.sim.deadly[s.Task] {
@@ -925,16 +943,13 @@
 	case t.hung:
 		t.sim.schedule(100*time.Millisecond, func() { t.complete(key, run) })
 	default:
-		outcome := t.outcome()
-		if t.sim.fails != nil && t.sim.fails(key, run.attempt) {
-			outcome = jobs.OutcomeFailed
-		}
-		t.end(key, outcome)
+		t.end(key, t.outcomeOf(key, run))
 	}
 }
 
-func (t *simWorker) outcome() jobs.Outcome {
-	if t.failTasks {
+// outcomeOf returns how a run ends whose work is done.
+func (t *simWorker) outcomeOf(key jobs.TaskKey, run *simRun) jobs.Outcome {
+	if t.failTasks || t.sim.fails != nil && t.sim.fails(key, run.attempt) {
 		return jobs.OutcomeFailed
 	}
 	return jobs.OutcomeDone
@@ -952,6 +967,9 @@
 		t.sim.stoppedEnds[key]++
 	}
 	t.finished = append(t.finished, f)
+	if run.gang != nil {
+		run.gang.leaveGang(run)
+	}
 	if outcome == jobs.OutcomeDone {
 		t.sim.doneEnds[key] = append(t.sim.doneEnds[key], &doneEnd{attempt: run.attempt})
 	}
