--- a/jobs/dispatch/gang.go
+++ b/jobs/dispatch/gang.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "geraniumwall/jobs"
+import (
+	"slices"
+
+	"geraniumwall/jobs"
+)
 
 // planGang binds all tasks of a gang or none of them. It reports whether they still wait.
 func (d *Dispatcher) planGang(wj *waitingJob, step *jobs.Step, waiting []*jobs.Task, size int, candidates []*candidate) bool {
@@ -12,7 +16,7 @@
 		return true
 	}
 	latest := latestAttempt(waiting)
-	if behind := attemptsBehind(waiting, latest); behind > 0 {
+	if slices.ContainsFunc(waiting, func(t *jobs.Task) bool { return t.Attempt < latest }) {
 		d.alignAttempts(step, waiting, chosen, latest)
 		return true
 	}
@@ -31,15 +35,6 @@
 	return latest
 }
 
-// attemptsBehind returns the number of tasks whose latest attempt has a lower number.
-func attemptsBehind(tasks []*jobs.Task, latest int) int {
-	behind := 0
-	for _, t := range tasks {
-		behind += boolToInt(t.Attempt < latest)
-	}
-	return behind
-}
-
 // alignAttempts lets the members of a gang that are behind catch up by one attempt, since all
 // members must start with the same number. The log allows the next number only after the
 // attempt before it has ended, so each missing one is bound and ends without a start.
