jobs/dispatch: no search for the job of each task that a worker lists

Cause: noting first starts looked the job up in the store for each row of a list, though the listed attempt has it, on the path of every hold. sameStep repeated stepKey.

Change: a listed attempt passes its job; only rows without an attempt are looked up. An attempt whose binding is not committed proves no start, as before. stepKey replaces sameStep.

No change of behaviour.

--- a/jobs/dispatch/entries.go
+++ b/jobs/dispatch/entries.go
@@ -36,15 +36,11 @@
 // are sorted by task.
 func (d *Dispatcher) joinGangs(commands []Proposal) {
 	for i := 1; i < len(commands); i++ {
-		task := commands[i].Command.Task()
-		commands[i].Joined = sameStep(task, commands[i-1].Command.Task()) && d.isGangMember(task)
+		task, previous := commands[i].Command.Task(), commands[i-1].Command.Task()
+		commands[i].Joined = stepKey(task) == stepKey(previous) && d.isGangMember(task)
 	}
 }
 
-func sameStep(a, b jobs.TaskKey) bool {
-	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
-}
-
 // isGangMember reports whether a task belongs to a gang.
 func (d *Dispatcher) isGangMember(key jobs.TaskKey) bool {
 	j := d.store.Job(key.Job)
--- a/jobs/dispatch/first_start.go
+++ b/jobs/dispatch/first_start.go
@@ -34,10 +34,17 @@
 // attempt, whether that is the current one or not.
 func (d *Dispatcher) noteStart(key jobs.TaskKey, number int) {
 	j := d.store.Job(key.Job)
-	if j == nil || !j.AwaitsStart() || d.firstStarts.proposed[j.ID] {
+	if j == nil {
 		return
 	}
 	if t := j.Task(key); t != nil && number >= 1 && number <= t.Attempt {
+		d.noteJobStart(j)
+	}
+}
+
+// noteJobStart notes that a worker has begun a task of a job.
+func (d *Dispatcher) noteJobStart(j *jobs.Job) {
+	if j.AwaitsStart() && !d.firstStarts.proposed[j.ID] {
 		d.firstStarts.known[j.ID] = true
 	}
 }
--- a/jobs/dispatch/replies.go
+++ b/jobs/dispatch/replies.go
@@ -188,12 +188,15 @@
 
 // handleRunning records that a worker lists an attempt as running.
 func (d *Dispatcher) handleRunning(w *worker, r *RunningTask) {
-	d.noteStart(r.Task, r.Attempt)
 	a := d.listedAttempt(w, r.Task, r.Attempt)
 	if a == nil {
+		d.noteStart(r.Task, r.Attempt)
 		d.handleUnexpected(w, r)
 		return
 	}
+	if a.phase != phaseProposed {
+		d.noteJobStart(a.job)
+	}
 	a.confirmStart(d.now)
 	if r.Percent != a.percent {
 		a.percent, a.progressAt = r.Percent, d.now
